--- /dev/null
+++ b/decide/decide.go
@@ -0,0 +1,768 @@
+// The module's interface (settings, events, actions) stands in types.go; the
+// timer heap, which decides nothing, in timers.go. Everything that is decided
+// is decided in this file, from top to bottom: requests, retries and their
+// bucket, the two rules on effects and refusals, the pick, cold starts, the list.
+
+package decide
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// Figures of the design. None is taken from a deployment.
+const (
+	depositPerServed = 0.1             // tokens for each served attempt: retries stay near a tenth of traffic
+	floorRate        = 3.0             // tokens a second whatever the traffic
+	floorBurst       = 10 * floorRate  // most tokens: ten seconds of the floor
+	spareShare       = 0.5             // part of the bucket that the lowest worth leaves to the others
+	payoffFloor      = 0.05            // least payoff: an endpoint out of favour still wins a pick now and then
+	payoffGain       = 0.15            // weight of the newest outcome in the smoothed payoff
+	driftTime        = 8 * time.Second // an unpicked endpoint goes this slowly towards the others' mean
+)
+
+// Figures of what the design leaves open.
+const (
+	parkedStep     = 20 * time.Millisecond // how often a request without a fit endpoint is looked at again
+	meanAge        = 50 * time.Millisecond // how old the mean payoff may be when it is used
+	rateTime       = 3 * time.Second       // averaging time of the served rate
+	coldCaution    = 0.5                   // part of the allowed push on a cold endpoint that is used up on purpose
+	coldTrickle    = 1.0                   // sends a second to a cold endpoint, over all peers, when nothing is known
+	firstAskSpread = 1 * time.Second       // the first call for the list comes within this, not in step with the peers
+	askPause       = 1 * time.Second       // shortest pause before asking again after a failed call
+	askPauseMost   = 4 * time.Second       // and longest
+	modestWorth    = 1.0                   // worth of a request of an unknown class
+)
+
+// Balancer decides for one instance. It is not safe for concurrent use.
+type Balancer struct {
+	set     Settings
+	rng     *rand.Rand
+	now     Time
+	actions []Action
+	timers  timerQueue
+	classes map[string]*class
+	unknown class // what a request of an unknown class is handled as
+	requests
+	bucket bucket
+	fleet  fleet
+	list   listFollower
+}
+
+// class is a request class with what its requests share.
+type class struct {
+	Class
+	sheddable bool // the lowest worth, where worth differs
+}
+
+// New returns a balancer that has seen nothing yet. The seed is its only
+// source of randomness.
+func New(set Settings, seed uint64) (*Balancer, error) {
+	if err := validate(&set); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)), classes: map[string]*class{}}
+	least, most := math.Inf(1), 0.0
+	for _, c := range set.Classes {
+		least, most = min(least, c.Worth), max(most, c.Worth)
+	}
+	for _, c := range set.Classes {
+		b.classes[c.Name] = &class{Class: c, sheddable: least < most && c.Worth == least}
+	}
+	b.unknown = class{Class: Class{Effect: Unsafe, Worth: modestWorth, Aim: set.Classes[0].Aim}}
+	b.held = map[RequestID]*request{}
+	b.bucket.tokens = floorBurst
+	b.fleet.byID = map[EndpointID]*endpoint{}
+	return b, nil
+}
+
+// validate turns down settings that cannot be acted on.
+func validate(s *Settings) error {
+	if len(s.Classes) == 0 {
+		return fmt.Errorf("classes: there are none")
+	}
+	for i, c := range s.Classes {
+		switch {
+		case c.Effect == EffectUnset:
+			return fmt.Errorf("classes[%d] %q: effect: not set", i, c.Name)
+		case c.Aim <= 0:
+			return fmt.Errorf("classes[%d] %q: aim: %v is not above 0", i, c.Name, c.Aim)
+		case c.Deadline < 0:
+			return fmt.Errorf("classes[%d] %q: deadline: %v is negative", i, c.Name, c.Deadline)
+		case c.Window < 0:
+			return fmt.Errorf("classes[%d] %q: window: %v is negative", i, c.Name, c.Window)
+		case c.Worth < 0:
+			return fmt.Errorf("classes[%d] %q: worth: %v is negative", i, c.Name, c.Worth)
+		}
+	}
+	r := &s.Rules
+	for _, f := range []struct {
+		name string
+		d    time.Duration
+	}{
+		{"answer slack", r.AnswerSlack}, {"ask every", r.AskEvery}, {"cold time", r.ColdTime},
+		{"fall window", r.FallWindow}, {"drain grace", r.DrainGrace},
+	} {
+		if f.d < 0 {
+			return fmt.Errorf("rules: %s: %v is negative", f.name, f.d)
+		}
+	}
+	if s.Limits.MaxAttempts < 0 {
+		return fmt.Errorf("limits: max attempts: %d is negative", s.Limits.MaxAttempts)
+	}
+	s.Peers = max(1, s.Peers)
+	s.Limits.MaxAttempts = max(1, s.Limits.MaxAttempts)
+	return nil
+}
+
+// Handle takes one event at its time and appends what is to be done about it.
+func (b *Balancer) Handle(now Time, e *Event, actions []Action) []Action {
+	b.now, b.actions = now, actions
+	b.runTimers()
+	switch e.Kind {
+	case Start:
+		b.startList()
+	case Arrived:
+		b.arrived(e)
+	case Finished:
+		b.finished(e)
+	case StreamBegan:
+		b.streamBegan(e)
+	case ClientLeft:
+		b.clientLeft(e)
+	case ListChanged, ListReplaced, ListRestored:
+		b.listCame(e)
+	case ListFailed:
+		b.listFailed()
+	case TimerDue, ProbeFinished:
+	}
+	actions = b.timers.arm(now, b.actions)
+	b.actions = nil
+	return actions
+}
+
+// runTimers does what is due by now, before the event itself.
+func (b *Balancer) runTimers() {
+	for {
+		t, ok := b.timers.due(b.now)
+		if !ok {
+			return
+		}
+		switch t.kind {
+		case timerRequest:
+			b.timeUp(t.request)
+		case timerBucket:
+			b.bucket.timerSet = false
+			b.fundWaiting()
+		case timerParked:
+			b.parkedTimer = false
+			b.sendParked()
+		case timerList:
+			b.askList()
+		}
+	}
+}
+
+func (b *Balancer) act(a Action) { b.actions = append(b.actions, a) }
+
+// ---- Requests ----
+
+// requests is everything held for clients.
+type requests struct {
+	held        map[RequestID]*request
+	waiting     []*request // retries that no token has funded yet, oldest first
+	parked      []*request // requests that no endpoint may take now, oldest first
+	parkedTimer bool
+}
+
+// request is one try of a client and its attempts. It stays held after its
+// end until every attempt has its outcome.
+type request struct {
+	id       RequestID
+	class    *class
+	deadline Time // when the client gives up
+	attempts []attempt
+	out      int  // attempts without an outcome
+	over     bool // the final answer is given, or nobody waits for one
+	bound    bool // a stream has begun: the attempt is the client's
+	queued   bool // it stands in waiting or parked
+}
+
+// attempt is one send of a request.
+type attempt struct {
+	to      *endpoint
+	sent    Time
+	settled bool
+	ran     bool // it may have run; true until an outcome proves otherwise
+}
+
+// arrived takes a new request: first attempts go free and at once.
+func (b *Balancer) arrived(e *Event) {
+	c := b.classes[e.Class]
+	if c == nil {
+		c = &b.unknown
+	}
+	r := &request{id: e.Request, class: c, deadline: b.now + e.Grace}
+	b.held[r.id] = r
+	b.dispatch(r)
+	b.timers.set(r.deadline-b.set.Tick, timerRequest, r.id)
+}
+
+// dispatch sends the request, or parks it while no endpoint may take it.
+func (b *Balancer) dispatch(r *request) {
+	to := b.pick(r)
+	if to == nil {
+		b.park(r)
+		return
+	}
+	r.attempts = append(r.attempts, attempt{to: to, sent: b.now, ran: true})
+	r.out++
+	to.inFlight++
+	to.touched = b.now
+	if to.cold {
+		to.credit--
+	}
+	b.act(Action{Kind: Send, Request: r.id, Endpoint: to.id})
+}
+
+// park holds a request that no endpoint may take now.
+func (b *Balancer) park(r *request) {
+	r.queued = true
+	b.parked = append(b.parked, r)
+	b.setParkedTimer()
+}
+
+func (b *Balancer) setParkedTimer() {
+	if len(b.parked) > 0 && !b.parkedTimer {
+		b.parkedTimer = true
+		b.timers.set(b.now+parkedStep, timerParked, 0)
+	}
+}
+
+// sendParked tries again for every parked request, oldest first.
+func (b *Balancer) sendParked() {
+	parked := b.parked
+	b.parked = nil
+	for _, r := range parked {
+		if !r.over {
+			r.queued = false
+			b.dispatch(r)
+		}
+	}
+	b.setParkedTimer()
+}
+
+// finished books an attempt's outcome, also when its request is long over.
+func (b *Balancer) finished(e *Event) {
+	r := b.held[e.Request]
+	if r == nil || e.Attempt < 0 || e.Attempt >= len(r.attempts) || r.attempts[e.Attempt].settled {
+		return
+	}
+	a := &r.attempts[e.Attempt]
+	a.settled = true
+	a.ran = !e.Outcome.NeverRan()
+	a.to.inFlight--
+	r.out--
+	b.learn(r, a, e)
+	if e.Over {
+		r.over = true
+	}
+	if !r.over && !r.bound {
+		b.further(r)
+	}
+	b.release(r)
+}
+
+// further decides on a request whose attempt has failed.
+func (b *Balancer) further(r *request) {
+	if r.out > 0 {
+		return
+	}
+	if b.now >= r.deadline || len(r.attempts) >= b.set.Limits.MaxAttempts || !b.anyMayTake(r) {
+		b.giveUp(r)
+		return
+	}
+	b.retry(r)
+}
+
+// giveUp ends a request: refused where that is allowed, else failed.
+func (b *Balancer) giveUp(r *request) {
+	r.over = true
+	kind := Fail
+	if mayRefuse(r) {
+		kind = Refuse
+	}
+	b.act(Action{Kind: kind, Request: r.id})
+	b.release(r)
+}
+
+// release forgets a request that is over and has nothing out.
+func (b *Balancer) release(r *request) {
+	if r.over && r.out == 0 {
+		delete(b.held, r.id)
+	}
+}
+
+// timeUp ends a request whose client is about to give up while nothing is out
+// for it. An attempt that is out is ended by its own time-out at the deadline.
+func (b *Balancer) timeUp(id RequestID) {
+	if r := b.held[id]; r != nil && !r.over && !r.bound && r.out == 0 {
+		b.giveUp(r)
+	}
+}
+
+func (b *Balancer) streamBegan(e *Event) {
+	if r := b.held[e.Request]; r != nil {
+		r.bound = true
+	}
+}
+
+func (b *Balancer) clientLeft(e *Event) {
+	if r := b.held[e.Request]; r != nil {
+		r.over = true
+		b.release(r)
+	}
+}
+
+// ---- The retry token bucket ----
+
+// bucket funds retries: a tenth of what is served, and a floor.
+type bucket struct {
+	tokens   float64
+	filled   Time
+	timerSet bool
+}
+
+// refill adds what the floor has brought since the last look.
+func (k *bucket) refill(now Time) {
+	k.add(floorRate * (now - k.filled).Seconds())
+	k.filled = now
+}
+
+func (k *bucket) add(tokens float64) { k.tokens = min(floorBurst, k.tokens+tokens) }
+
+// needed is what the bucket must hold before a request of the class may take
+// one token: the lowest worth leaves half of it untouched.
+func (k *bucket) needed(c *class) float64 {
+	if c.sheddable {
+		return 1 + spareShare*floorBurst
+	}
+	return 1
+}
+
+// take spends one token on a retry of the class, if it is funded.
+func (k *bucket) take(now Time, c *class) bool {
+	k.refill(now)
+	if k.tokens < k.needed(c) {
+		return false
+	}
+	k.tokens--
+	return true
+}
+
+// wait is how long the floor alone takes to fund a retry of the class.
+func (k *bucket) wait(c *class) time.Duration {
+	return max(0, time.Duration((k.needed(c)-k.tokens)/floorRate*float64(time.Second)))
+}
+
+// retry sends a request again if a token funds it. Otherwise it waits for the
+// refill, or is given up at once when its time ends before the floor can pay.
+func (b *Balancer) retry(r *request) {
+	if b.bucket.take(b.now, r.class) {
+		b.dispatch(r)
+		return
+	}
+	if b.now+b.bucket.wait(r.class) >= r.deadline-b.set.Tick {
+		b.giveUp(r)
+		return
+	}
+	r.queued = true
+	b.waiting = append(b.waiting, r)
+	b.setBucketTimer()
+}
+
+func (b *Balancer) setBucketTimer() {
+	if len(b.waiting) == 0 || b.bucket.timerSet {
+		return
+	}
+	first := b.bucket.wait(b.waiting[0].class)
+	for _, r := range b.waiting[1:] {
+		first = min(first, b.bucket.wait(r.class))
+	}
+	b.bucket.timerSet = true
+	b.timers.set(b.now+first+time.Millisecond, timerBucket, 0)
+}
+
+// fundWaiting sends the waiting retries that the bucket can fund by now.
+func (b *Balancer) fundWaiting() {
+	waiting := b.waiting
+	b.waiting = nil
+	for _, r := range waiting {
+		switch {
+		case r.over:
+		case !b.anyMayTake(r):
+			b.giveUp(r)
+		case b.bucket.take(b.now, r.class):
+			r.queued = false
+			b.dispatch(r)
+		default:
+			b.waiting = append(b.waiting, r)
+		}
+	}
+	b.setBucketTimer()
+}
+
+// ---- Rules on effects and refusals ----
+
+// mayTake is the one rule on effects: whether another attempt of the request
+// may go to the endpoint. Attempts that are out count as having run.
+func (b *Balancer) mayTake(r *request, to *endpoint) bool {
+	if r.over || r.bound || (r.out > 0 && !b.set.Limits.SecondCopies) {
+		return false
+	}
+	for i := range r.attempts {
+		a := &r.attempts[i]
+		if !a.ran || r.class.Effect == Safe {
+			continue
+		}
+		if r.class.Effect == Unsafe || b.now-a.sent >= r.class.Window || !sameGroup(r.class.Group, a.to, to) {
+			return false
+		}
+	}
+	return true
+}
+
+func sameGroup(g Group, a, b *endpoint) bool {
+	switch g {
+	case GroupAll:
+		return true
+	case GroupZone:
+		return a.zone == b.zone
+	default:
+		return a.cell == b.cell
+	}
+}
+
+// anyMayTake tells whether the effects leave the request any ready endpoint.
+func (b *Balancer) anyMayTake(r *request) bool {
+	for _, e := range b.fleet.ready {
+		if b.mayTake(r, e) {
+			return true
+		}
+	}
+	return len(b.fleet.ready) == 0 && !mayHaveRun(r)
+}
+
+func mayHaveRun(r *request) bool {
+	for i := range r.attempts {
+		if r.attempts[i].ran {
+			return true
+		}
+	}
+	return false
+}
+
+// mayRefuse is the one rule on refusals: whether the client may be told that
+// trying again is harmless.
+func mayRefuse(r *request) bool {
+	switch r.class.Effect {
+	case Safe:
+		return true
+	case Keyed:
+		return r.class.Group == GroupAll || !mayHaveRun(r)
+	default:
+		return !mayHaveRun(r)
+	}
+}
+
+// ---- The pick ----
+
+// fleet is what the instance knows of the tier it sends to.
+type fleet struct {
+	byID     map[EndpointID]*endpoint
+	order    []*endpoint // everything listed, in the order first heard of
+	ready    []*endpoint // what new work may go to
+	mean     float64     // mean payoff of the ready endpoints
+	meanAt   Time
+	served   float64 // served attempts, forgotten over rateTime
+	servedAt Time
+	scratch  []*endpoint
+}
+
+// endpoint is one process. A restarted process is a new endpoint, so that what
+// was learned of the old one does not speak for it.
+type endpoint struct {
+	id       EndpointID
+	zone     string
+	cell     int
+	state    EndpointState
+	weight   float64
+	started  Time
+	inFlight int
+	payoff   float64 // smoothed: 1 if served within the aim, less when slower, 0 on failure
+	touched  Time    // when it was last picked or drifted
+	cold     bool
+	credit   float64 // sends that the cold budget allows now
+	creditAt Time
+}
+
+// pick draws two of the endpoints that may take the request; the higher payoff
+// over one plus own requests in flight wins, ties at random.
+func (b *Balancer) pick(r *request) *endpoint {
+	candidates := b.candidates(r)
+	n := len(candidates)
+	if n == 0 {
+		return nil
+	}
+	if n == 1 {
+		return candidates[0]
+	}
+	i, j := b.rng.IntN(n), b.rng.IntN(n-1)
+	if j >= i {
+		j++
+	}
+	first, second := candidates[i], candidates[j]
+	if b.appeal(second) > b.appeal(first) { // drawn in random order: a tie is settled already
+		return second
+	}
+	return first
+}
+
+// candidates are the ready endpoints that may take the request: untried ones
+// where there are any.
+func (b *Balancer) candidates(r *request) []*endpoint {
+	all := b.fleet.scratch[:0]
+	for _, e := range b.fleet.ready {
+		if b.hasColdCredit(e) && b.mayTake(r, e) {
+			all = append(all, e)
+		}
+	}
+	b.fleet.scratch = all
+	if len(r.attempts) == 0 {
+		return all
+	}
+	untried := 0
+	for i, e := range all {
+		if !r.tried(e) {
+			all[i], all[untried] = all[untried], all[i]
+			untried++
+		}
+	}
+	if untried > 0 {
+		return all[:untried]
+	}
+	return all
+}
+
+func (r *request) tried(e *endpoint) bool {
+	for i := range r.attempts {
+		if r.attempts[i].to == e {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *Balancer) appeal(e *endpoint) float64 {
+	return b.payoff(e) / float64(1+e.inFlight)
+}
+
+// payoff is the endpoint's payoff after its drift towards the others' mean.
+func (b *Balancer) payoff(e *endpoint) float64 {
+	if idle := b.now - e.touched; idle > 0 && e.inFlight == 0 {
+		e.payoff += (b.meanPayoff() - e.payoff) * (1 - math.Exp(-idle.Seconds()/driftTime.Seconds()))
+		e.touched = b.now
+	}
+	return max(payoffFloor, e.payoff)
+}
+
+// meanPayoff is the mean over the ready endpoints, at most meanAge old.
+func (b *Balancer) meanPayoff() float64 {
+	f := &b.fleet
+	if len(f.ready) == 0 {
+		return 1
+	}
+	if f.mean > 0 && b.now-f.meanAt < meanAge {
+		return f.mean
+	}
+	sum := 0.0
+	for _, e := range f.ready {
+		sum += max(payoffFloor, e.payoff)
+	}
+	f.mean, f.meanAt = sum/float64(len(f.ready)), b.now
+	return f.mean
+}
+
+// learn books an outcome with the bucket and the endpoint.
+func (b *Balancer) learn(r *request, a *attempt, e *Event) {
+	if e.Outcome == NotSent || e.Outcome == Canceled {
+		return
+	}
+	got := 0.0
+	if e.Outcome == Served {
+		b.bucket.refill(b.now)
+		b.bucket.add(depositPerServed)
+		b.countServed()
+		got = min(1, float64(r.class.Aim)/float64(max(e.Latency, 1)))
+	}
+	a.to.payoff += payoffGain * (got - a.to.payoff)
+	a.to.touched = b.now
+}
+
+// ---- Cold starts ----
+
+// countServed keeps the rate of served attempts.
+func (b *Balancer) countServed() {
+	f := &b.fleet
+	f.served = f.served*decay(b.now-f.servedAt, rateTime) + 1
+	f.servedAt = b.now
+}
+
+// servedRate is how many attempts a second this instance sees served.
+func (b *Balancer) servedRate() float64 {
+	f := &b.fleet
+	return f.served * decay(b.now-f.servedAt, rateTime) / rateTime.Seconds()
+}
+
+func decay(age, over time.Duration) float64 { return math.Exp(-age.Seconds() / over.Seconds()) }
+
+// capacity is the part of its full capacity that an endpoint has at least.
+func (b *Balancer) capacity(e *endpoint) float64 {
+	age := b.now - e.started
+	if !e.cold || age >= b.set.Rules.ColdTime {
+		return 1
+	}
+	from := b.set.Rules.ColdShare
+	return from + (1-from)*max(0, age.Seconds()/b.set.Rules.ColdTime.Seconds())
+}
+
+// hasColdCredit keeps the rule on cold starts: a cold endpoint takes its share
+// of what warm ones are seen to serve, times a part of the allowed push. The
+// credit never holds more than one send, so no burst can spend the budget.
+func (b *Balancer) hasColdCredit(e *endpoint) bool {
+	if !e.cold {
+		return true
+	}
+	present := b.capacity(e)
+	if present >= 1 {
+		e.cold = false
+		return true
+	}
+	total := 0.0
+	for _, other := range b.fleet.ready {
+		total += b.capacity(other) * other.weight
+	}
+	push := max(1, coldCaution*b.set.Rules.FallMultiple)
+	rate := push * present * e.weight * b.servedRate() / max(total, e.weight)
+	rate = max(rate, coldTrickle/float64(b.set.Peers))
+	e.credit = min(1, e.credit+rate*(b.now-e.creditAt).Seconds())
+	e.creditAt = b.now
+	return e.credit >= 1
+}
+
+// ---- The endpoint list ----
+
+// listFollower keeps the list coming where it must be asked for.
+type listFollower struct {
+	pause time.Duration
+}
+
+// startList asks for the list within a short random time: peers that start
+// together must not ask together.
+func (b *Balancer) startList() {
+	b.list.pause = askPause
+	if b.set.MustAsk {
+		b.timers.set(b.now+b.jitter(firstAskSpread), timerList, 0)
+	}
+}
+
+func (b *Balancer) jitter(d time.Duration) time.Duration {
+	return time.Duration(b.rng.Float64() * float64(d))
+}
+
+func (b *Balancer) askList() { b.act(Action{Kind: WatchList}) }
+
+// listFailed asks again after a random pause that grows with each failure.
+func (b *Balancer) listFailed() {
+	b.timers.set(b.now+b.list.pause+b.jitter(b.list.pause), timerList, 0)
+	b.list.pause = min(askPauseMost, 2*b.list.pause)
+}
+
+// listCame takes over what the list says.
+func (b *Balancer) listCame(e *Event) {
+	if e.Kind != ListRestored {
+		b.list.pause = askPause
+	}
+	if e.Kind != ListChanged {
+		b.dropMissing(e.Endpoints)
+	}
+	for i := range e.Endpoints {
+		b.update(&e.Endpoints[i])
+	}
+	f := &b.fleet
+	f.order = keep(f.order, func(e *endpoint) bool { return e.state != Gone })
+	f.ready = f.ready[:0]
+	for _, known := range f.order {
+		if known.state == Active {
+			f.ready = append(f.ready, known)
+		}
+	}
+	f.mean = 0
+	b.sendParked()
+}
+
+// dropMissing takes endpoints that a whole list no longer names for gone.
+func (b *Balancer) dropMissing(lines []Endpoint) {
+	named := make(map[EndpointID]bool, len(lines))
+	for i := range lines {
+		named[lines[i].ID] = true
+	}
+	for _, e := range b.fleet.order {
+		if !named[e.id] {
+			e.state = Gone
+			delete(b.fleet.byID, e.id)
+		}
+	}
+}
+
+// update takes over one line of the list. A changed start time is a new
+// process: it starts at the mean payoff, with nothing in flight, and cold.
+func (b *Balancer) update(line *Endpoint) {
+	e := b.fleet.byID[line.ID]
+	if e != nil && e.started != line.Started {
+		e.state = Gone
+		delete(b.fleet.byID, e.id)
+		e = nil
+	}
+	if line.State == Gone {
+		if e != nil {
+			e.state = Gone
+			delete(b.fleet.byID, e.id)
+		}
+		return
+	}
+	if e == nil {
+		e = &endpoint{id: line.ID, payoff: b.meanPayoff(), touched: b.now, started: line.Started}
+		e.cold = line.Started > 0 && b.now-line.Started < b.set.Rules.ColdTime
+		e.credit, e.creditAt = b.rng.Float64(), b.now // peers must not all send their first at once
+		b.fleet.byID[e.id] = e
+		b.fleet.order = append(b.fleet.order, e)
+	}
+	e.zone, e.cell, e.state, e.weight = line.Zone, line.Cell, line.State, 1
+	if b.set.WeightKnown && line.Weight > 0 {
+		e.weight = line.Weight
+	}
+}
+
+// keep filters a slice in place.
+func keep(all []*endpoint, wanted func(*endpoint) bool) []*endpoint {
+	kept := all[:0]
+	for _, e := range all {
+		if wanted(e) {
+			kept = append(kept, e)
+		}
+	}
+	return kept
+}
