Hold first attempts while the tier is full

Cause: first attempts go free, so a tier past its capacity jams and clients' repeats keep it jammed. Change: first attempts are held once 0.4 of the mean aim is out at the served rate, refused at once when the queue will not reach them in time.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -36,25 +36,40 @@
 	modestWorth    = 1.0                   // worth of a request of an unknown class
 )
 
+// Figures of the hold: the exception for a tier that is full.
+const (
+	holdShare   = 0.4             // part of the aim that may be spent in the tier before first attempts are held
+	holdLeast   = 2.0             // attempts that every ready endpoint may always have out, over all peers
+	holdFewest  = 4               // attempts that this instance may always have out
+	holdBlind   = 1 * time.Second // no hold before this much has been seen
+	latencyGain = 0.05            // weight of the newest answer in a class's smoothed latency
+	tenantBurst = 2 * time.Second // how much of its allowance a tenant may use at once
+)
+
 // Balancer decides for one instance. It is not safe for concurrent use.
 type Balancer struct {
 	set     Settings
 	rng     *rand.Rand
 	now     Time
+	started Time
 	actions []Action
 	timers  timerQueue
 	classes map[string]*class
 	unknown class // what a request of an unknown class is handled as
 	requests
-	bucket bucket
-	fleet  fleet
-	list   listFollower
+	bucket  bucket
+	hold    hold
+	tenants map[string]*tenant
+	fleet   fleet
+	list    listFollower
 }
 
 // class is a request class with what its requests share.
 type class struct {
 	Class
-	sheddable bool // the lowest worth, where worth differs
+	sheddable bool          // the lowest worth, where worth differs
+	latency   time.Duration // smoothed time of a served attempt; 0 before the first
+	fullGrace time.Duration // the longest grace seen: that of a first try
 }
 
 // New returns a balancer that has seen nothing yet. The seed is its only
@@ -74,6 +89,10 @@
 	b.unknown = class{Class: Class{Effect: Unsafe, Worth: modestWorth, Aim: set.Classes[0].Aim}}
 	b.held = map[RequestID]*request{}
 	b.bucket.tokens = floorBurst
+	b.tenants = map[string]*tenant{}
+	for _, t := range set.Tenants {
+		b.tenants[t.Name] = &tenant{rate: t.Allowed / float64(max(1, set.Peers))}
+	}
 	b.fleet.byID = map[EndpointID]*endpoint{}
 	return b, nil
 }
@@ -123,6 +142,7 @@
 	b.runTimers()
 	switch e.Kind {
 	case Start:
+		b.started = now
 		b.startList()
 	case Arrived:
 		b.arrived(e)
@@ -182,12 +202,14 @@
 type request struct {
 	id       RequestID
 	class    *class
-	deadline Time // when the client gives up
+	deadline Time    // when the client gives up
+	aimAt    Time    // when the aim passes, as far as can be told
+	value    float64 // what an answer within the aim is worth
 	attempts []attempt
 	out      int  // attempts without an outcome
 	over     bool // the final answer is given, or nobody waits for one
 	bound    bool // a stream has begun: the attempt is the client's
-	queued   bool // it stands in waiting or parked
+	queued   bool // it stands in waiting, parked or held back
 }
 
 // attempt is one send of a request.
@@ -205,9 +227,24 @@
 		c = &b.unknown
 	}
 	r := &request{id: e.Request, class: c, deadline: b.now + e.Grace}
+	r.aimAt = b.now + c.Aim - b.elapsed(c, e.Grace)
+	r.value = c.Worth * b.tenantWorth(e)
 	b.held[r.id] = r
-	b.dispatch(r)
 	b.timers.set(r.deadline-b.set.Tick, timerRequest, r.id)
+	b.admit(r)
+}
+
+// elapsed is how long the client has been waiting already, as far as the
+// grace tells: a try whose grace is cut short ends with the client's time.
+func (b *Balancer) elapsed(c *class, grace time.Duration) time.Duration {
+	c.fullGrace = max(c.fullGrace, grace)
+	if !b.set.Front {
+		return c.fullGrace - grace
+	}
+	if c.fullGrace-grace > b.set.Tick {
+		return max(0, c.Deadline-grace)
+	}
+	return 0
 }
 
 // dispatch sends the request, or parks it while no endpoint may take it.
@@ -219,6 +256,7 @@
 	}
 	r.attempts = append(r.attempts, attempt{to: to, sent: b.now, ran: true})
 	r.out++
+	b.hold.out++
 	to.inFlight++
 	to.touched = b.now
 	if to.cold {
@@ -265,6 +303,7 @@
 	a.ran = !e.Outcome.NeverRan()
 	a.to.inFlight--
 	r.out--
+	b.hold.out--
 	b.learn(r, a, e)
 	if e.Over {
 		r.over = true
@@ -273,6 +312,7 @@
 		b.further(r)
 	}
 	b.release(r)
+	b.sendHeld()
 }
 
 // further decides on a request whose attempt has failed.
@@ -308,7 +348,11 @@
 // timeUp ends a request whose client is about to give up while nothing is out
 // for it. An attempt that is out is ended by its own time-out at the deadline.
 func (b *Balancer) timeUp(id RequestID) {
-	if r := b.held[id]; r != nil && !r.over && !r.bound && r.out == 0 {
+	r := b.held[id]
+	if r == nil || r.over || r.bound || r.out > 0 {
+		return
+	}
+	if b.now >= r.deadline-b.set.Tick || (len(r.attempts) == 0 && r.queued && b.now >= r.latestStart()) {
 		b.giveUp(r)
 	}
 }
@@ -326,6 +370,111 @@
 	}
 }
 
+// ---- The hold: first attempts when the tier is full ----
+
+// hold keeps first attempts back while as many attempts are out as the tier
+// serves within a part of the aim. It acts only then. It guards against the
+// jam that free first attempts make: endpoints that hold too many slow down,
+// every answer comes late, and clients' repeats keep it so.
+type hold struct {
+	out   int        // attempts without an outcome
+	queue []*request // held back, worthiest first, then oldest
+	aim   float64    // smoothed aim of what arrives, seconds
+}
+
+// limit is how many attempts may be out before first attempts are held.
+func (b *Balancer) limit() int {
+	age := b.now - b.started
+	if age < holdBlind {
+		return math.MaxInt
+	}
+	rate := b.servedRate() / (1 - decay(age, rateTime)) // what was seen since the start only
+	least := holdLeast * float64(len(b.fleet.ready)) / float64(b.set.Peers)
+	return int(max(holdFewest, least, holdShare*b.hold.aim*rate))
+}
+
+// admit sends a new request at once unless the tier is full.
+func (b *Balancer) admit(r *request) {
+	h := &b.hold
+	h.aim += latencyGain * (r.class.Aim.Seconds() - h.aim)
+	if len(h.queue) == 0 && h.out < b.limit() {
+		b.dispatch(r)
+		return
+	}
+	at := len(h.queue)
+	for at > 0 && h.queue[at-1].value < r.value {
+		at--
+	}
+	r.queued = true
+	h.queue = append(h.queue, nil)
+	copy(h.queue[at+1:], h.queue[at:])
+	h.queue[at] = r
+	b.timers.set(max(b.now, r.latestStart()), timerRequest, r.id)
+	b.sendHeld()
+	b.trimHeld()
+}
+
+// latestStart is when a held request must be sent to be answered in time.
+func (r *request) latestStart() Time { return r.aimAt - r.class.latency }
+
+// sendHeld sends held requests while the tier has room.
+func (b *Balancer) sendHeld() {
+	h := &b.hold
+	for len(h.queue) > 0 && h.out < b.limit() {
+		r := h.queue[0]
+		h.queue = h.queue[1:]
+		if !r.over {
+			r.queued = false
+			b.dispatch(r)
+		}
+	}
+}
+
+// trimHeld refuses at once what the rate of service will not reach in time:
+// the last of the queue goes first, and it is the least worth.
+func (b *Balancer) trimHeld() {
+	h := &b.hold
+	rate := max(b.servedRate(), 1)
+	for n := len(h.queue); n > 0; n-- {
+		r := h.queue[n-1]
+		wait := time.Duration(float64(n) / rate * float64(time.Second))
+		if !r.over && b.now+wait <= r.latestStart() {
+			return
+		}
+		h.queue = h.queue[:n-1]
+		if !r.over {
+			b.giveUp(r)
+		}
+	}
+}
+
+// tenant counts a customer's requests against its share. Each instance takes
+// an even part of the allowance for its own.
+type tenant struct {
+	rate   float64 // requests a second inside the share, at this instance
+	left   float64
+	filled Time
+}
+
+// tenantWorth is the worth of a tenant's next request as a part of its
+// class's: what goes beyond the share is worth little.
+func (b *Balancer) tenantWorth(e *Event) float64 {
+	t := b.tenants[e.Tenant]
+	if t == nil || !b.set.Front {
+		return 1
+	}
+	t.left = min(max(1, t.rate*tenantBurst.Seconds()), t.left+t.rate*(b.now-t.filled).Seconds())
+	t.filled = b.now
+	if e.Repeat {
+		return 1
+	}
+	if t.left < 1 {
+		return b.set.OverShareWorth
+	}
+	t.left--
+	return 1
+}
+
 // ---- The retry token bucket ----
 
 // bucket funds retries: a tenth of what is served, and a floor.
@@ -605,12 +754,21 @@
 		b.bucket.refill(b.now)
 		b.bucket.add(depositPerServed)
 		b.countServed()
+		r.class.observe(e.Latency)
 		got = min(1, float64(r.class.Aim)/float64(max(e.Latency, 1)))
 	}
 	a.to.payoff += payoffGain * (got - a.to.payoff)
 	a.to.touched = b.now
 }
 
+// observe smooths the class's latency.
+func (c *class) observe(latency time.Duration) {
+	if c.latency == 0 {
+		c.latency = latency
+	}
+	c.latency += time.Duration(latencyGain * float64(latency-c.latency))
+}
+
 // ---- Cold starts ----
 
 // countServed keeps the rate of served attempts.
--- a/decide/types.go
+++ b/decide/types.go
@@ -30,6 +30,7 @@
 	WeightKnown    bool          // Endpoint.Weight states a size
 	Prices         Prices        // what the deployment counts against a decision
 	HintsWork      bool          // requests carry an expected amount of work
+	Front          bool          // this instance is handed clients' requests, not calls of another tier
 	Depth          int           // tiers below the one this instance sends to
 	Tick           time.Duration // events are handed over at most this often
 }
--- a/simwire/settings.go
+++ b/simwire/settings.go
@@ -131,6 +131,7 @@
 		MustAsk:        o.text("membership_mode") == "subscribe",
 		WeightKnown:    weights == "nominal" || weights == "rough",
 		HintsWork:      o.text("worth_by") == "work",
+		Front:          o.float("tier") == 0,
 		Depth:          max(0, tiers-1-int(o.float("tier"))),
 		Tick:           o.duration("tick"),
 	}
