Judge payoff against the class's usual latency

Cause: a call of a lower tier uses little of the aim, so every payoff sat at 1 and slow endpoints looked fine.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -755,7 +755,7 @@
 		b.bucket.add(depositPerServed)
 		b.countServed()
 		r.class.observe(e.Latency)
-		got = min(1, float64(r.class.Aim)/float64(max(e.Latency, 1)))
+		got = min(1, float64(r.class.yardstick())/float64(max(e.Latency, 1)))
 	}
 	a.to.payoff += payoffGain * (got - a.to.payoff)
 	a.to.touched = b.now
@@ -769,6 +769,11 @@
 	c.latency += time.Duration(latencyGain * float64(latency-c.latency))
 }
 
+// yardstick is the latency that earns the full payoff: the aim, or what served
+// attempts of the class take lately where that is less. A call of a lower tier
+// uses up little of the aim, so against the aim alone all endpoints look alike.
+func (c *class) yardstick() time.Duration { return min(c.Aim, c.latency) }
+
 // ---- Cold starts ----
 
 // countServed keeps the rate of served attempts.
