--- a/decide/decide.go
+++ b/decide/decide.go
@@ -41,6 +41,8 @@
 	holdShare   = 0.4             // part of the aim that may be spent in the tier before first attempts are held
 	holdLeast   = 2.0             // attempts that every ready endpoint may always have out, over all peers
 	holdFewest  = 4               // attempts that this instance may always have out
+	holdStep    = 0.1             // attempts by which one outcome moves the limit
+	holdBinds   = 0.8             // part of the limit that must be out for a quick answer to raise it
 	holdBlind   = 1 * time.Second // no hold before this much has been seen
 	latencyGain = 0.05            // weight of the newest answer in a class's smoothed latency
 	tenantBurst = 2 * time.Second // how much of its allowance a tenant may use at once
@@ -380,17 +382,38 @@
 	out   int        // attempts without an outcome
 	queue []*request // held back, worthiest first, then oldest
 	aim   float64    // smoothed aim of what arrives, seconds
+	room  float64    // attempts that may be out, as the answers have shown
 }
 
 // limit is how many attempts may be out before first attempts are held.
 func (b *Balancer) limit() int {
-	age := b.now - b.started
-	if age < holdBlind {
+	if b.now-b.started < holdBlind {
 		return math.MaxInt
 	}
-	rate := b.servedRate() / (1 - decay(age, rateTime)) // what was seen since the start only
+	return int(max(b.hold.room, b.leastRoom()))
+}
+
+// leastRoom is the limit that needs no proof: what the served rate clears
+// within the held share of the aim, and a few for every endpoint.
+func (b *Balancer) leastRoom() float64 {
+	rate := b.servedRate() / (1 - decay(b.now-b.started, rateTime)) // what was seen since the start only
 	least := holdLeast * float64(len(b.fleet.ready)) / float64(b.set.Peers)
-	return int(max(holdFewest, least, holdShare*b.hold.aim*rate))
+	return max(holdFewest, least, holdShare*b.hold.aim*rate)
+}
+
+// adjust moves the limit by an outcome: up while it binds and answers are
+// quick, down when they are slow. Without the way up the limit would follow the
+// served rate down for good: what is held back is not served either.
+func (b *Balancer) adjust(r *request, e *Event) {
+	h := &b.hold
+	quick := e.Outcome == Served && e.Latency.Seconds() <= holdShare*r.class.Aim.Seconds()
+	switch {
+	case quick && float64(h.out) >= holdBinds*h.room:
+		h.room += holdStep
+	case !quick:
+		h.room -= holdStep
+	}
+	h.room = max(h.room, b.leastRoom())
 }
 
 // admit sends a new request at once unless the tier is full.
@@ -759,6 +782,7 @@
 	}
 	a.to.payoff += payoffGain * (got - a.to.payoff)
 	a.to.touched = b.now
+	b.adjust(r, e)
 }
 
 // observe smooths the class's latency.
