--- a/decide/decide.go
+++ b/decide/decide.go
@@ -38,14 +38,17 @@
 
 // Figures of the hold: the exception for a tier that is full.
 const (
-	holdShare   = 0.4             // part of the aim that may be spent in the tier before first attempts are held
-	holdLeast   = 2.0             // attempts that every ready endpoint may always have out, over all peers
-	holdFewest  = 4               // attempts that this instance may always have out
-	holdStep    = 0.1             // attempts by which one outcome moves the limit
-	holdBinds   = 0.8             // part of the limit that must be out for a quick answer to raise it
-	holdBlind   = 1 * time.Second // no hold before this much has been seen
-	latencyGain = 0.05            // weight of the newest answer in a class's smoothed latency
-	tenantBurst = 2 * time.Second // how much of its allowance a tenant may use at once
+	holdStretch  = 2.5             // answers may take this many times their usual least before first attempts are held
+	holdAim      = 0.7             // and this part of the aim at most
+	baseTime     = time.Minute     // the usual least follows slower answers this slowly
+	holdLeast    = 2.0             // attempts that every ready endpoint may always have out, over all peers
+	holdFewest   = 4               // attempts that this instance may always have out
+	holdStep     = 0.1             // attempts by which one outcome moves the limit
+	holdBinds    = 0.8             // part of the limit that must be out for a quick answer to raise it
+	holdBlind    = 1 * time.Second // no hold before this much has been seen
+	latencyCount = 20              // answers over which a class's latency is smoothed
+	markGain     = 0.05            // weight of the newest arrival in the smoothed mark
+	tenantBurst  = 2 * time.Second // how much of its allowance a tenant may use at once
 )
 
 // Balancer decides for one instance. It is not safe for concurrent use.
@@ -71,6 +74,9 @@
 	Class
 	sheddable bool          // the lowest worth, where worth differs
 	latency   time.Duration // smoothed time of a served attempt; 0 before the first
+	base      time.Duration // the least that the smoothed time has been lately
+	observed  int           // served attempts, counted up to latencyCount
+	baseAt    Time
 	fullGrace time.Duration // the longest grace seen: that of a first try
 }
 
@@ -381,7 +387,7 @@
 type hold struct {
 	out   int        // attempts without an outcome
 	queue []*request // held back, worthiest first, then oldest
-	aim   float64    // smoothed aim of what arrives, seconds
+	mark  float64    // smoothed mark of what arrives, seconds
 	room  float64    // attempts that may be out, as the answers have shown
 }
 
@@ -398,7 +404,7 @@
 func (b *Balancer) leastRoom() float64 {
 	rate := b.servedRate() / (1 - decay(b.now-b.started, rateTime)) // what was seen since the start only
 	least := holdLeast * float64(len(b.fleet.ready)) / float64(b.set.Peers)
-	return max(holdFewest, least, holdShare*b.hold.aim*rate)
+	return max(holdFewest, least, b.hold.mark*rate)
 }
 
 // adjust moves the limit by an outcome: up while it binds and answers are
@@ -406,7 +412,7 @@
 // served rate down for good: what is held back is not served either.
 func (b *Balancer) adjust(r *request, e *Event) {
 	h := &b.hold
-	quick := e.Outcome == Served && e.Latency.Seconds() <= holdShare*r.class.Aim.Seconds()
+	quick := e.Outcome == Served && e.Latency <= r.class.mark()
 	switch {
 	case quick && float64(h.out) >= holdBinds*h.room:
 		h.room += holdStep
@@ -419,7 +425,7 @@
 // admit sends a new request at once unless the tier is full.
 func (b *Balancer) admit(r *request) {
 	h := &b.hold
-	h.aim += latencyGain * (r.class.Aim.Seconds() - h.aim)
+	h.mark += markGain * (r.class.mark().Seconds() - h.mark)
 	if len(h.queue) == 0 && h.out < b.limit() {
 		b.dispatch(r)
 		return
@@ -777,7 +783,7 @@
 		b.bucket.refill(b.now)
 		b.bucket.add(depositPerServed)
 		b.countServed()
-		r.class.observe(e.Latency)
+		r.class.observe(b.now, e.Latency)
 		got = min(1, float64(r.class.yardstick())/float64(max(e.Latency, 1)))
 	}
 	a.to.payoff += payoffGain * (got - a.to.payoff)
@@ -785,12 +791,24 @@
 	b.adjust(r, e)
 }
 
-// observe smooths the class's latency.
-func (c *class) observe(latency time.Duration) {
-	if c.latency == 0 {
-		c.latency = latency
+// observe smooths the class's latency and keeps its usual least.
+func (c *class) observe(now Time, latency time.Duration) {
+	c.observed = min(c.observed+1, latencyCount)
+	c.latency += (latency - c.latency) / time.Duration(c.observed)
+	if c.observed < latencyCount || c.latency < c.base {
+		c.base = c.latency
 	}
-	c.latency += time.Duration(latencyGain * float64(latency-c.latency))
+	c.base += time.Duration((1 - decay(now-c.baseAt, baseTime)) * float64(c.latency-c.base))
+	c.baseAt = now
+}
+
+// mark is the latency at which the tier counts as full for the class.
+func (c *class) mark() time.Duration {
+	most := time.Duration(holdAim * float64(c.Aim))
+	if c.observed < latencyCount {
+		return most
+	}
+	return min(most, time.Duration(holdStretch*float64(c.base)))
 }
 
 // yardstick is the latency that earns the full payoff: the aim, or what served
