--- a/decide/decide.go
+++ b/decide/decide.go
@@ -38,14 +38,15 @@
 
 // Figures of the hold: the exception for a tier that is full.
 const (
-	holdStretch  = 2.5             // answers may take this many times their usual least before first attempts are held
+	holdStretch  = 1.75            // answers may take this many times their usual least before first attempts are held
 	holdAim      = 0.7             // and this part of the aim at most
 	baseTime     = time.Minute     // the usual least follows slower answers this slowly
 	holdLeast    = 2.0             // attempts that every ready endpoint may always have out, over all peers
 	holdFewest   = 4               // attempts that this instance may always have out
 	holdStep     = 0.1             // attempts by which one outcome moves the limit
 	holdBinds    = 0.8             // part of the limit that must be out for a quick answer to raise it
-	holdBlind    = 1 * time.Second // no hold before this much has been seen
+	holdStart    = 4.0             // attempts for every ready endpoint, over all peers, that an instance starts with
+	holdUneven   = 2.0             // times its even part of the limit that one endpoint may have out
 	latencyCount = 20              // answers over which a class's latency is smoothed
 	markGain     = 0.05            // weight of the newest arrival in the smoothed mark
 	tenantBurst  = 2 * time.Second // how much of its allowance a tenant may use at once
@@ -389,22 +390,23 @@
 	queue []*request // held back, worthiest first, then oldest
 	mark  float64    // smoothed mark of what arrives, seconds
 	room  float64    // attempts that may be out, as the answers have shown
+	slow  bool       // a slow answer has been seen: the limit no longer grows fast
 }
 
 // limit is how many attempts may be out before first attempts are held.
 func (b *Balancer) limit() int {
-	if b.now-b.started < holdBlind {
-		return math.MaxInt
-	}
 	return int(max(b.hold.room, b.leastRoom()))
 }
 
 // leastRoom is the limit that needs no proof: what the served rate clears
 // within the held share of the aim, and a few for every endpoint.
 func (b *Balancer) leastRoom() float64 {
-	rate := b.servedRate() / (1 - decay(b.now-b.started, rateTime)) // what was seen since the start only
-	least := holdLeast * float64(len(b.fleet.ready)) / float64(b.set.Peers)
-	return max(holdFewest, least, b.hold.mark*rate)
+	rate := b.servedRate()
+	each := holdLeast
+	if !b.hold.slow {
+		each = holdStart
+	}
+	return max(holdFewest, each*float64(len(b.fleet.ready))/float64(b.set.Peers), b.hold.mark*rate)
 }
 
 // adjust moves the limit by an outcome: up while it binds and answers are
@@ -414,14 +416,26 @@
 	h := &b.hold
 	quick := e.Outcome == Served && e.Latency <= r.class.mark()
 	switch {
-	case quick && float64(h.out) >= holdBinds*h.room:
-		h.room += holdStep
 	case !quick:
+		h.slow = h.slow || r.class.observed == latencyCount
 		h.room -= holdStep
+	case float64(h.out) < holdBinds*h.room:
+	case h.slow:
+		h.room += holdStep
+	default:
+		h.room++
 	}
 	h.room = max(h.room, b.leastRoom())
 }
 
+// crowded tells whether an endpoint has its part of the limit out. The part
+// goes by payoff, so that one that has slowed down is left to work off what it
+// holds, and cannot fill the whole limit with attempts that are stuck there.
+func (b *Balancer) crowded(e *endpoint) bool {
+	even := float64(b.limit()) / float64(max(1, len(b.fleet.ready)))
+	return float64(e.inFlight) >= max(1, holdUneven*even*b.payoff(e)/b.meanPayoff())
+}
+
 // admit sends a new request at once unless the tier is full.
 func (b *Balancer) admit(r *request) {
 	h := &b.hold
@@ -713,7 +727,7 @@
 func (b *Balancer) candidates(r *request) []*endpoint {
 	all := b.fleet.scratch[:0]
 	for _, e := range b.fleet.ready {
-		if b.hasColdCredit(e) && b.mayTake(r, e) {
+		if b.hasColdCredit(e) && !b.crowded(e) && b.mayTake(r, e) {
 			all = append(all, e)
 		}
 	}
