Move the hold's limit slowly, per endpoint, by the mean stretch

Cause: on overload in flight crept from 220 to 290 while the rate stayed, until servers choked at 14 s; the served rate is no guide.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -38,18 +38,20 @@
 
 // Figures of the hold: the exception for a tier that is full.
 const (
-	holdStretch  = 1.75            // answers may take this many times their usual least before first attempts are held
-	holdAim      = 0.7             // and this part of the aim at most
-	baseTime     = time.Minute     // the usual least follows slower answers this slowly
-	holdLeast    = 2.0             // attempts that every ready endpoint may always have out, over all peers
-	holdFewest   = 4               // attempts that this instance may always have out
-	holdStep     = 0.1             // attempts by which one outcome moves the limit
-	holdBinds    = 0.8             // part of the limit that must be out for a quick answer to raise it
-	holdStart    = 4.0             // attempts for every ready endpoint, over all peers, that an instance starts with
-	holdUneven   = 2.0             // times its even part of the limit that one endpoint may have out
-	latencyCount = 20              // answers over which a class's latency is smoothed
-	markGain     = 0.05            // weight of the newest arrival in the smoothed mark
-	tenantBurst  = 2 * time.Second // how much of its allowance a tenant may use at once
+	holdStretch  = 1.6         // answers may take this many times their usual least before first attempts are held
+	holdAim      = 0.7         // and this part of the aim at most
+	baseTime     = time.Minute // the usual least follows slower answers this slowly
+	holdLeast    = 2.0         // attempts that every ready endpoint may always have out, over all peers
+	holdFewest   = 4           // attempts that this instance may always have out
+	holdStep     = 0.03        // attempts by which one outcome moves the limit
+	holdSeek     = 0.3         // the same until the first time the tier is seen full
+	stretchGain  = 0.03        // weight of the newest outcome in the smoothed stretch
+	holdBinds    = 0.8         // part of the limit that must be out for a quick answer to raise it
+	holdStart    = 4.0         // attempts for every ready endpoint, over all peers, that an instance starts with
+	holdUneven   = 2.0         // times its even part of the limit that one endpoint may have out
+	latencyCount = 20          // answers over which a class's latency is smoothed
+
+	tenantBurst = 2 * time.Second // how much of its allowance a tenant may use at once
 )
 
 // Balancer decides for one instance. It is not safe for concurrent use.
@@ -103,6 +105,7 @@
 		b.tenants[t.Name] = &tenant{rate: t.Allowed / float64(max(1, set.Peers))}
 	}
 	b.fleet.byID = map[EndpointID]*endpoint{}
+	b.hold.each = holdStart / float64(set.Peers)
 	return b, nil
 }
 
@@ -386,46 +389,41 @@
 // jam that free first attempts make: endpoints that hold too many slow down,
 // every answer comes late, and clients' repeats keep it so.
 type hold struct {
-	out   int        // attempts without an outcome
-	queue []*request // held back, worthiest first, then oldest
-	mark  float64    // smoothed mark of what arrives, seconds
-	room  float64    // attempts that may be out, as the answers have shown
-	slow  bool       // a slow answer has been seen: the limit no longer grows fast
+	out     int        // attempts without an outcome
+	queue   []*request // held back, worthiest first, then oldest
+	each    float64    // attempts that may be out for every ready endpoint
+	stretch float64    // smoothed time of an attempt over its class's mark
+	found   bool       // the tier has been seen full: the limit no longer grows fast
 }
 
-// limit is how many attempts may be out before first attempts are held.
+// limit is how many attempts may be out before first attempts are held. It goes
+// with the number of endpoints: what each can hold well stays much the same,
+// also while something slows them all.
 func (b *Balancer) limit() int {
-	return int(max(b.hold.room, b.leastRoom()))
+	return int(max(holdFewest, b.hold.each*float64(len(b.fleet.ready))))
 }
 
-// leastRoom is the limit that needs no proof: what the served rate clears
-// within the held share of the aim, and a few for every endpoint.
-func (b *Balancer) leastRoom() float64 {
-	rate := b.servedRate()
-	each := holdLeast
-	if !b.hold.slow {
-		each = holdStart
-	}
-	return max(holdFewest, each*float64(len(b.fleet.ready))/float64(b.set.Peers), b.hold.mark*rate)
-}
-
-// adjust moves the limit by an outcome: up while it binds and answers are
-// quick, down when they are slow. Without the way up the limit would follow the
-// served rate down for good: what is held back is not served either.
+// adjust moves the limit by an outcome: up while it binds and attempts take
+// little more than their least, down when they are stretched.
 func (b *Balancer) adjust(r *request, e *Event) {
+	if r.class.observed < latencyCount || len(b.fleet.ready) == 0 {
+		return
+	}
 	h := &b.hold
-	quick := e.Outcome == Served && e.Latency <= r.class.mark()
+	h.stretch += stretchGain * (float64(e.Latency)/float64(r.class.mark()) - h.stretch)
+	step := holdStep
+	if !h.found {
+		step = holdSeek
+	}
+	step /= float64(len(b.fleet.ready))
 	switch {
-	case !quick:
-		h.slow = h.slow || r.class.observed == latencyCount
-		h.room -= holdStep
-	case float64(h.out) < holdBinds*h.room:
-	case h.slow:
-		h.room += holdStep
-	default:
-		h.room++
+	case h.stretch > 1:
+		h.found = true
+		h.each -= step
+	case float64(h.out) >= holdBinds*float64(b.limit()):
+		h.each += step
 	}
-	h.room = max(h.room, b.leastRoom())
+	h.each = max(h.each, holdLeast/float64(b.set.Peers))
 }
 
 // crowded tells whether an endpoint has its part of the limit out. The part
@@ -439,7 +437,7 @@
 // admit sends a new request at once unless the tier is full.
 func (b *Balancer) admit(r *request) {
 	h := &b.hold
-	h.mark += markGain * (r.class.mark().Seconds() - h.mark)
+
 	if len(h.queue) == 0 && h.out < b.limit() {
 		b.dispatch(r)
 		return
