--- a/decide/decide.go
+++ b/decide/decide.go
@@ -38,18 +38,17 @@
 
 // Figures of the hold: the exception for a tier that is full.
 const (
-	holdStretch  = 1.6         // answers may take this many times their usual least before first attempts are held
-	holdAim      = 0.7         // and this part of the aim at most
-	baseTime     = time.Minute // the usual least follows slower answers this slowly
-	holdLeast    = 2.0         // attempts that every ready endpoint may always have out, over all peers
-	holdFewest   = 4           // attempts that this instance may always have out
-	holdStep     = 0.03        // attempts by which one outcome moves the limit
-	holdSeek     = 0.3         // the same until the first time the tier is seen full
-	stretchGain  = 0.03        // weight of the newest outcome in the smoothed stretch
-	holdBinds    = 0.8         // part of the limit that must be out for a quick answer to raise it
-	holdStart    = 4.0         // attempts for every ready endpoint, over all peers, that an instance starts with
-	holdUneven   = 2.0         // times its even part of the limit that one endpoint may have out
-	latencyCount = 20          // answers over which a class's latency is smoothed
+	holdStretch = 1.6         // answers may take this many times their usual least before first attempts are held
+	leastTime   = time.Minute // the usual least follows slower answers this slowly
+	holdLeast   = 2.0         // attempts that every ready endpoint may always have out, over all peers
+	holdFewest  = 4           // attempts that this instance may always have out
+	holdStep    = 0.03        // attempts by which one outcome moves the limit
+	holdSeek    = 0.3         // the same until the first time the tier is seen full
+	stretchGain = 0.03        // weight of the newest outcome in the smoothed stretch
+	holdBinds   = 0.8         // part of the limit that must be out for a quick answer to raise it
+	holdStart   = 4.0         // attempts for every ready endpoint, over all peers, that an instance starts with
+	holdUneven  = 2.0         // times its even part of the limit that one endpoint may have out
+	paceCount   = 40          // answers over which a class's pace is smoothed
 
 	tenantBurst = 2 * time.Second // how much of its allowance a tenant may use at once
 )
@@ -75,11 +74,8 @@
 // class is a request class with what its requests share.
 type class struct {
 	Class
-	sheddable bool          // the lowest worth, where worth differs
-	latency   time.Duration // smoothed time of a served attempt; 0 before the first
-	base      time.Duration // the least that the smoothed time has been lately
-	observed  int           // served attempts, counted up to latencyCount
-	baseAt    Time
+	sheddable bool // the lowest worth, where worth differs
+	pace      pace
 	fullGrace time.Duration // the longest grace seen: that of a first try
 }
 
@@ -216,6 +212,7 @@
 	class    *class
 	deadline Time    // when the client gives up
 	aimAt    Time    // when the aim passes, as far as can be told
+	work     float64 // expected work, as the hint tells; 1 without hints
 	value    float64 // what an answer within the aim is worth
 	attempts []attempt
 	out      int  // attempts without an outcome
@@ -241,6 +238,9 @@
 	r := &request{id: e.Request, class: c, deadline: b.now + e.Grace}
 	r.aimAt = b.now + c.Aim - b.elapsed(c, e.Grace)
 	r.value = c.Worth * b.tenantWorth(e)
+	if r.work = 1; b.set.HintsWork && e.Work > 0 {
+		r.work = e.Work.Seconds()
+	}
 	b.held[r.id] = r
 	b.timers.set(r.deadline-b.set.Tick, timerRequest, r.id)
 	b.admit(r)
@@ -392,7 +392,7 @@
 	out     int        // attempts without an outcome
 	queue   []*request // held back, worthiest first, then oldest
 	each    float64    // attempts that may be out for every ready endpoint
-	stretch float64    // smoothed time of an attempt over its class's mark
+	stretch float64    // smoothed logarithm of an attempt's time over its class's least
 	found   bool       // the tier has been seen full: the limit no longer grows fast
 }
 
@@ -406,18 +406,19 @@
 // adjust moves the limit by an outcome: up while it binds and attempts take
 // little more than their least, down when they are stretched.
 func (b *Balancer) adjust(r *request, e *Event) {
-	if r.class.observed < latencyCount || len(b.fleet.ready) == 0 {
+	p := &r.class.pace
+	if p.seen < paceCount || len(b.fleet.ready) == 0 {
 		return
 	}
 	h := &b.hold
-	h.stretch += stretchGain * (float64(e.Latency)/float64(r.class.mark()) - h.stretch)
+	h.stretch += stretchGain * (p.stretch(r.work, e.Latency) - h.stretch)
 	step := holdStep
 	if !h.found {
 		step = holdSeek
 	}
 	step /= float64(len(b.fleet.ready))
 	switch {
-	case h.stretch > 1:
+	case h.stretch > math.Log(holdStretch):
 		h.found = true
 		h.each -= step
 	case float64(h.out) >= holdBinds*float64(b.limit()):
@@ -456,7 +457,7 @@
 }
 
 // latestStart is when a held request must be sent to be answered in time.
-func (r *request) latestStart() Time { return r.aimAt - r.class.latency }
+func (r *request) latestStart() Time { return r.aimAt - r.class.pace.usual(r.work) }
 
 // sendHeld sends held requests while the tier has room.
 func (b *Balancer) sendHeld() {
@@ -795,38 +796,60 @@
 		b.bucket.refill(b.now)
 		b.bucket.add(depositPerServed)
 		b.countServed()
-		r.class.observe(b.now, e.Latency)
-		got = min(1, float64(r.class.yardstick())/float64(max(e.Latency, 1)))
+		r.class.pace.observe(b.now, r.work, e.Latency)
+		got = min(1, float64(yardstick(r))/float64(max(e.Latency, 1)))
 	}
 	a.to.payoff += payoffGain * (got - a.to.payoff)
 	a.to.touched = b.now
 	b.adjust(r, e)
 }
 
-// observe smooths the class's latency and keeps its usual least.
-func (c *class) observe(now Time, latency time.Duration) {
-	c.observed = min(c.observed+1, latencyCount)
-	c.latency += (latency - c.latency) / time.Duration(c.observed)
-	if c.observed < latencyCount || c.latency < c.base {
-		c.base = c.latency
+// yardstick is the latency that earns the full payoff: the aim, or what served
+// attempts of the class take lately where that is less. A call of a lower tier
+// uses up little of the aim, so against the aim alone all endpoints look alike.
+func yardstick(r *request) time.Duration {
+	if r.class.pace.seen == 0 {
+		return r.class.Aim
 	}
-	c.base += time.Duration((1 - decay(now-c.baseAt, baseTime)) * float64(c.latency-c.base))
-	c.baseAt = now
+	return min(r.class.Aim, r.class.pace.usual(r.work))
 }
 
-// mark is the latency at which the tier counts as full for the class.
-func (c *class) mark() time.Duration {
-	most := time.Duration(holdAim * float64(c.Aim))
-	if c.observed < latencyCount {
-		return most
+// pace is how long served attempts of a class take, as logarithms of seconds
+// for a unit of work: a few heavy requests do not move it much.
+type pace struct {
+	log   float64 // smoothed
+	least float64 // the least it has been lately
+	seen  int     // served attempts, counted up to paceCount
+	at    Time
+}
+
+// observe takes in a served attempt.
+func (p *pace) observe(now Time, work float64, latency time.Duration) {
+	p.seen = min(p.seen+1, paceCount)
+	p.log += (logTime(work, latency) - p.log) / float64(p.seen)
+	if p.seen < paceCount || p.log < p.least {
+		p.least = p.log
 	}
-	return min(most, time.Duration(holdStretch*float64(c.base)))
+	p.least += (1 - decay(now-p.at, leastTime)) * (p.log - p.least)
+	p.at = now
 }
 
-// yardstick is the latency that earns the full payoff: the aim, or what served
-// attempts of the class take lately where that is less. A call of a lower tier
-// uses up little of the aim, so against the aim alone all endpoints look alike.
-func (c *class) yardstick() time.Duration { return min(c.Aim, c.latency) }
+func logTime(work float64, latency time.Duration) float64 {
+	return math.Log(max(latency, time.Millisecond).Seconds() / work)
+}
+
+// usual is the time that an attempt with so much work takes lately.
+func (p *pace) usual(work float64) time.Duration {
+	if p.seen == 0 {
+		return 0
+	}
+	return time.Duration(math.Exp(p.log) * work * float64(time.Second))
+}
+
+// stretch is the logarithm of a time over the usual least.
+func (p *pace) stretch(work float64, latency time.Duration) float64 {
+	return logTime(work, latency) - p.least
+}
 
 // ---- Cold starts ----
 
