End requests whose attempt fails after the end timer; hold only at the front

Refusing at lower tiers wasted the work above: the hold now acts only at the front, and crowded endpoints are only passed over.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -27,6 +27,7 @@
 const (
 	parkedStep     = 20 * time.Millisecond // how often a request without a fit endpoint is looked at again
 	meanAge        = 50 * time.Millisecond // how old the mean payoff may be when it is used
+	peakTime       = time.Minute           // the best rate is forgotten over this
 	rateTime       = 3 * time.Second       // averaging time of the served rate
 	coldCaution    = 0.5                   // part of the allowed push on a cold endpoint that is used up on purpose
 	coldTrickle    = 1.0                   // sends a second to a cold endpoint, over all peers, when nothing is known
@@ -38,15 +39,17 @@
 
 // Figures of the hold: the exception for a tier that is full.
 const (
+	holdAim     = 0.5         // part of the aim that attempts may take whatever the cause
+	holdSlowed  = 0.8         // part of its recent best below which the served rate has fallen
 	holdStretch = 1.6         // answers may take this many times their usual least before first attempts are held
 	leastTime   = time.Minute // the usual least follows slower answers this slowly
-	holdLeast   = 2.0         // attempts that every ready endpoint may always have out, over all peers
+	holdLeast   = 2.0         // attempts that every ready endpoint may always have out for each tier, over all peers
 	holdFewest  = 4           // attempts that this instance may always have out
 	holdStep    = 0.03        // attempts by which one outcome moves the limit
 	holdSeek    = 0.3         // the same until the first time the tier is seen full
 	stretchGain = 0.03        // weight of the newest outcome in the smoothed stretch
 	holdBinds   = 0.8         // part of the limit that must be out for a quick answer to raise it
-	holdStart   = 4.0         // attempts for every ready endpoint, over all peers, that an instance starts with
+	holdStart   = 3.0         // the same that an instance starts with
 	holdUneven  = 2.0         // times its even part of the limit that one endpoint may have out
 	paceCount   = 40          // answers over which a class's pace is smoothed
 
@@ -82,7 +85,7 @@
 // New returns a balancer that has seen nothing yet. The seed is its only
 // source of randomness.
 func New(set Settings, seed uint64) (*Balancer, error) {
-	if err := validate(&set); err != nil {
+	if err := set.validate(); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)), classes: map[string]*class{}}
@@ -101,49 +104,10 @@
 		b.tenants[t.Name] = &tenant{rate: t.Allowed / float64(max(1, set.Peers))}
 	}
 	b.fleet.byID = map[EndpointID]*endpoint{}
-	b.hold.each = holdStart / float64(set.Peers)
+	b.hold.each = holdStart * b.tierShare()
 	return b, nil
 }
 
-// validate turns down settings that cannot be acted on.
-func validate(s *Settings) error {
-	if len(s.Classes) == 0 {
-		return fmt.Errorf("classes: there are none")
-	}
-	for i, c := range s.Classes {
-		switch {
-		case c.Effect == EffectUnset:
-			return fmt.Errorf("classes[%d] %q: effect: not set", i, c.Name)
-		case c.Aim <= 0:
-			return fmt.Errorf("classes[%d] %q: aim: %v is not above 0", i, c.Name, c.Aim)
-		case c.Deadline < 0:
-			return fmt.Errorf("classes[%d] %q: deadline: %v is negative", i, c.Name, c.Deadline)
-		case c.Window < 0:
-			return fmt.Errorf("classes[%d] %q: window: %v is negative", i, c.Name, c.Window)
-		case c.Worth < 0:
-			return fmt.Errorf("classes[%d] %q: worth: %v is negative", i, c.Name, c.Worth)
-		}
-	}
-	r := &s.Rules
-	for _, f := range []struct {
-		name string
-		d    time.Duration
-	}{
-		{"answer slack", r.AnswerSlack}, {"ask every", r.AskEvery}, {"cold time", r.ColdTime},
-		{"fall window", r.FallWindow}, {"drain grace", r.DrainGrace},
-	} {
-		if f.d < 0 {
-			return fmt.Errorf("rules: %s: %v is negative", f.name, f.d)
-		}
-	}
-	if s.Limits.MaxAttempts < 0 {
-		return fmt.Errorf("limits: max attempts: %d is negative", s.Limits.MaxAttempts)
-	}
-	s.Peers = max(1, s.Peers)
-	s.Limits.MaxAttempts = max(1, s.Limits.MaxAttempts)
-	return nil
-}
-
 // Handle takes one event at its time and appends what is to be done about it.
 func (b *Balancer) Handle(now Time, e *Event, actions []Action) []Action {
 	b.now, b.actions = now, actions
@@ -332,7 +296,7 @@
 	if r.out > 0 {
 		return
 	}
-	if b.now >= r.deadline || len(r.attempts) >= b.set.Limits.MaxAttempts || !b.anyMayTake(r) {
+	if b.lastCall(r) || len(r.attempts) >= b.set.Limits.MaxAttempts || !b.anyMayTake(r) {
 		b.giveUp(r)
 		return
 	}
@@ -364,11 +328,16 @@
 	if r == nil || r.over || r.bound || r.out > 0 {
 		return
 	}
-	if b.now >= r.deadline-b.set.Tick || (len(r.attempts) == 0 && r.queued && b.now >= r.latestStart()) {
+	if b.lastCall(r) || (len(r.attempts) == 0 && r.queued && b.now >= r.latestStart()) {
 		b.giveUp(r)
 	}
 }
 
+// lastCall tells whether the request must be ended now if nothing is out for
+// it. The timer for its end is set for this moment: an attempt that fails later
+// must not be queued again, since no timer would end it.
+func (b *Balancer) lastCall(r *request) bool { return b.now >= r.deadline-b.set.Tick }
+
 func (b *Balancer) streamBegan(e *Event) {
 	if r := b.held[e.Request]; r != nil {
 		r.bound = true
@@ -392,6 +361,7 @@
 	out     int        // attempts without an outcome
 	queue   []*request // held back, worthiest first, then oldest
 	each    float64    // attempts that may be out for every ready endpoint
+	share   float64    // smoothed logarithm of an attempt's time over its class's aim
 	stretch float64    // smoothed logarithm of an attempt's time over its class's least
 	found   bool       // the tier has been seen full: the limit no longer grows fast
 }
@@ -403,6 +373,10 @@
 	return int(max(holdFewest, b.hold.each*float64(len(b.fleet.ready))))
 }
 
+// tierShare is this instance's part of one attempt in each tier: an attempt is
+// out while any tier below works on it.
+func (b *Balancer) tierShare() float64 { return float64(b.set.Depth+1) / float64(b.set.Peers) }
+
 // adjust moves the limit by an outcome: up while it binds and attempts take
 // little more than their least, down when they are stretched.
 func (b *Balancer) adjust(r *request, e *Event) {
@@ -412,21 +386,28 @@
 	}
 	h := &b.hold
 	h.stretch += stretchGain * (p.stretch(r.work, e.Latency) - h.stretch)
+	h.share += stretchGain * (math.Log(max(e.Latency, 1).Seconds()/r.class.Aim.Seconds()) - h.share)
 	step := holdStep
 	if !h.found {
 		step = holdSeek
 	}
 	step /= float64(len(b.fleet.ready))
 	switch {
-	case h.stretch > math.Log(holdStretch):
+	case h.share > math.Log(holdAim), h.stretch > math.Log(holdStretch) && !b.slowed():
 		h.found = true
 		h.each -= step
+	case h.stretch > math.Log(holdStretch):
 	case float64(h.out) >= holdBinds*float64(b.limit()):
 		h.each += step
 	}
-	h.each = max(h.each, holdLeast/float64(b.set.Peers))
+	h.each = max(h.each, holdLeast*b.tierShare())
 }
 
+// slowed tells stretched attempts that come of slower endpoints from those that
+// come of too many out: the latter leave the served rate as it was, while with
+// the former less out would only mean less served.
+func (b *Balancer) slowed() bool { return b.servedRate() < holdSlowed*b.fleet.peak }
+
 // crowded tells whether an endpoint has its part of the limit out. The part
 // goes by payoff, so that one that has slowed down is left to work off what it
 // holds, and cannot fill the whole limit with attempts that are stuck there.
@@ -439,7 +420,7 @@
 func (b *Balancer) admit(r *request) {
 	h := &b.hold
 
-	if len(h.queue) == 0 && h.out < b.limit() {
+	if !b.set.Front || (len(h.queue) == 0 && h.out < b.limit()) {
 		b.dispatch(r)
 		return
 	}
@@ -679,6 +660,7 @@
 	meanAt   Time
 	served   float64 // served attempts, forgotten over rateTime
 	servedAt Time
+	peak     float64 // best served rate lately
 	scratch  []*endpoint
 }
 
@@ -721,30 +703,33 @@
 	return first
 }
 
-// candidates are the ready endpoints that may take the request: untried ones
-// where there are any.
+// candidates are the ready endpoints that may take the request: where there are
+// any, those that it has not tried and that are not crowded.
 func (b *Balancer) candidates(r *request) []*endpoint {
 	all := b.fleet.scratch[:0]
 	for _, e := range b.fleet.ready {
-		if b.hasColdCredit(e) && !b.crowded(e) && b.mayTake(r, e) {
+		if b.hasColdCredit(e) && b.mayTake(r, e) {
 			all = append(all, e)
 		}
 	}
 	b.fleet.scratch = all
-	if len(r.attempts) == 0 {
-		return all
-	}
-	untried := 0
+	all = prefer(all, func(e *endpoint) bool { return !r.tried(e) })
+	return prefer(all, func(e *endpoint) bool { return !b.crowded(e) })
+}
+
+// prefer returns the endpoints that are wanted, or all where none is.
+func prefer(all []*endpoint, wanted func(*endpoint) bool) []*endpoint {
+	n := 0
 	for i, e := range all {
-		if !r.tried(e) {
-			all[i], all[untried] = all[untried], all[i]
-			untried++
+		if wanted(e) {
+			all[i], all[n] = all[n], all[i]
+			n++
 		}
 	}
-	if untried > 0 {
-		return all[:untried]
+	if n == 0 {
+		return all
 	}
-	return all
+	return all[:n]
 }
 
 func (r *request) tried(e *endpoint) bool {
@@ -857,6 +842,7 @@
 func (b *Balancer) countServed() {
 	f := &b.fleet
 	f.served = f.served*decay(b.now-f.servedAt, rateTime) + 1
+	f.peak = max(f.peak*decay(b.now-f.servedAt, peakTime), f.served/rateTime.Seconds())
 	f.servedAt = b.now
 }
 
--- a/decide/types.go
+++ b/decide/types.go
@@ -5,7 +5,10 @@
 // The decisions themselves stand in decide.go.
 package decide
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Time is a moment on the instance's clock, counted from an origin of no
 // meaning. It only ever grows.
@@ -202,3 +205,42 @@
 	Endpoint EndpointID
 	After    time.Duration
 }
+
+// validate turns down settings that cannot be acted on.
+func (s *Settings) validate() error {
+	if len(s.Classes) == 0 {
+		return fmt.Errorf("classes: there are none")
+	}
+	for i, c := range s.Classes {
+		switch {
+		case c.Effect == EffectUnset:
+			return fmt.Errorf("classes[%d] %q: effect: not set", i, c.Name)
+		case c.Aim <= 0:
+			return fmt.Errorf("classes[%d] %q: aim: %v is not above 0", i, c.Name, c.Aim)
+		case c.Deadline < 0:
+			return fmt.Errorf("classes[%d] %q: deadline: %v is negative", i, c.Name, c.Deadline)
+		case c.Window < 0:
+			return fmt.Errorf("classes[%d] %q: window: %v is negative", i, c.Name, c.Window)
+		case c.Worth < 0:
+			return fmt.Errorf("classes[%d] %q: worth: %v is negative", i, c.Name, c.Worth)
+		}
+	}
+	r := &s.Rules
+	for _, f := range []struct {
+		name string
+		d    time.Duration
+	}{
+		{"answer slack", r.AnswerSlack}, {"ask every", r.AskEvery}, {"cold time", r.ColdTime},
+		{"fall window", r.FallWindow}, {"drain grace", r.DrainGrace},
+	} {
+		if f.d < 0 {
+			return fmt.Errorf("rules: %s: %v is negative", f.name, f.d)
+		}
+	}
+	if s.Limits.MaxAttempts < 0 {
+		return fmt.Errorf("limits: max attempts: %d is negative", s.Limits.MaxAttempts)
+	}
+	s.Peers = max(1, s.Peers)
+	s.Limits.MaxAttempts = max(1, s.Limits.MaxAttempts)
+	return nil
+}
