--- a/decide/decide.go
+++ b/decide/decide.go
@@ -41,7 +41,7 @@
 const (
 	holdAim     = 0.5         // part of the aim that attempts may take whatever the cause
 	holdSlowed  = 0.8         // part of its recent best below which the served rate has fallen
-	holdStretch = 1.6         // answers may take this many times their usual least before first attempts are held
+	holdStretch = 1.35        // answers may take this many times their usual least before first attempts are held
 	leastTime   = time.Minute // the usual least follows slower answers this slowly
 	holdLeast   = 2.0         // attempts that every ready endpoint may always have out for each tier, over all peers
 	holdFewest  = 4           // attempts that this instance may always have out
