--- a/decide/decide.go
+++ b/decide/decide.go
@@ -49,6 +49,7 @@
 	holdSeek    = 0.3         // the same until the first time the tier is seen full
 	stretchGain = 0.03        // weight of the newest outcome in the smoothed stretch
 	holdBinds   = 0.8         // part of the limit that must be out for a quick answer to raise it
+	lateSlack   = 2           // times its usual time that a held request is given for its attempt
 	holdStart   = 3.0         // the same that an instance starts with
 	holdUneven  = 2.0         // times its even part of the limit that one endpoint may have out
 	paceCount   = 40          // answers over which a class's pace is smoothed
@@ -437,8 +438,9 @@
 	b.trimHeld()
 }
 
-// latestStart is when a held request must be sent to be answered in time.
-func (r *request) latestStart() Time { return r.aimAt - r.class.pace.usual(r.work) }
+// latestStart is when a held request must be sent to be answered in time, most
+// likely: half of the attempts take longer than usual.
+func (r *request) latestStart() Time { return r.aimAt - lateSlack*r.class.pace.usual(r.work) }
 
 // sendHeld sends held requests while the tier has room.
 func (b *Balancer) sendHeld() {
