--- a/decide/decide.go
+++ b/decide/decide.go
@@ -208,6 +208,9 @@
 	}
 	b.held[r.id] = r
 	b.timers.set(r.deadline-b.set.Tick, timerRequest, r.id)
+	if b.set.Front && c.LateShare == 0 && r.aimAt > b.now {
+		b.timers.set(r.aimAt-b.set.Tick, timerRequest, r.id)
+	}
 	b.admit(r)
 }
 
@@ -326,7 +329,14 @@
 // for it. An attempt that is out is ended by its own time-out at the deadline.
 func (b *Balancer) timeUp(id RequestID) {
 	r := b.held[id]
-	if r == nil || r.over || r.bound || r.out > 0 {
+	if r == nil || r.over || r.bound {
+		return
+	}
+	if b.worthless(r) {
+		b.callOff(r)
+		return
+	}
+	if r.out > 0 {
 		return
 	}
 	if b.lastCall(r) || (len(r.attempts) == 0 && r.queued && b.now >= r.latestStart()) {
@@ -334,6 +344,22 @@
 	}
 }
 
+// worthless tells whether the aim has just passed where a later answer earns
+// nothing: all work on the request is wasted from here on.
+func (b *Balancer) worthless(r *request) bool {
+	return b.set.Front && r.class.LateShare == 0 && b.now >= r.aimAt-b.set.Tick
+}
+
+// callOff ends a request and stops what is out for it.
+func (b *Balancer) callOff(r *request) {
+	for i := range r.attempts {
+		if !r.attempts[i].settled && b.set.Limits.Cancel {
+			b.act(Action{Kind: Cancel, Request: r.id, Attempt: i})
+		}
+	}
+	b.giveUp(r)
+}
+
 // lastCall tells whether the request must be ended now if nothing is out for
 // it. The timer for its end is set for this moment: an attempt that fails later
 // must not be queued again, since no timer would end it.
@@ -775,7 +801,7 @@
 
 // learn books an outcome with the bucket and the endpoint.
 func (b *Balancer) learn(r *request, a *attempt, e *Event) {
-	if e.Outcome == NotSent || e.Outcome == Canceled {
+	if e.Outcome == NotSent {
 		return
 	}
 	got := 0.0
@@ -784,6 +810,8 @@
 		b.bucket.add(depositPerServed)
 		b.countServed()
 		r.class.pace.observe(b.now, r.work, e.Latency)
+	}
+	if e.Outcome == Served || e.Outcome == Canceled { // called off: at least so slow
 		got = min(1, float64(yardstick(r))/float64(max(e.Latency, 1)))
 	}
 	a.to.payoff += payoffGain * (got - a.to.payoff)
