--- a/decide/decide.go
+++ b/decide/decide.go
@@ -345,9 +345,11 @@
 }
 
 // worthless tells whether the aim has just passed where a later answer earns
-// nothing: all work on the request is wasted from here on.
+// nothing: all work on the request is wasted from here on. A request that its
+// client could send again is left to finish: where running work cannot be
+// stopped, the repeat would only double it.
 func (b *Balancer) worthless(r *request) bool {
-	return b.set.Front && r.class.LateShare == 0 && b.now >= r.aimAt-b.set.Tick
+	return b.set.Front && r.class.LateShare == 0 && b.now >= r.aimAt-b.set.Tick && !mayRefuse(r)
 }
 
 // callOff ends a request and stops what is out for it.
