--- a/decide/decide.go
+++ b/decide/decide.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -46,7 +47,6 @@
 	holdLeast   = 2.0         // attempts that every ready endpoint may always have out for each tier, over all peers
 	holdFewest  = 4           // attempts that this instance may always have out
 	holdStep    = 0.03        // attempts by which one outcome moves the limit
-	holdSeek    = 0.3         // the same until the first time the tier is seen full
 	stretchGain = 0.03        // weight of the newest outcome in the smoothed stretch
 	holdBinds   = 0.8         // part of the limit that must be out for a quick answer to raise it
 	lateSlack   = 2           // times its usual time that a held request is given for its attempt
@@ -62,7 +62,6 @@
 	set     Settings
 	rng     *rand.Rand
 	now     Time
-	started Time
 	actions []Action
 	timers  timerQueue
 	classes map[string]*class
@@ -115,7 +114,6 @@
 	b.runTimers()
 	switch e.Kind {
 	case Start:
-		b.started = now
 		b.startList()
 	case Arrived:
 		b.arrived(e)
@@ -183,7 +181,6 @@
 	out      int  // attempts without an outcome
 	over     bool // the final answer is given, or nobody waits for one
 	bound    bool // a stream has begun: the attempt is the client's
-	queued   bool // it stands in waiting, parked or held back
 }
 
 // attempt is one send of a request.
@@ -247,7 +244,6 @@
 
 // park holds a request that no endpoint may take now.
 func (b *Balancer) park(r *request) {
-	r.queued = true
 	b.parked = append(b.parked, r)
 	b.setParkedTimer()
 }
@@ -265,7 +261,6 @@
 	b.parked = nil
 	for _, r := range parked {
 		if !r.over {
-			r.queued = false
 			b.dispatch(r)
 		}
 	}
@@ -339,7 +334,7 @@
 	if r.out > 0 {
 		return
 	}
-	if b.lastCall(r) || (len(r.attempts) == 0 && r.queued && b.now >= r.latestStart()) {
+	if b.lastCall(r) || (len(r.attempts) == 0 && b.now >= r.latestStart()) {
 		b.giveUp(r)
 	}
 }
@@ -392,7 +387,6 @@
 	each    float64    // attempts that may be out for every ready endpoint
 	share   float64    // smoothed logarithm of an attempt's time over its class's aim
 	stretch float64    // smoothed logarithm of an attempt's time over its class's least
-	found   bool       // the tier has been seen full: the limit no longer grows fast
 }
 
 // limit is how many attempts may be out before first attempts are held. It goes
@@ -416,14 +410,9 @@
 	h := &b.hold
 	h.stretch += stretchGain * (p.stretch(r.work, e.Latency) - h.stretch)
 	h.share += stretchGain * (math.Log(max(e.Latency, 1).Seconds()/r.class.Aim.Seconds()) - h.share)
-	step := holdStep
-	if !h.found {
-		step = holdSeek
-	}
-	step /= float64(len(b.fleet.ready))
+	step := holdStep / float64(len(b.fleet.ready))
 	switch {
 	case h.share > math.Log(holdAim), h.stretch > math.Log(holdStretch) && !b.slowed():
-		h.found = true
 		h.each -= step
 	case h.stretch > math.Log(holdStretch):
 	case float64(h.out) >= holdBinds*float64(b.limit()):
@@ -457,10 +446,7 @@
 	for at > 0 && h.queue[at-1].value < r.value {
 		at--
 	}
-	r.queued = true
-	h.queue = append(h.queue, nil)
-	copy(h.queue[at+1:], h.queue[at:])
-	h.queue[at] = r
+	h.queue = slices.Insert(h.queue, at, r)
 	b.timers.set(max(b.now, r.latestStart()), timerRequest, r.id)
 	b.sendHeld()
 	b.trimHeld()
@@ -477,7 +463,6 @@
 		r := h.queue[0]
 		h.queue = h.queue[1:]
 		if !r.over {
-			r.queued = false
 			b.dispatch(r)
 		}
 	}
@@ -580,7 +565,6 @@
 		b.giveUp(r)
 		return
 	}
-	r.queued = true
 	b.waiting = append(b.waiting, r)
 	b.setBucketTimer()
 }
@@ -607,7 +591,6 @@
 		case !b.anyMayTake(r):
 			b.giveUp(r)
 		case b.bucket.take(b.now, r.class):
-			r.queued = false
 			b.dispatch(r)
 		default:
 			b.waiting = append(b.waiting, r)
@@ -960,7 +943,7 @@
 		b.update(&e.Endpoints[i])
 	}
 	f := &b.fleet
-	f.order = keep(f.order, func(e *endpoint) bool { return e.state != Gone })
+	f.order = slices.DeleteFunc(f.order, func(e *endpoint) bool { return e.state == Gone })
 	f.ready = f.ready[:0]
 	for _, known := range f.order {
 		if known.state == Active {
@@ -1013,14 +996,3 @@
 		e.weight = line.Weight
 	}
 }
-
-// keep filters a slice in place.
-func keep(all []*endpoint, wanted func(*endpoint) bool) []*endpoint {
-	kept := all[:0]
-	for _, e := range all {
-		if wanted(e) {
-			kept = append(kept, e)
-		}
-	}
-	return kept
-}
