--- a/decide/decide.go
+++ b/decide/decide.go
@@ -51,7 +51,7 @@
 	holdBinds   = 0.8         // part of the limit that must be out for a quick answer to raise it
 	lateSlack   = 2           // times its usual time that a held request is given for its attempt
 	holdStart   = 3.0         // the same that an instance starts with
-	holdUneven  = 2.0         // times its even part of the limit that one endpoint may have out
+	holdUneven  = 1.25        // times its even part of the limit that one endpoint may have out
 	paceCount   = 40          // answers over which a class's pace is smoothed
 
 	tenantBurst = 2 * time.Second // how much of its allowance a tenant may use at once
