--- a/decide/decide.go
+++ b/decide/decide.go
@@ -227,8 +227,13 @@
 // dispatch sends the request, or parks it while no endpoint may take it.
 func (b *Balancer) dispatch(r *request) {
 	to := b.pick(r)
+	if to == nil && b.anyMayTake(r) {
+		b.parked = append(b.parked, r)
+		b.setParkedTimer()
+		return
+	}
 	if to == nil {
-		b.park(r)
+		b.giveUp(r)
 		return
 	}
 	r.attempts = append(r.attempts, attempt{to: to, sent: b.now, ran: true})
@@ -242,12 +247,6 @@
 	b.act(Action{Kind: Send, Request: r.id, Endpoint: to.id})
 }
 
-// park holds a request that no endpoint may take now.
-func (b *Balancer) park(r *request) {
-	b.parked = append(b.parked, r)
-	b.setParkedTimer()
-}
-
 func (b *Balancer) setParkedTimer() {
 	if len(b.parked) > 0 && !b.parkedTimer {
 		b.parkedTimer = true
@@ -295,7 +294,7 @@
 	if r.out > 0 {
 		return
 	}
-	if b.lastCall(r) || len(r.attempts) >= b.set.Limits.MaxAttempts || !b.anyMayTake(r) {
+	if len(r.attempts) >= b.set.Limits.MaxAttempts || !b.anyMayTake(r) {
 		b.giveUp(r)
 		return
 	}
@@ -550,32 +549,41 @@
 }
 
 // wait is how long the floor alone takes to fund a retry of the class.
-func (k *bucket) wait(c *class) time.Duration {
+func (k *bucket) wait(now Time, c *class) time.Duration {
+	k.refill(now)
 	return max(0, time.Duration((k.needed(c)-k.tokens)/floorRate*float64(time.Second)))
 }
 
 // retry sends a request again if a token funds it. Otherwise it waits for the
-// refill, or is given up at once when its time ends before the floor can pay.
+// refill, or is given up at once when it could not earn anything by then.
 func (b *Balancer) retry(r *request) {
-	if b.bucket.take(b.now, r.class) {
+	switch {
+	case b.now+b.bucket.wait(b.now, r.class) >= b.lastUse(r):
+		b.giveUp(r)
+	case b.bucket.take(b.now, r.class):
 		b.dispatch(r)
-		return
+	default:
+		b.waiting = append(b.waiting, r)
+		b.setBucketTimer()
 	}
-	if b.now+b.bucket.wait(r.class) >= r.deadline-b.set.Tick {
-		b.giveUp(r)
-		return
+}
+
+// lastUse is when another attempt can last earn anything: while the aim can
+// still be met, or late answers earn a part and the client still waits.
+func (b *Balancer) lastUse(r *request) Time {
+	if r.class.LateShare == 0 {
+		return min(r.deadline-b.set.Tick, r.aimAt-r.class.pace.usual(r.work))
 	}
-	b.waiting = append(b.waiting, r)
-	b.setBucketTimer()
+	return r.deadline - b.set.Tick
 }
 
 func (b *Balancer) setBucketTimer() {
 	if len(b.waiting) == 0 || b.bucket.timerSet {
 		return
 	}
-	first := b.bucket.wait(b.waiting[0].class)
+	first := b.bucket.wait(b.now, b.waiting[0].class)
 	for _, r := range b.waiting[1:] {
-		first = min(first, b.bucket.wait(r.class))
+		first = min(first, b.bucket.wait(b.now, r.class))
 	}
 	b.bucket.timerSet = true
 	b.timers.set(b.now+first+time.Millisecond, timerBucket, 0)
@@ -588,7 +596,7 @@
 	for _, r := range waiting {
 		switch {
 		case r.over:
-		case !b.anyMayTake(r):
+		case b.now >= b.lastUse(r) || !b.anyMayTake(r):
 			b.giveUp(r)
 		case b.bucket.take(b.now, r.class):
 			b.dispatch(r)
