--- a/decide/decide.go
+++ b/decide/decide.go
@@ -304,14 +304,27 @@
 // giveUp ends a request: refused where that is allowed, else failed.
 func (b *Balancer) giveUp(r *request) {
 	r.over = true
-	kind := Fail
 	if mayRefuse(r) {
-		kind = Refuse
+		b.act(Action{Kind: Refuse, Request: r.id, After: b.comeBack(r)})
+	} else {
+		b.act(Action{Kind: Fail, Request: r.id})
 	}
-	b.act(Action{Kind: kind, Request: r.id})
 	b.release(r)
 }
 
+// comeBack says when a refused client may try again, spread so that they do not
+// return in step: while an answer can still be in time, else as late as it may.
+func (b *Balancer) comeBack(r *request) time.Duration {
+	l := &b.set.Limits
+	if !l.RetryAfter {
+		return 0
+	}
+	if left := b.lastUse(r) - b.now; left > 0 {
+		return min(l.MaxRetryAfter, b.jitter(left))
+	}
+	return l.MaxRetryAfter/2 + b.jitter(l.MaxRetryAfter/2)
+}
+
 // release forgets a request that is over and has nothing out.
 func (b *Balancer) release(r *request) {
 	if r.over && r.out == 0 {
