--- a/decide/decide.go
+++ b/decide/decide.go
@@ -26,7 +26,7 @@
 
 // Figures of what the design leaves open.
 const (
-	parkedStep     = 20 * time.Millisecond // how often a request without a fit endpoint is looked at again
+	waitStep       = 20 * time.Millisecond // how often waiting requests are looked at again
 	meanAge        = 50 * time.Millisecond // how old the mean payoff may be when it is used
 	peakTime       = time.Minute           // the best rate is forgotten over this
 	rateTime       = 3 * time.Second       // averaging time of the served rate
@@ -144,12 +144,9 @@
 		switch t.kind {
 		case timerRequest:
 			b.timeUp(t.request)
-		case timerBucket:
-			b.bucket.timerSet = false
-			b.fundWaiting()
-		case timerParked:
-			b.parkedTimer = false
-			b.sendParked()
+		case timerWaiting:
+			b.waitTimer = false
+			b.sendWaiting()
 		case timerList:
 			b.askList()
 		}
@@ -162,10 +159,9 @@
 
 // requests is everything held for clients.
 type requests struct {
-	held        map[RequestID]*request
-	waiting     []*request // retries that no token has funded yet, oldest first
-	parked      []*request // requests that no endpoint may take now, oldest first
-	parkedTimer bool
+	held      map[RequestID]*request
+	waiting   []*request // for a token, or for an endpoint that may take them; oldest first
+	waitTimer bool
 }
 
 // request is one try of a client and its attempts. It stays held after its
@@ -179,6 +175,7 @@
 	value    float64 // what an answer within the aim is worth
 	attempts []attempt
 	out      int  // attempts without an outcome
+	funded   bool // a token is spent on its next attempt
 	over     bool // the final answer is given, or nobody waits for one
 	bound    bool // a stream has begun: the attempt is the client's
 }
@@ -224,20 +221,20 @@
 	return 0
 }
 
-// dispatch sends the request, or parks it while no endpoint may take it.
+// dispatch sends the request, or lets it wait while no endpoint may take it.
 func (b *Balancer) dispatch(r *request) {
 	to := b.pick(r)
-	if to == nil && b.anyMayTake(r) {
-		b.parked = append(b.parked, r)
-		b.setParkedTimer()
+	switch {
+	case to == nil && b.anyMayTake(r):
+		b.wait(r)
 		return
-	}
-	if to == nil {
+	case to == nil:
 		b.giveUp(r)
 		return
 	}
 	r.attempts = append(r.attempts, attempt{to: to, sent: b.now, ran: true})
 	r.out++
+	r.funded = false
 	b.hold.out++
 	to.inFlight++
 	to.touched = b.now
@@ -247,23 +244,28 @@
 	b.act(Action{Kind: Send, Request: r.id, Endpoint: to.id})
 }
 
-func (b *Balancer) setParkedTimer() {
-	if len(b.parked) > 0 && !b.parkedTimer {
-		b.parkedTimer = true
-		b.timers.set(b.now+parkedStep, timerParked, 0)
+// wait holds a request that cannot be sent now.
+func (b *Balancer) wait(r *request) {
+	b.waiting = append(b.waiting, r)
+	if !b.waitTimer {
+		b.waitTimer = true
+		b.timers.set(b.now+waitStep, timerWaiting, 0)
 	}
 }
 
-// sendParked tries again for every parked request, oldest first.
-func (b *Balancer) sendParked() {
-	parked := b.parked
-	b.parked = nil
-	for _, r := range parked {
-		if !r.over {
+// sendWaiting looks again at every waiting request, oldest first.
+func (b *Balancer) sendWaiting() {
+	waiting := b.waiting
+	b.waiting = nil
+	for _, r := range waiting {
+		switch {
+		case r.over:
+		case len(r.attempts) == 0 || r.funded:
 			b.dispatch(r)
+		default:
+			b.retry(r)
 		}
 	}
-	b.setParkedTimer()
 }
 
 // finished books an attempt's outcome, also when its request is long over.
@@ -294,7 +296,7 @@
 	if r.out > 0 {
 		return
 	}
-	if len(r.attempts) >= b.set.Limits.MaxAttempts || !b.anyMayTake(r) {
+	if len(r.attempts) >= b.set.Limits.MaxAttempts {
 		b.giveUp(r)
 		return
 	}
@@ -339,14 +341,11 @@
 	if r == nil || r.over || r.bound {
 		return
 	}
-	if b.worthless(r) {
+	switch {
+	case b.worthless(r):
 		b.callOff(r)
-		return
-	}
-	if r.out > 0 {
-		return
-	}
-	if b.lastCall(r) || (len(r.attempts) == 0 && b.now >= r.latestStart()) {
+	case r.out > 0:
+	case b.now >= r.deadline-b.set.Tick, len(r.attempts) == 0 && b.now >= r.latestStart():
 		b.giveUp(r)
 	}
 }
@@ -369,11 +368,6 @@
 	b.giveUp(r)
 }
 
-// lastCall tells whether the request must be ended now if nothing is out for
-// it. The timer for its end is set for this moment: an attempt that fails later
-// must not be queued again, since no timer would end it.
-func (b *Balancer) lastCall(r *request) bool { return b.now >= r.deadline-b.set.Tick }
-
 func (b *Balancer) streamBegan(e *Event) {
 	if r := b.held[e.Request]; r != nil {
 		r.bound = true
@@ -529,9 +523,8 @@
 
 // bucket funds retries: a tenth of what is served, and a floor.
 type bucket struct {
-	tokens   float64
-	filled   Time
-	timerSet bool
+	tokens float64
+	filled Time
 }
 
 // refill adds what the floor has brought since the last look.
@@ -552,8 +545,7 @@
 }
 
 // take spends one token on a retry of the class, if it is funded.
-func (k *bucket) take(now Time, c *class) bool {
-	k.refill(now)
+func (k *bucket) take(c *class) bool {
 	if k.tokens < k.needed(c) {
 		return false
 	}
@@ -571,18 +563,19 @@
 // refill, or is given up at once when it could not earn anything by then.
 func (b *Balancer) retry(r *request) {
 	switch {
-	case b.now+b.bucket.wait(b.now, r.class) >= b.lastUse(r):
+	case b.now+b.bucket.wait(b.now, r.class) >= b.lastUse(r) || !b.anyMayTake(r):
 		b.giveUp(r)
-	case b.bucket.take(b.now, r.class):
+	case b.bucket.take(r.class):
+		r.funded = true
 		b.dispatch(r)
 	default:
-		b.waiting = append(b.waiting, r)
-		b.setBucketTimer()
+		b.wait(r)
 	}
 }
 
 // lastUse is when another attempt can last earn anything: while the aim can
-// still be met, or late answers earn a part and the client still waits.
+// still be met, or late answers earn a part and the client still waits. After
+// that the timer that ends the request has fired: nothing may wait any more.
 func (b *Balancer) lastUse(r *request) Time {
 	if r.class.LateShare == 0 {
 		return min(r.deadline-b.set.Tick, r.aimAt-r.class.pace.usual(r.work))
@@ -590,36 +583,6 @@
 	return r.deadline - b.set.Tick
 }
 
-func (b *Balancer) setBucketTimer() {
-	if len(b.waiting) == 0 || b.bucket.timerSet {
-		return
-	}
-	first := b.bucket.wait(b.now, b.waiting[0].class)
-	for _, r := range b.waiting[1:] {
-		first = min(first, b.bucket.wait(b.now, r.class))
-	}
-	b.bucket.timerSet = true
-	b.timers.set(b.now+first+time.Millisecond, timerBucket, 0)
-}
-
-// fundWaiting sends the waiting retries that the bucket can fund by now.
-func (b *Balancer) fundWaiting() {
-	waiting := b.waiting
-	b.waiting = nil
-	for _, r := range waiting {
-		switch {
-		case r.over:
-		case b.now >= b.lastUse(r) || !b.anyMayTake(r):
-			b.giveUp(r)
-		case b.bucket.take(b.now, r.class):
-			b.dispatch(r)
-		default:
-			b.waiting = append(b.waiting, r)
-		}
-	}
-	b.setBucketTimer()
-}
-
 // ---- Rules on effects and refusals ----
 
 // mayTake is the one rule on effects: whether another attempt of the request
@@ -972,7 +935,7 @@
 		}
 	}
 	f.mean = 0
-	b.sendParked()
+	b.sendWaiting()
 }
 
 // dropMissing takes endpoints that a whole list no longer names for gone.
--- a/decide/timers.go
+++ b/decide/timers.go
@@ -5,8 +5,7 @@
 
 const (
 	timerRequest timerKind = iota // look at one request again
-	timerBucket                   // waiting retries may be funded by now
-	timerParked                   // requests without a fit endpoint may go by now
+	timerWaiting                  // look at the waiting requests again
 	timerList                     // ask for the endpoint list
 )
 
