--- a/decide/decide.go
+++ b/decide/decide.go
@@ -19,7 +19,7 @@
 	floorRate        = 3.0             // tokens a second whatever the traffic
 	floorBurst       = 10 * floorRate  // most tokens: ten seconds of the floor
 	spareShare       = 0.5             // part of the bucket that the lowest worth leaves to the others
-	payoffFloor      = 0.05            // least payoff: an endpoint out of favour still wins a pick now and then
+	payoffFloor      = 0.05            // least payoff: one out of favour still wins a pick now and then
 	payoffGain       = 0.15            // weight of the newest outcome in the smoothed payoff
 	driftTime        = 8 * time.Second // an unpicked endpoint goes this slowly towards the others' mean
 )
@@ -30,9 +30,9 @@
 	meanAge        = 50 * time.Millisecond // how old the mean payoff may be when it is used
 	peakTime       = time.Minute           // the best rate is forgotten over this
 	rateTime       = 3 * time.Second       // averaging time of the served rate
-	coldCaution    = 0.5                   // part of the allowed push on a cold endpoint that is used up on purpose
-	coldTrickle    = 1.0                   // sends a second to a cold endpoint, over all peers, when nothing is known
-	firstAskSpread = 1 * time.Second       // the first call for the list comes within this, not in step with the peers
+	coldCaution    = 0.5                   // part of the allowed push on a cold endpoint that is used up
+	coldTrickle    = 1.0                   // sends a second to a cold endpoint, over all peers, at least
+	firstAskSpread = 1 * time.Second       // the first call for the list comes within this
 	askPause       = 1 * time.Second       // shortest pause before asking again after a failed call
 	askPauseMost   = 4 * time.Second       // and longest
 	modestWorth    = 1.0                   // worth of a request of an unknown class
@@ -42,15 +42,15 @@
 const (
 	holdAim     = 0.5         // part of the aim that attempts may take whatever the cause
 	holdSlowed  = 0.8         // part of its recent best below which the served rate has fallen
-	holdStretch = 1.35        // answers may take this many times their usual least before first attempts are held
+	holdStretch = 1.35        // answers may take this many times their usual least
 	leastTime   = time.Minute // the usual least follows slower answers this slowly
-	holdLeast   = 2.0         // attempts that every ready endpoint may always have out for each tier, over all peers
+	holdLeast   = 2.0         // attempts for each ready endpoint and tier that are always allowed
+	holdStart   = 3.0         // the same that an instance starts with
 	holdFewest  = 4           // attempts that this instance may always have out
 	holdStep    = 0.03        // attempts by which one outcome moves the limit
 	stretchGain = 0.03        // weight of the newest outcome in the smoothed stretch
 	holdBinds   = 0.8         // part of the limit that must be out for a quick answer to raise it
 	lateSlack   = 2           // times its usual time that a held request is given for its attempt
-	holdStart   = 3.0         // the same that an instance starts with
 	holdUneven  = 1.25        // times its even part of the limit that one endpoint may have out
 	paceCount   = 40          // answers over which a class's pace is smoothed
 
@@ -88,7 +88,7 @@
 	if err := set.validate(); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)), classes: map[string]*class{}}
+	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, ^seed)), classes: map[string]*class{}}
 	least, most := math.Inf(1), 0.0
 	for _, c := range set.Classes {
 		least, most = min(least, c.Worth), max(most, c.Worth)
@@ -202,7 +202,7 @@
 	}
 	b.held[r.id] = r
 	b.timers.set(r.deadline-b.set.Tick, timerRequest, r.id)
-	if b.set.Front && c.LateShare == 0 && r.aimAt > b.now {
+	if b.set.Front && c.LateShare == 0 && b.now < r.aimAt && r.aimAt < r.deadline {
 		b.timers.set(r.aimAt-b.set.Tick, timerRequest, r.id)
 	}
 	b.admit(r)
@@ -443,7 +443,6 @@
 // admit sends a new request at once unless the tier is full.
 func (b *Balancer) admit(r *request) {
 	h := &b.hold
-
 	if !b.set.Front || (len(h.queue) == 0 && h.out < b.limit()) {
 		b.dispatch(r)
 		return
@@ -478,9 +477,9 @@
 // the last of the queue goes first, and it is the least worth.
 func (b *Balancer) trimHeld() {
 	h := &b.hold
-	rate := max(b.servedRate(), 1)
 	for n := len(h.queue); n > 0; n-- {
 		r := h.queue[n-1]
+		rate := max(b.servedRate(), float64(h.out)/r.class.Aim.Seconds()) // the latter after a start
 		wait := time.Duration(float64(n) / rate * float64(time.Second))
 		if !r.over && b.now+wait <= r.latestStart() {
 			return
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1,6 +1,8 @@
 package decide
 
 import (
+	"slices"
+	"strings"
 	"testing"
 	"time"
 )
@@ -15,14 +17,21 @@
 		Front: true,
 		Tick:  5 * ms,
 		Classes: []Class{
-			{Name: "read", Aim: 200 * ms, Deadline: 1000 * ms, Worth: 2, Effect: Safe},
-			{Name: "scan", Aim: 200 * ms, Deadline: 1000 * ms, Worth: 1, Effect: Safe},
-			{Name: "cell", Aim: 200 * ms, Deadline: 1000 * ms, Worth: 2, Effect: Keyed, Group: GroupCell, Window: 400 * ms},
-			{Name: "zone", Aim: 200 * ms, Deadline: 1000 * ms, Worth: 2, Effect: Keyed, Group: GroupZone, Window: 400 * ms},
-			{Name: "fleet", Aim: 200 * ms, Deadline: 1000 * ms, Worth: 2, Effect: Keyed, Group: GroupAll, Window: 400 * ms},
-			{Name: "once", Aim: 200 * ms, Deadline: 1000 * ms, Worth: 2, Effect: Unsafe},
+			{Name: "read", Aim: 200 * ms, Deadline: 1000 * ms, Worth: 2, LateShare: 0.5, Effect: Safe},
+			{Name: "scan", Aim: 200 * ms, Deadline: 1000 * ms, Worth: 1, LateShare: 0.5, Effect: Safe},
+			{Name: "cell", Aim: 200 * ms, Deadline: 1000 * ms, Worth: 2, LateShare: 0.5,
+				Effect: Keyed, Group: GroupCell, Window: 400 * ms},
+			{Name: "zone", Aim: 200 * ms, Deadline: 1000 * ms, Worth: 2, LateShare: 0.5,
+				Effect: Keyed, Group: GroupZone, Window: 400 * ms},
+			{Name: "fleet", Aim: 200 * ms, Deadline: 1000 * ms, Worth: 2, LateShare: 0.5,
+				Effect: Keyed, Group: GroupAll, Window: 400 * ms},
+			{Name: "once", Aim: 200 * ms, Deadline: 1000 * ms, Worth: 2, LateShare: 0.5, Effect: Unsafe},
+			{Name: "prompt", Aim: 200 * ms, Deadline: 1000 * ms, Worth: 2,
+				Effect: Keyed, Group: GroupCell, Window: 400 * ms},
 		},
-		Limits: Limits{Cancel: true, MaxAttempts: 4, RetryAfter: true, MaxRetryAfter: time.Second},
+		Tenants:        []Tenant{{Name: "big", Allowed: 1000}, {Name: "small", Allowed: 0.5}},
+		OverShareWorth: 0.05,
+		Limits:         Limits{Cancel: true, MaxAttempts: 4, RetryAfter: true, MaxRetryAfter: time.Second},
 		Rules: Rules{
 			AnswerSlack: 20 * ms, AskEvery: 10 * time.Second, ColdShare: 0.2, ColdTime: 10 * time.Second,
 			FallMultiple: 3, FallWindow: 2 * time.Second, DrainGrace: time.Second,
@@ -30,78 +39,575 @@
 	}
 }
 
-// bench drives a balancer with scripted events.
-type bench struct {
+// script drives a balancer with scripted events.
+type script struct {
 	t   *testing.T
 	b   *Balancer
 	now Time
-	all []Action
 }
 
-func start(t *testing.T, set Settings, endpoints ...Endpoint) *bench {
+func start(t *testing.T, set Settings, endpoints ...Endpoint) *script {
 	t.Helper()
 	b, err := New(set, 7)
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := &bench{t: t, b: b, now: time.Hour}
-	d.event(Event{Kind: Start})
-	d.event(Event{Kind: ListRestored, Endpoints: endpoints})
-	return d
+	s := &script{t: t, b: b, now: time.Hour}
+	s.event(Event{Kind: Start})
+	s.event(Event{Kind: ListRestored, Endpoints: endpoints})
+	return s
 }
 
 // event hands over an event and returns the actions without timers.
-func (d *bench) event(e Event) []Action {
-	d.t.Helper()
+func (s *script) event(e Event) []Action {
+	s.t.Helper()
 	var seen []Action
-	for _, a := range d.b.Handle(d.now, &e, nil) {
+	for _, a := range s.b.Handle(s.now, &e, nil) {
 		if a.Kind != SetTimer {
 			seen = append(seen, a)
 		}
 	}
-	d.all = append(d.all, seen...)
 	return seen
 }
 
-func (d *bench) after(t time.Duration) *bench {
-	d.now += t
-	return d
+func (s *script) after(t time.Duration) *script {
+	s.now += t
+	return s
 }
 
-func (d *bench) arrive(id RequestID, class string) []Action {
-	d.t.Helper()
-	return d.event(Event{Kind: Arrived, Request: id, Class: class, Grace: time.Second})
+func (s *script) arrive(id RequestID, class string) []Action {
+	s.t.Helper()
+	return s.event(Event{Kind: Arrived, Request: id, Class: class, Grace: time.Second})
 }
 
-func (d *bench) finish(id RequestID, attempt int, o Outcome) []Action {
-	d.t.Helper()
-	return d.event(Event{
+func (s *script) finish(id RequestID, attempt int, o Outcome) []Action {
+	s.t.Helper()
+	return s.event(Event{
 		Kind: Finished, Request: id, Attempt: attempt, Outcome: o, Latency: 50 * ms, Over: o == Served,
 	})
 }
 
-func (d *bench) tick() []Action { return d.event(Event{Kind: TimerDue}) }
+func (s *script) tick() []Action { return s.event(Event{Kind: TimerDue}) }
 
 // want checks the kinds of the actions.
-func (d *bench) want(got []Action, kinds ...ActionKind) {
-	d.t.Helper()
+func (s *script) want(got []Action, kinds ...ActionKind) []Action {
+	s.t.Helper()
 	ok := len(got) == len(kinds)
 	for i := 0; ok && i < len(got); i++ {
 		ok = got[i].Kind == kinds[i]
 	}
 	if !ok {
-		d.t.Fatalf("at %v: got actions %+v, want kinds %v", d.now, got, kinds)
+		s.t.Fatalf("at %v: got actions %+v, want kinds %v", s.now, got, kinds)
 	}
+	return got
 }
 
 func two() []Endpoint {
 	return []Endpoint{{ID: 1, Zone: "here", Cell: 1, Weight: 1}, {ID: 2, Zone: "there", Cell: 2, Weight: 1}}
 }
 
+// four are two cells of two endpoints; zones cut across them.
+func four() []Endpoint {
+	return []Endpoint{
+		{ID: 1, Zone: "a", Cell: 1, Weight: 1}, {ID: 2, Zone: "b", Cell: 1, Weight: 1},
+		{ID: 3, Zone: "a", Cell: 2, Weight: 1}, {ID: 4, Zone: "b", Cell: 2, Weight: 1},
+	}
+}
+
+func TestSettingsThatCannotBeActedOn(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		spoil func(*Settings)
+		want  string
+	}{
+		{"no classes", func(s *Settings) { s.Classes = nil }, "classes"},
+		{"no effect", func(s *Settings) { s.Classes[1].Effect = EffectUnset }, `classes[1] "scan": effect`},
+		{"no aim", func(s *Settings) { s.Classes[0].Aim = 0 }, "aim"},
+		{"negative deadline", func(s *Settings) { s.Classes[0].Deadline = -1 }, "deadline"},
+		{"negative window", func(s *Settings) { s.Classes[0].Window = -1 }, "window"},
+		{"negative worth", func(s *Settings) { s.Classes[0].Worth = -1 }, "worth"},
+		{"negative cold time", func(s *Settings) { s.Rules.ColdTime = -1 }, "cold time"},
+		{"negative attempts", func(s *Settings) { s.Limits.MaxAttempts = -1 }, "max attempts"},
+	} {
+		set := testSettings()
+		c.spoil(&set)
+		if _, err := New(set, 1); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: got error %v, want one that names %s", c.name, err, c.want)
+		}
+	}
+}
+
+func TestBucket(t *testing.T) {
+	rich, poor := &class{}, &class{sheddable: true}
+	k := bucket{tokens: 1}
+	if !k.take(rich) || k.take(rich) {
+		t.Fatal("one token must fund exactly one retry")
+	}
+	k.refill(time.Second)
+	if got := k.tokens; got != floorRate {
+		t.Fatalf("a second of the floor brought %v tokens, want %v", got, floorRate)
+	}
+	k.refill(time.Hour)
+	if got := k.tokens; got != floorBurst {
+		t.Fatalf("an hour of the floor filled to %v, want the burst %v", got, floorBurst)
+	}
+	k.tokens = spareShare * floorBurst
+	if k.take(poor) {
+		t.Fatal("the lowest worth must leave half the bucket")
+	}
+	if !k.take(rich) {
+		t.Fatal("others may use all of it")
+	}
+	k.tokens = 0
+	if got := k.wait(time.Hour, rich); got < 333*ms || got > 334*ms {
+		t.Fatalf("an empty bucket funds a retry after %v, want a third of a second", got)
+	}
+}
+
+func TestServedAttemptsDepositATenth(t *testing.T) {
+	s := start(t, testSettings(), two()...)
+	s.arrive(1, "read")
+	s.b.bucket.tokens, s.b.bucket.filled = 5, s.now
+	s.finish(1, 0, Served)
+	if got := s.b.bucket.tokens; got != 5+depositPerServed {
+		t.Fatalf("tokens after one served attempt: %v", got)
+	}
+}
+
+func TestRetryGoesElsewhereForOneToken(t *testing.T) {
+	s := start(t, testSettings(), two()...)
+	first := s.want(s.arrive(1, "read"), Send)[0]
+	tokens := s.b.bucket.tokens
+	second := s.want(s.finish(1, 0, ServerError), Send)[0]
+	if second.Endpoint == first.Endpoint {
+		t.Error("the retry went to the endpoint that has just failed")
+	}
+	if got := tokens - s.b.bucket.tokens; got != 1 {
+		t.Errorf("the retry cost %v tokens, want 1", got)
+	}
+}
+
+func TestUnfundedRetryWaitsForTheRefill(t *testing.T) {
+	s := start(t, testSettings(), two()...)
+	s.arrive(1, "read")
+	s.b.bucket.tokens, s.b.bucket.filled = 0, s.now
+	s.want(s.finish(1, 0, ServerError))
+	s.after(200 * ms).want(s.tick())
+	s.after(200*ms).want(s.tick(), Send)
+}
+
+func TestRetryThatNoRefillCanFundEndsAtOnce(t *testing.T) {
+	s := start(t, testSettings(), two()...)
+	s.arrive(1, "read")
+	s.after(800 * ms)
+	s.b.bucket.tokens, s.b.bucket.filled = 0, s.now
+	s.want(s.finish(1, 0, ServerError), Refuse)
+}
+
+func TestAttemptsAreLimited(t *testing.T) {
+	s := start(t, testSettings(), two()...)
+	s.arrive(1, "read")
+	for attempt := range 3 {
+		s.want(s.finish(1, attempt, ServerError), Send)
+	}
+	s.want(s.finish(1, 3, ServerError), Refuse)
+}
+
+// A request whose attempt failed between its end timer and its deadline was
+// queued with no timer left, and got no answer at all.
 func TestFailureAfterTheEndTimerIsAnswered(t *testing.T) {
-	d := start(t, testSettings(), two()...)
-	d.want(d.arrive(1, "read"), Send)
-	d.after(996 * ms).want(d.tick()) // the attempt is out: its own time-out will end it
-	d.b.fleet.ready = nil            // nothing could take another attempt
-	d.after(1*ms).want(d.finish(1, 0, Rejected), Refuse)
+	s := start(t, testSettings(), two()...)
+	s.want(s.arrive(1, "read"), Send)
+	s.after(996 * ms).want(s.tick()) // the attempt is out: its own time-out will end it
+	s.b.bucket.tokens = 30
+	s.b.fleet.ready[0].cold, s.b.fleet.ready[1].cold = true, true // nothing can go at once
+	s.b.fleet.ready[0].started, s.b.fleet.ready[1].started = s.now, s.now
+	s.after(1*ms).want(s.finish(1, 0, Rejected), Refuse)
+}
+
+func TestEffects(t *testing.T) {
+	all := []EndpointID{1, 2, 3, 4}
+	for _, c := range []struct {
+		class   string
+		outcome Outcome
+		wait    time.Duration
+		legal   []EndpointID // after a first attempt at endpoint 1
+	}{
+		{"read", ServerError, 0, all},
+		{"read", TimedOut, 900 * ms, all},
+		{"cell", ServerError, 0, []EndpointID{1, 2}},
+		{"cell", Reset, 399 * ms, []EndpointID{1, 2}},
+		{"cell", Reset, 400 * ms, nil},
+		{"cell", Rejected, 600 * ms, all},
+		{"zone", TimedOut, 0, []EndpointID{1, 3}},
+		{"zone", ConnectFailed, 0, all},
+		{"fleet", TimedOut, 0, all},
+		{"fleet", TimedOut, 400 * ms, nil},
+		{"once", ServerError, 0, nil},
+		{"once", TimedOut, 0, nil},
+		{"once", Canceled, 0, nil},
+		{"once", Reset, 0, nil},
+		{"once", Rejected, 0, all},
+		{"once", NotSent, 0, all},
+	} {
+		s := start(t, testSettings(), four()...)
+		r := &request{class: s.b.classes[c.class], deadline: s.now + time.Second}
+		r.attempts = []attempt{{to: s.b.fleet.byID[1], sent: s.now, settled: true, ran: !c.outcome.NeverRan()}}
+		s.after(c.wait)
+		s.b.now = s.now
+		var got []EndpointID
+		for _, e := range s.b.fleet.ready {
+			if s.b.mayTake(r, e) {
+				got = append(got, e.id)
+			}
+		}
+		if !slices.Equal(got, c.legal) {
+			t.Errorf("%s after %d and %v: may go to %v, want %v", c.class, c.outcome, c.wait, got, c.legal)
+		}
+	}
+}
+
+func TestSecondCopiesOnlyWhereAllowed(t *testing.T) {
+	for _, allowed := range []bool{false, true} {
+		set := testSettings()
+		set.Limits.SecondCopies = allowed
+		s := start(t, set, two()...)
+		s.arrive(1, "read")
+		r := s.b.held[1]
+		if got := s.b.mayTake(r, s.b.fleet.ready[0]); got != allowed {
+			t.Errorf("a second copy while one is out: %v, want %v", got, allowed)
+		}
+	}
+}
+
+func TestRefuseOnlyWhatIsHarmlessToRepeat(t *testing.T) {
+	for _, c := range []struct {
+		class   string
+		outcome Outcome
+		want    ActionKind
+	}{
+		{"read", TimedOut, Refuse},
+		{"fleet", TimedOut, Refuse},
+		{"cell", TimedOut, Fail},
+		{"cell", Rejected, Refuse},
+		{"zone", Reset, Fail},
+		{"once", ServerError, Fail},
+		{"once", ConnectFailed, Refuse},
+	} {
+		s := start(t, testSettings(), four()...)
+		s.arrive(1, c.class)
+		s.after(999 * ms)
+		got := s.want(s.finish(1, 0, c.outcome), c.want)[0]
+		if got.Kind == Refuse && got.After <= 0 {
+			t.Errorf("%s after %d: a refusal without a time to come back", c.class, c.outcome)
+		}
+	}
+}
+
+func TestNothingNewToEndpointsThatDrainOrAreGone(t *testing.T) {
+	s := start(t, testSettings(), two()...)
+	s.event(Event{Kind: ListChanged, Endpoints: []Endpoint{{ID: 1, State: Draining}}})
+	for id := RequestID(1); id <= 10; id++ {
+		if got := s.want(s.arrive(id, "read"), Send)[0]; got.Endpoint != 2 {
+			t.Fatal("a draining endpoint was sent a request")
+		}
+		s.finish(id, 0, Served)
+	}
+	s.event(Event{Kind: ListReplaced, Endpoints: []Endpoint{{ID: 3, Zone: "here", Weight: 1}}})
+	for id := RequestID(11); id <= 20; id++ {
+		if got := s.want(s.arrive(id, "read"), Send)[0]; got.Endpoint != 3 {
+			t.Fatal("an endpoint that the whole list leaves out was sent a request")
+		}
+		s.finish(id, 0, Served)
+	}
+	s.event(Event{Kind: ListChanged, Endpoints: []Endpoint{{ID: 3, State: Gone}}})
+	s.want(s.arrive(21, "read"))
+}
+
+func TestEmptyListHoldsRequests(t *testing.T) {
+	s := start(t, testSettings())
+	s.want(s.arrive(1, "once"))
+	s.want(s.arrive(2, "once"))
+	s.after(100*ms).want(s.event(Event{Kind: ListReplaced, Endpoints: two()[:1]}), Send, Send)
+	s.event(Event{Kind: ListReplaced})
+	s.want(s.arrive(3, "read"))
+	s.after(995*ms).want(s.tick(), Refuse)
+}
+
+func TestRestartIsANewColdProcess(t *testing.T) {
+	s := start(t, testSettings(), two()...)
+	old := s.b.fleet.byID[1]
+	old.payoff = payoffFloor
+	s.arrive(1, "read")
+	s.arrive(2, "read")
+	s.event(Event{Kind: ListChanged, Endpoints: []Endpoint{{ID: 1, Zone: "here", Cell: 1, Weight: 1, Started: s.now}}})
+	e := s.b.fleet.byID[1]
+	if e == old || !e.cold || e.inFlight != 0 {
+		t.Fatalf("after the restart: %+v, want a new cold endpoint with nothing in flight", *e)
+	}
+	if e.payoff == payoffFloor {
+		t.Error("the restarted process keeps the payoff of the old one")
+	}
+	s.finish(1, 0, Served)
+	s.finish(2, 0, Served)
+	if e.inFlight != 0 {
+		t.Errorf("outcomes of the old process were booked to the new one: %d in flight", e.inFlight)
+	}
+}
+
+// A cold endpoint takes no more than its present part of what a warm one takes,
+// times the caution, however much comes.
+func TestColdEndpointIsNotPushedOver(t *testing.T) {
+	const perSecond = 100
+	set := testSettings()
+	s := start(t, set, two()...)
+	id := RequestID(0)
+	run := func(d time.Duration) (cold int) {
+		for range int(d.Seconds() * perSecond) {
+			id++
+			for _, a := range s.after(time.Second/perSecond).arrive(id, "read") {
+				if a.Kind == Send {
+					if a.Endpoint == 1 {
+						cold++
+					}
+					s.finish(a.Request, 0, Served)
+				}
+			}
+		}
+		return cold
+	}
+	run(10 * time.Second)
+	s.event(Event{Kind: ListChanged, Endpoints: []Endpoint{{ID: 1, Zone: "here", Cell: 1, Weight: 1, Started: s.now}}})
+	from := set.Rules.ColdShare
+	for range 4 {
+		s.b.now = s.now
+		present := s.b.capacity(s.b.fleet.byID[1])
+		got := run(set.Rules.FallWindow)
+		warm := float64(perSecond) / (1 + from) * set.Rules.FallWindow.Seconds()
+		if limit := set.Rules.FallMultiple * present * warm; float64(got) > limit {
+			t.Errorf("%d requests in a window, over %v at %v of its capacity", got, limit, present)
+		}
+		if got == 0 {
+			t.Error("the cold endpoint takes nothing at all")
+		}
+	}
+}
+
+func TestColdEndpointWithoutKnowledgeGetsATrickle(t *testing.T) {
+	set := testSettings()
+	set.Peers = 10
+	s := start(t, set)
+	s.event(Event{Kind: ListReplaced, Endpoints: []Endpoint{{ID: 1, Zone: "here", Weight: 1, Started: s.now}}})
+	sent := 0
+	for id := RequestID(1); id <= 200; id++ {
+		for _, a := range s.after(10*ms).arrive(id, "read") {
+			if a.Kind == Send {
+				sent++
+			}
+		}
+	}
+	if sent > 2 {
+		t.Errorf("%d sends in two seconds to a cold fleet that nothing is known of, want a trickle", sent)
+	}
+}
+
+func TestPickFollowsPayoffAndOwnLoad(t *testing.T) {
+	s := start(t, testSettings(), two()...)
+	s.b.fleet.byID[1].payoff = 0.2
+	if got := s.b.pick(&request{class: s.b.classes["read"]}); got.id != 2 {
+		t.Error("the lower payoff won")
+	}
+	s.b.fleet.byID[1].payoff, s.b.fleet.byID[1].touched = 0.6, s.now
+	s.b.fleet.byID[2].inFlight = 1
+	if got := s.b.pick(&request{class: s.b.classes["read"]}); got.id != 1 {
+		t.Error("payoff 0.6 with nothing in flight must beat payoff 1 with one")
+	}
+}
+
+func TestPayoffDriftsToTheMeanWhileUnpicked(t *testing.T) {
+	s := start(t, testSettings(), two()...)
+	e := s.b.fleet.byID[1]
+	e.payoff, e.touched = 0, s.now
+	s.b.now = s.now
+	if got := s.b.payoff(e); got != payoffFloor {
+		t.Fatalf("payoff %v, want the floor %v", got, payoffFloor)
+	}
+	s.b.now = s.now + 3*driftTime
+	s.b.fleet.mean = 0
+	if got := s.b.payoff(e); got < 0.4 {
+		t.Errorf("after three drift times the payoff is %v, want it near the mean", got)
+	}
+}
+
+func TestPayoffOfOutcomes(t *testing.T) {
+	s := start(t, testSettings(), two()...)
+	r := &request{class: s.b.classes["read"], work: 1}
+	e := s.b.fleet.byID[1]
+	pay := func(o Outcome, latency time.Duration) float64 {
+		e.payoff = 0.5
+		s.b.learn(r, &attempt{to: e}, &Event{Outcome: o, Latency: latency})
+		return e.payoff
+	}
+	if got := pay(Served, 100*ms); got <= 0.5 {
+		t.Errorf("served within the aim: payoff %v, want a rise", got)
+	}
+	if got := pay(ServerError, 1*ms); got >= 0.5 {
+		t.Errorf("failed: payoff %v, want a fall", got)
+	}
+	if got := pay(NotSent, 0); got != 0.5 {
+		t.Errorf("not sent: payoff %v, want it unchanged", got)
+	}
+	for range 3 * paceCount {
+		pay(Served, 20*ms)
+	}
+	if got := pay(Served, 100*ms); got >= 0.5 {
+		t.Errorf("within the aim but five times the usual: payoff %v, want a fall", got)
+	}
+}
+
+func TestListIsAskedForAgain(t *testing.T) {
+	set := testSettings()
+	set.MustAsk = true
+	s := start(t, set, two()...)
+	asked := s.after(firstAskSpread).tick()
+	s.want(asked, WatchList)
+	for range 4 {
+		s.want(s.event(Event{Kind: ListFailed}))
+		s.want(s.after(2*askPauseMost).tick(), WatchList)
+	}
+	set.MustAsk = false
+	s = start(t, set, two()...)
+	s.want(s.after(firstAskSpread).tick())
+}
+
+// fill sends requests until the hold acts and returns the next free id.
+func (s *script) fill(class string) RequestID {
+	s.t.Helper()
+	s.b.fleet.served, s.b.fleet.servedAt = 300, s.now // the rate of service reaches what is held
+	for id := RequestID(1); id < 1000; id++ {
+		if len(s.arrive(id, class)) == 0 {
+			return id + 1
+		}
+	}
+	s.t.Fatal("the tier never filled up")
+	return 0
+}
+
+// Free first attempts jam a tier that is full: they are held instead, and go as
+// soon as something is answered.
+func TestFullTierHoldsFirstAttempts(t *testing.T) {
+	s := start(t, testSettings(), two()...)
+	next := s.fill("read")
+	got := s.want(s.finish(1, 0, Served), Send)[0]
+	if got.Request != next-1 {
+		t.Errorf("request %d was sent, want the held one, %d", got.Request, next-1)
+	}
+}
+
+func TestLowerTiersDoNotHold(t *testing.T) {
+	set := testSettings()
+	set.Front = false
+	s := start(t, set, two()...)
+	for id := RequestID(1); id <= 200; id++ {
+		s.want(s.arrive(id, "read"), Send)
+	}
+}
+
+func TestHeldRequestsGoByWorth(t *testing.T) {
+	s := start(t, testSettings(), two()...)
+	next := s.fill("scan")
+	arrive := func(id RequestID, class, tenant string) {
+		s.want(s.event(Event{Kind: Arrived, Request: id, Class: class, Tenant: tenant, Grace: time.Second}))
+	}
+	for i := range RequestID(2) {
+		arrive(next+i, "read", "small") // the second is over the tenant's share
+	}
+	arrive(next+2, "read", "big")
+	var got []RequestID
+	for _, r := range s.b.hold.queue {
+		got = append(got, r.id)
+	}
+	if want := []RequestID{next, next + 2, next - 1, next + 1}; !slices.Equal(got, want) {
+		t.Errorf("held in the order %v, want %v", got, want)
+	}
+}
+
+func TestHeldRequestThatCannotBeInTimeIsRefused(t *testing.T) {
+	s := start(t, testSettings(), two()...)
+	next := s.fill("read")
+	got := s.want(s.after(200*ms).tick(), Refuse)[0]
+	if got.Request != next-1 {
+		t.Errorf("request %d was refused, want %d", got.Request, next-1)
+	}
+}
+
+// Work on a request that can earn nothing any more is stopped, unless its client
+// would only send it again.
+func TestCallOffWhenTheAimPasses(t *testing.T) {
+	s := start(t, testSettings(), two()...)
+	s.want(s.arrive(1, "prompt"), Send)
+	s.want(s.after(200*ms).tick(), Cancel, Fail)
+	s.want(s.finish(1, 0, Canceled))
+	if len(s.b.held) != 0 {
+		t.Error("the request is still held")
+	}
+	s.want(s.arrive(2, "read"), Send)
+	s.want(s.after(200 * ms).tick())
+}
+
+func TestUnknownNames(t *testing.T) {
+	s := start(t, testSettings(), two()...)
+	s.want(s.event(Event{Kind: Arrived, Request: 1, Class: "what", Tenant: "who", Grace: time.Second}), Send)
+	s.want(s.finish(1, 0, ServerError), Fail)
+	s.want(s.finish(9, 0, Served))
+	s.want(s.event(Event{Kind: ClientLeft, Request: 9}))
+	s.want(s.finish(1, 0, Served))
+}
+
+func TestOutcomesAfterTheEndStillSettle(t *testing.T) {
+	s := start(t, testSettings(), two()...)
+	to := s.want(s.arrive(1, "read"), Send)[0].Endpoint
+	s.want(s.event(Event{Kind: ClientLeft, Request: 1}))
+	if got := s.b.fleet.byID[to].inFlight; got != 1 {
+		t.Fatalf("in flight after the client left: %d, want 1", got)
+	}
+	s.want(s.finish(1, 0, ServerError))
+	if got := s.b.fleet.byID[to].inFlight; got != 0 || s.b.hold.out != 0 || len(s.b.held) != 0 {
+		t.Errorf("in flight %d, out %d, held %d after the late outcome, want none", got, s.b.hold.out, len(s.b.held))
+	}
+}
+
+func TestStreamsHaveNoDeadline(t *testing.T) {
+	s := start(t, testSettings(), two()...)
+	s.arrive(1, "read")
+	s.event(Event{Kind: StreamBegan, Request: 1})
+	s.want(s.after(2 * time.Second).tick())
+	s.want(s.event(Event{Kind: Finished, Request: 1, Outcome: Reset, Over: true}))
+}
+
+func TestTimersComeInOrder(t *testing.T) {
+	var q timerQueue
+	for i, at := range []Time{5, 3, 9, 1, 3, 7} {
+		q.set(at*ms, timerRequest, RequestID(i))
+	}
+	var got []RequestID
+	for {
+		next, ok := q.due(8 * ms)
+		if !ok {
+			break
+		}
+		got = append(got, next.request)
+	}
+	want := []RequestID{3, 1, 4, 0, 5}
+	for i := range want {
+		if i >= len(got) || got[i] != want[i] {
+			t.Fatalf("timers came as %v, want %v", got, want)
+		}
+	}
+	if acts := q.arm(8*ms, nil); len(acts) != 1 || acts[0].After != 1*ms {
+		t.Errorf("armed %+v, want one timer after 1ms", acts)
+	}
+	if acts := q.arm(8*ms, nil); len(acts) != 0 {
+		t.Errorf("armed twice: %+v", acts)
+	}
 }
--- /dev/null
+++ b/decide/rules_test.go
@@ -0,0 +1,359 @@
+package decide
+
+import (
+	"math/rand/v2"
+	"reflect"
+	"testing"
+	"time"
+)
+
+// The rules are checked here from outside, on nothing but events and actions:
+// odd but legal event orders go in, and each action is held against the rules as
+// an observer would who does not know how the module decides.
+
+// watched is what the observer knows of a request.
+type watched struct {
+	class    Class
+	deadline Time
+	over     bool
+	attempts []watchedAttempt
+}
+
+type watchedAttempt struct {
+	to      Endpoint
+	sent    Time
+	settled bool
+	ran     bool
+}
+
+// observer holds actions against the rules.
+type observer struct {
+	t        testing.TB
+	set      Settings
+	b        *Balancer
+	rng      *rand.Rand
+	now      Time
+	classes  map[string]Class
+	list     map[EndpointID]Endpoint
+	told     map[EndpointID]Time // when an endpoint was told to drain or to be gone
+	requests map[RequestID]*watched
+	open     []RequestID // in the order of arrival, over or not
+	timers   []Time
+	next     RequestID
+	trace    []Action
+}
+
+func newObserver(t testing.TB, set Settings, seed uint64) *observer {
+	b, err := New(set, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := &observer{
+		t: t, set: set, b: b, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Hour, classes: map[string]Class{},
+		list: map[EndpointID]Endpoint{}, told: map[EndpointID]Time{}, requests: map[RequestID]*watched{},
+	}
+	for _, c := range set.Classes {
+		o.classes[c.Name] = c
+	}
+	return o
+}
+
+// give hands over an event and checks what the module makes of it.
+func (o *observer) give(e Event) {
+	for _, a := range o.b.Handle(o.now, &e, nil) {
+		o.trace = append(o.trace, a)
+		switch a.Kind {
+		case Send:
+			o.sent(a)
+		case Refuse, Fail:
+			o.answered(a)
+		case SetTimer:
+			o.timers = append(o.timers, o.now+a.After)
+		case Cancel:
+			r := o.requests[a.Request]
+			if r == nil || a.Attempt >= len(r.attempts) {
+				o.t.Fatalf("cancel of an attempt that was never made: %+v", a)
+			}
+		}
+	}
+}
+
+func (o *observer) sent(a Action) {
+	r := o.requests[a.Request]
+	if r == nil || r.over {
+		o.t.Fatalf("at %v: sent for a request that is over or unknown: %+v", o.now, a)
+	}
+	to, ok := o.list[a.Endpoint]
+	if !ok || to.State != Active {
+		o.t.Fatalf("at %v: sent to an endpoint that is not active: %+v", o.now, a)
+	}
+	if len(r.attempts) >= o.set.Limits.MaxAttempts {
+		o.t.Fatalf("at %v: attempt past the limit: %+v", o.now, a)
+	}
+	for _, old := range r.attempts {
+		if !old.settled && !o.set.Limits.SecondCopies {
+			o.t.Fatalf("at %v: two attempts out at once: %+v", o.now, a)
+		}
+		if !old.ran {
+			continue
+		}
+		switch r.class.Effect {
+		case Unsafe:
+			o.t.Fatalf("at %v: unsafe request sent again: %+v", o.now, a)
+		case Keyed:
+			same := r.class.Group == GroupAll ||
+				r.class.Group == GroupZone && old.to.Zone == to.Zone ||
+				r.class.Group == GroupCell && old.to.Cell == to.Cell
+			if !same || o.now-old.sent > r.class.Window {
+				o.t.Fatalf("at %v: keyed request sent outside its group or window: %+v", o.now, a)
+			}
+		}
+	}
+	r.attempts = append(r.attempts, watchedAttempt{to: to, sent: o.now, ran: true})
+}
+
+func (o *observer) answered(a Action) {
+	r := o.requests[a.Request]
+	if r == nil || r.over {
+		o.t.Fatalf("at %v: a second final answer: %+v", o.now, a)
+	}
+	r.over = true
+	if o.now > r.deadline+o.set.Rules.AnswerSlack {
+		o.t.Fatalf("at %v: answered after the client's time: %+v", o.now, a)
+	}
+	ran := false
+	for _, old := range r.attempts {
+		ran = ran || old.ran
+	}
+	harmless := r.class.Effect == Safe || r.class.Effect == Keyed && r.class.Group == GroupAll || !ran
+	if a.Kind == Refuse && !harmless {
+		o.t.Fatalf("at %v: refused though it may have run: %+v", o.now, a)
+	}
+}
+
+// pass lets time go by in ticks, with timers and deadlines on the way.
+func (o *observer) pass(d time.Duration) {
+	for end := o.now + d; o.now < end; {
+		o.now += o.set.Tick
+		kept := o.timers[:0]
+		due := false
+		for _, at := range o.timers {
+			if at <= o.now {
+				due = true
+			} else {
+				kept = append(kept, at)
+			}
+		}
+		o.timers = kept
+		if due {
+			o.give(Event{Kind: TimerDue})
+		}
+		o.deadlines()
+	}
+}
+
+// deadlines ends what is out when a client's time is up, and checks that
+// nothing is owed past it.
+func (o *observer) deadlines() {
+	for _, id := range o.open {
+		r := o.requests[id]
+		if r.over || o.now < r.deadline {
+			continue
+		}
+		for i := range r.attempts {
+			if !r.attempts[i].settled {
+				o.finish(id, i, TimedOut)
+			}
+		}
+		if !r.over {
+			o.t.Fatalf("at %v: request %d got no final answer by %v", o.now, id, r.deadline)
+		}
+	}
+}
+
+func (o *observer) finish(id RequestID, attempt int, outcome Outcome) {
+	r := o.requests[id]
+	a := &r.attempts[attempt]
+	a.settled, a.ran = true, !outcome.NeverRan()
+	if outcome == Served && !r.over {
+		r.over = true
+	}
+	o.give(Event{
+		Kind: Finished, Request: id, Attempt: attempt, Endpoint: a.to.ID, Outcome: outcome,
+		Latency: o.now - a.sent, Over: r.over,
+	})
+}
+
+func (o *observer) arrive(class int, grace time.Duration) {
+	o.next++
+	name := "unheard of"
+	c := Class{Effect: Unsafe}
+	if class < len(o.set.Classes) {
+		c = o.set.Classes[class]
+		name = c.Name
+	}
+	o.requests[o.next] = &watched{class: c, deadline: o.now + grace}
+	o.open = append(o.open, o.next)
+	tenant := []string{"big", "small", "", "stranger"}[o.rng.IntN(4)]
+	o.give(Event{Kind: Arrived, Request: o.next, Class: name, Tenant: tenant, Grace: grace, Repeat: o.rng.IntN(4) == 0})
+}
+
+// settleOne gives an outcome to some attempt that is out.
+func (o *observer) settleOne(pick int, outcome Outcome) {
+	for i := range o.open {
+		id := o.open[(i+pick)%len(o.open)]
+		for j := range o.requests[id].attempts {
+			if !o.requests[id].attempts[j].settled {
+				o.finish(id, j, outcome)
+				return
+			}
+		}
+	}
+}
+
+// relist changes the list: one endpoint's line, or the whole.
+func (o *observer) relist(id EndpointID, how int) {
+	line := Endpoint{ID: id, Zone: []string{"a", "b"}[id%2], Cell: int(id / 2), Weight: 1}
+	if old, ok := o.list[id]; ok {
+		line.Started = old.Started
+	}
+	switch how {
+	case 0:
+		line.State = Draining
+	case 1:
+		line.State = Gone
+	case 2:
+		line.Started = o.now
+	case 3:
+		o.give(Event{Kind: ListFailed})
+		return
+	case 4: // the whole list, with one endpoint left out
+		delete(o.list, id)
+		var lines []Endpoint
+		for other := EndpointID(0); other < 12; other++ {
+			if e, ok := o.list[other]; ok {
+				lines = append(lines, e)
+			}
+		}
+		o.give(Event{Kind: ListReplaced, Endpoints: lines})
+		return
+	}
+	if line.State == Gone {
+		delete(o.list, id)
+	} else {
+		o.list[id] = line
+	}
+	o.give(Event{Kind: ListChanged, Endpoints: []Endpoint{line}})
+}
+
+// step turns two bytes into something that may legally happen next.
+func (o *observer) step(what, detail byte) {
+	d := int(detail)
+	switch what % 16 {
+	case 0, 1, 2, 3, 4:
+		o.arrive(d%(len(o.set.Classes)+1), time.Duration(1+d)*5*ms)
+	case 5, 6, 7:
+		o.settleOne(d, Served)
+	case 8, 9, 10:
+		o.settleOne(d, Outcome(1+d%7))
+	case 11:
+		o.relist(EndpointID(d%12), d/12%6)
+	case 12:
+		if len(o.open) > 0 {
+			id := o.open[d%len(o.open)]
+			o.requests[id].over = true
+			o.give(Event{Kind: ClientLeft, Request: id})
+		}
+	case 13:
+		o.give(Event{Kind: Finished, Request: RequestID(d) + 1<<40, Attempt: d})
+	default:
+		o.pass(time.Duration(d) * ms)
+	}
+}
+
+// finishUp lets every client's time run out.
+func (o *observer) finishUp() {
+	o.pass(2 * time.Second)
+	for _, id := range o.open {
+		r := o.requests[id]
+		for i := range r.attempts {
+			if !r.attempts[i].settled {
+				o.finish(id, i, Canceled)
+			}
+		}
+	}
+	if n := len(o.b.held); n != 0 {
+		o.t.Fatalf("%d requests are still held after everything has ended", n)
+	}
+	if o.b.hold.out != 0 {
+		o.t.Fatalf("%d attempts are still counted as out", o.b.hold.out)
+	}
+}
+
+// variant is the test settings in one of several shapes.
+func variant(n uint64) Settings {
+	set := testSettings()
+	set.Limits.SecondCopies = n&1 != 0
+	set.Front = n&2 == 0
+	set.MustAsk = n&4 != 0
+	set.Limits.Cancel = n&8 == 0
+	set.Peers = 1 + int(n%3)
+	return set
+}
+
+func play(t testing.TB, seed uint64, script []byte) *observer {
+	o := newObserver(t, variant(seed), seed)
+	for id := EndpointID(0); id < 6; id++ {
+		o.list[id] = Endpoint{ID: id, Zone: []string{"a", "b"}[id%2], Cell: int(id / 2), Weight: 1}
+	}
+	o.give(Event{Kind: Start})
+	var lines []Endpoint
+	for id := EndpointID(0); id < 6; id++ {
+		lines = append(lines, o.list[id])
+	}
+	o.give(Event{Kind: ListRestored, Endpoints: lines})
+	for i := 0; i+1 < len(script); i += 2 {
+		o.step(script[i], script[i+1])
+	}
+	o.finishUp()
+	return o
+}
+
+func randomScript(seed uint64) []byte {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	script := make([]byte, 600)
+	for i := range script {
+		script[i] = byte(rng.IntN(256))
+	}
+	return script
+}
+
+func TestRulesUnderRandomEvents(t *testing.T) {
+	for seed := range uint64(300) {
+		play(t, seed, randomScript(seed))
+	}
+}
+
+func FuzzRules(f *testing.F) {
+	for seed := range uint64(8) {
+		f.Add(seed, randomScript(seed))
+	}
+	f.Fuzz(func(t *testing.T, seed uint64, script []byte) {
+		if len(script) > 4000 {
+			t.Skip("longer than a fuzzed script needs to be")
+		}
+		play(t, seed, script)
+	})
+}
+
+func TestSameEventsSameActions(t *testing.T) {
+	for seed := range uint64(20) {
+		first, second := play(t, seed, randomScript(seed)), play(t, seed, randomScript(seed))
+		if len(first.trace) == 0 {
+			t.Fatal("the script led to no action")
+		}
+		if !reflect.DeepEqual(first.trace, second.trace) {
+			t.Fatalf("seed %d: the same events led to other actions", seed)
+		}
+	}
+}
