Take the event before what is due

Found by fuzzing: a timer due in the same batch as a client's hang-up ended the request a second time.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -111,7 +111,6 @@
 // Handle takes one event at its time and appends what is to be done about it.
 func (b *Balancer) Handle(now Time, e *Event, actions []Action) []Action {
 	b.now, b.actions = now, actions
-	b.runTimers()
 	switch e.Kind {
 	case Start:
 		b.startList()
@@ -129,12 +128,13 @@
 		b.listFailed()
 	case TimerDue, ProbeFinished:
 	}
+	b.runTimers() // after the event: a request whose end it tells is left alone
 	actions = b.timers.arm(now, b.actions)
 	b.actions = nil
 	return actions
 }
 
-// runTimers does what is due by now, before the event itself.
+// runTimers does what is due by now.
 func (b *Balancer) runTimers() {
 	for {
 		t, ok := b.timers.due(b.now)
@@ -477,9 +477,9 @@
 // the last of the queue goes first, and it is the least worth.
 func (b *Balancer) trimHeld() {
 	h := &b.hold
+	rate := max(b.servedRate(), 1)
 	for n := len(h.queue); n > 0; n-- {
 		r := h.queue[n-1]
-		rate := max(b.servedRate(), float64(h.out)/r.class.Aim.Seconds()) // the latter after a start
 		wait := time.Duration(float64(n) / rate * float64(time.Second))
 		if !r.over && b.now+wait <= r.latestStart() {
 			return
