--- a/decide/decide.go
+++ b/decide/decide.go
@@ -36,6 +36,8 @@
 	askPause       = 1 * time.Second       // shortest pause before asking again after a failed call
 	askPauseMost   = 4 * time.Second       // and longest
 	modestWorth    = 1.0                   // worth of a request of an unknown class
+
+	streamMix = 0x9e3779b97f4a7c15 // sets the second half of the random state apart from the seed
 )
 
 // Figures of the hold: the exception for a tier that is full.
@@ -88,7 +90,7 @@
 	if err := set.validate(); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, ^seed)), classes: map[string]*class{}}
+	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, seed^streamMix)), classes: map[string]*class{}}
 	least, most := math.Inf(1), 0.0
 	for _, c := range set.Classes {
 		least, most = min(least, c.Worth), max(most, c.Worth)
