Charge tenants' shares only for requests that are sent

Cause: under a flood, clients' repeats used up every share, so all requests looked over-share. Kept: shares mean what the settings say.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -175,6 +175,7 @@
 	aimAt    Time    // when the aim passes, as far as can be told
 	work     float64 // expected work, as the hint tells; 1 without hints
 	value    float64 // what an answer within the aim is worth
+	tenant   *tenant // whose allowance it is charged to, if any
 	attempts []attempt
 	out      int  // attempts without an outcome
 	funded   bool // a token is spent on its next attempt
@@ -198,7 +199,7 @@
 	}
 	r := &request{id: e.Request, class: c, deadline: b.now + e.Grace}
 	r.aimAt = b.now + c.Aim - b.elapsed(c, e.Grace)
-	r.value = c.Worth * b.tenantWorth(e)
+	r.value = c.Worth * b.charge(r, b.tenants[e.Tenant])
 	if r.work = 1; b.set.HintsWork && e.Work > 0 {
 		r.work = e.Work.Seconds()
 	}
@@ -308,6 +309,7 @@
 // giveUp ends a request: refused where that is allowed, else failed.
 func (b *Balancer) giveUp(r *request) {
 	r.over = true
+	r.refund()
 	if mayRefuse(r) {
 		b.act(Action{Kind: Refuse, Request: r.id, After: b.comeBack(r)})
 	} else {
@@ -501,25 +503,31 @@
 	filled Time
 }
 
-// tenantWorth is the worth of a tenant's next request as a part of its
-// class's: what goes beyond the share is worth little.
-func (b *Balancer) tenantWorth(e *Event) float64 {
-	t := b.tenants[e.Tenant]
+// charge books a new request on its tenant's allowance and returns its worth as
+// a part of its class's: what goes beyond the share is worth little.
+func (b *Balancer) charge(r *request, t *tenant) float64 {
 	if t == nil || !b.set.Front {
 		return 1
 	}
 	t.left = min(max(1, t.rate*tenantBurst.Seconds()), t.left+t.rate*(b.now-t.filled).Seconds())
 	t.filled = b.now
-	if e.Repeat {
-		return 1
-	}
 	if t.left < 1 {
 		return b.set.OverShareWorth
 	}
 	t.left--
+	r.tenant = t
 	return 1
 }
 
+// refund takes back the charge for a request that was never sent. Otherwise a
+// client's repeats would use up the share of its tenant while none is served,
+// and in a jam everybody's requests would look alike.
+func (r *request) refund() {
+	if r.tenant != nil && len(r.attempts) == 0 {
+		r.tenant.left++
+	}
+}
+
 // ---- The retry token bucket ----
 
 // bucket funds retries: a tenth of what is served, and a floor.
