--- a/decide/decide.go
+++ b/decide/decide.go
@@ -49,7 +49,7 @@
 	holdLeast   = 2.0         // attempts for each ready endpoint and tier that are always allowed
 	holdStart   = 3.0         // the same that an instance starts with
 	holdFewest  = 4           // attempts that this instance may always have out
-	holdStep    = 0.03        // attempts by which one outcome moves the limit
+	holdPace    = 0.06        // part by which the limit moves in a second
 	stretchGain = 0.03        // weight of the newest outcome in the smoothed stretch
 	holdBinds   = 0.8         // part of the limit that must be out for a quick answer to raise it
 	lateSlack   = 2           // times its usual time that a held request is given for its attempt
@@ -396,6 +396,7 @@
 	queue   []*request // held back, worthiest first, then oldest
 	each    float64    // attempts that may be out for every ready endpoint
 	share   float64    // smoothed logarithm of an attempt's time over its class's aim
+	at      Time       // of the newest outcome
 	stretch float64    // smoothed logarithm of an attempt's time over its class's least
 }
 
@@ -420,7 +421,8 @@
 	h := &b.hold
 	h.stretch += stretchGain * (p.stretch(r.work, e.Latency) - h.stretch)
 	h.share += stretchGain * (math.Log(max(e.Latency, 1).Seconds()/r.class.Aim.Seconds()) - h.share)
-	step := holdStep / float64(len(b.fleet.ready))
+	step := h.each * holdPace * min(1, (b.now-h.at).Seconds())
+	h.at = b.now
 	switch {
 	case h.share > math.Log(holdAim), h.stretch > math.Log(holdStretch) && !b.slowed():
 		h.each -= step
