--- a/decide/decide.go
+++ b/decide/decide.go
@@ -73,7 +73,7 @@
 	hold    hold
 	tenants map[string]*tenant
 	fleet   fleet
-	list    listFollower
+	askNext time.Duration // pause after the next failed call for the list
 }
 
 // class is a request class with what its requests share.
@@ -627,21 +627,14 @@
 
 // anyMayTake tells whether the effects leave the request any ready endpoint.
 func (b *Balancer) anyMayTake(r *request) bool {
-	for _, e := range b.fleet.ready {
-		if b.mayTake(r, e) {
-			return true
-		}
+	if len(b.fleet.ready) == 0 {
+		return !mayHaveRun(r)
 	}
-	return len(b.fleet.ready) == 0 && !mayHaveRun(r)
+	return slices.ContainsFunc(b.fleet.ready, func(e *endpoint) bool { return b.mayTake(r, e) })
 }
 
 func mayHaveRun(r *request) bool {
-	for i := range r.attempts {
-		if r.attempts[i].ran {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.ran })
 }
 
 // mayRefuse is the one rule on refusals: whether the client may be told that
@@ -741,12 +734,7 @@
 }
 
 func (r *request) tried(e *endpoint) bool {
-	for i := range r.attempts {
-		if r.attempts[i].to == e {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.to == e })
 }
 
 func (b *Balancer) appeal(e *endpoint) float64 {
@@ -900,15 +888,10 @@
 
 // ---- The endpoint list ----
 
-// listFollower keeps the list coming where it must be asked for.
-type listFollower struct {
-	pause time.Duration
-}
-
 // startList asks for the list within a short random time: peers that start
 // together must not ask together.
 func (b *Balancer) startList() {
-	b.list.pause = askPause
+	b.askNext = askPause
 	if b.set.MustAsk {
 		b.timers.set(b.now+b.jitter(firstAskSpread), timerList, 0)
 	}
@@ -922,14 +905,14 @@
 
 // listFailed asks again after a random pause that grows with each failure.
 func (b *Balancer) listFailed() {
-	b.timers.set(b.now+b.list.pause+b.jitter(b.list.pause), timerList, 0)
-	b.list.pause = min(askPauseMost, 2*b.list.pause)
+	b.timers.set(b.now+b.askNext+b.jitter(b.askNext), timerList, 0)
+	b.askNext = min(askPauseMost, 2*b.askNext)
 }
 
 // listCame takes over what the list says.
 func (b *Balancer) listCame(e *Event) {
 	if e.Kind != ListRestored {
-		b.list.pause = askPause
+		b.askNext = askPause
 	}
 	if e.Kind != ListChanged {
 		b.dropMissing(e.Endpoints)
@@ -951,32 +934,28 @@
 
 // dropMissing takes endpoints that a whole list no longer names for gone.
 func (b *Balancer) dropMissing(lines []Endpoint) {
-	named := make(map[EndpointID]bool, len(lines))
-	for i := range lines {
-		named[lines[i].ID] = true
-	}
 	for _, e := range b.fleet.order {
-		if !named[e.id] {
-			e.state = Gone
-			delete(b.fleet.byID, e.id)
+		if !slices.ContainsFunc(lines, func(line Endpoint) bool { return line.ID == e.id }) {
+			b.drop(e)
 		}
 	}
 }
 
+// drop takes an endpoint for gone. Attempts that are out there still settle.
+func (b *Balancer) drop(e *endpoint) {
+	e.state = Gone
+	delete(b.fleet.byID, e.id)
+}
+
 // update takes over one line of the list. A changed start time is a new
 // process: it starts at the mean payoff, with nothing in flight, and cold.
 func (b *Balancer) update(line *Endpoint) {
 	e := b.fleet.byID[line.ID]
-	if e != nil && e.started != line.Started {
-		e.state = Gone
-		delete(b.fleet.byID, e.id)
+	if e != nil && (line.State == Gone || e.started != line.Started) {
+		b.drop(e)
 		e = nil
 	}
 	if line.State == Gone {
-		if e != nil {
-			e.state = Gone
-			delete(b.fleet.byID, e.id)
-		}
 		return
 	}
 	if e == nil {
