--- a/decide/decide.go
+++ b/decide/decide.go
@@ -715,7 +715,11 @@
 	}
 	b.fleet.scratch = all
 	all = prefer(all, func(e *endpoint) bool { return !r.tried(e) })
-	return prefer(all, func(e *endpoint) bool { return !b.crowded(e) })
+	all = prefer(all, func(e *endpoint) bool { return !b.crowded(e) })
+	if b.set.Prices.CrossZone == 0 {
+		return all
+	}
+	return prefer(all, func(e *endpoint) bool { return e.zone == b.set.Zone && e.inFlight == 0 })
 }
 
 // prefer returns the endpoints that are wanted, or all where none is.
