--- a/decide/decide.go
+++ b/decide/decide.go
@@ -404,7 +404,7 @@
 // with the number of endpoints: what each can hold well stays much the same,
 // also while something slows them all.
 func (b *Balancer) limit() int {
-	return int(max(holdFewest, b.hold.each*float64(len(b.fleet.ready))))
+	return int(max(holdFewest, b.hold.each*b.measured().warm))
 }
 
 // tierShare is this instance's part of one attempt in each tier: an attempt is
@@ -427,12 +427,17 @@
 	case h.share > math.Log(holdAim), h.stretch > math.Log(holdStretch) && !b.slowed():
 		h.each -= step
 	case h.stretch > math.Log(holdStretch):
-	case float64(h.out) >= holdBinds*float64(b.limit()):
+	case b.binding():
 		h.each += step
 	}
 	h.each = max(h.each, holdLeast*b.tierShare())
 }
 
+// binding tells whether about as much is out as the limit allows.
+func (b *Balancer) binding() bool {
+	return b.set.Front && float64(b.hold.out) >= holdBinds*float64(b.limit())
+}
+
 // slowed tells stretched attempts that come of slower endpoints from those that
 // come of too many out: the latter leave the served rate as it was, while with
 // the former less out would only mean less served.
@@ -442,7 +447,7 @@
 // goes by payoff, so that one that has slowed down is left to work off what it
 // holds, and cannot fill the whole limit with attempts that are stuck there.
 func (b *Balancer) crowded(e *endpoint) bool {
-	even := float64(b.limit()) / float64(max(1, len(b.fleet.ready)))
+	even := float64(b.limit()) / max(1, b.fleet.warm) * b.capacity(e)
 	return float64(e.inFlight) >= max(1, holdUneven*even*b.payoff(e)/b.meanPayoff())
 }
 
@@ -658,6 +663,7 @@
 	order    []*endpoint // everything listed, in the order first heard of
 	ready    []*endpoint // what new work may go to
 	mean     float64     // mean payoff of the ready endpoints
+	warm     float64     // ready endpoints, cold ones by their present capacity
 	meanAt   Time
 	served   float64 // served attempts, forgotten over rateTime
 	servedAt Time
@@ -755,20 +761,25 @@
 }
 
 // meanPayoff is the mean over the ready endpoints, at most meanAge old.
-func (b *Balancer) meanPayoff() float64 {
+func (b *Balancer) meanPayoff() float64 { return b.measured().mean }
+
+// measured brings the fleet's sums up to date, to meanAge at least.
+func (b *Balancer) measured() *fleet {
 	f := &b.fleet
-	if len(f.ready) == 0 {
-		return 1
-	}
 	if f.mean > 0 && b.now-f.meanAt < meanAge {
-		return f.mean
+		return f
+	}
+	f.mean, f.warm, f.meanAt = 1, 0, b.now
+	if len(f.ready) == 0 {
+		return f
 	}
 	sum := 0.0
 	for _, e := range f.ready {
 		sum += max(payoffFloor, e.payoff)
+		f.warm += b.capacity(e)
 	}
-	f.mean, f.meanAt = sum/float64(len(f.ready)), b.now
-	return f.mean
+	f.mean = sum / float64(len(f.ready))
+	return f
 }
 
 // learn books an outcome with the bucket and the endpoint.
@@ -781,7 +792,7 @@
 		b.bucket.refill(b.now)
 		b.bucket.add(depositPerServed)
 		b.countServed()
-		r.class.pace.observe(b.now, r.work, e.Latency)
+		r.class.pace.observe(b.now, r.work, e.Latency, b.binding())
 	}
 	if e.Outcome == Served || e.Outcome == Canceled { // called off: at least so slow
 		got = min(1, float64(yardstick(r))/float64(max(e.Latency, 1)))
@@ -811,13 +822,15 @@
 }
 
 // observe takes in a served attempt.
-func (p *pace) observe(now Time, work float64, latency time.Duration) {
+func (p *pace) observe(now Time, work float64, latency time.Duration, full bool) {
 	p.seen = min(p.seen+1, paceCount)
 	p.log += (logTime(work, latency) - p.log) / float64(p.seen)
 	if p.seen < paceCount || p.log < p.least {
 		p.least = p.log
 	}
-	p.least += (1 - decay(now-p.at, leastTime)) * (p.log - p.least)
+	if !full { // a full tier would teach its own queues as usual, and the hold's limit creep up
+		p.least += (1 - decay(now-p.at, leastTime)) * (p.log - p.least)
+	}
 	p.at = now
 }
 
