Begin with an own part of the list

Idle endpoints of good payoff in an own part of the list, by the instance's number among its peers, now come first.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -6,6 +6,7 @@
 package decide
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -27,6 +28,7 @@
 // Figures of what the design leaves open.
 const (
 	waitStep       = 20 * time.Millisecond // how often waiting requests are looked at again
+	homePayoff     = 0.8                   // least part of the mean payoff of a first choice in the own part
 	meanAge        = 50 * time.Millisecond // how old the mean payoff may be when it is used
 	peakTime       = time.Minute           // the best rate is forgotten over this
 	rateTime       = 3 * time.Second       // averaging time of the served rate
@@ -287,25 +289,13 @@
 	if e.Over {
 		r.over = true
 	}
-	if !r.over && !r.bound {
-		b.further(r)
+	if !r.over && !r.bound && r.out == 0 {
+		b.retry(r)
 	}
 	b.release(r)
 	b.sendHeld()
 }
 
-// further decides on a request whose attempt has failed.
-func (b *Balancer) further(r *request) {
-	if r.out > 0 {
-		return
-	}
-	if len(r.attempts) >= b.set.Limits.MaxAttempts {
-		b.giveUp(r)
-		return
-	}
-	b.retry(r)
-}
-
 // giveUp ends a request: refused where that is allowed, else failed.
 func (b *Balancer) giveUp(r *request) {
 	r.over = true
@@ -419,7 +409,7 @@
 		return
 	}
 	h := &b.hold
-	h.stretch += stretchGain * (p.stretch(r.work, e.Latency) - h.stretch)
+	h.stretch += stretchGain * (logTime(r.work, e.Latency) - p.least - h.stretch)
 	h.share += stretchGain * (math.Log(max(e.Latency, 1).Seconds()/r.class.Aim.Seconds()) - h.share)
 	step := h.each * holdPace * min(1, (b.now-h.at).Seconds())
 	h.at = b.now
@@ -575,11 +565,13 @@
 	return max(0, time.Duration((k.needed(c)-k.tokens)/floorRate*float64(time.Second)))
 }
 
-// retry sends a request again if a token funds it. Otherwise it waits for the
-// refill, or is given up at once when it could not earn anything by then.
+// retry sends a request whose attempt has failed again if a token funds it.
+// Otherwise it waits for the refill, or is given up at once when no other attempt
+// is allowed or none could earn anything by then.
 func (b *Balancer) retry(r *request) {
 	switch {
-	case b.now+b.bucket.wait(b.now, r.class) >= b.lastUse(r) || !b.anyMayTake(r):
+	case len(r.attempts) >= b.set.Limits.MaxAttempts, !b.anyMayTake(r),
+		b.now+b.bucket.wait(b.now, r.class) >= b.lastUse(r):
 		b.giveUp(r)
 	case b.bucket.take(r.class):
 		r.funded = true
@@ -684,6 +676,7 @@
 	payoff   float64 // smoothed: 1 if served within the aim, less when slower, 0 on failure
 	touched  Time    // when it was last picked or drifted
 	cold     bool
+	home     bool    // of this instance's own part of the list
 	credit   float64 // sends that the cold budget allows now
 	creditAt Time
 }
@@ -722,10 +715,12 @@
 	b.fleet.scratch = all
 	all = prefer(all, func(e *endpoint) bool { return !r.tried(e) })
 	all = prefer(all, func(e *endpoint) bool { return !b.crowded(e) })
-	if b.set.Prices.CrossZone == 0 {
-		return all
+	if b.set.Prices.CrossZone > 0 {
+		all = prefer(all, func(e *endpoint) bool { return e.zone == b.set.Zone && e.inFlight == 0 })
 	}
-	return prefer(all, func(e *endpoint) bool { return e.zone == b.set.Zone && e.inFlight == 0 })
+	return prefer(all, func(e *endpoint) bool {
+		return e.home && e.inFlight == 0 && b.payoff(e) >= homePayoff*b.meanPayoff()
+	})
 }
 
 // prefer returns the endpoints that are wanted, or all where none is.
@@ -846,11 +841,6 @@
 	return time.Duration(math.Exp(p.log) * work * float64(time.Second))
 }
 
-// stretch is the logarithm of a time over the usual least.
-func (p *pace) stretch(work float64, latency time.Duration) float64 {
-	return logTime(work, latency) - p.least
-}
-
 // ---- Cold starts ----
 
 // countServed keeps the rate of served attempts.
@@ -946,9 +936,21 @@
 		}
 	}
 	f.mean = 0
+	b.shareOut()
 	b.sendWaiting()
 }
 
+// shareOut marks the endpoints that are this instance's own part of the list:
+// every peer comes to another part, as they count the same endpoints.
+func (b *Balancer) shareOut() {
+	n, peers := len(b.fleet.ready), b.set.Peers
+	sorted := slices.Clone(b.fleet.ready)
+	slices.SortFunc(sorted, func(a, e *endpoint) int { return cmp.Compare(a.id, e.id) })
+	for at, e := range sorted {
+		e.home = at*peers/n == b.set.Number || b.set.Number*n/peers == at
+	}
+}
+
 // dropMissing takes endpoints that a whole list no longer names for gone.
 func (b *Balancer) dropMissing(lines []Endpoint) {
 	for _, e := range b.fleet.order {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -611,3 +611,50 @@
 		t.Errorf("armed twice: %+v", acts)
 	}
 }
+
+// Callers that cannot see each other collide less when each begins with another
+// part of the list.
+func TestPeersBeginWithOwnPartsOfTheList(t *testing.T) {
+	owners := map[EndpointID]int{}
+	for number := range 2 {
+		set := testSettings()
+		set.Peers, set.Number = 2, number
+		s := start(t, set, four()...)
+		for id := RequestID(1); id <= 20; id++ {
+			to := s.want(s.arrive(id, "read"), Send)[0].Endpoint
+			if owner, taken := owners[to]; taken && owner != number {
+				t.Fatalf("idle endpoint %d was the first choice of both peers", to)
+			}
+			owners[to] = number
+			s.finish(id, 0, Served)
+		}
+	}
+	if len(owners) != 4 {
+		t.Errorf("%d endpoints were used, want all 4", len(owners))
+	}
+}
+
+func TestIdleEndpointsOfTheOwnZoneComeFirst(t *testing.T) {
+	set := testSettings()
+	set.Zone, set.Prices.CrossZone = "a", 0.01
+	s := start(t, set, four()...)
+	for id := RequestID(1); id <= 2; id++ {
+		if to := s.want(s.arrive(id, "read"), Send)[0].Endpoint; to%2 == 0 {
+			t.Errorf("endpoint %d of another zone was sent a request while the own zone was idle", to)
+		}
+	}
+	if to := s.want(s.arrive(3, "read"), Send)[0].Endpoint; to%2 != 0 {
+		t.Errorf("endpoint %d of the own zone was sent a second request while others were idle", to)
+	}
+}
+
+// A crowded endpoint is passed over while others have room.
+func TestCrowdedEndpointIsPassedOver(t *testing.T) {
+	s := start(t, testSettings(), two()...)
+	s.b.now = s.now
+	s.b.fleet.byID[1].inFlight = 1000
+	s.b.fleet.byID[1].payoff, s.b.fleet.byID[2].payoff = 1, payoffFloor
+	if got := s.b.candidates(&request{class: s.b.classes["read"]}); len(got) != 1 || got[0].id != 2 {
+		t.Errorf("candidates are %d endpoints, want only the one with room", len(got))
+	}
+}
--- a/decide/types.go
+++ b/decide/types.go
@@ -22,6 +22,7 @@
 
 // Settings are what an instance is told once, at its start.
 type Settings struct {
+	Number         int           // of this instance among its peers, from 0
 	Peers          int           // instances that send to this tier, this one included
 	Zone           string        // zone of this instance
 	Classes        []Class       // request classes; at least one
--- a/simwire/settings.go
+++ b/simwire/settings.go
@@ -125,6 +125,7 @@
 	weights := o.text("weights")
 	tiers := len(v.GetArray("stages"))
 	s := decide.Settings{
+		Number:         int(o.float("me")),
 		Peers:          int(o.float("replicas_of_me")),
 		Zone:           o.text("az"),
 		OverShareWorth: o.float("over_share_worth"),
