Refuse repeats that come too late to earn anything

A first try has the longest grace seen; a shorter one tells how long the client has waited. Such a repeat is refused at once where late answers earn nothing, else worth the late share.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -200,7 +200,8 @@
 		c = &b.unknown
 	}
 	r := &request{id: e.Request, class: c, deadline: b.now + e.Grace}
-	r.aimAt = b.now + c.Aim - b.elapsed(c, e.Grace)
+	waited := b.elapsed(c, e.Grace)
+	r.aimAt = b.now + c.Aim - waited
 	r.value = c.Worth * b.charge(r, b.tenants[e.Tenant])
 	if r.work = 1; b.set.HintsWork && e.Work > 0 {
 		r.work = e.Work.Seconds()
@@ -210,6 +211,12 @@
 	if b.set.Front && c.LateShare == 0 && b.now < r.aimAt && r.aimAt < r.deadline {
 		b.timers.set(r.aimAt-b.set.Tick, timerRequest, r.id)
 	}
+	if b.set.Front && waited > 0 && b.now+c.pace.usual(r.work) >= r.aimAt {
+		if r.value *= c.LateShare; c.LateShare == 0 { // it would only keep a jam going
+			b.giveUp(r)
+			return
+		}
+	}
 	b.admit(r)
 }
 
@@ -328,8 +335,8 @@
 	}
 }
 
-// timeUp ends a request whose client is about to give up while nothing is out
-// for it. An attempt that is out is ended by its own time-out at the deadline.
+// timeUp ends a request that runs out of time while nothing is out for it. What is
+// out is ended by its own time-out at the deadline.
 func (b *Balancer) timeUp(id RequestID) {
 	r := b.held[id]
 	if r == nil || r.over || r.bound {
@@ -344,10 +351,9 @@
 	}
 }
 
-// worthless tells whether the aim has just passed where a later answer earns
-// nothing: all work on the request is wasted from here on. A request that its
-// client could send again is left to finish: where running work cannot be
-// stopped, the repeat would only double it.
+// worthless tells whether the aim has passed where a later answer earns nothing. A
+// request that its client could send again is left to finish: where running work
+// cannot be stopped, the repeat would only double it.
 func (b *Balancer) worthless(r *request) bool {
 	return b.set.Front && r.class.LateShare == 0 && b.now >= r.aimAt-b.set.Tick && !mayRefuse(r)
 }
@@ -355,7 +361,7 @@
 // callOff ends a request and stops what is out for it.
 func (b *Balancer) callOff(r *request) {
 	for i := range r.attempts {
-		if !r.attempts[i].settled && b.set.Limits.Cancel {
+		if b.set.Limits.Cancel && !r.attempts[i].settled {
 			b.act(Action{Kind: Cancel, Request: r.id, Attempt: i})
 		}
 	}
@@ -377,10 +383,9 @@
 
 // ---- The hold: first attempts when the tier is full ----
 
-// hold keeps first attempts back while as many attempts are out as the tier
-// serves within a part of the aim. It acts only then. It guards against the
-// jam that free first attempts make: endpoints that hold too many slow down,
-// every answer comes late, and clients' repeats keep it so.
+// hold keeps first attempts back while as many attempts are out as the limit
+// allows. It guards against the jam that free first attempts make: endpoints
+// that hold too many slow down, all answers come late, and repeats keep it so.
 type hold struct {
 	out     int        // attempts without an outcome
 	queue   []*request // held back, worthiest first, then oldest
@@ -516,9 +521,8 @@
 	return 1
 }
 
-// refund takes back the charge for a request that was never sent. Otherwise a
-// client's repeats would use up the share of its tenant while none is served,
-// and in a jam everybody's requests would look alike.
+// refund takes back the charge for a request that was never sent. Otherwise, in a
+// jam, repeats would use up every share and all requests would look alike.
 func (r *request) refund() {
 	if r.tenant != nil && len(r.attempts) == 0 {
 		r.tenant.left++
@@ -869,9 +873,8 @@
 	return from + (1-from)*max(0, age.Seconds()/b.set.Rules.ColdTime.Seconds())
 }
 
-// hasColdCredit keeps the rule on cold starts: a cold endpoint takes its share
-// of what warm ones are seen to serve, times a part of the allowed push. The
-// credit never holds more than one send, so no burst can spend the budget.
+// hasColdCredit keeps the rule on cold starts: a cold endpoint takes its share of
+// what is served, times a part of the allowed push, and never a burst.
 func (b *Balancer) hasColdCredit(e *endpoint) bool {
 	if !e.cold {
 		return true
@@ -895,8 +898,7 @@
 
 // ---- The endpoint list ----
 
-// startList asks for the list within a short random time: peers that start
-// together must not ask together.
+// startList asks for the list soon, but not in step with peers that start too.
 func (b *Balancer) startList() {
 	b.askNext = askPause
 	if b.set.MustAsk {
@@ -916,7 +918,7 @@
 	b.askNext = min(askPauseMost, 2*b.askNext)
 }
 
-// listCame takes over what the list says.
+// listCame takes over the list.
 func (b *Balancer) listCame(e *Event) {
 	if e.Kind != ListRestored {
 		b.askNext = askPause
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -658,3 +658,17 @@
 		t.Errorf("candidates are %d endpoints, want only the one with room", len(got))
 	}
 }
+
+// Repeats that come when the aim has passed kept a jam going for the whole day.
+func TestRepeatThatComesTooLateIsRefusedAtOnce(t *testing.T) {
+	set := testSettings()
+	set.Classes[0].LateShare = 0
+	s := start(t, set, two()...)
+	late := func(id RequestID, class string) []Action {
+		return s.event(Event{Kind: Arrived, Request: id, Class: class, Grace: 600 * ms}) // 400 ms are gone
+	}
+	s.want(s.arrive(1, "read"), Send) // a first try has the longest grace
+	s.want(late(2, "read"), Refuse)
+	s.want(s.arrive(3, "scan"), Send) // late answers still earn something
+	s.want(late(4, "scan"), Send)
+}
