Tell first tries by the grace that most of them share

Taken for a first try it made all others look late, and an idle front refused two thirds. The grace is now found by vote; a try that differs has the client's time left, so it tells exactly how long the client has waited.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -28,6 +28,7 @@
 // Figures of what the design leaves open.
 const (
 	waitStep       = 20 * time.Millisecond // how often waiting requests are looked at again
+	graceSpread    = 10 * time.Millisecond // graces of first tries differ by less
 	homePayoff     = 0.8                   // least part of the mean payoff of a first choice in the own part
 	meanAge        = 50 * time.Millisecond // how old the mean payoff may be when it is used
 	peakTime       = time.Minute           // the best rate is forgotten over this
@@ -83,7 +84,8 @@
 	Class
 	sheddable bool // the lowest worth, where worth differs
 	pace      pace
-	fullGrace time.Duration // the longest grace seen: that of a first try
+	grace     time.Duration // of a first try: the one that most share; the longest seen at lower tiers
+	votes     int           // tries that have lately had it, less those that have not
 }
 
 // New returns a balancer that has seen nothing yet. The seed is its only
@@ -130,7 +132,6 @@
 		b.listCame(e)
 	case ListFailed:
 		b.listFailed()
-	case TimerDue, ProbeFinished:
 	}
 	b.runTimers() // after the event: a request whose end it tells is left alone
 	actions = b.timers.arm(now, b.actions)
@@ -200,7 +201,7 @@
 		c = &b.unknown
 	}
 	r := &request{id: e.Request, class: c, deadline: b.now + e.Grace}
-	waited := b.elapsed(c, e.Grace)
+	waited := b.waited(c, e)
 	r.aimAt = b.now + c.Aim - waited
 	r.value = c.Worth * b.charge(r, b.tenants[e.Tenant])
 	if r.work = 1; b.set.HintsWork && e.Work > 0 {
@@ -220,17 +221,28 @@
 	b.admit(r)
 }
 
-// elapsed is how long the client has been waiting already, as far as the
-// grace tells: a try whose grace is cut short ends with the client's time.
-func (b *Balancer) elapsed(c *class, grace time.Duration) time.Duration {
-	c.fullGrace = max(c.fullGrace, grace)
+// waited is how long the client has been waiting already, as far as the grace
+// tells. First tries share one grace, and so may middle ones; the last try has all
+// the time that is left. A call of another tier has what its caller has left.
+func (b *Balancer) waited(c *class, e *Event) time.Duration {
 	if !b.set.Front {
-		return c.fullGrace - grace
+		c.grace = max(c.grace, e.Grace)
+		return c.grace - e.Grace
 	}
-	if c.fullGrace-grace > b.set.Tick {
-		return max(0, c.Deadline-grace)
+	like := max(e.Grace-c.grace, c.grace-e.Grace) <= graceSpread
+	switch {
+	case e.Repeat:
+	case like:
+		c.votes++
+	case c.votes > 0:
+		c.votes--
+	default:
+		c.grace, c.votes, like = e.Grace, 1, true
+	}
+	if like {
+		return 0
 	}
-	return 0
+	return max(0, c.Deadline-e.Grace)
 }
 
 // dispatch sends the request, or lets it wait while no endpoint may take it.
@@ -433,14 +445,12 @@
 	return b.set.Front && float64(b.hold.out) >= holdBinds*float64(b.limit())
 }
 
-// slowed tells stretched attempts that come of slower endpoints from those that
-// come of too many out: the latter leave the served rate as it was, while with
-// the former less out would only mean less served.
+// slowed tells slower endpoints from too many attempts out, which leave the served
+// rate as it was: with slower ones less out would only mean less served.
 func (b *Balancer) slowed() bool { return b.servedRate() < holdSlowed*b.fleet.peak }
 
-// crowded tells whether an endpoint has its part of the limit out. The part
-// goes by payoff, so that one that has slowed down is left to work off what it
-// holds, and cannot fill the whole limit with attempts that are stuck there.
+// crowded tells whether an endpoint has its part of the limit out. The part goes
+// by payoff: one that has slowed down must not fill the limit with stuck attempts.
 func (b *Balancer) crowded(e *endpoint) bool {
 	even := float64(b.limit()) / max(1, b.fleet.warm) * b.capacity(e)
 	return float64(e.inFlight) >= max(1, holdUneven*even*b.payoff(e)/b.meanPayoff())
@@ -497,16 +507,15 @@
 	}
 }
 
-// tenant counts a customer's requests against its share. Each instance takes
-// an even part of the allowance for its own.
+// tenant counts a customer's requests against this instance's part of its share.
 type tenant struct {
 	rate   float64 // requests a second inside the share, at this instance
 	left   float64
 	filled Time
 }
 
-// charge books a new request on its tenant's allowance and returns its worth as
-// a part of its class's: what goes beyond the share is worth little.
+// charge books a request on its tenant's allowance and returns what part of its
+// class's worth it has: what goes beyond the share is worth little.
 func (b *Balancer) charge(r *request, t *tenant) float64 {
 	if t == nil || !b.set.Front {
 		return 1
@@ -628,10 +637,8 @@
 
 // anyMayTake tells whether the effects leave the request any ready endpoint.
 func (b *Balancer) anyMayTake(r *request) bool {
-	if len(b.fleet.ready) == 0 {
-		return !mayHaveRun(r)
-	}
-	return slices.ContainsFunc(b.fleet.ready, func(e *endpoint) bool { return b.mayTake(r, e) })
+	return len(b.fleet.ready) == 0 && !mayHaveRun(r) ||
+		slices.ContainsFunc(b.fleet.ready, func(e *endpoint) bool { return b.mayTake(r, e) })
 }
 
 func mayHaveRun(r *request) bool {
@@ -641,14 +648,8 @@
 // mayRefuse is the one rule on refusals: whether the client may be told that
 // trying again is harmless.
 func mayRefuse(r *request) bool {
-	switch r.class.Effect {
-	case Safe:
-		return true
-	case Keyed:
-		return r.class.Group == GroupAll || !mayHaveRun(r)
-	default:
-		return !mayHaveRun(r)
-	}
+	c := r.class
+	return c.Effect == Safe || c.Effect == Keyed && c.Group == GroupAll || !mayHaveRun(r)
 }
 
 // ---- The pick ----
@@ -690,10 +691,10 @@
 func (b *Balancer) pick(r *request) *endpoint {
 	candidates := b.candidates(r)
 	n := len(candidates)
-	if n == 0 {
+	switch n {
+	case 0:
 		return nil
-	}
-	if n == 1 {
+	case 1:
 		return candidates[0]
 	}
 	i, j := b.rng.IntN(n), b.rng.IntN(n-1)
@@ -719,12 +720,12 @@
 	b.fleet.scratch = all
 	all = prefer(all, func(e *endpoint) bool { return !r.tried(e) })
 	all = prefer(all, func(e *endpoint) bool { return !b.crowded(e) })
+	near := func(e *endpoint) bool { return e.inFlight == 0 && e.zone == b.set.Zone }
 	if b.set.Prices.CrossZone > 0 {
-		all = prefer(all, func(e *endpoint) bool { return e.zone == b.set.Zone && e.inFlight == 0 })
+		all = prefer(all, near)
 	}
-	return prefer(all, func(e *endpoint) bool {
-		return e.home && e.inFlight == 0 && b.payoff(e) >= homePayoff*b.meanPayoff()
-	})
+	good := homePayoff * b.meanPayoff()
+	return prefer(all, func(e *endpoint) bool { return e.inFlight == 0 && e.home && b.payoff(e) >= good })
 }
 
 // prefer returns the endpoints that are wanted, or all where none is.
@@ -746,9 +747,7 @@
 	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.to == e })
 }
 
-func (b *Balancer) appeal(e *endpoint) float64 {
-	return b.payoff(e) / float64(1+e.inFlight)
-}
+func (b *Balancer) appeal(e *endpoint) float64 { return b.payoff(e) / float64(1+e.inFlight) }
 
 // payoff is the endpoint's payoff after its drift towards the others' mean.
 func (b *Balancer) payoff(e *endpoint) float64 {
@@ -837,7 +836,7 @@
 	return math.Log(max(latency, time.Millisecond).Seconds() / work)
 }
 
-// usual is the time that an attempt with so much work takes lately.
+// usual is the time that an attempt with so much work takes lately, if seen.
 func (p *pace) usual(work float64) time.Duration {
 	if p.seen == 0 {
 		return 0
@@ -900,8 +899,7 @@
 
 // startList asks for the list soon, but not in step with peers that start too.
 func (b *Balancer) startList() {
-	b.askNext = askPause
-	if b.set.MustAsk {
+	if b.askNext = askPause; b.set.MustAsk {
 		b.timers.set(b.now+b.jitter(firstAskSpread), timerList, 0)
 	}
 }
