--- a/decide/decide.go
+++ b/decide/decide.go
@@ -232,6 +232,7 @@
 	like := max(e.Grace-c.grace, c.grace-e.Grace) <= graceSpread
 	switch {
 	case e.Repeat:
+		like = like || c.grace == 0 // no first try has been seen yet
 	case like:
 		c.votes++
 	case c.votes > 0:
