--- a/decide/decide.go
+++ b/decide/decide.go
@@ -139,7 +139,6 @@
 	return actions
 }
 
-// runTimers does what is due by now.
 func (b *Balancer) runTimers() {
 	for {
 		t, ok := b.timers.due(b.now)
@@ -768,6 +767,10 @@
 	if f.mean > 0 && b.now-f.meanAt < meanAge {
 		return f
 	}
+	most := f.warm * (1 + holdPace*(b.now-f.meanAt).Seconds())
+	if most == 0 {
+		most = math.Inf(1)
+	}
 	f.mean, f.warm, f.meanAt = 1, 0, b.now
 	if len(f.ready) == 0 {
 		return f
@@ -778,6 +781,7 @@
 		f.warm += b.capacity(e)
 	}
 	f.mean = sum / float64(len(f.ready))
+	f.warm = min(f.warm, most) // a tier that grows at once brings no room below it
 	return f
 }
 
@@ -847,7 +851,6 @@
 
 // ---- Cold starts ----
 
-// countServed keeps the rate of served attempts.
 func (b *Balancer) countServed() {
 	f := &b.fleet
 	f.served = f.served*decay(b.now-f.servedAt, rateTime) + 1
@@ -855,7 +858,6 @@
 	f.servedAt = b.now
 }
 
-// servedRate is how many attempts a second this instance sees served.
 func (b *Balancer) servedRate() float64 {
 	f := &b.fleet
 	return f.served * decay(b.now-f.servedAt, rateTime) / rateTime.Seconds()
@@ -917,7 +919,6 @@
 	b.askNext = min(askPauseMost, 2*b.askNext)
 }
 
-// listCame takes over the list.
 func (b *Balancer) listCame(e *Event) {
 	if e.Kind != ListRestored {
 		b.askNext = askPause
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -683,6 +683,7 @@
 	set.Classes[0].LateShare = 0
 	s := start(t, set, two()...)
 	try := func(id RequestID, grace time.Duration, repeat bool) []Action {
+		defer s.finish(id, 0, Served)
 		return s.event(Event{Kind: Arrived, Request: id, Class: "read", Grace: grace, Repeat: repeat})
 	}
 	for id := RequestID(1); id <= 3; id++ {
@@ -693,3 +694,26 @@
 	s.want(try(6, 500*ms, false), Send)
 	s.want(try(7, 500*ms, true), Send) // a middle try: how late it is cannot be told
 }
+
+// A front that is enlarged at once brings no room to the tiers below it: a limit
+// that grew with it jammed them.
+func TestLimitFollowsAGrowingTierSlowly(t *testing.T) {
+	s := start(t, testSettings(), two()...)
+	s.arrive(1, "read")
+	before := s.b.limit()
+	s.after(time.Second).event(Event{Kind: ListChanged, Endpoints: four()})
+	if got := s.b.limit(); got > before+1 {
+		t.Errorf("a second after the tier doubled the limit is %d, was %d", got, before)
+	}
+	for id := RequestID(2); id < 40; id++ {
+		s.after(time.Second).arrive(id, "read")
+		s.finish(id, 0, Served)
+	}
+	if got := s.b.limit(); got < 2*before {
+		t.Errorf("long after the tier doubled the limit is %d, was %d", got, before)
+	}
+	s.event(Event{Kind: ListReplaced, Endpoints: two()[:1]})
+	if got := s.b.limit(); got > before {
+		t.Errorf("after the tier shrank the limit is %d, at once at most %d", got, before)
+	}
+}
