--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -689,10 +689,30 @@
 	for id := RequestID(1); id <= 3; id++ {
 		s.want(try(id, 500*ms, false), Send)
 	}
-	s.want(try(4, 980*ms, true), Send)
-	s.want(try(5, 980*ms, false), Send)
-	s.want(try(6, 500*ms, false), Send)
-	s.want(try(7, 500*ms, true), Send) // a middle try: how late it is cannot be told
+	s.want(try(4, 980*ms, false), Send)
+	for id := RequestID(5); id <= 14; id++ {
+		s.want(try(id, 980*ms, true), Send) // marked repeats have no vote
+	}
+	s.want(try(15, 500*ms, false), Send)
+	s.want(try(16, 500*ms, true), Send) // a middle try: how late it is cannot be told
+}
+
+// In a jam repeats of refused requests used up every tenant's share.
+func TestRequestsNeverSentAreRefundedToTheirTenant(t *testing.T) {
+	s := start(t, testSettings(), two()...)
+	next := s.fill("read")
+	small := s.b.tenants["small"]
+	try := func(id RequestID) {
+		s.event(Event{Kind: Arrived, Request: id, Class: "read", Tenant: "small", Grace: time.Second})
+	}
+	try(next)
+	if small.left >= 1 {
+		t.Fatalf("a held request was not charged: %v left", small.left)
+	}
+	s.want(s.after(200*ms).tick(), Refuse, Refuse) // it, and the one held before it
+	if small.left < 1 {
+		t.Errorf("a request that was never sent is still charged: %v left", small.left)
+	}
 }
 
 // A front that is enlarged at once brings no room to the tiers below it: a limit
