Give each instance an own order of the list, and keep small limits on average

Changes: the pick draws among the first two idle, good endpoints in an order that begins elsewhere at each peer; a part of the limit under four attempts is kept on average over two seconds; the stretch is smoothed by answers or by seconds, whichever is faster; the wait of a held request is told from the limit where the rate is small; endpoints without an outcome count at the mean.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -11,6 +11,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"sort"
 	"time"
 )
 
@@ -29,9 +30,9 @@
 const (
 	waitStep       = 20 * time.Millisecond // how often waiting requests are looked at again
 	graceSpread    = 10 * time.Millisecond // graces of first tries differ by less
-	homePayoff     = 0.8                   // least part of the mean payoff of a first choice in the own part
+	firstPayoff    = 0.8                   // least part of the mean payoff of a first choice
+	leastPart      = 2                     // idle endpoints in the own order to draw among, at least
 	meanAge        = 50 * time.Millisecond // how old the mean payoff may be when it is used
-	peakTime       = time.Minute           // the best rate is forgotten over this
 	rateTime       = 3 * time.Second       // averaging time of the served rate
 	coldCaution    = 0.5                   // part of the allowed push on a cold endpoint that is used up
 	coldTrickle    = 1.0                   // sends a second to a cold endpoint, over all peers, at least
@@ -45,19 +46,22 @@
 
 // Figures of the hold: the exception for a tier that is full.
 const (
-	holdAim     = 0.5         // part of the aim that attempts may take whatever the cause
-	holdSlowed  = 0.8         // part of its recent best below which the served rate has fallen
-	holdStretch = 1.35        // answers may take this many times their usual least
-	leastTime   = time.Minute // the usual least follows slower answers this slowly
-	holdLeast   = 2.0         // attempts for each ready endpoint and tier that are always allowed
-	holdStart   = 3.0         // the same that an instance starts with
-	holdFewest  = 4           // attempts that this instance may always have out
-	holdPace    = 0.06        // part by which the limit moves in a second
-	stretchGain = 0.03        // weight of the newest outcome in the smoothed stretch
-	holdBinds   = 0.8         // part of the limit that must be out for a quick answer to raise it
-	lateSlack   = 2           // times its usual time that a held request is given for its attempt
-	holdUneven  = 1.25        // times its even part of the limit that one endpoint may have out
-	paceCount   = 40          // answers over which a class's pace is smoothed
+	holdAim     = 0.5             // part of the aim that attempts may take whatever the cause
+	holdStretch = 1.35            // answers may take this many times their usual least
+	leastTime   = time.Minute     // the usual least follows slower answers this slowly
+	holdLeast   = 2.0             // attempts for each ready endpoint and tier that are always allowed
+	holdStart   = 3.0             // the same that an instance starts with
+	holdFewest  = 4               // attempts from which on a limit is kept at every moment
+	leastLimit  = 1e-6            // a limit to divide by while no endpoint is ready
+	roomTime    = 2 * time.Second // over which a smaller one is kept on average
+	roomBinds   = roomTime / 5    // left of it when a smaller limit binds
+	holdPace    = 0.06            // part by which the limit moves in a second
+	stretchGain = 0.03            // weight of the newest outcome in the smoothed stretch
+	stretchTime = 3 * time.Second // or over which it is smoothed, where outcomes are few
+	holdBinds   = 0.8             // part of the limit that must be out for a quick answer to raise it
+	lateSlack   = 2               // times its usual time that a held request is given for its attempt
+	holdUneven  = 1.25            // times its even part of the limit that one endpoint may have out
+	paceCount   = 40              // answers over which a class's pace is smoothed
 
 	tenantBurst = 2 * time.Second // how much of its allowance a tenant may use at once
 )
@@ -110,13 +114,14 @@
 		b.tenants[t.Name] = &tenant{rate: t.Allowed / float64(max(1, set.Peers))}
 	}
 	b.fleet.byID = map[EndpointID]*endpoint{}
-	b.hold.each = holdStart * b.tierShare()
+	b.hold.each, b.hold.room = holdStart*b.tierShare(), roomTime
 	return b, nil
 }
 
 // Handle takes one event at its time and appends what is to be done about it.
 func (b *Balancer) Handle(now Time, e *Event, actions []Action) []Action {
 	b.now, b.actions = now, actions
+	b.saveRoom()
 	switch e.Kind {
 	case Start:
 		b.startList()
@@ -140,19 +145,16 @@
 }
 
 func (b *Balancer) runTimers() {
-	for {
-		t, ok := b.timers.due(b.now)
-		if !ok {
-			return
-		}
+	for t, ok := b.timers.due(b.now); ok; t, ok = b.timers.due(b.now) {
 		switch t.kind {
 		case timerRequest:
 			b.timeUp(t.request)
 		case timerWaiting:
-			b.waitTimer = false
+			b.wakeAt = 0
 			b.sendWaiting()
+			b.sendHeld()
 		case timerList:
-			b.askList()
+			b.act(Action{Kind: WatchList})
 		}
 	}
 }
@@ -163,9 +165,9 @@
 
 // requests is everything held for clients.
 type requests struct {
-	held      map[RequestID]*request
-	waiting   []*request // for a token, or for an endpoint that may take them; oldest first
-	waitTimer bool
+	held    map[RequestID]*request
+	waiting []*request // for a token, or for an endpoint that may take them; oldest first
+	wakeAt  Time       // when what waits is looked at again; 0 or past when nothing is
 }
 
 // request is one try of a client and its attempts. It stays held after its
@@ -177,7 +179,6 @@
 	aimAt    Time    // when the aim passes, as far as can be told
 	work     float64 // expected work, as the hint tells; 1 without hints
 	value    float64 // what an answer within the aim is worth
-	tenant   *tenant // whose allowance it is charged to, if any
 	attempts []attempt
 	out      int  // attempts without an outcome
 	funded   bool // a token is spent on its next attempt
@@ -202,7 +203,7 @@
 	r := &request{id: e.Request, class: c, deadline: b.now + e.Grace}
 	waited := b.waited(c, e)
 	r.aimAt = b.now + c.Aim - waited
-	r.value = c.Worth * b.charge(r, b.tenants[e.Tenant])
+	r.value = c.Worth * b.charge(b.tenants[e.Tenant])
 	if r.work = 1; b.set.HintsWork && e.Work > 0 {
 		r.work = e.Work.Seconds()
 	}
@@ -248,12 +249,12 @@
 // dispatch sends the request, or lets it wait while no endpoint may take it.
 func (b *Balancer) dispatch(r *request) {
 	to := b.pick(r)
-	switch {
-	case to == nil && b.anyMayTake(r):
-		b.wait(r)
-		return
-	case to == nil:
-		b.giveUp(r)
+	if to == nil {
+		if b.anyMayTake(r) {
+			b.wait(r)
+		} else {
+			b.giveUp(r)
+		}
 		return
 	}
 	r.attempts = append(r.attempts, attempt{to: to, sent: b.now, ran: true})
@@ -261,7 +262,6 @@
 	r.funded = false
 	b.hold.out++
 	to.inFlight++
-	to.touched = b.now
 	if to.cold {
 		to.credit--
 	}
@@ -271,9 +271,14 @@
 // wait holds a request that cannot be sent now.
 func (b *Balancer) wait(r *request) {
 	b.waiting = append(b.waiting, r)
-	if !b.waitTimer {
-		b.waitTimer = true
-		b.timers.set(b.now+waitStep, timerWaiting, 0)
+	b.wake(0)
+}
+
+// wake looks again at what waits, waitStep after the wait at the earliest.
+func (b *Balancer) wake(wait time.Duration) {
+	if at := b.now + wait + waitStep; b.wakeAt <= b.now || at < b.wakeAt {
+		b.wakeAt = at
+		b.timers.set(at, timerWaiting, 0)
 	}
 }
 
@@ -299,15 +304,12 @@
 		return
 	}
 	a := &r.attempts[e.Attempt]
-	a.settled = true
-	a.ran = !e.Outcome.NeverRan()
+	a.settled, a.ran = true, !e.Outcome.NeverRan()
 	a.to.inFlight--
 	r.out--
 	b.hold.out--
 	b.learn(r, a, e)
-	if e.Over {
-		r.over = true
-	}
+	r.over = r.over || e.Over
 	if !r.over && !r.bound && r.out == 0 {
 		b.retry(r)
 	}
@@ -318,12 +320,11 @@
 // giveUp ends a request: refused where that is allowed, else failed.
 func (b *Balancer) giveUp(r *request) {
 	r.over = true
-	r.refund()
+	answer := Action{Kind: Fail, Request: r.id}
 	if mayRefuse(r) {
-		b.act(Action{Kind: Refuse, Request: r.id, After: b.comeBack(r)})
-	} else {
-		b.act(Action{Kind: Fail, Request: r.id})
+		answer.Kind, answer.After = Refuse, b.comeBack(r)
 	}
+	b.act(answer)
 	b.release(r)
 }
 
@@ -354,11 +355,10 @@
 	if r == nil || r.over || r.bound {
 		return
 	}
-	switch {
-	case b.worthless(r):
+	late := b.now >= r.deadline-b.set.Tick || len(r.attempts) == 0 && b.now >= r.latestStart()
+	if b.worthless(r) {
 		b.callOff(r)
-	case r.out > 0:
-	case b.now >= r.deadline-b.set.Tick, len(r.attempts) == 0 && b.now >= r.latestStart():
+	} else if late && r.out == 0 {
 		b.giveUp(r)
 	}
 }
@@ -399,19 +399,37 @@
 // allows. It guards against the jam that free first attempts make: endpoints
 // that hold too many slow down, all answers come late, and repeats keep it so.
 type hold struct {
-	out     int        // attempts without an outcome
-	queue   []*request // held back, worthiest first, then oldest
-	each    float64    // attempts that may be out for every ready endpoint
-	share   float64    // smoothed logarithm of an attempt's time over its class's aim
-	at      Time       // of the newest outcome
-	stretch float64    // smoothed logarithm of an attempt's time over its class's least
+	out     int           // attempts without an outcome
+	queue   []*request    // held back, worthiest first, then oldest
+	each    float64       // attempts that may be out for every ready endpoint
+	share   float64       // smoothed logarithm of an attempt's time over its class's aim
+	at      Time          // of the newest outcome
+	stretch float64       // smoothed logarithm of an attempt's time over its class's least
+	room    time.Duration // how long the limit may stand out at once, when the part of it is small
+	savedAt Time          // when room was last brought up to date
 }
 
 // limit is how many attempts may be out before first attempts are held. It goes
 // with the number of endpoints: what each can hold well stays much the same,
 // also while something slows them all.
-func (b *Balancer) limit() int {
-	return int(max(holdFewest, b.hold.each*b.measured().warm))
+func (b *Balancer) limit() float64 { return b.hold.each * b.measured().warm }
+
+// hasRoom tells whether the tier has room for another first attempt. An instance
+// whose part of the limit is a few attempts goes by what it has had out on average:
+// many of them even out what each sends in bursts.
+func (b *Balancer) hasRoom() bool {
+	limit, out := b.limit(), float64(b.hold.out)
+	return out+1 <= max(limit, holdFewest) && (limit >= holdFewest || b.hold.room > 0)
+}
+
+// used is the part of the limit that is out.
+func (b *Balancer) used() float64 { return float64(b.hold.out) / max(b.limit(), leastLimit) }
+
+// saveRoom books the time since the last event, less what was out in it.
+func (b *Balancer) saveRoom() {
+	h := &b.hold
+	h.room += time.Duration((1 - b.used()) * float64(b.now-h.savedAt))
+	h.room, h.savedAt = max(-roomTime, min(roomTime, h.room)), b.now
 }
 
 // tierShare is this instance's part of one attempt in each tier: an attempt is
@@ -422,18 +440,18 @@
 // little more than their least, down when they are stretched.
 func (b *Balancer) adjust(r *request, e *Event) {
 	p := &r.class.pace
-	if p.seen < paceCount || len(b.fleet.ready) == 0 {
+	if p.seen == 0 || len(b.fleet.ready) == 0 {
 		return
 	}
 	h := &b.hold
-	h.stretch += stretchGain * (logTime(r.work, e.Latency) - p.least - h.stretch)
-	h.share += stretchGain * (math.Log(max(e.Latency, 1).Seconds()/r.class.Aim.Seconds()) - h.share)
+	gain := max(stretchGain, 1-decay(b.now-h.at, stretchTime))
+	h.stretch += gain * (logTime(r.work, e.Latency) - p.least - h.stretch)
+	h.share += gain * (math.Log(max(e.Latency, 1).Seconds()/r.class.Aim.Seconds()) - h.share)
 	step := h.each * holdPace * min(1, (b.now-h.at).Seconds())
 	h.at = b.now
 	switch {
-	case h.share > math.Log(holdAim), h.stretch > math.Log(holdStretch) && !b.slowed():
+	case h.share > math.Log(holdAim), h.stretch > math.Log(holdStretch):
 		h.each -= step
-	case h.stretch > math.Log(holdStretch):
 	case b.binding():
 		h.each += step
 	}
@@ -442,24 +460,23 @@
 
 // binding tells whether about as much is out as the limit allows.
 func (b *Balancer) binding() bool {
-	return b.set.Front && float64(b.hold.out) >= holdBinds*float64(b.limit())
+	if b.limit() < holdFewest {
+		return b.set.Front && b.hold.room <= roomBinds
+	}
+	return b.set.Front && b.used() >= holdBinds
 }
 
-// slowed tells slower endpoints from too many attempts out, which leave the served
-// rate as it was: with slower ones less out would only mean less served.
-func (b *Balancer) slowed() bool { return b.servedRate() < holdSlowed*b.fleet.peak }
-
 // crowded tells whether an endpoint has its part of the limit out. The part goes
 // by payoff: one that has slowed down must not fill the limit with stuck attempts.
 func (b *Balancer) crowded(e *endpoint) bool {
-	even := float64(b.limit()) / max(1, b.fleet.warm) * b.capacity(e)
+	even := max(holdFewest, b.limit()) / max(1, b.fleet.warm) * b.capacity(e)
 	return float64(e.inFlight) >= max(1, holdUneven*even*b.payoff(e)/b.meanPayoff())
 }
 
 // admit sends a new request at once unless the tier is full.
 func (b *Balancer) admit(r *request) {
 	h := &b.hold
-	if !b.set.Front || (len(h.queue) == 0 && h.out < b.limit()) {
+	if !b.set.Front || (len(h.queue) == 0 && b.hasRoom()) {
 		b.dispatch(r)
 		return
 	}
@@ -480,22 +497,25 @@
 // sendHeld sends held requests while the tier has room.
 func (b *Balancer) sendHeld() {
 	h := &b.hold
-	for len(h.queue) > 0 && h.out < b.limit() {
+	for len(h.queue) > 0 && b.hasRoom() {
 		r := h.queue[0]
 		h.queue = h.queue[1:]
 		if !r.over {
 			b.dispatch(r)
 		}
 	}
+	if free := 1 - b.used(); len(h.queue) > 0 && free > 0 {
+		b.wake(time.Duration(max(0, float64(-h.room)/free)))
+	}
 }
 
 // trimHeld refuses at once what the rate of service will not reach in time:
 // the last of the queue goes first, and it is the least worth.
 func (b *Balancer) trimHeld() {
 	h := &b.hold
-	rate := max(b.servedRate(), 1)
 	for n := len(h.queue); n > 0; n-- {
 		r := h.queue[n-1]
+		rate := max(b.servedRate(), min(holdFewest, b.limit())/r.class.pace.usual(r.work).Seconds())
 		wait := time.Duration(float64(n) / rate * float64(time.Second))
 		if !r.over && b.now+wait <= r.latestStart() {
 			return
@@ -516,7 +536,7 @@
 
 // charge books a request on its tenant's allowance and returns what part of its
 // class's worth it has: what goes beyond the share is worth little.
-func (b *Balancer) charge(r *request, t *tenant) float64 {
+func (b *Balancer) charge(t *tenant) float64 {
 	if t == nil || !b.set.Front {
 		return 1
 	}
@@ -526,18 +546,9 @@
 		return b.set.OverShareWorth
 	}
 	t.left--
-	r.tenant = t
 	return 1
 }
 
-// refund takes back the charge for a request that was never sent. Otherwise, in a
-// jam, repeats would use up every share and all requests would look alike.
-func (r *request) refund() {
-	if r.tenant != nil && len(r.attempts) == 0 {
-		r.tenant.left++
-	}
-}
-
 // ---- The retry token bucket ----
 
 // bucket funds retries: a tenth of what is served, and a floor.
@@ -563,15 +574,6 @@
 	return 1
 }
 
-// take spends one token on a retry of the class, if it is funded.
-func (k *bucket) take(c *class) bool {
-	if k.tokens < k.needed(c) {
-		return false
-	}
-	k.tokens--
-	return true
-}
-
 // wait is how long the floor alone takes to fund a retry of the class.
 func (k *bucket) wait(now Time, c *class) time.Duration {
 	k.refill(now)
@@ -582,11 +584,12 @@
 // Otherwise it waits for the refill, or is given up at once when no other attempt
 // is allowed or none could earn anything by then.
 func (b *Balancer) retry(r *request) {
+	wait := b.bucket.wait(b.now, r.class)
 	switch {
-	case len(r.attempts) >= b.set.Limits.MaxAttempts, !b.anyMayTake(r),
-		b.now+b.bucket.wait(b.now, r.class) >= b.lastUse(r):
+	case len(r.attempts) >= b.set.Limits.MaxAttempts, !b.anyMayTake(r), b.now+wait >= b.lastUse(r):
 		b.giveUp(r)
-	case b.bucket.take(r.class):
+	case wait == 0:
+		b.bucket.tokens--
 		r.funded = true
 		b.dispatch(r)
 	default:
@@ -658,13 +661,14 @@
 type fleet struct {
 	byID     map[EndpointID]*endpoint
 	order    []*endpoint // everything listed, in the order first heard of
-	ready    []*endpoint // what new work may go to
+	ready    []*endpoint // what new work may go to, in this instance's own order
 	mean     float64     // mean payoff of the ready endpoints
 	warm     float64     // ready endpoints, cold ones by their present capacity
+	size     float64     // the same by their listed weight
 	meanAt   Time
 	served   float64 // served attempts, forgotten over rateTime
 	servedAt Time
-	peak     float64 // best served rate lately
+	part     int // how many the pick draws among while they are idle
 	scratch  []*endpoint
 }
 
@@ -673,6 +677,7 @@
 type endpoint struct {
 	id       EndpointID
 	zone     string
+	remote   float64 // price of crossing to its zone
 	cell     int
 	state    EndpointState
 	weight   float64
@@ -681,7 +686,7 @@
 	payoff   float64 // smoothed: 1 if served within the aim, less when slower, 0 on failure
 	touched  Time    // when it was last picked or drifted
 	cold     bool
-	home     bool    // of this instance's own part of the list
+	known    bool    // it has had an outcome
 	credit   float64 // sends that the cold budget allows now
 	creditAt Time
 }
@@ -691,10 +696,9 @@
 func (b *Balancer) pick(r *request) *endpoint {
 	candidates := b.candidates(r)
 	n := len(candidates)
-	switch n {
-	case 0:
+	if n == 0 {
 		return nil
-	case 1:
+	} else if n == 1 {
 		return candidates[0]
 	}
 	i, j := b.rng.IntN(n), b.rng.IntN(n-1)
@@ -708,39 +712,42 @@
 	return first
 }
 
-// candidates are the ready endpoints that may take the request: where there are
-// any, those that it has not tried and that are not crowded.
+// candidates are the endpoints among which the pick draws: the best rank that may
+// take the request, and of the first choices only the first few.
 func (b *Balancer) candidates(r *request) []*endpoint {
-	all := b.fleet.scratch[:0]
-	for _, e := range b.fleet.ready {
-		if b.hasColdCredit(e) && b.mayTake(r, e) {
+	f := &b.fleet
+	all, best := f.scratch[:0], math.MaxInt
+	for _, e := range f.ready {
+		if !b.mayTake(r, e) || !b.hasColdCredit(e) {
+			continue
+		}
+		rank := b.rank(r, e)
+		if rank < best {
+			best, all = rank, all[:0]
+		}
+		if best == 0 && len(all) > 0 && (len(all) == f.part || e.remote > all[0].remote) {
+			break
+		}
+		if rank == best {
 			all = append(all, e)
 		}
 	}
-	b.fleet.scratch = all
-	all = prefer(all, func(e *endpoint) bool { return !r.tried(e) })
-	all = prefer(all, func(e *endpoint) bool { return !b.crowded(e) })
-	near := func(e *endpoint) bool { return e.inFlight == 0 && e.zone == b.set.Zone }
-	if b.set.Prices.CrossZone > 0 {
-		all = prefer(all, near)
-	}
-	good := homePayoff * b.meanPayoff()
-	return prefer(all, func(e *endpoint) bool { return e.inFlight == 0 && e.home && b.payoff(e) >= good })
+	f.scratch = all
+	return all
 }
 
-// prefer returns the endpoints that are wanted, or all where none is.
-func prefer(all []*endpoint, wanted func(*endpoint) bool) []*endpoint {
-	n := 0
-	for i, e := range all {
-		if wanted(e) {
-			all[i], all[n] = all[n], all[i]
-			n++
-		}
-	}
-	if n == 0 {
-		return all
+// rank orders what the pick draws from: 0 for an idle endpoint that is no worse than
+// most, then those with room, crowded ones, and last what the request has tried.
+func (b *Balancer) rank(r *request, e *endpoint) int {
+	switch {
+	case r.tried(e):
+		return 3
+	case e.inFlight == 0 && b.payoff(e) >= firstPayoff*b.meanPayoff():
+		return 0
+	case !b.crowded(e):
+		return 1
 	}
-	return all[:n]
+	return 2
 }
 
 func (r *request) tried(e *endpoint) bool {
@@ -751,8 +758,10 @@
 
 // payoff is the endpoint's payoff after its drift towards the others' mean.
 func (b *Balancer) payoff(e *endpoint) float64 {
-	if idle := b.now - e.touched; idle > 0 && e.inFlight == 0 {
-		e.payoff += (b.meanPayoff() - e.payoff) * (1 - math.Exp(-idle.Seconds()/driftTime.Seconds()))
+	if idle := b.now - e.touched; !e.known {
+		e.payoff = b.meanPayoff()
+	} else if idle > 0 && e.inFlight == 0 {
+		e.payoff += (b.meanPayoff() - e.payoff) * (1 - decay(idle, driftTime))
 		e.touched = b.now
 	}
 	return max(payoffFloor, e.payoff)
@@ -768,20 +777,22 @@
 		return f
 	}
 	most := f.warm * (1 + holdPace*(b.now-f.meanAt).Seconds())
-	if most == 0 {
-		most = math.Inf(1)
-	}
-	f.mean, f.warm, f.meanAt = 1, 0, b.now
-	if len(f.ready) == 0 {
-		return f
-	}
-	sum := 0.0
+	f.mean, f.warm, f.size, f.meanAt = 1, 0, 0, b.now
+	sum, known := 0.0, 0
 	for _, e := range f.ready {
-		sum += max(payoffFloor, e.payoff)
 		f.warm += b.capacity(e)
+		f.size += b.capacity(e) * e.weight
+		if e.known {
+			sum += max(payoffFloor, e.payoff)
+			known++
+		}
+	}
+	if known > 0 {
+		f.mean = sum / float64(known)
+	}
+	if most > 0 { // a tier that grows at once brings no room below it
+		f.warm = min(f.warm, most)
 	}
-	f.mean = sum / float64(len(f.ready))
-	f.warm = min(f.warm, most) // a tier that grows at once brings no room below it
 	return f
 }
 
@@ -801,7 +812,7 @@
 		got = min(1, float64(yardstick(r))/float64(max(e.Latency, 1)))
 	}
 	a.to.payoff += payoffGain * (got - a.to.payoff)
-	a.to.touched = b.now
+	a.to.touched, a.to.known = b.now, true
 	b.adjust(r, e)
 }
 
@@ -854,7 +865,6 @@
 func (b *Balancer) countServed() {
 	f := &b.fleet
 	f.served = f.served*decay(b.now-f.servedAt, rateTime) + 1
-	f.peak = max(f.peak*decay(b.now-f.servedAt, peakTime), f.served/rateTime.Seconds())
 	f.servedAt = b.now
 }
 
@@ -878,20 +888,12 @@
 // hasColdCredit keeps the rule on cold starts: a cold endpoint takes its share of
 // what is served, times a part of the allowed push, and never a burst.
 func (b *Balancer) hasColdCredit(e *endpoint) bool {
-	if !e.cold {
-		return true
-	}
 	present := b.capacity(e)
-	if present >= 1 {
-		e.cold = false
+	if e.cold = e.cold && present < 1; !e.cold {
 		return true
 	}
-	total := 0.0
-	for _, other := range b.fleet.ready {
-		total += b.capacity(other) * other.weight
-	}
 	push := max(1, coldCaution*b.set.Rules.FallMultiple)
-	rate := push * present * e.weight * b.servedRate() / max(total, e.weight)
+	rate := push * present * e.weight * b.servedRate() / max(b.measured().size, e.weight)
 	rate = max(rate, coldTrickle/float64(b.set.Peers))
 	e.credit = min(1, e.credit+rate*(b.now-e.creditAt).Seconds())
 	e.creditAt = b.now
@@ -911,8 +913,6 @@
 	return time.Duration(b.rng.Float64() * float64(d))
 }
 
-func (b *Balancer) askList() { b.act(Action{Kind: WatchList}) }
-
 // listFailed asks again after a random pause that grows with each failure.
 func (b *Balancer) listFailed() {
 	b.timers.set(b.now+b.askNext+b.jitter(b.askNext), timerList, 0)
@@ -923,14 +923,21 @@
 	if e.Kind != ListRestored {
 		b.askNext = askPause
 	}
-	if e.Kind != ListChanged {
-		b.dropMissing(e.Endpoints)
+	f := &b.fleet
+	if e.Kind != ListChanged { // what a whole list no longer names is gone
+		for _, known := range f.order {
+			known.state = Gone
+		}
 	}
 	for i := range e.Endpoints {
 		b.update(&e.Endpoints[i])
 	}
-	f := &b.fleet
-	f.order = slices.DeleteFunc(f.order, func(e *endpoint) bool { return e.state == Gone })
+	f.order = slices.DeleteFunc(f.order, func(e *endpoint) bool {
+		if e.state == Gone && f.byID[e.id] == e {
+			delete(f.byID, e.id)
+		}
+		return e.state == Gone
+	})
 	f.ready = f.ready[:0]
 	for _, known := range f.order {
 		if known.state == Active {
@@ -942,43 +949,32 @@
 	b.sendWaiting()
 }
 
-// shareOut marks the endpoints that are this instance's own part of the list:
-// every peer comes to another part, as they count the same endpoints.
+// shareOut puts the ready endpoints into this instance's own order: every peer begins
+// at another place in the order of ids, with those of its own zone where crossings are
+// priced. Multiples of the golden ratio spread any run of numbers evenly.
 func (b *Balancer) shareOut() {
-	n, peers := len(b.fleet.ready), b.set.Peers
-	sorted := slices.Clone(b.fleet.ready)
-	slices.SortFunc(sorted, func(a, e *endpoint) int { return cmp.Compare(a.id, e.id) })
-	for at, e := range sorted {
-		e.home = at*peers/n == b.set.Number || b.set.Number*n/peers == at
-	}
-}
-
-// dropMissing takes endpoints that a whole list no longer names for gone.
-func (b *Balancer) dropMissing(lines []Endpoint) {
-	for _, e := range b.fleet.order {
-		if !slices.ContainsFunc(lines, func(line Endpoint) bool { return line.ID == e.id }) {
-			b.drop(e)
-		}
+	f := &b.fleet
+	slices.SortFunc(f.ready, func(a, e *endpoint) int {
+		return cmp.Or(cmp.Compare(a.remote, e.remote), cmp.Compare(a.id, e.id))
+	})
+	near := sort.Search(len(f.ready), func(i int) bool { return f.ready[i].remote > 0 })
+	_, place := math.Modf(float64(b.set.Number) * math.Phi)
+	for _, group := range [][]*endpoint{f.ready[:near], f.ready[near:]} {
+		at := int(place * float64(len(group)))
+		copy(group, slices.Concat(group[at:], group[:at]))
 	}
-}
-
-// drop takes an endpoint for gone. Attempts that are out there still settle.
-func (b *Balancer) drop(e *endpoint) {
-	e.state = Gone
-	delete(b.fleet.byID, e.id)
+	f.part = max(leastPart, len(f.ready)/b.set.Peers)
 }
 
 // update takes over one line of the list. A changed start time is a new
-// process: it starts at the mean payoff, with nothing in flight, and cold.
+// process: it starts at the mean payoff, with nothing in flight, and cold. Attempts
+// that are out at one that is gone still settle.
 func (b *Balancer) update(line *Endpoint) {
 	e := b.fleet.byID[line.ID]
-	if e != nil && (line.State == Gone || e.started != line.Started) {
-		b.drop(e)
+	if e != nil && e.started != line.Started && line.State != Gone {
+		e.state = Gone
 		e = nil
 	}
-	if line.State == Gone {
-		return
-	}
 	if e == nil {
 		e = &endpoint{id: line.ID, payoff: b.meanPayoff(), touched: b.now, started: line.Started}
 		e.cold = line.Started > 0 && b.now-line.Started < b.set.Rules.ColdTime
@@ -987,6 +983,9 @@
 		b.fleet.order = append(b.fleet.order, e)
 	}
 	e.zone, e.cell, e.state, e.weight = line.Zone, line.Cell, line.State, 1
+	if e.zone != b.set.Zone {
+		e.remote = b.set.Prices.CrossZone
+	}
 	if b.set.WeightKnown && line.Weight > 0 {
 		e.weight = line.Weight
 	}
