--- a/decide/decide.go
+++ b/decide/decide.go
@@ -46,22 +46,21 @@
 
 // Figures of the hold: the exception for a tier that is full.
 const (
-	holdAim     = 0.5              // part of the aim that attempts may take whatever the cause
-	holdStretch = 1.35             // answers may take this many times their usual least
-	leastTime   = time.Minute      // the usual least follows slower answers this slowly
-	holdLeast   = 2.0              // attempts for each ready endpoint and tier that are always allowed
-	holdStart   = 3.0              // the same that an instance starts with
-	holdFewest  = 4                // attempts from which on a limit is kept at every moment
-	leastLimit  = 1e-6             // a limit to divide by while no endpoint is ready
-	roomTime    = time.Second      // of a smaller one that may be saved up, or twice as much be owed
-	roomBinds   = 2 * roomTime / 5 // left of it when a smaller limit binds
-	holdPace    = 0.06             // part by which the limit moves in a second
-	stretchGain = 0.03             // weight of the newest outcome in the smoothed stretch
-	stretchTime = 3 * time.Second  // or over which it is smoothed, where outcomes are few
-	holdBinds   = 0.8              // part of the limit that must be out for a quick answer to raise it
-	lateSlack   = 2                // times its usual time that a held request is given for its attempt
-	holdUneven  = 1.25             // times its even part of the limit that one endpoint may have out
-	paceCount   = 40               // answers over which a class's pace is smoothed
+	holdAim     = 0.5             // part of the aim that attempts may take whatever the cause
+	holdStretch = 1.35            // answers may take this many times their usual least
+	leastTime   = time.Minute     // the usual least follows slower answers this slowly
+	holdLeast   = 2.0             // attempts for each ready endpoint and tier that are always allowed
+	holdStart   = 3.0             // the same that an instance starts with
+	holdFewest  = 4               // attempts from which on a limit is kept at every moment
+	leastLimit  = 1e-6            // a limit to divide by while no endpoint is ready
+	roomTime    = time.Second     // of a smaller one that may be saved up, or twice as much be owed
+	holdPace    = 0.06            // part by which the limit moves in a second
+	stretchGain = 0.03            // weight of the newest outcome in the smoothed stretch
+	stretchTime = 3 * time.Second // or over which it is smoothed, where outcomes are few
+	holdBinds   = 0.8             // part of the limit that must be out for a quick answer to raise it
+	lateSlack   = 2               // times its usual time that a held request is given for its attempt
+	holdUneven  = 1.25            // times its even part of the limit that one endpoint may have out
+	paceCount   = 40              // answers over which a class's pace is smoothed
 
 	tenantBurst = 2 * time.Second // how much of its allowance a tenant may use at once
 )
@@ -456,13 +455,13 @@
 		h.each += step
 	}
 	h.each = max(h.each, holdLeast*b.tierShare())
+	if b.limit() < holdFewest { // too few answers to tell that more would be served
+		h.each = min(h.each, holdStart*b.tierShare())
+	}
 }
 
 // binding tells whether about as much is out as the limit allows.
 func (b *Balancer) binding() bool {
-	if b.limit() < holdFewest {
-		return b.set.Front && b.hold.room <= roomBinds
-	}
 	return b.set.Front && b.used() >= holdBinds
 }
 
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -871,3 +871,26 @@
 	s.event(Event{Kind: ListReplaced, Endpoints: two()})
 	s.want(s.after(waitStep).tick())
 }
+
+// With a few answers a second, all of them from a full tier, an instance takes its
+// queues for usual: it must not raise its small part of the limit on that.
+func TestSmallPartOfTheLimitStaysUnderItsStart(t *testing.T) {
+	for _, c := range []struct {
+		peers int
+		rises bool
+	}{{40, false}, {1, true}} {
+		set := testSettings()
+		set.Peers = c.peers
+		s := start(t, set, many(20)...)
+		before := s.b.hold.each
+		for id := RequestID(1); id < 4000; id++ {
+			s.after(10*ms).arrive(id, "read")
+			if id > 60 { // sixty are out, for 600 ms each
+				s.finish(id-60, 0, Served)
+			}
+		}
+		if got := s.b.hold.each; got > before != c.rises {
+			t.Errorf("with %d peers the limit went from %v to %v an endpoint", c.peers, before, got)
+		}
+	}
+}
