Let a small instance rest when most of what it sends is lost

A small instance whose room is used up and that loses 45% of its attempts now owes its room five seconds: it refuses at once and lets the tier rest.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -46,14 +46,15 @@
 
 // Figures of the hold: the exception for a tier that is full.
 const (
-	holdAim     = 0.5             // part of the aim that attempts may take whatever the cause
+	restLost    = 0.45            // part of them from which on an instance with no room left rests
+	restTime    = 5 * time.Second // for endpoints to finish what they hold and come to rest
 	holdStretch = 1.35            // answers may take this many times their usual least
 	leastTime   = time.Minute     // the usual least follows slower answers this slowly
 	holdLeast   = 2.0             // attempts for each ready endpoint and tier that are always allowed
 	holdStart   = 3.0             // the same that an instance starts with
 	holdFewest  = 4               // attempts from which on a limit is kept at every moment
 	leastLimit  = 1e-6            // a limit to divide by while no endpoint is ready
-	roomTime    = time.Second     // of a smaller one that may be saved up, or twice as much be owed
+	roomTime    = time.Second     // of a smaller one that may be saved up
 	holdPace    = 0.06            // part by which the limit moves in a second
 	stretchGain = 0.03            // weight of the newest outcome in the smoothed stretch
 	stretchTime = 3 * time.Second // or over which it is smoothed, where outcomes are few
@@ -128,10 +129,8 @@
 		b.arrived(e)
 	case Finished:
 		b.finished(e)
-	case StreamBegan:
-		b.streamBegan(e)
-	case ClientLeft:
-		b.clientLeft(e)
+	case StreamBegan, ClientLeft:
+		b.clientDid(e)
 	case ListChanged, ListReplaced, ListRestored:
 		b.listCame(e)
 	case ListFailed:
@@ -379,15 +378,11 @@
 	b.giveUp(r)
 }
 
-func (b *Balancer) streamBegan(e *Event) {
+// clientDid books that a client has begun to take a stream, or has left.
+func (b *Balancer) clientDid(e *Event) {
 	if r := b.held[e.Request]; r != nil {
-		r.bound = true
-	}
-}
-
-func (b *Balancer) clientLeft(e *Event) {
-	if r := b.held[e.Request]; r != nil {
-		r.over = true
+		r.bound = r.bound || e.Kind == StreamBegan
+		r.over = r.over || e.Kind == ClientLeft
 		b.release(r)
 	}
 }
@@ -401,7 +396,7 @@
 	out     int           // attempts without an outcome
 	queue   []*request    // held back, worthiest first, then oldest
 	each    float64       // attempts that may be out for every ready endpoint
-	share   float64       // smoothed logarithm of an attempt's time over its class's aim
+	lost    float64       // smoothed part of the attempts that were not served within the aim
 	at      Time          // of the newest outcome
 	stretch float64       // smoothed logarithm of an attempt's time over its class's least
 	room    time.Duration // how long the limit may stand out at once, when the part of it is small
@@ -417,8 +412,7 @@
 // whose part of the limit is a few attempts goes by what it has had out on average:
 // many of them even out what each sends in bursts.
 func (b *Balancer) hasRoom() bool {
-	limit, out := b.limit(), float64(b.hold.out)
-	return out+1 <= max(limit, holdFewest) && (limit >= holdFewest || b.hold.room > 0)
+	return b.hold.room > 0 && float64(b.hold.out+1) <= max(b.limit(), holdFewest)
 }
 
 // used is the part of the limit that is out.
@@ -428,7 +422,10 @@
 func (b *Balancer) saveRoom() {
 	h := &b.hold
 	h.room += time.Duration((1 - b.used()) * float64(b.now-h.savedAt))
-	h.room, h.savedAt = max(-2*roomTime, min(roomTime, h.room)), b.now
+	h.room, h.savedAt = max(-restTime, min(roomTime, h.room)), b.now
+	if b.limit() >= holdFewest {
+		h.room = roomTime
+	}
 }
 
 // tierShare is this instance's part of one attempt in each tier: an attempt is
@@ -438,18 +435,24 @@
 // adjust moves the limit by an outcome: up while it binds and attempts take
 // little more than their least, down when they are stretched.
 func (b *Balancer) adjust(r *request, e *Event) {
-	p := &r.class.pace
-	if p.seen == 0 || len(b.fleet.ready) == 0 {
+	if r.class.pace.seen == 0 || len(b.fleet.ready) == 0 {
 		return
 	}
 	h := &b.hold
 	gain := max(stretchGain, 1-decay(b.now-h.at, stretchTime))
-	h.stretch += gain * (logTime(r.work, e.Latency) - p.least - h.stretch)
-	h.share += gain * (math.Log(max(e.Latency, 1).Seconds()/r.class.Aim.Seconds()) - h.share)
+	h.stretch += gain * (logTime(r.work, e.Latency) - r.class.pace.least - h.stretch)
+	lost := 0.0
+	if e.Outcome != Served || e.Latency > r.class.Aim {
+		lost = 1
+	}
+	h.lost += gain * (lost - h.lost)
 	step := h.each * holdPace * min(1, (b.now-h.at).Seconds())
 	h.at = b.now
+	if b.set.Front && h.room <= 0 && h.lost > restLost {
+		h.lost, h.room = 0, -restTime
+	}
 	switch {
-	case h.share > math.Log(holdAim), h.stretch > math.Log(holdStretch):
+	case h.stretch > math.Log(holdStretch):
 		h.each -= step
 	case b.binding():
 		h.each += step
@@ -516,7 +519,7 @@
 		r := h.queue[n-1]
 		rate := max(b.servedRate(), min(holdFewest, b.limit())/r.class.pace.usual(r.work).Seconds())
 		wait := time.Duration(float64(n) / rate * float64(time.Second))
-		if !r.over && b.now+wait <= r.latestStart() {
+		if !r.over && b.now+max(wait, -h.room) <= r.latestStart() {
 			return
 		}
 		h.queue = h.queue[:n-1]
@@ -819,10 +822,7 @@
 // attempts of the class take lately where that is less. A call of a lower tier
 // uses up little of the aim, so against the aim alone all endpoints look alike.
 func yardstick(r *request) time.Duration {
-	if r.class.pace.seen == 0 {
-		return r.class.Aim
-	}
-	return min(r.class.Aim, r.class.pace.usual(r.work))
+	return min(r.class.Aim, cmp.Or(r.class.pace.usual(r.work), r.class.Aim))
 }
 
 // pace is how long served attempts of a class take, as logarithms of seconds
