--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -916,3 +916,25 @@
 	s.want(s.after(restTime/2).arrive(21, "read"), Refuse)
 	s.want(s.after(restTime).arrive(22, "read"), Send)
 }
+
+// A timer that comes a moment early finds nothing due, and must be set again: a
+// request was left without its answer on a clock of microseconds.
+func TestEarlyTimerIsSetAgain(t *testing.T) {
+	s := start(t, testSettings())
+	s.b.Handle(s.now, &Event{Kind: Arrived, Request: 1, Class: "read", Grace: time.Second}, nil)
+	for range 2000 {
+		for _, early := range []time.Duration{300 * time.Nanosecond, 0} {
+			armed := s.b.timers.armed
+			if armed == 0 {
+				t.Fatalf("at %v no timer is set and the request has no answer", s.now)
+			}
+			s.now = armed - early
+			for _, a := range s.b.Handle(s.now, &Event{Kind: TimerDue}, nil) {
+				if a.Kind == Refuse {
+					return
+				}
+			}
+		}
+	}
+	t.Fatal("the request was never answered")
+}
--- a/decide/timers.go
+++ b/decide/timers.go
@@ -1,5 +1,7 @@
 package decide
 
+import "time"
+
 // timerKind says what a timer wakes.
 type timerKind uint8
 
@@ -73,10 +75,14 @@
 	return first, true
 }
 
+// earlyBy is how much before its time an outside timer may come: clocks are coarser
+// than the heap's times, and one taken for a stale one would leave nothing armed.
+const earlyBy = time.Microsecond
+
 // arm appends a SetTimer when the earliest timer is due before the outside
 // timer that is already set.
 func (q *timerQueue) arm(now Time, actions []Action) []Action {
-	if q.armed > 0 && q.armed <= now {
+	if q.armed > 0 && q.armed <= now+earlyBy {
 		q.armed = 0
 	}
 	if len(q.heap) == 0 || (q.armed > 0 && q.armed <= q.heap[0].at) {
--- a/simwire/codec.go
+++ b/simwire/codec.go
@@ -378,9 +378,10 @@
 	h.out = appendMillis(append(h.out, ','), d)
 }
 
-// appendMillis writes a time in milliseconds, down to the microsecond.
+// appendMillis writes a time in milliseconds, up to the next microsecond: a timer
+// that came a part of one early would find nothing due.
 func appendMillis(b []byte, d time.Duration) []byte {
-	return strconv.AppendFloat(b, float64(d/time.Microsecond)/1000, 'f', -1, 64)
+	return strconv.AppendFloat(b, float64((d+time.Microsecond-1)/time.Microsecond)/1000, 'f', -1, 64)
 }
 
 // appendText writes s as a JSON string.
--- a/simwire/host_test.go
+++ b/simwire/host_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"strings"
 	"testing"
+	"time"
 )
 
 // conf is the settings of the hand-written conversations.
@@ -177,3 +178,14 @@
 		t.Errorf("got %v", got)
 	}
 }
+
+// A timer that came a part of a microsecond early would find nothing due.
+func TestTimersAreNeverEarly(t *testing.T) {
+	for d, want := range map[time.Duration]string{
+		94*time.Millisecond + 999_999: "95", 1: "0.001", 0: "0", 1500 * time.Microsecond: "1.5",
+	} {
+		if got := string(appendMillis(nil, d)); got != want {
+			t.Errorf("%v is written as %s, want %s", d, got, want)
+		}
+	}
+}
