Let every instance use its credit at cold endpoints

Cold endpoints now stand first in every order, and get their present share of the load in place of one and a half.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -11,7 +11,6 @@
 	"math"
 	"math/rand/v2"
 	"slices"
-	"sort"
 	"time"
 )
 
@@ -34,7 +33,6 @@
 	leastPart      = 2                     // idle endpoints in the own order to draw among, at least
 	meanAge        = 50 * time.Millisecond // how old the mean payoff may be when it is used
 	rateTime       = 3 * time.Second       // averaging time of the served rate
-	coldCaution    = 0.5                   // part of the allowed push on a cold endpoint that is used up
 	coldTrickle    = 1.0                   // sends a second to a cold endpoint, over all peers, at least
 	firstAskSpread = 1 * time.Second       // the first call for the list comes within this
 	askPause       = 1 * time.Second       // shortest pause before asking again after a failed call
@@ -260,7 +258,7 @@
 	r.funded = false
 	b.hold.out++
 	to.inFlight++
-	if to.cold {
+	if to.cold < 0 {
 		to.credit--
 	}
 	b.act(Action{Kind: Send, Request: r.id, Endpoint: to.id})
@@ -454,7 +452,7 @@
 	switch {
 	case h.stretch > math.Log(holdStretch):
 		h.each -= step
-	case b.binding():
+	case b.used() >= holdBinds:
 		h.each += step
 	}
 	h.each = max(h.each, holdLeast*b.tierShare())
@@ -463,16 +461,11 @@
 	}
 }
 
-// binding tells whether about as much is out as the limit allows.
-func (b *Balancer) binding() bool {
-	return b.set.Front && b.used() >= holdBinds
-}
-
 // crowded tells whether an endpoint has its part of the limit out. The part goes
 // by payoff: one that has slowed down must not fill the limit with stuck attempts.
 func (b *Balancer) crowded(e *endpoint) bool {
 	even := max(holdFewest, b.limit()) / max(1, b.fleet.warm) * b.capacity(e)
-	return float64(e.inFlight) >= max(1, holdUneven*even*b.payoff(e)/b.meanPayoff())
+	return float64(e.inFlight) >= max(1, holdUneven*even*b.payoff(e)/b.measured().mean)
 }
 
 // admit sends a new request at once unless the tier is full.
@@ -664,7 +657,7 @@
 	byID     map[EndpointID]*endpoint
 	order    []*endpoint // everything listed, in the order first heard of
 	ready    []*endpoint // what new work may go to, in this instance's own order
-	mean     float64     // mean payoff of the ready endpoints
+	mean     float64     // mean payoff of the ready endpoints that have had an outcome
 	warm     float64     // ready endpoints, cold ones by their present capacity
 	size     float64     // the same by their listed weight
 	meanAt   Time
@@ -687,7 +680,7 @@
 	inFlight int
 	payoff   float64 // smoothed: 1 if served within the aim, less when slower, 0 on failure
 	touched  Time    // when it was last picked or drifted
-	cold     bool
+	cold     int     // -1 while it may be cold, else 0
 	known    bool    // it has had an outcome
 	credit   float64 // sends that the cold budget allows now
 	creditAt Time
@@ -742,9 +735,9 @@
 // most, then those with room, crowded ones, and last what the request has tried.
 func (b *Balancer) rank(r *request, e *endpoint) int {
 	switch {
-	case r.tried(e):
+	case slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.to == e }):
 		return 3
-	case e.inFlight == 0 && b.payoff(e) >= firstPayoff*b.meanPayoff():
+	case e.inFlight == 0 && b.payoff(e) >= firstPayoff*b.measured().mean:
 		return 0
 	case !b.crowded(e):
 		return 1
@@ -752,26 +745,19 @@
 	return 2
 }
 
-func (r *request) tried(e *endpoint) bool {
-	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.to == e })
-}
-
 func (b *Balancer) appeal(e *endpoint) float64 { return b.payoff(e) / float64(1+e.inFlight) }
 
 // payoff is the endpoint's payoff after its drift towards the others' mean.
 func (b *Balancer) payoff(e *endpoint) float64 {
 	if idle := b.now - e.touched; !e.known {
-		e.payoff = b.meanPayoff()
+		e.payoff = b.measured().mean
 	} else if idle > 0 && e.inFlight == 0 {
-		e.payoff += (b.meanPayoff() - e.payoff) * (1 - decay(idle, driftTime))
+		e.payoff += (b.measured().mean - e.payoff) * (1 - decay(idle, driftTime))
 		e.touched = b.now
 	}
 	return max(payoffFloor, e.payoff)
 }
 
-// meanPayoff is the mean over the ready endpoints, at most meanAge old.
-func (b *Balancer) meanPayoff() float64 { return b.measured().mean }
-
 // measured brings the fleet's sums up to date, to meanAge at least.
 func (b *Balancer) measured() *fleet {
 	f := &b.fleet
@@ -780,8 +766,11 @@
 	}
 	most := f.warm * (1 + holdPace*(b.now-f.meanAt).Seconds())
 	f.mean, f.warm, f.size, f.meanAt = 1, 0, 0, b.now
-	sum, known := 0.0, 0
+	sum, known, warmed := 0.0, 0, false
 	for _, e := range f.ready {
+		if e.cold < 0 && b.capacity(e) >= 1 {
+			e.cold, warmed = 0, true
+		}
 		f.warm += b.capacity(e)
 		f.size += b.capacity(e) * e.weight
 		if e.known {
@@ -795,6 +784,9 @@
 	if most > 0 { // a tier that grows at once brings no room below it
 		f.warm = min(f.warm, most)
 	}
+	if warmed {
+		b.shareOut()
+	}
 	return f
 }
 
@@ -808,7 +800,7 @@
 		b.bucket.refill(b.now)
 		b.bucket.add(depositPerServed)
 		b.countServed()
-		r.class.pace.observe(b.now, r.work, e.Latency, b.binding())
+		r.class.pace.observe(b.now, r.work, e.Latency, b.used() >= holdBinds)
 	}
 	if e.Outcome == Served || e.Outcome == Canceled { // called off: at least so slow
 		got = min(1, float64(yardstick(r))/float64(max(e.Latency, 1)))
@@ -877,7 +869,7 @@
 // capacity is the part of its full capacity that an endpoint has at least.
 func (b *Balancer) capacity(e *endpoint) float64 {
 	age := b.now - e.started
-	if !e.cold || age >= b.set.Rules.ColdTime {
+	if e.cold == 0 || age >= b.set.Rules.ColdTime {
 		return 1
 	}
 	from := b.set.Rules.ColdShare
@@ -887,12 +879,10 @@
 // hasColdCredit keeps the rule on cold starts: a cold endpoint takes its share of
 // what is served, times a part of the allowed push, and never a burst.
 func (b *Balancer) hasColdCredit(e *endpoint) bool {
-	present := b.capacity(e)
-	if e.cold = e.cold && present < 1; !e.cold {
+	if e.cold == 0 {
 		return true
 	}
-	push := max(1, coldCaution*b.set.Rules.FallMultiple)
-	rate := push * present * e.weight * b.servedRate() / max(b.measured().size, e.weight)
+	rate := b.capacity(e) * e.weight * b.servedRate() / max(b.measured().size, e.weight)
 	rate = max(rate, coldTrickle/float64(b.set.Peers))
 	e.credit = min(1, e.credit+rate*(b.now-e.creditAt).Seconds())
 	e.creditAt = b.now
@@ -944,22 +934,27 @@
 		}
 	}
 	f.mean = 0
+	b.measured()
 	b.shareOut()
 	b.sendWaiting()
 }
 
 // shareOut puts the ready endpoints into this instance's own order: every peer begins
 // at another place in the order of ids, with those of its own zone where crossings are
-// priced. Multiples of the golden ratio spread any run of numbers evenly.
+// priced. Multiples of the golden ratio spread any run of numbers evenly. Cold ones
+// come first: each peer has so little credit there that it must not let it lie.
 func (b *Balancer) shareOut() {
 	f := &b.fleet
 	slices.SortFunc(f.ready, func(a, e *endpoint) int {
-		return cmp.Or(cmp.Compare(a.remote, e.remote), cmp.Compare(a.id, e.id))
+		return cmp.Or(cmp.Compare(a.remote, e.remote), cmp.Compare(a.cold, e.cold), cmp.Compare(a.id, e.id))
 	})
-	near := sort.Search(len(f.ready), func(i int) bool { return f.ready[i].remote > 0 })
 	_, place := math.Modf(float64(b.set.Number) * math.Phi)
-	for _, group := range [][]*endpoint{f.ready[:near], f.ready[near:]} {
-		at := int(place * float64(len(group)))
+	for from, to := 0, 0; from < len(f.ready); from = to {
+		first := f.ready[from]
+		for to < len(f.ready) && f.ready[to].remote == first.remote && f.ready[to].cold == first.cold {
+			to++
+		}
+		group, at := f.ready[from:to], int(place*float64(to-from))
 		copy(group, slices.Concat(group[at:], group[:at]))
 	}
 	f.part = max(leastPart, len(f.ready)/b.set.Peers)
@@ -975,8 +970,10 @@
 		e = nil
 	}
 	if e == nil {
-		e = &endpoint{id: line.ID, payoff: b.meanPayoff(), touched: b.now, started: line.Started}
-		e.cold = line.Started > 0 && b.now-line.Started < b.set.Rules.ColdTime
+		e = &endpoint{id: line.ID, payoff: b.measured().mean, touched: b.now, started: line.Started}
+		if line.Started > 0 && b.now-line.Started < b.set.Rules.ColdTime {
+			e.cold = -1
+		}
 		e.credit, e.creditAt = b.rng.Float64(), b.now // peers must not all send their first at once
 		b.fleet.byID[e.id] = e
 		b.fleet.order = append(b.fleet.order, e)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -229,7 +229,7 @@
 	s.want(s.arrive(1, "read"), Send)
 	s.after(996 * ms).want(s.tick()) // the attempt is out: its own time-out will end it
 	s.b.bucket.tokens = 30
-	s.b.fleet.ready[0].cold, s.b.fleet.ready[1].cold = true, true // nothing can go at once
+	s.b.fleet.ready[0].cold, s.b.fleet.ready[1].cold = -1, -1 // nothing can go at once
 	s.b.fleet.ready[0].started, s.b.fleet.ready[1].started = s.now, s.now
 	s.after(1*ms).want(s.finish(1, 0, Rejected), Refuse)
 }
@@ -351,7 +351,7 @@
 	s.arrive(2, "read")
 	s.event(Event{Kind: ListChanged, Endpoints: []Endpoint{{ID: 1, Zone: "here", Cell: 1, Weight: 1, Started: s.now}}})
 	e := s.b.fleet.byID[1]
-	if e == old || !e.cold || e.inFlight != 0 {
+	if e == old || e.cold == 0 || e.inFlight != 0 {
 		t.Fatalf("after the restart: %+v, want a new cold endpoint with nothing in flight", *e)
 	}
 	if e.payoff == payoffFloor {
@@ -938,3 +938,48 @@
 	}
 	t.Fatal("the request was never answered")
 }
+
+// With many peers each has a little credit at a cold endpoint: where only those used it
+// that had the endpoint first in their order, hundreds of cold ones stood idle while the
+// warm ones jammed. Once warm, it must leave the head of every order.
+func TestManyPeersUseAColdEndpoint(t *testing.T) {
+	const peers, warm = 60, 20
+	const coldID, seconds = warm + 1, 10
+	sent, after := 0, 0
+	for number := range peers {
+		set := testSettings()
+		set.Peers, set.Number = peers, number
+		s := start(t, set, many(warm)...)
+		id := RequestID(0)
+		try := func() (toCold int) {
+			id++
+			if s.want(s.arrive(id, "read"), Send)[0].Endpoint == coldID {
+				toCold = 1
+			}
+			s.finish(id, 0, Served)
+			s.after(200 * ms)
+			return toCold
+		}
+		for range 50 {
+			try()
+		}
+		s.event(Event{Kind: ListChanged, Endpoints: []Endpoint{
+			{ID: coldID, Zone: "here", Weight: 1, Started: s.now},
+		}})
+		s.b.fleet.byID[coldID].credit = float64(number) / peers // as other seeds would have it
+		for range 5 * seconds {
+			sent += try()
+		}
+		s.after(time.Second)
+		for range 50 {
+			after += try()
+		}
+	}
+	share := float64(peers*5*seconds) / (warm + 1) // of a warm endpoint; present parts go from 0.2 to 1
+	if got := float64(sent) / share; got < 0.3 || got > 0.8 {
+		t.Errorf("while cold it got %.2f of a warm endpoint's share, want about 0.6", got)
+	}
+	if got := float64(after) / share; got < 0.3 || got > 3 {
+		t.Errorf("once warm it gets %.2f of a warm endpoint's share, want about 1", got)
+	}
+}
