--- a/decide/decide.go
+++ b/decide/decide.go
@@ -54,6 +54,7 @@
 	leastLimit  = 1e-6            // a limit to divide by while no endpoint is ready
 	roomTime    = time.Second     // of a smaller one that may be saved up
 	holdPace    = 0.06            // part by which the limit moves in a second
+	growPace    = 0.01            // part by which it follows a growing tier: those below may not grow
 	stretchGain = 0.03            // weight of the newest outcome in the smoothed stretch
 	stretchTime = 3 * time.Second // or over which it is smoothed, where outcomes are few
 	holdBinds   = 0.8             // part of the limit that must be out for a quick answer to raise it
@@ -691,10 +692,8 @@
 func (b *Balancer) pick(r *request) *endpoint {
 	candidates := b.candidates(r)
 	n := len(candidates)
-	if n == 0 {
-		return nil
-	} else if n == 1 {
-		return candidates[0]
+	if n < 2 {
+		return append(candidates, nil)[0]
 	}
 	i, j := b.rng.IntN(n), b.rng.IntN(n-1)
 	if j >= i {
@@ -764,7 +763,7 @@
 	if f.mean > 0 && b.now-f.meanAt < meanAge {
 		return f
 	}
-	most := f.warm * (1 + holdPace*(b.now-f.meanAt).Seconds())
+	most := f.warm * (1 + growPace*(b.now-f.meanAt).Seconds())
 	f.mean, f.warm, f.size, f.meanAt = 1, 0, 0, b.now
 	sum, known, warmed := 0.0, 0, false
 	for _, e := range f.ready {
