--- a/decide/decide.go
+++ b/decide/decide.go
@@ -50,6 +50,7 @@
 	leastTime   = time.Minute     // the usual least follows slower answers this slowly
 	holdLeast   = 2.0             // attempts for each ready endpoint and tier that are always allowed
 	holdStart   = 3.0             // the same that an instance starts with
+	holdMost    = 6.0             // the same that it may rise to: a long overload would creep into the choke
 	holdFewest  = 4               // attempts from which on a limit is kept at every moment
 	leastLimit  = 1e-6            // a limit to divide by while no endpoint is ready
 	roomTime    = time.Second     // of a smaller one that may be saved up
@@ -456,7 +457,7 @@
 	case b.used() >= holdBinds:
 		h.each += step
 	}
-	h.each = max(h.each, holdLeast*b.tierShare())
+	h.each = max(holdLeast*b.tierShare(), min(holdMost*b.tierShare(), h.each))
 	if b.limit() < holdFewest { // too few answers to tell that more would be served
 		h.each = min(h.each, holdStart*b.tierShare())
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -885,10 +885,13 @@
 		before := s.b.hold.each
 		for id := RequestID(1); id < 4000; id++ {
 			s.after(10*ms).arrive(id, "read")
-			if id > 60 { // sixty are out, for 600 ms each
-				s.finish(id-60, 0, Served)
+			if id > 200 { // that many are out, more than the limit may rise to
+				s.finish(id-200, 0, Served)
 			}
 		}
+		if most := holdMost * s.b.tierShare(); s.b.hold.each > most {
+			t.Errorf("with %d peers the limit crept to %v an endpoint, %v is the most", c.peers, s.b.hold.each, most)
+		}
 		if got := s.b.hold.each; got > before != c.rises {
 			t.Errorf("with %d peers the limit went from %v to %v an endpoint", c.peers, before, got)
 		}
