Owe nothing for what is out while the list is empty

Found in reading: a small instance whose list became empty with something out owed five seconds of room for it. Also fewer divisions by what may be nothing, and shorter comments.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -37,7 +37,6 @@
 	firstAskSpread = 1 * time.Second       // the first call for the list comes within this
 	askPause       = 1 * time.Second       // shortest pause before asking again after a failed call
 	askPauseMost   = 4 * time.Second       // and longest
-	modestWorth    = 1.0                   // worth of a request of an unknown class
 
 	streamMix = 0x9e3779b97f4a7c15 // sets the second half of the random state apart from the seed
 )
@@ -52,7 +51,6 @@
 	holdStart   = 3.0             // the same that an instance starts with
 	holdMost    = 6.0             // the same that it may rise to: a long overload would creep into the choke
 	holdFewest  = 4               // attempts from which on a limit is kept at every moment
-	leastLimit  = 1e-6            // a limit to divide by while no endpoint is ready
 	roomTime    = time.Second     // of a smaller one that may be saved up
 	holdPace    = 0.06            // part by which the limit moves in a second
 	growPace    = 0.01            // part by which it follows a growing tier: those below may not grow
@@ -106,7 +104,7 @@
 	for _, c := range set.Classes {
 		b.classes[c.Name] = &class{Class: c, sheddable: least < most && c.Worth == least}
 	}
-	b.unknown = class{Class: Class{Effect: Unsafe, Worth: modestWorth, Aim: set.Classes[0].Aim}}
+	b.unknown = class{Class: Class{Effect: Unsafe, Worth: set.Classes[0].Worth, Aim: set.Classes[0].Aim}}
 	b.held = map[RequestID]*request{}
 	b.bucket.tokens = floorBurst
 	b.tenants = map[string]*tenant{}
@@ -403,20 +401,23 @@
 	savedAt Time          // when room was last brought up to date
 }
 
-// limit is how many attempts may be out before first attempts are held. It goes
-// with the number of endpoints: what each can hold well stays much the same,
-// also while something slows them all.
+// limit is how many attempts may be out before first attempts are held. It goes with the
+// number of endpoints: what each can hold well stays the same while something slows all.
 func (b *Balancer) limit() float64 { return b.hold.each * b.measured().warm }
 
-// hasRoom tells whether the tier has room for another first attempt. An instance
-// whose part of the limit is a few attempts goes by what it has had out on average:
-// many of them even out what each sends in bursts.
+// hasRoom tells whether the tier has room for another first attempt. A small part of
+// the limit is kept on average: many instances even out what each sends in bursts.
 func (b *Balancer) hasRoom() bool {
 	return b.hold.room > 0 && float64(b.hold.out+1) <= max(b.limit(), holdFewest)
 }
 
 // used is the part of the limit that is out.
-func (b *Balancer) used() float64 { return float64(b.hold.out) / max(b.limit(), leastLimit) }
+func (b *Balancer) used() float64 {
+	if limit := b.limit(); limit > 0 {
+		return float64(b.hold.out) / limit
+	}
+	return 0 // an empty list: what is still out must not be owed when it fills again
+}
 
 // saveRoom books the time since the last event, less what was out in it.
 func (b *Balancer) saveRoom() {
@@ -428,8 +429,7 @@
 	}
 }
 
-// tierShare is this instance's part of one attempt in each tier: an attempt is
-// out while any tier below works on it.
+// tierShare is this instance's part of one attempt in each tier that works on it.
 func (b *Balancer) tierShare() float64 { return float64(b.set.Depth+1) / float64(b.set.Peers) }
 
 // adjust moves the limit by an outcome: up while it binds and attempts take
@@ -512,7 +512,8 @@
 	h := &b.hold
 	for n := len(h.queue); n > 0; n-- {
 		r := h.queue[n-1]
-		rate := max(b.servedRate(), min(holdFewest, b.limit())/r.class.pace.usual(r.work).Seconds())
+		usual := r.class.pace.usual(r.work)
+		rate := max(b.servedRate(), min(holdFewest, b.limit())/max(usual, time.Millisecond).Seconds())
 		wait := time.Duration(float64(n) / rate * float64(time.Second))
 		if !r.over && b.now+max(wait, -h.room) <= r.latestStart() {
 			return
@@ -939,10 +940,9 @@
 	b.sendWaiting()
 }
 
-// shareOut puts the ready endpoints into this instance's own order: every peer begins
-// at another place in the order of ids, with those of its own zone where crossings are
-// priced. Multiples of the golden ratio spread any run of numbers evenly. Cold ones
-// come first: each peer has so little credit there that it must not let it lie.
+// shareOut puts the ready endpoints into this instance's own order: the own zone where
+// crossings are priced, then cold ones, whose little credit must not lie idle, then ids.
+// Every peer begins elsewhere: the golden ratio spreads any run of numbers evenly.
 func (b *Balancer) shareOut() {
 	f := &b.fleet
 	slices.SortFunc(f.ready, func(a, e *endpoint) int {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -986,3 +986,16 @@
 		t.Errorf("once warm it gets %.2f of a warm endpoint's share, want about 1", got)
 	}
 }
+
+// A list that is empty for a while must not leave a small instance with a debt for
+// what was out meanwhile.
+func TestEmptyListLeavesNoDebt(t *testing.T) {
+	set := testSettings()
+	set.Peers = 40
+	s := start(t, set, many(20)...)
+	s.want(s.arrive(1, "read"), Send)
+	s.event(Event{Kind: ListReplaced})
+	s.after(100 * ms).tick()
+	s.event(Event{Kind: ListReplaced, Endpoints: many(20)})
+	s.want(s.arrive(2, "read"), Send)
+}
