--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,190 @@
+// Package config reads, checks and completes a sidecar's configuration: it is
+// the one place for that. Errors name the key that is at fault.
+package config
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	"heathgap/decide"
+	"heathgap/internal/httpwire"
+	"heathgap/internal/jsonread"
+	"heathgap/internal/settings"
+)
+
+// Variables of the environment.
+const (
+	EnvFile      = "BALANCER_CONFIG" // path of the configuration file; required
+	envName      = "BALANCER_NAME"
+	envListen    = "BALANCER_LISTEN"
+	envDiscovery = "BALANCER_DISCOVERY"
+)
+
+// Defaults, and parts of the limits that each use may take.
+const (
+	defaultMemoryMB = 192
+	defaultSockets  = 1024
+	leastSockets    = 64 // fewer leave no room for both sides
+
+	heapShare     = 0.6  // of the memory: stacks, buffers and the program need the rest
+	callerShare   = 0.5  // of the sockets, for callers
+	endpointShare = 0.35 // for endpoints; the rest is kept for the listener, discovery and bursts
+
+	idleShare          = 0.75 // of the time after which endpoints end idle connections
+	defaultIdle        = 10 * time.Second
+	defaultConnectTime = time.Second
+)
+
+// Config is all that a sidecar is told, with what follows from it.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Seed      uint64
+	Known     *httpwire.List // the list as last known; nil without one
+	Settings  decide.Settings
+	Transport settings.Transport
+	Classes   map[string]decide.Class
+
+	HeapBytes      int64         // the collector's limit
+	CallerConns    int           // connections of callers
+	EndpointConns  int           // connections to endpoints
+	ConnectTimeout time.Duration // for a connection to an endpoint
+	IdleFor        time.Duration // a connection to an endpoint may stand idle for so long
+}
+
+// Load reads the configuration that the environment names.
+func Load(env func(string) string) (*Config, error) {
+	path := env(EnvFile)
+	if path == "" {
+		return nil, errors.New(EnvFile + ": not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", EnvFile, err)
+	}
+	c, err := parse(text, env)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+// parse reads the configuration file. The environment goes before it where both
+// say the same thing.
+func parse(text []byte, env func(string) string) (*Config, error) {
+	v, err := fastjson.ParseBytes(text)
+	if err != nil {
+		return nil, fmt.Errorf("malformed JSON: %w", err)
+	}
+	o, err := jsonread.New(v)
+	if err != nil {
+		return nil, err
+	}
+	c := &Config{
+		Name:      cmp.Or(env(envName), o.Text("name")),
+		Listen:    cmp.Or(env(envListen), o.Text("listen")),
+		Discovery: cmp.Or(env(envDiscovery), o.Text("discovery")),
+	}
+	seed := o.Text("seed")
+	limits := o.Child("limits")
+	memory, sockets := limits.Float("memory_mb"), int(limits.Float("sockets"))
+	if err := o.Err(); err != nil {
+		return nil, err
+	}
+	if err := c.checkAddresses(); err != nil {
+		return nil, err
+	}
+	if c.Seed, err = strconv.ParseUint(seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("seed: %q is not a number of up to 16 hex digits", seed)
+	}
+	if err := c.setLimits(memory, sockets); err != nil {
+		return nil, err
+	}
+	if err := c.readKnown(v.Get("known")); err != nil {
+		return nil, fmt.Errorf("known: %w", err)
+	}
+	if err := c.readSettings(v.Get("settings")); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return c, nil
+}
+
+func (c *Config) checkAddresses() error {
+	if c.Name == "" {
+		return errors.New("name: missing")
+	}
+	for _, a := range []struct{ key, value string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+		if a.value == "" {
+			return fmt.Errorf("%s: missing", a.key)
+		}
+		if _, port, err := net.SplitHostPort(a.value); err != nil || port == "" {
+			return fmt.Errorf("%s: %q is not an address with a port", a.key, a.value)
+		}
+	}
+	return nil
+}
+
+// setLimits parts memory and sockets among their uses.
+func (c *Config) setLimits(memoryMB float64, sockets int) error {
+	if memoryMB == 0 {
+		memoryMB = defaultMemoryMB
+	}
+	sockets = cmp.Or(sockets, defaultSockets)
+	if memoryMB < 0 {
+		return fmt.Errorf("limits.memory_mb: %v is not above 0", memoryMB)
+	}
+	if sockets < leastSockets {
+		return fmt.Errorf("limits.sockets: %d is below %d", sockets, leastSockets)
+	}
+	c.HeapBytes = int64(memoryMB * heapShare * (1 << 20))
+	c.CallerConns = int(float64(sockets) * callerShare)
+	c.EndpointConns = int(float64(sockets) * endpointShare)
+	return nil
+}
+
+func (c *Config) readKnown(v *fastjson.Value) error {
+	if v == nil || v.Type() == fastjson.TypeNull {
+		return nil
+	}
+	list, err := httpwire.DecodeList(v)
+	if err != nil {
+		return err
+	}
+	c.Known = &list
+	return nil
+}
+
+func (c *Config) readSettings(v *fastjson.Value) error {
+	if v == nil {
+		return errors.New("missing")
+	}
+	var err error
+	if c.Settings, c.Transport, err = settings.Decode(v); err != nil {
+		return err
+	}
+	if _, err := decide.New(c.Settings, c.Seed); err != nil {
+		return errors.Unwrap(err)
+	}
+	c.Classes = map[string]decide.Class{}
+	for i, class := range c.Settings.Classes {
+		if class.Name == "" {
+			return fmt.Errorf("profiles[%d].name: missing", i)
+		}
+		c.Classes[class.Name] = class
+	}
+	c.ConnectTimeout = cmp.Or(c.Transport.ConnectTimeout, defaultConnectTime)
+	idle := cmp.Or(c.Transport.IdleTimeout, defaultIdle)
+	if c.ConnectTimeout < 0 || idle < 0 {
+		return errors.New("bounds.connect_timeout, bounds.conn_idle: below 0")
+	}
+	c.IdleFor = time.Duration(float64(idle) * idleShare)
+	return nil
+}
--- /dev/null
+++ b/internal/httpwire/discovery.go
@@ -0,0 +1,123 @@
+package httpwire
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fastjson"
+
+	"heathgap/decide"
+	"heathgap/internal/jsonread"
+)
+
+// List is what discovery tells: the whole list of endpoints, or what changed.
+type List struct {
+	Index     int64 // its version
+	Whole     bool
+	Endpoints []ListedEndpoint
+}
+
+// ListedEndpoint is one line of a list.
+type ListedEndpoint struct {
+	Name    string // the same at every sidecar
+	Address string // where this sidecar reaches it
+	Zone    string
+	Cell    int
+	State   decide.EndpointState
+	Weight  float64
+	Since   time.Duration // its last start since the Unix epoch; 0 for long ago
+}
+
+// maxList bounds an answer of discovery, in bytes: some ten thousand endpoints.
+const maxList = 4 << 20
+
+var states = map[string]decide.EndpointState{
+	"SERVING": decide.Active, "DRAINING": decide.Draining, "DELETED": decide.Gone,
+}
+
+// EncodeWatch asks for what is newer than a version, waiting so long for it.
+func EncodeWatch(after int64, wait time.Duration) []byte {
+	return encodeGet(fmt.Sprintf("%s?after=%d&wait_ms=%d", pathHosts, after, wait.Milliseconds()))
+}
+
+// EncodeFetch asks for the whole list.
+func EncodeFetch() []byte { return encodeGet(pathHosts) }
+
+func encodeGet(uri string) []byte {
+	var h fasthttp.RequestHeader
+	h.SetMethod(fasthttp.MethodGet)
+	h.SetRequestURI(uri)
+	h.SetHost(serviceHost)
+	return h.AppendBytes(nil)
+}
+
+// DecodeListReply reads discovery's answer, and whether the connection may be
+// used again.
+func DecodeListReply(r *bufio.Reader) (List, bool, error) {
+	m := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(m)
+	if err := readResponse(m, r, maxList); err != nil {
+		return List{}, false, err
+	}
+	keep := !m.Header.ConnectionClose()
+	if status := m.Header.StatusCode(); status != fasthttp.StatusOK {
+		return List{}, keep, errors.New("answered " + strconv.Itoa(status))
+	}
+	v, err := fastjson.ParseBytes(m.Body())
+	if err != nil {
+		return List{}, keep, fmt.Errorf("malformed JSON: %w", err)
+	}
+	list, err := DecodeList(v)
+	return list, keep, err
+}
+
+// DecodeList reads a list, from discovery or from the configuration.
+func DecodeList(v *fastjson.Value) (List, error) {
+	o, err := jsonread.New(v)
+	if err != nil {
+		return List{}, err
+	}
+	list := List{Index: o.Integer("index"), Whole: o.Boolean("snapshot")}
+	if !o.Has("index") {
+		o.Fail("index", "a version", "nothing")
+	}
+	if !o.Has("endpoints") {
+		o.Fail("endpoints", "an array", "nothing")
+	}
+	for _, line := range o.Children("endpoints") {
+		list.Endpoints = append(list.Endpoints, decodeLine(line))
+	}
+	if err := o.Err(); err != nil {
+		return List{}, err
+	}
+	return list, nil
+}
+
+func decodeLine(o jsonread.Object) ListedEndpoint {
+	e := ListedEndpoint{
+		Name:    o.Text("name"),
+		Address: o.Text("address"),
+		Zone:    o.Text("zone"),
+		Cell:    int(o.Integer("group")),
+		State:   jsonread.Word(o, "status", states),
+		Weight:  1,
+		Since:   time.Duration(o.Integer("since_ms")) * time.Millisecond,
+	}
+	if o.Has("weight") {
+		e.Weight = o.Float("weight")
+	}
+	if e.Name == "" {
+		o.Fail("name", "a name", "nothing")
+	}
+	if !o.Has("status") {
+		o.Fail("status", "a status", "nothing")
+	}
+	if e.Address == "" && e.State != decide.Gone {
+		o.Fail("address", "an address", "nothing")
+	}
+	return e
+}
--- /dev/null
+++ b/internal/httpwire/link.go
@@ -0,0 +1,77 @@
+package httpwire
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// Link is a connection of this sidecar's own making, to an endpoint or to
+// discovery. It carries one exchange at a time.
+//
+// fasthttp's client is not used here: it resends by itself, and giving up there
+// leaves the connection at work. Its codecs are, on connections that write each
+// message once and end with the exchange that is given up.
+type Link struct {
+	conn   net.Conn
+	in     *bufio.Reader
+	closed atomic.Bool
+	Uses   int // exchanges begun on it
+}
+
+// Dial opens a connection. It fails when the context ends or timeout passes.
+func Dial(ctx context.Context, address string, timeout time.Duration) (*Link, error) {
+	conn, err := (&net.Dialer{Timeout: timeout}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &Link{conn: conn, in: bufio.NewReaderSize(conn, readBuffer)}, nil
+}
+
+// Send writes a message once, until the deadline at most. It tells whether the
+// last byte was written: without it, the message has never run.
+func (l *Link) Send(message []byte, deadline time.Time) (whole bool, err error) {
+	l.Uses++
+	if err := l.conn.SetDeadline(deadline); err != nil {
+		return false, err
+	}
+	n, err := l.conn.Write(message)
+	return n == len(message), err
+}
+
+// Reader is where the answer to what was sent is read.
+func (l *Link) Reader() *bufio.Reader { return l.in }
+
+// Close ends the connection; it may be called at any time and more than once.
+func (l *Link) Close() {
+	if !l.closed.Swap(true) {
+		l.conn.Close()
+	}
+}
+
+// Fresh tells whether an idle connection still stands and is silent: what is
+// written to one that the other side has ended would count as a reset.
+func (l *Link) Fresh() bool {
+	if l.closed.Load() || l.in.Buffered() > 0 {
+		return false
+	}
+	raw, ok := l.conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	fresh := false
+	err = control.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, peekErr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		fresh = peekErr == syscall.EAGAIN
+		return true
+	})
+	return err == nil && fresh
+}
--- /dev/null
+++ b/internal/httpwire/names.go
@@ -0,0 +1,35 @@
+// Package httpwire holds what a sidecar speaks: the messages of callers, of
+// endpoints and of discovery, and the connections that carry them.
+//
+// Each message is decoded once into a small typed value and encoded once. The
+// package decides nothing and keeps nothing.
+package httpwire
+
+// Headers and paths of the protocol.
+const (
+	headerID         = "X-Txn"
+	headerTenant     = "X-Org"
+	headerRemaining  = "X-Remaining"
+	headerKey        = "Idempotency-Key"
+	headerResent     = "X-Resent"
+	headerLabels     = "X-Labels"
+	headerEstimate   = "X-Estimate"
+	headerTurnedAway = "X-Turned-Away"
+
+	// ReadyPath answers 200 once the sidecar takes requests.
+	ReadyPath = "/up"
+
+	pathHosts = "/discovery/hosts"
+
+	serviceHost = "service.internal"
+)
+
+// MaxBody is the most that the body of a request or an answer may hold, in bytes.
+const MaxBody = 64 << 10
+
+// Sizes of the buffers of one connection, in bytes. A header block must fit in
+// one; bodies need not. A thousand connections hold 8 MB with them.
+const (
+	readBuffer  = 4 << 10
+	writeBuffer = 4 << 10
+)
--- /dev/null
+++ b/internal/httpwire/request.go
@@ -0,0 +1,135 @@
+package httpwire
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Request is what a caller asks for.
+type Request struct {
+	ID        string
+	Class     string
+	Tenant    string
+	Key       string        // drops repeats of a keyed class; empty elsewhere
+	Labels    string        // further figures, as they came
+	Remaining time.Duration // how long the caller will wait
+	Timed     bool          // Remaining was told
+	Work      time.Duration // expected work; 0 when unknown
+	Repeat    bool          // a client's repeat, where clients mark it
+	Method    string
+	URI       string // path and query, as they came
+	Type      string // of the body's content
+	Body      []byte
+}
+
+// maxRemaining bounds what a caller may say of its time: an hour is past any
+// deadline, and arithmetic on more could overflow.
+const maxRemaining = time.Hour
+
+// DecodeRequest reads a caller's request. What it returns shares no memory
+// with m, which is used again for the next request.
+func DecodeRequest(m *fasthttp.Request) (Request, error) {
+	h := &m.Header
+	r := Request{
+		ID:     string(h.Peek(headerID)),
+		Tenant: string(h.Peek(headerTenant)),
+		Key:    string(h.Peek(headerKey)),
+		Labels: string(h.Peek(headerLabels)),
+		Repeat: string(h.Peek(headerResent)) == "1",
+		Method: string(h.Method()),
+		URI:    string(h.RequestURI()),
+		Type:   string(h.ContentType()),
+		Body:   bytes.Clone(m.Body()),
+	}
+	if r.Method != fasthttp.MethodGet && r.Method != fasthttp.MethodPost {
+		return Request{}, fmt.Errorf("method: %q is neither GET nor POST", r.Method)
+	}
+	if r.Method == fasthttp.MethodGet && len(r.Body) > 0 {
+		return Request{}, errors.New("body: a GET has none")
+	}
+	if r.ID == "" {
+		return Request{}, fmt.Errorf("%s: missing", headerID)
+	}
+	class, err := classOf(h.RequestURI())
+	if err != nil {
+		return Request{}, err
+	}
+	r.Class = class
+	if v := h.Peek(headerRemaining); v != nil {
+		r.Timed = true
+		if r.Remaining, err = parseSeconds(v); err != nil {
+			return Request{}, fmt.Errorf("%s: %w", headerRemaining, err)
+		}
+	}
+	if v := h.Peek(headerEstimate); v != nil {
+		if r.Work, err = parseSeconds(v); err != nil {
+			return Request{}, fmt.Errorf("%s: %w", headerEstimate, err)
+		}
+	}
+	return r, nil
+}
+
+// classOf returns the first part of a request's path.
+func classOf(uri []byte) (string, error) {
+	if len(uri) == 0 || uri[0] != '/' {
+		return "", fmt.Errorf("path: %q does not begin with /", uri)
+	}
+	part := uri[1:]
+	if end := bytes.IndexAny(part, "/?#"); end >= 0 {
+		part = part[:end]
+	}
+	if len(part) == 0 {
+		return "", fmt.Errorf("path: %q names no class", uri)
+	}
+	return string(part), nil
+}
+
+// parseSeconds reads seconds with decimals. Time that has run out reads as 0.
+func parseSeconds(v []byte) (time.Duration, error) {
+	s, err := strconv.ParseFloat(string(v), 64)
+	if err != nil || math.IsNaN(s) || math.IsInf(s, 0) {
+		return 0, fmt.Errorf("%q is not a number of seconds", v)
+	}
+	s = max(0, min(s, maxRemaining.Seconds()))
+	return time.Duration(math.Round(s*1e6)) * time.Microsecond, nil
+}
+
+// appendSeconds writes a time in seconds, down to the microsecond.
+func appendSeconds(b []byte, d time.Duration) []byte {
+	return strconv.AppendFloat(b, float64(d/time.Microsecond)/1e6, 'f', -1, 64)
+}
+
+// EncodeAttempt writes the request as it goes to an endpoint: method, path,
+// query, body, id and key as they came, and how long its answer is waited for.
+func EncodeAttempt(r *Request, wait time.Duration) []byte {
+	var h fasthttp.RequestHeader
+	h.SetNoDefaultContentType(true)
+	h.SetMethod(r.Method)
+	h.SetRequestURI(r.URI)
+	h.SetHost(serviceHost)
+	h.Set(headerID, r.ID)
+	h.SetBytesV(headerRemaining, appendSeconds(nil, max(0, wait)))
+	for _, f := range []struct{ name, value string }{
+		{headerTenant, r.Tenant}, {headerKey, r.Key}, {headerLabels, r.Labels},
+	} {
+		if f.value != "" {
+			h.Set(f.name, f.value)
+		}
+	}
+	if r.Repeat {
+		h.Set(headerResent, "1")
+	}
+	if r.Type != "" {
+		h.SetContentType(r.Type)
+	}
+	if r.Method != fasthttp.MethodGet {
+		h.SetContentLength(len(r.Body))
+	}
+	return append(h.AppendBytes(nil), r.Body...)
+}
--- /dev/null
+++ b/internal/lifecycle/lifecycle.go
@@ -0,0 +1,178 @@
+// Package lifecycle starts a sidecar, runs it and stops it.
+package lifecycle
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"heathgap/internal/config"
+	"heathgap/internal/httpwire"
+	"heathgap/internal/pipeline"
+)
+
+// Figures of a sidecar's life.
+const (
+	acceptFor   = 600 * time.Millisecond // after the signal to stop: the front goes on dealing out connections
+	answerSlack = 500 * time.Millisecond // past the longest deadline, until what is left is cut off
+	pollEvery   = 10 * time.Millisecond  // how often a stopping sidecar looks whether all is answered
+
+	readTime  = 10 * time.Second // a request must have come whole by then
+	idleTime  = 90 * time.Second // callers keep connections; what is forgotten ends at last
+	writeTime = 5 * time.Second  // an answer must be taken by then
+	headSize  = 8 << 10          // bytes that a request's head may have
+
+	spareWorkers = 256 // above the callers' connections: fasthttp must never refuse by itself
+)
+
+// Sidecar is a running sidecar.
+type Sidecar struct {
+	conf    *config.Config
+	log     zerolog.Logger
+	engine  *pipeline.Engine
+	callers *httpwire.Callers
+	server  *fasthttp.Server
+	cancel  context.CancelFunc
+	ran     chan struct{} // closed when the engine has stopped
+	served  chan error    // what the server ended with
+}
+
+// Start starts a sidecar; it takes requests when Start has returned.
+func Start(conf *config.Config, log zerolog.Logger) (*Sidecar, error) {
+	engine, err := pipeline.New(conf, log)
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", conf.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	s := &Sidecar{conf: conf, log: log, engine: engine, ran: make(chan struct{}), served: make(chan error, 1)}
+	s.callers = httpwire.NewCallers(listener, conf.CallerConns, s.callerEnded)
+	s.server = newServer(engine, conf)
+	var ctx context.Context
+	ctx, s.cancel = context.WithCancel(context.Background())
+	go func() {
+		defer close(s.ran)
+		engine.Run(ctx)
+	}()
+	go func() { s.served <- s.server.Serve(s.callers) }()
+	log.Info().Str("listen", listener.Addr().String()).Str("discovery", conf.Discovery).Msg("ready")
+	return s, nil
+}
+
+// newServer returns the server for callers. It has no limits of its own: an
+// answer 429 or 503 of its making would be a refusal that nobody decided.
+func newServer(engine *pipeline.Engine, conf *config.Config) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler:                       engine.Handle,
+		ErrorHandler:                  engine.Unreadable,
+		Concurrency:                   4*conf.CallerConns + spareWorkers,
+		ReadBufferSize:                headSize,
+		MaxRequestBodySize:            httpwire.MaxBody,
+		ReadTimeout:                   readTime,
+		IdleTimeout:                   idleTime,
+		WriteTimeout:                  writeTime,
+		NoDefaultServerHeader:         true,
+		NoDefaultDate:                 true,
+		NoDefaultContentType:          true,
+		DisablePreParseMultipartForm:  true, // bodies go on unchanged
+		DisableHeaderNamesNormalizing: false,
+		CloseOnShutdown:               true,
+		Logger:                        silent{},
+	}
+}
+
+// silent drops fasthttp's own lines: each connection that ends has one already.
+type silent struct{}
+
+// Printf is fasthttp.Logger's.
+func (silent) Printf(string, ...any) {}
+
+// callerEnded writes the log line of a caller's connection.
+func (s *Sidecar) callerEnded(c *httpwire.CallerConn, why httpwire.Reason) {
+	s.log.Info().Str("side", "caller").Str("peer", c.RemoteAddr().String()).
+		Str("reason", string(why)).Int("requests", c.Requests()).Msg("connection ended")
+}
+
+// Address is where callers connect.
+func (s *Sidecar) Address() string { return s.callers.Addr().String() }
+
+// Counters returns what the sidecar counts and holds.
+func (s *Sidecar) Counters() pipeline.Snapshot { return s.engine.Snapshot() }
+
+// Stop answers what has been taken, and what still comes for a while, and ends.
+func (s *Sidecar) Stop() {
+	begin := time.Now()
+	s.engine.Drain()
+	s.log.Info().Msg("stopping")
+	for time.Since(begin) < acceptFor {
+		time.Sleep(pollEvery)
+	}
+	limit := acceptFor + s.longestDeadline() + answerSlack
+	s.callers.Close()
+	for s.callers.Open() > 0 && time.Since(begin) < limit {
+		s.callers.RetireIdle(httpwire.ReasonShutdown)
+		time.Sleep(pollEvery)
+	}
+	s.cancel()
+	<-s.ran
+	s.log.Info().Object("counters", s.engine.Snapshot()).Int("callers", s.callers.Open()).Msg("stopped")
+}
+
+func (s *Sidecar) longestDeadline() time.Duration {
+	longest := time.Duration(0)
+	for _, class := range s.conf.Settings.Classes {
+		longest = max(longest, class.Deadline)
+	}
+	return longest
+}
+
+// Main runs a sidecar as a process until it is told to stop, and returns the
+// process's exit code.
+func Main() int {
+	runtime.GOMAXPROCS(1) // it has one core at most, and shares that
+	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	conf, err := config.Load(os.Getenv)
+	if err != nil {
+		log.Error().Err(err).Msg("bad configuration")
+		return 1
+	}
+	log = log.With().Str("sidecar", conf.Name).Logger()
+	debug.SetMemoryLimit(conf.HeapBytes)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	sidecar, err := Start(conf, log)
+	if err != nil {
+		log.Error().Err(err).Msg("cannot start")
+		return 1
+	}
+	return sidecar.attend(signals)
+}
+
+// attend heeds signals until one says to stop, or the server ends.
+func (s *Sidecar) attend(signals <-chan os.Signal) int {
+	for {
+		select {
+		case sig := <-signals:
+			if sig != syscall.SIGUSR1 {
+				s.Stop()
+				return 0
+			}
+			s.log.Info().Object("counters", s.Counters()).Int("callers", s.callers.Open()).Msg("counters")
+		case err := <-s.served:
+			s.log.Error().Err(err).Msg("cannot accept connections")
+			return 1
+		}
+	}
+}
--- /dev/null
+++ b/internal/pipeline/book.go
@@ -0,0 +1,45 @@
+package pipeline
+
+import (
+	"heathgap/decide"
+	"heathgap/internal/httpwire"
+	"heathgap/internal/state"
+)
+
+// Book: how an attempt has ended goes into the books, and to the module.
+
+func (x exchanged) handle(e *Engine) {
+	to := x.attempt.Endpoint
+	if x.link != nil && x.ended == "" {
+		e.pool.Put(to, x.link, e.clock.Now())
+	} else {
+		e.pool.Drop(to, x.link, x.ended)
+	}
+	x.attempt.GiveUp() // frees what belongs to its context
+	e.settle(x.attempt, x.outcome, x.reply)
+}
+
+// settle books an attempt's outcome, unless it has had one. The first that is
+// served answers its request.
+func (e *Engine) settle(a *state.Attempt, outcome decide.Outcome, reply *httpwire.Reply) {
+	if !e.requests.Settle(a) {
+		return
+	}
+	e.timeouts.Remove(a)
+	e.counters.Outcomes[outcome]++
+	r := a.Request
+	if outcome == decide.Served {
+		e.relay(r, httpwire.Answer{
+			Verdict: httpwire.Served, Body: reply.Body, Type: reply.Type, Encoding: reply.Encoding,
+		})
+	}
+	ev := decide.Event{
+		Kind: decide.Finished, Request: r.ID, Attempt: a.Number, Outcome: outcome,
+		Latency: e.clock.Now() - a.Sent, Over: r.Over,
+	}
+	if a.Endpoint != nil {
+		ev.Endpoint = a.Endpoint.ID
+	}
+	e.tell(ev)
+	e.requests.Release(r)
+}
--- /dev/null
+++ b/internal/pipeline/discover.go
@@ -0,0 +1,145 @@
+package pipeline
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"heathgap/decide"
+	"heathgap/internal/httpwire"
+)
+
+// Discover: the list of endpoints is watched, and what is told goes to the
+// module. How to go on after a failed call is the module's to say.
+
+// Figures of the calls to discovery.
+const (
+	watchWait    = 20 * time.Second // a watch waits so long for news: discovery serves all sidecars in turn
+	callTime     = 2 * time.Second  // what a call may take beyond its wait: then its news count as told
+	fetchTime    = 6 * time.Second  // the same for one that does not wait
+	rewatchPause = time.Second      // least pause after a failure where the module does not ask
+)
+
+// watch is the watch of the list. While it runs, its goroutine owns it.
+type watch struct {
+	address string
+	running bool // the owner's
+	index   int64
+	known   bool // there is a list that index names
+	link    *httpwire.Link
+}
+
+// startList takes over the list as last known, and watches where the module
+// expects changes to come by themselves.
+func (e *Engine) startList() {
+	if known := e.conf.Known; known != nil {
+		e.watch.index, e.watch.known = known.Index, true
+		restored := *known
+		restored.Whole = true
+		e.takeList(&restored, decide.ListRestored)
+	}
+	if !e.conf.Settings.MustAsk {
+		e.startWatch()
+	}
+}
+
+// startWatch begins a watch unless one goes on.
+func (e *Engine) startWatch() {
+	if e.watch.running {
+		return
+	}
+	e.watch.running = true
+	go e.runWatch()
+}
+
+// runWatch watches until a call fails.
+func (e *Engine) runWatch() {
+	for {
+		list, err := e.watch.call()
+		if err != nil {
+			e.watch.end()
+			e.post(listFailed{err})
+			return
+		}
+		e.post(listCame{list})
+	}
+}
+
+// call makes one call to discovery: it fetches the whole list while there is
+// none, and else waits for what is newer.
+func (w *watch) call() (*httpwire.List, error) {
+	message, limit := httpwire.EncodeFetch(), fetchTime
+	if w.known {
+		message, limit = httpwire.EncodeWatch(w.index, watchWait), watchWait+callTime
+	}
+	if w.link == nil {
+		link, err := httpwire.Dial(context.Background(), w.address, callTime)
+		if err != nil {
+			return nil, err
+		}
+		w.link = link
+	}
+	if _, err := w.link.Send(message, time.Now().Add(limit)); err != nil {
+		return nil, fmt.Errorf("writing: %w", err)
+	}
+	list, keep, err := httpwire.DecodeListReply(w.link.Reader())
+	if err != nil {
+		return nil, fmt.Errorf("answer: %w", err)
+	}
+	if !keep {
+		w.end()
+	}
+	w.index, w.known = list.Index, true
+	return &list, nil
+}
+
+// end ends the connection.
+func (w *watch) end() {
+	if w.link != nil {
+		w.link.Close()
+		w.link = nil
+	}
+}
+
+// listCame is an answer of discovery.
+type listCame struct{ list *httpwire.List }
+
+func (c listCame) handle(e *Engine) {
+	e.counters.Lists++
+	kind := decide.ListChanged
+	if c.list.Whole {
+		kind = decide.ListReplaced
+	}
+	e.takeList(c.list, kind)
+}
+
+// takeList books a list and tells the module.
+func (e *Engine) takeList(list *httpwire.List, kind decide.EventKind) {
+	lines, stale := e.endpoints.Update(list)
+	for _, s := range stale {
+		e.pool.DropAll(s, httpwire.ReasonUnlisted)
+	}
+	e.tell(decide.Event{Kind: kind, Endpoints: lines})
+}
+
+// listFailed is a call to discovery that has failed.
+type listFailed struct{ err error }
+
+func (f listFailed) handle(e *Engine) {
+	e.counters.ListFails++
+	e.watch.running = false
+	e.log.Warn().Str("side", "discovery").Str("peer", e.watch.address).
+		Str("reason", string(httpwire.ReasonBroken)).Err(f.err).Msg("connection ended")
+	if e.conf.Settings.MustAsk {
+		e.tell(decide.Event{Kind: decide.ListFailed})
+		return
+	}
+	pause := rewatchPause + rand.N(rewatchPause)
+	time.AfterFunc(pause, func() { e.post(rewatch{}) })
+}
+
+// rewatch begins a new watch after a pause.
+type rewatch struct{}
+
+func (rewatch) handle(e *Engine) { e.startWatch() }
--- /dev/null
+++ b/internal/pipeline/engine.go
@@ -0,0 +1,176 @@
+// Package pipeline carries requests from their callers to endpoints and the
+// answers back. A request passes the stages take in, admit, route, send, relay
+// and book, a file each. They ask the decision module and decide nothing.
+//
+// One goroutine, Run's, owns the balancer, the requests, the endpoints and the
+// one timer. Goroutines that read and write sockets hand it typed events.
+package pipeline
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"heathgap/decide"
+	"heathgap/internal/config"
+	"heathgap/internal/httpwire"
+	"heathgap/internal/state"
+)
+
+// Figures of the engine.
+const (
+	eventQueue = 1024        // events that may wait for the owner before their senders do
+	sweepEvery = time.Second // idle connections are looked at so often
+)
+
+// event is something that an I/O goroutine hands to the owner.
+type event interface{ handle(*Engine) }
+
+// Engine runs one balancer on sockets.
+type Engine struct {
+	conf      *config.Config
+	log       zerolog.Logger
+	clock     state.Clock
+	events    chan event
+	stopped   chan struct{} // closed when Run has returned
+	draining  atomic.Bool
+	balancer  *decide.Balancer
+	requests  *state.Requests
+	endpoints *state.Endpoints
+	pool      *state.Pool
+	timeouts  state.Timeouts
+	counters  state.Counters
+	watch     watch
+	moduleDue decide.Time // when the module wants to be woken; 0 when it does not
+	sweepAt   decide.Time
+	pending   []decide.Event // for the module, behind the one it is being told
+	telling   bool
+	actions   []decide.Action
+}
+
+// New returns an engine that has not started.
+func New(conf *config.Config, log zerolog.Logger) (*Engine, error) {
+	balancer, err := decide.New(conf.Settings, conf.Seed)
+	if err != nil {
+		return nil, err
+	}
+	e := &Engine{
+		conf: conf, log: log, clock: state.NewClock(), balancer: balancer,
+		events: make(chan event, eventQueue), stopped: make(chan struct{}),
+		requests: state.NewRequests(), endpoints: state.NewEndpoints(),
+	}
+	e.pool = state.NewPool(conf.EndpointConns, conf.IdleFor, e.linkEnded)
+	e.watch = watch{address: conf.Discovery}
+	return e, nil
+}
+
+// Run owns the balancer until the context ends.
+func (e *Engine) Run(ctx context.Context) {
+	defer close(e.stopped)
+	e.sweepAt = e.clock.Now() + sweepEvery
+	e.tell(decide.Event{Kind: decide.Start})
+	e.startList()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		e.runDue()
+		timer.Reset(max(0, e.nextDue()-e.clock.Now()))
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case ev := <-e.events:
+			e.runDue() // what is late is late, whatever has come in the meantime
+			ev.handle(e)
+		}
+	}
+}
+
+// post hands an event to the owner.
+func (e *Engine) post(ev event) {
+	select {
+	case e.events <- ev:
+	case <-e.stopped:
+	}
+}
+
+// nextDue is when the one timer must fire.
+func (e *Engine) nextDue() decide.Time {
+	next := e.sweepAt
+	if at := e.timeouts.Next(); at > 0 {
+		next = min(next, at)
+	}
+	if e.moduleDue > 0 {
+		next = min(next, e.moduleDue)
+	}
+	return next
+}
+
+// runDue does what is due.
+func (e *Engine) runDue() {
+	now := e.clock.Now()
+	for a := e.timeouts.Due(now); a != nil; a = e.timeouts.Due(now) {
+		a.GiveUp()
+		e.settle(a, decide.TimedOut, nil)
+	}
+	if e.moduleDue > 0 && e.moduleDue <= now {
+		e.moduleDue = 0
+		e.tell(decide.Event{Kind: decide.TimerDue})
+	}
+	if e.sweepAt <= now {
+		e.sweepAt = now + sweepEvery
+		e.pool.Sweep(now)
+	}
+}
+
+// Drain makes every answer from now on the last on its connection.
+func (e *Engine) Drain() { e.draining.Store(true) }
+
+// Snapshot is what the engine counts and holds.
+type Snapshot struct {
+	state.Counters
+	Held      int // requests without a final answer
+	Endpoints int // listed
+	Links     int // connections to endpoints
+}
+
+// MarshalZerologObject writes the snapshot into a log line.
+func (s Snapshot) MarshalZerologObject(ev *zerolog.Event) {
+	s.Counters.MarshalZerologObject(ev)
+	ev.Int("held", s.Held).Int("endpoints", s.Endpoints).Int("links", s.Links)
+}
+
+// snapshotWanted asks the owner for a snapshot.
+type snapshotWanted struct{ reply chan Snapshot }
+
+func (w snapshotWanted) handle(e *Engine) { w.reply <- e.snapshot() }
+
+func (e *Engine) snapshot() Snapshot {
+	return Snapshot{
+		Counters: e.counters, Held: e.requests.Held(), Endpoints: e.endpoints.Len(), Links: e.pool.Open(),
+	}
+}
+
+// Snapshot returns what the engine counts and holds, also when it has stopped.
+func (e *Engine) Snapshot() Snapshot {
+	reply := make(chan Snapshot, 1)
+	e.post(snapshotWanted{reply})
+	select {
+	case s := <-reply:
+		return s
+	case <-e.stopped:
+		return e.snapshot()
+	}
+}
+
+// linkEnded writes the log line of a connection to an endpoint.
+func (e *Engine) linkEnded(to *state.Endpoint, l *httpwire.Link, why httpwire.Reason) {
+	uses := 0
+	if l != nil {
+		uses = l.Uses
+	}
+	e.log.Info().Str("side", "endpoint").Str("peer", to.Name).Str("address", to.Address).
+		Str("reason", string(why)).Int("requests", uses).Msg("connection ended")
+}
--- /dev/null
+++ b/internal/pipeline/relay.go
@@ -0,0 +1,40 @@
+package pipeline
+
+import (
+	"heathgap/decide"
+	"heathgap/internal/httpwire"
+	"heathgap/internal/state"
+)
+
+// Relay: a request's one final answer goes to its caller.
+
+// relay gives a request its final answer, unless it has had one.
+func (e *Engine) relay(r *state.Request, answer httpwire.Answer) {
+	if !e.requests.End(r) {
+		return
+	}
+	switch answer.Verdict {
+	case httpwire.Served:
+		e.counters.Served++
+	case httpwire.Refused:
+		e.counters.Refused++
+	case httpwire.Failed:
+		e.counters.Failed++
+	case httpwire.Abandoned:
+		e.counters.Left++
+	}
+	r.Answer <- answer
+	e.requests.Release(r)
+}
+
+// callerLeft tells that the caller of a request has gone.
+type callerLeft struct{ in *arrival }
+
+func (c callerLeft) handle(e *Engine) {
+	r := c.in.request
+	if r == nil || r.Over {
+		return
+	}
+	e.relay(r, httpwire.Answer{Verdict: httpwire.Abandoned})
+	e.tell(decide.Event{Kind: decide.ClientLeft, Request: r.ID})
+}
--- /dev/null
+++ b/internal/pipeline/takein.go
@@ -0,0 +1,96 @@
+package pipeline
+
+import (
+	"fmt"
+
+	"github.com/valyala/fasthttp"
+
+	"heathgap/decide"
+	"heathgap/internal/httpwire"
+)
+
+// Take in: a caller's request is read, checked and handed to the owner, and its
+// answer is written when the owner has one.
+
+// Handle serves one request of a caller. It is fasthttp's handler and runs in
+// the goroutine of the caller's connection.
+func (e *Engine) Handle(ctx *fasthttp.RequestCtx) {
+	conn, _ := ctx.Conn().(*httpwire.CallerConn)
+	if conn == nil {
+		panic("pipeline: a connection that Callers did not accept")
+	}
+	if string(ctx.Path()) == httpwire.ReadyPath && ctx.IsGet() {
+		e.answerReady(ctx)
+	} else {
+		answer := e.takeIn(ctx, conn)
+		httpwire.EncodeAnswer(&answer, &ctx.Response)
+		if answer.Verdict == httpwire.Abandoned {
+			ctx.SetConnectionClose()
+		}
+	}
+	if e.draining.Load() {
+		ctx.SetConnectionClose()
+	}
+	conn.Answered()
+}
+
+// answerReady tells whether the sidecar takes requests.
+func (e *Engine) answerReady(ctx *fasthttp.RequestCtx) {
+	if e.draining.Load() {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+}
+
+// takeIn hands a request over and waits for its answer.
+func (e *Engine) takeIn(ctx *fasthttp.RequestCtx, conn *httpwire.CallerConn) httpwire.Answer {
+	now := e.clock.Now()
+	message, err := httpwire.DecodeRequest(&ctx.Request)
+	if err == nil {
+		err = e.check(&message)
+	}
+	if err != nil {
+		e.post(malformed{})
+		return httpwire.Answer{Verdict: httpwire.Malformed, Reason: err.Error()}
+	}
+	in := &arrival{message: &message, deadline: now + message.Remaining, answer: make(chan httpwire.Answer, 1)}
+	e.post(in)
+	conn.Watch(func() { e.post(callerLeft{in}) })
+	defer conn.Unwatch()
+	select {
+	case answer := <-in.answer:
+		return answer
+	case <-e.stopped:
+		return httpwire.Answer{Verdict: httpwire.Failed}
+	}
+}
+
+// check turns down what no endpoint may see: a class that the settings do not
+// have, and a keyed request whose repeats no endpoint could drop.
+func (e *Engine) check(message *httpwire.Request) error {
+	class, ok := e.conf.Classes[message.Class]
+	switch {
+	case !ok:
+		return fmt.Errorf("path: unknown class %q", message.Class)
+	case class.Effect == decide.Keyed && message.Key == "":
+		return fmt.Errorf("class %q: needs a key, and there is none", message.Class)
+	case !message.Timed:
+		message.Remaining = class.Deadline
+	}
+	return nil
+}
+
+// Unreadable answers what fasthttp could not read as a request.
+func (e *Engine) Unreadable(ctx *fasthttp.RequestCtx, err error) {
+	e.post(malformed{})
+	if conn, ok := ctx.Conn().(*httpwire.CallerConn); ok {
+		conn.Note(httpwire.ReasonBadRequest)
+	}
+	answer := httpwire.Answer{Verdict: httpwire.Malformed, Reason: "malformed request"}
+	httpwire.EncodeAnswer(&answer, &ctx.Response)
+	ctx.SetConnectionClose()
+}
+
+// malformed counts a request that was answered 400.
+type malformed struct{}
+
+func (malformed) handle(e *Engine) { e.counters.Malformed++ }
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,104 @@
+// Package settings decodes what a balancer is told at its start. The simulator
+// and the sidecar hand over the same object, and both read it here.
+package settings
+
+import (
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	"heathgap/decide"
+	"heathgap/internal/jsonread"
+)
+
+// Transport is the part of the settings that the module has no use for:
+// figures of connections and of what may be held.
+type Transport struct {
+	ConnectTimeout time.Duration // a connection that is not made by then has failed
+	IdleTimeout    time.Duration // endpoints close connections that are idle for so long
+	MostHeld       int           // requests an instance may have open; 0 for no limit
+}
+
+var effects = map[string]decide.Effect{
+	"repeatable": decide.Safe, "by_key": decide.Keyed, "once": decide.Unsafe,
+}
+
+var groups = map[string]decide.Group{
+	"all": decide.GroupAll, "zone": decide.GroupZone, "cell": decide.GroupCell,
+}
+
+// Decode reads the settings an instance is started with.
+func Decode(v *fastjson.Value) (decide.Settings, Transport, error) {
+	o, err := jsonread.New(v)
+	if err != nil {
+		return decide.Settings{}, Transport{}, err
+	}
+	weights := o.Text("weights")
+	tier := int(o.Float("tier"))
+	s := decide.Settings{
+		Number:         int(o.Float("me")),
+		Peers:          int(o.Float("replicas_of_me")),
+		Zone:           o.Text("az"),
+		OverShareWorth: o.Float("over_share_worth"),
+		MustAsk:        o.Text("membership_mode") == "subscribe",
+		WeightKnown:    weights == "nominal" || weights == "rough",
+		HintsWork:      o.Text("worth_by") == "work",
+		Front:          tier == 0,
+		Depth:          max(0, len(o.Array("stages"))-1-tier),
+		Tick:           o.Duration("tick"),
+	}
+	bounds := o.Child("bounds")
+	decodeLimits(bounds, &s.Limits)
+	decodeRules(o.Child("rules"), &s.Rules)
+	prices := o.Child("deductions")
+	s.Prices.CrossZone = prices.Float("cross_zone")
+	s.Prices.Waste = prices.Float("waste")
+	s.Prices.LateFail = prices.Float("late_fail")
+	for _, c := range o.Children("profiles") {
+		s.Classes = append(s.Classes, decodeClass(c))
+	}
+	for _, t := range o.Children("parties") {
+		s.Tenants = append(s.Tenants, decide.Tenant{
+			Name: t.Text("name"), Allowed: t.Float("allowance_per_s"), Portion: t.Float("portion"),
+		})
+	}
+	transport := Transport{
+		ConnectTimeout: bounds.Duration("connect_timeout"),
+		IdleTimeout:    bounds.Duration("conn_idle"),
+		MostHeld:       int(bounds.Float("most_held")),
+	}
+	return s, transport, o.Err()
+}
+
+func decodeLimits(o jsonread.Object, l *decide.Limits) {
+	l.Cancel = o.Boolean("cancel")
+	l.SecondCopies = o.Boolean("second_copies")
+	l.RetryAfter = o.Boolean("retry_after")
+	l.Probing = o.Boolean("probing")
+	l.MaxAttempts = int(o.Float("max_attempts"))
+	l.MaxRetryAfter = o.Duration("max_retry_after")
+}
+
+func decodeRules(o jsonread.Object, r *decide.Rules) {
+	r.AnswerSlack = o.Duration("answer_slack")
+	r.AskEvery = o.Duration("ask_every")
+	r.ColdShare = o.Float("cold_from")
+	r.ColdTime = o.Duration("cold")
+	r.FallMultiple = o.Float("fall_multiple")
+	r.FallWindow = o.Duration("overload_for")
+	r.DrainGrace = o.Duration("drain_grace")
+}
+
+func decodeClass(o jsonread.Object) decide.Class {
+	return decide.Class{
+		Name:      o.Text("name"),
+		Aim:       o.Duration("aim"),
+		Deadline:  o.Duration("deadline"),
+		Worth:     o.Float("worth"),
+		LateShare: o.Float("late_share"),
+		Effect:    jsonread.Word(o, "effect", effects),
+		Group:     jsonread.Word(o, "group", groups),
+		Window:    o.Duration("window"),
+		Stream:    o.Boolean("stream"),
+	}
+}
--- /dev/null
+++ b/internal/state/clock.go
@@ -0,0 +1,28 @@
+// Package state holds what a sidecar keeps in memory: its clock, the requests
+// it has taken, the endpoints it knows with their connections, and counters.
+//
+// All but the clock belongs to the one goroutine that runs the balancer.
+package state
+
+import (
+	"time"
+
+	"heathgap/decide"
+)
+
+// Clock tells the module's time: since the Unix epoch, as starts of endpoints
+// are told, and monotonic from the process's start on.
+type Clock struct{ started time.Time }
+
+// NewClock returns a clock that begins now.
+func NewClock() Clock { return Clock{started: time.Now()} }
+
+// Now is the present time.
+func (c Clock) Now() decide.Time {
+	return decide.Time(c.started.UnixNano()) + time.Since(c.started)
+}
+
+// At is the moment of a time, for deadlines of connections.
+func (c Clock) At(t decide.Time) time.Time {
+	return c.started.Add(t - decide.Time(c.started.UnixNano()))
+}
--- /dev/null
+++ b/internal/state/counters.go
@@ -0,0 +1,48 @@
+package state
+
+import (
+	"github.com/rs/zerolog"
+
+	"heathgap/decide"
+)
+
+// Counters count what the sidecar takes in, sends and answers.
+type Counters struct {
+	Malformed int // answered 400; no request was taken
+	Taken     int
+	Over      int // turned away before the module: too many were open
+	Sent      int // attempts begun
+	Dialed    int // connections to endpoints begun
+	Outcomes  [decide.NotSent + 1]int
+	Served    int
+	Refused   int
+	Failed    int
+	Left      int // callers that went before their answer
+	Lists     int // answers of discovery
+	ListFails int // failed calls to discovery
+}
+
+// outcomeNames are the log's names of outcomes.
+var outcomeNames = [...]string{
+	decide.Served:        "served",
+	decide.ServerError:   "server_error",
+	decide.Rejected:      "rejected",
+	decide.TimedOut:      "timed_out",
+	decide.ConnectFailed: "connect_failed",
+	decide.Reset:         "reset",
+	decide.Canceled:      "canceled",
+	decide.NotSent:       "not_sent",
+}
+
+// MarshalZerologObject writes the counters into a log line.
+func (c *Counters) MarshalZerologObject(e *zerolog.Event) {
+	e.Int("taken", c.Taken).Int("malformed", c.Malformed).Int("turned_away", c.Over).
+		Int("served", c.Served).Int("refused", c.Refused).Int("failed", c.Failed).Int("left", c.Left).
+		Int("sent", c.Sent).Int("dialed", c.Dialed).
+		Int("lists", c.Lists).Int("list_failures", c.ListFails)
+	outcomes := zerolog.Dict()
+	for i, n := range c.Outcomes {
+		outcomes.Int(outcomeNames[i], n)
+	}
+	e.Dict("attempts", outcomes)
+}
--- /dev/null
+++ b/internal/state/pool.go
@@ -0,0 +1,127 @@
+package state
+
+import (
+	"slices"
+
+	"heathgap/decide"
+	"heathgap/internal/httpwire"
+)
+
+// idleLink is a connection that carries nothing, and since when.
+type idleLink struct {
+	link  *httpwire.Link
+	since decide.Time
+}
+
+// Pool keeps the connections to endpoints within a bound. A connection counts
+// from before it is dialed until it has ended.
+type Pool struct {
+	most    int
+	open    int
+	idleFor decide.Time // a connection may stand idle for so long
+	holders map[*Endpoint]struct{}
+	ended   func(e *Endpoint, l *httpwire.Link, why httpwire.Reason)
+}
+
+// NewPool returns an empty pool. ended is called for each connection that ends.
+func NewPool(most int, idleFor decide.Time, ended func(*Endpoint, *httpwire.Link, httpwire.Reason)) *Pool {
+	return &Pool{most: most, idleFor: idleFor, holders: map[*Endpoint]struct{}{}, ended: ended}
+}
+
+// Open is how many connections there are, those being dialed included.
+func (p *Pool) Open() int { return p.open }
+
+// Take returns an idle connection to the endpoint, the one used last, or nil if
+// a new one is to be dialed. ok is false if there is no room for one.
+func (p *Pool) Take(e *Endpoint, now decide.Time) (l *httpwire.Link, ok bool) {
+	p.dropIdle(e, now)
+	for len(e.idle) > 0 {
+		last := len(e.idle) - 1
+		l, e.idle = e.idle[last].link, e.idle[:last]
+		p.forgetEmpty(e)
+		if l.Fresh() {
+			return l, true
+		}
+		p.Drop(e, l, httpwire.ReasonPeerClosed)
+	}
+	if p.open >= p.most && !p.makeRoom() {
+		return nil, false
+	}
+	p.open++
+	return nil, true
+}
+
+// Put returns a connection that may carry another exchange.
+func (p *Pool) Put(e *Endpoint, l *httpwire.Link, now decide.Time) {
+	if !e.Listed {
+		p.Drop(e, l, httpwire.ReasonUnlisted)
+		return
+	}
+	e.idle = append(e.idle, idleLink{l, now})
+	p.holders[e] = struct{}{}
+}
+
+// Drop ends a connection; the link is nil if it never came up.
+func (p *Pool) Drop(e *Endpoint, l *httpwire.Link, why httpwire.Reason) {
+	if l != nil {
+		l.Close()
+	}
+	p.open--
+	p.ended(e, l, why)
+}
+
+// DropAll ends the idle connections of an endpoint.
+func (p *Pool) DropAll(e *Endpoint, why httpwire.Reason) {
+	idle := e.idle
+	e.idle = nil
+	p.forgetEmpty(e)
+	for _, i := range idle {
+		p.Drop(e, i.link, why)
+	}
+}
+
+// Sweep ends what has been idle for too long.
+func (p *Pool) Sweep(now decide.Time) {
+	for e := range p.holders {
+		p.dropIdle(e, now)
+	}
+}
+
+// dropIdle ends the endpoint's connections that have been idle for too long:
+// the endpoint is about to end them, and a request that crosses that is lost.
+func (p *Pool) dropIdle(e *Endpoint, now decide.Time) {
+	fresh := slices.IndexFunc(e.idle, func(i idleLink) bool { return now-i.since < p.idleFor })
+	if fresh < 0 {
+		fresh = len(e.idle)
+	}
+	old := slices.Clone(e.idle[:fresh])
+	e.idle = slices.Delete(e.idle, 0, fresh)
+	p.forgetEmpty(e)
+	for _, i := range old {
+		p.Drop(e, i.link, httpwire.ReasonIdle)
+	}
+}
+
+// makeRoom ends the connection that has been idle longest.
+func (p *Pool) makeRoom() bool {
+	var oldest *Endpoint
+	for e := range p.holders {
+		if oldest == nil || e.idle[0].since < oldest.idle[0].since {
+			oldest = e
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	l := oldest.idle[0].link
+	oldest.idle = slices.Delete(oldest.idle, 0, 1)
+	p.forgetEmpty(oldest)
+	p.Drop(oldest, l, httpwire.ReasonRoom)
+	return true
+}
+
+func (p *Pool) forgetEmpty(e *Endpoint) {
+	if len(e.idle) == 0 {
+		delete(p.holders, e)
+	}
+}
--- /dev/null
+++ b/internal/state/request.go
@@ -0,0 +1,92 @@
+package state
+
+import (
+	"context"
+
+	"heathgap/decide"
+	"heathgap/internal/httpwire"
+)
+
+// Request is one request that was taken and its attempts. It is kept until it
+// has its final answer and every attempt its outcome.
+type Request struct {
+	ID       decide.RequestID
+	Message  *httpwire.Request // read by the goroutines of attempts: never written to
+	Deadline decide.Time       // when the caller stops waiting
+	Answer   chan httpwire.Answer
+	Over     bool // the final answer is given, or nobody waits for one
+	Attempts []*Attempt
+	out      int // attempts without an outcome
+}
+
+// Attempt is one send of a request.
+type Attempt struct {
+	Request  *Request
+	Number   int
+	Endpoint *Endpoint
+	Sent     decide.Time
+	Until    decide.Time // when it times out
+	GiveUp   context.CancelFunc
+	Settled  bool // it has its outcome
+	place    int  // in Timeouts, from 1; 0 when it is not there
+}
+
+// Requests are those that are kept.
+type Requests struct {
+	byID map[decide.RequestID]*Request
+	last decide.RequestID
+	held int
+}
+
+// NewRequests returns an empty table.
+func NewRequests() *Requests { return &Requests{byID: map[decide.RequestID]*Request{}} }
+
+// Take keeps a new request and numbers it.
+func (t *Requests) Take(message *httpwire.Request, deadline decide.Time, answer chan httpwire.Answer) *Request {
+	t.last++
+	r := &Request{ID: t.last, Message: message, Deadline: deadline, Answer: answer}
+	t.byID[r.ID] = r
+	t.held++
+	return r
+}
+
+// Get returns a kept request, or nil.
+func (t *Requests) Get(id decide.RequestID) *Request { return t.byID[id] }
+
+// Held is how many requests are without a final answer.
+func (t *Requests) Held() int { return t.held }
+
+// Begin books a new attempt.
+func (t *Requests) Begin(r *Request, to *Endpoint, sent, until decide.Time) *Attempt {
+	a := &Attempt{Request: r, Number: len(r.Attempts), Endpoint: to, Sent: sent, Until: until}
+	r.Attempts = append(r.Attempts, a)
+	r.out++
+	return a
+}
+
+// Settle books that an attempt has its outcome; false if it had one already.
+func (t *Requests) Settle(a *Attempt) bool {
+	if a.Settled {
+		return false
+	}
+	a.Settled = true
+	a.Request.out--
+	return true
+}
+
+// End books that a request has its final answer; false if it had one already.
+func (t *Requests) End(r *Request) bool {
+	if r.Over {
+		return false
+	}
+	r.Over = true
+	t.held--
+	return true
+}
+
+// Release forgets a request that is over and has nothing out.
+func (t *Requests) Release(r *Request) {
+	if r.Over && r.out == 0 {
+		delete(t.byID, r.ID)
+	}
+}
--- a/simwire/codec.go
+++ b/simwire/codec.go
@@ -2,13 +2,13 @@
 
 import (
 	"fmt"
-	"math"
 	"strconv"
 	"time"
 
 	"github.com/valyala/fastjson"
 
 	"heathgap/decide"
+	"heathgap/internal/jsonread"
 )
 
 // timerToken is the only timer token: an instance has one timer at a time and
@@ -90,11 +90,11 @@
 
 // toDuration reads a number of milliseconds, rounded to the microsecond.
 func toDuration(v *fastjson.Value, field string) (time.Duration, error) {
-	ms, err := v.Float64()
+	d, err := jsonread.Duration(v)
 	if err != nil {
 		return 0, fmt.Errorf("%s: %w", field, err)
 	}
-	return time.Duration(math.Round(ms*1000)) * time.Microsecond, nil
+	return d, nil
 }
 
 // fieldDuration reads a required number of milliseconds from an object.
--- a/simwire/host.go
+++ b/simwire/host.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fastjson"
 
 	"heathgap/decide"
+	"heathgap/internal/settings"
 )
 
 // listSlots is how many numbered endpoint lists the wire keeps at once.
@@ -201,11 +202,11 @@
 	if conf == nil {
 		return fmt.Errorf("conf: missing")
 	}
-	settings, err := decodeSettings(conf)
+	set, _, err := settings.Decode(conf)
 	if err != nil {
 		return fmt.Errorf("conf: %w", err)
 	}
-	balancer, err := decide.New(settings, seed)
+	balancer, err := decide.New(set, seed)
 	if err != nil {
 		return fmt.Errorf("conf: %w", err)
 	}
