--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -33,9 +33,9 @@
 	defaultSockets  = 1024
 	leastSockets    = 64 // fewer leave no room for both sides
 
-	heapShare     = 0.6  // of the memory: stacks, buffers and the program need the rest
-	callerShare   = 0.5  // of the sockets, for callers
-	endpointShare = 0.35 // for endpoints; the rest is kept for the listener, discovery and bursts
+	heapShare     = 0.6 // of the memory: stacks, buffers and the program need the rest
+	callerShare   = 0.6 // of the sockets, for callers
+	endpointShare = 0.3 // for endpoints; the rest is kept for the listener, discovery and bursts
 
 	idleShare          = 0.75 // of the time after which endpoints end idle connections
 	defaultIdle        = 10 * time.Second
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,116 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"heathgap/decide"
+)
+
+const good = `{"name":"n3","listen":"127.0.0.1:7070","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
+ "limits":{"cores":1.0,"memory_mb":100,"sockets":1000},
+ "known":{"index":41,"snapshot":true,"endpoints":[
+  {"name":"s-1","address":"127.0.0.1:1","zone":"a","type":"m","group":3,"status":"SERVING","weight":1.5,"since_ms":7}]},
+ "settings":{"profiles":[{"name":"look","effect":"repeatable","aim":500,"deadline":2000}],
+  "bounds":{"connect_timeout":75,"conn_idle":10000,"most_held":50}}}`
+
+func none(string) string { return "" }
+
+func TestParse(t *testing.T) {
+	c, err := parse([]byte(good), none)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Name != "n3" || c.Listen != "127.0.0.1:7070" || c.Discovery != "127.0.0.1:8500" || c.Seed != 0x8c1f30d27a5be964 {
+		t.Errorf("head: %+v", c)
+	}
+	if c.ConnectTimeout != 75*time.Millisecond || c.IdleFor >= 10*time.Second || c.Transport.MostHeld != 50 {
+		t.Errorf("connections: %v %v %d", c.ConnectTimeout, c.IdleFor, c.Transport.MostHeld)
+	}
+	if c.HeapBytes >= 100<<20 || c.CallerConns+c.EndpointConns >= 1000 {
+		t.Errorf("nothing is in reserve: %d bytes, %d+%d connections", c.HeapBytes, c.CallerConns, c.EndpointConns)
+	}
+	e := c.Known.Endpoints[0]
+	if c.Known.Index != 41 || e.Name != "s-1" || e.Weight != 1.5 || e.Since != 7*time.Millisecond {
+		t.Errorf("known: %+v", c.Known)
+	}
+	if c.Classes["look"].Effect != decide.Safe {
+		t.Errorf("classes: %+v", c.Classes)
+	}
+}
+
+func TestEnvironmentGoesFirst(t *testing.T) {
+	c, err := parse([]byte(good), func(key string) string {
+		if key == "BALANCER_NAME" {
+			return "other"
+		}
+		return ""
+	})
+	if err != nil || c.Name != "other" || c.Listen != "127.0.0.1:7070" {
+		t.Errorf("%+v, %v", c, err)
+	}
+}
+
+func TestDefaults(t *testing.T) {
+	text := strings.Replace(good, `"limits":{"cores":1.0,"memory_mb":100,"sockets":1000},`, "", 1)
+	text = strings.Replace(text, `"bounds":{"connect_timeout":75,"conn_idle":10000,"most_held":50}`, `"bounds":{}`, 1)
+	c, err := parse([]byte(text), none)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.CallerConns == 0 || c.EndpointConns == 0 || c.HeapBytes == 0 || c.ConnectTimeout == 0 || c.IdleFor == 0 {
+		t.Errorf("no default: %+v", c)
+	}
+}
+
+// Each message names the key that is at fault.
+func TestFaultsNameTheirKey(t *testing.T) {
+	for _, c := range []struct{ old, new, want string }{
+		{`"name":"n3"`, `"name":3`, "name: "},
+		{`"name":"n3"`, `"nme":"n3"`, "name: missing"},
+		{`"listen":"127.0.0.1:7070"`, `"listen":"nowhere"`, "listen: "},
+		{`"discovery":"127.0.0.1:8500"`, `"discovery":"127.0.0.1"`, "discovery: "},
+		{`"8c1f30d27a5be964"`, `"seed"`, "seed: "},
+		{`"memory_mb":100`, `"memory_mb":"much"`, "limits.memory_mb: "},
+		{`"memory_mb":100`, `"memory_mb":-1`, "limits.memory_mb: "},
+		{`"sockets":1000`, `"sockets":5`, "limits.sockets: "},
+		{`"index":41`, `"index":"x"`, "known: index: "},
+		{`"SERVING"`, `"ASLEEP"`, "known: endpoints[0].status: "},
+		{`"address":"127.0.0.1:1"`, `"address":""`, "known: endpoints[0].address: "},
+		{`"repeatable"`, `"often"`, "settings: profiles[0].effect: "},
+		{`"repeatable"`, `null`, "effect: not set"},
+		{`"aim":500`, `"aim":0`, "aim: "},
+		{`"name":"look"`, `"name":""`, "settings: profiles[0].name: "},
+		{`"conn_idle":10000`, `"conn_idle":true`, "settings: bounds.conn_idle: "},
+		{`"settings"`, `"setings"`, "settings: missing"},
+		{`"seed"`, `"seed`, "malformed JSON"},
+	} {
+		text := strings.Replace(good, c.old, c.new, 1)
+		if text == good {
+			t.Fatalf("%s: nothing was changed", c.old)
+		}
+		if _, err := parse([]byte(text), none); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: error %v, want %q in it", c.new, err, c.want)
+		}
+	}
+}
+
+func TestLoad(t *testing.T) {
+	if _, err := Load(none); err == nil || !strings.Contains(err.Error(), EnvFile) {
+		t.Errorf("without a file: %v", err)
+	}
+	path := filepath.Join(t.TempDir(), "c.json")
+	env := func(key string) string { return map[string]string{EnvFile: path}[key] }
+	if _, err := Load(env); err == nil || !strings.Contains(err.Error(), EnvFile) {
+		t.Errorf("with a file that is not there: %v", err)
+	}
+	if err := os.WriteFile(path, []byte(good), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if c, err := Load(env); err != nil || c.Name != "n3" {
+		t.Errorf("%+v, %v", c, err)
+	}
+}
--- a/internal/httpwire/answer.go
+++ b/internal/httpwire/answer.go
@@ -31,6 +31,7 @@
 	Encoding   string        // of the body's content
 	RetryAfter time.Duration // a refused caller should stay away so long; 0 for no advice
 	Reason     string        // what is wrong with a malformed request
+	Last       bool          // the caller's connection ends with it
 }
 
 // EncodeAnswer writes the answer for a caller.
@@ -105,6 +106,9 @@
 			break
 		}
 	}
+	if s := m.Header.StatusCode(); s == fasthttp.StatusNoContent || s == fasthttp.StatusNotModified {
+		return nil // these never have a body
+	}
 	length := m.Header.ContentLength()
 	if length == identity {
 		return errOpenEnded
--- a/internal/httpwire/caller.go
+++ b/internal/httpwire/caller.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"time"
 )
@@ -15,8 +16,9 @@
 	most  int
 	ended func(c *CallerConn, why Reason)
 
-	mu    sync.Mutex
-	conns map[*CallerConn]struct{}
+	mu      sync.Mutex
+	conns   map[*CallerConn]struct{}
+	looking bool // makeRoom is at work, or will be
 }
 
 // NewCallers wraps a listener. Beyond so many connections, those that have been
@@ -25,23 +27,50 @@
 	return &Callers{Listener: l, most: most, ended: ended, conns: map[*CallerConn]struct{}{}}
 }
 
-// Accept waits for the next connection.
+// Pauses of the callers' side.
+const (
+	acceptPause = 5 * time.Millisecond   // after a failed accept: descriptors may run out for a moment
+	roomPause   = 50 * time.Millisecond  // between looks for connections that can make room
+	settleTime  = 200 * time.Millisecond // a connection stands idle so long before it may be ended
+)
+
+// Accept waits for the next connection. It fails only when the listener is
+// closed: the server would end on any other error, and what waits to be accepted
+// must not be lost for want of a descriptor.
 func (l *Callers) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for err != nil {
+		if errors.Is(err, net.ErrClosed) {
+			return nil, err
+		}
+		l.retireOldest(1)
+		time.Sleep(acceptPause)
+		conn, err = l.Listener.Accept()
 	}
 	c := &CallerConn{Conn: conn, owner: l, idleSince: time.Now()}
 	l.mu.Lock()
 	l.conns[c] = struct{}{}
-	crowd := len(l.conns) > l.most
+	look := len(l.conns) > l.most && !l.looking
+	l.looking = l.looking || look
 	l.mu.Unlock()
-	if crowd {
-		l.retireOldest(c)
+	if look {
+		l.makeRoom()
 	}
 	return c, nil
 }
 
+// makeRoom ends idle connections until there are no more than there should be.
+func (l *Callers) makeRoom() {
+	l.mu.Lock()
+	over := len(l.conns) - l.most
+	l.looking = over > 0
+	l.mu.Unlock()
+	if over > 0 {
+		l.retireOldest(over)
+		time.AfterFunc(roomPause, l.makeRoom)
+	}
+}
+
 // Open is how many connections there are.
 func (l *Callers) Open() int {
 	l.mu.Lock()
@@ -56,20 +85,29 @@
 	}
 }
 
-// retireOldest ends the connection, other than the newest, that has been idle
-// for the longest time.
-func (l *Callers) retireOldest(newest *CallerConn) {
-	var oldest *CallerConn
-	var since time.Time
-	for _, c := range l.all() {
-		at, idle := c.idle()
-		if c != newest && idle && (oldest == nil || at.Before(since)) {
-			oldest, since = c, at
+// retireOldest ends the connections that have been idle longest.
+func (l *Callers) retireOldest(n int) {
+	all := l.all()
+	slices.SortFunc(all, func(a, b *CallerConn) int { return a.since().Compare(b.since()) })
+	for _, c := range all {
+		if n == 0 {
+			return
+		}
+		if c.retire(ReasonRoom) {
+			n--
 		}
 	}
-	if oldest != nil {
-		oldest.retire(ReasonRoom)
+}
+
+// busy is how many connections have a request on them.
+func (l *Callers) busy() int {
+	n := 0
+	for _, c := range l.all() {
+		if c.isBusy() {
+			n++
+		}
 	}
+	return n
 }
 
 func (l *Callers) all() []*CallerConn {
@@ -103,6 +141,9 @@
 // aPast is a deadline that has passed: it ends a pending read at once.
 var aPast = time.Unix(1, 0)
 
+// lastLook is how long a connection that is to end is still read.
+const lastLook = time.Millisecond
+
 // Read reads for the server. An idle connection that times out, or that is to
 // end, reads as closed by its caller: the server then ends it in silence, where
 // an answer would be taken for one to a request that is on its way.
@@ -118,6 +159,12 @@
 	}
 	c.mu.Unlock()
 	n, err := c.Conn.Read(b)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.Retired() {
+		// A read whose deadline has passed does not look at what has come: a
+		// request that stands there already must not be lost.
+		c.Conn.SetReadDeadline(time.Now().Add(lastLook))
+		n, err = c.Conn.Read(b)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n > 0 {
@@ -188,6 +235,12 @@
 	return c.requests
 }
 
+// Crowded tells whether more requests are held than there should be connections.
+func (c *CallerConn) Crowded() bool {
+	l := c.owner
+	return l.Open() > l.most && l.busy() > l.most
+}
+
 // Note sets why the connection ends, unless that is known already.
 func (c *CallerConn) Note(why Reason) {
 	c.mu.Lock()
@@ -201,23 +254,39 @@
 	}
 }
 
-func (c *CallerConn) idle() (since time.Time, idle bool) {
+func (c *CallerConn) since() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idleSince
+}
+
+func (c *CallerConn) isBusy() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.idleSince, !c.busy && !c.retired
+	return c.busy
 }
 
-// retire ends an idle connection. A request whose first byte has been read is
-// still served: only the pending read is ended, never what it has brought.
-func (c *CallerConn) retire(why Reason) {
+// retire ends a connection that has been idle for a while, and tells whether it
+// does. A request whose first byte has come is still served: only the pending
+// read is ended, never what it has brought. On a new connection the first
+// request is about to come.
+func (c *CallerConn) retire(why Reason) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.retired || c.busy {
-		return
+	if c.retired || c.busy || time.Since(c.idleSince) < settleTime {
+		return false
 	}
 	c.retired = true
 	c.note(why)
 	c.Conn.SetReadDeadline(aPast)
+	return true
+}
+
+// Retired tells whether the connection is to end with the request at hand.
+func (c *CallerConn) Retired() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.retired
 }
 
 // Watch calls left once if the caller goes before Unwatch is called.
--- /dev/null
+++ b/internal/httpwire/httpwire_test.go
@@ -0,0 +1,129 @@
+package httpwire
+
+import (
+	"bufio"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"heathgap/decide"
+)
+
+func decode(t *testing.T, text string) (Request, error) {
+	t.Helper()
+	var m fasthttp.Request
+	if err := m.Read(bufio.NewReader(strings.NewReader(text))); err != nil {
+		t.Fatal(err)
+	}
+	return DecodeRequest(&m)
+}
+
+func TestDecodeRequest(t *testing.T) {
+	r, err := decode(t, "POST /pay/x?sid=1 HTTP/1.1\r\nHost: h\r\nX-Txn: 9b\r\nX-Org: acme\r\nX-Remaining: 0.480\r\n"+
+		"X-Resent: 1\r\nX-Labels: a=1,b=2\r\nX-Estimate: 0.025\r\nIdempotency-Key: 5c\r\nContent-Length: 2\r\n\r\nhi")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.ID != "9b" || r.Class != "pay" || r.Tenant != "acme" || r.Key != "5c" || r.Labels != "a=1,b=2" || !r.Repeat {
+		t.Errorf("%+v", r)
+	}
+	if r.Remaining != 480*time.Millisecond || !r.Timed || r.Work != 25*time.Millisecond || string(r.Body) != "hi" {
+		t.Errorf("%+v", r)
+	}
+}
+
+func TestDecodeRequestTime(t *testing.T) {
+	for value, want := range map[string]time.Duration{
+		"0": 0, "-3": 0, "1e-3": time.Millisecond, "2": 2 * time.Second, "1e30": maxRemaining,
+	} {
+		r, err := decode(t, "GET /a HTTP/1.1\r\nHost: h\r\nX-Txn: 1\r\nX-Remaining: "+value+"\r\n\r\n")
+		if err != nil || r.Remaining != want {
+			t.Errorf("%s: %v, %v; want %v", value, r.Remaining, err, want)
+		}
+	}
+	if r, err := decode(t, "GET /a HTTP/1.1\r\nHost: h\r\nX-Txn: 1\r\n\r\n"); err != nil || r.Timed {
+		t.Errorf("without one: %+v, %v", r, err)
+	}
+}
+
+// What goes on to an endpoint is what came, seen by another library.
+func TestEncodeAttempt(t *testing.T) {
+	in := Request{
+		ID: "9b", Class: "pay", Tenant: "acme", Key: "5c", Labels: "a=1", Repeat: true, Method: "POST",
+		URI: "/pay/%2F//x?sid=1&sid=2", Type: "multipart/form-data; boundary=b", Body: []byte("\x00raw"),
+	}
+	m, err := http.ReadRequest(bufio.NewReader(strings.NewReader(string(EncodeAttempt(&in, 250*time.Millisecond)))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, want := range map[string]string{
+		"X-Txn": "9b", "X-Org": "acme", "Idempotency-Key": "5c", "X-Labels": "a=1", "X-Resent": "1",
+		"X-Remaining": "0.25", "Content-Type": in.Type,
+	} {
+		if got := m.Header.Get(name); got != want {
+			t.Errorf("%s: %q, want %q", name, got, want)
+		}
+	}
+	body := make([]byte, 10)
+	n, _ := m.Body.Read(body)
+	if m.Method != "POST" || m.RequestURI != in.URI || string(body[:n]) != "\x00raw" || m.ContentLength != 4 {
+		t.Errorf("%s %s, %d bytes", m.Method, m.RequestURI, m.ContentLength)
+	}
+	get := string(EncodeAttempt(&Request{ID: "1", Method: "GET", URI: "/a"}, 0))
+	if strings.Contains(get, "Content-") || strings.Contains(get, "Idempotency") {
+		t.Errorf("a GET has what it came without:\n%s", get)
+	}
+}
+
+func TestDecodeReply(t *testing.T) {
+	for name, c := range map[string]struct {
+		text    string
+		outcome decide.Outcome
+		body    string
+		close   bool
+	}{
+		"served":    {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", decide.Served, "hi", false},
+		"chunked":   {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", decide.Served, "hi", false},
+		"interim":   {"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", decide.Served, "", false},
+		"last":      {"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi", decide.Served, "hi", true},
+		"error":     {"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", decide.ServerError, "", false},
+		"away":      {"HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n", decide.Rejected, "", false},
+		"500 away":  {"HTTP/1.1 500 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n", decide.ServerError, "", false},
+		"other 2xx": {"HTTP/1.1 204 None\r\n\r\n", decide.ServerError, "", false},
+	} {
+		r, err := DecodeReply(bufio.NewReader(strings.NewReader(c.text)))
+		if err != nil || r.Outcome != c.outcome || string(r.Body) != c.body || r.Close != c.close {
+			t.Errorf("%s: %+v, %v", name, r, err)
+		}
+	}
+	long := "HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + strings.Repeat("x", 70000)
+	if _, err := DecodeReply(bufio.NewReader(strings.NewReader(long))); err == nil {
+		t.Error("a body beyond the bound is taken")
+	}
+}
+
+func TestEncodeAnswer(t *testing.T) {
+	for _, c := range []struct {
+		answer Answer
+		status int
+		after  string
+	}{
+		{Answer{Verdict: Served, Body: []byte("hi")}, 200, ""},
+		{Answer{Verdict: Refused, RetryAfter: 1250 * time.Millisecond}, 503, "1.25"},
+		{Answer{Verdict: Refused}, 503, ""},
+		{Answer{Verdict: Failed}, 502, ""},
+		{Answer{Verdict: Malformed, Reason: "why"}, 400, ""},
+	} {
+		var m fasthttp.Response
+		EncodeAnswer(&c.answer, &m)
+		if m.StatusCode() != c.status || string(m.Header.Peek("Retry-After")) != c.after {
+			t.Errorf("%+v: %d, Retry-After %q", c.answer, m.StatusCode(), m.Header.Peek("Retry-After"))
+		}
+		if c.answer.Verdict == Served && string(m.Body()) != "hi" {
+			t.Errorf("body %q", m.Body())
+		}
+	}
+}
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -9,10 +9,12 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
 	"github.com/valyala/fasthttp"
 
 	"heathgap/internal/config"
@@ -22,15 +24,23 @@
 
 // Figures of a sidecar's life.
 const (
-	acceptFor   = 600 * time.Millisecond // after the signal to stop: the front goes on dealing out connections
-	answerSlack = 500 * time.Millisecond // past the longest deadline, until what is left is cut off
-	pollEvery   = 10 * time.Millisecond  // how often a stopping sidecar looks whether all is answered
+	acceptFor = 600 * time.Millisecond // after the signal to stop: the front goes on dealing out connections
+	pollEvery = 5 * time.Millisecond   // how often a stopping sidecar looks whether all is answered
+
+	// The platform kills what has not ended so long after the signal, or sooner
+	// where all deadlines are shorter than patientFor.
+	killAfter   = patientFor + 700*time.Millisecond
+	patientFor  = 3 * time.Second
+	finishAfter = 550 * time.Millisecond // past the longest deadline or patientFor: what is held fails then
+	leaveAfter  = 650 * time.Millisecond // the same for leaving, whatever is not written by then
 
 	readTime  = 10 * time.Second // a request must have come whole by then
 	idleTime  = 90 * time.Second // callers keep connections; what is forgotten ends at last
 	writeTime = 5 * time.Second  // an answer must be taken by then
 	headSize  = 8 << 10          // bytes that a request's head may have
 
+	logLines = 4096 // kept for a log that is read slowly; beyond them lines are dropped, so that nobody waits
+
 	spareWorkers = 256 // above the callers' connections: fasthttp must never refuse by itself
 )
 
@@ -115,20 +125,25 @@
 	begin := time.Now()
 	s.engine.Drain()
 	s.log.Info().Msg("stopping")
-	for time.Since(begin) < acceptFor {
-		time.Sleep(pollEvery)
-	}
-	limit := acceptFor + s.longestDeadline() + answerSlack
+	time.Sleep(acceptFor)
 	s.callers.Close()
-	for s.callers.Open() > 0 && time.Since(begin) < limit {
-		s.callers.RetireIdle(httpwire.ReasonShutdown)
-		time.Sleep(pollEvery)
-	}
+	longest := min(s.longestDeadline(), patientFor)
+	s.emptyOut(begin.Add(longest + finishAfter))
+	s.engine.Finish()
+	s.emptyOut(begin.Add(longest + leaveAfter))
 	s.cancel()
 	<-s.ran
 	s.log.Info().Object("counters", s.engine.Snapshot()).Int("callers", s.callers.Open()).Msg("stopped")
 }
 
+// emptyOut waits until all callers have their answers, until a time at most.
+func (s *Sidecar) emptyOut(until time.Time) {
+	for s.callers.Open() > 0 && time.Now().Before(until) {
+		s.callers.RetireIdle(httpwire.ReasonShutdown)
+		time.Sleep(pollEvery)
+	}
+}
+
 func (s *Sidecar) longestDeadline() time.Duration {
 	longest := time.Duration(0)
 	for _, class := range s.conf.Settings.Classes {
@@ -141,8 +156,11 @@
 // process's exit code.
 func Main() int {
 	runtime.GOMAXPROCS(1) // it has one core at most, and shares that
-	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
 	zerolog.TimeFieldFormat = time.RFC3339Nano
+	var dropped atomic.Int64
+	out := diode.NewWriter(os.Stderr, logLines, 0, func(missed int) { dropped.Add(int64(missed)) })
+	defer out.Close() // writes what is left
+	log := zerolog.New(out).With().Timestamp().Logger()
 	conf, err := config.Load(os.Getenv)
 	if err != nil {
 		log.Error().Err(err).Msg("bad configuration")
@@ -157,7 +175,11 @@
 		log.Error().Err(err).Msg("cannot start")
 		return 1
 	}
-	return sidecar.attend(signals)
+	code := sidecar.attend(signals)
+	if n := dropped.Load(); n > 0 {
+		log.Warn().Int64("lines", n).Msg("log lines dropped")
+	}
+	return code
 }
 
 // attend heeds signals until one says to stop, or the server ends.
--- /dev/null
+++ b/internal/lifecycle/process_test.go
@@ -0,0 +1,207 @@
+package lifecycle
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"heathgap/internal/config"
+)
+
+// asSidecar in the environment makes the test's own program a sidecar.
+const asSidecar = "HEATHGAP_TEST_AS_SIDECAR"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asSidecar) != "" {
+		os.Exit(Main())
+	}
+	os.Exit(m.Run())
+}
+
+// process is a sidecar in a process of its own.
+type process struct {
+	*exec.Cmd
+	log *lines
+}
+
+func launch(t *testing.T, conf map[string]any) *process {
+	t.Helper()
+	p := &process{Cmd: exec.Command(os.Args[0]), log: &lines{}}
+	p.Env = append(os.Environ(), asSidecar+"=1", config.EnvFile+"="+writeConfig(t, conf))
+	p.Stderr = p.log
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { p.Process.Kill(); p.Wait() })
+	return p
+}
+
+// freeAddress is an address of loopback that nothing listens on.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func isReady(t *testing.T, address string) func() bool {
+	return func() bool {
+		status, _, err := try(request(t, address, http.MethodGet, "/up", ""))
+		return err == nil && status == 200
+	}
+}
+
+// A sidecar that is killed outright starts again from nothing at its address;
+// one that gets SIGTERM ends by itself, with its counters in the log.
+func TestRestarts(t *testing.T) {
+	e := startEndpoint(t, "e1", nil)
+	conf := testConfig(startDiscovery(t), e.line())
+	address := freeAddress(t)
+	conf["listen"] = address
+	first := launch(t, conf)
+	eventually(t, "the first is ready", isReady(t, address))
+	keep, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer keep.Close()
+	if status, _ := get(t, address, "/look"); status != 200 {
+		t.Fatalf("first: %d", status)
+	}
+	first.Process.Kill()
+	first.Wait()
+	second := launch(t, conf)
+	eventually(t, "the second is ready", isReady(t, address))
+	if status, body := get(t, address, "/look"); status != 200 || body != "e1" {
+		t.Errorf("second: %d %q", status, body)
+	}
+	second.Process.Signal(syscall.SIGUSR1)
+	eventually(t, "counters on request", func() bool { return strings.Contains(second.log.String(), `"taken":1`) })
+	second.Process.Signal(syscall.SIGTERM)
+	if err := second.Wait(); err != nil {
+		t.Errorf("after SIGTERM: %v, want exit code 0", err)
+	}
+	if log := second.log.String(); !strings.Contains(log, `"message":"stopped"`) || !strings.Contains(log, `"served":1`) {
+		t.Errorf("the log has no counters at exit:\n%s", log)
+	}
+}
+
+// A bad configuration ends the start with one line that names the key.
+func TestBadConfigurationEndsTheStart(t *testing.T) {
+	conf := testConfig(startDiscovery(t))
+	conf["seed"] = "xyz"
+	p := launch(t, conf)
+	if err := p.Wait(); p.ProcessState.ExitCode() != 1 {
+		t.Errorf("ended with %v, want exit code 1", err)
+	}
+	log := p.log.String()
+	if strings.Count(log, "\n") != 1 || !strings.Contains(log, "seed: ") {
+		t.Errorf("want one line that names the seed, got:\n%s", log)
+	}
+}
+
+// An address that is taken ends the start as well.
+func TestTakenAddressEndsTheStart(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	conf := testConfig(startDiscovery(t))
+	conf["listen"] = taken.Addr().String()
+	p := launch(t, conf)
+	if err := p.Wait(); p.ProcessState.ExitCode() != 1 || !strings.Contains(p.log.String(), "listen") {
+		t.Errorf("ended with %v and\n%s", err, p.log)
+	}
+}
+
+// Guards against descriptors or memory that run out: with a small limit of
+// descriptors in force and more callers than that, the process goes on.
+func TestLimitsOfTheProcess(t *testing.T) {
+	const sockets, callers, memoryMB = 128, 300, 192
+	e := startEndpoint(t, "e1", func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(20 * time.Millisecond)
+		w.Write(bytes.Repeat([]byte("x"), 60<<10))
+	})
+	conf := testConfig(startDiscovery(t), e.line())
+	address := freeAddress(t)
+	conf["listen"] = address
+	conf["limits"] = map[string]any{"memory_mb": memoryMB, "sockets": sockets}
+	p := launch(t, conf)
+	eventually(t, "ready", isReady(t, address))
+	setDescriptors(t, p.Process.Pid, sockets)
+	var wait sync.WaitGroup
+	for range callers {
+		wait.Go(func() {
+			conn, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer conn.Close()
+			conn.SetDeadline(time.Now().Add(patience))
+			body := strings.Repeat("y", 60<<10)
+			io.WriteString(conn, "POST /pay HTTP/1.1\r\nHost: x\r\nX-Txn: 1\r\nX-Remaining: 2\r\n"+
+				"Idempotency-Key: k\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
+			answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Errorf("a caller got no answer: %v", err)
+				return
+			}
+			if _, err := io.Copy(io.Discard, answer.Body); err != nil {
+				t.Errorf("a caller got half an answer: %v", err)
+			}
+		})
+	}
+	wait.Wait()
+	if status, _ := get(t, address, "/up"); status != 200 {
+		t.Errorf("/up afterwards: %d, want 200", status)
+	}
+	if kb := peakMemory(t, p.Process.Pid); kb > memoryMB<<10 {
+		t.Errorf("it took %d kB at its peak, and may take %d", kb, memoryMB<<10)
+	}
+}
+
+// peakMemory is the most that a process has had in memory, in kB.
+func peakMemory(t *testing.T, pid int) int {
+	t.Helper()
+	text, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/status")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, line := range strings.Split(string(text), "\n") {
+		if value, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			kb, err := strconv.Atoi(strings.Fields(value)[0])
+			if err != nil {
+				t.Fatal(err)
+			}
+			return kb
+		}
+	}
+	t.Fatal("no VmHWM")
+	return 0
+}
+
+// setDescriptors bounds the descriptors of a running process.
+func setDescriptors(t *testing.T, pid, most int) {
+	t.Helper()
+	limit := unix.Rlimit{Cur: uint64(most), Max: uint64(most)}
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, &limit, nil); err != nil {
+		t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/internal/lifecycle/sidecar_test.go
@@ -0,0 +1,441 @@
+package lifecycle
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"heathgap/decide"
+)
+
+func TestPassesRequestsOnUnchanged(t *testing.T) {
+	e := startEndpoint(t, "e1", nil)
+	s := start(t, testConfig(startDiscovery(t), e.line()))
+	r := request(t, s.Address(), http.MethodPost, "/pay/out?sid=a%2Fb&x=1", "some body")
+	r.Header.Set("Idempotency-Key", "5c0f6e1a")
+	if status, body := do(t, r); status != 200 || body != "e1" {
+		t.Fatalf("answer: %d %q, want 200 of e1", status, body)
+	}
+	got := e.seen[0]
+	if got.Method != "POST" || got.RequestURI != "/pay/out?sid=a%2Fb&x=1" || e.bodies[0] != "some body" {
+		t.Errorf("passed on: %s %s with %q", got.Method, got.RequestURI, e.bodies[0])
+	}
+	for name, want := range map[string]string{
+		"X-Txn": "9b1f03aa5c7e2d41", "Idempotency-Key": "5c0f6e1a", "X-Org": "acme",
+	} {
+		if v := got.Header.Get(name); v != want {
+			t.Errorf("%s: %q, want %q", name, v, want)
+		}
+	}
+	var left float64
+	if _, err := fmt.Sscan(got.Header.Get("X-Remaining"), &left); err != nil || left <= 0 || left > 1.5 {
+		t.Errorf("X-Remaining: %q (%v), want what is left of 1.5", got.Header.Get("X-Remaining"), err)
+	}
+}
+
+// One program serves every tier: a sidecar of a lower one takes the same calls.
+func TestServesALowerTier(t *testing.T) {
+	e := startEndpoint(t, "deep", nil)
+	conf := testConfig(startDiscovery(t), e.line())
+	conf["settings"].(map[string]any)["tier"] = 1
+	s := start(t, conf)
+	if status, _ := get(t, s.Address(), "/up"); status != 200 {
+		t.Fatalf("/up: %d, want 200", status)
+	}
+	if status, body := get(t, s.Address(), "/look"); status != 200 || body != "deep" {
+		t.Errorf("answer: %d %q, want 200 of deep", status, body)
+	}
+}
+
+// Guards against bad input that reaches an endpoint or ends the process.
+func TestMalformedRequestsReachNoEndpoint(t *testing.T) {
+	e := startEndpoint(t, "e1", nil)
+	s := start(t, testConfig(startDiscovery(t), e.line()))
+	const head = "Host: x\r\nX-Txn: 1\r\nX-Remaining: 1\r\n"
+	for name, text := range map[string]string{
+		"no class":          "GET / HTTP/1.1\r\n" + head + "\r\n",
+		"unknown class":     "GET /nothing HTTP/1.1\r\n" + head + "\r\n",
+		"no path":           "GET look HTTP/1.1\r\n" + head + "\r\n",
+		"no id":             "GET /look HTTP/1.1\r\nHost: x\r\nX-Remaining: 1\r\n\r\n",
+		"time is no number": "GET /look HTTP/1.1\r\nHost: x\r\nX-Txn: 1\r\nX-Remaining: soon\r\n\r\n",
+		"time is NaN":       "GET /look HTTP/1.1\r\nHost: x\r\nX-Txn: 1\r\nX-Remaining: NaN\r\n\r\n",
+		"keyed without key": "POST /pay HTTP/1.1\r\n" + head + "Content-Length: 0\r\n\r\n",
+		"other method":      "DELETE /look HTTP/1.1\r\n" + head + "\r\n",
+		"GET with a body":   "GET /look HTTP/1.1\r\n" + head + "Content-Length: 2\r\n\r\nhi",
+		"body too long":     "POST /pay HTTP/1.1\r\n" + head + "Content-Length: 70000\r\n\r\n",
+		"no HTTP":           "nonsense\r\n\r\n",
+		"bad length":        "POST /pay HTTP/1.1\r\n" + head + "Content-Length: -4\r\n\r\n",
+		"head too long":     "GET /look HTTP/1.1\r\n" + head + "X-Long: " + strings.Repeat("a", 20000) + "\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", s.Address())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			conn.SetDeadline(time.Now().Add(patience))
+			io.WriteString(conn, text)
+			answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if answer.StatusCode != 400 {
+				t.Errorf("status %d, want 400", answer.StatusCode)
+			}
+		})
+	}
+	if status, _ := get(t, s.Address(), "/look"); status != 200 {
+		t.Errorf("after them: %d, want 200", status)
+	}
+	if n := e.count(); n != 1 {
+		t.Errorf("the endpoint was asked %d times, want once", n)
+	}
+}
+
+// Guards against endings of an exchange that are taken for an answer, or for an
+// attempt that never ran.
+func TestBrokenEndpointAnswers(t *testing.T) {
+	for name, c := range map[string]struct {
+		behave  http.HandlerFunc
+		outcome decide.Outcome
+	}{
+		"reset":          {rawAnswer(""), decide.Reset},
+		"no HTTP":        {rawAnswer("what?\r\n\r\n"), decide.Reset},
+		"half a body":    {rawAnswer("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf"), decide.Reset},
+		"half a chunk":   {rawAnswer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n8\r\nhalf"), decide.Reset},
+		"no last chunk":  {rawAnswer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"), decide.Reset},
+		"no length":      {rawAnswer("HTTP/1.1 200 OK\r\n\r\nhalf"), decide.Reset},
+		"error":          {status(500, false), decide.ServerError},
+		"plain 503":      {status(503, false), decide.ServerError},
+		"turned away":    {status(503, true), decide.Rejected},
+		"too late there": {status(504, true), decide.Rejected},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bad := startEndpoint(t, "bad", c.behave)
+			s := start(t, testConfig(startDiscovery(t), bad.line()))
+			r := request(t, s.Address(), http.MethodPost, "/burn", "x")
+			got, body := do(t, r)
+			// What may have run must not be called harmless to repeat.
+			refused, never := got == 503 || got == 429, c.outcome.NeverRan()
+			if got == 200 || refused && !never || bad.count() != 1 && !never {
+				t.Errorf("answer %d %q after %d attempts", got, body, bad.count())
+			}
+			if n := s.Counters().Outcomes[c.outcome]; n != bad.count() {
+				t.Errorf("%d such outcomes, want %d: %+v", n, bad.count(), s.Counters().Outcomes)
+			}
+		})
+	}
+}
+
+func status(code int, turnedAway bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if turnedAway {
+			w.Header().Set("X-Turned-Away", "1")
+		}
+		w.WriteHeader(code)
+	}
+}
+
+// An endpoint whose process has died is no reason to fail: nothing has run.
+func TestVanishedEndpointIsPassedOver(t *testing.T) {
+	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := gone.Addr().String()
+	gone.Close()
+	e := startEndpoint(t, "e1", nil)
+	s := start(t, testConfig(startDiscovery(t), listLine("dead", address), e.line()))
+	for range 20 {
+		r := request(t, s.Address(), http.MethodPost, "/burn", "x")
+		if status, body := do(t, r); status != 200 || body != "e1" {
+			t.Fatalf("answer: %d %q, want 200 of e1", status, body)
+		}
+	}
+	if s.Counters().Outcomes[decide.ConnectFailed] == 0 {
+		t.Error("the dead endpoint was never tried: this proves nothing")
+	}
+}
+
+// Guards against a request that outlives its caller's time, and against giving
+// up an attempt while its connection stays at work.
+func TestSilentEndpointIsGivenUpInTime(t *testing.T) {
+	ended := make(chan struct{}, 8)
+	e := startEndpoint(t, "mute", silentEndpoint(ended))
+	s := start(t, testConfig(startDiscovery(t), e.line()))
+	r := request(t, s.Address(), http.MethodPost, "/burn", "x")
+	r.Header.Set("X-Remaining", "0.3")
+	begin := time.Now()
+	status, _ := do(t, r)
+	if took := time.Since(begin); status != 502 || took < 250*time.Millisecond {
+		t.Errorf("answer %d after %v, want 502 at 300ms", status, took)
+	}
+	select {
+	case <-ended:
+	case <-time.After(patience):
+		t.Error("the attempt's connection was not ended")
+	}
+	eventually(t, "no connection is left", func() bool { return s.Counters().Links == 0 })
+	if n := strings.Count(s.log.String(), `"reason":"given_up"`); n != 1 {
+		t.Errorf("%d connections logged as given up, want 1:\n%s", n, s.log)
+	}
+}
+
+// Guards against callers that leave unseen while their request is held: fasthttp
+// does not look.
+func TestCallerThatLeavesIsSeen(t *testing.T) {
+	e := startEndpoint(t, "mute", silentEndpoint(nil))
+	s := start(t, testConfig(startDiscovery(t), e.line()))
+	conn, err := net.Dial("tcp", s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(conn, "GET /look HTTP/1.1\r\nHost: x\r\nX-Txn: 1\r\nX-Remaining: 1.9\r\n\r\n")
+	eventually(t, "the request is out", func() bool { return s.Counters().Sent == 1 })
+	conn.Close()
+	eventually(t, "it is seen that the caller left", func() bool { return s.Counters().Left == 1 })
+	if c := s.Counters(); c.Held != 0 || c.Taken != 1 {
+		t.Errorf("held %d, taken %d: want 0 and 1", c.Held, c.Taken)
+	}
+	eventually(t, "its line", func() bool { return strings.Contains(s.log.String(), `"reason":"caller_left"`) })
+}
+
+// A byte of the next request that comes early is not lost to the watch for
+// callers that leave.
+func TestNextRequestMayComeEarly(t *testing.T) {
+	e := startEndpoint(t, "e1", nil)
+	s := start(t, testConfig(startDiscovery(t), e.line()))
+	conn, err := net.Dial("tcp", s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(patience))
+	const one = "GET /look HTTP/1.1\r\nHost: x\r\nX-Txn: 1\r\nX-Remaining: 1.9\r\n\r\n"
+	io.WriteString(conn, one)
+	time.Sleep(time.Millisecond)
+	io.WriteString(conn, one+one)
+	in := bufio.NewReader(conn)
+	for i := range 3 {
+		answer, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatalf("answer %d: %v", i, err)
+		}
+		body, _ := io.ReadAll(answer.Body)
+		if answer.StatusCode != 200 || string(body) != "e1" {
+			t.Errorf("answer %d: %d %q", i, answer.StatusCode, body)
+		}
+	}
+}
+
+// The list as last known is used at once, whatever becomes of discovery, and
+// failed calls are made again.
+func TestDiscoveryOutage(t *testing.T) {
+	for name, breakIt := range map[string]func(*fakeDiscovery){
+		"down":         func(d *fakeDiscovery) { d.down = true },
+		"no JSON":      func(d *fakeDiscovery) { d.broken = "{" },
+		"no list":      func(d *fakeDiscovery) { d.broken = `{"index":5}` },
+		"wrong types":  func(d *fakeDiscovery) { d.broken = `{"index":5,"snapshot":true,"endpoints":[{"name":7}]}` },
+		"unknown word": func(d *fakeDiscovery) { d.broken = `{"index":5,"endpoints":[{"name":"a","status":"ODD"}]}` },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			older, newer := startEndpoint(t, "older", nil), startEndpoint(t, "newer", nil)
+			d := startDiscovery(t)
+			d.set(func() { breakIt(d) })
+			s := start(t, testConfig(d, older.line()))
+			if status, body := get(t, s.Address(), "/look"); status != 200 || body != "older" {
+				t.Fatalf("with the list as known: %d %q", status, body)
+			}
+			eventually(t, "a call fails", func() bool { return s.Counters().ListFails > 0 })
+			if !strings.Contains(s.log.String(), `"side":"discovery"`) {
+				t.Errorf("no line on discovery:\n%s", s.log)
+			}
+			d.set(func() { d.down, d.broken = false, "" })
+			d.publish(t, 7, newer.line())
+			eventually(t, "the new list", func() bool {
+				_, body := get(t, s.Address(), "/look")
+				return body == "newer"
+			})
+		})
+	}
+}
+
+// A watch goes on from the version it has, at once, and what it tells is heeded.
+func TestWatchFollowsChanges(t *testing.T) {
+	a, b := startEndpoint(t, "a", nil), startEndpoint(t, "b", nil)
+	d := startDiscovery(t)
+	s := start(t, testConfig(d, a.line()))
+	eventually(t, "a watch", func() bool { return d.called() == 1 })
+	d.mu.Lock()
+	first := d.waits[0]
+	d.mu.Unlock()
+	if !strings.HasPrefix(first, "after=1&wait_ms=") {
+		t.Errorf("the first watch asks for %q, want what is newer than the list as known", first)
+	}
+	gone := a.line()
+	gone["status"] = "DELETED"
+	d.set(func() { d.index, d.list = 2, mustJSON(t, 2, gone, b.line()) })
+	eventually(t, "the change and the next watch", func() bool {
+		return s.Counters().Lists == 1 && d.called() == 2
+	})
+	for range 10 {
+		if _, body := get(t, s.Address(), "/look"); body != "b" {
+			t.Fatalf("answered by %q after a has left", body)
+		}
+	}
+}
+
+// Guards against descriptors that run out: more callers than there is room for
+// must not end the sidecar, nor keep others from being served.
+func TestManyIdleCallers(t *testing.T) {
+	e := startEndpoint(t, "e1", nil)
+	conf := testConfig(startDiscovery(t), e.line())
+	conf["limits"].(map[string]any)["sockets"] = 64
+	s := start(t, conf)
+	for range 200 {
+		conn, err := net.Dial("tcp", s.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+	}
+	eventually(t, "room is made", func() bool { return s.callers.Open() <= s.conf.CallerConns })
+	if status, _ := get(t, s.Address(), "/look"); status != 200 {
+		t.Errorf("status %d, want 200", status)
+	}
+	if !strings.Contains(s.log.String(), `"reason":"room"`) {
+		t.Error("no connection was ended to make room")
+	}
+}
+
+// Guards against connections to endpoints beyond the bound, and against callers
+// beyond theirs that hold requests: they are refused, at once.
+func TestBusyConnectionsStayInBounds(t *testing.T) {
+	e := startEndpoint(t, "mute", silentEndpoint(nil))
+	conf := testConfig(startDiscovery(t), e.line())
+	conf["limits"].(map[string]any)["sockets"] = 64
+	s := start(t, conf)
+	var wait sync.WaitGroup
+	for range 100 {
+		wait.Go(func() {
+			r := request(t, s.Address(), http.MethodGet, "/look", "")
+			r.Header.Set("X-Remaining", "0.5")
+			if status, _, err := try(r); err != nil || status == 200 {
+				t.Errorf("status %d, %v: want a refusal or a failure", status, err)
+			}
+		})
+	}
+	over := 0
+	done := make(chan struct{})
+	go func() { wait.Wait(); close(done) }()
+	for running := true; running; {
+		select {
+		case <-done:
+			running = false
+		default:
+			if s.Counters().Links > s.conf.EndpointConns {
+				over++
+			}
+		}
+	}
+	if over > 0 {
+		t.Errorf("more than %d connections to endpoints", s.conf.EndpointConns)
+	}
+	c := s.Counters()
+	if c.Held != 0 || c.Taken+c.Over != 100 || c.Over == 0 {
+		t.Errorf("held %d, taken %d, turned away %d: want 0, and 100 in all with some of both", c.Held, c.Taken, c.Over)
+	}
+}
+
+// After the signal to stop, what was taken is answered, connections that still
+// come are served, and each answer is the last on its connection.
+func TestStopAnswersWhatWasTaken(t *testing.T) {
+	release := make(chan struct{})
+	e := startEndpoint(t, "e1", func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/look/slow" {
+			<-release
+		}
+		io.WriteString(w, "e1")
+	})
+	s := start(t, testConfig(startDiscovery(t), e.line()))
+	idle, err := net.Dial("tcp", s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer idle.Close()
+	held := make(chan *http.Response, 1)
+	r := request(t, s.Address(), http.MethodGet, "/look/slow", "")
+	go func() {
+		answer, err := (&http.Transport{}).RoundTrip(r)
+		if err != nil {
+			t.Error(err)
+		}
+		held <- answer
+	}()
+	eventually(t, "the slow request is out", func() bool { return e.count() == 1 })
+	stopped := make(chan struct{})
+	s.stopped = true
+	go func() { s.Stop(); close(stopped) }()
+	eventually(t, "it is not ready any more", func() bool {
+		status, _, err := try(request(t, s.Address(), http.MethodGet, "/up", ""))
+		return err == nil && status == 503
+	})
+	answer, err := (&http.Transport{}).RoundTrip(request(t, s.Address(), http.MethodGet, "/look", ""))
+	if err != nil || answer.StatusCode != 200 || !answer.Close {
+		t.Errorf("a late caller: %+v, %v; want 200 and Connection: close", answer, err)
+	}
+	close(release)
+	if answer := <-held; answer == nil || answer.StatusCode != 200 || !answer.Close {
+		t.Errorf("the held request: %+v; want 200 and Connection: close", answer)
+	}
+	select {
+	case <-stopped:
+	case <-time.After(patience):
+		t.Fatal("it does not stop")
+	}
+	idle.SetDeadline(time.Now().Add(patience))
+	if rest, err := io.ReadAll(idle); err != nil || len(rest) > 0 {
+		t.Errorf("the idle connection ended with %q, %v; want silence", rest, err)
+	}
+	if !strings.Contains(s.log.String(), `"served":2`) {
+		t.Errorf("no counters at the end:\n%s", s.log)
+	}
+}
+
+// Guards against requests that are still held when the platform kills what has
+// not stopped: they are lost, where a failure would have been an answer.
+func TestStopFailsWhatCannotEnd(t *testing.T) {
+	e := startEndpoint(t, "mute", silentEndpoint(nil))
+	conf := testConfig(startDiscovery(t), e.line())
+	for _, class := range conf["settings"].(map[string]any)["profiles"].([]any) {
+		class.(map[string]any)["deadline"] = 60000.0
+	}
+	s := start(t, conf)
+	got := make(chan int, 1)
+	r := request(t, s.Address(), http.MethodGet, "/look", "")
+	r.Header.Set("X-Remaining", "60")
+	go func() {
+		status, _, err := try(r)
+		if err != nil {
+			t.Error(err)
+		}
+		got <- status
+	}()
+	eventually(t, "the request is out", func() bool { return e.count() == 1 })
+	s.stopped = true
+	begin := time.Now()
+	s.Stop()
+	if took := time.Since(begin); took > killAfter {
+		t.Errorf("stopping took %v, and it is killed after %v", took, killAfter)
+	}
+	if status := <-got; status != 502 {
+		t.Errorf("status %d, want 502", status)
+	}
+}
--- a/internal/pipeline/admit.go
+++ b/internal/pipeline/admit.go
@@ -13,15 +13,17 @@
 type arrival struct {
 	message  *httpwire.Request
 	deadline decide.Time
+	crowded  bool // its connection is one more than there is room for
 	answer   chan httpwire.Answer
 	request  *state.Request // the owner's, once it is admitted
 }
 
 func (a *arrival) handle(e *Engine) {
-	if most := e.conf.Transport.MostHeld; most > 0 && e.requests.Held() >= most {
-		// The settings say so, for every policy alike: the module is not asked.
+	if a.crowded || e.stopping || e.full() {
+		// What the settings and the limits leave no room for is turned away unseen:
+		// the module is not asked, as in the simulator.
 		e.counters.Over++
-		a.answer <- httpwire.Answer{Verdict: httpwire.Refused}
+		a.answer <- httpwire.Answer{Verdict: httpwire.Refused, Last: a.crowded}
 		return
 	}
 	e.counters.Taken++
@@ -31,3 +33,9 @@
 		Repeat: a.message.Repeat, Work: a.message.Work, Grace: max(0, a.deadline-e.clock.Now()),
 	})
 }
+
+// full tells whether as many requests are open as the settings allow.
+func (e *Engine) full() bool {
+	most := e.conf.Transport.MostHeld
+	return most > 0 && e.requests.Held() >= most
+}
--- a/internal/pipeline/discover.go
+++ b/internal/pipeline/discover.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"heathgap/decide"
 	"heathgap/internal/httpwire"
 )
@@ -56,19 +58,22 @@
 // runWatch watches until a call fails.
 func (e *Engine) runWatch() {
 	for {
-		list, err := e.watch.call()
+		list, keep, err := e.watch.call()
 		if err != nil {
-			e.watch.end()
-			e.post(listFailed{err})
+			e.endWatch(httpwire.ReasonBroken, err)
+			e.post(listFailed{})
 			return
 		}
+		if !keep {
+			e.endWatch(httpwire.ReasonPeerClose, nil)
+		}
 		e.post(listCame{list})
 	}
 }
 
 // call makes one call to discovery: it fetches the whole list while there is
 // none, and else waits for what is newer.
-func (w *watch) call() (*httpwire.List, error) {
+func (w *watch) call() (list *httpwire.List, keep bool, err error) {
 	message, limit := httpwire.EncodeFetch(), fetchTime
 	if w.known {
 		message, limit = httpwire.EncodeWatch(w.index, watchWait), watchWait+callTime
@@ -76,30 +81,39 @@
 	if w.link == nil {
 		link, err := httpwire.Dial(context.Background(), w.address, callTime)
 		if err != nil {
-			return nil, err
+			return nil, false, err
 		}
 		w.link = link
 	}
 	if _, err := w.link.Send(message, time.Now().Add(limit)); err != nil {
-		return nil, fmt.Errorf("writing: %w", err)
+		return nil, false, fmt.Errorf("writing: %w", err)
 	}
-	list, keep, err := httpwire.DecodeListReply(w.link.Reader())
+	answer, keep, err := httpwire.DecodeListReply(w.link.Reader())
 	if err != nil {
-		return nil, fmt.Errorf("answer: %w", err)
-	}
-	if !keep {
-		w.end()
+		return nil, false, fmt.Errorf("answer: %w", err)
 	}
-	w.index, w.known = list.Index, true
-	return &list, nil
+	w.index, w.known = answer.Index, true
+	return &answer, keep, nil
 }
 
-// end ends the connection.
-func (w *watch) end() {
-	if w.link != nil {
+// endWatch ends the connection to discovery with its log line; err is the
+// failure that ended it, if one did.
+func (e *Engine) endWatch(why httpwire.Reason, err error) {
+	w := &e.watch
+	uses := 0
+	if w.link == nil {
+		why = httpwire.ReasonDialFailed
+	} else {
+		uses = w.link.Uses
 		w.link.Close()
 		w.link = nil
 	}
+	level := zerolog.InfoLevel
+	if err != nil {
+		level = zerolog.WarnLevel
+	}
+	e.log.WithLevel(level).Str("side", "discovery").Str("peer", w.address).Str("reason", string(why)).
+		Int("requests", uses).AnErr("error", err).Msg("connection ended")
 }
 
 // listCame is an answer of discovery.
@@ -124,13 +138,11 @@
 }
 
 // listFailed is a call to discovery that has failed.
-type listFailed struct{ err error }
+type listFailed struct{}
 
-func (f listFailed) handle(e *Engine) {
+func (listFailed) handle(e *Engine) {
 	e.counters.ListFails++
 	e.watch.running = false
-	e.log.Warn().Str("side", "discovery").Str("peer", e.watch.address).
-		Str("reason", string(httpwire.ReasonBroken)).Err(f.err).Msg("connection ended")
 	if e.conf.Settings.MustAsk {
 		e.tell(decide.Event{Kind: decide.ListFailed})
 		return
--- a/internal/pipeline/engine.go
+++ b/internal/pipeline/engine.go
@@ -47,6 +47,7 @@
 	sweepAt   decide.Time
 	pending   []decide.Event // for the module, behind the one it is being told
 	telling   bool
+	stopping  bool // nothing is taken any more
 	actions   []decide.Action
 }
 
@@ -128,6 +129,27 @@
 // Drain makes every answer from now on the last on its connection.
 func (e *Engine) Drain() { e.draining.Store(true) }
 
+// Finish fails what is still held: the process is about to end, or to be killed,
+// and what it leaves unanswered is lost. A failure promises nothing, so that it
+// is true whatever has run.
+func (e *Engine) Finish() { e.post(finish{}) }
+
+type finish struct{}
+
+func (finish) handle(e *Engine) {
+	e.stopping = true
+	for _, r := range e.requests.All() {
+		if r.Over {
+			continue
+		}
+		e.relay(r, httpwire.Answer{Verdict: httpwire.Failed})
+		e.tell(decide.Event{Kind: decide.ClientLeft, Request: r.ID})
+		for i := range r.Attempts {
+			e.cancel(r, i)
+		}
+	}
+}
+
 // Snapshot is what the engine counts and holds.
 type Snapshot struct {
 	state.Counters
--- a/internal/pipeline/relay.go
+++ b/internal/pipeline/relay.go
@@ -35,6 +35,6 @@
 	if r == nil || r.Over {
 		return
 	}
-	e.relay(r, httpwire.Answer{Verdict: httpwire.Abandoned})
+	e.relay(r, httpwire.Answer{Verdict: httpwire.Abandoned, Last: true})
 	e.tell(decide.Event{Kind: decide.ClientLeft, Request: r.ID})
 }
--- a/internal/pipeline/takein.go
+++ b/internal/pipeline/takein.go
@@ -24,11 +24,11 @@
 	} else {
 		answer := e.takeIn(ctx, conn)
 		httpwire.EncodeAnswer(&answer, &ctx.Response)
-		if answer.Verdict == httpwire.Abandoned {
+		if answer.Last {
 			ctx.SetConnectionClose()
 		}
 	}
-	if e.draining.Load() {
+	if e.draining.Load() || conn.Retired() {
 		ctx.SetConnectionClose()
 	}
 	conn.Answered()
@@ -52,7 +52,10 @@
 		e.post(malformed{})
 		return httpwire.Answer{Verdict: httpwire.Malformed, Reason: err.Error()}
 	}
-	in := &arrival{message: &message, deadline: now + message.Remaining, answer: make(chan httpwire.Answer, 1)}
+	in := &arrival{
+		message: &message, deadline: now + message.Remaining, crowded: conn.Crowded(),
+		answer: make(chan httpwire.Answer, 1),
+	}
 	e.post(in)
 	conn.Watch(func() { e.post(callerLeft{in}) })
 	defer conn.Unwatch()
--- a/internal/state/request.go
+++ b/internal/state/request.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 
 	"heathgap/decide"
 	"heathgap/internal/httpwire"
@@ -53,6 +55,9 @@
 // Get returns a kept request, or nil.
 func (t *Requests) Get(id decide.RequestID) *Request { return t.byID[id] }
 
+// All returns the kept requests.
+func (t *Requests) All() []*Request { return slices.Collect(maps.Values(t.byID)) }
+
 // Held is how many requests are without a final answer.
 func (t *Requests) Held() int { return t.held }
 
--- /dev/null
+++ b/internal/state/state_test.go
@@ -0,0 +1,214 @@
+package state
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"heathgap/decide"
+	"heathgap/internal/httpwire"
+)
+
+func listed(name string) httpwire.ListedEndpoint {
+	return httpwire.ListedEndpoint{Name: name, Address: "127.0.0.1:1", Weight: 1}
+}
+
+func whole(names ...string) *httpwire.List {
+	list := &httpwire.List{Whole: true}
+	for _, name := range names {
+		list.Endpoints = append(list.Endpoints, listed(name))
+	}
+	return list
+}
+
+// Sidecars order endpoints by id, each beginning elsewhere: the ids must not
+// depend on the order in which one has heard of them.
+func TestIDsAreTheSameEverywhere(t *testing.T) {
+	one, other := NewEndpoints(), NewEndpoints()
+	one.Update(whole("a", "b", "c"))
+	other.Update(whole("c"))
+	other.Update(whole("b", "a", "c"))
+	for _, name := range []string{"a", "b", "c"} {
+		if x, y := one.byName[name].ID, other.byName[name].ID; x != y {
+			t.Errorf("%s: %d at one, %d at the other", name, x, y)
+		}
+	}
+}
+
+func TestUpdateTellsWhatIsStale(t *testing.T) {
+	table := NewEndpoints()
+	table.Update(whole("a", "b", "c", "d"))
+	a, b, c := table.byName["a"], table.byName["b"], table.byName["c"]
+	again, gone, unknown := listed("a"), listed("b"), listed("x")
+	again.Since = time.Second
+	gone.State, unknown.State = decide.Gone, decide.Gone
+	lines, stale := table.Update(&httpwire.List{Endpoints: []httpwire.ListedEndpoint{again, gone, unknown}})
+	if len(lines) != 2 || lines[0].Started != time.Second || lines[1].State != decide.Gone {
+		t.Errorf("lines: %+v", lines)
+	}
+	if len(stale) != 2 || stale[0] != a || stale[1] != b || b.Listed || table.Get(b.ID) != nil {
+		t.Errorf("stale: %+v", stale)
+	}
+	if _, stale = table.Update(whole("a", "d")); len(stale) == 0 || stale[0] != a && stale[0] != c {
+		t.Errorf("what a whole list leaves out is not stale: %+v", stale)
+	}
+	if table.Len() != 2 || c.Listed {
+		t.Errorf("%d endpoints are known, want 2", table.Len())
+	}
+}
+
+// pair returns a link and the other end of its connection.
+func pair(t *testing.T) (*httpwire.Link, net.Conn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	link, err := httpwire.Dial(t.Context(), listener.Addr().String(), 10*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(link.Close)
+	other, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { other.Close() })
+	return link, other
+}
+
+// poolOf returns a pool and a count of why its connections ended.
+func poolOf(most int) (*Pool, map[httpwire.Reason]int) {
+	why := map[httpwire.Reason]int{}
+	return NewPool(most, time.Second, func(_ *Endpoint, _ *httpwire.Link, r httpwire.Reason) { why[r]++ }), why
+}
+
+func TestPoolReusesTheNewest(t *testing.T) {
+	pool, _ := poolOf(4)
+	e := &Endpoint{Listed: true}
+	var links []*httpwire.Link
+	for range 2 {
+		if l, ok := pool.Take(e, 1); l != nil || !ok {
+			t.Fatalf("an empty pool gave %v, %v", l, ok)
+		}
+		l, _ := pair(t)
+		links = append(links, l)
+	}
+	pool.Put(e, links[0], 1)
+	pool.Put(e, links[1], 2)
+	if l, _ := pool.Take(e, 3); l != links[1] {
+		t.Error("not the one used last")
+	}
+}
+
+// Guards against a request that is written to a connection which its endpoint
+// has ended or is about to end: it would count as one that may have run.
+func TestPoolPassesOverWhatHasEnded(t *testing.T) {
+	pool, why := poolOf(4)
+	e := &Endpoint{Listed: true}
+	pool.Take(e, 1)
+	ended, other := pair(t)
+	pool.Put(e, ended, 1)
+	other.Close()
+	for end := time.Now().Add(10 * time.Second); ended.Fresh(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the end of the connection is not seen")
+		}
+	}
+	if l, ok := pool.Take(e, 2); l != nil || !ok || why[httpwire.ReasonPeerClosed] != 1 {
+		t.Errorf("got %v, %v, ended %v", l, ok, why)
+	}
+	old, _ := pair(t)
+	pool.Put(e, old, 2)
+	if l, _ := pool.Take(e, 2+time.Second); l != nil || why[httpwire.ReasonIdle] != 1 {
+		t.Errorf("one that stood idle for too long was used: %v, ended %v", l, why)
+	}
+	swept, _ := pair(t)
+	pool.Put(e, swept, 3)
+	pool.Sweep(3 + time.Second)
+	if why[httpwire.ReasonIdle] != 2 || pool.Open() != 0 || len(pool.holders) != 0 {
+		t.Errorf("swept: ended %v, %d open", why, pool.Open())
+	}
+}
+
+// Guards against descriptors that run out.
+func TestPoolKeepsItsBound(t *testing.T) {
+	pool, why := poolOf(1)
+	a, b := &Endpoint{Listed: true}, &Endpoint{Listed: true}
+	pool.Take(a, 1)
+	if _, ok := pool.Take(b, 1); ok {
+		t.Error("a second connection where one is allowed")
+	}
+	l, _ := pair(t)
+	pool.Put(a, l, 1)
+	if _, ok := pool.Take(b, 1); !ok || why[httpwire.ReasonRoom] != 1 || pool.Open() != 1 {
+		t.Errorf("no room was made: %v, %d open", why, pool.Open())
+	}
+	l, _ = pair(t)
+	b.Listed = false
+	if pool.Put(b, l, 1); pool.Open() != 0 || why[httpwire.ReasonUnlisted] != 1 {
+		t.Errorf("a connection to one that has left is kept: %v", why)
+	}
+}
+
+func TestTimeoutsComeInOrder(t *testing.T) {
+	var timeouts Timeouts
+	attempts := make([]*Attempt, 20)
+	for i := range attempts {
+		attempts[i] = &Attempt{Number: i, Until: decide.Time((i*7)%20 + 1)}
+		timeouts.Add(attempts[i])
+	}
+	for i, a := range attempts {
+		if i%3 == 0 {
+			timeouts.Remove(a)
+			timeouts.Remove(a) // once more does no harm
+		}
+	}
+	last, n := decide.Time(0), 0
+	for a := timeouts.Due(20); a != nil; a = timeouts.Due(20) {
+		if a.Until < last || a.Number%3 == 0 {
+			t.Errorf("attempt %d, due at %d, after one due at %d", a.Number, a.Until, last)
+		}
+		last = a.Until
+		n++
+	}
+	if n != 13 || timeouts.Next() != 0 {
+		t.Errorf("%d came, want 13, and nothing is left (%v)", n, timeouts.Next())
+	}
+	timeouts.Add(&Attempt{Until: 50})
+	if timeouts.Due(49) != nil || timeouts.Next() != 50 {
+		t.Error("one came before its time")
+	}
+}
+
+// A request has one final answer and is kept until its attempts have ended.
+func TestRequestIsKeptUntilAllHasEnded(t *testing.T) {
+	table := NewRequests()
+	r := table.Take(&httpwire.Request{}, 10, nil)
+	a := table.Begin(r, nil, 1, 10)
+	if !table.End(r) || table.End(r) || table.Held() != 0 {
+		t.Error("a request ends once")
+	}
+	if table.Release(r); table.Get(r.ID) == nil {
+		t.Error("forgotten while an attempt is out")
+	}
+	if !table.Settle(a) || table.Settle(a) {
+		t.Error("an attempt has one outcome")
+	}
+	if table.Release(r); table.Get(r.ID) != nil {
+		t.Error("kept after its end")
+	}
+}
+
+// Starts of endpoints are told since the epoch, long before this process's.
+func TestClockCountsFromTheEpoch(t *testing.T) {
+	c := NewClock()
+	now := c.Now()
+	if off := time.Until(time.Unix(0, int64(now))); off > time.Second || off < -time.Second {
+		t.Errorf("off by %v", off)
+	}
+	if at := c.At(now); at.Sub(c.started) < 0 || c.Now() < now {
+		t.Errorf("it goes back: %v", at)
+	}
+}
