Write nothing for a request that has ended while its connection was made

An attempt now passes a gate before its first byte, and windows reach the module less the connect time-out.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -31,7 +31,7 @@
 const (
 	defaultMemoryMB = 192
 	defaultSockets  = 1024
-	leastSockets    = 64 // fewer leave no room for both sides
+	leastSockets    = 16 // fewer leave no room for both sides
 
 	heapShare     = 0.6 // of the memory: stacks, buffers and the program need the rest
 	callerShare   = 0.6 // of the sockets, for callers
@@ -186,5 +186,17 @@
 		return errors.New("bounds.connect_timeout, bounds.conn_idle: below 0")
 	}
 	c.IdleFor = time.Duration(float64(idle) * idleShare)
+	c.shortenWindows()
 	return nil
 }
+
+// shortenWindows takes the time that a connection may need off the windows in
+// which repeats are dropped: the module judges a repeat when it decides, and the
+// endpoint when its last byte has come.
+func (c *Config) shortenWindows() {
+	for i := range c.Settings.Classes {
+		class := &c.Settings.Classes[i]
+		class.Window = max(0, class.Window-c.ConnectTimeout)
+		c.Classes[class.Name] = *class
+	}
+}
--- a/internal/httpwire/link.go
+++ b/internal/httpwire/link.go
@@ -12,9 +12,11 @@
 // Link is a connection of this sidecar's own making, to an endpoint or to
 // discovery. It carries one exchange at a time.
 //
-// fasthttp's client is not used here: it resends by itself, and giving up there
-// leaves the connection at work. Its codecs are, on connections that write each
-// message once and end with the exchange that is given up.
+// fasthttp's client is not used here. It can be kept from resending, but its
+// errors do not tell whether a message's last byte was written, which decides
+// whether the endpoint may have run it, and an exchange under way cannot be
+// called off, nor kept from being written once its connection stands. Its codecs
+// are used, on connections that tell and allow that.
 type Link struct {
 	conn   net.Conn
 	in     *bufio.Reader
--- a/internal/pipeline/send.go
+++ b/internal/pipeline/send.go
@@ -75,6 +75,10 @@
 		}
 		done.link = link
 	}
+	if !a.Write() { // its request has ended while the connection was being made
+		done.outcome = decide.NotSent
+		return
+	}
 	stop := context.AfterFunc(ctx, link.Close)
 	defer stop()
 	message := httpwire.EncodeAttempt(a.Request.Message, a.Until-e.clock.Now())
--- /dev/null
+++ b/internal/pipeline/send_test.go
@@ -0,0 +1,69 @@
+package pipeline
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"heathgap/decide"
+	"heathgap/internal/config"
+	"heathgap/internal/httpwire"
+	"heathgap/internal/state"
+)
+
+func testEngine(t *testing.T) *Engine {
+	t.Helper()
+	e, err := New(&config.Config{
+		Settings:       decide.Settings{Classes: []decide.Class{{Name: "look", Effect: decide.Safe, Aim: time.Second}}},
+		ConnectTimeout: 10 * time.Second, EndpointConns: 10, IdleFor: time.Minute,
+	}, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return e
+}
+
+// Guards against an attempt that is written after its request has ended, because
+// its connection was still being made then.
+func TestNothingIsWrittenAfterTheEnd(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	e := testEngine(t)
+	to := &state.Endpoint{Listed: true}
+	if _, ok := e.pool.Take(to, 0); !ok {
+		t.Fatal("no room in an empty pool")
+	}
+	until := e.clock.Now() + time.Minute
+	r := e.requests.Take(&httpwire.Request{Method: "GET", URI: "/look"}, until, make(chan httpwire.Answer, 1))
+	a := e.requests.Begin(r, to, 0, until)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	a.GiveUp = cancel
+	e.relay(r, httpwire.Answer{Verdict: httpwire.Abandoned})
+
+	e.exchange(ctx, a, nil, listener.Addr().String())
+	(<-e.events).handle(e)
+	if n := e.counters.Outcomes[decide.NotSent]; n != 1 {
+		t.Errorf("outcomes %v, want one that was not sent", e.counters.Outcomes)
+	}
+	if l, _ := e.pool.Take(to, e.clock.Now()); l == nil {
+		t.Error("the connection carried nothing and could be used")
+	} else {
+		l.Close()
+	}
+	conn, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(10 * time.Second))
+	if n, err := conn.Read(make([]byte, 10)); n > 0 || err == nil {
+		t.Errorf("%d bytes were written", n)
+	}
+}
--- a/internal/state/request.go
+++ b/internal/state/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"sync/atomic"
 
 	"heathgap/decide"
 	"heathgap/internal/httpwire"
@@ -30,9 +31,24 @@
 	Until    decide.Time // when it times out
 	GiveUp   context.CancelFunc
 	Settled  bool // it has its outcome
-	place    int  // in Timeouts, from 1; 0 when it is not there
+	gate     atomic.Int32
+	place    int // in Timeouts, from 1; 0 when it is not there
 }
 
+// The states of an attempt's gate.
+const (
+	gateOpen    = iota
+	gateWriting // its message is being written, or has been
+	gateBarred  // it must not be written any more
+)
+
+// Write tells whether the attempt may be written, and that it will be. The
+// goroutine that carries it asks once, when its connection stands.
+func (a *Attempt) Write() bool { return a.gate.CompareAndSwap(gateOpen, gateWriting) }
+
+// Bar keeps the attempt from being written, unless that has begun.
+func (a *Attempt) Bar() { a.gate.CompareAndSwap(gateOpen, gateBarred) }
+
 // Requests are those that are kept.
 type Requests struct {
 	byID map[decide.RequestID]*Request
@@ -80,12 +96,17 @@
 }
 
 // End books that a request has its final answer; false if it had one already.
+// Nothing is sent for it afterwards: an attempt whose connection is still being
+// made is barred.
 func (t *Requests) End(r *Request) bool {
 	if r.Over {
 		return false
 	}
 	r.Over = true
 	t.held--
+	for _, a := range r.Attempts {
+		a.Bar()
+	}
 	return true
 }
 
