Turn down what is not whole or not of its class, and make room among half requests

Found by reading the protocol again: a request without X-Remaining, with a time below 0 or with another method than its class's went to an endpoint, and one with no time left cost an attempt. All but the last are answered 400 now, and the last is given up by the module without a send. Callers that begin requests and do not end them filled the room for connections, so that whole requests were refused: only whole ones count now, and half ones make room after 1 s. A test of each.

--- a/internal/httpwire/caller.go
+++ b/internal/httpwire/caller.go
@@ -32,6 +32,7 @@
 	acceptPause = 5 * time.Millisecond   // after a failed accept: descriptors may run out for a moment
 	roomPause   = 50 * time.Millisecond  // between looks for connections that can make room
 	settleTime  = 200 * time.Millisecond // a connection stands idle so long before it may be ended
+	stallTime   = time.Second            // a request may take so long to come whole while room is short
 )
 
 // Accept waits for the next connection. It fails only when the listener is
@@ -47,7 +48,7 @@
 		time.Sleep(acceptPause)
 		conn, err = l.Listener.Accept()
 	}
-	c := &CallerConn{Conn: conn, owner: l, idleSince: time.Now()}
+	c := &CallerConn{Conn: conn, owner: l, changed: time.Now()}
 	l.mu.Lock()
 	l.conns[c] = struct{}{}
 	look := len(l.conns) > l.most && !l.looking
@@ -88,24 +89,28 @@
 // retireOldest ends the connections that have been idle longest.
 func (l *Callers) retireOldest(n int) {
 	all := l.all()
-	slices.SortFunc(all, func(a, b *CallerConn) int { return a.since().Compare(b.since()) })
-	for _, c := range all {
-		if n == 0 {
-			return
-		}
-		if c.retire(ReasonRoom) {
-			n--
+	slices.SortFunc(all, func(a, b *CallerConn) int { return a.lastChange().Compare(b.lastChange()) })
+	for _, end := range []func(*CallerConn) bool{
+		func(c *CallerConn) bool { return c.retire(ReasonRoom) },
+		(*CallerConn).cutShort,
+	} {
+		for _, c := range all {
+			if n > 0 && end(c) {
+				n--
+			}
 		}
 	}
 }
 
-// busy is how many connections have a request on them.
-func (l *Callers) busy() int {
+// held is how many connections have a whole request on them.
+func (l *Callers) held() int {
 	n := 0
 	for _, c := range l.all() {
-		if c.isBusy() {
+		c.mu.Lock()
+		if c.held {
 			n++
 		}
+		c.mu.Unlock()
 	}
 	return n
 }
@@ -126,16 +131,17 @@
 	net.Conn
 	owner *Callers
 
-	mu        sync.Mutex
-	why       Reason // the first that was found; empty while none is
-	busy      bool   // a request is being read, held or answered
-	answered  bool   // the handler has its answer; the server's next read is for another request
-	retired   bool   // no further request is to be read
-	idleSince time.Time
-	requests  int
-	early     []byte        // what came while Watch looked; the next Read returns it
-	watching  chan struct{} // closed when the watch has ended; nil while there is none
-	closed    bool
+	mu       sync.Mutex
+	why      Reason    // the first that was found; empty while none is
+	busy     bool      // a request is being read, held or answered
+	held     bool      // a request has come whole
+	answered bool      // the handler has its answer; the server's next read is for another request
+	retired  bool      // no further request is to be read
+	changed  time.Time // when it last became idle, or busy
+	requests int
+	early    []byte        // what came while Watch looked; the next Read returns it
+	watching chan struct{} // closed when the watch has ended; nil while there is none
+	closed   bool
 }
 
 // aPast is a deadline that has passed: it ends a pending read at once.
@@ -153,7 +159,7 @@
 	if len(c.early) > 0 {
 		n := copy(b, c.early)
 		c.early = c.early[n:]
-		c.busy = true
+		c.begin()
 		c.mu.Unlock()
 		return n, nil
 	}
@@ -168,7 +174,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n > 0 {
-		c.busy = true
+		c.begin()
 		return n, err
 	}
 	if err != nil {
@@ -180,11 +186,18 @@
 	return n, err
 }
 
+// begin marks that a request has begun to come; c.mu is held.
+func (c *CallerConn) begin() {
+	if !c.busy {
+		c.busy, c.changed = true, time.Now()
+	}
+}
+
 // settle makes the connection idle once the server reads on behind an answer:
 // it does so when the answer is written. c.mu is held.
 func (c *CallerConn) settle() {
 	if c.answered {
-		c.answered, c.busy, c.idleSince = false, false, time.Now()
+		c.answered, c.busy, c.held, c.changed = false, false, false, time.Now()
 	}
 }
 
@@ -238,7 +251,7 @@
 // Crowded tells whether more requests are held than there should be connections.
 func (c *CallerConn) Crowded() bool {
 	l := c.owner
-	return l.Open() > l.most && l.busy() > l.most
+	return l.Open() > l.most && l.held() > l.most
 }
 
 // Note sets why the connection ends, unless that is known already.
@@ -254,16 +267,25 @@
 	}
 }
 
-func (c *CallerConn) since() time.Time {
+func (c *CallerConn) lastChange() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.idleSince
+	return c.changed
 }
 
-func (c *CallerConn) isBusy() bool {
+// cutShort ends the reading of a request that does not come whole, and tells
+// whether it does. Guards against callers that hold all connections with the
+// beginnings of requests. The server answers them, in case one has come after all.
+func (c *CallerConn) cutShort() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.busy
+	if !c.busy || c.held || c.retired || time.Since(c.changed) < stallTime {
+		return false
+	}
+	c.retired = true
+	c.note(ReasonRoom)
+	c.Conn.SetReadDeadline(aPast)
+	return true
 }
 
 // retire ends a connection that has been idle for a while, and tells whether it
@@ -273,7 +295,7 @@
 func (c *CallerConn) retire(why Reason) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.retired || c.busy || time.Since(c.idleSince) < settleTime {
+	if c.retired || c.busy || time.Since(c.changed) < settleTime {
 		return false
 	}
 	c.retired = true
@@ -289,11 +311,15 @@
 	return c.retired
 }
 
-// Watch calls left once if the caller goes before Unwatch is called.
+// Watch calls left once if the caller goes before Unwatch is called. It begins
+// when a request has come whole.
 func (c *CallerConn) Watch(left func()) {
 	done := make(chan struct{})
 	c.watching = done
+	c.mu.Lock()
+	c.held = true
 	c.Conn.SetReadDeadline(time.Time{})
+	c.mu.Unlock()
 	go func() {
 		defer close(done)
 		var b [1]byte
--- a/internal/httpwire/request.go
+++ b/internal/httpwire/request.go
@@ -19,7 +19,6 @@
 	Key       string        // drops repeats of a keyed class; empty elsewhere
 	Labels    string        // further figures, as they came
 	Remaining time.Duration // how long the caller will wait
-	Timed     bool          // Remaining was told
 	Work      time.Duration // expected work; 0 when unknown
 	Repeat    bool          // a client's repeat, where clients mark it
 	Method    string
@@ -61,11 +60,8 @@
 		return Request{}, err
 	}
 	r.Class = class
-	if v := h.Peek(headerRemaining); v != nil {
-		r.Timed = true
-		if r.Remaining, err = parseSeconds(v); err != nil {
-			return Request{}, fmt.Errorf("%s: %w", headerRemaining, err)
-		}
+	if r.Remaining, err = parseSeconds(h.Peek(headerRemaining)); err != nil {
+		return Request{}, fmt.Errorf("%s: %w", headerRemaining, err)
 	}
 	if v := h.Peek(headerEstimate); v != nil {
 		if r.Work, err = parseSeconds(v); err != nil {
@@ -90,13 +86,13 @@
 	return string(part), nil
 }
 
-// parseSeconds reads seconds with decimals. Time that has run out reads as 0.
+// parseSeconds reads seconds with decimals.
 func parseSeconds(v []byte) (time.Duration, error) {
 	s, err := strconv.ParseFloat(string(v), 64)
-	if err != nil || math.IsNaN(s) || math.IsInf(s, 0) {
+	if err != nil || math.IsNaN(s) || s < 0 {
 		return 0, fmt.Errorf("%q is not a number of seconds", v)
 	}
-	s = max(0, min(s, maxRemaining.Seconds()))
+	s = min(s, maxRemaining.Seconds())
 	return time.Duration(math.Round(s*1e6)) * time.Microsecond, nil
 }
 
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -34,7 +34,7 @@
 	finishAfter = 550 * time.Millisecond // past the longest deadline or patientFor: what is held fails then
 	leaveAfter  = 650 * time.Millisecond // the same for leaving, whatever is not written by then
 
-	readTime  = 10 * time.Second // a request must have come whole by then
+	readTime  = 5 * time.Second  // a request must have come whole by then
 	idleTime  = 90 * time.Second // callers keep connections; what is forgotten ends at last
 	writeTime = 5 * time.Second  // an answer must be taken by then
 	headSize  = 8 << 10          // bytes that a request's head may have
--- a/internal/lifecycle/sidecar_test.go
+++ b/internal/lifecycle/sidecar_test.go
@@ -64,6 +64,10 @@
 		"no path":           "GET look HTTP/1.1\r\n" + head + "\r\n",
 		"no id":             "GET /look HTTP/1.1\r\nHost: x\r\nX-Remaining: 1\r\n\r\n",
 		"time is no number": "GET /look HTTP/1.1\r\nHost: x\r\nX-Txn: 1\r\nX-Remaining: soon\r\n\r\n",
+		"no time":           "GET /look HTTP/1.1\r\nHost: x\r\nX-Txn: 1\r\n\r\n",
+		"time below 0":      "GET /look HTTP/1.1\r\nHost: x\r\nX-Txn: 1\r\nX-Remaining: -1\r\n\r\n",
+		"wrong method":      "POST /look HTTP/1.1\r\n" + head + "Content-Length: 0\r\n\r\n",
+		"keyed by GET":      "GET /pay HTTP/1.1\r\n" + head + "Idempotency-Key: k\r\n\r\n",
 		"time is NaN":       "GET /look HTTP/1.1\r\nHost: x\r\nX-Txn: 1\r\nX-Remaining: NaN\r\n\r\n",
 		"keyed without key": "POST /pay HTTP/1.1\r\n" + head + "Content-Length: 0\r\n\r\n",
 		"other method":      "DELETE /look HTTP/1.1\r\n" + head + "\r\n",
@@ -315,6 +319,38 @@
 	}
 }
 
+// Guards against callers that hold all connections with the beginnings of requests:
+// others must still be served.
+func TestManyHalfRequests(t *testing.T) {
+	e := startEndpoint(t, "e1", nil)
+	conf := testConfig(startDiscovery(t), e.line())
+	conf["limits"].(map[string]any)["sockets"] = 64
+	s := start(t, conf)
+	for range 100 {
+		conn, err := net.Dial("tcp", s.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		io.WriteString(conn, "GET /look HTTP/1.1\r\nX-Txn: ")
+	}
+	if status, _ := get(t, s.Address(), "/look"); status != 200 {
+		t.Errorf("status %d, want 200", status)
+	}
+	eventually(t, "room is made", func() bool { return s.callers.Open() <= s.conf.CallerConns })
+}
+
+// A request whose time is up goes nowhere, and its caller is told so.
+func TestNoTimeLeft(t *testing.T) {
+	e := startEndpoint(t, "e1", nil)
+	s := start(t, testConfig(startDiscovery(t), e.line()))
+	r := request(t, s.Address(), http.MethodGet, "/look", "")
+	r.Header.Set("X-Remaining", "0")
+	if status, _ := do(t, r); status == 200 || e.count() > 0 {
+		t.Errorf("status %d, and the endpoint was asked %d times", status, e.count())
+	}
+}
+
 // Guards against connections to endpoints beyond the bound, and against callers
 // beyond theirs that hold requests: they are refused, at once.
 func TestBusyConnectionsStayInBounds(t *testing.T) {
--- a/internal/pipeline/send.go
+++ b/internal/pipeline/send.go
@@ -25,7 +25,7 @@
 	to := e.endpoints.Get(a.Endpoint)
 	attempt := e.requests.Begin(r, to, now, until)
 	switch {
-	case r.Over:
+	case r.Over, r.Deadline <= now:
 		e.settle(attempt, decide.NotSent, nil)
 		return
 	case to == nil: // it has left the list since
