Look once more at any idle connection that is about to end, and spread the watches

Seen by reading: a request that stood in a connection when its idle time ran out was lost as one was that made room, and the rest of a request that the last look found had 1 ms to come. Watches of all sidecars began in one second and ended in step, 20 s later, at a discovery that works through calls in turn: they now wait 16 to 24 s.

--- a/internal/httpwire/caller.go
+++ b/internal/httpwire/caller.go
@@ -163,13 +163,11 @@
 		c.mu.Unlock()
 		return n, nil
 	}
+	idle := !c.busy
 	c.mu.Unlock()
 	n, err := c.Conn.Read(b)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.Retired() {
-		// A read whose deadline has passed does not look at what has come: a
-		// request that stands there already must not be lost.
-		c.Conn.SetReadDeadline(time.Now().Add(lastLook))
-		n, err = c.Conn.Read(b)
+	if n == 0 && idle && errors.Is(err, os.ErrDeadlineExceeded) {
+		n, err = c.lookAgain(b)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -186,6 +184,18 @@
 	return n, err
 }
 
+// lookAgain reads once more when an idle connection is about to end: a read whose
+// deadline has passed does not look at what has come, and a request that stands
+// there already must not be lost. The rest of it gets the time that it may need.
+func (c *CallerConn) lookAgain(b []byte) (int, error) {
+	c.Conn.SetReadDeadline(time.Now().Add(lastLook))
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.Conn.SetReadDeadline(time.Now().Add(stallTime))
+	}
+	return n, err
+}
+
 // begin marks that a request has begun to come; c.mu is held.
 func (c *CallerConn) begin() {
 	if !c.busy {
--- a/internal/lifecycle/sidecar_test.go
+++ b/internal/lifecycle/sidecar_test.go
@@ -296,6 +296,24 @@
 	}
 }
 
+// Where changes are to come by themselves, the module does not ask for them: the
+// sidecar watches, and watches again after a failure.
+func TestWatchesUnasked(t *testing.T) {
+	a, b := startEndpoint(t, "a", nil), startEndpoint(t, "b", nil)
+	d := startDiscovery(t)
+	d.set(func() { d.down = true })
+	conf := testConfig(d, a.line())
+	conf["settings"].(map[string]any)["membership_mode"] = "automatic"
+	s := start(t, conf)
+	eventually(t, "a call fails", func() bool { return s.Counters().ListFails > 0 })
+	d.set(func() { d.down = false })
+	d.publish(t, 2, b.line())
+	eventually(t, "the list", func() bool { return s.Counters().Lists > 0 })
+	if _, body := get(t, s.Address(), "/look"); body != "b" {
+		t.Errorf("answered by %q, want b", body)
+	}
+}
+
 // Guards against descriptors that run out: more callers than there is room for
 // must not end the sidecar, nor keep others from being served.
 func TestManyIdleCallers(t *testing.T) {
--- a/internal/pipeline/discover.go
+++ b/internal/pipeline/discover.go
@@ -17,7 +17,8 @@
 
 // Figures of the calls to discovery.
 const (
-	watchWait    = 20 * time.Second // a watch waits so long for news: discovery serves all sidecars in turn
+	watchWait    = 16 * time.Second // a watch waits so long for news, at least
+	watchSpread  = 8 * time.Second  // and up to so much longer: discovery serves all sidecars in turn
 	callTime     = 2 * time.Second  // what a call may take beyond its wait: then its news count as told
 	fetchTime    = 6 * time.Second  // the same for one that does not wait
 	rewatchPause = time.Second      // least pause after a failure where the module does not ask
@@ -76,7 +77,8 @@
 func (w *watch) call() (list *httpwire.List, keep bool, err error) {
 	message, limit := httpwire.EncodeFetch(), fetchTime
 	if w.known {
-		message, limit = httpwire.EncodeWatch(w.index, watchWait), watchWait+callTime
+		wait := watchWait + rand.N(watchSpread)
+		message, limit = httpwire.EncodeWatch(w.index, wait), wait+callTime
 	}
 	if w.link == nil {
 		link, err := httpwire.Dial(context.Background(), w.address, callTime)
