--- a/internal/lifecycle/fakes_test.go
+++ b/internal/lifecycle/fakes_test.go
@@ -290,6 +290,7 @@
 	}
 	t.Cleanup(func() {
 		if !s.stopped {
+			s.acceptFor = 0
 			s.Stop()
 		}
 	})
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -24,8 +24,8 @@
 
 // Figures of a sidecar's life.
 const (
-	acceptFor = 600 * time.Millisecond // after the signal to stop: the front goes on dealing out connections
-	pollEvery = 5 * time.Millisecond   // how often a stopping sidecar looks whether all is answered
+	acceptTime = 600 * time.Millisecond // after the signal to stop: the front goes on dealing out connections
+	pollEvery  = 5 * time.Millisecond   // how often a stopping sidecar looks whether all is answered
 
 	// The platform kills what has not ended so long after the signal, or sooner
 	// where all deadlines are shorter than patientFor.
@@ -54,6 +54,8 @@
 	cancel  context.CancelFunc
 	ran     chan struct{} // closed when the engine has stopped
 	served  chan error    // what the server ended with
+
+	acceptFor time.Duration // after the signal to stop
 }
 
 // Start starts a sidecar; it takes requests when Start has returned.
@@ -66,7 +68,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	s := &Sidecar{conf: conf, log: log, engine: engine, ran: make(chan struct{}), served: make(chan error, 1)}
+	s := &Sidecar{
+		conf: conf, log: log, engine: engine, ran: make(chan struct{}), served: make(chan error, 1),
+		acceptFor: acceptTime,
+	}
 	s.callers = httpwire.NewCallers(listener, conf.CallerConns, s.callerEnded)
 	s.server = newServer(engine, conf)
 	var ctx context.Context
@@ -84,21 +89,20 @@
 // answer 429 or 503 of its making would be a refusal that nobody decided.
 func newServer(engine *pipeline.Engine, conf *config.Config) *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler:                       engine.Handle,
-		ErrorHandler:                  engine.Unreadable,
-		Concurrency:                   4*conf.CallerConns + spareWorkers,
-		ReadBufferSize:                headSize,
-		MaxRequestBodySize:            httpwire.MaxBody,
-		ReadTimeout:                   readTime,
-		IdleTimeout:                   idleTime,
-		WriteTimeout:                  writeTime,
-		NoDefaultServerHeader:         true,
-		NoDefaultDate:                 true,
-		NoDefaultContentType:          true,
-		DisablePreParseMultipartForm:  true, // bodies go on unchanged
-		DisableHeaderNamesNormalizing: false,
-		CloseOnShutdown:               true,
-		Logger:                        silent{},
+		Handler:                      engine.Handle,
+		ErrorHandler:                 engine.Unreadable,
+		Concurrency:                  4*conf.CallerConns + spareWorkers,
+		ReadBufferSize:               headSize,
+		MaxRequestBodySize:           httpwire.MaxBody,
+		ReadTimeout:                  readTime,
+		IdleTimeout:                  idleTime,
+		WriteTimeout:                 writeTime,
+		NoDefaultServerHeader:        true,
+		NoDefaultDate:                true,
+		NoDefaultContentType:         true,
+		DisablePreParseMultipartForm: true, // bodies go on unchanged
+		CloseOnShutdown:              true,
+		Logger:                       silent{},
 	}
 }
 
@@ -125,7 +129,7 @@
 	begin := time.Now()
 	s.engine.Drain()
 	s.log.Info().Msg("stopping")
-	time.Sleep(acceptFor)
+	time.Sleep(s.acceptFor)
 	s.callers.Close()
 	longest := min(s.longestDeadline(), patientFor)
 	s.emptyOut(begin.Add(longest + finishAfter))
