Tell an attempt that never had a connection from one that timed out

Found by reading: a request whose time ended during the dial was booked as one that may have run, so that its caller was told failed where refused is true. The gate of the attempt tells.

--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -101,7 +101,6 @@
 		NoDefaultDate:                true,
 		NoDefaultContentType:         true,
 		DisablePreParseMultipartForm: true, // bodies go on unchanged
-		CloseOnShutdown:              true,
 		Logger:                       silent{},
 	}
 }
--- a/internal/pipeline/discover.go
+++ b/internal/pipeline/discover.go
@@ -15,18 +15,28 @@
 // Discover: the list of endpoints is watched, and what is told goes to the
 // module. How to go on after a failed call is the module's to say.
 
-// Figures of the calls to discovery.
-const (
-	watchWait    = 16 * time.Second // a watch waits so long for news, at least
-	watchSpread  = 8 * time.Second  // and up to so much longer: discovery serves all sidecars in turn
-	callTime     = 2 * time.Second  // what a call may take beyond its wait: then its news count as told
-	fetchTime    = 6 * time.Second  // the same for one that does not wait
-	rewatchPause = time.Second      // least pause after a failure where the module does not ask
-)
+// callTimes are the times of calls to discovery.
+type callTimes struct {
+	dial   time.Duration // for a connection
+	fetch  time.Duration // for the whole list, asked for while there is none
+	wait   time.Duration // a watch waits so long for news, at least
+	spread time.Duration // and up to so much longer: discovery serves all sidecars in turn
+	beyond time.Duration // what a watch may take after its wait: then its news count as told
+}
+
+// usualTimes are those of a sidecar.
+var usualTimes = callTimes{
+	dial: 2 * time.Second, fetch: 6 * time.Second,
+	wait: 16 * time.Second, spread: 8 * time.Second, beyond: 2 * time.Second,
+}
+
+// rewatchPause is the least pause after a failure where the module does not ask.
+const rewatchPause = time.Second
 
 // watch is the watch of the list. While it runs, its goroutine owns it.
 type watch struct {
 	address string
+	times   callTimes
 	running bool // the owner's
 	index   int64
 	known   bool // there is a list that index names
@@ -75,13 +85,13 @@
 // call makes one call to discovery: it fetches the whole list while there is
 // none, and else waits for what is newer.
 func (w *watch) call() (list *httpwire.List, keep bool, err error) {
-	message, limit := httpwire.EncodeFetch(), fetchTime
+	message, limit := httpwire.EncodeFetch(), w.times.fetch
 	if w.known {
-		wait := watchWait + rand.N(watchSpread)
-		message, limit = httpwire.EncodeWatch(w.index, wait), wait+callTime
+		wait := w.times.wait + rand.N(w.times.spread)
+		message, limit = httpwire.EncodeWatch(w.index, wait), wait+w.times.beyond
 	}
 	if w.link == nil {
-		link, err := httpwire.Dial(context.Background(), w.address, callTime)
+		link, err := httpwire.Dial(context.Background(), w.address, w.times.dial)
 		if err != nil {
 			return nil, false, err
 		}
--- a/internal/pipeline/engine.go
+++ b/internal/pipeline/engine.go
@@ -63,7 +63,7 @@
 		requests: state.NewRequests(), endpoints: state.NewEndpoints(),
 	}
 	e.pool = state.NewPool(conf.EndpointConns, conf.IdleFor, e.linkEnded)
-	e.watch = watch{address: conf.Discovery}
+	e.watch = watch{address: conf.Discovery, times: usualTimes}
 	return e, nil
 }
 
@@ -113,8 +113,12 @@
 func (e *Engine) runDue() {
 	now := e.clock.Now()
 	for a := e.timeouts.Due(now); a != nil; a = e.timeouts.Due(now) {
+		outcome := decide.TimedOut
+		if a.Bar() { // no connection has come up: it has never run
+			outcome = decide.ConnectFailed
+		}
 		a.GiveUp()
-		e.settle(a, decide.TimedOut, nil)
+		e.settle(a, outcome, nil)
 	}
 	if e.moduleDue > 0 && e.moduleDue <= now {
 		e.moduleDue = 0
--- a/internal/pipeline/send_test.go
+++ b/internal/pipeline/send_test.go
@@ -26,6 +26,26 @@
 	return e
 }
 
+// An attempt whose time is up while its connection is still being made has never
+// run: its caller may be told that trying again is harmless.
+func TestTimeOutBeforeTheConnection(t *testing.T) {
+	for outcome, written := range map[decide.Outcome]bool{decide.ConnectFailed: false, decide.TimedOut: true} {
+		e := testEngine(t)
+		now := e.clock.Now()
+		r := e.requests.Take(&httpwire.Request{}, now, make(chan httpwire.Answer, 1))
+		a := e.requests.Begin(r, nil, now, now)
+		a.GiveUp = func() {}
+		e.timeouts.Add(a)
+		if written && !a.Write() {
+			t.Fatal("it may be written and is not")
+		}
+		e.runDue()
+		if e.counters.Outcomes[outcome] != 1 || written == a.Bar() {
+			t.Errorf("written %v: outcomes %v", written, e.counters.Outcomes)
+		}
+	}
+}
+
 // Guards against an attempt that is written after its request has ended, because
 // its connection was still being made then.
 func TestNothingIsWrittenAfterTheEnd(t *testing.T) {
--- a/internal/state/request.go
+++ b/internal/state/request.go
@@ -46,8 +46,11 @@
 // goroutine that carries it asks once, when its connection stands.
 func (a *Attempt) Write() bool { return a.gate.CompareAndSwap(gateOpen, gateWriting) }
 
-// Bar keeps the attempt from being written, unless that has begun.
-func (a *Attempt) Bar() { a.gate.CompareAndSwap(gateOpen, gateBarred) }
+// Bar keeps the attempt from being written, and tells whether it has never been:
+// what has begun to be written may come whole.
+func (a *Attempt) Bar() bool {
+	return a.gate.CompareAndSwap(gateOpen, gateBarred) || a.gate.Load() == gateBarred
+}
 
 // Requests are those that are kept.
 type Requests struct {
