--- a/internal/lifecycle/fakes_test.go
+++ b/internal/lifecycle/fakes_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
 
 	"heathgap/internal/config"
 )
@@ -339,3 +340,45 @@
 	t.Helper()
 	return do(t, request(t, address, http.MethodGet, path, ""))
 }
+
+// freeAddress is an address of loopback that nothing listens on.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// deafAddress is an address of loopback at which connections never come up: its
+// queue holds one, and that is taken.
+func deafAddress(t *testing.T) string {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { unix.Close(fd) })
+	if err := unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := unix.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	name, err := unix.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := fmt.Sprintf("127.0.0.1:%d", name.(*unix.SockaddrInet4).Port)
+	for range 10 {
+		conn, err := net.DialTimeout("tcp", address, 200*time.Millisecond)
+		if err != nil {
+			return address
+		}
+		t.Cleanup(func() { conn.Close() })
+	}
+	t.Fatal("the queue of connections does not fill")
+	return ""
+}
--- a/internal/lifecycle/process_test.go
+++ b/internal/lifecycle/process_test.go
@@ -48,17 +48,6 @@
 	return p
 }
 
-// freeAddress is an address of loopback that nothing listens on.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
 func isReady(t *testing.T, address string) func() bool {
 	return func() bool {
 		status, _, err := try(request(t, address, http.MethodGet, "/up", ""))
--- a/internal/lifecycle/sidecar_test.go
+++ b/internal/lifecycle/sidecar_test.go
@@ -146,24 +146,27 @@
 	}
 }
 
-// An endpoint whose process has died is no reason to fail: nothing has run.
+// An endpoint whose process has died, or whose machine has vanished, is no reason
+// to fail: nothing has run.
 func TestVanishedEndpointIsPassedOver(t *testing.T) {
-	gone, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := gone.Addr().String()
-	gone.Close()
-	e := startEndpoint(t, "e1", nil)
-	s := start(t, testConfig(startDiscovery(t), listLine("dead", address), e.line()))
-	for range 20 {
-		r := request(t, s.Address(), http.MethodPost, "/burn", "x")
-		if status, body := do(t, r); status != 200 || body != "e1" {
-			t.Fatalf("answer: %d %q, want 200 of e1", status, body)
-		}
-	}
-	if s.Counters().Outcomes[decide.ConnectFailed] == 0 {
-		t.Error("the dead endpoint was never tried: this proves nothing")
+	for name, address := range map[string]string{"refused": freeAddress(t), "out of reach": deafAddress(t)} {
+		t.Run(name, func(t *testing.T) {
+			e := startEndpoint(t, "e1", nil)
+			conf := testConfig(startDiscovery(t), listLine("dead", address), e.line())
+			conf["settings"].(map[string]any)["bounds"].(map[string]any)["connect_timeout"] = 100.0
+			s := start(t, conf)
+			eventually(t, "an attempt at the dead one", func() bool {
+				r := request(t, s.Address(), http.MethodPost, "/burn", "x")
+				r.Header.Set("X-Remaining", "10")
+				if status, body := do(t, r); status != 200 || body != "e1" {
+					t.Fatalf("answer: %d %q, want 200 of e1", status, body)
+				}
+				return s.Counters().Outcomes[decide.ConnectFailed] > 0
+			})
+			if !strings.Contains(s.log.String(), `"reason":"dial_failed"`) {
+				t.Errorf("no line on the dial:\n%s", s.log)
+			}
+		})
 	}
 }
 
