--- a/internal/httpwire/link.go
+++ b/internal/httpwire/link.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Link{conn: conn, in: bufio.NewReaderSize(conn, readBuffer)}, nil
+	return &Link{conn: conn, in: bufio.NewReaderSize(conn, MaxHead)}, nil
 }
 
 // Send writes a message once, until the deadline at most. It tells whether the
--- a/internal/httpwire/names.go
+++ b/internal/httpwire/names.go
@@ -26,9 +26,6 @@
 // MaxBody is the most that the body of a request or an answer may hold, in bytes.
 const MaxBody = 64 << 10
 
-// Sizes of the buffers of one connection, in bytes. A header block must fit in
-// one; bodies need not. A thousand connections hold 8 MB with them.
-const (
-	readBuffer  = 4 << 10
-	writeBuffer = 4 << 10
-)
+// MaxHead is the most that the head of a message may take, in bytes. Each
+// connection has a buffer of that size: a thousand connections hold 8 MB with them.
+const MaxHead = 8 << 10
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -37,7 +37,6 @@
 	readTime  = 5 * time.Second  // a request must have come whole by then
 	idleTime  = 90 * time.Second // callers keep connections; what is forgotten ends at last
 	writeTime = 5 * time.Second  // an answer must be taken by then
-	headSize  = 8 << 10          // bytes that a request's head may have
 
 	logLines = 4096 // kept for a log that is read slowly; beyond them lines are dropped, so that nobody waits
 
@@ -92,7 +91,7 @@
 		Handler:                      engine.Handle,
 		ErrorHandler:                 engine.Unreadable,
 		Concurrency:                  4*conf.CallerConns + spareWorkers,
-		ReadBufferSize:               headSize,
+		ReadBufferSize:               httpwire.MaxHead,
 		MaxRequestBodySize:           httpwire.MaxBody,
 		ReadTimeout:                  readTime,
 		IdleTimeout:                  idleTime,
