--- a/internal/lifecycle/sidecar_test.go
+++ b/internal/lifecycle/sidecar_test.go
@@ -469,6 +469,44 @@
 	}
 }
 
+// Callers that go on using their connections lose nothing at a stop: each is told
+// by an answer that its connection ends with it.
+func TestStopUnderTraffic(t *testing.T) {
+	e := startEndpoint(t, "e1", nil)
+	s := start(t, testConfig(startDiscovery(t), e.line()))
+	s.stopped = true
+	var wait sync.WaitGroup
+	for range 10 {
+		conn, err := net.Dial("tcp", s.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		conn.SetDeadline(time.Now().Add(patience))
+		wait.Go(func() {
+			in := bufio.NewReader(conn)
+			for n := 0; ; n++ {
+				io.WriteString(conn, "GET /look HTTP/1.1\r\nHost: x\r\nX-Txn: 1\r\nX-Remaining: 5\r\n\r\n")
+				answer, err := http.ReadResponse(in, nil)
+				if err != nil {
+					t.Errorf("request %d was lost: %v", n, err)
+					return
+				}
+				io.Copy(io.Discard, answer.Body)
+				if answer.Close {
+					return
+				}
+			}
+		})
+	}
+	eventually(t, "traffic", func() bool { return s.Counters().Served > 100 })
+	s.Stop()
+	wait.Wait()
+	if c := s.Counters(); c.Held != 0 || c.Taken != c.Served+c.Refused+c.Failed+c.Left {
+		t.Errorf("the books do not add up: %+v", c)
+	}
+}
+
 // Guards against requests that are still held when the platform kills what has
 // not stopped: they are lost, where a failure would have been an answer.
 func TestStopFailsWhatCannotEnd(t *testing.T) {
