Pause before the next watch when one has told nothing new

Found by reading: a discovery that answers watches at once had a sidecar ask it without a pause. It now waits 100 ms then, half of what a watch may.

--- a/internal/pipeline/discover.go
+++ b/internal/pipeline/discover.go
@@ -33,6 +33,11 @@
 // rewatchPause is the least pause after a failure where the module does not ask.
 const rewatchPause = time.Second
 
+// stalePause comes before the next watch when one has told nothing new: a
+// discovery that does not wait must not keep a sidecar busy. A watch goes on if
+// its next call comes within 200 ms.
+const stalePause = 100 * time.Millisecond
+
 // watch is the watch of the list. While it runs, its goroutine owns it.
 type watch struct {
 	address string
@@ -69,6 +74,7 @@
 // runWatch watches until a call fails.
 func (e *Engine) runWatch() {
 	for {
+		before, known := e.watch.index, e.watch.known
 		list, keep, err := e.watch.call()
 		if err != nil {
 			e.endWatch(httpwire.ReasonBroken, err)
@@ -79,6 +85,9 @@
 			e.endWatch(httpwire.ReasonPeerClose, nil)
 		}
 		e.post(listCame{list})
+		if known && list.Index == before {
+			time.Sleep(stalePause)
+		}
 	}
 }
 
--- a/internal/pipeline/discover_test.go
+++ b/internal/pipeline/discover_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
 )
 
 // Guards against a discovery that is cut off and says nothing: a call must end,
@@ -36,3 +37,29 @@
 		}
 	}
 }
+
+// Guards against a discovery that answers watches at once with nothing new: the
+// sidecar must not spend its core on that.
+func TestDiscoveryThatDoesNotWait(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	const answers = 4
+	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+		ctx.SetBodyString(`{"index":7,"snapshot":false,"endpoints":[]}`)
+	}}
+	go server.Serve(listener)
+	e := testEngine(t)
+	e.watch = watch{address: listener.Addr().String(), times: usualTimes, known: true, index: 7}
+	begin := time.Now()
+	go e.runWatch()
+	for range answers {
+		(<-e.events).handle(e)
+	}
+	if took := time.Since(begin); took < (answers-1)*stalePause || e.counters.Lists != answers {
+		t.Errorf("%d answers in %v", e.counters.Lists, took)
+	}
+	close(e.stopped)
+}
