--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"os"
+	"reflect"
 	"strconv"
 	"time"
 
@@ -60,8 +61,14 @@
 	IdleFor        time.Duration // a connection to an endpoint may stand idle for so long
 }
 
-// Load reads the configuration that the environment names.
-func Load(env func(string) string) (*Config, error) {
+// Load reads the configuration that the environment names, for a start.
+func Load(env func(string) string) (*Config, error) { return load(env, false) }
+
+// Reload reads it anew while a sidecar runs. An environment cannot change then and
+// still has the discovery of the start: the file's goes before it.
+func Reload(env func(string) string) (*Config, error) { return load(env, true) }
+
+func load(env func(string) string, running bool) (*Config, error) {
 	path := env(EnvFile)
 	if path == "" {
 		return nil, errors.New(EnvFile + ": not set")
@@ -70,7 +77,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", EnvFile, err)
 	}
-	c, err := parse(text, env)
+	c, err := parse(text, env, running)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
@@ -78,8 +85,8 @@
 }
 
 // parse reads the configuration file. The environment goes before it where both
-// say the same thing.
-func parse(text []byte, env func(string) string) (*Config, error) {
+// say the same thing, save for the discovery of a sidecar that runs already.
+func parse(text []byte, env func(string) string, running bool) (*Config, error) {
 	v, err := fastjson.ParseBytes(text)
 	if err != nil {
 		return nil, fmt.Errorf("malformed JSON: %w", err)
@@ -93,6 +100,9 @@
 		Listen:    cmp.Or(env(envListen), o.Text("listen")),
 		Discovery: cmp.Or(env(envDiscovery), o.Text("discovery")),
 	}
+	if running {
+		c.Discovery = cmp.Or(o.Text("discovery"), env(envDiscovery))
+	}
 	seed := o.Text("seed")
 	limits := o.Child("limits")
 	memory, sockets := limits.Float("memory_mb"), int(limits.Float("sockets"))
@@ -117,6 +127,27 @@
 	return c, nil
 }
 
+// NeedRestart names the keys by which next differs from c and that a running
+// sidecar cannot take over. Seed and known list only matter at a start.
+func (c *Config) NeedRestart(next *Config) []string {
+	var keys []string
+	for _, k := range []struct {
+		name string
+		same bool
+	}{
+		{"name", c.Name == next.Name},
+		{"listen", c.Listen == next.Listen},
+		{"limits", c.HeapBytes == next.HeapBytes && c.CallerConns == next.CallerConns &&
+			c.EndpointConns == next.EndpointConns},
+		{"settings", c.Transport == next.Transport && reflect.DeepEqual(c.Settings, next.Settings)},
+	} {
+		if !k.same {
+			keys = append(keys, k.name)
+		}
+	}
+	return keys
+}
+
 func (c *Config) checkAddresses() error {
 	if c.Name == "" {
 		return errors.New("name: missing")
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -20,7 +20,7 @@
 func none(string) string { return "" }
 
 func TestParse(t *testing.T) {
-	c, err := parse([]byte(good), none)
+	c, err := parse([]byte(good), none, false)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -51,7 +51,7 @@
 			return "other"
 		}
 		return ""
-	})
+	}, false)
 	if err != nil || c.Name != "other" || c.Listen != "127.0.0.1:7070" {
 		t.Errorf("%+v, %v", c, err)
 	}
@@ -60,7 +60,7 @@
 func TestDefaults(t *testing.T) {
 	text := strings.Replace(good, `"limits":{"cores":1.0,"memory_mb":100,"sockets":1000},`, "", 1)
 	text = strings.Replace(text, `"bounds":{"connect_timeout":75,"conn_idle":10000,"most_held":50}`, `"bounds":{}`, 1)
-	c, err := parse([]byte(text), none)
+	c, err := parse([]byte(text), none, false)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -95,7 +95,7 @@
 		if text == good {
 			t.Fatalf("%s: nothing was changed", c.old)
 		}
-		if _, err := parse([]byte(text), none); err == nil || !strings.Contains(err.Error(), c.want) {
+		if _, err := parse([]byte(text), none, false); err == nil || !strings.Contains(err.Error(), c.want) {
 			t.Errorf("%s: error %v, want %q in it", c.new, err, c.want)
 		}
 	}
@@ -117,3 +117,54 @@
 		t.Errorf("%+v, %v", c, err)
 	}
 }
+
+// Guards against a reload that goes on with the discovery of the start, which the
+// environment still names.
+func TestReloadTakesTheFilesDiscovery(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "c.json")
+	env := func(key string) string {
+		return map[string]string{EnvFile: path, envDiscovery: "127.0.0.1:1", envName: "n3"}[key]
+	}
+	for text, want := range map[string]string{
+		good: "127.0.0.1:8500",
+		strings.Replace(good, `"discovery":"127.0.0.1:8500",`, "", 1): "127.0.0.1:1",
+	} {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		first, err := Load(env)
+		if err != nil || first.Discovery != "127.0.0.1:1" {
+			t.Errorf("start: %+v, %v", first, err)
+		}
+		next, err := Reload(env)
+		if err != nil || next.Discovery != want {
+			t.Errorf("reload: %+v, %v, want discovery %s", next, err, want)
+		}
+	}
+}
+
+// What a running sidecar cannot take over is named.
+func TestNeedRestart(t *testing.T) {
+	c, err := parse([]byte(good), none, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range []struct{ old, new, want string }{
+		{`"discovery":"127.0.0.1:8500"`, `"discovery":"127.0.0.1:8600"`, ""},
+		{`"8c1f30d27a5be964"`, `"1"`, ""},
+		{`"index":41`, `"index":42`, ""},
+		{`"name":"n3"`, `"name":"n4"`, "name"},
+		{`"listen":"127.0.0.1:7070"`, `"listen":"127.0.0.1:7071"`, "listen"},
+		{`"memory_mb":100`, `"memory_mb":101`, "limits"},
+		{`"most_held":50`, `"most_held":51`, "settings"},
+		{`"aim":500`, `"aim":501`, "settings"},
+	} {
+		next, err := parse([]byte(strings.Replace(good, x.old, x.new, 1)), none, true)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := strings.Join(c.NeedRestart(next), ","); got != x.want {
+			t.Errorf("%s: %q, want %q", x.new, got, x.want)
+		}
+	}
+}
--- a/internal/httpwire/reason.go
+++ b/internal/httpwire/reason.go
@@ -28,5 +28,6 @@
 	ReasonBroken     Reason = "broken"      // it broke, or what came was no answer
 	ReasonGivenUp    Reason = "given_up"    // its attempt was given up
 	ReasonPeerClose  Reason = "peer_close"  // the answer said Connection: close
+	ReasonMoved      Reason = "moved"       // a reload names another discovery
 	ReasonUnlisted   Reason = "unlisted"    // its endpoint has left the list or restarted
 )
--- a/internal/lifecycle/fakes_test.go
+++ b/internal/lifecycle/fakes_test.go
@@ -203,6 +203,13 @@
 	return d.calls
 }
 
+// asked returns the queries of all calls.
+func (d *fakeDiscovery) asked() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return append([]string(nil), d.waits...)
+}
+
 // testSettings are those of a small deployment of the tests' own.
 func testSettings() map[string]any {
 	class := func(name, effect string, worth float64) map[string]any {
--- a/internal/lifecycle/process_test.go
+++ b/internal/lifecycle/process_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -33,13 +34,15 @@
 // process is a sidecar in a process of its own.
 type process struct {
 	*exec.Cmd
-	log *lines
+	log  *lines
+	path string // of its configuration
 }
 
 func launch(t *testing.T, conf map[string]any) *process {
 	t.Helper()
-	p := &process{Cmd: exec.Command(os.Args[0]), log: &lines{}}
-	p.Env = append(os.Environ(), asSidecar+"=1", config.EnvFile+"="+writeConfig(t, conf))
+	p := &process{Cmd: exec.Command(os.Args[0]), log: &lines{}, path: writeConfig(t, conf)}
+	p.Env = append(os.Environ(), asSidecar+"=1", config.EnvFile+"="+p.path,
+		"BALANCER_DISCOVERY="+conf["discovery"].(string))
 	p.Stderr = p.log
 	if err := p.Start(); err != nil {
 		t.Fatal(err)
@@ -90,6 +93,76 @@
 	}
 }
 
+// Guards against a SIGHUP that ends the process, or a reload that drops requests or
+// stays with the discovery that the environment names: the file's next one is asked
+// for its whole list, whose versions are its own. A bad file changes nothing.
+func TestReload(t *testing.T) {
+	e1, e2 := startEndpoint(t, "e1", nil), startEndpoint(t, "e2", nil)
+	first, second := startDiscovery(t), startDiscovery(t)
+	first.publish(t, 900, e1.line())
+	second.publish(t, 3, e2.line())
+	conf := testConfig(first, e1.line())
+	address := freeAddress(t)
+	conf["listen"] = address
+	p := launch(t, conf)
+	eventually(t, "ready", isReady(t, address))
+	eventually(t, "the first watch waits", func() bool { return first.called() == 2 })
+	stop := make(chan struct{})
+	var wait sync.WaitGroup
+	wait.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			if status, _, err := try(request(t, address, http.MethodGet, "/look", "")); status != 200 {
+				t.Errorf("during reloads: %d, %v", status, err)
+			}
+		}
+	})
+	logged := func(text string) func() bool {
+		return func() bool { return strings.Contains(p.log.String(), text) }
+	}
+	reload := func(text []byte) {
+		if err := os.WriteFile(p.path, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		p.Process.Signal(syscall.SIGHUP)
+	}
+	reload([]byte(`{"name":"t0","listen":7}`))
+	eventually(t, "the faulty key is logged", logged("listen: want a string"))
+	conf["discovery"], conf["limits"] = second.address, map[string]any{"memory_mb": 100}
+	text, err := json.Marshal(conf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 20 {
+		reload(text)
+	}
+	eventually(t, "what needs a restart is logged", logged(`"keys":["limits"]`))
+	eventually(t, "the new list is used", func() bool {
+		_, body, _ := try(request(t, address, http.MethodGet, "/look", ""))
+		return body == "e2"
+	})
+	eventually(t, "the former watch has ended", logged(`"reason":"moved"`))
+	second.publish(t, 4, e1.line())
+	eventually(t, "the new discovery is watched", func() bool {
+		_, body, _ := try(request(t, address, http.MethodGet, "/look", ""))
+		return body == "e1"
+	})
+	close(stop)
+	wait.Wait()
+	if asked := second.asked(); asked[0] != "" || !strings.HasPrefix(asked[1], "after=3&") {
+		t.Errorf("the new discovery was asked %q, want the whole list and what follows version 3", asked)
+	}
+	p.Process.Signal(syscall.SIGTERM)
+	p.Process.Signal(syscall.SIGHUP)
+	if err := p.Wait(); err != nil {
+		t.Errorf("after SIGTERM and SIGHUP: %v, want exit code 0", err)
+	}
+}
+
 // A bad configuration ends the start with one line that names the key.
 func TestBadConfigurationEndsTheStart(t *testing.T) {
 	conf := testConfig(startDiscovery(t))
--- a/internal/pipeline/discover.go
+++ b/internal/pipeline/discover.go
@@ -38,16 +38,42 @@
 // its next call comes within 200 ms.
 const stalePause = 100 * time.Millisecond
 
-// watch is the watch of the list. While it runs, its goroutine owns it.
+// watch is the watch of the list at one discovery. While it runs, its goroutine
+// owns it, but for running and ended.
 type watch struct {
 	address string
 	times   callTimes
-	running bool // the owner's
+	running bool            // the owner's
+	ended   context.Context // its end calls off the call at work
+	end     context.CancelFunc
 	index   int64
 	known   bool // there is a list that index names
 	link    *httpwire.Link
 }
 
+func newWatch(address string, times callTimes) *watch {
+	w := &watch{address: address, times: times}
+	w.ended, w.end = context.WithCancel(context.Background())
+	return w
+}
+
+// Move goes on with the list of another discovery.
+func (e *Engine) Move(address string) { e.post(moved{address}) }
+
+type moved struct{ address string }
+
+// handle ends the running watch and its wait, and asks the new discovery for the
+// whole list: versions are each discovery's own. Requests and the balancer go on
+// with the list as it is until then.
+func (m moved) handle(e *Engine) {
+	if m.address == e.watch.address {
+		return
+	}
+	e.watch.end()
+	e.watch = newWatch(m.address, e.watch.times)
+	e.startWatch()
+}
+
 // startList takes over the list as last known, and watches where the module
 // expects changes to come by themselves.
 func (e *Engine) startList() {
@@ -68,25 +94,28 @@
 		return
 	}
 	e.watch.running = true
-	go e.runWatch()
+	go e.runWatch(e.watch)
 }
 
-// runWatch watches until a call fails.
-func (e *Engine) runWatch() {
+// runWatch watches until a call fails or the watch is ended.
+func (e *Engine) runWatch(w *watch) {
 	for {
-		before, known := e.watch.index, e.watch.known
-		list, keep, err := e.watch.call()
+		before, known := w.index, w.known
+		list, keep, err := w.call()
 		if err != nil {
-			e.endWatch(httpwire.ReasonBroken, err)
-			e.post(listFailed{})
+			e.endWatch(w, httpwire.ReasonBroken, err)
+			e.post(listFailed{w})
 			return
 		}
 		if !keep {
-			e.endWatch(httpwire.ReasonPeerClose, nil)
+			e.endWatch(w, httpwire.ReasonPeerClose, nil)
 		}
-		e.post(listCame{list})
+		e.post(listCame{w, list})
 		if known && list.Index == before {
-			time.Sleep(stalePause)
+			select {
+			case <-time.After(stalePause):
+			case <-w.ended.Done():
+			}
 		}
 	}
 }
@@ -100,12 +129,14 @@
 		message, limit = httpwire.EncodeWatch(w.index, wait), wait+w.times.beyond
 	}
 	if w.link == nil {
-		link, err := httpwire.Dial(context.Background(), w.address, w.times.dial)
+		link, err := httpwire.Dial(w.ended, w.address, w.times.dial)
 		if err != nil {
 			return nil, false, err
 		}
 		w.link = link
 	}
+	stop := context.AfterFunc(w.ended, w.link.Close)
+	defer stop()
 	if _, err := w.link.Send(message, time.Now().Add(limit)); err != nil {
 		return nil, false, fmt.Errorf("writing: %w", err)
 	}
@@ -119,8 +150,7 @@
 
 // endWatch ends the connection to discovery with its log line; err is the
 // failure that ended it, if one did.
-func (e *Engine) endWatch(why httpwire.Reason, err error) {
-	w := &e.watch
+func (e *Engine) endWatch(w *watch, why httpwire.Reason, err error) {
 	uses := 0
 	if w.link == nil {
 		why = httpwire.ReasonDialFailed
@@ -129,6 +159,9 @@
 		w.link.Close()
 		w.link = nil
 	}
+	if w.ended.Err() != nil {
+		why, err = httpwire.ReasonMoved, nil
+	}
 	level := zerolog.InfoLevel
 	if err != nil {
 		level = zerolog.WarnLevel
@@ -138,9 +171,15 @@
 }
 
 // listCame is an answer of discovery.
-type listCame struct{ list *httpwire.List }
+type listCame struct {
+	from *watch
+	list *httpwire.List
+}
 
 func (c listCame) handle(e *Engine) {
+	if c.from != e.watch { // the new discovery tells the whole list
+		return
+	}
 	e.counters.Lists++
 	kind := decide.ListChanged
 	if c.list.Whole {
@@ -159,9 +198,12 @@
 }
 
 // listFailed is a call to discovery that has failed.
-type listFailed struct{}
+type listFailed struct{ from *watch }
 
-func (listFailed) handle(e *Engine) {
+func (f listFailed) handle(e *Engine) {
+	if f.from != e.watch { // it was ended, and another goes on
+		return
+	}
 	e.counters.ListFails++
 	e.watch.running = false
 	if e.conf.Settings.MustAsk {
--- a/internal/pipeline/discover_test.go
+++ b/internal/pipeline/discover_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
+
+	"heathgap/internal/httpwire"
 )
 
 // Guards against a discovery that is cut off and says nothing: a call must end,
@@ -23,11 +25,10 @@
 		var log strings.Builder
 		e := testEngine(t)
 		e.log = zerolog.New(&log)
-		e.watch = watch{
-			address: listener.Addr().String(), known: known,
-			times: callTimes{dial: 10 * time.Second, fetch: short, wait: short, spread: short, beyond: short},
-		}
-		go e.runWatch()
+		e.watch = newWatch(listener.Addr().String(),
+			callTimes{dial: 10 * time.Second, fetch: short, wait: short, spread: short, beyond: short})
+		e.watch.known = known
+		go e.runWatch(e.watch)
 		(<-e.events).handle(e)
 		if e.counters.ListFails != 1 || e.watch.link != nil || e.watch.running {
 			t.Errorf("known %v: %d failed calls, watch %+v", known, e.counters.ListFails, e.watch)
@@ -52,14 +53,50 @@
 	}}
 	go server.Serve(listener)
 	e := testEngine(t)
-	e.watch = watch{address: listener.Addr().String(), times: usualTimes, known: true, index: 7}
+	e.watch = newWatch(listener.Addr().String(), usualTimes)
+	e.watch.known, e.watch.index = true, 7
 	begin := time.Now()
-	go e.runWatch()
+	go e.runWatch(e.watch)
 	for range answers {
 		(<-e.events).handle(e)
 	}
 	if took := time.Since(begin); took < (answers-1)*stalePause || e.counters.Lists != answers {
 		t.Errorf("%d answers in %v", e.counters.Lists, took)
 	}
+	e.watch.end()
 	close(e.stopped)
 }
+
+// Guards against news of a discovery that was left behind: its versions and
+// failures mean nothing to the next, whose whole list replaces them.
+func TestNewsOfTheFormerDiscovery(t *testing.T) {
+	e := testEngine(t)
+	former := e.watch
+	former.running = true
+	moved{freeAddress(t)}.handle(e)
+	defer e.watch.end()
+	if former.ended.Err() == nil || !e.watch.running || e.watch.known {
+		t.Fatalf("former ended: %v, the next %+v", former.ended.Err(), e.watch)
+	}
+	listCame{former, &httpwire.List{Endpoints: []httpwire.ListedEndpoint{{Name: "s"}}}}.handle(e)
+	listFailed{former}.handle(e)
+	if e.endpoints.Len() != 0 || e.counters.ListFails != 0 || !e.watch.running {
+		t.Errorf("%d endpoints, %d failures, running %v", e.endpoints.Len(), e.counters.ListFails, e.watch.running)
+	}
+	next := e.watch
+	moved{next.address}.handle(e)
+	if e.watch != next || next.ended.Err() != nil {
+		t.Error("a reload that names the same discovery ended its watch")
+	}
+}
+
+// freeAddress is an address of loopback that nothing listens on.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
--- a/internal/pipeline/engine.go
+++ b/internal/pipeline/engine.go
@@ -42,7 +42,7 @@
 	pool      *state.Pool
 	timeouts  state.Timeouts
 	counters  state.Counters
-	watch     watch
+	watch     *watch      // of the present discovery
 	moduleDue decide.Time // when the module wants to be woken; 0 when it does not
 	sweepAt   decide.Time
 	pending   []decide.Event // for the module, behind the one it is being told
@@ -63,7 +63,7 @@
 		requests: state.NewRequests(), endpoints: state.NewEndpoints(),
 	}
 	e.pool = state.NewPool(conf.EndpointConns, conf.IdleFor, e.linkEnded)
-	e.watch = watch{address: conf.Discovery, times: usualTimes}
+	e.watch = newWatch(conf.Discovery, usualTimes)
 	return e, nil
 }
 
@@ -80,6 +80,7 @@
 		timer.Reset(max(0, e.nextDue()-e.clock.Now()))
 		select {
 		case <-ctx.Done():
+			e.watch.end()
 			return
 		case <-timer.C:
 		case ev := <-e.events:
