Serve on after SIGTERM until the kill is one usual answer away

Cause: lifecycle.Stop had each answer close its connection from the signal on, and ended idle ones after 600 ms, though the platform kills only 3.7 s after the signal and clients go on with connections that stand. Now the closing begins the shortest aim before what is held must fail.

--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -24,15 +24,15 @@
 
 // Figures of a sidecar's life.
 const (
-	acceptTime = 600 * time.Millisecond // after the signal to stop: the front goes on dealing out connections
-	pollEvery  = 5 * time.Millisecond   // how often a stopping sidecar looks whether all is answered
+	leastStay = 600 * time.Millisecond // after the signal to stop: the front goes on dealing out connections
+	pollEvery = 5 * time.Millisecond   // how often a stopping sidecar looks whether all is answered
 
 	// The platform kills what has not ended so long after the signal, or sooner
 	// where all deadlines are shorter than patientFor.
 	killAfter   = patientFor + 700*time.Millisecond
 	patientFor  = 3 * time.Second
 	finishAfter = 550 * time.Millisecond // past the longest deadline or patientFor: what is held fails then
-	leaveAfter  = 650 * time.Millisecond // the same for leaving, whatever is not written by then
+	leaveAfter  = 100 * time.Millisecond // after that, whatever is not written by then
 
 	readTime  = 5 * time.Second  // a request must have come whole by then
 	idleTime  = 90 * time.Second // callers keep connections; what is forgotten ends at last
@@ -54,7 +54,7 @@
 	ran     chan struct{} // closed when the engine has stopped
 	served  chan error    // what the server ended with
 
-	acceptFor time.Duration // after the signal to stop
+	stayFor time.Duration // after the signal to stop, as before
 }
 
 // Start starts a sidecar; it takes requests when Start has returned.
@@ -69,8 +69,8 @@
 	}
 	s := &Sidecar{
 		conf: conf, log: log, engine: engine, ran: make(chan struct{}), served: make(chan error, 1),
-		acceptFor: acceptTime,
 	}
+	s.stayFor = max(leastStay, s.finishTime()-s.shortestAim())
 	s.callers = httpwire.NewCallers(listener, conf.CallerConns, s.callerEnded)
 	s.server = newServer(engine, conf)
 	var ctx context.Context
@@ -122,17 +122,20 @@
 // Counters returns what the sidecar counts and holds.
 func (s *Sidecar) Counters() pipeline.Snapshot { return s.engine.Snapshot() }
 
-// Stop answers what has been taken, and what still comes for a while, and ends.
+// Stop ends in order. At first all goes on but for new callers, who are told by
+// GET /up: what callers ask on the connections that they have might find no other
+// sidecar. When a request that comes may not be answered any more before the
+// platform kills the process, each answer becomes the last on its connection.
 func (s *Sidecar) Stop() {
 	begin := time.Now()
-	s.engine.Drain()
+	s.engine.Unready()
 	s.log.Info().Msg("stopping")
-	time.Sleep(s.acceptFor)
+	time.Sleep(s.stayFor)
+	s.engine.Drain()
 	s.callers.Close()
-	longest := min(s.longestDeadline(), patientFor)
-	s.emptyOut(begin.Add(longest + finishAfter))
+	s.emptyOut(begin.Add(s.finishTime()))
 	s.engine.Finish()
-	s.emptyOut(begin.Add(longest + leaveAfter))
+	s.emptyOut(begin.Add(s.finishTime() + leaveAfter))
 	s.cancel()
 	<-s.ran
 	s.log.Info().Object("counters", s.engine.Snapshot()).Int("callers", s.callers.Open()).Msg("stopped")
@@ -146,12 +149,22 @@
 	}
 }
 
-func (s *Sidecar) longestDeadline() time.Duration {
+// finishTime is how long after the signal to stop what is still held fails.
+func (s *Sidecar) finishTime() time.Duration {
 	longest := time.Duration(0)
 	for _, class := range s.conf.Settings.Classes {
 		longest = max(longest, class.Deadline)
 	}
-	return longest
+	return min(longest, patientFor) + finishAfter
+}
+
+// shortestAim is a time within which most answers come while all is well.
+func (s *Sidecar) shortestAim() time.Duration {
+	shortest := s.conf.Settings.Classes[0].Aim
+	for _, class := range s.conf.Settings.Classes {
+		shortest = min(shortest, class.Aim)
+	}
+	return shortest
 }
 
 // Main runs a sidecar as a process until it is told to stop, and returns the
--- a/internal/pipeline/engine.go
+++ b/internal/pipeline/engine.go
@@ -35,7 +35,8 @@
 	clock     state.Clock
 	events    chan event
 	stopped   chan struct{} // closed when Run has returned
-	draining  atomic.Bool
+	unready   atomic.Bool   // the process is stopping: callers should look elsewhere
+	draining  atomic.Bool   // each answer is the last on its connection
 	balancer  *decide.Balancer
 	requests  *state.Requests
 	endpoints *state.Endpoints
@@ -131,6 +132,9 @@
 	}
 }
 
+// Unready has GET /up say that the sidecar takes no new callers.
+func (e *Engine) Unready() { e.unready.Store(true) }
+
 // Drain makes every answer from now on the last on its connection.
 func (e *Engine) Drain() { e.draining.Store(true) }
 
--- a/internal/pipeline/takein.go
+++ b/internal/pipeline/takein.go
@@ -36,7 +36,7 @@
 
 // answerReady tells whether the sidecar takes requests.
 func (e *Engine) answerReady(ctx *fasthttp.RequestCtx) {
-	if e.draining.Load() {
+	if e.unready.Load() {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	}
 }
