--- a/internal/lifecycle/fakes_test.go
+++ b/internal/lifecycle/fakes_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -312,6 +313,11 @@
 	return s
 }
 
+// lastID numbers requests: no two that are open may share an id.
+var lastID atomic.Int64
+
+func newID() string { return "t" + strconv.FormatInt(lastID.Add(1), 10) }
+
 // request builds a request that the protocol allows.
 func request(t *testing.T, address, method, path, body string) *http.Request {
 	t.Helper()
@@ -323,7 +329,7 @@
 		r.Body = http.NoBody
 		r.ContentLength = 0
 	}
-	r.Header.Set("X-Txn", "9b1f03aa5c7e2d41")
+	r.Header.Set("X-Txn", newID())
 	r.Header.Set("X-Org", "acme")
 	r.Header.Set("X-Remaining", "1.5")
 	return r
--- a/internal/pipeline/admit.go
+++ b/internal/pipeline/admit.go
@@ -19,6 +19,13 @@
 }
 
 func (a *arrival) handle(e *Engine) {
+	if e.requests.Open(a.message.ID) {
+		// Guards against callers that take another's id: an endpoint would take the
+		// one request for a repeat of the other.
+		e.counters.Malformed++
+		a.answer <- httpwire.Answer{Verdict: httpwire.Malformed, Reason: "id: that of an open request"}
+		return
+	}
 	if a.crowded || e.stopping || e.full() {
 		// What the settings and the limits leave no room for is turned away unseen:
 		// the module is not asked, as in the simulator.
--- a/internal/pipeline/takein.go
+++ b/internal/pipeline/takein.go
@@ -1,6 +1,7 @@
 package pipeline
 
 import (
+	"errors"
 	"fmt"
 
 	"github.com/valyala/fasthttp"
@@ -50,7 +51,8 @@
 	}
 	if err != nil {
 		e.post(malformed{})
-		return httpwire.Answer{Verdict: httpwire.Malformed, Reason: err.Error()}
+		last := errors.Is(err, httpwire.ErrFraming) // what follows may be a part of it
+		return httpwire.Answer{Verdict: httpwire.Malformed, Reason: err.Error(), Last: last}
 	}
 	in := &arrival{
 		message: &message, deadline: now + message.Remaining, crowded: conn.Crowded(),
--- a/internal/state/request.go
+++ b/internal/state/request.go
@@ -54,20 +54,28 @@
 
 // Requests are those that are kept.
 type Requests struct {
-	byID map[decide.RequestID]*Request
+	byID map[decide.RequestID]*Request // until Release
+	open map[string]struct{}           // callers' ids of those without a final answer
 	last decide.RequestID
-	held int
 }
 
 // NewRequests returns an empty table.
-func NewRequests() *Requests { return &Requests{byID: map[decide.RequestID]*Request{}} }
+func NewRequests() *Requests {
+	return &Requests{byID: map[decide.RequestID]*Request{}, open: map[string]struct{}{}}
+}
+
+// Open tells whether a request with a caller's id is without its final answer.
+func (t *Requests) Open(id string) bool {
+	_, open := t.open[id]
+	return open
+}
 
 // Take keeps a new request and numbers it.
 func (t *Requests) Take(message *httpwire.Request, deadline decide.Time, answer chan httpwire.Answer) *Request {
 	t.last++
 	r := &Request{ID: t.last, Message: message, Deadline: deadline, Answer: answer}
 	t.byID[r.ID] = r
-	t.held++
+	t.open[message.ID] = struct{}{}
 	return r
 }
 
@@ -78,7 +86,7 @@
 func (t *Requests) All() []*Request { return slices.Collect(maps.Values(t.byID)) }
 
 // Held is how many requests are without a final answer.
-func (t *Requests) Held() int { return t.held }
+func (t *Requests) Held() int { return len(t.open) }
 
 // Begin books a new attempt.
 func (t *Requests) Begin(r *Request, to *Endpoint, sent, until decide.Time) *Attempt {
@@ -106,7 +114,7 @@
 		return false
 	}
 	r.Over = true
-	t.held--
+	delete(t.open, r.Message.ID)
 	for _, a := range r.Attempts {
 		a.Bar()
 	}
