Take answers of up to 2 MiB, within one room for all of them

At fault: DecodeReply held answers to the 64 KiB that are stated for bodies. Answers may now have 2 MiB, take memory as their bytes come, and all of them together a quarter of the heap. The interim answers ahead of one are bounded as well.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -34,9 +34,10 @@
 	defaultSockets  = 1024
 	leastSockets    = 16 // fewer leave no room for both sides
 
-	heapShare     = 0.6 // of the memory: stacks, buffers and the program need the rest
-	callerShare   = 0.6 // of the sockets, for callers
-	endpointShare = 0.3 // for endpoints; the rest is kept for the listener, discovery and bursts
+	answerShare   = 0.25 // of the heap, for bodies of answers
+	heapShare     = 0.6  // of the memory: stacks, buffers and the program need the rest
+	callerShare   = 0.6  // of the sockets, for callers
+	endpointShare = 0.3  // for endpoints; the rest is kept for the listener, discovery and bursts
 
 	idleShare          = 0.75 // of the time after which endpoints end idle connections
 	defaultIdle        = 10 * time.Second
@@ -55,6 +56,7 @@
 	Classes   map[string]decide.Class
 
 	HeapBytes      int64         // the collector's limit
+	AnswerBytes    int64         // of it, what bodies of answers may take together
 	CallerConns    int           // connections of callers
 	EndpointConns  int           // connections to endpoints
 	ConnectTimeout time.Duration // for a connection to an endpoint
@@ -176,6 +178,7 @@
 		return fmt.Errorf("limits.sockets: %d is below %d", sockets, leastSockets)
 	}
 	c.HeapBytes = int64(memoryMB * heapShare * (1 << 20))
+	c.AnswerBytes = int64(float64(c.HeapBytes) * answerShare)
 	c.CallerConns = int(float64(sockets) * callerShare)
 	c.EndpointConns = int(float64(sockets) * endpointShare)
 	return nil
--- a/internal/httpwire/answer.go
+++ b/internal/httpwire/answer.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
+	"io"
+	"net/http/httputil"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -32,6 +34,7 @@
 	RetryAfter time.Duration // a refused caller should stay away so long; 0 for no advice
 	Reason     string        // what is wrong with a malformed request
 	Last       bool          // the caller's connection ends with it
+	Taken      int           // of the room for answers, to be returned when it is written
 }
 
 // EncodeAnswer writes the answer for a caller.
@@ -69,17 +72,56 @@
 	Type     string
 	Encoding string
 	Close    bool // the endpoint ends the connection
+	Taken    int  // of the room for answers
 }
 
+// Room is the memory that bodies of answers may take together, from their first
+// byte until they are written to their callers.
+type Room struct{ left atomic.Int64 }
+
+// NewRoom returns room for so many bytes.
+func NewRoom(bytes int64) *Room {
+	m := &Room{}
+	m.left.Store(bytes)
+	return m
+}
+
+// Take takes so many bytes, if they are there.
+func (m *Room) Take(bytes int) bool {
+	if m.left.Add(-int64(bytes)) >= 0 {
+		return true
+	}
+	m.Return(bytes)
+	return false
+}
+
+// Return gives bytes back.
+func (m *Room) Return(bytes int) { m.left.Add(int64(bytes)) }
+
+// Bounds of reading an answer.
+const (
+	firstBody  = 4 << 10 // bytes taken before any has come: most bodies are smaller
+	mostAhead  = 16      // interim answers (1xx) ahead of the one that counts
+	errTooLong = bodyError("body too long")
+	errNoRoom  = bodyError("no room left for the body")
+	errAhead   = bodyError("too many interim answers")
+)
+
+type bodyError string
+
+func (e bodyError) Error() string { return string(e) }
+
 // errOpenEnded is the failure of an answer whose end only the end of the
 // connection would tell: a half-written one would look whole.
 var errOpenEnded = errors.New("answer without a length")
 
-// DecodeReply reads an endpoint's answer.
-func DecodeReply(r *bufio.Reader) (Reply, error) {
+// DecodeReply reads an endpoint's answer; its body takes of the room.
+func DecodeReply(r *bufio.Reader, room *Room) (Reply, error) {
 	m := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(m)
-	if err := readResponse(m, r, MaxBody); err != nil {
+	body, err := readResponse(m, r, MaxAnswer, room)
+	if err != nil {
+		room.Return(cap(body))
 		return Reply{}, err
 	}
 	h := &m.Header
@@ -87,39 +129,76 @@
 	return Reply{
 		Outcome:  outcomeOf(status, string(h.Peek(headerTurnedAway)) == "1"),
 		Status:   status,
-		Body:     bytes.Clone(m.Body()),
+		Body:     body,
+		Taken:    cap(body),
 		Type:     string(h.ContentType()),
 		Encoding: string(h.ContentEncoding()),
 		Close:    h.ConnectionClose(),
 	}, nil
 }
 
-// readResponse reads a whole response of a known length.
-func readResponse(m *fasthttp.Response, r *bufio.Reader, most int) error {
-	const identity = -2 // what fasthttp says of a body that ends with its connection
+// readResponse reads a whole response of a known length and returns its body.
+func readResponse(m *fasthttp.Response, r *bufio.Reader, most int, room *Room) ([]byte, error) {
+	const chunked, identity = -1, -2 // what fasthttp says of lengths that the head does not tell
 	m.Header.SetNoDefaultContentType(true)
-	for {
+	for ahead := 0; ; ahead++ {
+		if ahead > mostAhead {
+			return nil, errAhead
+		}
 		if err := m.Header.Read(r); err != nil {
-			return err
+			return nil, err
 		}
 		if s := m.Header.StatusCode(); s < 100 || s > 199 {
 			break
 		}
 	}
 	if s := m.Header.StatusCode(); s == fasthttp.StatusNoContent || s == fasthttp.StatusNotModified {
-		return nil // these never have a body
-	}
-	length := m.Header.ContentLength()
-	if length == identity {
-		return errOpenEnded
+		return nil, nil // these never have a body
 	}
-	if err := m.ReadBody(r, most); err != nil {
-		return err
+	switch length := m.Header.ContentLength(); {
+	case length == identity:
+		return nil, errOpenEnded
+	case length > most:
+		return nil, errTooLong
+	case length == chunked:
+		body, err := readBody(httputil.NewChunkedReader(r), most, room)
+		if err == nil {
+			err = m.Header.ReadTrailer(r)
+		}
+		return body, err
+	default:
+		body, err := readBody(io.LimitReader(r, int64(length)), length, room)
+		if err == nil && len(body) < length {
+			err = io.ErrUnexpectedEOF
+		}
+		return body, err
 	}
-	if length >= 0 {
-		return nil
+}
+
+// readBody reads a body of so many bytes at most. It takes memory as the bytes come:
+// guards against heads that announce more than ever comes.
+// What was taken of the room is the capacity of what is returned, also with an error.
+func readBody(r io.Reader, most int, room *Room) ([]byte, error) {
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			more := min(max(firstBody, cap(body)), most+1-cap(body)) // a byte past it tells that it is longer
+			if !room.Take(more) {
+				return body, errNoRoom
+			}
+			body = append(make([]byte, 0, cap(body)+more), body...)
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case len(body) > most:
+			return body, errTooLong
+		case err == io.EOF:
+			return body, nil
+		case err != nil:
+			return body, err
+		}
 	}
-	return m.Header.ReadTrailer(r)
 }
 
 // outcomeOf reads a status. An endpoint that turned a request away has never
--- a/internal/httpwire/caller.go
+++ b/internal/httpwire/caller.go
@@ -136,6 +136,7 @@
 	busy     bool      // a request is being read, held or answered
 	held     bool      // a request has come whole
 	answered bool      // the handler has its answer; the server's next read is for another request
+	written  func()    // to be called when that answer is written, or never will be; nil otherwise
 	retired  bool      // no further request is to be read
 	changed  time.Time // when it last became idle, or busy
 	requests int
@@ -208,6 +209,15 @@
 func (c *CallerConn) settle() {
 	if c.answered {
 		c.answered, c.busy, c.held, c.changed = false, false, false, time.Now()
+		c.wasWritten()
+	}
+}
+
+// wasWritten tells that the answer needs its memory no more; c.mu is held.
+func (c *CallerConn) wasWritten() {
+	if c.written != nil {
+		c.written()
+		c.written = nil
 	}
 }
 
@@ -243,11 +253,12 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// Answered marks that the server has the answer to the request at hand.
-func (c *CallerConn) Answered() {
+// Answered marks that the server has the answer to the request at hand. written is
+// called once, when that is written or its connection ends.
+func (c *CallerConn) Answered(written func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.answered = true
+	c.answered, c.written = true, written
 	c.requests++
 }
 
@@ -360,6 +371,7 @@
 	c.mu.Lock()
 	first := !c.closed
 	c.closed = true
+	c.wasWritten()
 	c.note(ReasonAskedClose)
 	why := c.why
 	c.mu.Unlock()
--- a/internal/httpwire/discovery.go
+++ b/internal/httpwire/discovery.go
@@ -60,14 +60,15 @@
 func DecodeListReply(r *bufio.Reader) (List, bool, error) {
 	m := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(m)
-	if err := readResponse(m, r, maxList); err != nil {
+	body, err := readResponse(m, r, maxList, NewRoom(maxList+1))
+	if err != nil {
 		return List{}, false, err
 	}
 	keep := !m.Header.ConnectionClose()
 	if status := m.Header.StatusCode(); status != fasthttp.StatusOK {
 		return List{}, keep, errors.New("answered " + strconv.Itoa(status))
 	}
-	v, err := fastjson.ParseBytes(m.Body())
+	v, err := fastjson.ParseBytes(body)
 	if err != nil {
 		return List{}, keep, fmt.Errorf("malformed JSON: %w", err)
 	}
--- a/internal/httpwire/httpwire_test.go
+++ b/internal/httpwire/httpwire_test.go
@@ -3,7 +3,10 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"net/http"
+	"runtime"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -151,14 +154,59 @@
 		"500 away":  {"HTTP/1.1 500 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n", decide.ServerError, "", false},
 		"other 2xx": {"HTTP/1.1 204 None\r\n\r\n", decide.ServerError, "", false},
 	} {
-		r, err := DecodeReply(bufio.NewReader(strings.NewReader(c.text)))
+		r, err := DecodeReply(bufio.NewReader(strings.NewReader(c.text)), NewRoom(MaxAnswer))
 		if err != nil || r.Outcome != c.outcome || string(r.Body) != c.body || r.Close != c.close {
 			t.Errorf("%s: %+v, %v", name, r, err)
 		}
 	}
-	long := "HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + strings.Repeat("x", 70000)
-	if _, err := DecodeReply(bufio.NewReader(strings.NewReader(long))); err == nil {
-		t.Error("a body beyond the bound is taken")
+}
+
+// Guards against answers that take memory before they come, or more than there is,
+// and against long ones that are turned down though there is room.
+func TestDecodeLongReplies(t *testing.T) {
+	head := func(length int) string {
+		return "HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(length) + "\r\n\r\n"
+	}
+	chunk := func(length int) string {
+		return fmt.Sprintf("%x\r\n%s\r\n", length, strings.Repeat("x", length))
+	}
+	const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	const long, roomy = 400_000, 3 << 20
+	for name, c := range map[string]struct {
+		text string
+		room int
+		want int // bytes of the body; -1 for an error
+	}{
+		"long":               {head(long) + strings.Repeat("x", long), roomy, long},
+		"long chunks":        {chunked + chunk(long) + chunk(long) + "0\r\n\r\n", roomy, 2 * long},
+		"longest":            {head(MaxAnswer) + strings.Repeat("x", MaxAnswer), roomy, MaxAnswer},
+		"too long":           {head(MaxAnswer+1) + strings.Repeat("x", MaxAnswer+1), roomy, -1},
+		"3 GB":               {head(3<<30) + "x", roomy, -1},
+		"chunks too long":    {chunked + chunk(MaxAnswer) + chunk(1) + "0\r\n\r\n", roomy, -1},
+		"no room":            {head(long) + strings.Repeat("x", long), long / 2, -1},
+		"announced only":     {head(MaxAnswer) + "x", roomy, -1},
+		"no last chunk":      {chunked + chunk(long), roomy, -1},
+		"no end of trailer":  {chunked + chunk(long) + "0\r\n", roomy, -1},
+		"endless interim":    {strings.Repeat("HTTP/1.1 103 Early\r\n\r\n", 1000), roomy, -1},
+		"length that is odd": {"HTTP/1.1 200 OK\r\nContent-Length: +2\r\n\r\nhi", roomy, -1},
+	} {
+		room := NewRoom(int64(c.room))
+		r, err := DecodeReply(bufio.NewReader(strings.NewReader(c.text)), room)
+		if failed := err != nil; failed != (c.want < 0) || !failed && len(r.Body) != c.want {
+			t.Errorf("%s: %d bytes, %v; want %d", name, len(r.Body), err, c.want)
+		}
+		if room.Return(r.Taken); !room.Take(c.room) {
+			t.Errorf("%s: not all of its room came back", name)
+		}
+	}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range 100 {
+		DecodeReply(bufio.NewReader(strings.NewReader(head(MaxAnswer)+"x")), NewRoom(roomy))
+	}
+	runtime.ReadMemStats(&after)
+	if took := (after.TotalAlloc - before.TotalAlloc) / 100; took > 64<<10 {
+		t.Errorf("%d bytes are taken for an answer of one", took)
 	}
 }
 
--- a/internal/httpwire/names.go
+++ b/internal/httpwire/names.go
@@ -23,9 +23,14 @@
 	serviceHost = "service.internal"
 )
 
-// MaxBody is the most that the body of a request or an answer may hold, in bytes.
+// MaxBody is the most that the body of a request may hold, in bytes.
 const MaxBody = 64 << 10
 
+// MaxAnswer is the most that the body of an answer may hold, in bytes. Answers are
+// longer than requests, and one that is turned down has run in vain: this is some
+// times the longest that has been met.
+const MaxAnswer = 2 << 20
+
 // MaxHead is the most that the head of a message may take, in bytes. Each
 // connection has a buffer of that size: a thousand connections hold 8 MB with them.
 const MaxHead = 8 << 10
--- a/internal/lifecycle/sidecar_test.go
+++ b/internal/lifecycle/sidecar_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -135,6 +136,24 @@
 	}
 }
 
+// Guards against answers that are turned down for their length, though they have run,
+// and against room for answers that does not come back: these need eight times of it.
+func TestLongAnswers(t *testing.T) {
+	const long, memoryMB = 400 << 10, 32
+	e := startEndpoint(t, "e1", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(long))
+		io.WriteString(w, strings.Repeat("x", long))
+	})
+	conf := testConfig(startDiscovery(t), e.line())
+	conf["limits"] = map[string]any{"memory_mb": memoryMB, "sockets": 1024}
+	s := start(t, conf)
+	for range 8 * memoryMB << 20 / 6 / long {
+		if status, body := get(t, s.Address(), "/look"); status != 200 || len(body) != long {
+			t.Fatalf("%d with %d bytes", status, len(body))
+		}
+	}
+}
+
 // Guards against endings of an exchange that are taken for an answer, or for an
 // attempt that never ran.
 func TestBrokenEndpointAnswers(t *testing.T) {
--- a/internal/pipeline/book.go
+++ b/internal/pipeline/book.go
@@ -16,6 +16,9 @@
 		e.pool.Drop(to, x.link, x.ended)
 	}
 	x.attempt.GiveUp() // frees what belongs to its context
+	if r := x.attempt.Request; x.reply != nil && (r.Over || x.attempt.Settled || x.outcome != decide.Served) {
+		e.room.Return(x.reply.Taken) // its body goes to nobody
+	}
 	e.settle(x.attempt, x.outcome, x.reply)
 }
 
@@ -31,6 +34,7 @@
 	if outcome == decide.Served {
 		e.relay(r, httpwire.Answer{
 			Verdict: httpwire.Served, Body: reply.Body, Type: reply.Type, Encoding: reply.Encoding,
+			Taken: reply.Taken,
 		})
 	}
 	ev := decide.Event{
--- a/internal/pipeline/engine.go
+++ b/internal/pipeline/engine.go
@@ -41,6 +41,7 @@
 	requests  *state.Requests
 	endpoints *state.Endpoints
 	pool      *state.Pool
+	room      *httpwire.Room // for bodies of answers
 	timeouts  state.Timeouts
 	counters  state.Counters
 	watch     *watch      // of the present discovery
@@ -63,6 +64,7 @@
 		events: make(chan event, eventQueue), stopped: make(chan struct{}),
 		requests: state.NewRequests(), endpoints: state.NewEndpoints(),
 	}
+	e.room = httpwire.NewRoom(conf.AnswerBytes)
 	e.pool = state.NewPool(conf.EndpointConns, conf.IdleFor, e.linkEnded)
 	e.watch = newWatch(conf.Discovery, usualTimes)
 	return e, nil
--- a/internal/pipeline/send.go
+++ b/internal/pipeline/send.go
@@ -89,7 +89,7 @@
 	}
 	var reply httpwire.Reply
 	if err == nil {
-		reply, err = httpwire.DecodeReply(link.Reader())
+		reply, err = httpwire.DecodeReply(link.Reader(), e.room)
 	}
 	if err != nil {
 		done.outcome, done.ended = decide.Reset, httpwire.ReasonBroken
--- a/internal/pipeline/takein.go
+++ b/internal/pipeline/takein.go
@@ -20,10 +20,12 @@
 	if conn == nil {
 		panic("pipeline: a connection that Callers did not accept")
 	}
+	taken := 0
 	if string(ctx.Path()) == httpwire.ReadyPath && ctx.IsGet() {
 		e.answerReady(ctx)
 	} else {
 		answer := e.takeIn(ctx, conn)
+		taken = answer.Taken
 		httpwire.EncodeAnswer(&answer, &ctx.Response)
 		if answer.Last {
 			ctx.SetConnectionClose()
@@ -32,7 +34,7 @@
 	if e.draining.Load() || conn.Retired() {
 		ctx.SetConnectionClose()
 	}
-	conn.Answered()
+	conn.Answered(func() { e.room.Return(taken) })
 }
 
 // answerReady tells whether the sidecar takes requests.
