Give callers 2.5 s for a request, and end first what never brought one

Bad clients are owed a word or a close within 3 s. A test of silent, half and trickled messages saw 5.0 s for each: lifecycle's readTime, which trickled bytes did not renew. It is 2.5 s now; idle connections stay 15 s in place of 90. Where connections must make room, those that never brought a good request go first, before usual callers' older ones; how many hold a request is counted in place of looked up under each arrival's locks, and malformed requests are counted without the owner's queue.

--- a/internal/httpwire/caller.go
+++ b/internal/httpwire/caller.go
@@ -7,6 +7,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -16,9 +17,11 @@
 	most  int
 	ended func(c *CallerConn, why Reason)
 
+	held atomic.Int64 // connections with a whole request on them
+
 	mu      sync.Mutex
-	conns   map[*CallerConn]struct{}
-	looking bool // makeRoom is at work, or will be
+	conns   map[*CallerConn]struct{} // until Close
+	looking bool                     // makeRoom is at work, or will be
 }
 
 // NewCallers wraps a listener. Beyond so many connections, those that have been
@@ -86,10 +89,16 @@
 	}
 }
 
-// retireOldest ends the connections that have been idle longest.
+// retireOldest ends connections that are idle, and then those that hold half a
+// request: first those that never brought a good one, then the oldest. Guards against
+// floods of callers that say nothing and take the place of usual ones.
 func (l *Callers) retireOldest(n int) {
 	all := l.all()
-	slices.SortFunc(all, func(a, b *CallerConn) int { return a.lastChange().Compare(b.lastChange()) })
+	age := make(map[*CallerConn]connAge, len(all))
+	for _, c := range all {
+		age[c] = c.age()
+	}
+	slices.SortFunc(all, func(a, b *CallerConn) int { return age[a].compare(age[b]) })
 	for _, end := range []func(*CallerConn) bool{
 		func(c *CallerConn) bool { return c.retire(ReasonRoom) },
 		(*CallerConn).cutShort,
@@ -102,17 +111,20 @@
 	}
 }
 
-// held is how many connections have a whole request on them.
-func (l *Callers) held() int {
-	n := 0
-	for _, c := range l.all() {
-		c.mu.Lock()
-		if c.held {
-			n++
+// connAge is what decides which connection ends first.
+type connAge struct {
+	proven  bool // it has brought a good request
+	changed time.Time
+}
+
+func (a connAge) compare(b connAge) int {
+	if a.proven != b.proven {
+		if b.proven {
+			return -1
 		}
-		c.mu.Unlock()
+		return 1
 	}
-	return n
+	return a.changed.Compare(b.changed)
 }
 
 func (l *Callers) all() []*CallerConn {
@@ -135,6 +147,7 @@
 	why      Reason    // the first that was found; empty while none is
 	busy     bool      // a request is being read, held or answered
 	held     bool      // a request has come whole
+	proven   bool      // a good one has come
 	answered bool      // the handler has its answer; the server's next read is for another request
 	written  func()    // to be called when that answer is written, or never will be; nil otherwise
 	retired  bool      // no further request is to be read
@@ -208,11 +221,20 @@
 // it does so when the answer is written. c.mu is held.
 func (c *CallerConn) settle() {
 	if c.answered {
-		c.answered, c.busy, c.held, c.changed = false, false, false, time.Now()
+		c.answered, c.busy, c.changed = false, false, time.Now()
+		c.letGo()
 		c.wasWritten()
 	}
 }
 
+// letGo marks that no whole request is held any more; c.mu is held.
+func (c *CallerConn) letGo() {
+	if c.held {
+		c.held = false
+		c.owner.held.Add(-1)
+	}
+}
+
 // wasWritten tells that the answer needs its memory no more; c.mu is held.
 func (c *CallerConn) wasWritten() {
 	if c.written != nil {
@@ -272,7 +294,7 @@
 // Crowded tells whether more requests are held than there should be connections.
 func (c *CallerConn) Crowded() bool {
 	l := c.owner
-	return l.Open() > l.most && l.held() > l.most
+	return l.held.Load() > int64(l.most)
 }
 
 // Note sets why the connection ends, unless that is known already.
@@ -288,10 +310,10 @@
 	}
 }
 
-func (c *CallerConn) lastChange() time.Time {
+func (c *CallerConn) age() connAge {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.changed
+	return connAge{proven: c.proven, changed: c.changed}
 }
 
 // cutShort ends the reading of a request that does not come whole, and tells
@@ -338,7 +360,8 @@
 	done := make(chan struct{})
 	c.watching = done
 	c.mu.Lock()
-	c.held = true
+	c.held, c.proven = true, true
+	c.owner.held.Add(1)
 	c.Conn.SetReadDeadline(time.Time{})
 	c.mu.Unlock()
 	go func() {
@@ -371,6 +394,7 @@
 	c.mu.Lock()
 	first := !c.closed
 	c.closed = true
+	c.letGo()
 	c.wasWritten()
 	c.note(ReasonAskedClose)
 	why := c.why
--- a/internal/httpwire/caller_test.go
+++ b/internal/httpwire/caller_test.go
@@ -10,6 +10,14 @@
 // callerPair returns a caller's connection that has been idle for long, and the
 // caller's end of it.
 func callerPair(t *testing.T) (*CallerConn, net.Conn, *[]Reason) {
+	t.Helper()
+	callers, ended := testCallers(t)
+	c, client := connect(t, callers)
+	return c, client, ended
+}
+
+// testCallers returns a listener for callers, and why connections have ended.
+func testCallers(t *testing.T) (*Callers, *[]Reason) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -17,8 +25,13 @@
 	}
 	t.Cleanup(func() { listener.Close() })
 	var ended []Reason
-	callers := NewCallers(listener, 10, func(_ *CallerConn, why Reason) { ended = append(ended, why) })
-	client, err := net.Dial("tcp", listener.Addr().String())
+	return NewCallers(listener, 10, func(_ *CallerConn, why Reason) { ended = append(ended, why) }), &ended
+}
+
+// connect returns a new connection that seems idle for long, and the caller's end.
+func connect(t *testing.T, callers *Callers) (*CallerConn, net.Conn) {
+	t.Helper()
+	client, err := net.Dial("tcp", callers.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -30,7 +43,42 @@
 	c := conn.(*CallerConn)
 	t.Cleanup(func() { c.Close() })
 	c.changed = c.changed.Add(-time.Hour)
-	return c, client, &ended
+	return c, client
+}
+
+// Guards against callers that connect by hundreds and say nothing: a connection that
+// has brought a good request outlives those that have not, however old it is.
+func TestUnprovenConnectionsEndFirst(t *testing.T) {
+	callers, _ := testCallers(t)
+	proven, _ := connect(t, callers)
+	proven.Watch(func() {})
+	proven.Unwatch()
+	proven.Answered(nil)
+	var silent []*CallerConn
+	for range 3 {
+		c, _ := connect(t, callers)
+		silent = append(silent, c)
+	}
+	proven.mu.Lock()
+	proven.settle()
+	proven.changed = proven.changed.Add(-2 * time.Hour)
+	proven.mu.Unlock()
+	callers.retireOldest(2)
+	callers.retireOldest(1)
+	for i, c := range silent {
+		if !c.Retired() {
+			t.Errorf("silent connection %d stands", i)
+		}
+	}
+	if proven.Retired() {
+		t.Error("the usual caller's connection ended before them")
+	}
+	if callers.retireOldest(1); !proven.Retired() {
+		t.Error("nothing else was left to end")
+	}
+	if n := callers.held.Load(); n != 0 {
+		t.Errorf("%d connections count as holding a request", n)
+	}
 }
 
 // Guards against a request that stands unread in a connection which is ended.
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -34,8 +34,10 @@
 	finishAfter = 550 * time.Millisecond // past the longest deadline or patientFor: what is held fails then
 	leaveAfter  = 100 * time.Millisecond // after that, whatever is not written by then
 
-	readTime  = 5 * time.Second  // a request must have come whole by then
-	idleTime  = 90 * time.Second // callers keep connections; what is forgotten ends at last
+	// A request must have come whole by then, the first so long after its connection:
+	// who sends nothing, or never the end, is owed a word or a close within 3 s.
+	readTime  = 2500 * time.Millisecond
+	idleTime  = 15 * time.Second // callers keep connections; what is forgotten ends at last
 	writeTime = 5 * time.Second  // an answer must be taken by then
 
 	logLines = 4096 // kept for a log that is read slowly; beyond them lines are dropped, so that nobody waits
--- a/internal/lifecycle/sidecar_test.go
+++ b/internal/lifecycle/sidecar_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -416,6 +418,50 @@
 	}
 }
 
+// Guards against callers that never send a whole request: each gets a word or a close
+// within 3 s of connecting, also one that goes on sending bit by bit.
+func TestCallersThatNeverSendARequest(t *testing.T) {
+	const owed, slow = 3 * time.Second, time.Second // a machine may be slow by that
+	s := start(t, testConfig(startDiscovery(t)))
+	var wait sync.WaitGroup
+	for name, c := range map[string]struct{ text, bit string }{
+		"silent":              {"", ""},
+		"half a head":         {"GET /look HTTP/1.1\r\nX-Txn: ", ""},
+		"half a body":         {"POST /pay HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nhalf", ""},
+		"head bit by bit":     {"GET /look HTTP/1.1\r\nX-Long: ", "a"},
+		"body bit by bit":     {"POST /pay HTTP/1.1\r\nHost: x\r\nContent-Length: 900\r\n\r\n", "a"},
+		"chunks that go on":   {"POST /pay HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n"},
+		"body beyond bounds":  {"POST /pay HTTP/1.1\r\nHost: x\r\nContent-Length: 60000000\r\n\r\n", "a"},
+		"no number of length": {"POST /pay HTTP/1.1\r\nHost: x\r\nContent-Length: many\r\n\r\n", "a"},
+	} {
+		wait.Go(func() {
+			conn, err := net.Dial("tcp", s.Address())
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer conn.Close()
+			begin := time.Now()
+			io.WriteString(conn, c.text)
+			for end := begin.Add(patience); time.Now().Before(end); {
+				conn.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+				answer := make([]byte, 12)
+				n, err := conn.Read(answer)
+				if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+					io.WriteString(conn, c.bit)
+					continue
+				}
+				if took := time.Since(begin); took > owed+slow || n > 0 && string(answer[:n]) != "HTTP/1.1 400" {
+					t.Errorf("%s: %q after %v, want 400 or a close within %v", name, answer[:n], took, owed)
+				}
+				return
+			}
+			t.Errorf("%s: no word", name)
+		})
+	}
+	wait.Wait()
+}
+
 // A request whose time is up goes nowhere, and its caller is told so.
 func TestNoTimeLeft(t *testing.T) {
 	e := startEndpoint(t, "e1", nil)
--- a/internal/pipeline/admit.go
+++ b/internal/pipeline/admit.go
@@ -22,7 +22,7 @@
 	if e.requests.Open(a.message.ID) {
 		// Guards against callers that take another's id: an endpoint would take the
 		// one request for a repeat of the other.
-		e.counters.Malformed++
+		e.malformed.Add(1)
 		a.answer <- httpwire.Answer{Verdict: httpwire.Malformed, Reason: "id: that of an open request"}
 		return
 	}
--- a/internal/pipeline/engine.go
+++ b/internal/pipeline/engine.go
@@ -37,6 +37,7 @@
 	stopped   chan struct{} // closed when Run has returned
 	unready   atomic.Bool   // the process is stopping: callers should look elsewhere
 	draining  atomic.Bool   // each answer is the last on its connection
+	malformed atomic.Int64  // requests answered 400: a flood of them must not fill the queue
 	balancer  *decide.Balancer
 	requests  *state.Requests
 	endpoints *state.Endpoints
@@ -181,8 +182,10 @@
 func (w snapshotWanted) handle(e *Engine) { w.reply <- e.snapshot() }
 
 func (e *Engine) snapshot() Snapshot {
+	counters := e.counters
+	counters.Malformed = int(e.malformed.Load())
 	return Snapshot{
-		Counters: e.counters, Held: e.requests.Held(), Endpoints: e.endpoints.Len(), Links: e.pool.Open(),
+		Counters: counters, Held: e.requests.Held(), Endpoints: e.endpoints.Len(), Links: e.pool.Open(),
 	}
 }
 
--- a/internal/pipeline/takein.go
+++ b/internal/pipeline/takein.go
@@ -52,7 +52,7 @@
 		err = e.check(&message)
 	}
 	if err != nil {
-		e.post(malformed{})
+		e.malformed.Add(1)
 		last := errors.Is(err, httpwire.ErrFraming) // what follows may be a part of it
 		return httpwire.Answer{Verdict: httpwire.Malformed, Reason: err.Error(), Last: last}
 	}
@@ -90,7 +90,7 @@
 
 // Unreadable answers what fasthttp could not read as a request.
 func (e *Engine) Unreadable(ctx *fasthttp.RequestCtx, err error) {
-	e.post(malformed{})
+	e.malformed.Add(1)
 	if conn, ok := ctx.Conn().(*httpwire.CallerConn); ok {
 		conn.Note(httpwire.ReasonBadRequest)
 	}
@@ -98,8 +98,3 @@
 	httpwire.EncodeAnswer(&answer, &ctx.Response)
 	ctx.SetConnectionClose()
 }
-
-// malformed counts a request that was answered 400.
-type malformed struct{}
-
-func (malformed) handle(e *Engine) { e.counters.Malformed++ }
