Copy a request, for a token, when its attempt is most likely lost

Ruled out: the sidecar's reading (nothing had come), long answers (mended before), endpoints that hang (others were served there). At fault: an attempt had no end before its client's time but an answer or a break. Now one that is out for six times its usual time, and whose endpoint has served one sent a usual time later, is copied as a retry; the one that is served calls the other off.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,7 +1,5 @@
-// The module's interface (settings, events, actions) stands in types.go; the
-// timer heap, which decides nothing, in timers.go. Everything that is decided
-// is decided in this file, from top to bottom: requests, retries and their
-// bucket, the two rules on effects and refusals, the pick, cold starts, the list.
+// The module's interface stands in types.go; the timer heap, which decides nothing, in timers.go. All is
+// decided here, from top to bottom: requests, retries, the rules, the pick, cold starts, the list.
 
 package decide
 
@@ -61,6 +59,8 @@
 	holdUneven  = 1.25            // times its even part of the limit that one endpoint may have out
 	paceCount   = 40              // answers over which a class's pace is smoothed
 
+	overdueTimes = 6 // times its usual time from which on an attempt may be taken for lost
+
 	tenantBurst = 2 * time.Second // how much of its allowance a tenant may use at once
 )
 
@@ -90,8 +90,7 @@
 	votes     int           // tries that have lately had it, less those that have not
 }
 
-// New returns a balancer that has seen nothing yet. The seed is its only
-// source of randomness.
+// New returns a balancer that has seen nothing yet. The seed is its only source of randomness.
 func New(set Settings, seed uint64) (*Balancer, error) {
 	if err := set.validate(); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
@@ -105,8 +104,7 @@
 		b.classes[c.Name] = &class{Class: c, sheddable: least < most && c.Worth == least}
 	}
 	b.unknown = class{Class: Class{Effect: Unsafe, Worth: set.Classes[0].Worth, Aim: set.Classes[0].Aim}}
-	b.held = map[RequestID]*request{}
-	b.bucket.tokens = floorBurst
+	b.held, b.bucket.tokens = map[RequestID]*request{}, floorBurst
 	b.tenants = map[string]*tenant{}
 	for _, t := range set.Tenants {
 		b.tenants[t.Name] = &tenant{rate: t.Allowed / float64(max(1, set.Peers))}
@@ -166,8 +164,7 @@
 	wakeAt  Time       // when what waits is looked at again; 0 or past when nothing is
 }
 
-// request is one try of a client and its attempts. It stays held after its
-// end until every attempt has its outcome.
+// request is one try of a client and its attempts, held until every attempt has its outcome.
 type request struct {
 	id       RequestID
 	class    *class
@@ -217,9 +214,8 @@
 	b.admit(r)
 }
 
-// waited is how long the client has been waiting already, as far as the grace
-// tells. First tries share one grace, and so may middle ones; the last try has all
-// the time that is left. A call of another tier has what its caller has left.
+// waited is how long the client has been waiting, as the grace tells: first tries share one, and so may
+// middle ones; the last has all the time that is left. A call of another tier has what its caller has left.
 func (b *Balancer) waited(c *class, e *Event) time.Duration {
 	if !b.set.Front {
 		c.grace = max(c.grace, e.Grace)
@@ -262,6 +258,20 @@
 		to.credit--
 	}
 	b.act(Action{Kind: Send, Request: r.id, Endpoint: to.id})
+	b.copyLost(r)
+}
+
+// copyLost sends a copy of a request whose only attempt is most likely lost: it is overdue, and its endpoint
+// has served one that it was sent later. A token pays for it.
+func (b *Balancer) copyLost(r *request) {
+	a, usual := &r.attempts[len(r.attempts)-1], r.class.pace.usual(r.work)
+	switch due := a.sent + overdueTimes*usual; {
+	case !b.set.Limits.SecondCopies || a.settled || r.out > 1 || usual == 0:
+	case b.now >= due && a.to.passed > a.sent+usual && b.bucket.wait(b.now, r.class) == 0 && b.mayRetry(r):
+		b.retry(r)
+	case b.now < b.lastUse(r):
+		b.timers.set(max(due, b.now+max(usual, waitStep)), timerRequest, r.id)
+	}
 }
 
 // wait holds a request that cannot be sent now.
@@ -306,6 +316,9 @@
 	b.hold.out--
 	b.learn(r, a, e)
 	r.over = r.over || e.Over
+	if e.Outcome == Served {
+		b.stopRest(r)
+	}
 	if !r.over && !r.bound && r.out == 0 {
 		b.retry(r)
 	}
@@ -324,8 +337,7 @@
 	b.release(r)
 }
 
-// comeBack says when a refused client may try again, spread so that they do not
-// return in step: while an answer can still be in time, else as late as it may.
+// comeBack says when a refused client may try again, at random: while an answer can be in time, else late.
 func (b *Balancer) comeBack(r *request) time.Duration {
 	l := &b.set.Limits
 	if !l.RetryAfter {
@@ -344,13 +356,15 @@
 	}
 }
 
-// timeUp ends a request that runs out of time while nothing is out for it. What is
-// out is ended by its own time-out at the deadline.
+// timeUp ends a request that runs out of time with nothing out; what is out is ended by its own time-out.
 func (b *Balancer) timeUp(id RequestID) {
 	r := b.held[id]
 	if r == nil || r.over || r.bound {
 		return
 	}
+	if len(r.attempts) > 0 {
+		b.copyLost(r)
+	}
 	late := b.now >= r.deadline-b.set.Tick || len(r.attempts) == 0 && b.now >= r.latestStart()
 	if b.worthless(r) {
 		b.callOff(r)
@@ -359,21 +373,25 @@
 	}
 }
 
-// worthless tells whether the aim has passed where a later answer earns nothing. A
-// request that its client could send again is left to finish: where running work
-// cannot be stopped, the repeat would only double it.
+// worthless tells whether the aim has passed where a later answer earns nothing. A request that its client
+// could send again is left to finish: where running work cannot be stopped, the repeat would only double it.
 func (b *Balancer) worthless(r *request) bool {
 	return b.set.Front && r.class.LateShare == 0 && b.now >= r.aimAt-b.set.Tick && !mayRefuse(r)
 }
 
 // callOff ends a request and stops what is out for it.
 func (b *Balancer) callOff(r *request) {
+	b.stopRest(r)
+	b.giveUp(r)
+}
+
+// stopRest calls off what is out for a request that needs it no more.
+func (b *Balancer) stopRest(r *request) {
 	for i := range r.attempts {
 		if b.set.Limits.Cancel && !r.attempts[i].settled {
 			b.act(Action{Kind: Cancel, Request: r.id, Attempt: i})
 		}
 	}
-	b.giveUp(r)
 }
 
 // clientDid books that a client has begun to take a stream, or has left.
@@ -387,9 +405,8 @@
 
 // ---- The hold: first attempts when the tier is full ----
 
-// hold keeps first attempts back while as many attempts are out as the limit
-// allows. It guards against the jam that free first attempts make: endpoints
-// that hold too many slow down, all answers come late, and repeats keep it so.
+// hold keeps first attempts back while as many are out as the limit allows. It guards against the jam that
+// free ones make: endpoints that hold too many slow down, all answers come late, and repeats keep it so.
 type hold struct {
 	out     int           // attempts without an outcome
 	queue   []*request    // held back, worthiest first, then oldest
@@ -401,12 +418,10 @@
 	savedAt Time          // when room was last brought up to date
 }
 
-// limit is how many attempts may be out before first attempts are held. It goes with the
-// number of endpoints: what each can hold well stays the same while something slows all.
+// limit is how many attempts may be out: by endpoints, whose capacity stays while something slows them all.
 func (b *Balancer) limit() float64 { return b.hold.each * b.measured().warm }
 
-// hasRoom tells whether the tier has room for another first attempt. A small part of
-// the limit is kept on average: many instances even out what each sends in bursts.
+// hasRoom tells whether another first attempt may go. A small limit is kept on average: for bursts.
 func (b *Balancer) hasRoom() bool {
 	return b.hold.room > 0 && float64(b.hold.out+1) <= max(b.limit(), holdFewest)
 }
@@ -432,8 +447,7 @@
 // tierShare is this instance's part of one attempt in each tier that works on it.
 func (b *Balancer) tierShare() float64 { return float64(b.set.Depth+1) / float64(b.set.Peers) }
 
-// adjust moves the limit by an outcome: up while it binds and attempts take
-// little more than their least, down when they are stretched.
+// adjust moves the limit: up while it binds and attempts take little more than their least, else down.
 func (b *Balancer) adjust(r *request, e *Event) {
 	if r.class.pace.seen == 0 || len(b.fleet.ready) == 0 {
 		return
@@ -463,8 +477,7 @@
 	}
 }
 
-// crowded tells whether an endpoint has its part of the limit out. The part goes
-// by payoff: one that has slowed down must not fill the limit with stuck attempts.
+// crowded tells whether an endpoint has its part of the limit out, by payoff: slow ones must not fill it.
 func (b *Balancer) crowded(e *endpoint) bool {
 	even := max(holdFewest, b.limit()) / max(1, b.fleet.warm) * b.capacity(e)
 	return float64(e.inFlight) >= max(1, holdUneven*even*b.payoff(e)/b.measured().mean)
@@ -487,8 +500,7 @@
 	b.trimHeld()
 }
 
-// latestStart is when a held request must be sent to be answered in time, most
-// likely: half of the attempts take longer than usual.
+// latestStart is when a held request must be sent to be in time, though half of the attempts take longer.
 func (r *request) latestStart() Time { return r.aimAt - lateSlack*r.class.pace.usual(r.work) }
 
 // sendHeld sends held requests while the tier has room.
@@ -506,8 +518,7 @@
 	}
 }
 
-// trimHeld refuses at once what the rate of service will not reach in time:
-// the last of the queue goes first, and it is the least worth.
+// trimHeld refuses at once what the rate of service will not reach in time, from the end of the queue on.
 func (b *Balancer) trimHeld() {
 	h := &b.hold
 	for n := len(h.queue); n > 0; n-- {
@@ -532,8 +543,7 @@
 	filled Time
 }
 
-// charge books a request on its tenant's allowance and returns what part of its
-// class's worth it has: what goes beyond the share is worth little.
+// charge books a request on its tenant's allowance. It returns the part of its worth that is left to it.
 func (b *Balancer) charge(t *tenant) float64 {
 	if t == nil || !b.set.Front {
 		return 1
@@ -563,8 +573,7 @@
 
 func (k *bucket) add(tokens float64) { k.tokens = min(floorBurst, k.tokens+tokens) }
 
-// needed is what the bucket must hold before a request of the class may take
-// one token: the lowest worth leaves half of it untouched.
+// needed is what the bucket must hold before a retry may take a token: the lowest worth leaves half of it.
 func (k *bucket) needed(c *class) float64 {
 	if c.sheddable {
 		return 1 + spareShare*floorBurst
@@ -578,13 +587,12 @@
 	return max(0, time.Duration((k.needed(c)-k.tokens)/floorRate*float64(time.Second)))
 }
 
-// retry sends a request whose attempt has failed again if a token funds it.
-// Otherwise it waits for the refill, or is given up at once when no other attempt
-// is allowed or none could earn anything by then.
+// retry sends a request whose attempt has failed again if a token funds it. Otherwise it waits for the
+// refill, or is given up at once when no other attempt is allowed or none could earn anything by then.
 func (b *Balancer) retry(r *request) {
 	wait := b.bucket.wait(b.now, r.class)
 	switch {
-	case len(r.attempts) >= b.set.Limits.MaxAttempts, !b.anyMayTake(r), b.now+wait >= b.lastUse(r):
+	case !b.mayRetry(r), b.now+wait >= b.lastUse(r):
 		b.giveUp(r)
 	case wait == 0:
 		b.bucket.tokens--
@@ -595,8 +603,12 @@
 	}
 }
 
-// lastUse is when another attempt can last earn anything: while the aim can
-// still be met, or late answers earn a part and the client still waits. After
+// mayRetry tells whether the limit of attempts, the effects and the time leave another.
+func (b *Balancer) mayRetry(r *request) bool {
+	return len(r.attempts) < b.set.Limits.MaxAttempts && b.anyMayTake(r) && b.now < b.lastUse(r)
+}
+
+// lastUse is when another attempt can last earn anything, in time or late while the client still waits. After
 // that the timer that ends the request has fired: nothing may wait any more.
 func (b *Balancer) lastUse(r *request) Time {
 	if r.class.LateShare == 0 {
@@ -607,8 +619,7 @@
 
 // ---- Rules on effects and refusals ----
 
-// mayTake is the one rule on effects: whether another attempt of the request
-// may go to the endpoint. Attempts that are out count as having run.
+// mayTake is the one rule on effects: whether another attempt may go there. What is out counts as having run.
 func (b *Balancer) mayTake(r *request, to *endpoint) bool {
 	if r.over || r.bound || (r.out > 0 && !b.set.Limits.SecondCopies) {
 		return false
@@ -646,8 +657,7 @@
 	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.ran })
 }
 
-// mayRefuse is the one rule on refusals: whether the client may be told that
-// trying again is harmless.
+// mayRefuse is the one rule on refusals: whether the client may be told that trying again is harmless.
 func mayRefuse(r *request) bool {
 	c := r.class
 	return c.Effect == Safe || c.Effect == Keyed && c.Group == GroupAll || !mayHaveRun(r)
@@ -670,8 +680,7 @@
 	scratch  []*endpoint
 }
 
-// endpoint is one process. A restarted process is a new endpoint, so that what
-// was learned of the old one does not speak for it.
+// endpoint is one process. A restarted one is new: what was learned of the old does not speak for it.
 type endpoint struct {
 	id       EndpointID
 	zone     string
@@ -685,12 +694,12 @@
 	touched  Time    // when it was last picked or drifted
 	cold     int     // -1 while it may be cold, else 0
 	known    bool    // it has had an outcome
+	passed   Time    // when the newest of the attempts that it has served was sent
 	credit   float64 // sends that the cold budget allows now
 	creditAt Time
 }
 
-// pick draws two of the endpoints that may take the request; the higher payoff
-// over one plus own requests in flight wins, ties at random.
+// pick draws two that may take it; the higher payoff over one plus own in flight wins, ties at random.
 func (b *Balancer) pick(r *request) *endpoint {
 	candidates := b.candidates(r)
 	n := len(candidates)
@@ -708,8 +717,7 @@
 	return first
 }
 
-// candidates are the endpoints among which the pick draws: the best rank that may
-// take the request, and of the first choices only the first few.
+// candidates are what the pick draws from: the best rank that may take it, of first choices a few.
 func (b *Balancer) candidates(r *request) []*endpoint {
 	f := &b.fleet
 	all, best := f.scratch[:0], math.MaxInt
@@ -732,8 +740,7 @@
 	return all
 }
 
-// rank orders what the pick draws from: 0 for an idle endpoint that is no worse than
-// most, then those with room, crowded ones, and last what the request has tried.
+// rank orders them: 0 for an idle one no worse than most, then those with room, crowded ones, those tried.
 func (b *Balancer) rank(r *request, e *endpoint) int {
 	switch {
 	case slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.to == e }):
@@ -801,6 +808,7 @@
 		b.bucket.refill(b.now)
 		b.bucket.add(depositPerServed)
 		b.countServed()
+		a.to.passed = max(a.to.passed, a.sent)
 		r.class.pace.observe(b.now, r.work, e.Latency, b.used() >= holdBinds)
 	}
 	if e.Outcome == Served || e.Outcome == Canceled { // called off: at least so slow
@@ -811,15 +819,13 @@
 	b.adjust(r, e)
 }
 
-// yardstick is the latency that earns the full payoff: the aim, or what served
-// attempts of the class take lately where that is less. A call of a lower tier
-// uses up little of the aim, so against the aim alone all endpoints look alike.
+// yardstick is the latency that earns the full payoff: the aim, or what served attempts take where that is
+// less. Calls of lower tiers use little of the aim, and against it all endpoints look alike.
 func yardstick(r *request) time.Duration {
 	return min(r.class.Aim, cmp.Or(r.class.pace.usual(r.work), r.class.Aim))
 }
 
-// pace is how long served attempts of a class take, as logarithms of seconds
-// for a unit of work: a few heavy requests do not move it much.
+// pace is how long served attempts take, by logarithm, for a unit of work: a few heavy ones hardly move it.
 type pace struct {
 	log   float64 // smoothed
 	least float64 // the least it has been lately
@@ -877,8 +883,7 @@
 	return from + (1-from)*max(0, age.Seconds()/b.set.Rules.ColdTime.Seconds())
 }
 
-// hasColdCredit keeps the rule on cold starts: a cold endpoint takes its share of
-// what is served, times a part of the allowed push, and never a burst.
+// hasColdCredit keeps the rule on cold starts: a cold one takes its share of what is served, never a burst.
 func (b *Balancer) hasColdCredit(e *endpoint) bool {
 	if e.cold == 0 {
 		return true
@@ -940,9 +945,9 @@
 	b.sendWaiting()
 }
 
-// shareOut puts the ready endpoints into this instance's own order: the own zone where
-// crossings are priced, then cold ones, whose little credit must not lie idle, then ids.
-// Every peer begins elsewhere: the golden ratio spreads any run of numbers evenly.
+// shareOut puts the ready endpoints into this instance's own order: the own zone where crossings are priced,
+// then cold ones, whose little credit must not lie idle, then ids. Every peer begins elsewhere: the golden
+// ratio spreads any run of numbers evenly.
 func (b *Balancer) shareOut() {
 	f := &b.fleet
 	slices.SortFunc(f.ready, func(a, e *endpoint) int {
@@ -960,9 +965,8 @@
 	f.part = max(leastPart, len(f.ready)/b.set.Peers)
 }
 
-// update takes over one line of the list. A changed start time is a new
-// process: it starts at the mean payoff, with nothing in flight, and cold. Attempts
-// that are out at one that is gone still settle.
+// update takes over one line of the list. A changed start time is a new process: it starts at the mean
+// payoff, with nothing in flight, and cold. Attempts that are out at one that is gone still settle.
 func (b *Balancer) update(line *Endpoint) {
 	e := b.fleet.byID[line.ID]
 	if e != nil && e.started != line.Started && line.State != Gone {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -276,6 +276,47 @@
 	}
 }
 
+// Guards against answers that never come over a connection that fell silent: its
+// endpoint goes on serving others. Where the endpoint serves none either, where copies
+// are not allowed or no token is left, the request waits on.
+func TestCopyOfWhatIsMostLikelyLost(t *testing.T) {
+	for name, c := range map[string]struct {
+		copies, overtaken, funded, want bool
+	}{
+		"lost":              {true, true, true, true},
+		"nothing overtakes": {true, false, true, false},
+		"no copies allowed": {false, true, true, false},
+		"no token":          {true, true, false, false},
+	} {
+		set := testSettings()
+		set.Limits.SecondCopies = c.copies
+		s := start(t, set, two()[:1]...)
+		s.want(s.arrive(1, "read"), Send)
+		s.want(s.after(50*ms).finish(1, 0, Served)) // usual: 50 ms
+		lost := s.want(s.arrive(2, "read"), Send)[0].Endpoint
+		if s.after(60 * ms); c.overtaken {
+			s.want(s.arrive(3, "read"), Send)
+			s.want(s.after(50*ms).finish(3, 0, Served))
+		}
+		s.want(s.event(Event{Kind: ListReplaced, Endpoints: two()}))
+		if !c.funded {
+			s.b.bucket = bucket{filled: s.now + time.Hour}
+		}
+		s.now = time.Hour + 500*ms
+		got := s.tick()
+		if !c.want {
+			s.want(got)
+			continue
+		}
+		if copied := s.want(got, Send)[0]; copied.Request != 2 || copied.Endpoint == lost {
+			t.Errorf("%s: %+v, want request 2 at the other endpoint", name, copied)
+		}
+		if stop := s.want(s.after(50*ms).finish(2, 1, Served), Cancel)[0]; stop.Request != 2 || stop.Attempt != 0 {
+			t.Errorf("%s: %+v, want the lost attempt called off", name, stop)
+		}
+	}
+}
+
 func TestSecondCopiesOnlyWhereAllowed(t *testing.T) {
 	for _, allowed := range []bool{false, true} {
 		set := testSettings()
