Give heathgap a command line and an operator's file, checked line by line

Need: features of other installations need a place to be set, and bin/heathgap had no command line (--help ended with BALANCER_CONFIG: not set).

The first table, [log], sets the level and samples "connection ended". The pipeline takes what decides as an interface, so that the lab can put other policies in its place.

--- a/cmd/heathgap/main.go
+++ b/cmd/heathgap/main.go
@@ -4,7 +4,7 @@
 import (
 	"os"
 
-	"heathgap/internal/lifecycle"
+	"heathgap/internal/command"
 )
 
-func main() { os.Exit(lifecycle.Main()) }
+func main() { os.Exit(command.Heathgap(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/internal/command/heathgap_test.go
@@ -0,0 +1,59 @@
+package command
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func run(args ...string) (int, string, string) {
+	var stdout, stderr bytes.Buffer
+	code := Heathgap(args, &stdout, &stderr)
+	return code, stdout.String(), stderr.String()
+}
+
+// Guards against a check that passes a faulty file, stops at the first one, or
+// starts something.
+func TestCheck(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	good := write("good.toml", "[log]\nlevel = \"warn\"\n")
+	bad := write("bad.toml", "[log]\nlevel = \"loud\"\nevery = 3\n")
+	config := write("config.json", `{"name":"n","listen":"x"}`)
+	if code, stdout, _ := run("check", good); code != 0 || !strings.Contains(stdout, "good.toml: good") {
+		t.Errorf("a good file: %d, %q", code, stdout)
+	}
+	code, stdout, stderr := run("check", bad, good, config, filepath.Join(dir, "none.toml"), "x.yaml")
+	if code != ExitFailed || !strings.Contains(stdout, "good.toml: good") {
+		t.Errorf("bad files: %d, %q", code, stdout)
+	}
+	for _, want := range []string{"bad.toml:2: log.level", "bad.toml:3: log.every", "config.json: listen: ",
+		"none.toml", "x.yaml: unknown kind"} {
+		if !strings.Contains(stderr, want) {
+			t.Errorf("told %q, without %q", stderr, want)
+		}
+	}
+}
+
+func TestCommandLine(t *testing.T) {
+	if code, stdout, _ := run("version"); code != 0 || !strings.HasPrefix(stdout, "heathgap ") {
+		t.Errorf("version: %d, %q", code, stdout)
+	}
+	if code, stdout, _ := run("--help"); code != 0 || !strings.Contains(stdout, "check") {
+		t.Errorf("help: %d, %q", code, stdout)
+	}
+	if code, _, stderr := run("chekc"); code != ExitUsage || stderr == "" {
+		t.Errorf("an unknown command: %d, %q", code, stderr)
+	}
+	if code, _, stderr := run("serve", "--operator", "/nowhere.toml"); code != ExitFailed || !strings.Contains(stderr, "/nowhere.toml") {
+		t.Errorf("serve without its file: %d, %q", code, stderr)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -70,6 +70,18 @@
 // still has the discovery of the start: the file's goes before it.
 func Reload(env func(string) string) (*Config, error) { return load(env, true) }
 
+// Check reads a configuration file as a start would, and tells what is wrong with
+// it. Nothing of the environment counts.
+func Check(path string) error {
+	_, err := Load(func(key string) string {
+		if key == EnvFile {
+			return path
+		}
+		return ""
+	})
+	return err
+}
+
 func load(env func(string) string, running bool) (*Config, error) {
 	path := env(EnvFile)
 	if path == "" {
--- a/internal/lifecycle/fakes_test.go
+++ b/internal/lifecycle/fakes_test.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sys/unix"
 
 	"heathgap/internal/config"
+	"heathgap/internal/operator"
 )
 
 // patience bounds every wait of the tests: far more than any should take.
@@ -289,6 +290,11 @@
 }
 
 func start(t *testing.T, conf map[string]any) *tested {
+	t.Helper()
+	return startWith(t, conf, Options{Operator: operator.Default()})
+}
+
+func startWith(t *testing.T, conf map[string]any, opts Options) *tested {
 	t.Helper()
 	path := writeConfig(t, conf)
 	c, err := config.Load(func(key string) string {
@@ -301,7 +307,7 @@
 		t.Fatal(err)
 	}
 	s := &tested{log: &lines{}}
-	if s.Sidecar, err = Start(c, zerolog.New(s.log)); err != nil {
+	if s.Sidecar, err = Start(c, zerolog.New(s.log), opts); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() {
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -17,8 +17,10 @@
 	"github.com/rs/zerolog/diode"
 	"github.com/valyala/fasthttp"
 
+	"heathgap/decide"
 	"heathgap/internal/config"
 	"heathgap/internal/httpwire"
+	"heathgap/internal/operator"
 	"heathgap/internal/pipeline"
 )
 
@@ -49,6 +51,7 @@
 type Sidecar struct {
 	conf    *config.Config
 	log     zerolog.Logger
+	ends    zerolog.Logger // for ends of connections
 	engine  *pipeline.Engine
 	callers *httpwire.Callers
 	server  *fasthttp.Server
@@ -59,18 +62,45 @@
 	stayFor time.Duration // after the signal to stop, as before
 }
 
+// Decider makes what decides in a sidecar.
+type Decider func(conf *config.Config) (pipeline.Decider, error)
+
+// Module makes heathgap's decision module.
+func Module(conf *config.Config) (pipeline.Decider, error) {
+	balancer, err := decide.New(conf.Settings, conf.Seed)
+	if err != nil {
+		return nil, err
+	}
+	return balancer, nil
+}
+
+// Options are what a sidecar is started with beside its configuration.
+type Options struct {
+	Operator operator.File
+	Decider  Decider // nil for the module
+}
+
 // Start starts a sidecar; it takes requests when Start has returned.
-func Start(conf *config.Config, log zerolog.Logger) (*Sidecar, error) {
-	engine, err := pipeline.New(conf, log)
+func Start(conf *config.Config, log zerolog.Logger, opts Options) (*Sidecar, error) {
+	if opts.Decider == nil {
+		opts.Decider = Module
+	}
+	balancer, err := opts.Decider(conf)
 	if err != nil {
 		return nil, err
 	}
+	log = log.Level(opts.Operator.Log.Level)
+	ends := log
+	if n := opts.Operator.Log.ConnectionEnded; n > 1 {
+		ends = log.Sample(zerolog.LevelSampler{InfoSampler: &zerolog.BasicSampler{N: uint32(n)}})
+	}
+	engine := pipeline.New(conf, pipeline.Logs{All: log, Ends: ends}, balancer)
 	listener, err := net.Listen("tcp", conf.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	s := &Sidecar{
-		conf: conf, log: log, engine: engine, ran: make(chan struct{}), served: make(chan error, 1),
+		conf: conf, log: log, ends: ends, engine: engine, ran: make(chan struct{}), served: make(chan error, 1),
 	}
 	s.stayFor = max(leastStay, s.finishTime()-s.shortestAim())
 	s.callers = httpwire.NewCallers(listener, conf.CallerConns, s.callerEnded)
@@ -114,7 +144,7 @@
 
 // callerEnded writes the log line of a caller's connection.
 func (s *Sidecar) callerEnded(c *httpwire.CallerConn, why httpwire.Reason) {
-	s.log.Info().Str("side", "caller").Str("peer", c.RemoteAddr().String()).
+	s.ends.Info().Str("side", "caller").Str("peer", c.RemoteAddr().String()).
 		Str("reason", string(why)).Int("requests", c.Requests()).Msg("connection ended")
 }
 
@@ -171,7 +201,7 @@
 
 // Main runs a sidecar as a process until it is told to stop, and returns the
 // process's exit code.
-func Main() int {
+func Main(opts Options) int {
 	runtime.GOMAXPROCS(1) // it has one core at most, and shares that
 	zerolog.TimeFieldFormat = time.RFC3339Nano
 	var dropped atomic.Int64
@@ -186,7 +216,7 @@
 	}
 	log = log.With().Str("sidecar", conf.Name).Logger()
 	debug.SetMemoryLimit(conf.HeapBytes)
-	sidecar, err := Start(conf, log)
+	sidecar, err := Start(conf, log, opts)
 	if err != nil {
 		log.Error().Err(err).Msg("cannot start")
 		return 1
--- a/internal/lifecycle/process_test.go
+++ b/internal/lifecycle/process_test.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sys/unix"
 
 	"heathgap/internal/config"
+	"heathgap/internal/operator"
 )
 
 // asSidecar in the environment makes the test's own program a sidecar.
@@ -26,7 +27,7 @@
 
 func TestMain(m *testing.M) {
 	if os.Getenv(asSidecar) != "" {
-		os.Exit(Main())
+		os.Exit(Main(Options{Operator: operator.Default()}))
 	}
 	os.Exit(m.Run())
 }
--- a/internal/lifecycle/sidecar_test.go
+++ b/internal/lifecycle/sidecar_test.go
@@ -14,7 +14,10 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"heathgap/decide"
+	"heathgap/internal/operator"
 )
 
 func TestPassesRequestsOnUnchanged(t *testing.T) {
@@ -668,3 +671,29 @@
 		t.Errorf("the books are not closed at the end:\n%s", log)
 	}
 }
+
+// Guards against a log that the operator's file does not thin out, and against one
+// that thins out what nobody may miss.
+func TestOperatorsLog(t *testing.T) {
+	e := startEndpoint(t, "e1", nil)
+	conf := testConfig(startDiscovery(t), e.line())
+	for name, c := range map[string]struct {
+		log         operator.Log
+		ends, ready int
+	}{
+		"as it was":  {operator.Default().Log, 10, 1},
+		"every 5th":  {operator.Log{Level: zerolog.InfoLevel, ConnectionEnded: 5}, 2, 1},
+		"only worse": {operator.Log{Level: zerolog.WarnLevel, ConnectionEnded: 1}, 0, 0},
+	} {
+		s := startWith(t, conf, Options{Operator: operator.File{Log: c.log}})
+		for range 10 {
+			get(t, s.Address(), "/look")
+		}
+		eventually(t, name, func() bool {
+			return s.callers.Open() == 0 && strings.Count(s.log.String(), `"side":"caller"`) == c.ends
+		})
+		if n := strings.Count(s.log.String(), `"message":"ready"`); n != c.ready {
+			t.Errorf("%s: %d lines of its start, want %d", name, n, c.ready)
+		}
+	}
+}
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,61 @@
+// Package operator reads the operator's file: what the people who run heathgap
+// set for an installation of their own. All of it is off or neutral by default,
+// so that a sidecar without the file does as it always did. Each subsystem has a
+// table there; deploy/operator.toml documents every key.
+package operator
+
+import (
+	"github.com/rs/zerolog"
+
+	"heathgap/internal/tomlread"
+)
+
+// Bounds of sampling.
+const (
+	everyLine = 1
+	rarest    = 1_000_000 // of so many lines one is written: fewer would show nothing
+)
+
+// File is the operator's file.
+type File struct {
+	Log Log
+}
+
+// Log is the table [log].
+type Log struct {
+	Level zerolog.Level
+	// ConnectionEnded samples the lines "connection ended" of level info: of so
+	// many one is written. Warnings are always written.
+	ConnectionEnded int
+}
+
+// Default is what holds without a file.
+func Default() File {
+	return File{Log: Log{Level: zerolog.InfoLevel, ConnectionEnded: everyLine}}
+}
+
+// Load reads and checks a file. Its error tells all that is wrong, a line each.
+func Load(path string) (File, error) {
+	doc, err := tomlread.Load(path)
+	if err != nil {
+		return File{}, err
+	}
+	return decode(doc)
+}
+
+// levels are those that can be set: below info there are no lines, and errors are
+// always written.
+var levels = map[string]zerolog.Level{
+	"info": zerolog.InfoLevel, "warn": zerolog.WarnLevel, "error": zerolog.ErrorLevel,
+}
+
+func decode(doc *tomlread.Doc) (File, error) {
+	f := Default()
+	log := doc.Root.Table("log")
+	f.Log.Level = levels[log.Word("level", "info", "info", "warn", "error")]
+	f.Log.ConnectionEnded = log.Int("connection_ended_every", everyLine, everyLine, rarest)
+	if err := doc.Err(); err != nil {
+		return File{}, err
+	}
+	return f, nil
+}
--- a/internal/pipeline/discover.go
+++ b/internal/pipeline/discover.go
@@ -166,7 +166,7 @@
 	if err != nil {
 		level = zerolog.WarnLevel
 	}
-	e.log.WithLevel(level).Str("side", "discovery").Str("peer", w.address).Str("reason", string(why)).
+	e.ends.WithLevel(level).Str("side", "discovery").Str("peer", w.address).Str("reason", string(why)).
 		Int("requests", uses).AnErr("error", err).Msg("connection ended")
 }
 
--- a/internal/pipeline/discover_test.go
+++ b/internal/pipeline/discover_test.go
@@ -24,7 +24,7 @@
 	for _, known := range []bool{false, true} {
 		var log strings.Builder
 		e := testEngine(t)
-		e.log = zerolog.New(&log)
+		e.ends = zerolog.New(&log)
 		e.watch = newWatch(listener.Addr().String(),
 			callTimes{dial: 10 * time.Second, fetch: short, wait: short, spread: short, beyond: short})
 		e.watch.known = known
--- a/internal/pipeline/engine.go
+++ b/internal/pipeline/engine.go
@@ -25,6 +25,19 @@
 	sweepEvery = time.Second // idle connections are looked at so often
 )
 
+// Decider decides what is done with each request: the module, or what the lab puts
+// in its place to compare it with.
+type Decider interface {
+	// Handle takes one event at a time that only grows, and appends what is to be done.
+	Handle(now decide.Time, ev *decide.Event, actions []decide.Action) []decide.Action
+}
+
+// Logs are where the engine writes its lines.
+type Logs struct {
+	All  zerolog.Logger
+	Ends zerolog.Logger // for ends of connections, one line each: may be sampled
+}
+
 // event is something that an I/O goroutine hands to the owner.
 type event interface{ handle(*Engine) }
 
@@ -32,13 +45,14 @@
 type Engine struct {
 	conf      *config.Config
 	log       zerolog.Logger
+	ends      zerolog.Logger // for ends of connections
 	clock     state.Clock
 	events    chan event
 	stopped   chan struct{} // closed when Run has returned
 	unready   atomic.Bool   // the process is stopping: callers should look elsewhere
 	draining  atomic.Bool   // each answer is the last on its connection
 	malformed atomic.Int64  // requests answered 400: a flood of them must not fill the queue
-	balancer  *decide.Balancer
+	balancer  Decider
 	requests  *state.Requests
 	endpoints *state.Endpoints
 	pool      *state.Pool
@@ -55,20 +69,16 @@
 }
 
 // New returns an engine that has not started.
-func New(conf *config.Config, log zerolog.Logger) (*Engine, error) {
-	balancer, err := decide.New(conf.Settings, conf.Seed)
-	if err != nil {
-		return nil, err
-	}
+func New(conf *config.Config, logs Logs, balancer Decider) *Engine {
 	e := &Engine{
-		conf: conf, log: log, clock: state.NewClock(), balancer: balancer,
+		conf: conf, log: logs.All, ends: logs.Ends, clock: state.NewClock(), balancer: balancer,
 		events: make(chan event, eventQueue), stopped: make(chan struct{}),
 		requests: state.NewRequests(), endpoints: state.NewEndpoints(),
 	}
 	e.room = httpwire.NewRoom(conf.AnswerBytes)
 	e.pool = state.NewPool(conf.EndpointConns, conf.IdleFor, e.linkEnded)
 	e.watch = newWatch(conf.Discovery, usualTimes)
-	return e, nil
+	return e
 }
 
 // Run owns the balancer until the context ends.
@@ -207,6 +217,6 @@
 	if l != nil {
 		uses = l.Uses
 	}
-	e.log.Info().Str("side", "endpoint").Str("peer", to.Name).Str("address", to.Address).
+	e.ends.Info().Str("side", "endpoint").Str("peer", to.Name).Str("address", to.Address).
 		Str("reason", string(why)).Int("requests", uses).Msg("connection ended")
 }
--- a/internal/pipeline/send_test.go
+++ b/internal/pipeline/send_test.go
@@ -16,14 +16,15 @@
 
 func testEngine(t *testing.T) *Engine {
 	t.Helper()
-	e, err := New(&config.Config{
+	conf := &config.Config{
 		Settings:       decide.Settings{Classes: []decide.Class{{Name: "look", Effect: decide.Safe, Aim: time.Second}}},
 		ConnectTimeout: 10 * time.Second, EndpointConns: 10, IdleFor: time.Minute,
-	}, zerolog.Nop())
+	}
+	balancer, err := decide.New(conf.Settings, conf.Seed)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return e
+	return New(conf, Logs{All: zerolog.Nop(), Ends: zerolog.Nop()}, balancer)
 }
 
 // An attempt whose time is up while its connection is still being made has never
