Keep the command line's parser out of the sidecar's program

Cause: with kong linked in, the linker keeps every method; bin/heathgap grew from 9.5 to 17.6 MB and an idle sidecar from 8.4 to 11.3 MB resident, 2.5 MB of it mapped code.

Change: bin/heathgap with arguments becomes bin/heathgap-cli (exec, same process), and 'serve' becomes bin/heathgap again with the operator's file in its environment.

--- a/internal/command/heathgap.go
+++ b/internal/command/heathgap.go
@@ -1,17 +1,18 @@
-// Package command is heathgap's command line.
+// Package command holds the command lines of heathgap and its tools.
 package command
 
 import (
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"path/filepath"
 	"runtime/debug"
+	"syscall"
 
 	"github.com/alecthomas/kong"
 
 	"heathgap/internal/config"
-	"heathgap/internal/lifecycle"
 	"heathgap/internal/operator"
 )
 
@@ -28,27 +29,21 @@
 	Version version `cmd:"" help:"Tell which build this is."`
 }
 
-// out is where a command writes, and the exit code it leaves.
-type out struct {
-	io.Writer
-	code int
-}
+// out is where a command writes.
+type out struct{ io.Writer }
 
 // Heathgap runs the command line of bin/heathgap and returns the exit code.
-// Without arguments it is a sidecar at once: the parser takes no memory there.
 func Heathgap(args []string, stdout, stderr io.Writer) int {
-	if len(args) == 0 {
-		return lifecycle.Main(lifecycle.Options{Operator: operator.Default()})
-	}
 	return Run(&heathgap{}, "heathgap", "The load balancer of one caller.", args, stdout, stderr)
 }
 
 // Run parses a command line and runs the command it names.
 func Run(cli any, name, about string, args []string, stdout, stderr io.Writer) int {
 	ended := -1 // the exit code, once help has been printed
-	o := &out{Writer: stdout}
+	o := &out{stdout}
 	parser, err := kong.New(cli, kong.Name(name), kong.Description(about), kong.UsageOnError(),
-		kong.Writers(stdout, stderr), kong.Exit(func(code int) { ended = code }), kong.BindTo(o, (*io.Writer)(nil)), kong.Bind(o))
+		kong.Writers(stdout, stderr), kong.Exit(func(code int) { ended = code }),
+		kong.Bind(o))
 	if err != nil {
 		panic(err) // the declaration of the commands is wrong
 	}
@@ -64,24 +59,37 @@
 		fmt.Fprintln(stderr, err)
 		return ExitFailed
 	}
-	return o.code
+	return 0
 }
 
 type serve struct {
 	Operator string `placeholder:"FILE" help:"The operator's file (TOML). Without it, nothing is on but what BALANCER_CONFIG says."`
 }
 
-// Run runs a sidecar until it is told to stop.
-func (c *serve) Run(o *out) error {
-	opts := lifecycle.Options{Operator: operator.Default()}
+// Run checks the operator's file and becomes the sidecar, in this same process, so
+// that signals reach it.
+func (c *serve) Run() error {
+	path, env, err := c.target(os.Executable)
+	if err != nil {
+		return err
+	}
+	return fmt.Errorf("%s: %w", path, syscall.Exec(path, []string{path}, env))
+}
+
+// target is the sidecar's program, beside this one, and its environment.
+func (c *serve) target(executable func() (string, error)) (path string, env []string, err error) {
+	env = os.Environ()
 	if c.Operator != "" {
-		var err error
-		if opts.Operator, err = operator.Load(c.Operator); err != nil {
-			return err
+		if _, err := operator.Load(c.Operator); err != nil {
+			return "", nil, err
 		}
+		env = append(env, operator.EnvFile+"="+c.Operator)
 	}
-	o.code = lifecycle.Main(opts)
-	return nil
+	self, err := executable()
+	if err != nil {
+		return "", nil, err
+	}
+	return filepath.Join(filepath.Dir(self), "heathgap"), env, nil
 }
 
 type check struct {
--- a/internal/command/heathgap_test.go
+++ b/internal/command/heathgap_test.go
@@ -57,3 +57,17 @@
 		t.Errorf("serve without its file: %d, %q", code, stderr)
 	}
 }
+
+// The sidecar's program starts with what the command line was given, and bad files
+// end the start before it.
+func TestServe(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "operator.toml")
+	if err := os.WriteFile(file, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c := serve{Operator: file}
+	path, env, err := c.target(func() (string, error) { return "/x/bin/heathgap-cli", nil })
+	if err != nil || path != "/x/bin/heathgap" || env[len(env)-1] != "HEATHGAP_OPERATOR="+file {
+		t.Errorf("%q, %q, %v", path, env[len(env)-1], err)
+	}
+}
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -199,6 +199,18 @@
 	return shortest
 }
 
+// Process runs a sidecar that only its environment tells what to do: BALANCER_*,
+// and the path of an operator's file where there is one.
+func Process() int {
+	file, err := operator.FromEnv(os.Getenv)
+	if err != nil {
+		log := zerolog.New(os.Stderr).With().Timestamp().Logger()
+		log.Error().Err(err).Msg("bad operator's file")
+		return 1
+	}
+	return Main(Options{Operator: file})
+}
+
 // Main runs a sidecar as a process until it is told to stop, and returns the
 // process's exit code.
 func Main(opts Options) int {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -34,6 +34,18 @@
 	return File{Log: Log{Level: zerolog.InfoLevel, ConnectionEnded: everyLine}}
 }
 
+// EnvFile is the variable of the environment that names the operator's file to a
+// sidecar; "heathgap serve --operator" sets it.
+const EnvFile = "HEATHGAP_OPERATOR"
+
+// FromEnv loads the file that the environment names, or returns the defaults.
+func FromEnv(env func(string) string) (File, error) {
+	if path := env(EnvFile); path != "" {
+		return Load(path)
+	}
+	return Default(), nil
+}
+
 // Load reads and checks a file. Its error tells all that is wrong, a line each.
 func Load(path string) (File, error) {
 	doc, err := tomlread.Load(path)
