Lab: how endpoints work off load, and the book of truth over the four rules

Need: subsystems to come are measured by service and broken rules that the project counts itself.

Both are pure and tested by tables and rapid.

--- /dev/null
+++ b/internal/lab/station/station_test.go
@@ -0,0 +1,174 @@
+package station
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const ms = time.Millisecond
+
+func newStation(t testing.TB, c Conf, cold bool) *Station {
+	t.Helper()
+	s, err := New(c, 0, cold)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// drain runs a station until nothing is to come and returns when each job ended.
+func drain(s *Station) map[*Job]time.Duration {
+	ended := map[*Job]time.Duration{}
+	for {
+		at, ok := s.Next()
+		if !ok {
+			return ended
+		}
+		done, _ := s.Due(at)
+		for _, j := range done {
+			ended[j] = at
+		}
+	}
+}
+
+func TestCoresAreShared(t *testing.T) {
+	s := newStation(t, Conf{Cores: 2, Speed: 1, Slots: 4, Queue: 1}, false)
+	jobs := make([]*Job, 6)
+	for i := range jobs {
+		jobs[i] = &Job{Work: 10 * ms}
+		want := Taken
+		if i == 5 {
+			want = TurnedAway
+		}
+		if got := s.Arrive(0, jobs[i]); got != want {
+			t.Fatalf("job %d: %v", i, got)
+		}
+	}
+	ended := drain(s)
+	for i, want := range []time.Duration{20 * ms, 20 * ms, 20 * ms, 20 * ms, 30 * ms} {
+		if got := ended[jobs[i]].Round(ms / 10); got != want {
+			t.Errorf("job %d ended at %v, want %v", i, got, want)
+		}
+	}
+}
+
+func TestPauseSlowAndChoke(t *testing.T) {
+	s := newStation(t, Conf{Cores: 4, Speed: 1, Slots: 4, ChokeAbove: 2, ChokeTo: 0.5}, false)
+	j := &Job{Work: 10 * ms}
+	s.Arrive(0, j)
+	s.Pause(2*ms, true)
+	s.Pause(100*ms, false)
+	s.Slow(100*ms, 0.5)
+	if ended := drain(s)[j].Round(ms / 10); ended != 116*ms {
+		t.Errorf("ended at %v, want 116ms: 2 at full speed, a pause, 16 at half", ended)
+	}
+	s.Slow(200*ms, 1)
+	held := []*Job{{Work: 10 * ms}, {Work: 10 * ms}, {Work: 10 * ms}}
+	for _, h := range held {
+		s.Arrive(200*ms, h)
+	}
+	if ended := drain(s)[held[2]].Round(ms / 10); ended != 220*ms {
+		t.Errorf("three, choked above two, ended at %v, want 220ms", ended)
+	}
+}
+
+// A cold one works slowly, gets warm, and falls over only under a load that lasts.
+func TestColdStart(t *testing.T) {
+	conf := Conf{Cores: 1, Speed: 1, Slots: 8, Queue: 8, ColdFrom: 0.25, ColdFor: 4 * time.Second,
+		FallMultiple: 2, FallFor: time.Second}
+	push := func(load float64, long time.Duration) *Station {
+		s := newStation(t, conf, true)
+		for now := time.Duration(0); now < long; now += 10 * ms {
+			s.Due(now)
+			s.Arrive(now, &Job{Work: time.Duration(load * float64(10*ms))})
+		}
+		return s
+	}
+	if s := push(0.4, 5*time.Second); s.Falls != 0 || s.Share() != 1 {
+		t.Errorf("under a small load: %d falls, share %v", s.Falls, s.Share())
+	}
+	if s := push(3, time.Second); s.Falls != 0 {
+		t.Errorf("pushed for less than the time: %d falls", s.Falls)
+	}
+	if s := push(3, 3*time.Second); s.Falls == 0 {
+		t.Error("pushed for longer: it did not fall")
+	}
+	j := &Job{Work: 10 * ms}
+	s := newStation(t, conf, true)
+	s.Arrive(0, j)
+	if ended := drain(s)[j]; ended < 35*ms || ended > 45*ms {
+		t.Errorf("a cold one took %v for 10ms of work, want about 40ms", ended)
+	}
+}
+
+// Whatever comes in whatever order, each job taken is given back once, and no more
+// is held than there is room for.
+func TestEachJobEndsOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		conf := Conf{Cores: 1.5, Speed: 1, Slots: rapid.IntRange(1, 4).Draw(t, "slots"), Queue: rapid.IntRange(0, 3).Draw(t, "queue"),
+			ColdFrom: 0.1, ColdFor: time.Second, FallMultiple: 1, FallFor: 100 * ms, ChokeAbove: 2, ChokeTo: 0.5}
+		s, err := New(conf, 0, rapid.Bool().Draw(t, "cold"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := time.Duration(0)
+		open := map[*Job]bool{}
+		var given []*Job
+		end := func(j *Job) {
+			if !open[j] {
+				t.Fatal("a job ended that was not open")
+			}
+			delete(open, j)
+		}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, int(30*ms)).Draw(t, "pause"))
+			switch rapid.IntRange(0, 5).Draw(t, "kind") {
+			case 0, 1:
+				j := &Job{Work: time.Duration(rapid.IntRange(0, int(50*ms)).Draw(t, "work"))}
+				if s.Arrive(now, j) == Taken {
+					open[j] = true
+				}
+				given = append(given, j)
+			case 2:
+				if len(given) == 0 {
+					break
+				}
+				j := given[rapid.IntRange(0, len(given)-1).Draw(t, "which")]
+				if s.Cancel(now, j) {
+					end(j)
+				}
+				if s.Cancel(now, j) {
+					t.Fatal("canceled twice")
+				}
+			case 3:
+				s.Pause(now, rapid.Bool().Draw(t, "paused"))
+			default:
+				done, _ := s.Due(now)
+				for _, j := range done {
+					end(j)
+				}
+			}
+			if s.Held() != len(open) || len(s.running) > conf.Slots || len(s.queue) > conf.Queue {
+				t.Fatalf("held %d, open %d, running %d, queued %d", s.Held(), len(open), len(s.running), len(s.queue))
+			}
+		}
+		s.Pause(now, false)
+		for j := range drain(s) {
+			end(j)
+		}
+		if len(open) > 0 {
+			t.Fatalf("%d jobs never ended", len(open))
+		}
+	})
+}
+
+func TestRefusesBadConf(t *testing.T) {
+	for _, c := range []Conf{{}, {Cores: 1, Speed: 1}, {Cores: 1, Speed: 1, Slots: 1, Queue: -1},
+		{Cores: 1, Speed: 1, Slots: 1, ColdFor: time.Second}} {
+		if _, err := New(c, 0, false); err == nil {
+			t.Errorf("%+v: taken", c)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/truth/truth.go
@@ -0,0 +1,452 @@
+// Package truth is the lab's book: an account of what clients asked and heard and
+// of what reached endpoints, kept without reading anything that a sidecar says. From
+// it follow the four rules and the service.
+//
+// The book is pure: it has no clock and does no I/O. Times count from the start of
+// a run and only grow, give or take what goroutines are late by. One goroutine at a
+// time may use it; Shared guards one that many use.
+package truth
+
+import (
+	"fmt"
+	"time"
+
+	"heathgap/decide"
+)
+
+// Rule names what can be broken.
+type Rule string
+
+// The rules. The first three are parts of one: each request taken has exactly one
+// final answer, in time, and nothing is sent for it after that.
+const (
+	Lost          Rule = "lost"           // no whole answer in time, though the client was there
+	AnsweredTwice Rule = "answered_twice" // a second answer to one request
+	SentAfter     Rule = "sent_after"     // an attempt reached an endpoint after the final answer
+	Doubled       Rule = "doubled"        // an effect that may not happen twice did
+	Drained       Rule = "drained"        // new work for an endpoint that was told to drain
+	PushedOver    Rule = "pushed_over"    // a cold endpoint was pushed over
+)
+
+// Rules are all rules, in the order of a record.
+var Rules = []Rule{Lost, AnsweredTwice, SentAfter, Doubled, Drained, PushedOver}
+
+// mostBreaks bounds the breaks that are kept with their words; all are counted.
+const mostBreaks = 100
+
+// Break is one case of a broken rule.
+type Break struct {
+	Rule Rule          `json:"rule"`
+	At   time.Duration `json:"at_ns"`
+	What string        `json:"what"`
+}
+
+// Conf holds the figures of the rules.
+type Conf struct {
+	AnswerSlack time.Duration // an answer may be so much later than the client's time
+	DrainGrace  time.Duration // sends to a draining endpoint end within it
+	AskEvery    time.Duration // a sidecar that has not asked for so long counts as told
+	Margin      time.Duration // added to each limit in time: sockets and goroutines are late by some
+}
+
+// Verdict is a client's final answer.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Served Verdict = iota
+	Refused
+	Failed
+	Malformed
+	verdicts
+)
+
+// Request is what a client asks of a sidecar, once.
+type Request struct {
+	ID      string
+	Sidecar string
+	Tier    int
+	Effect  decide.Effect
+	Key     string
+	Until   time.Duration // when the client's time is up
+}
+
+// Tally counts what one sidecar was asked and what came of it.
+type Tally struct {
+	Asked     int           `json:"asked"` // written whole to it
+	Answers   [verdicts]int `json:"answers"`
+	Left      int           `json:"left"`       // its client went, or its time was up without an answer
+	Cut       int           `json:"cut"`        // ended with the sidecar, which the lab had stopped
+	Arrivals  int           `json:"arrivals"`   // attempts that came whole to endpoints
+	Runs      int           `json:"runs"`       // of them, those that ran
+	TurnedOff int           `json:"turned_off"` // of them, those turned away
+}
+
+// request is one that is open, or ended lately enough that something of it may
+// still come.
+type request struct {
+	Request
+	tally    *Tally
+	written  bool
+	answered bool
+	ended    bool          // by whatever
+	endAt    time.Duration // the answer, or when the client's time was up
+	runs     int           // with an effect of their own
+}
+
+// told is since when a sidecar knows that an endpoint drains.
+type told struct{ sidecar, endpoint string }
+
+// Book is the account.
+type Book struct {
+	conf     Conf
+	requests map[string]*request
+	order    []*request // by when they were asked, for Fold
+	tallies  map[string]*Tally
+	draining map[string]time.Duration // endpoints, and since when
+	told     map[told]time.Duration
+	asks     map[string]*asking
+	listUp   time.Duration // since when discovery answers; below 0 while it does not
+	counts   map[Rule]int
+	breaks   []Break
+	unknown  int // attempts for requests that no client sent
+	keyed    map[string]int
+	repeats  int // effects that clients doubled themselves, by asking again under one key
+}
+
+// asking is what a sidecar does about the list.
+type asking struct {
+	open int // calls at work
+	last time.Duration
+}
+
+// New returns an empty book.
+func New(conf Conf) *Book {
+	return &Book{
+		conf: conf, requests: map[string]*request{}, tallies: map[string]*Tally{},
+		draining: map[string]time.Duration{}, told: map[told]time.Duration{}, asks: map[string]*asking{},
+		counts: map[Rule]int{}, keyed: map[string]int{},
+	}
+}
+
+func (b *Book) broken(rule Rule, at time.Duration, format string, args ...any) {
+	b.counts[rule]++
+	if len(b.breaks) < mostBreaks {
+		b.breaks = append(b.breaks, Break{rule, at, fmt.Sprintf(format, args...)})
+	}
+}
+
+func (b *Book) tally(sidecar string) *Tally {
+	t := b.tallies[sidecar]
+	if t == nil {
+		t = &Tally{}
+		b.tallies[sidecar] = t
+	}
+	return t
+}
+
+// Asking books a request that a client is about to write.
+func (b *Book) Asking(r Request) {
+	q := &request{Request: r, tally: b.tally(r.Sidecar)}
+	b.requests[r.ID] = q
+	b.order = append(b.order, q)
+}
+
+// Written books that a request was written whole.
+func (b *Book) Written(id string) {
+	if q := b.requests[id]; q != nil && !q.written {
+		q.written = true
+		q.tally.Asked++
+	}
+}
+
+// Unwritten takes back a request that could not be written whole, or whose
+// connection a sidecar closed as it crossed: true if no attempt for it has come to
+// an endpoint, so that the client may send it once more.
+func (b *Book) Unwritten(id string) bool {
+	q := b.requests[id]
+	if q == nil || q.runs > 0 {
+		return false
+	}
+	if q.written {
+		q.tally.Asked--
+	}
+	q.ended = true
+	delete(b.requests, id)
+	return true
+}
+
+// Answered books a whole answer.
+func (b *Book) Answered(at time.Duration, id string, v Verdict) {
+	q := b.requests[id]
+	if q == nil || q.answered {
+		b.broken(AnsweredTwice, at, "request %s: answered once more", id)
+		return
+	}
+	q.answered = true
+	if q.ended {
+		return // its client had gone
+	}
+	q.ended, q.endAt = true, at
+	q.tally.Answers[v]++
+	if late := at - q.Until - b.conf.AnswerSlack - b.conf.Margin; late > 0 {
+		b.broken(Lost, at, "request %s at %s: answered %v too late", id, q.Sidecar, late)
+	}
+}
+
+// Surplus books bytes behind a whole answer that belong to no request.
+func (b *Book) Surplus(at time.Duration, id string) {
+	b.broken(AnsweredTwice, at, "request %s: more came behind its answer", id)
+}
+
+// Foreign books a whole answer that no endpoint made for the request.
+func (b *Book) Foreign(at time.Duration, id string) {
+	b.Answered(at, id, Failed)
+	b.broken(Lost, at, "request %s: served with what was made for another", id)
+}
+
+// Unanswered books that a connection ended without a whole answer, or that none
+// had come when the client's time and all slack was over.
+func (b *Book) Unanswered(at time.Duration, id string) {
+	q := b.requests[id]
+	if q == nil || q.ended {
+		return
+	}
+	q.ended, q.endAt = true, at
+	q.tally.Left++
+	b.broken(Lost, at, "request %s at %s: no answer", id, q.Sidecar)
+}
+
+// Left books that a client has gone by itself.
+func (b *Book) Left(at time.Duration, id string) {
+	if q := b.requests[id]; q != nil && !q.ended {
+		q.ended = true
+		q.endAt = q.Until + b.conf.AnswerSlack // its sidecar need not notice before
+		q.tally.Left++
+	}
+}
+
+// Cut books that a request ended with its sidecar, which the lab had stopped: a
+// loss for the client, and no broken rule.
+func (b *Book) Cut(at time.Duration, id string) {
+	if q := b.requests[id]; q != nil && !q.ended {
+		q.ended = true
+		q.endAt = q.Until + b.conf.AnswerSlack
+		q.tally.Cut++
+	}
+}
+
+// Arrival is an attempt that came whole to an endpoint.
+type Arrival struct {
+	ID       string
+	Endpoint string
+	First    time.Duration // its first byte
+	Whole    time.Duration // its last byte
+	Runs     bool          // it was not turned away
+	Repeat   bool          // its key was known: it has no effect of its own
+}
+
+// Arrived books an attempt. It returns false for one that no client sent.
+func (b *Book) Arrived(a Arrival) bool {
+	q := b.requests[a.ID]
+	if q == nil {
+		b.unknown++
+		return false
+	}
+	q.tally.Arrivals++
+	b.checkDrained(q, a)
+	limit := q.Until + b.conf.AnswerSlack
+	if q.ended {
+		limit = min(limit, q.endAt)
+	}
+	if late := a.First - limit - b.conf.Margin; late > 0 {
+		b.broken(SentAfter, a.First, "request %s: sent to %s %v after its end", a.ID, a.Endpoint, late)
+	}
+	if !a.Runs {
+		q.tally.TurnedOff++
+		return true
+	}
+	q.tally.Runs++
+	if !a.Repeat {
+		q.runs++
+		b.checkDoubled(q, a)
+	}
+	return true
+}
+
+// checkDoubled looks whether an effect has happened twice: by one request, or by
+// several that clients sent under one key, which is their own doing.
+func (b *Book) checkDoubled(q *request, a Arrival) {
+	switch q.Effect {
+	case decide.Unsafe:
+		if q.runs > 1 {
+			b.broken(Doubled, a.Whole, "request %s: ran once more, at %s", a.ID, a.Endpoint)
+		}
+	case decide.Keyed:
+		if q.runs > 1 {
+			b.broken(Doubled, a.Whole, "request %s: ran once more under key %s, at %s", a.ID, q.Key, a.Endpoint)
+			return
+		}
+		b.keyed[q.Key]++
+		if b.keyed[q.Key] > 1 {
+			b.repeats++
+		}
+	}
+}
+
+// checkDrained looks whether the endpoint was told to drain.
+func (b *Book) checkDrained(q *request, a Arrival) {
+	since, draining := b.draining[a.Endpoint]
+	if !draining {
+		return
+	}
+	at, knows := b.told[told{q.Sidecar, a.Endpoint}]
+	if !knows {
+		if at, knows = b.countsAsTold(q.Sidecar, since, a.First); !knows {
+			return
+		}
+	}
+	if late := a.First - at - b.conf.DrainGrace - b.conf.Margin; late > 0 {
+		b.broken(Drained, a.First, "request %s: sent by %s to %s %v after the grace", a.ID, q.Sidecar, a.Endpoint, late)
+	}
+}
+
+// countsAsTold is since when a sidecar that neither watches nor asks counts as told.
+func (b *Book) countsAsTold(sidecar string, since, now time.Duration) (time.Duration, bool) {
+	ask := b.asks[sidecar]
+	if b.listUp < 0 || b.conf.AskEvery <= 0 || ask != nil && ask.open > 0 {
+		return 0, false
+	}
+	from := max(since, b.listUp)
+	if ask != nil {
+		from = max(from, ask.last)
+	}
+	at := from + b.conf.AskEvery
+	return at, at <= now
+}
+
+// Draining books that the list says of an endpoint that it drains or is gone.
+func (b *Book) Draining(at time.Duration, endpoint string) {
+	if _, known := b.draining[endpoint]; !known {
+		b.draining[endpoint] = at
+	}
+}
+
+// Told books that discovery has written to a sidecar that an endpoint drains.
+func (b *Book) Told(at time.Duration, sidecar, endpoint string) {
+	key := told{sidecar, endpoint}
+	if _, known := b.told[key]; !known {
+		b.told[key] = at
+	}
+}
+
+// Calls books that a sidecar's call for the list begins, and Called that it ended.
+func (b *Book) Calls(sidecar string) {
+	ask := b.asks[sidecar]
+	if ask == nil {
+		ask = &asking{}
+		b.asks[sidecar] = ask
+	}
+	ask.open++
+}
+
+// Called books that a sidecar's call for the list has ended, however it did.
+func (b *Book) Called(at time.Duration, sidecar string) {
+	if ask := b.asks[sidecar]; ask != nil {
+		ask.open--
+		ask.last = max(ask.last, at)
+	}
+}
+
+// ListUp books that discovery answers from now on, or that it does not.
+func (b *Book) ListUp(at time.Duration, up bool) {
+	if b.listUp = at; !up {
+		b.listUp = -1
+	}
+}
+
+// Started books that a sidecar has started: what a former one was told is gone.
+func (b *Book) Started(at time.Duration, sidecar string) {
+	for key := range b.told {
+		if key.sidecar == sidecar {
+			delete(b.told, key)
+		}
+	}
+	b.asks[sidecar] = &asking{last: at}
+}
+
+// Fell books that a cold endpoint was pushed over.
+func (b *Book) Fell(at time.Duration, endpoint string) {
+	b.broken(PushedOver, at, "endpoint %s: sent too much for too long while it was cold", endpoint)
+}
+
+// linger is how long a request is kept after its time: what is sent for it by then
+// is still held against it.
+const linger = 10 * time.Second
+
+// Fold forgets the requests of which nothing can come any more.
+func (b *Book) Fold(now time.Duration) {
+	n := 0
+	for n < len(b.order) && b.order[n].Until+linger < now {
+		q := b.order[n]
+		if b.requests[q.ID] == q {
+			delete(b.requests, q.ID)
+		}
+		n++
+	}
+	b.order = b.order[n:]
+}
+
+// Account is what the book says.
+type Account struct {
+	Rules    map[Rule]int      `json:"rules"`
+	Breaks   []Break           `json:"breaks"`   // the first hundred
+	Sidecars map[string]*Tally `json:"sidecars"` // what each was asked
+	Open     int               `json:"open"`     // requests without an end
+	Unknown  int               `json:"unknown"`  // attempts that no client sent
+	Repeats  int               `json:"repeats"`  // effects that clients doubled by their own repeats
+}
+
+// Close returns the account.
+func (b *Book) Close() Account {
+	a := Account{Rules: map[Rule]int{}, Breaks: b.breaks, Sidecars: b.tallies, Unknown: b.unknown, Repeats: b.repeats}
+	for _, rule := range Rules {
+		a.Rules[rule] = b.counts[rule]
+	}
+	for _, q := range b.order {
+		if q.written && !q.ended {
+			a.Open++
+		}
+	}
+	return a
+}
+
+// Broken is how many rules were broken in all.
+func (a *Account) Broken() int {
+	n := 0
+	for _, count := range a.Rules {
+		n += count
+	}
+	return n
+}
+
+// Balance tells what of an account does not add up: each request written to a
+// sidecar has one end.
+func (a *Account) Balance() error {
+	for name, t := range a.Sidecars {
+		ends := t.Left + t.Cut
+		for _, n := range t.Answers {
+			ends += n
+		}
+		if ends != t.Asked {
+			return fmt.Errorf("sidecar %s: asked %d, ended %d: %+v", name, t.Asked, ends, *t)
+		}
+	}
+	if a.Open > 0 {
+		return fmt.Errorf("%d requests have no end", a.Open)
+	}
+	if a.Unknown > 0 {
+		return fmt.Errorf("%d attempts for requests that no client sent", a.Unknown)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/truth/truth_test.go
@@ -0,0 +1,238 @@
+package truth
+
+import (
+	"testing"
+	"time"
+
+	"heathgap/decide"
+)
+
+const ms = time.Millisecond
+
+var testConf = Conf{AnswerSlack: 20 * ms, DrainGrace: time.Second, AskEvery: 10 * time.Second, Margin: 50 * ms}
+
+// ask books a request that is written whole, with a second of time.
+func ask(b *Book, id string, effect decide.Effect, key string) {
+	b.Asking(Request{ID: id, Sidecar: "s", Effect: effect, Key: key, Until: time.Second})
+	b.Written(id)
+}
+
+func arrive(b *Book, id string, at time.Duration) {
+	b.Arrived(Arrival{ID: id, Endpoint: "e", First: at, Whole: at + ms, Runs: true})
+}
+
+// Each way to break a rule is counted under that rule and no other; its harmless
+// likeness is counted under none.
+func TestRules(t *testing.T) {
+	for name, c := range map[string]struct {
+		do   func(b *Book)
+		rule Rule // empty for none
+	}{
+		"answered":    {func(b *Book) { ask(b, "1", decide.Safe, ""); b.Answered(900*ms, "1", Served) }, ""},
+		"no answer":   {func(b *Book) { ask(b, "1", decide.Safe, ""); b.Unanswered(1100*ms, "1") }, Lost},
+		"too late":    {func(b *Book) { ask(b, "1", decide.Safe, ""); b.Answered(1071*ms, "1", Failed) }, Lost},
+		"at the edge": {func(b *Book) { ask(b, "1", decide.Safe, ""); b.Answered(1070*ms, "1", Failed) }, ""},
+		"its client went": {func(b *Book) {
+			ask(b, "1", decide.Safe, "")
+			b.Left(300*ms, "1")
+			arrive(b, "1", 310*ms)
+			b.Unanswered(1100*ms, "1")
+		}, ""},
+		"its sidecar was stopped": {func(b *Book) { ask(b, "1", decide.Safe, ""); b.Cut(300*ms, "1"); b.Unanswered(1100*ms, "1") }, ""},
+		"answered twice": {func(b *Book) {
+			ask(b, "1", decide.Safe, "")
+			b.Answered(10*ms, "1", Served)
+			b.Surplus(20*ms, "1")
+		}, AnsweredTwice},
+		"another's answer": {func(b *Book) { ask(b, "1", decide.Safe, ""); b.Foreign(10*ms, "1") }, Lost},
+		"sent after the answer": {func(b *Book) {
+			ask(b, "1", decide.Safe, "")
+			b.Answered(10*ms, "1", Served)
+			arrive(b, "1", 61*ms)
+		}, SentAfter},
+		"sent as the answer came": {func(b *Book) {
+			ask(b, "1", decide.Safe, "")
+			b.Answered(10*ms, "1", Served)
+			arrive(b, "1", 60*ms)
+		}, ""},
+		"sent after its time": {func(b *Book) {
+			ask(b, "1", decide.Safe, "")
+			b.Left(300*ms, "1")
+			arrive(b, "1", 1071*ms)
+		}, SentAfter},
+		"unsafe twice": {func(b *Book) {
+			ask(b, "1", decide.Unsafe, "")
+			arrive(b, "1", 10*ms)
+			arrive(b, "1", 20*ms)
+			b.Answered(30*ms, "1", Served)
+		}, Doubled},
+		"safe twice": {func(b *Book) {
+			ask(b, "1", decide.Safe, "")
+			arrive(b, "1", 10*ms)
+			arrive(b, "1", 20*ms)
+			b.Answered(30*ms, "1", Served)
+		}, ""},
+		"unsafe again after it was turned away": {func(b *Book) {
+			ask(b, "1", decide.Unsafe, "")
+			b.Arrived(Arrival{ID: "1", Endpoint: "e", First: 10 * ms, Whole: 10 * ms})
+			arrive(b, "1", 20*ms)
+			b.Answered(30*ms, "1", Served)
+		}, ""},
+		"keyed twice beyond the window": {func(b *Book) {
+			ask(b, "1", decide.Keyed, "k")
+			arrive(b, "1", 10*ms)
+			arrive(b, "1", 900*ms)
+			b.Answered(930*ms, "1", Served)
+		}, Doubled},
+		"keyed twice within the window": {func(b *Book) {
+			ask(b, "1", decide.Keyed, "k")
+			arrive(b, "1", 10*ms)
+			b.Arrived(Arrival{ID: "1", Endpoint: "f", First: 20 * ms, Whole: 20 * ms, Runs: true, Repeat: true})
+			b.Answered(30*ms, "1", Served)
+		}, ""},
+		"sent past the drain": {func(b *Book) {
+			b.Draining(0, "e")
+			b.Told(5*ms, "s", "e")
+			ask(b, "1", decide.Safe, "")
+			arrive(b, "1", 1056*ms)
+			b.Answered(1060*ms, "1", Served)
+		}, Drained},
+		"sent within the grace": {func(b *Book) {
+			b.Draining(0, "e")
+			b.Told(5*ms, "s", "e")
+			ask(b, "1", decide.Safe, "")
+			arrive(b, "1", 1055*ms)
+			b.Answered(1060*ms, "1", Served)
+		}, ""},
+		"sent by one that was not told": {func(b *Book) {
+			b.Draining(0, "e")
+			b.Told(5*ms, "other", "e")
+			b.Calls("s")
+			ask(b, "1", decide.Safe, "")
+			arrive(b, "1", 1056*ms)
+			b.Answered(1060*ms, "1", Served)
+		}, ""},
+		"sent by one that never asks": {func(b *Book) {
+			b.Started(0, "s")
+			b.Draining(0, "e")
+			b.Asking(Request{ID: "1", Sidecar: "s", Effect: decide.Safe, Until: 13 * time.Second})
+			b.Written("1")
+			arrive(b, "1", 11051*ms)
+			b.Answered(12*time.Second, "1", Served)
+		}, Drained},
+		"sent by one that cannot ask": {func(b *Book) {
+			b.Started(0, "s")
+			b.ListUp(0, false)
+			b.Draining(0, "e")
+			b.Asking(Request{ID: "1", Sidecar: "s", Effect: decide.Safe, Until: 13 * time.Second})
+			b.Written("1")
+			arrive(b, "1", 11051*ms)
+			b.Answered(12*time.Second, "1", Served)
+		}, ""},
+		"pushed over": {func(b *Book) { b.Fell(0, "e") }, PushedOver},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := New(testConf)
+			c.do(b)
+			a := b.Close()
+			for _, rule := range Rules {
+				want := 0
+				if rule == c.rule {
+					want = 1
+				}
+				if a.Rules[rule] != want {
+					t.Errorf("%s: %d, want %d (%v)", rule, a.Rules[rule], want, a.Breaks)
+				}
+			}
+			if err := a.Balance(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// Clients that ask again under one key double their effect themselves.
+func TestClientsOwnRepeats(t *testing.T) {
+	b := New(testConf)
+	for i, id := range []string{"1", "2"} {
+		ask(b, id, decide.Keyed, "k")
+		arrive(b, id, time.Duration(i)*100*ms)
+		b.Answered(900*ms, id, Served)
+	}
+	if a := b.Close(); a.Broken() != 0 || a.Repeats != 1 {
+		t.Errorf("%v and %d repeats, want none broken and 1", a.Breaks, a.Repeats)
+	}
+}
+
+// Guards against a book that grows for as long as a run lasts, or that forgets what
+// may still be held against a sidecar.
+func TestFold(t *testing.T) {
+	b := New(testConf)
+	ask(b, "1", decide.Safe, "")
+	b.Answered(10*ms, "1", Served)
+	b.Fold(time.Second + linger)
+	arrive(b, "1", 2*time.Second)
+	b.Fold(time.Second + linger + 1)
+	if len(b.requests)+len(b.order) > 0 {
+		t.Error("a request is kept for ever")
+	}
+	if a := b.Close(); a.Rules[SentAfter] != 1 {
+		t.Errorf("%v, want what was sent after the end", a.Rules)
+	}
+}
+
+// A request that crossed the end of its connection may be sent once more unless an
+// endpoint has run it.
+func TestCrossing(t *testing.T) {
+	b := New(testConf)
+	ask(b, "1", decide.Safe, "")
+	if !b.Unwritten("1") {
+		t.Error("it had reached no endpoint and may not be sent again")
+	}
+	ask(b, "1", decide.Safe, "")
+	arrive(b, "1", 10*ms)
+	if b.Unwritten("1") {
+		t.Error("it has run and may be sent again")
+	}
+	b.Unanswered(20*ms, "1")
+	if a := b.Close(); a.Sidecars["s"].Asked != 1 || a.Rules[Lost] != 1 || a.Balance() != nil {
+		t.Errorf("%+v", a)
+	}
+}
+
+func TestBalanceNotices(t *testing.T) {
+	b := New(testConf)
+	ask(b, "1", decide.Safe, "")
+	if a := b.Close(); a.Balance() == nil {
+		t.Error("a request without an end goes unnoticed")
+	}
+	b = New(testConf)
+	arrive(b, "ghost", 0)
+	if a := b.Close(); a.Balance() == nil {
+		t.Error("an attempt that no client sent goes unnoticed")
+	}
+}
+
+func TestService(t *testing.T) {
+	s := NewService(map[string]Worth{"look": {Full: 2, Late: 0.5, Aim: 100 * ms, Deadline: time.Second}}, time.Second)
+	for _, w := range []Want{
+		{Due: 0, Served: true, Took: ms},                                // before the count begins
+		{Due: time.Second, Served: true, Took: 100 * ms, Tries: 1},      // in time
+		{Due: time.Second, Served: true, Took: 101 * ms, Tries: 2},      // late
+		{Due: 2 * time.Second, Served: true, Took: 1001 * ms, Tries: 1}, // too late
+		{Due: 2 * time.Second, Tries: 1},
+	} {
+		w.Class, w.Tenant = "look", "a"
+		s.Ended(w)
+	}
+	f := s.All()
+	if f.Asked != 4 || f.Served != 3 || f.InTime != 1 || f.Service != 0.375 || s.Tries() != 5 {
+		t.Errorf("%+v, tries %d", f, s.Tries())
+	}
+	if f != s.Classes()["look"] || f != s.Tenants()["a"] {
+		t.Error("class and tenant differ from the whole")
+	}
+	if series := s.Series(); len(series) != 3 || series[0].Asked != 1 || series[2].Earned != 0 || series[1].Earned != 3 {
+		t.Errorf("series %+v", series)
+	}
+}
