--- a/internal/lab/truth/service.go
+++ b/internal/lab/truth/service.go
@@ -131,12 +131,12 @@
 
 func (g *group) figures() Figures {
 	f := Figures{Asked: g.asked, Served: g.served, InTime: g.inTime, Service: share(g.earned, g.wanted)}
-	f.P50 = ms(g.took.ValueAtQuantile(50))
-	f.P99 = ms(g.took.ValueAtQuantile(99))
+	f.P50 = toMS(g.took.ValueAtQuantile(50))
+	f.P99 = toMS(g.took.ValueAtQuantile(99))
 	return f
 }
 
-func ms(ns int64) float64 { return float64(ns/1000) / 1000 }
+func toMS(ns int64) float64 { return float64(ns/1000) / 1000 }
 
 func share(part, whole float64) float64 {
 	if whole == 0 {
