--- a/internal/command/heathgap.go
+++ b/internal/command/heathgap.go
@@ -1,4 +1,4 @@
-// Package command holds the command lines of heathgap and its tools.
+// Package command is the command line of heathgap, and what its tools share of it.
 package command
 
 import (
@@ -29,8 +29,8 @@
 	Version version `cmd:"" help:"Tell which build this is."`
 }
 
-// out is where a command writes.
-type out struct{ io.Writer }
+// Out is where a command writes.
+type Out struct{ io.Writer }
 
 // Heathgap runs the command line of bin/heathgap and returns the exit code.
 func Heathgap(args []string, stdout, stderr io.Writer) int {
@@ -40,7 +40,7 @@
 // Run parses a command line and runs the command it names.
 func Run(cli any, name, about string, args []string, stdout, stderr io.Writer) int {
 	ended := -1 // the exit code, once help has been printed
-	o := &out{stdout}
+	o := &Out{stdout}
 	parser, err := kong.New(cli, kong.Name(name), kong.Description(about), kong.UsageOnError(),
 		kong.Writers(stdout, stderr), kong.Exit(func(code int) { ended = code }),
 		kong.Bind(o))
@@ -97,10 +97,13 @@
 }
 
 // Run tells of each file what is wrong with it.
-func (c *check) Run(o *out) error {
+func (c *check) Run(o *Out) error { return CheckAll(o, c.Files, checkFile) }
+
+// CheckAll checks files and tells all their faults.
+func CheckAll(o *Out, paths []string, check func(path string) error) error {
 	var faults []error
-	for _, path := range c.Files {
-		if err := checkFile(path); err != nil {
+	for _, path := range paths {
+		if err := check(path); err != nil {
 			faults = append(faults, err)
 			continue
 		}
@@ -123,7 +126,7 @@
 type version struct{}
 
 // Run tells the build's revision, as far as the build knows it.
-func (version) Run(o *out) error {
+func (version) Run(o *Out) error {
 	revision, changed, goVersion := "unknown", "", "unknown"
 	if info, ok := debug.ReadBuildInfo(); ok {
 		goVersion = info.GoVersion
--- /dev/null
+++ b/internal/lab/load/driver.go
@@ -0,0 +1,160 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"heathgap/decide"
+	"heathgap/internal/lab/truth"
+)
+
+// Habits are how clients behave.
+type Habits struct {
+	Retries   int           // asks again so often at most
+	Backoff   time.Duration // before the first of them, doubled for each, give or take half
+	Impatient float64       // share of clients that leave early
+	LeaveAt   float64       // part of their time after which these leave
+	Churn     float64       // share of requests that end their connection
+	Body      int           // bytes of a request that has a body
+}
+
+// Class is a class as clients know it.
+type Class struct {
+	Name     string
+	Effect   decide.Effect
+	Deadline time.Duration
+}
+
+// mostOpen bounds the requests that clients have open: beyond it the lab itself
+// is overrun, and the run void.
+const mostOpen = 50_000
+
+// Driver sends a plan's requests when they are due.
+type Driver struct {
+	Plan    *Plan
+	Seed    uint64
+	Classes []Class
+	Habits  Habits
+	Client  *Client
+	Book    *truth.Shared
+	Base    time.Duration // on the book's clock: when the plan begins
+
+	open    atomic.Int64
+	overrun atomic.Bool
+	mu      sync.Mutex
+	lag     *hdrhistogram.Histogram // how late requests were sent, in ns
+	wait    sync.WaitGroup
+}
+
+// Run sends all requests and returns when the last has ended, or the context has
+// and those that are open have.
+func (d *Driver) Run(ctx context.Context) {
+	d.lag = hdrhistogram.New(1, int64(time.Minute), 3)
+	for src := d.Plan.Arrivals(d.Seed); ; {
+		a, ok := src.Next()
+		if !ok {
+			break
+		}
+		if pause := d.Base + a.At - d.Book.Now(); pause > 0 {
+			select {
+			case <-time.After(pause):
+			case <-ctx.Done():
+			}
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		if d.open.Add(1) > mostOpen {
+			d.overrun.Store(true)
+			d.open.Add(-1)
+			break
+		}
+		d.wait.Go(func() {
+			defer d.open.Add(-1)
+			d.want(ctx, a)
+		})
+	}
+	d.wait.Wait()
+}
+
+// Overrun tells whether the load could not be held open any more.
+func (d *Driver) Overrun() bool { return d.overrun.Load() }
+
+// Lag is how late requests were sent at a quantile (0 to 100).
+func (d *Driver) Lag(quantile float64) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Duration(d.lag.ValueAtQuantile(quantile))
+}
+
+// want asks for one thing until it is served, the client's time is up, or it has
+// asked often enough.
+func (d *Driver) want(ctx context.Context, a Arrival) {
+	late := d.Book.Now() - d.Base - a.At
+	d.mu.Lock()
+	d.lag.RecordValue(min(max(1, int64(late)), int64(time.Minute))) //nolint:errcheck // it is within bounds
+	d.mu.Unlock()
+	class := d.Classes[a.Class]
+	random := rand.New(rand.NewPCG(a.Seed, 3))
+	want := truth.Want{Class: class.Name, Tenant: d.Plan.Tenants[a.Tenant].Name, Due: a.At}
+	ask := d.ask(a, class, random)
+	for {
+		ask.ID = fmt.Sprintf("%x.%d", a.Number, want.Tries)
+		ask.Repeat = want.Tries > 0
+		want.Tries++
+		result := d.Client.Send(ctx, ask)
+		if result.How == Answered && result.Verdict == truth.Served {
+			want.Served, want.Took = true, d.Book.Now()-d.Base-a.At
+			break
+		}
+		if !d.pauseToRepeat(ctx, &ask, want.Tries, result, random) {
+			break
+		}
+	}
+	d.Book.Ended(want)
+}
+
+func (d *Driver) ask(a Arrival, class Class, random *rand.Rand) Ask {
+	ask := Ask{
+		Class: class.Name, Tenant: d.Plan.Tenants[a.Tenant].Name, Effect: class.Effect,
+		Until: d.Base + a.At + class.Deadline, Close: random.Float64() < d.Habits.Churn, Body: d.Habits.Body,
+	}
+	if class.Effect == decide.Keyed {
+		ask.Key = fmt.Sprintf("k%x", a.Number)
+	}
+	if random.Float64() < d.Habits.Impatient {
+		ask.Leave = d.Base + a.At + time.Duration(d.Habits.LeaveAt*float64(class.Deadline))
+	}
+	return ask
+}
+
+// pauseToRepeat waits before a client asks again; false if it does not.
+func (d *Driver) pauseToRepeat(ctx context.Context, ask *Ask, tries int, r Result, random *rand.Rand) bool {
+	harmless := r.How == Unreached || r.How == Answered && r.Verdict == truth.Refused
+	switch {
+	case tries > d.Habits.Retries, r.How == Gone, r.How == Answered && r.Verdict == truth.Malformed,
+		ask.Effect == decide.Unsafe && !harmless:
+		return false
+	}
+	pause := time.Duration(float64(d.Habits.Backoff<<min(tries-1, 10)) * (0.5 + random.Float64()))
+	pause = max(pause, r.RetryAfter)
+	end := ask.Until
+	if ask.Leave > 0 {
+		end = ask.Leave
+	}
+	if d.Book.Now()+pause >= end {
+		return false
+	}
+	select {
+	case <-time.After(pause):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/lab/load/rude.go
@@ -0,0 +1,99 @@
+package load
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// rudeTime is how long a bad client waits for a word or a close.
+const rudeTime = 6 * time.Second
+
+// rudeTexts are what bad clients send: none is a request that may be served.
+var rudeTexts = []string{
+	"what?\r\n\r\n",
+	"GET /nothing-of-the-kind/1 HTTP/1.1\r\nHost: lab\r\nX-Txn: rude\r\nX-Remaining: 1\r\n\r\n",
+	"GET / HTTP/1.1\r\nHost: lab\r\n\r\n",
+	"POST /x HTTP/1.1\r\nHost: lab\r\nContent-Length: -4\r\n\r\n",
+	"POST /x HTTP/1.1\r\nHost: lab\r\nContent-Length: 60000000\r\n\r\nxx",
+	"POST /x HTTP/1.1\r\nHost: lab\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	"GET /x HTTP/1.1\r\nX-Txn: ",
+	"GET /x HTTP/1.1\r\nX-Long: " + strings.Repeat("a", 20_000) + "\r\n\r\n",
+	"",
+}
+
+// Rude counts what became of bad clients.
+type Rude struct {
+	Sent     int `json:"sent"`
+	Refused  int `json:"answered_400"`
+	Closed   int `json:"closed"`
+	Silent   int `json:"no_word"` // neither an answer nor a close in time
+	Answered int `json:"answered_otherwise"`
+}
+
+// BeRude sends bad requests at a rate until the context ends, and counts.
+func BeRude(ctx context.Context, front Front, perSecond float64, seed uint64) Rude {
+	var (
+		count Rude
+		mu    sync.Mutex
+		wait  sync.WaitGroup
+	)
+	random := rand.New(rand.NewPCG(seed, 4))
+	for {
+		pause := time.Duration(random.ExpFloat64() / perSecond * float64(time.Second))
+		text := rudeTexts[random.IntN(len(rudeTexts))]
+		select {
+		case <-ctx.Done():
+			wait.Wait()
+			return count
+		case <-time.After(pause):
+		}
+		target := front.Pick()
+		if target == nil {
+			continue
+		}
+		wait.Go(func() {
+			end := rudeOnce(target.Address, text)
+			mu.Lock()
+			defer mu.Unlock()
+			count.Sent++
+			*end(&count)++
+		})
+	}
+}
+
+// rudeOnce sends one text and returns which count its end belongs to.
+func rudeOnce(address, text string) func(*Rude) *int {
+	closed := func(r *Rude) *int { return &r.Closed }
+	conn, err := net.DialTimeout("tcp", address, dialTime)
+	if err != nil {
+		return closed
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(rudeTime))
+	if _, err := io.WriteString(conn, text); err != nil {
+		return closed
+	}
+	var answer fasthttp.Response
+	in := bufio.NewReader(conn)
+	if _, err := in.Peek(1); err != nil {
+		if e, ok := err.(net.Error); ok && e.Timeout() {
+			return func(r *Rude) *int { return &r.Silent }
+		}
+		return closed
+	}
+	if err := answer.ReadLimitBody(in, maxBody); err != nil {
+		return closed
+	}
+	if answer.StatusCode() == fasthttp.StatusBadRequest {
+		return func(r *Rude) *int { return &r.Refused }
+	}
+	return func(r *Rude) *int { return &r.Answered }
+}
--- /dev/null
+++ b/internal/lab/report/compare.go
@@ -0,0 +1,208 @@
+package report
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"heathgap/internal/lab/record"
+	"heathgap/internal/lab/truth"
+)
+
+// Sides are records by what they were made with, to be compared seed by seed.
+type Sides struct {
+	names   []string
+	records map[string][]*record.Record
+}
+
+// NewSides returns none.
+func NewSides() *Sides { return &Sides{records: map[string][]*record.Record{}} }
+
+// Add adds a record to a side.
+func (s *Sides) Add(side string, r *record.Record) {
+	if s.records[side] == nil {
+		s.names = append(s.names, side)
+	}
+	s.records[side] = append(s.records[side], r)
+}
+
+// Value reads one metric of a record.
+func Value(r *record.Record, metric string) (float64, error) {
+	groups := map[string]map[string]truth.Figures{"class": r.Classes, "tenant": r.Tenants}
+	if kind, name, ok := strings.Cut(metric, ":"); ok {
+		if f, there := groups[kind][name]; there {
+			return f.Service, nil
+		}
+		return 0, fmt.Errorf("metric %q: the record has no such %s", metric, kind)
+	}
+	switch metric {
+	case "service":
+		return r.Service, nil
+	case "p50_ms":
+		return r.All.P50, nil
+	case "p99_ms":
+		return r.All.P99, nil
+	case "attempts_per_request":
+		return r.AttemptsPerRequest, nil
+	}
+	return 0, fmt.Errorf("metric %q: unknown; allowed: service, p50_ms, p99_ms, attempts_per_request, class:NAME, tenant:NAME", metric)
+}
+
+// Stats are those of some values.
+type Stats struct{ Min, Median, Max float64 }
+
+// StatsOf returns them; there must be a value.
+func StatsOf(values []float64) Stats {
+	sorted := slices.Clone(values)
+	slices.Sort(sorted)
+	n := len(sorted)
+	return Stats{Min: sorted[0], Median: (sorted[(n-1)/2] + sorted[n/2]) / 2, Max: sorted[n-1]}
+}
+
+// Pairing is how the values of a side lie beside those of the first, pair by pair.
+type Pairing struct {
+	Pairs     int
+	Median    float64 // of the differences
+	Low, High float64 // a 95 % interval of that median, by the bootstrap
+	Above     int     // pairs in which the side is above
+	Below     int
+	P         float64 // two-sided, of the sign test: ties are left out
+}
+
+// Figures of the bootstrap. The seed is fixed: the same records give the same
+// interval.
+const (
+	resamples = 2000
+	tail      = 0.025
+	bootSeed  = 7
+)
+
+// Pair compares two sets of values, pair by pair.
+func Pair(first, other []float64) Pairing {
+	diffs := make([]float64, len(first))
+	p := Pairing{Pairs: len(first)}
+	for i := range first {
+		diffs[i] = other[i] - first[i]
+		switch {
+		case diffs[i] > 0:
+			p.Above++
+		case diffs[i] < 0:
+			p.Below++
+		}
+	}
+	if len(diffs) == 0 {
+		return p
+	}
+	p.Median = StatsOf(diffs).Median
+	random := rand.New(rand.NewPCG(bootSeed, bootSeed))
+	medians := make([]float64, resamples)
+	drawn := make([]float64, len(diffs))
+	for i := range medians {
+		for j := range drawn {
+			drawn[j] = diffs[random.IntN(len(diffs))]
+		}
+		medians[i] = StatsOf(drawn).Median
+	}
+	slices.Sort(medians)
+	last := float64(resamples - 1)
+	p.Low, p.High = medians[int(tail*last)], medians[int((1-tail)*last)]
+	p.P = signTest(p.Above, p.Below)
+	return p
+}
+
+// signTest is how likely a split at least as uneven is if neither side is better.
+func signTest(above, below int) float64 {
+	n, k := above+below, min(above, below)
+	sum := 0.0
+	for i := 0; i <= k; i++ {
+		sum += math.Exp(logChoose(n, i) - float64(n)*math.Ln2)
+	}
+	return min(1, 2*sum)
+}
+
+func logChoose(n, k int) float64 {
+	a, _ := math.Lgamma(float64(n + 1))
+	b, _ := math.Lgamma(float64(k + 1))
+	c, _ := math.Lgamma(float64(n - k + 1))
+	return a - b - c
+}
+
+// Print writes a table: each side, and how it lies beside the first. Void and
+// partial runs count for nothing; what is left must share scenario and seeds.
+func (s *Sides) Print(w io.Writer, metric string) error {
+	if len(s.names) == 0 {
+		return fmt.Errorf("no records")
+	}
+	values := map[string]map[uint64]float64{}
+	scenario, left := "", 0
+	for _, name := range s.names {
+		values[name] = map[uint64]float64{}
+		for _, r := range s.records[name] {
+			if len(r.Void) > 0 || r.Partial {
+				left++
+				continue
+			}
+			if scenario == "" {
+				scenario = r.Scenario
+			}
+			if r.Scenario != scenario {
+				return fmt.Errorf("records of two scenarios, %s and %s, can't be compared", scenario, r.Scenario)
+			}
+			v, err := Value(r, metric)
+			if err != nil {
+				return err
+			}
+			values[name][r.Seed] = v
+		}
+	}
+	fmt.Fprintf(w, "\n%s: %s, beside %s\n", scenario, metric, s.names[0])
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "side\tseeds\tmin\tmedian\tmax\tbroken\tpairs\tdifference\t95 %\tsign test")
+	for _, name := range s.names {
+		s.printSide(t, name, values)
+	}
+	t.Flush()
+	if left > 0 {
+		fmt.Fprintf(w, "%d void or partial runs were left out\n", left)
+	}
+	return nil
+}
+
+func (s *Sides) printSide(w io.Writer, name string, values map[string]map[uint64]float64) {
+	var all, first, own []float64
+	for _, seed := range seedsOf(values[name]) {
+		v := values[name][seed]
+		all = append(all, v)
+		if base, both := values[s.names[0]][seed]; both {
+			first, own = append(first, base), append(own, v)
+		}
+	}
+	broken := 0
+	for _, r := range s.records[name] {
+		broken += r.Broken()
+	}
+	if len(all) == 0 {
+		fmt.Fprintf(w, "%s\t0\t\t\t\t%d\n", name, broken)
+		return
+	}
+	st := StatsOf(all)
+	fmt.Fprintf(w, "%s\t%d\t%.3f\t%.3f\t%.3f\t%d", name, len(all), st.Min, st.Median, st.Max, broken)
+	if name != s.names[0] && len(own) > 0 {
+		p := Pair(first, own)
+		fmt.Fprintf(w, "\t%d\t%+.3f\t%+.3f to %+.3f\t%d up, %d down, p %.2f", p.Pairs, p.Median, p.Low, p.High, p.Above, p.Below, p.P)
+	}
+	fmt.Fprintln(w)
+}
+
+func seedsOf(values map[uint64]float64) []uint64 {
+	seeds := make([]uint64, 0, len(values))
+	for seed := range values {
+		seeds = append(seeds, seed)
+	}
+	slices.Sort(seeds)
+	return seeds
+}
--- /dev/null
+++ b/internal/lab/report/report.go
@@ -0,0 +1,124 @@
+// Package report turns records into what people read: lines, an HTML page with
+// plots, and comparisons.
+package report
+
+import (
+	"bytes"
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"html/template"
+	"io"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"heathgap/internal/lab/record"
+	"heathgap/internal/lab/truth"
+)
+
+// JSON prints a record.
+func JSON(w io.Writer, r *record.Record) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", " ")
+	return e.Encode(r)
+}
+
+// rulesLine are the rules and how often each was broken.
+func rulesLine(rules map[truth.Rule]int) string {
+	parts := make([]string, 0, len(truth.Rules))
+	for _, rule := range truth.Rules {
+		parts = append(parts, fmt.Sprintf("%s %d", rule, rules[rule]))
+	}
+	return strings.Join(parts, ", ")
+}
+
+// Line is a record in one line.
+func Line(r *record.Record) string {
+	line := fmt.Sprintf("service %.3f, p50 %.1f ms, p99 %.1f ms, attempts a request %.3f; broken: %s",
+		r.Service, r.All.P50, r.All.P99, r.AttemptsPerRequest, rulesLine(r.Rules))
+	if len(r.Void) > 0 {
+		line += "; VOID: " + strings.Join(r.Void, "; ")
+	}
+	return line
+}
+
+// Text prints a record for people.
+func Text(w io.Writer, r *record.Record) {
+	fmt.Fprintf(w, "\n%s, decided by %s, seed %d, timeline %s\n%s\n\n", r.Scenario, r.Policy, r.Seed, r.Timeline, Line(r))
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "\tasked\tserved\tin time\tservice\tp50 ms\tp99 ms")
+	row := func(name string, f truth.Figures) {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%.3f\t%.1f\t%.1f\n", name, f.Asked, f.Served, f.InTime, f.Service, f.P50, f.P99)
+	}
+	for _, groups := range []map[string]truth.Figures{r.Classes, r.Tenants} {
+		for _, name := range slices.Sorted(maps.Keys(groups)) {
+			row(name, groups[name])
+		}
+	}
+	row("all", r.All)
+	t.Flush()
+	fmt.Fprintf(w, "\nthe load's own lag: %.2f ms at the 99th percentile, %.1f ms at most\n", r.LateSendsP99, r.LateSendsMax)
+	for _, s := range r.Sidecars {
+		if s.Crashed {
+			fmt.Fprintf(w, "sidecar %s ENDED BY ITSELF\n", s.Name)
+		}
+	}
+	for _, b := range r.Breaks[:min(10, len(r.Breaks))] {
+		fmt.Fprintf(w, "broken: %s at %v: %s\n", b.Rule, b.At, b.What)
+	}
+	for _, line := range r.Books {
+		fmt.Fprintln(w, "books differ:", line)
+	}
+	if r.Partial {
+		fmt.Fprintln(w, "PARTIAL: it was interrupted")
+	}
+}
+
+// Write writes a record, its plots and its page into a folder.
+func Write(dir string, r *record.Record) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	if err := r.Save(filepath.Join(dir, "record.json")); err != nil {
+		return err
+	}
+	page := page{Record: r, Rules: rulesLine(r.Rules), Line: Line(r)}
+	for _, p := range plots(r) {
+		svg, err := p.draw()
+		if err != nil {
+			return fmt.Errorf("plot %s: %w", p.name, err)
+		}
+		if err := record.WriteFile(filepath.Join(dir, p.name+".svg"), svg); err != nil {
+			return err
+		}
+		page.Plots = append(page.Plots, template.HTML(stripHead(svg))) //nolint:gosec // drawn just now
+	}
+	var text bytes.Buffer
+	if err := pageTemplate.Execute(&text, page); err != nil {
+		return err
+	}
+	return record.WriteFile(filepath.Join(dir, "report.html"), text.Bytes())
+}
+
+// stripHead takes the XML declaration off an SVG, which a page may not have inside.
+func stripHead(svg []byte) string {
+	if i := bytes.Index(svg, []byte("<svg")); i > 0 {
+		svg = svg[i:]
+	}
+	return string(svg)
+}
+
+type page struct {
+	*record.Record
+	Rules, Line string
+	Plots       []template.HTML
+}
+
+//go:embed page.html
+var pageText string
+
+var pageTemplate = template.Must(template.New("page").Parse(pageText))
--- /dev/null
+++ b/internal/lab/rig/fleet.go
@@ -0,0 +1,297 @@
+package rig
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"heathgap/decide"
+	"heathgap/internal/lab/load"
+	"heathgap/internal/lab/scenario"
+	"heathgap/internal/lab/standin"
+	"heathgap/internal/lab/truth"
+)
+
+// tier is one tier of endpoints at work.
+type tier struct {
+	rig   *rig
+	place int
+	conf  scenario.Tier
+	list  *standin.Discovery
+	keys  map[keyScope]*standin.Keys
+
+	mu    sync.Mutex
+	slots []*slot
+}
+
+// keyScope is whose memory of keys a class's endpoints share.
+type keyScope struct{ class, scope string }
+
+// slot is a place in a tier, and the endpoint that stands there now.
+type slot struct {
+	tier    *tier
+	number  int
+	host    string
+	sidecar *sidecar // by which it calls the next tier; nil for the last
+	only    *load.Only
+	client  *load.Client
+
+	mu       sync.Mutex
+	born     int               // how many have stood here
+	endpoint *standin.Endpoint // nil while there is none
+	line     standin.Line
+}
+
+func newTier(r *rig, place int) *tier {
+	return &tier{
+		rig: r, place: place, conf: r.scene.Tiers[place], list: r.lists[place], keys: map[keyScope]*standin.Keys{},
+	}
+}
+
+// start starts the endpoints that stand there from the beginning, all warm.
+func (t *tier) start(ctx context.Context) error {
+	for range t.conf.Endpoints {
+		s, err := t.addSlot()
+		if err != nil {
+			return err
+		}
+		if err := s.start(ctx, false, false); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// addSlot makes a place for an endpoint more.
+func (t *tier) addSlot() (*slot, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := &slot{tier: t, number: len(t.slots), host: t.rig.hosts.take()}
+	if t.conf.Calls > 0 {
+		next := t.place + 1
+		name := fmt.Sprintf("%s-%d-calls", t.conf.Name, s.number)
+		list, err := t.rig.lists[next].For(name, t.rig.hosts.take())
+		if err != nil {
+			return nil, err
+		}
+		s.sidecar = &sidecar{
+			rig: t.rig, name: name, tier: next, number: s.number, peers: t.conf.Endpoints, zone: s.zone(),
+			host: t.rig.hosts.take(), list: list,
+		}
+		s.only = &load.Only{}
+		s.client = load.NewClient(t.rig.book, s.only, t.rig.grace())
+		t.rig.addSidecar(s.sidecar)
+	}
+	t.slots = append(t.slots, s)
+	return s, nil
+}
+
+func (t *tier) at(number int) *slot {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if number >= len(t.slots) {
+		return nil
+	}
+	return t.slots[number]
+}
+
+func (s *slot) zone() string { return s.tier.conf.Zones[s.number%len(s.tier.conf.Zones)] }
+
+func (s *slot) group() int { return 1 + s.number%s.tier.conf.Groups }
+
+// keysOf is the memory of keys that an endpoint shares with others of its scope.
+func (s *slot) keysOf(c scenario.Class) *standin.Keys {
+	if c.Effect != decide.Keyed {
+		return nil
+	}
+	scope := keyScope{c.Name, c.Group}
+	switch c.Group {
+	case "zone":
+		scope.scope += s.zone()
+	case "cell":
+		scope.scope += fmt.Sprint(s.group())
+	}
+	t := s.tier
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.keys[scope] == nil {
+		t.keys[scope] = standin.NewKeys(c.Window)
+	}
+	return t.keys[scope]
+}
+
+// start starts an endpoint in its place: the same one again, or another.
+func (s *slot) start(ctx context.Context, again, cold bool) error {
+	if s.sidecar != nil {
+		target, err := s.sidecar.start(ctx)
+		if err != nil {
+			return err
+		}
+		s.only.Set(target)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	name, address := s.line.Name, s.line.Address
+	if !again || name == "" {
+		name, address = fmt.Sprintf("%s-%d", s.tier.conf.Name, s.number), s.host+":0"
+		if s.born > 0 {
+			name += fmt.Sprintf(".%d", s.born)
+		}
+		s.born++
+	}
+	conf := s.endpointConf(name, address, cold)
+	endpoint, err := startAt(ctx, conf, s.tier.rig.book)
+	if err != nil {
+		return err
+	}
+	s.endpoint = endpoint
+	s.line = standin.Line{
+		Name: name, Address: endpoint.Address(), Zone: s.zone(), Type: "lab", Group: s.group(),
+		Status: standin.Serving, Weight: 1,
+	}
+	if cold {
+		s.line.Since = time.Now().UnixMilli()
+	}
+	s.tier.list.Set(s.line)
+	return nil
+}
+
+// startAt starts an endpoint; its address may take a moment to be free.
+func startAt(ctx context.Context, conf standin.EndpointConf, book *truth.Shared) (*standin.Endpoint, error) {
+	for end := time.Now().Add(killTime); ; {
+		e, err := standin.StartEndpoint(conf, book)
+		if err == nil || time.Now().After(end) || ctx.Err() != nil {
+			return e, err
+		}
+		time.Sleep(pollPause)
+	}
+}
+
+func (s *slot) endpointConf(name, address string, cold bool) standin.EndpointConf {
+	t, scene := s.tier, s.tier.rig.scene
+	conf := standin.EndpointConf{
+		Name: name, Address: address, Station: t.conf.Station, Cold: cold, Connections: t.conf.Connections,
+		Handshake: t.conf.Handshake, IdleFor: scene.Limits.ConnIdle, BodyBytes: t.conf.Body,
+		Seed: t.rig.seed<<16 + uint64(t.place<<12+s.number), Classes: map[string]standin.ClassConf{},
+	}
+	for _, c := range scene.Classes {
+		conf.Classes[c.Name] = standin.ClassConf{
+			Effect: c.Effect, Keys: s.keysOf(c), Work: time.Duration(float64(c.Work) * t.conf.WorkScale),
+		}
+	}
+	if s.sidecar != nil {
+		conf.Calls, conf.Call = t.conf.Calls, s.call
+	}
+	return conf
+}
+
+var lastCall atomic.Int64
+
+// call makes one call of the next tier.
+func (s *slot) call(ctx context.Context, until time.Duration, key string) bool {
+	class := s.tier.rig.scene.Classes[s.tier.rig.callClass(s.tier.place)]
+	n := lastCall.Add(1)
+	if class.Effect == decide.Keyed && key == "" {
+		key = fmt.Sprintf("call%x", n)
+	}
+	result := s.client.Send(ctx, load.Ask{
+		ID: fmt.Sprintf("call%x", n), Class: class.Name, Key: key, Tier: s.tier.place + 1,
+		Effect: class.Effect, Until: until,
+	})
+	return result.How == load.Answered && result.Verdict == truth.Served
+}
+
+// kill ends the endpoint, and its sidecar with it.
+func (s *slot) kill() {
+	s.mu.Lock()
+	endpoint := s.endpoint
+	s.endpoint = nil
+	s.mu.Unlock()
+	if endpoint != nil {
+		endpoint.Kill()
+	}
+	if s.sidecar != nil {
+		s.sidecar.kill()
+		s.client.Close()
+	}
+}
+
+// list tells discovery the state of the one that stands, or stood, there.
+func (s *slot) list(status string) {
+	s.mu.Lock()
+	s.line.Status = status
+	line := s.line
+	s.mu.Unlock()
+	s.tier.list.Set(line)
+}
+
+// present is the endpoint that stands there, if there is one.
+func (s *slot) present() *standin.Endpoint {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.endpoint
+}
+
+// strike begins or ends a fault of this place. Where a crash has taken the
+// endpoint away, there is nothing to strike.
+func (s *slot) strike(ctx context.Context, step scenario.Step) error {
+	switch step.Kind {
+	case scenario.Crash, scenario.Replace, scenario.Drain, scenario.Release, scenario.Add:
+		return s.comeAndGo(ctx, step)
+	}
+	e := s.present()
+	if e == nil {
+		return nil
+	}
+	switch step.Kind {
+	case scenario.Pause:
+		e.Pause(!step.Back)
+	case scenario.Slow:
+		part := step.Fault.Factor
+		if step.Back {
+			part = 1
+		}
+		e.Slow(part)
+	default:
+		trouble := troubles[step.Kind]
+		if step.Back {
+			trouble = standin.Well
+		}
+		e.Misbehave(trouble, step.Fault.Of)
+	}
+	return nil
+}
+
+// troubles are the faults that are an endpoint's own behaviour.
+var troubles = map[scenario.Kind]standin.Trouble{
+	scenario.Errors: standin.Errors, scenario.Hang: standin.Hang, scenario.Silent: standin.Silent,
+	scenario.Refuse: standin.Refuses, scenario.Half: standin.Half, scenario.Garbage: standin.Garbage,
+	scenario.Surplus: standin.Surplus,
+}
+
+func (s *slot) comeAndGo(ctx context.Context, step scenario.Step) error {
+	switch {
+	case step.Kind == scenario.Add:
+		return s.start(ctx, false, true)
+	case !step.Back && (step.Kind == scenario.Drain || step.Kind == scenario.Release):
+		s.list(standin.Draining)
+		return nil
+	case !step.Back:
+		s.kill()
+		return nil
+	case step.Kind == scenario.Crash:
+		if s.present() != nil { // another fault has brought one back
+			return nil
+		}
+		return s.start(ctx, true, true)
+	}
+	// A drain, a release or a replacement ends: the old one goes.
+	s.kill()
+	s.list(standin.Deleted)
+	if step.Kind == scenario.Drain {
+		return nil
+	}
+	return s.start(ctx, false, true)
+}
--- /dev/null
+++ b/internal/lab/scenario/scenario.go
@@ -0,0 +1,480 @@
+// Package scenario reads the files that say what the lab plays: tiers, classes,
+// tenants, load and the faults on a timeline. It checks all of a file and tells
+// everything that is wrong with it at once.
+package scenario
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"heathgap/decide"
+	"heathgap/internal/lab/load"
+	"heathgap/internal/lab/station"
+	"heathgap/internal/tomlread"
+)
+
+// MostRate bounds the load, in requests a second: beyond it this lab has not been
+// shown to keep its own lag small (docs/results.md).
+const MostRate = 6000
+
+// Bounds that keep a run within one machine's descriptors and ports.
+const (
+	mostTiers     = 4
+	mostEndpoints = 200
+	mostSidecars  = 32
+	mostClasses   = 32
+	mostTenants   = 200
+	mostFaults    = 200
+	longest       = time.Hour
+)
+
+// Scenario is one file.
+type Scenario struct {
+	Name     string
+	About    string
+	Seed     uint64
+	Duration time.Duration
+	Warmup   time.Duration // what is due before it does not count as service
+	Rules    Rules
+	Limits   Limits
+	Tiers    []Tier
+	Classes  []Class
+	Tenants  []Tenant
+	Load     Load
+	Faults   []Fault
+	Margin   time.Duration // of the book's limits in time
+	MostLag  time.Duration // a run whose own p99 lag is above it is void
+	Notice   time.Duration // until the front notices that a sidecar has died
+}
+
+// Rules are the figures of the rules, as sidecars are told them.
+type Rules struct {
+	AnswerSlack, AskEvery, Cold, DrainGrace, OverloadFor time.Duration
+	ColdFrom, FallMultiple                               float64
+}
+
+// Limits are those of sidecars.
+type Limits struct {
+	MemoryMB, Sockets, MaxAttempts, MostHeld int
+	Cancel, SecondCopies, RetryAfter         bool
+	MaxRetryAfter, ConnectTimeout, ConnIdle  time.Duration
+}
+
+// Tier is one tier of endpoints.
+type Tier struct {
+	Name        string
+	Endpoints   int
+	Sidecars    int // of the first tier; those of others belong to the endpoints before them
+	Zones       []string
+	Groups      int // endpoints are dealt out over so many groups of keys
+	Station     station.Conf
+	WorkScale   float64 // of the classes' work
+	Connections int
+	Handshake   time.Duration
+	Body        int
+	Calls       int    // of the next tier for a request
+	CallClass   string // their class
+	ListBy      string // "subscribe" or "push", as the settings' membership mode
+}
+
+// Class is a class of requests.
+type Class struct {
+	Name             string
+	Effect           decide.Effect
+	Group            string // all, zone, cell
+	Window           time.Duration
+	Aim, Deadline    time.Duration
+	Worth, LateShare float64
+	Share            float64
+	Work             time.Duration
+}
+
+// Tenant is a customer.
+type Tenant struct {
+	Name    string
+	Share   float64
+	Allowed float64 // requests a second; 0 for no share
+	Portion float64
+}
+
+// Load is what clients do.
+type Load struct {
+	Rate   float64
+	Shape  load.Shape
+	Low    float64
+	Period time.Duration
+	Habits load.Habits
+	Rude   float64 // bad clients a second
+}
+
+// Kind is a kind of fault.
+type Kind string
+
+// The kinds.
+const (
+	Crash          Kind = "crash"           // endpoints die, and return after For at the same address
+	Replace        Kind = "replace"         // endpoints die, and others come after For under new names
+	Pause          Kind = "pause"           // endpoints stop working
+	Slow           Kind = "slow"            // endpoints work at Factor of their speed
+	Errors         Kind = "errors"          // endpoints fail Share of their requests at once
+	Hang           Kind = "hang"            // endpoints take requests and never answer
+	Silent         Kind = "silent"          // endpoints' machines are cut off
+	Refuse         Kind = "refuse"          // endpoints turn all away
+	Half           Kind = "half"            // endpoints break off within answers
+	Garbage        Kind = "garbage"         // endpoints answer with nonsense
+	Surplus        Kind = "surplus"         // endpoints send more than their answers
+	Drain          Kind = "drain"           // endpoints drain, and leave after For
+	Release        Kind = "release"         // the tier is replaced, Share of it at a time, each drained for For
+	Add            Kind = "add"             // Count cold endpoints join
+	SidecarKill    Kind = "sidecar_kill"    // sidecars are killed and start again after For
+	SidecarRestart Kind = "sidecar_restart" // sidecars get SIGTERM, end, and start again after For
+	DiscoveryDown  Kind = "discovery_down"
+	DiscoveryLag   Kind = "discovery_lag" // Lag before each answer
+	Flood          Kind = "flood"         // Factor times the requests of Tenant, or of all
+)
+
+var kinds = []string{
+	string(Crash), string(Replace), string(Pause), string(Slow), string(Errors), string(Hang), string(Silent),
+	string(Refuse), string(Half), string(Garbage), string(Surplus), string(Drain), string(Release), string(Add),
+	string(SidecarKill), string(SidecarRestart), string(DiscoveryDown), string(DiscoveryLag), string(Flood),
+}
+
+// Fault is one entry of the timeline.
+type Fault struct {
+	Kind   Kind
+	At     time.Duration
+	For    time.Duration
+	Tier   int     // of endpoints
+	Share  float64 // of the endpoints or sidecars that are struck, or of requests (errors)
+	Of     float64 // errors: share of the endpoints
+	Count  int     // in place of Share
+	Factor float64
+	Tenant string
+	Lag    time.Duration
+}
+
+// Load reads and checks a file.
+func LoadFile(path string) (*Scenario, error) {
+	doc, err := tomlread.Load(path)
+	if err != nil {
+		return nil, err
+	}
+	return decode(doc)
+}
+
+// Parse reads and checks a text; the name is for errors.
+func Parse(file string, text []byte) (*Scenario, error) {
+	doc, err := tomlread.Parse(file, text)
+	if err != nil {
+		return nil, err
+	}
+	return decode(doc)
+}
+
+func decode(doc *tomlread.Doc) (*Scenario, error) {
+	root := doc.Root
+	s := &Scenario{}
+	root.Need("name", "a text")
+	root.Need("duration", "a time with its unit")
+	s.Name = root.Text("name", "")
+	s.About = root.Text("about", s.Name)
+	s.Seed = uint64(root.Int("seed", 1, 0, 1<<53))
+	s.Duration = root.Duration("duration", time.Second, time.Second, longest)
+	s.Warmup = root.Duration("warmup", 0, 0, s.Duration)
+	s.Margin = root.Duration("margin", 50*time.Millisecond, 0, time.Minute)
+	s.MostLag = root.Duration("most_lag", 20*time.Millisecond, time.Millisecond, time.Minute)
+	s.Notice = root.Duration("notice", 2*time.Second, 0, time.Minute)
+	s.Rules = decodeRules(root.Table("rules"))
+	s.Limits = decodeLimits(root.Table("limits"))
+	s.decodeClasses(root)
+	s.decodeTenants(root)
+	s.decodeTiers(root)
+	s.decodeLoad(root.Table("load"))
+	for _, t := range root.Tables("fault", mostFaults) {
+		s.Faults = append(s.Faults, s.decodeFault(t))
+	}
+	if err := doc.Err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+const hour = time.Hour
+
+func decodeRules(t *tomlread.Table) Rules {
+	return Rules{
+		AnswerSlack:  t.Duration("answer_slack", 20*time.Millisecond, 0, time.Second),
+		AskEvery:     t.Duration("ask_every", 10*time.Second, time.Second, hour),
+		Cold:         t.Duration("cold", 8*time.Second, 0, hour),
+		DrainGrace:   t.Duration("drain_grace", time.Second, 0, time.Minute),
+		OverloadFor:  t.Duration("overload_for", 3*time.Second, 0, hour),
+		ColdFrom:     t.Float("cold_from", 0.3, 0.01, 1),
+		FallMultiple: t.Float("fall_multiple", 3, 1, 100),
+	}
+}
+
+func decodeLimits(t *tomlread.Table) Limits {
+	return Limits{
+		MemoryMB:       t.Int("memory_mb", 192, 16, 8192),
+		Sockets:        t.Int("sockets", 1024, 64, 65536),
+		MaxAttempts:    t.Int("max_attempts", 4, 1, 16),
+		MostHeld:       t.Int("most_held", 1000, 1, 100_000),
+		Cancel:         t.Bool("cancel", true),
+		SecondCopies:   t.Bool("second_copies", true),
+		RetryAfter:     t.Bool("retry_after", true),
+		MaxRetryAfter:  t.Duration("max_retry_after", 2*time.Second, 0, time.Minute),
+		ConnectTimeout: t.Duration("connect_timeout", 500*time.Millisecond, time.Millisecond, time.Minute),
+		ConnIdle:       t.Duration("conn_idle", 10*time.Second, 100*time.Millisecond, hour),
+	}
+}
+
+var effects = map[string]decide.Effect{"safe": decide.Safe, "keyed": decide.Keyed, "unsafe": decide.Unsafe}
+
+func (s *Scenario) decodeClasses(root *tomlread.Table) {
+	root.Need("class", "an array of tables")
+	for _, t := range root.Tables("class", mostClasses) {
+		t.Need("name", "a text")
+		t.Need("work", "a time with its unit")
+		c := Class{
+			Name:      t.Text("name", ""),
+			Effect:    effects[t.Word("effect", "safe", "safe", "keyed", "unsafe")],
+			Group:     t.Word("group", "all", "all", "zone", "cell"),
+			Window:    t.Duration("window", 0, 0, hour),
+			Aim:       t.Duration("aim", 500*time.Millisecond, time.Millisecond, time.Minute),
+			Deadline:  t.Duration("deadline", 2*time.Second, time.Millisecond, time.Minute),
+			Worth:     t.Float("worth", 1, 0, 1000),
+			LateShare: t.Float("late_share", 0.5, 0, 1),
+			Share:     t.Float("share", 1, 0, 1e6),
+			Work:      t.Duration("work", time.Millisecond, time.Microsecond, time.Minute),
+		}
+		if c.Effect == decide.Keyed && c.Window == 0 {
+			t.Fail("window", "missing or 0", "a time with its unit: keyed repeats are dropped within it")
+		}
+		if c.Aim > c.Deadline {
+			t.Fail("aim", fmt.Sprintf("%q", c.Aim), fmt.Sprintf("up to the deadline, %q", c.Deadline))
+		}
+		if slices.ContainsFunc(s.Classes, func(o Class) bool { return o.Name == c.Name }) {
+			t.Fail("name", fmt.Sprintf("%q, once more", c.Name), "a name of its own")
+		}
+		s.Classes = append(s.Classes, c)
+	}
+}
+
+func (s *Scenario) decodeTenants(root *tomlread.Table) {
+	for _, t := range root.Tables("tenant", mostTenants) {
+		t.Need("name", "a text")
+		s.Tenants = append(s.Tenants, Tenant{
+			Name:    t.Text("name", ""),
+			Share:   t.Float("share", 1, 0, 1e6),
+			Allowed: t.Float("allowed", 0, 0, 1e6),
+			Portion: t.Float("portion", 0, 0, 1),
+		})
+	}
+	if len(s.Tenants) == 0 {
+		s.Tenants = []Tenant{{Name: "all", Share: 1}}
+	}
+}
+
+func (s *Scenario) decodeTiers(root *tomlread.Table) {
+	root.Need("tier", "an array of tables")
+	tables := root.Tables("tier", mostTiers)
+	for i, t := range tables {
+		t.Need("name", "a text")
+		t.Need("endpoints", "a whole number")
+		tier := Tier{
+			Name:        t.Text("name", ""),
+			Endpoints:   t.Int("endpoints", 1, 1, mostEndpoints),
+			Zones:       t.Texts("zones"),
+			Groups:      t.Int("groups", 1, 1, mostEndpoints),
+			WorkScale:   t.Float("work_scale", 1, 0.001, 1000),
+			Connections: t.Int("connections", 0, 0, 65536),
+			Handshake:   t.Duration("handshake", 0, 0, time.Second),
+			Body:        t.Int("body", 200, 0, 1<<20),
+			ListBy:      t.Word("list_by", "subscribe", "subscribe", "push"),
+		}
+		tier.Station = decodeStation(t, s.Rules)
+		if len(tier.Zones) == 0 {
+			tier.Zones = []string{"a"}
+		}
+		if i == 0 {
+			tier.Sidecars = t.Int("sidecars", 1, 1, mostSidecars)
+		}
+		if i < len(tables)-1 {
+			tier.Calls = t.Int("calls", 1, 0, 16)
+			t.Need("call_class", "the name of a class")
+			tier.CallClass = t.Text("call_class", "")
+			if t.Has("call_class") && s.class(tier.CallClass) < 0 {
+				t.Fail("call_class", fmt.Sprintf("%q", tier.CallClass), "the name of a class")
+			}
+			if tier.Calls > 0 && tier.Endpoints > mostSidecars {
+				t.Fail("endpoints", fmt.Sprint(tier.Endpoints), fmt.Sprintf("up to %d where they call: each has a sidecar", mostSidecars))
+			}
+		}
+		s.Tiers = append(s.Tiers, tier)
+	}
+}
+
+func decodeStation(t *tomlread.Table, rules Rules) station.Conf {
+	return station.Conf{
+		Cores:        t.Float("cores", 2, 0.01, 1000),
+		Speed:        t.Float("speed", 1, 0.01, 1000),
+		Slots:        t.Int("slots", 16, 1, 100_000),
+		Queue:        t.Int("queue", 32, 0, 100_000),
+		ChokeAbove:   t.Int("choke_above", 0, 0, 100_000),
+		ChokeTo:      t.Float("choke_to", 1, 0.01, 1),
+		ColdFrom:     rules.ColdFrom,
+		ColdFor:      rules.Cold,
+		FallMultiple: rules.FallMultiple,
+		FallFor:      rules.OverloadFor,
+	}
+}
+
+func (s *Scenario) class(name string) int {
+	return slices.IndexFunc(s.Classes, func(c Class) bool { return c.Name == name })
+}
+
+func (s *Scenario) decodeLoad(t *tomlread.Table) {
+	const mostOfCapacity = 20
+	l := &s.Load
+	l.Shape = load.Shape(t.Word("shape", "steady", "steady", "ramp", "surge", "wander"))
+	l.Low = t.Float("low", 0.5, 0, 1)
+	l.Period = t.Duration("period", 10*time.Second, time.Second, hour)
+	if t.Has("of_capacity") {
+		if t.Has("rate") {
+			t.Fail("of_capacity", "beside rate", "one of the two")
+		}
+		l.Rate = t.Float("of_capacity", 0.5, 0.001, mostOfCapacity) * s.Capacity()
+	} else {
+		t.Need("rate", fmt.Sprintf("requests a second up to %d, or of_capacity", MostRate))
+		l.Rate = t.Float("rate", 1, 0.1, 1e9)
+	}
+	if l.Rate > MostRate {
+		key := "rate"
+		if t.Has("of_capacity") {
+			key = "of_capacity"
+		}
+		t.Fail(key, fmt.Sprintf("%.0f requests a second", l.Rate), fmt.Sprintf("up to %d: more than the lab can make", MostRate))
+	}
+	l.Rude = t.Float("rude", 0, 0, 200)
+	l.Habits = load.Habits{
+		Retries:   t.Int("retries", 0, 0, 20),
+		Backoff:   t.Duration("backoff", 50*time.Millisecond, 0, time.Minute),
+		Impatient: t.Float("impatient", 0, 0, 1),
+		LeaveAt:   t.Float("leave_at", 0.5, 0, 1),
+		Churn:     t.Float("churn", 0, 0, 1),
+		Body:      t.Int("body", 64, 0, 64<<10),
+	}
+}
+
+// Capacity is how many requests a second the first tier works off while all of it
+// is warm and well.
+func (s *Scenario) Capacity() float64 {
+	if len(s.Tiers) == 0 {
+		return 0
+	}
+	shares, work := 0.0, 0.0
+	for _, c := range s.Classes {
+		shares += c.Share
+		work += c.Share * c.Work.Seconds()
+	}
+	t := s.Tiers[0]
+	if work == 0 {
+		return 0
+	}
+	return float64(t.Endpoints) * t.Station.Cores * t.Station.Speed / (work / shares * t.WorkScale)
+}
+
+// takes says which keys a kind of fault has, beside kind and at.
+var takes = map[Kind][]string{
+	Crash: {"for", "tier", "share", "count"}, Replace: {"for", "tier", "share", "count"},
+	Pause: {"for", "tier", "share", "count"}, Slow: {"for", "tier", "share", "count", "factor"},
+	Errors: {"for", "tier", "share", "count", "of_requests"}, Hang: {"for", "tier", "share", "count"},
+	Silent: {"for", "tier", "share", "count"}, Refuse: {"for", "tier", "share", "count"},
+	Half: {"for", "tier", "share", "count"}, Garbage: {"for", "tier", "share", "count"},
+	Surplus: {"for", "tier", "share", "count"}, Drain: {"for", "tier", "share", "count"},
+	Release: {"for", "tier", "share", "count"}, Add: {"tier", "count"},
+	SidecarKill: {"for", "share", "count"}, SidecarRestart: {"for", "share", "count"},
+	DiscoveryDown: {"for", "tier"}, DiscoveryLag: {"for", "tier", "lag"}, Flood: {"for", "tenant", "factor"},
+}
+
+func (s *Scenario) decodeFault(t *tomlread.Table) Fault {
+	t.Need("kind", "a kind of fault")
+	t.Need("at", "a time with its unit")
+	f := Fault{
+		Kind:   Kind(t.Word("kind", "", kinds...)),
+		At:     t.Duration("at", 0, 0, s.Duration),
+		Share:  1,
+		Of:     1,
+		Factor: 1,
+	}
+	for _, key := range takes[f.Kind] {
+		s.decodeFaultKey(t, &f, key)
+	}
+	if t.Has("share") && t.Has("count") {
+		t.Fail("count", "beside share", "one of the two")
+	}
+	return f
+}
+
+func (s *Scenario) decodeFaultKey(t *tomlread.Table, f *Fault, key string) {
+	const mostFactor = 100
+	switch key {
+	case "for":
+		t.Need(key, "a time with its unit")
+		f.For = t.Duration(key, 0, 0, longest)
+	case "tier":
+		f.Tier = max(0, s.decodeTierName(t, key))
+	case "share":
+		f.Share = t.Float(key, 1, 0.001, 1)
+	case "count":
+		if f.Kind == Add {
+			t.Need(key, "a whole number")
+		}
+		f.Count = t.Int(key, 0, 1, mostEndpoints)
+	case "of_requests":
+		f.Of = t.Float(key, 1, 0, 1)
+	case "factor":
+		t.Need(key, "a number")
+		f.Factor = t.Float(key, 1, 0.001, mostFactor)
+	case "lag":
+		t.Need(key, "a time with its unit")
+		f.Lag = t.Duration(key, 0, 0, time.Minute)
+	case "tenant":
+		f.Tenant = t.Text(key, "")
+		if f.Tenant != "" && !slices.ContainsFunc(s.Tenants, func(o Tenant) bool { return o.Name == f.Tenant }) {
+			t.Fail(key, fmt.Sprintf("%q", f.Tenant), "the name of a tenant")
+		}
+	}
+}
+
+func (s *Scenario) decodeTierName(t *tomlread.Table, key string) int {
+	name := t.Text(key, "")
+	names := make([]string, len(s.Tiers))
+	for i, tier := range s.Tiers {
+		if names[i] = tier.Name; name == tier.Name || name == "" {
+			return i
+		}
+	}
+	t.Fail(key, fmt.Sprintf("%q", name), fmt.Sprint(names))
+	return -1
+}
+
+// Plan is the load as a plan of arrivals.
+func (s *Scenario) Plan() *load.Plan {
+	p := &load.Plan{
+		Rate: s.Load.Rate, Shape: s.Load.Shape, Low: s.Load.Low, Period: s.Load.Period, Duration: s.Duration,
+	}
+	for _, c := range s.Classes {
+		p.Classes = append(p.Classes, load.Share{Name: c.Name, Share: c.Share})
+	}
+	for _, t := range s.Tenants {
+		p.Tenants = append(p.Tenants, load.Share{Name: t.Name, Share: t.Share})
+	}
+	for _, f := range s.Faults {
+		if f.Kind == Flood {
+			p.Floods = append(p.Floods, load.Flood{Tenant: f.Tenant, At: f.At, For: f.For, Factor: f.Factor})
+		}
+	}
+	return p
+}
--- /dev/null
+++ b/internal/lab/scenario/set.go
@@ -0,0 +1,48 @@
+package scenario
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Set returns a scenario's text with one key changed. The key is dotted, with
+// places in arrays as numbers (tier.0.cores); its value stands as in a file. Errors
+// of the result name lines of the changed text, which the library writes anew.
+func Set(text []byte, key, value string) ([]byte, error) {
+	values := map[string]any{}
+	if err := toml.Unmarshal(text, &values); err != nil {
+		return nil, err
+	}
+	var given struct{ V any }
+	if err := toml.Unmarshal([]byte("V = "+value), &given); err != nil {
+		return nil, fmt.Errorf("%s: %q is no value of TOML: a text stands in quotes", key, value)
+	}
+	parts := strings.Split(key, ".")
+	var at any = values
+	for i, part := range parts {
+		last := i == len(parts)-1
+		switch table := at.(type) {
+		case map[string]any:
+			if last {
+				table[part] = given.V
+				return toml.Marshal(values)
+			}
+			if table[part] == nil {
+				table[part] = map[string]any{}
+			}
+			at = table[part]
+		case []any:
+			n, err := strconv.Atoi(part)
+			if err != nil || n < 0 || n >= len(table) || last {
+				return nil, fmt.Errorf("%s: %q is no place among %d, with a key behind it", key, part, len(table))
+			}
+			at = table[n]
+		default:
+			return nil, fmt.Errorf("%s: there is no table before %q", key, part)
+		}
+	}
+	return nil, fmt.Errorf("%q: no key", key)
+}
--- /dev/null
+++ b/internal/lab/standin/discovery.go
@@ -0,0 +1,225 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"heathgap/internal/lab/truth"
+)
+
+// Line is one endpoint of the list, as discovery writes it.
+type Line struct {
+	Name    string  `json:"name"`
+	Address string  `json:"address"`
+	Zone    string  `json:"zone"`
+	Type    string  `json:"type"`
+	Group   int     `json:"group"`
+	Status  string  `json:"status"` // SERVING, DRAINING, DELETED
+	Weight  float64 `json:"weight"`
+	Since   int64   `json:"since_ms"` // its start, Unix time; 0 for long ago
+}
+
+// The states of a line.
+const (
+	Serving  = "SERVING"
+	Draining = "DRAINING"
+	Deleted  = "DELETED"
+)
+
+// List is an answer of discovery.
+type List struct {
+	Index     int64  `json:"index"`
+	Whole     bool   `json:"snapshot"`
+	Endpoints []Line `json:"endpoints"`
+}
+
+// Discovery is the list of one tier: one service for all its sidecars, each of
+// which has an address of its own there, so that the book knows who was told what.
+type Discovery struct {
+	book *truth.Shared
+
+	mu      sync.Mutex
+	index   int64
+	lines   map[string]Line
+	order   []string         // names, by when they were listed
+	changed map[string]int64 // the version in which each name changed last
+	down    bool
+	lag     time.Duration // before each answer
+	news    chan struct{} // closed at each change
+	servers []*http.Server
+}
+
+// NewDiscovery returns an empty list.
+func NewDiscovery(book *truth.Shared) *Discovery {
+	return &Discovery{book: book, lines: map[string]Line{}, changed: map[string]int64{}, news: make(chan struct{})}
+}
+
+// Set changes lines, all in one version.
+func (d *Discovery) Set(lines ...Line) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.index++
+	for _, l := range lines {
+		if _, known := d.lines[l.Name]; !known {
+			d.order = append(d.order, l.Name)
+		}
+		d.lines[l.Name], d.changed[l.Name] = l, d.index
+		if l.Status != Serving {
+			d.book.Do(func(b *truth.Book) { b.Draining(d.book.Now(), l.Name) })
+		}
+	}
+	d.wake()
+}
+
+func (d *Discovery) wake() {
+	close(d.news)
+	d.news = make(chan struct{})
+}
+
+// Down has calls fail from now on, or not; those that wait fail at once.
+func (d *Discovery) Down(down bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.down = down
+	d.book.Do(func(b *truth.Book) { b.ListUp(d.book.Now(), !down) })
+	d.wake()
+}
+
+// Lag delays each answer from now on.
+func (d *Discovery) Lag(lag time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lag = lag
+}
+
+// Listed returns the list as it is.
+func (d *Discovery) Listed() List {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.answer(0)
+}
+
+// answer is what is newer than a version: all of it for version 0.
+func (d *Discovery) answer(after int64) List {
+	list := List{Index: d.index, Whole: after == 0, Endpoints: []Line{}}
+	for _, name := range d.order {
+		l := d.lines[name]
+		if list.Whole && l.Status == Deleted || !list.Whole && d.changed[name] <= after {
+			continue
+		}
+		list.Endpoints = append(list.Endpoints, l)
+	}
+	return list
+}
+
+// For opens the address of one sidecar.
+func (d *Discovery) For(sidecar, host string) (address string, err error) {
+	listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.serve(w, r, sidecar)
+	})}
+	d.mu.Lock()
+	d.servers = append(d.servers, server)
+	d.mu.Unlock()
+	go server.Serve(listener) //nolint:errcheck // it ends with Close
+	return listener.Addr().String(), nil
+}
+
+// Close ends all its addresses.
+func (d *Discovery) Close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.servers {
+		s.Close()
+	}
+}
+
+// mostWait bounds a watch, as the protocol does.
+const mostWait = time.Minute
+
+// serve answers one call: at once for the whole list, and when there is news, or
+// after the time that it asks for, for a watch.
+func (d *Discovery) serve(w http.ResponseWriter, r *http.Request, sidecar string) {
+	d.book.Do(func(b *truth.Book) { b.Calls(sidecar) })
+	defer func() { d.book.Do(func(b *truth.Book) { b.Called(d.book.Now(), sidecar) }) }()
+	if r.URL.Path != "/discovery/hosts" {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	ms, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	if after > 0 && !d.waitNews(r, after, min(time.Duration(ms)*time.Millisecond, mostWait)) {
+		return
+	}
+	d.mu.Lock()
+	down, lag := d.down, d.lag
+	d.mu.Unlock()
+	if lag > 0 {
+		select {
+		case <-time.After(lag):
+		case <-r.Context().Done():
+			return
+		}
+	}
+	if down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	d.write(w, after, sidecar)
+}
+
+// waitNews waits until there is something newer; false if the peer leaves.
+func (d *Discovery) waitNews(r *http.Request, after int64, most time.Duration) bool {
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	for {
+		d.mu.Lock()
+		ready, news := d.down || d.index > after, d.news
+		d.mu.Unlock()
+		if ready {
+			return true
+		}
+		select {
+		case <-news:
+		case <-timer.C:
+			return true
+		case <-r.Context().Done():
+			return false
+		}
+	}
+}
+
+// write answers with the list and books whom it has told what.
+func (d *Discovery) write(w http.ResponseWriter, after int64, sidecar string) {
+	d.mu.Lock()
+	list := d.answer(after)
+	var drained []string // what it tells, also by leaving it out
+	for _, name := range d.order {
+		if d.lines[name].Status != Serving && (list.Whole || d.changed[name] > after) {
+			drained = append(drained, name)
+		}
+	}
+	d.mu.Unlock()
+	var text bytes.Buffer
+	json.NewEncoder(&text).Encode(list) //nolint:errcheck // it holds nothing that can't be written
+	w.Header().Set("Content-Length", strconv.Itoa(text.Len()))
+	if _, err := w.Write(text.Bytes()); err != nil {
+		return
+	}
+	if f, ok := w.(http.Flusher); ok {
+		f.Flush()
+	}
+	d.book.Do(func(b *truth.Book) {
+		for _, name := range drained {
+			b.Told(d.book.Now(), sidecar, name)
+		}
+	})
+}
--- /dev/null
+++ b/internal/lab/standin/endpoint.go
@@ -0,0 +1,513 @@
+// Package standin holds the lab's stand-ins for what a sidecar meets: endpoints and
+// discovery. They speak the published protocol on sockets of 127.0.0.0/8, behave as
+// badly as they are told to, and tell the book of truth what came.
+package standin
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"heathgap/decide"
+	"heathgap/internal/lab/station"
+	"heathgap/internal/lab/truth"
+)
+
+// Trouble is how an endpoint misbehaves.
+type Trouble string
+
+// The troubles. Those of one endpoint replace each other.
+const (
+	Well    Trouble = ""
+	Errors  Trouble = "errors"  // answers 500 at once to a share of requests
+	Hang    Trouble = "hang"    // takes requests and never answers
+	Silent  Trouble = "silent"  // its machine is cut off: nothing is read or written
+	Refuses Trouble = "refuses" // turns all away at once
+	Half    Trouble = "half"    // ends the connection within an answer
+	Garbage Trouble = "garbage" // answers with what is no HTTP
+	Surplus Trouble = "surplus" // sends more than its answer
+)
+
+// Call makes one call of the next tier for a request, until the time that the request
+// has, and tells whether it was served. The key is empty for requests without one.
+type Call func(ctx context.Context, until time.Duration, key string) bool
+
+// EndpointConf is what an endpoint is.
+type EndpointConf struct {
+	Name        string
+	Address     string // with port 0 for any
+	Station     station.Conf
+	Cold        bool
+	Connections int           // at once; more are turned away; 0 for no limit
+	Handshake   time.Duration // work that a new connection costs
+	IdleFor     time.Duration // idle connections end after it
+	BodyBytes   int           // of an answer, about
+	Seed        uint64
+	Classes     map[string]ClassConf
+	Calls       int  // of the next tier for a request
+	Call        Call // makes them; nil without any
+}
+
+// ClassConf is a class as endpoints know it.
+type ClassConf struct {
+	Effect decide.Effect
+	Work   time.Duration // mean; drawn anew for each request
+	Keys   *Keys         // of the endpoint's group; nil for classes that are not keyed
+}
+
+// Endpoint is one process of a tier.
+type Endpoint struct {
+	conf     EndpointConf
+	book     *truth.Shared
+	listener net.Listener
+	address  string
+	life     context.Context // ends with the process
+	die      context.CancelFunc
+
+	mu      sync.Mutex
+	station *station.Station
+	timer   *time.Timer
+	trouble Trouble
+	share   float64 // of requests that Errors strikes
+	random  *rand.Rand
+	conns   map[net.Conn]struct{}
+	cut     chan struct{} // closed when a silent machine is back
+}
+
+// errDead is told of jobs whose endpoint has died or fallen over.
+var errDead = errors.New("the endpoint has died")
+
+// StartEndpoint starts one. Its address may be that of one that has just died.
+func StartEndpoint(conf EndpointConf, book *truth.Shared) (*Endpoint, error) {
+	s, err := station.New(conf.Station, book.Now(), conf.Cold)
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", conf.Address)
+	if err != nil {
+		return nil, fmt.Errorf("endpoint %s: %w", conf.Name, err)
+	}
+	e := &Endpoint{
+		conf: conf, book: book, listener: listener, address: listener.Addr().String(), station: s,
+		random: rand.New(rand.NewPCG(conf.Seed, 1)), conns: map[net.Conn]struct{}{},
+	}
+	e.life, e.die = context.WithCancel(context.Background())
+	e.timer = time.AfterFunc(time.Hour, e.work)
+	go e.accept()
+	return e, nil
+}
+
+// Name is the one that discovery lists.
+func (e *Endpoint) Name() string { return e.conf.Name }
+
+// Address is where it listens.
+func (e *Endpoint) Address() string { return e.address }
+
+// Kill ends it as a process that dies: its connections are reset, new ones refused.
+func (e *Endpoint) Kill() {
+	e.die()
+	e.listener.Close()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.timer.Stop()
+	for _, j := range e.station.Clear() {
+		j.Data.(*job).finish(errDead)
+	}
+	for conn := range e.conns {
+		reset(conn)
+	}
+	e.heal()
+}
+
+// reset ends a connection with a reset in place of an orderly end.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		tcp.SetLinger(0) //nolint:errcheck // it ends either way
+	}
+	conn.Close()
+}
+
+// Misbehave changes its trouble; the share is that of requests that Errors strikes.
+func (e *Endpoint) Misbehave(trouble Trouble, share float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.heal()
+	e.trouble, e.share = trouble, share
+	if trouble == Silent {
+		e.cut = make(chan struct{})
+	}
+}
+
+// heal brings a silent machine back: it resets what it had, as the peers may be gone.
+func (e *Endpoint) heal() {
+	if e.cut == nil {
+		return
+	}
+	close(e.cut)
+	e.cut = nil
+	for conn := range e.conns {
+		reset(conn)
+	}
+}
+
+// Pause stops or resumes its work.
+func (e *Endpoint) Pause(paused bool) {
+	e.change(func(now time.Duration) { e.station.Pause(now, paused) })
+}
+
+// Slow sets the part of its speed that is left.
+func (e *Endpoint) Slow(part float64) {
+	e.change(func(now time.Duration) { e.station.Slow(now, part) })
+}
+
+func (e *Endpoint) change(do func(now time.Duration)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.book.Now()
+	e.finishDue(now)
+	do(now)
+	e.arm(now)
+}
+
+// work is the timer's: it hands out what is done.
+func (e *Endpoint) work() { e.change(func(time.Duration) {}) }
+
+func (e *Endpoint) finishDue(now time.Duration) {
+	done, fell := e.station.Due(now)
+	if fell {
+		e.book.Do(func(b *truth.Book) { b.Fell(now, e.conf.Name) })
+	}
+	for _, j := range done {
+		var err error
+		if fell {
+			err = errDead
+		}
+		j.Data.(*job).finish(err)
+	}
+}
+
+func (e *Endpoint) arm(now time.Duration) {
+	if at, ok := e.station.Next(); ok && e.life.Err() == nil {
+		e.timer.Reset(max(0, at-now))
+	}
+}
+
+func (e *Endpoint) accept() {
+	for {
+		conn, err := e.listener.Accept()
+		if err != nil {
+			return
+		}
+		e.mu.Lock()
+		if e.life.Err() != nil {
+			e.mu.Unlock()
+			reset(conn)
+			return
+		}
+		e.conns[conn] = struct{}{}
+		full := e.conf.Connections > 0 && len(e.conns) > e.conf.Connections
+		e.mu.Unlock()
+		go e.serve(conn, full)
+	}
+}
+
+// message is a request as it came.
+type message struct {
+	class, id, key string
+	left           time.Duration
+	first, whole   time.Duration
+	closeAfter     bool
+}
+
+// job is a request at work at the station.
+type job struct {
+	station.Job
+	done chan error // its one end
+}
+
+func (j *job) finish(err error) { j.done <- err }
+
+// serve carries one connection: a goroutine reads requests ahead, so that a peer
+// that leaves is seen while one is at work.
+func (e *Endpoint) serve(conn net.Conn, full bool) {
+	defer func() {
+		conn.Close()
+		e.mu.Lock()
+		delete(e.conns, conn)
+		e.mu.Unlock()
+	}()
+	gone := make(chan struct{})
+	messages := make(chan message)
+	go e.read(conn, messages, gone)
+	for fresh := true; ; fresh = false {
+		select {
+		case m := <-messages:
+			if !e.answer(conn, m, fresh, full, gone) {
+				return
+			}
+		case <-gone:
+			return
+		}
+	}
+}
+
+// read reads requests until the connection ends.
+func (e *Endpoint) read(conn net.Conn, messages chan<- message, gone chan<- struct{}) {
+	defer close(gone)
+	in := bufio.NewReader(conn)
+	var request fasthttp.Request
+	for {
+		if e.conf.IdleFor > 0 {
+			conn.SetReadDeadline(time.Now().Add(e.conf.IdleFor))
+		}
+		if _, err := in.Peek(1); err != nil {
+			return
+		}
+		m := message{first: e.book.Now()}
+		e.waitIfCut()
+		if err := request.Read(in); err != nil {
+			return
+		}
+		m.whole = e.book.Now()
+		conn.SetReadDeadline(time.Time{})
+		path := string(request.URI().Path())
+		m.class, _, _ = strings.Cut(strings.TrimPrefix(path, "/"), "/")
+		m.id = string(request.Header.Peek("X-Txn"))
+		m.key = string(request.Header.Peek("Idempotency-Key"))
+		if s, err := strconv.ParseFloat(string(request.Header.Peek("X-Remaining")), 64); err == nil {
+			m.left = time.Duration(s * float64(time.Second))
+		}
+		m.closeAfter = request.Header.ConnectionClose()
+		select {
+		case messages <- m:
+		case <-e.life.Done():
+			return
+		}
+	}
+}
+
+// waitIfCut holds what has come, or is to go, while the machine is cut off, and
+// tells whether it was.
+func (e *Endpoint) waitIfCut() bool {
+	e.mu.Lock()
+	cut := e.cut
+	e.mu.Unlock()
+	if cut == nil {
+		return false
+	}
+	select {
+	case <-cut:
+	case <-e.life.Done():
+	}
+	return true
+}
+
+// What endpoints answer.
+const (
+	turnedAway = "HTTP/1.1 503 Service Unavailable\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n"
+	serverFail = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"
+	unknownID  = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
+	strangerID = "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n"
+)
+
+// answer works a request off; false ends the connection.
+func (e *Endpoint) answer(conn net.Conn, m message, fresh, full bool, gone <-chan struct{}) bool {
+	class, known := e.conf.Classes[m.class]
+	if m.id == "" || !known {
+		return write(conn, unknownID)
+	}
+	trouble, struck := e.present()
+	switch {
+	case full || trouble == Refuses:
+		return e.turnAway(conn, m) && !full
+	case trouble == Silent:
+		e.waitIfCut() // it came as the machine was cut off
+		return false
+	case struck:
+		return e.arrived(m, true, false) && write(conn, serverFail)
+	}
+	var first, own *seenKey
+	if class.Keys != nil {
+		first, own = class.Keys.See(m.whole, m.key)
+	}
+	if first != nil {
+		return e.repeat(conn, m, first, gone)
+	}
+	j, taken := e.begin(m, class, fresh)
+	if !taken {
+		if own != nil {
+			class.Keys.Forget(own)
+		}
+		return e.turnAway(conn, m)
+	}
+	defer own.end()
+	if !e.arrived(m, true, false) {
+		return write(conn, strangerID)
+	}
+	if trouble == Hang {
+		e.wait(nil, gone)
+		return false
+	}
+	if err := e.carry(j, class, gone); err != nil {
+		return false
+	}
+	if !e.callNext(m, gone) {
+		return write(conn, serverFail)
+	}
+	return e.write(conn, trouble, m, "") && !m.closeAfter
+}
+
+// present is the trouble of the moment, and whether it strikes this request.
+func (e *Endpoint) present() (Trouble, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.trouble, e.trouble == Errors && e.random.Float64() < e.share
+}
+
+// arrived books an attempt; false if no client sent it.
+func (e *Endpoint) arrived(m message, runs, repeat bool) (known bool) {
+	e.book.Do(func(b *truth.Book) {
+		known = b.Arrived(truth.Arrival{
+			ID: m.id, Endpoint: e.conf.Name, First: m.first, Whole: m.whole, Runs: runs, Repeat: repeat,
+		})
+	})
+	return known
+}
+
+func (e *Endpoint) turnAway(conn net.Conn, m message) bool {
+	e.arrived(m, false, false)
+	return write(conn, turnedAway)
+}
+
+// repeat answers a request whose key is known, once the run that it repeats ends.
+func (e *Endpoint) repeat(conn net.Conn, m message, first *seenKey, gone <-chan struct{}) bool {
+	if !e.arrived(m, true, true) {
+		return write(conn, strangerID)
+	}
+	if !e.wait(first.done, gone) {
+		return false
+	}
+	return e.write(conn, Well, m, " repeat")
+}
+
+// wait waits for something; false if the peer goes or the endpoint dies first.
+func (e *Endpoint) wait(what, gone <-chan struct{}) bool {
+	select {
+	case <-what:
+		return true
+	case <-gone:
+	case <-e.life.Done():
+	}
+	return false
+}
+
+// begin gives a request to the station.
+func (e *Endpoint) begin(m message, class ClassConf, fresh bool) (*job, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.book.Now()
+	if e.life.Err() != nil {
+		return nil, false
+	}
+	e.finishDue(now)
+	j := &job{done: make(chan error, 1)}
+	j.Data = j
+	j.Work = time.Duration(e.random.ExpFloat64() * float64(class.Work))
+	if fresh {
+		j.Work += e.conf.Handshake
+	}
+	taken := e.station.Arrive(now, &j.Job) == station.Taken
+	e.arm(now)
+	return j, taken
+}
+
+// carry waits for a job. What may be repeated is given up when its peer has gone;
+// an effect goes on, whoever waits for it.
+func (e *Endpoint) carry(j *job, class ClassConf, gone <-chan struct{}) error {
+	select {
+	case err := <-j.done:
+		return err
+	case <-gone:
+	}
+	if class.Effect != decide.Safe {
+		return <-j.done
+	}
+	e.mu.Lock()
+	now := e.book.Now()
+	canceled := e.station.Cancel(now, &j.Job)
+	e.arm(now)
+	e.mu.Unlock()
+	if !canceled {
+		return <-j.done
+	}
+	return errDead
+}
+
+// callNext makes the calls of the next tier, one after the other.
+func (e *Endpoint) callNext(m message, gone <-chan struct{}) bool {
+	if e.conf.Call == nil {
+		return true
+	}
+	ctx, cancel := context.WithCancel(e.life)
+	defer cancel()
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		select {
+		case <-gone:
+			cancel()
+		case <-ended:
+		}
+	}()
+	for i := range e.conf.Calls {
+		key := ""
+		if m.key != "" {
+			key = m.key + "/" + strconv.Itoa(i)
+		}
+		if !e.conf.Call(ctx, m.whole+m.left, key) {
+			return false
+		}
+	}
+	return true
+}
+
+// write writes a served answer, as the trouble has it. Its body begins with the id
+// of the request, so that clients know an answer that is not theirs.
+func (e *Endpoint) write(conn net.Conn, trouble Trouble, m message, note string) bool {
+	if e.waitIfCut() {
+		return false
+	}
+	body := m.id + " " + e.conf.Name + note + "\n"
+	if pad := e.conf.BodyBytes - len(body); pad > 0 {
+		body += strings.Repeat(".", pad)
+	}
+	text := "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+	switch trouble {
+	case Half:
+		write(conn, text[:len(text)-len(body)/2])
+		return false
+	case Garbage:
+		write(conn, "what do you mean\r\n\r\n")
+		return false
+	case Surplus:
+		text += "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	}
+	return write(conn, text)
+}
+
+const writeTime = 10 * time.Second // a peer that does not read ends its connection
+
+func write(conn net.Conn, text string) bool {
+	conn.SetWriteDeadline(time.Now().Add(writeTime))
+	_, err := conn.Write([]byte(text))
+	return err == nil
+}
--- /dev/null
+++ b/internal/lab/standin/keys.go
@@ -0,0 +1,65 @@
+package standin
+
+import (
+	"sync"
+	"time"
+)
+
+// Keys is the memory of keys that a group of endpoints shares: within the window
+// after a key was first seen, a request under it has no effect of its own.
+type Keys struct {
+	window time.Duration
+	mu     sync.Mutex
+	seen   map[string]*seenKey
+	order  []*seenKey // the oldest first
+}
+
+// seenKey is a key and the run that it stands for.
+type seenKey struct {
+	key  string
+	at   time.Duration // the first run's last byte
+	done chan struct{} // closed when that run has ended, or died with its endpoint
+	once sync.Once
+}
+
+// NewKeys returns an empty memory.
+func NewKeys(window time.Duration) *Keys {
+	return &Keys{window: window, seen: map[string]*seenKey{}}
+}
+
+// See takes a key that has come. It returns the run that it repeats, or nil and
+// a run of its own, to be ended by its endpoint.
+func (k *Keys) See(now time.Duration, key string) (first, own *seenKey) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for len(k.order) > 0 && now-k.order[0].at > k.window {
+		if old := k.order[0]; k.seen[old.key] == old {
+			delete(k.seen, old.key)
+		}
+		k.order = k.order[1:]
+	}
+	if first = k.seen[key]; first != nil && now-first.at <= k.window {
+		return first, nil
+	}
+	own = &seenKey{key: key, at: now, done: make(chan struct{})}
+	k.seen[key] = own
+	k.order = append(k.order, own)
+	return nil, own
+}
+
+// Forget takes back a run that was turned away after all.
+func (k *Keys) Forget(own *seenKey) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.seen[own.key] == own {
+		delete(k.seen, own.key)
+	}
+	own.end()
+}
+
+// end tells those that wait for the run. A nil run is none.
+func (s *seenKey) end() {
+	if s != nil {
+		s.once.Do(func() { close(s.done) })
+	}
+}
--- a/internal/lab/truth/shared.go
+++ b/internal/lab/truth/shared.go
@@ -7,22 +7,22 @@
 
 // Shared is a book and a service that many goroutines use, with the run's clock.
 type Shared struct {
-	began   time.Time
 	mu      sync.Mutex
+	origin  time.Time
 	book    *Book
 	service *Service
 }
 
-// Share guards a book and a service; the run begins now.
+// Share guards a book and a service.
 func Share(b *Book, s *Service) *Shared {
-	return &Shared{began: time.Now(), book: b, service: s}
+	return &Shared{origin: time.Now(), book: b, service: s}
 }
 
-// Now is the time since the run began.
-func (s *Shared) Now() time.Duration { return time.Since(s.began) }
+// Now is the time on the run's clock.
+func (s *Shared) Now() time.Duration { return time.Since(s.origin) }
 
-// Began is when the run began.
-func (s *Shared) Began() time.Time { return s.began }
+// Began is when the run's clock was 0.
+func (s *Shared) Began() time.Time { return s.origin }
 
 // Do books something.
 func (s *Shared) Do(entry func(b *Book)) {
--- a/internal/lab/truth/truth.go
+++ b/internal/lab/truth/truth.go
@@ -91,6 +91,7 @@
 	answered bool
 	ended    bool          // by whatever
 	endAt    time.Duration // the answer, or when the client's time was up
+	arrived  bool          // an attempt has come to an endpoint
 	runs     int           // with an effect of their own
 }
 
@@ -165,7 +166,7 @@
 // an endpoint, so that the client may send it once more.
 func (b *Book) Unwritten(id string) bool {
 	q := b.requests[id]
-	if q == nil || q.runs > 0 {
+	if q == nil || q.arrived {
 		return false
 	}
 	if q.written {
@@ -253,6 +254,7 @@
 		b.unknown++
 		return false
 	}
+	q.arrived = true
 	q.tally.Arrivals++
 	b.checkDrained(q, a)
 	limit := q.Until + b.conf.AnswerSlack
--- /dev/null
+++ b/internal/labcommand/heathlab.go
@@ -0,0 +1,315 @@
+// Package labcommand is the command line of the lab.
+package labcommand
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"runtime/debug"
+	"syscall"
+
+	"heathgap/internal/command"
+	"heathgap/internal/lab/policy"
+	"heathgap/internal/lab/record"
+	"heathgap/internal/lab/report"
+	"heathgap/internal/lab/rig"
+	"heathgap/internal/lab/scenario"
+	"heathgap/internal/lifecycle"
+	"heathgap/internal/operator"
+)
+
+// labGC has the lab's collector run rarely: its pauses would count as the load's lag.
+const labGC = 800
+
+// heathlab is the command line of the lab.
+type heathlab struct {
+	Run      labRun      `cmd:"" help:"Play a scenario through real sidecars, and write its record."`
+	Baseline labBaseline `cmd:"" help:"Play a scenario with other policies in place of heathgap's decisions, seed by seed, and compare them."`
+	Sweep    labSweep    `cmd:"" help:"Play a scenario with one key set to several values, seed by seed, and compare them."`
+	Compare  labCompare  `cmd:"" help:"Compare records, paired by seed."`
+	List     labList     `cmd:"" help:"List scenarios and policies."`
+	Check    labCheck    `cmd:"" help:"Tell all that is wrong with scenarios, and start nothing."`
+	Sidecar  labSidecar  `cmd:"" hidden:"" help:"Be one sidecar in which a policy decides."`
+}
+
+// Heathlab runs the command line of bin/heathlab and returns the exit code.
+func Heathlab(args []string, stdout, stderr io.Writer) int {
+	return command.Run(&heathlab{}, "heathlab", "An emulator of the fleet on loopback.", args, stdout, stderr)
+}
+
+// errNotGood ends a run that does not count, or broke a rule; its report has said
+// what.
+var errNotGood = errors.New("the run is not good")
+
+// ground is what each command that plays has in common.
+type ground struct {
+	Sidecar string `placeholder:"PATH" help:"The sidecar's program; heathgap beside this one if not given."`
+	Logs    string `placeholder:"DIR" help:"Keep the logs of sidecars there."`
+	Quiet   bool   `help:"Print no progress."`
+}
+
+// program is the sidecar's.
+func (g *ground) program() (string, error) {
+	if g.Sidecar != "" {
+		return g.Sidecar, nil
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return "", err
+	}
+	return filepath.Join(filepath.Dir(self), "heathgap"), nil
+}
+
+// play plays a scenario once, with a policy by its name.
+func (g *ground) play(ctx context.Context, o *command.Out, s *scenario.Scenario, seed uint64, name string) (*record.Record, error) {
+	program, err := g.program()
+	if err != nil {
+		return nil, err
+	}
+	opts := rig.Options{Policy: name, LogDir: g.Logs, Sidecar: func() *exec.Cmd { return exec.Command(program) }}
+	if name != policy.Module {
+		self, err := os.Executable()
+		if err != nil {
+			return nil, err
+		}
+		opts.Sidecar = func() *exec.Cmd { return exec.Command(self, "sidecar", "--policy", name) }
+	}
+	if g.Logs != "" {
+		if err := os.MkdirAll(g.Logs, 0o755); err != nil {
+			return nil, err
+		}
+	}
+	if !g.Quiet {
+		opts.Progress = func(line string) { fmt.Fprintln(o, line) }
+	}
+	debug.SetGCPercent(labGC)
+	return rig.Run(ctx, s, seed, opts)
+}
+
+// interruptible ends with an interrupt: what plays is then ended in order.
+func interruptible() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+}
+
+type labRun struct {
+	ground
+	File   string  `arg:"" help:"The scenario."`
+	Seed   *uint64 `help:"In place of the scenario's."`
+	Policy string  `default:"heathgap" help:"What decides; see list."`
+	Out    string  `placeholder:"DIR" help:"Write record.json, report.html and plots there."`
+	JSON   bool    `name:"json" help:"Print the record."`
+}
+
+// Run plays once. Its exit code tells whether the run counts and all rules held.
+func (c *labRun) Run(o *command.Out) error {
+	s, err := scenario.LoadFile(c.File)
+	if err != nil {
+		return err
+	}
+	if _, err := policy.ByName(c.Policy); err != nil {
+		return err
+	}
+	seed := s.Seed
+	if c.Seed != nil {
+		seed = *c.Seed
+	}
+	c.Quiet = c.Quiet || c.JSON
+	ctx, stop := interruptible()
+	defer stop()
+	r, err := c.play(ctx, o, s, seed, c.Policy)
+	if err != nil {
+		return err
+	}
+	if c.Out != "" {
+		if err := report.Write(c.Out, r); err != nil {
+			return err
+		}
+	}
+	if c.JSON {
+		if err := report.JSON(o, r); err != nil {
+			return err
+		}
+	} else {
+		report.Text(o, r)
+	}
+	if !r.Good() {
+		return errNotGood
+	}
+	return nil
+}
+
+type labCompare struct {
+	Files  []string `arg:"" name:"record" help:"Records; those of one policy, or of one --by, are one side."`
+	Metric string   `default:"service" help:"service, p50_ms, p99_ms, attempts_per_request, or class:NAME, tenant:NAME for their service."`
+	By     string   `default:"policy" enum:"policy,dir" help:"What makes a side: the policy, or the folder of the record."`
+}
+
+// Run compares the sides of records.
+func (c *labCompare) Run(o *command.Out) error {
+	sides := report.NewSides()
+	for _, path := range c.Files {
+		r, err := record.Load(path)
+		if err != nil {
+			return err
+		}
+		side := r.Policy
+		if c.By == "dir" {
+			side = filepath.Dir(filepath.Dir(path))
+		}
+		sides.Add(side, r)
+	}
+	return sides.Print(o, c.Metric)
+}
+
+type labBaseline struct {
+	ground
+	File     string   `arg:"" help:"The scenario."`
+	Seeds    int      `default:"5" help:"So many seeds, from the scenario's on."`
+	Policies []string `default:"heathgap,random,round-robin,least,least-budget,no-retry" help:"What decides, in turn."`
+	Metric   string   `default:"service" help:"As for compare."`
+	Out      string   `placeholder:"DIR" help:"Keep records there."`
+}
+
+// Run plays all policies for each seed in turn, so that a slow moment of the
+// machine strikes them alike.
+func (c *labBaseline) Run(o *command.Out) error {
+	s, err := scenario.LoadFile(c.File)
+	if err != nil {
+		return err
+	}
+	for _, name := range c.Policies {
+		if _, err := policy.ByName(name); err != nil {
+			return err
+		}
+	}
+	cases := make([]labCase, len(c.Policies))
+	for i, name := range c.Policies {
+		cases[i] = labCase{name: name, policy: name, scene: s}
+	}
+	return playCases(o, &c.ground, cases, c.Seeds, c.Metric, c.Out)
+}
+
+// labCase is one side of an experiment.
+type labCase struct {
+	name, policy string
+	scene        *scenario.Scenario
+}
+
+func playCases(o *command.Out, g *ground, cases []labCase, seeds int, metric, dir string) error {
+	ctx, stop := interruptible()
+	defer stop()
+	g.Quiet = true
+	sides := report.NewSides()
+	for n := range seeds {
+		for _, c := range cases {
+			seed := c.scene.Seed + uint64(n)
+			r, err := g.play(ctx, o, c.scene, seed, c.policy)
+			if err != nil {
+				return err
+			}
+			if r.Partial {
+				return errors.New("interrupted")
+			}
+			fmt.Fprintf(o, "%s: seed %d: %s\n", c.name, seed, report.Line(r))
+			sides.Add(c.name, r)
+			if dir != "" {
+				if err := report.Write(filepath.Join(dir, c.name, fmt.Sprint(seed)), r); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	return sides.Print(o, metric)
+}
+
+type labSweep struct {
+	ground
+	File   string   `arg:"" help:"The scenario."`
+	Key    string   `arg:"" help:"The key, such as load.rate or tier.0.cores."`
+	Values []string `arg:"" help:"Its values, as they would stand in the file."`
+	Seeds  int      `default:"3" help:"So many seeds, from the scenario's on."`
+	Policy string   `default:"heathgap" help:"What decides."`
+	Metric string   `default:"service" help:"As for compare."`
+	Out    string   `placeholder:"DIR" help:"Keep records there."`
+}
+
+// Run plays the scenario with each value, for each seed in turn.
+func (c *labSweep) Run(o *command.Out) error {
+	if _, err := policy.ByName(c.Policy); err != nil {
+		return err
+	}
+	text, err := os.ReadFile(c.File)
+	if err != nil {
+		return err
+	}
+	var cases []labCase
+	for _, value := range c.Values {
+		changed, err := scenario.Set(text, c.Key, value)
+		if err != nil {
+			return err
+		}
+		s, err := scenario.Parse(c.File+" with "+c.Key+" = "+value, changed)
+		if err != nil {
+			return err
+		}
+		cases = append(cases, labCase{name: c.Key + "=" + value, policy: c.Policy, scene: s})
+	}
+	return playCases(o, &c.ground, cases, c.Seeds, c.Metric, c.Out)
+}
+
+type labList struct {
+	Dir string `arg:"" optional:"" default:"lab/scenarios" help:"The folder of scenarios."`
+}
+
+// Run lists what can be played.
+func (c *labList) Run(o *command.Out) error {
+	paths, err := filepath.Glob(filepath.Join(c.Dir, "*.toml"))
+	if err != nil {
+		return err
+	}
+	for _, path := range paths {
+		s, err := scenario.LoadFile(path)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(o, "%-40s %6.0f/s %8s  %s\n", path, s.Load.Rate, s.Duration, s.About)
+	}
+	fmt.Fprintln(o)
+	for _, name := range policy.Names() {
+		fmt.Fprintf(o, "%-16s %s\n", name, policy.About(name))
+	}
+	return nil
+}
+
+type labCheck struct {
+	Files []string `arg:"" name:"file" help:"Scenarios."`
+}
+
+// Run tells of each file what is wrong with it.
+func (c *labCheck) Run(o *command.Out) error {
+	return command.CheckAll(o, c.Files, func(path string) error {
+		_, err := scenario.LoadFile(path)
+		return err
+	})
+}
+
+type labSidecar struct {
+	Policy string `required:"" help:"What decides."`
+}
+
+// Run is one sidecar.
+func (c *labSidecar) Run() error {
+	decider, err := policy.ByName(c.Policy)
+	if err != nil {
+		return err
+	}
+	if code := lifecycle.Main(lifecycle.Options{Operator: operator.Default(), Decider: decider}); code != 0 {
+		return fmt.Errorf("the sidecar ended with %d", code)
+	}
+	return nil
+}
