Move the scripted endpoints and discovery of tests into the lab

Need: fakes stood inside one test package. internal/lab/scripted has them for all tests; the tests of internal/lifecycle use it and pass unchanged in what they check.

--- a/internal/lifecycle/process_test.go
+++ b/internal/lifecycle/process_test.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sys/unix"
 
 	"heathgap/internal/config"
+	"heathgap/internal/lab/scripted"
 	"heathgap/internal/operator"
 )
 
@@ -62,9 +63,9 @@
 // A sidecar that is killed outright starts again from nothing at its address;
 // one that gets SIGTERM ends by itself, with its counters in the log.
 func TestRestarts(t *testing.T) {
-	e := startEndpoint(t, "e1", nil)
-	conf := testConfig(startDiscovery(t), e.line())
-	address := freeAddress(t)
+	e := scripted.StartEndpoint(t, "e1", nil)
+	conf := testConfig(scripted.StartDiscovery(t), e.Line())
+	address := scripted.FreeAddress(t)
 	conf["listen"] = address
 	first := launch(t, conf)
 	eventually(t, "the first is ready", isReady(t, address))
@@ -98,16 +99,16 @@
 // stays with the discovery that the environment names: the file's next one is asked
 // for its whole list, whose versions are its own. A bad file changes nothing.
 func TestReload(t *testing.T) {
-	e1, e2 := startEndpoint(t, "e1", nil), startEndpoint(t, "e2", nil)
-	first, second := startDiscovery(t), startDiscovery(t)
-	first.publish(t, 900, e1.line())
-	second.publish(t, 3, e2.line())
-	conf := testConfig(first, e1.line())
-	address := freeAddress(t)
+	e1, e2 := scripted.StartEndpoint(t, "e1", nil), scripted.StartEndpoint(t, "e2", nil)
+	first, second := scripted.StartDiscovery(t), scripted.StartDiscovery(t)
+	first.Publish(t, 900, e1.Line())
+	second.Publish(t, 3, e2.Line())
+	conf := testConfig(first, e1.Line())
+	address := scripted.FreeAddress(t)
 	conf["listen"] = address
 	p := launch(t, conf)
 	eventually(t, "ready", isReady(t, address))
-	eventually(t, "the first watch waits", func() bool { return first.called() == 2 })
+	eventually(t, "the first watch waits", func() bool { return first.Called() == 2 })
 	stop := make(chan struct{})
 	var wait sync.WaitGroup
 	wait.Go(func() {
@@ -133,7 +134,7 @@
 	}
 	reload([]byte(`{"name":"t0","listen":7}`))
 	eventually(t, "the faulty key is logged", logged("listen: want a string"))
-	conf["discovery"], conf["limits"] = second.address, map[string]any{"memory_mb": 100}
+	conf["discovery"], conf["limits"] = second.Address, map[string]any{"memory_mb": 100}
 	text, err := json.Marshal(conf)
 	if err != nil {
 		t.Fatal(err)
@@ -147,14 +148,14 @@
 		return body == "e2"
 	})
 	eventually(t, "the former watch has ended", logged(`"reason":"moved"`))
-	second.publish(t, 4, e1.line())
+	second.Publish(t, 4, e1.Line())
 	eventually(t, "the new discovery is watched", func() bool {
 		_, body, _ := try(request(t, address, http.MethodGet, "/look", ""))
 		return body == "e1"
 	})
 	close(stop)
 	wait.Wait()
-	if asked := second.asked(); asked[0] != "" || !strings.HasPrefix(asked[1], "after=3&") {
+	if asked := second.Asked(); asked[0] != "" || !strings.HasPrefix(asked[1], "after=3&") {
 		t.Errorf("the new discovery was asked %q, want the whole list and what follows version 3", asked)
 	}
 	p.Process.Signal(syscall.SIGTERM)
@@ -166,7 +167,7 @@
 
 // A bad configuration ends the start with one line that names the key.
 func TestBadConfigurationEndsTheStart(t *testing.T) {
-	conf := testConfig(startDiscovery(t))
+	conf := testConfig(scripted.StartDiscovery(t))
 	conf["seed"] = "xyz"
 	p := launch(t, conf)
 	if err := p.Wait(); p.ProcessState.ExitCode() != 1 {
@@ -185,7 +186,7 @@
 		t.Fatal(err)
 	}
 	defer taken.Close()
-	conf := testConfig(startDiscovery(t))
+	conf := testConfig(scripted.StartDiscovery(t))
 	conf["listen"] = taken.Addr().String()
 	p := launch(t, conf)
 	if err := p.Wait(); p.ProcessState.ExitCode() != 1 || !strings.Contains(p.log.String(), "listen") {
@@ -197,12 +198,12 @@
 // descriptors in force and more callers than that, the process goes on.
 func TestLimitsOfTheProcess(t *testing.T) {
 	const sockets, callers, memoryMB = 128, 300, 192
-	e := startEndpoint(t, "e1", func(w http.ResponseWriter, r *http.Request) {
+	e := scripted.StartEndpoint(t, "e1", func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(20 * time.Millisecond)
 		w.Write(bytes.Repeat([]byte("x"), 60<<10))
 	})
-	conf := testConfig(startDiscovery(t), e.line())
-	address := freeAddress(t)
+	conf := testConfig(scripted.StartDiscovery(t), e.Line())
+	address := scripted.FreeAddress(t)
 	conf["listen"] = address
 	conf["limits"] = map[string]any{"memory_mb": memoryMB, "sockets": sockets}
 	p := launch(t, conf)
--- a/internal/lifecycle/sidecar_test.go
+++ b/internal/lifecycle/sidecar_test.go
@@ -17,21 +17,22 @@
 	"github.com/rs/zerolog"
 
 	"heathgap/decide"
+	"heathgap/internal/lab/scripted"
 	"heathgap/internal/operator"
 )
 
 func TestPassesRequestsOnUnchanged(t *testing.T) {
-	e := startEndpoint(t, "e1", nil)
-	s := start(t, testConfig(startDiscovery(t), e.line()))
+	e := scripted.StartEndpoint(t, "e1", nil)
+	s := start(t, testConfig(scripted.StartDiscovery(t), e.Line()))
 	r := request(t, s.Address(), http.MethodPost, "/pay/out?sid=a%2Fb&x=1", "some body")
 	r.Header.Set("Idempotency-Key", "5c0f6e1a")
 	r.Header.Set("X-Txn", "9b1f03aa5c7e2d41")
 	if status, body := do(t, r); status != 200 || body != "e1" {
 		t.Fatalf("answer: %d %q, want 200 of e1", status, body)
 	}
-	got := e.seen[0]
-	if got.Method != "POST" || got.RequestURI != "/pay/out?sid=a%2Fb&x=1" || e.bodies[0] != "some body" {
-		t.Errorf("passed on: %s %s with %q", got.Method, got.RequestURI, e.bodies[0])
+	got, sent := e.Seen(0)
+	if got.Method != "POST" || got.RequestURI != "/pay/out?sid=a%2Fb&x=1" || sent != "some body" {
+		t.Errorf("passed on: %s %s with %q", got.Method, got.RequestURI, sent)
 	}
 	for name, want := range map[string]string{
 		"X-Txn": "9b1f03aa5c7e2d41", "Idempotency-Key": "5c0f6e1a", "X-Org": "acme",
@@ -48,8 +49,8 @@
 
 // One program serves every tier: a sidecar of a lower one takes the same calls.
 func TestServesALowerTier(t *testing.T) {
-	e := startEndpoint(t, "deep", nil)
-	conf := testConfig(startDiscovery(t), e.line())
+	e := scripted.StartEndpoint(t, "deep", nil)
+	conf := testConfig(scripted.StartDiscovery(t), e.Line())
 	conf["settings"].(map[string]any)["tier"] = 1
 	s := start(t, conf)
 	if status, _ := get(t, s.Address(), "/up"); status != 200 {
@@ -62,8 +63,8 @@
 
 // Guards against bad input that reaches an endpoint or ends the process.
 func TestMalformedRequestsReachNoEndpoint(t *testing.T) {
-	e := startEndpoint(t, "e1", nil)
-	s := start(t, testConfig(startDiscovery(t), e.line()))
+	e := scripted.StartEndpoint(t, "e1", nil)
+	s := start(t, testConfig(scripted.StartDiscovery(t), e.Line()))
 	const head = "Host: x\r\nX-Txn: 1\r\nX-Remaining: 1\r\n"
 	for name, text := range map[string]string{
 		"no class":          "GET / HTTP/1.1\r\n" + head + "\r\n",
@@ -106,7 +107,7 @@
 	if status, _ := get(t, s.Address(), "/look"); status != 200 {
 		t.Errorf("after them: %d, want 200", status)
 	}
-	if n := e.count(); n != 1 {
+	if n := e.Count(); n != 1 {
 		t.Errorf("the endpoint was asked %d times, want once", n)
 	}
 }
@@ -115,26 +116,26 @@
 // could answer the one with what belongs to the other.
 func TestIdOfAnOpenRequest(t *testing.T) {
 	release := make(chan struct{})
-	e := startEndpoint(t, "e1", func(w http.ResponseWriter, r *http.Request) {
+	e := scripted.StartEndpoint(t, "e1", func(w http.ResponseWriter, r *http.Request) {
 		<-release
 		io.WriteString(w, r.URL.Path)
 	})
-	s := start(t, testConfig(startDiscovery(t), e.line()))
+	s := start(t, testConfig(scripted.StartDiscovery(t), e.Line()))
 	first := request(t, s.Address(), http.MethodGet, "/look/first", "")
 	got := make(chan string, 1)
 	go func() {
 		_, body, _ := try(first)
 		got <- body
 	}()
-	eventually(t, "the first is out", func() bool { return e.count() == 1 })
+	eventually(t, "the first is out", func() bool { return e.Count() == 1 })
 	copied := request(t, s.Address(), http.MethodGet, "/look/copy", "")
 	copied.Header.Set("X-Txn", first.Header.Get("X-Txn"))
 	if status, _ := do(t, copied); status != 400 {
 		t.Errorf("the copy: %d, want 400", status)
 	}
 	close(release)
-	if body := <-got; body != "/look/first" || e.count() != 1 {
-		t.Errorf("the first got %q, and the endpoint was asked %d times", body, e.count())
+	if body := <-got; body != "/look/first" || e.Count() != 1 {
+		t.Errorf("the first got %q, and the endpoint was asked %d times", body, e.Count())
 	}
 	if c := s.Counters(); c.Malformed != 1 || c.Taken != 1 || c.Held != 0 {
 		t.Errorf("the books: %+v", c)
@@ -145,11 +146,11 @@
 // and against room for answers that does not come back: these need eight times of it.
 func TestLongAnswers(t *testing.T) {
 	const long, memoryMB = 400 << 10, 32
-	e := startEndpoint(t, "e1", func(w http.ResponseWriter, r *http.Request) {
+	e := scripted.StartEndpoint(t, "e1", func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Content-Length", strconv.Itoa(long))
 		io.WriteString(w, strings.Repeat("x", long))
 	})
-	conf := testConfig(startDiscovery(t), e.line())
+	conf := testConfig(scripted.StartDiscovery(t), e.Line())
 	conf["limits"] = map[string]any{"memory_mb": memoryMB, "sockets": 1024}
 	s := start(t, conf)
 	for range 8 * memoryMB << 20 / 6 / long {
@@ -162,8 +163,8 @@
 // Guards against a caller whose time is longer than any of its class: it would be
 // held, and its timers with it, for as long as it likes.
 func TestTimeBeyondTheClass(t *testing.T) {
-	e := startEndpoint(t, "mute", silentEndpoint(nil))
-	s := start(t, testConfig(startDiscovery(t), e.line()))
+	e := scripted.StartEndpoint(t, "mute", scripted.Mute(nil))
+	s := start(t, testConfig(scripted.StartDiscovery(t), e.Line()))
 	r := request(t, s.Address(), http.MethodGet, "/look", "")
 	r.Header.Set("X-Remaining", "3000")
 	if status, _, err := try(r); err != nil || status == 200 {
@@ -178,29 +179,29 @@
 		behave  http.HandlerFunc
 		outcome decide.Outcome
 	}{
-		"reset":          {rawAnswer(""), decide.Reset},
-		"no HTTP":        {rawAnswer("what?\r\n\r\n"), decide.Reset},
-		"half a body":    {rawAnswer("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf"), decide.Reset},
-		"half a chunk":   {rawAnswer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n8\r\nhalf"), decide.Reset},
-		"no last chunk":  {rawAnswer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"), decide.Reset},
-		"no length":      {rawAnswer("HTTP/1.1 200 OK\r\n\r\nhalf"), decide.Reset},
+		"reset":          {scripted.Raw(""), decide.Reset},
+		"no HTTP":        {scripted.Raw("what?\r\n\r\n"), decide.Reset},
+		"half a body":    {scripted.Raw("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf"), decide.Reset},
+		"half a chunk":   {scripted.Raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n8\r\nhalf"), decide.Reset},
+		"no last chunk":  {scripted.Raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"), decide.Reset},
+		"no length":      {scripted.Raw("HTTP/1.1 200 OK\r\n\r\nhalf"), decide.Reset},
 		"error":          {status(500, false), decide.ServerError},
 		"plain 503":      {status(503, false), decide.ServerError},
 		"turned away":    {status(503, true), decide.Rejected},
 		"too late there": {status(504, true), decide.Rejected},
 	} {
 		t.Run(name, func(t *testing.T) {
-			bad := startEndpoint(t, "bad", c.behave)
-			s := start(t, testConfig(startDiscovery(t), bad.line()))
+			bad := scripted.StartEndpoint(t, "bad", c.behave)
+			s := start(t, testConfig(scripted.StartDiscovery(t), bad.Line()))
 			r := request(t, s.Address(), http.MethodPost, "/burn", "x")
 			got, body := do(t, r)
 			// What may have run must not be called harmless to repeat.
 			refused, never := got == 503 || got == 429, c.outcome.NeverRan()
-			if got == 200 || refused && !never || bad.count() != 1 && !never {
-				t.Errorf("answer %d %q after %d attempts", got, body, bad.count())
+			if got == 200 || refused && !never || bad.Count() != 1 && !never {
+				t.Errorf("answer %d %q after %d attempts", got, body, bad.Count())
 			}
-			if n := s.Counters().Outcomes[c.outcome]; n != bad.count() {
-				t.Errorf("%d such outcomes, want %d: %+v", n, bad.count(), s.Counters().Outcomes)
+			if n := s.Counters().Outcomes[c.outcome]; n != bad.Count() {
+				t.Errorf("%d such outcomes, want %d: %+v", n, bad.Count(), s.Counters().Outcomes)
 			}
 		})
 	}
@@ -218,10 +219,10 @@
 // An endpoint whose process has died, or whose machine has vanished, is no reason
 // to fail: nothing has run.
 func TestVanishedEndpointIsPassedOver(t *testing.T) {
-	for name, address := range map[string]string{"refused": freeAddress(t), "out of reach": deafAddress(t)} {
+	for name, address := range map[string]string{"refused": scripted.FreeAddress(t), "out of reach": scripted.DeafAddress(t)} {
 		t.Run(name, func(t *testing.T) {
-			e := startEndpoint(t, "e1", nil)
-			conf := testConfig(startDiscovery(t), listLine("dead", address), e.line())
+			e := scripted.StartEndpoint(t, "e1", nil)
+			conf := testConfig(scripted.StartDiscovery(t), scripted.Line("dead", address), e.Line())
 			conf["settings"].(map[string]any)["bounds"].(map[string]any)["connect_timeout"] = 100.0
 			s := start(t, conf)
 			eventually(t, "an attempt at the dead one", func() bool {
@@ -243,8 +244,8 @@
 // up an attempt while its connection stays at work.
 func TestSilentEndpointIsGivenUpInTime(t *testing.T) {
 	ended := make(chan struct{}, 8)
-	e := startEndpoint(t, "mute", silentEndpoint(ended))
-	s := start(t, testConfig(startDiscovery(t), e.line()))
+	e := scripted.StartEndpoint(t, "mute", scripted.Mute(ended))
+	s := start(t, testConfig(scripted.StartDiscovery(t), e.Line()))
 	r := request(t, s.Address(), http.MethodPost, "/burn", "x")
 	r.Header.Set("X-Remaining", "0.3")
 	begin := time.Now()
@@ -266,8 +267,8 @@
 // Guards against callers that leave unseen while their request is held: fasthttp
 // does not look.
 func TestCallerThatLeavesIsSeen(t *testing.T) {
-	e := startEndpoint(t, "mute", silentEndpoint(nil))
-	s := start(t, testConfig(startDiscovery(t), e.line()))
+	e := scripted.StartEndpoint(t, "mute", scripted.Mute(nil))
+	s := start(t, testConfig(scripted.StartDiscovery(t), e.Line()))
 	conn, err := net.Dial("tcp", s.Address())
 	if err != nil {
 		t.Fatal(err)
@@ -285,8 +286,8 @@
 // A byte of the next request that comes early is not lost to the watch for
 // callers that leave.
 func TestNextRequestMayComeEarly(t *testing.T) {
-	e := startEndpoint(t, "e1", nil)
-	s := start(t, testConfig(startDiscovery(t), e.line()))
+	e := scripted.StartEndpoint(t, "e1", nil)
+	s := start(t, testConfig(scripted.StartDiscovery(t), e.Line()))
 	conn, err := net.Dial("tcp", s.Address())
 	if err != nil {
 		t.Fatal(err)
@@ -313,19 +314,19 @@
 // The list as last known is used at once, whatever becomes of discovery, and
 // failed calls are made again.
 func TestDiscoveryOutage(t *testing.T) {
-	for name, breakIt := range map[string]func(*fakeDiscovery){
-		"down":         func(d *fakeDiscovery) { d.down = true },
-		"no JSON":      func(d *fakeDiscovery) { d.broken = "{" },
-		"no list":      func(d *fakeDiscovery) { d.broken = `{"index":5}` },
-		"wrong types":  func(d *fakeDiscovery) { d.broken = `{"index":5,"snapshot":true,"endpoints":[{"name":7}]}` },
-		"unknown word": func(d *fakeDiscovery) { d.broken = `{"index":5,"endpoints":[{"name":"a","status":"ODD"}]}` },
+	for name, breakIt := range map[string]func(*scripted.Discovery){
+		"down":         func(d *scripted.Discovery) { d.Down(true) },
+		"no JSON":      func(d *scripted.Discovery) { d.Broken("{") },
+		"no list":      func(d *scripted.Discovery) { d.Broken(`{"index":5}`) },
+		"wrong types":  func(d *scripted.Discovery) { d.Broken(`{"index":5,"snapshot":true,"endpoints":[{"name":7}]}`) },
+		"unknown word": func(d *scripted.Discovery) { d.Broken(`{"index":5,"endpoints":[{"name":"a","status":"ODD"}]}`) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			older, newer := startEndpoint(t, "older", nil), startEndpoint(t, "newer", nil)
-			d := startDiscovery(t)
-			d.set(func() { breakIt(d) })
-			s := start(t, testConfig(d, older.line()))
+			older, newer := scripted.StartEndpoint(t, "older", nil), scripted.StartEndpoint(t, "newer", nil)
+			d := scripted.StartDiscovery(t)
+			breakIt(d)
+			s := start(t, testConfig(d, older.Line()))
 			if status, body := get(t, s.Address(), "/look"); status != 200 || body != "older" {
 				t.Fatalf("with the list as known: %d %q", status, body)
 			}
@@ -333,8 +334,9 @@
 			if !strings.Contains(s.log.String(), `"side":"discovery"`) {
 				t.Errorf("no line on discovery:\n%s", s.log)
 			}
-			d.set(func() { d.down, d.broken = false, "" })
-			d.publish(t, 7, newer.line())
+			d.Down(false)
+			d.Broken("")
+			d.Publish(t, 7, newer.Line())
 			eventually(t, "the new list", func() bool {
 				_, body := get(t, s.Address(), "/look")
 				return body == "newer"
@@ -345,21 +347,19 @@
 
 // A watch goes on from the version it has, at once, and what it tells is heeded.
 func TestWatchFollowsChanges(t *testing.T) {
-	a, b := startEndpoint(t, "a", nil), startEndpoint(t, "b", nil)
-	d := startDiscovery(t)
-	s := start(t, testConfig(d, a.line()))
-	eventually(t, "a watch", func() bool { return d.called() == 1 })
-	d.mu.Lock()
-	first := d.waits[0]
-	d.mu.Unlock()
+	a, b := scripted.StartEndpoint(t, "a", nil), scripted.StartEndpoint(t, "b", nil)
+	d := scripted.StartDiscovery(t)
+	s := start(t, testConfig(d, a.Line()))
+	eventually(t, "a watch", func() bool { return d.Called() == 1 })
+	first := d.Asked()[0]
 	if !strings.HasPrefix(first, "after=1&wait_ms=") {
 		t.Errorf("the first watch asks for %q, want what is newer than the list as known", first)
 	}
-	gone := a.line()
+	gone := a.Line()
 	gone["status"] = "DELETED"
-	d.set(func() { d.index, d.list = 2, mustJSON(t, 2, gone, b.line()) })
+	d.Tell(2, scripted.Changes(t, 2, gone, b.Line()))
 	eventually(t, "the change and the next watch", func() bool {
-		return s.Counters().Lists == 1 && d.called() == 2
+		return s.Counters().Lists == 1 && d.Called() == 2
 	})
 	for range 10 {
 		if _, body := get(t, s.Address(), "/look"); body != "b" {
@@ -371,15 +371,15 @@
 // Where changes are to come by themselves, the module does not ask for them: the
 // sidecar watches, and watches again after a failure.
 func TestWatchesUnasked(t *testing.T) {
-	a, b := startEndpoint(t, "a", nil), startEndpoint(t, "b", nil)
-	d := startDiscovery(t)
-	d.set(func() { d.down = true })
-	conf := testConfig(d, a.line())
+	a, b := scripted.StartEndpoint(t, "a", nil), scripted.StartEndpoint(t, "b", nil)
+	d := scripted.StartDiscovery(t)
+	d.Down(true)
+	conf := testConfig(d, a.Line())
 	conf["settings"].(map[string]any)["membership_mode"] = "automatic"
 	s := start(t, conf)
 	eventually(t, "a call fails", func() bool { return s.Counters().ListFails > 0 })
-	d.set(func() { d.down = false })
-	d.publish(t, 2, b.line())
+	d.Down(false)
+	d.Publish(t, 2, b.Line())
 	eventually(t, "the list", func() bool { return s.Counters().Lists > 0 })
 	if _, body := get(t, s.Address(), "/look"); body != "b" {
 		t.Errorf("answered by %q, want b", body)
@@ -389,8 +389,8 @@
 // Guards against descriptors that run out: more callers than there is room for
 // must not end the sidecar, nor keep others from being served.
 func TestManyIdleCallers(t *testing.T) {
-	e := startEndpoint(t, "e1", nil)
-	conf := testConfig(startDiscovery(t), e.line())
+	e := scripted.StartEndpoint(t, "e1", nil)
+	conf := testConfig(scripted.StartDiscovery(t), e.Line())
 	conf["limits"].(map[string]any)["sockets"] = 64
 	s := start(t, conf)
 	for range 200 {
@@ -412,8 +412,8 @@
 // Guards against callers that hold all connections with the beginnings of requests:
 // others must still be served.
 func TestManyHalfRequests(t *testing.T) {
-	e := startEndpoint(t, "e1", nil)
-	conf := testConfig(startDiscovery(t), e.line())
+	e := scripted.StartEndpoint(t, "e1", nil)
+	conf := testConfig(scripted.StartDiscovery(t), e.Line())
 	conf["limits"].(map[string]any)["sockets"] = 64
 	s := start(t, conf)
 	for range 100 {
@@ -437,7 +437,7 @@
 // within 3 s of connecting, also one that goes on sending bit by bit.
 func TestCallersThatNeverSendARequest(t *testing.T) {
 	const owed, slow = 3 * time.Second, time.Second // a machine may be slow by that
-	s := start(t, testConfig(startDiscovery(t)))
+	s := start(t, testConfig(scripted.StartDiscovery(t)))
 	var wait sync.WaitGroup
 	for name, c := range map[string]struct{ text, bit string }{
 		"silent":              {"", ""},
@@ -479,20 +479,20 @@
 
 // A request whose time is up goes nowhere, and its caller is told so.
 func TestNoTimeLeft(t *testing.T) {
-	e := startEndpoint(t, "e1", nil)
-	s := start(t, testConfig(startDiscovery(t), e.line()))
+	e := scripted.StartEndpoint(t, "e1", nil)
+	s := start(t, testConfig(scripted.StartDiscovery(t), e.Line()))
 	r := request(t, s.Address(), http.MethodGet, "/look", "")
 	r.Header.Set("X-Remaining", "0")
-	if status, _ := do(t, r); status == 200 || e.count() > 0 || s.Counters().Sent > 0 {
-		t.Errorf("status %d, and the endpoint was asked %d times: %+v", status, e.count(), s.Counters())
+	if status, _ := do(t, r); status == 200 || e.Count() > 0 || s.Counters().Sent > 0 {
+		t.Errorf("status %d, and the endpoint was asked %d times: %+v", status, e.Count(), s.Counters())
 	}
 }
 
 // Guards against connections to endpoints beyond the bound, and against callers
 // beyond theirs that hold requests: they are refused, at once.
 func TestBusyConnectionsStayInBounds(t *testing.T) {
-	e := startEndpoint(t, "mute", silentEndpoint(nil))
-	conf := testConfig(startDiscovery(t), e.line())
+	e := scripted.StartEndpoint(t, "mute", scripted.Mute(nil))
+	conf := testConfig(scripted.StartDiscovery(t), e.Line())
 	conf["limits"].(map[string]any)["sockets"] = 64
 	s := start(t, conf)
 	var wait sync.WaitGroup
@@ -532,13 +532,13 @@
 // its connection, and what was taken is answered.
 func TestStopAnswersWhatWasTaken(t *testing.T) {
 	release := make(chan struct{})
-	e := startEndpoint(t, "e1", func(w http.ResponseWriter, r *http.Request) {
+	e := scripted.StartEndpoint(t, "e1", func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/look/slow" {
 			<-release
 		}
 		io.WriteString(w, "e1")
 	})
-	conf := testConfig(startDiscovery(t), e.line())
+	conf := testConfig(scripted.StartDiscovery(t), e.Line())
 	setDeadlines(conf, 60000)
 	s := start(t, conf)
 	var conns [2]net.Conn // one stands idle, the other is used on and on
@@ -560,7 +560,7 @@
 		}
 		held <- answer
 	}()
-	eventually(t, "the slow request is out", func() bool { return e.count() == 1 })
+	eventually(t, "the slow request is out", func() bool { return e.Count() == 1 })
 	stopped := make(chan struct{})
 	s.stopped, s.stayFor = true, 1500*time.Millisecond // a slow machine must come through with what follows
 	go func() { s.Stop(); close(stopped) }()
@@ -605,8 +605,8 @@
 // Callers that go on using their connections lose nothing at a stop: each is told
 // by an answer that its connection ends with it.
 func TestStopUnderTraffic(t *testing.T) {
-	e := startEndpoint(t, "e1", nil)
-	s := start(t, testConfig(startDiscovery(t), e.line()))
+	e := scripted.StartEndpoint(t, "e1", nil)
+	s := start(t, testConfig(scripted.StartDiscovery(t), e.Line()))
 	s.stopped = true
 	var wait sync.WaitGroup
 	for range 10 {
@@ -643,8 +643,8 @@
 // Guards against requests that are still held when the platform kills what has
 // not stopped: they are lost, where a failure would have been an answer.
 func TestStopFailsWhatCannotEnd(t *testing.T) {
-	e := startEndpoint(t, "mute", silentEndpoint(nil))
-	conf := testConfig(startDiscovery(t), e.line())
+	e := scripted.StartEndpoint(t, "mute", scripted.Mute(nil))
+	conf := testConfig(scripted.StartDiscovery(t), e.Line())
 	setDeadlines(conf, 60000)
 	s := start(t, conf)
 	got := make(chan int, 1)
@@ -657,7 +657,7 @@
 		}
 		got <- status
 	}()
-	eventually(t, "the request is out", func() bool { return e.count() == 1 })
+	eventually(t, "the request is out", func() bool { return e.Count() == 1 })
 	s.stopped = true
 	begin := time.Now()
 	s.Stop()
@@ -675,8 +675,8 @@
 // Guards against a log that the operator's file does not thin out, and against one
 // that thins out what nobody may miss.
 func TestOperatorsLog(t *testing.T) {
-	e := startEndpoint(t, "e1", nil)
-	conf := testConfig(startDiscovery(t), e.line())
+	e := scripted.StartEndpoint(t, "e1", nil)
+	conf := testConfig(scripted.StartDiscovery(t), e.Line())
 	for name, c := range map[string]struct {
 		log         operator.Log
 		ends, ready int
