--- /dev/null
+++ b/internal/env/env.go
@@ -0,0 +1,60 @@
+// Package env is the seam between the network code and the world: clock, timers,
+// connections, goroutines and chance come through it. The sidecar runs on Real;
+// internal/sim puts a world in its place in which a seed decides what comes next.
+package env
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"time"
+)
+
+// Env is the world as a sidecar meets it.
+type Env interface {
+	// Now is the present time, monotonic within a process.
+	Now() time.Time
+	// NewTimer returns a timer that fires once, as time.NewTimer does.
+	NewTimer(d time.Duration) *time.Timer
+	// AfterFunc calls f in a goroutine of its own after a time.
+	AfterFunc(d time.Duration, f func())
+	// Sleep pauses the calling goroutine.
+	Sleep(d time.Duration)
+	// Dial opens a TCP connection; it fails when the context ends or the time passes.
+	Dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error)
+	// Listen opens a TCP address.
+	Listen(address string) (net.Listener, error)
+	// Go runs f in a goroutine of its own; the name says what for.
+	Go(name string, f func())
+	// Chance draws a time from 0 up to, but not including, d, which is above 0.
+	Chance(d time.Duration) time.Duration
+}
+
+// Real is the machine that the process runs on.
+type Real struct{}
+
+// Now is time.Now.
+func (Real) Now() time.Time { return time.Now() }
+
+// NewTimer is time.NewTimer.
+func (Real) NewTimer(d time.Duration) *time.Timer { return time.NewTimer(d) }
+
+// AfterFunc is time.AfterFunc.
+func (Real) AfterFunc(d time.Duration, f func()) { time.AfterFunc(d, f) }
+
+// Sleep is time.Sleep.
+func (Real) Sleep(d time.Duration) { time.Sleep(d) }
+
+// Dial is net.Dialer's.
+func (Real) Dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+	return (&net.Dialer{Timeout: timeout}).DialContext(ctx, "tcp", address)
+}
+
+// Listen is net.Listen.
+func (Real) Listen(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
+// Go starts a goroutine.
+func (Real) Go(_ string, f func()) { go f() }
+
+// Chance draws from the process's source.
+func (Real) Chance(d time.Duration) time.Duration { return rand.N(d) }
--- a/internal/httpwire/caller.go
+++ b/internal/httpwire/caller.go
@@ -9,11 +9,14 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"heathgap/internal/env"
 )
 
 // Callers accepts the connections of callers and keeps track of them.
 type Callers struct {
 	net.Listener
+	world env.Env
 	most  int
 	ended func(c *CallerConn, why Reason)
 
@@ -26,8 +29,8 @@
 
 // NewCallers wraps a listener. Beyond so many connections, those that have been
 // idle longest make room. ended is called once for each that ends.
-func NewCallers(l net.Listener, most int, ended func(c *CallerConn, why Reason)) *Callers {
-	return &Callers{Listener: l, most: most, ended: ended, conns: map[*CallerConn]struct{}{}}
+func NewCallers(l net.Listener, world env.Env, most int, ended func(c *CallerConn, why Reason)) *Callers {
+	return &Callers{Listener: l, world: world, most: most, ended: ended, conns: map[*CallerConn]struct{}{}}
 }
 
 // Pauses of the callers' side.
@@ -48,10 +51,10 @@
 			return nil, err
 		}
 		l.retireOldest(1)
-		time.Sleep(acceptPause)
+		l.world.Sleep(acceptPause)
 		conn, err = l.Listener.Accept()
 	}
-	c := &CallerConn{Conn: conn, owner: l, changed: time.Now()}
+	c := &CallerConn{Conn: conn, owner: l, changed: l.world.Now()}
 	l.mu.Lock()
 	l.conns[c] = struct{}{}
 	look := len(l.conns) > l.most && !l.looking
@@ -71,7 +74,7 @@
 	l.mu.Unlock()
 	if over > 0 {
 		l.retireOldest(over)
-		time.AfterFunc(roomPause, l.makeRoom)
+		l.world.AfterFunc(roomPause, l.makeRoom)
 	}
 }
 
@@ -202,10 +205,10 @@
 // deadline has passed does not look at what has come, and a request that stands
 // there already must not be lost. The rest of it gets the time that it may need.
 func (c *CallerConn) lookAgain(b []byte) (int, error) {
-	c.Conn.SetReadDeadline(time.Now().Add(lastLook))
+	c.Conn.SetReadDeadline(c.owner.world.Now().Add(lastLook))
 	n, err := c.Conn.Read(b)
 	if n > 0 {
-		c.Conn.SetReadDeadline(time.Now().Add(stallTime))
+		c.Conn.SetReadDeadline(c.owner.world.Now().Add(stallTime))
 	}
 	return n, err
 }
@@ -213,7 +216,7 @@
 // begin marks that a request has begun to come; c.mu is held.
 func (c *CallerConn) begin() {
 	if !c.busy {
-		c.busy, c.changed = true, time.Now()
+		c.busy, c.changed = true, c.owner.world.Now()
 	}
 }
 
@@ -221,7 +224,7 @@
 // it does so when the answer is written. c.mu is held.
 func (c *CallerConn) settle() {
 	if c.answered {
-		c.answered, c.busy, c.changed = false, false, time.Now()
+		c.answered, c.busy, c.changed = false, false, c.owner.world.Now()
 		c.letGo()
 		c.wasWritten()
 	}
@@ -322,7 +325,7 @@
 func (c *CallerConn) cutShort() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.busy || c.held || c.retired || time.Since(c.changed) < stallTime {
+	if !c.busy || c.held || c.retired || c.owner.world.Now().Sub(c.changed) < stallTime {
 		return false
 	}
 	c.retired = true
@@ -338,7 +341,7 @@
 func (c *CallerConn) retire(why Reason) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.retired || c.busy || time.Since(c.changed) < settleTime {
+	if c.retired || c.busy || c.owner.world.Now().Sub(c.changed) < settleTime {
 		return false
 	}
 	c.retired = true
@@ -364,7 +367,7 @@
 	c.owner.held.Add(1)
 	c.Conn.SetReadDeadline(time.Time{})
 	c.mu.Unlock()
-	go func() {
+	c.owner.world.Go("watch", func() {
 		defer close(done)
 		var b [1]byte
 		n, err := c.Conn.Read(b[:])
@@ -378,7 +381,7 @@
 			c.Note(ReasonCallerLeft)
 			left()
 		}
-	}()
+	})
 }
 
 // Unwatch ends the watch; the server may read again.
--- a/internal/httpwire/caller_test.go
+++ b/internal/httpwire/caller_test.go
@@ -5,6 +5,8 @@
 	"net"
 	"testing"
 	"time"
+
+	"heathgap/internal/env"
 )
 
 // callerPair returns a caller's connection that has been idle for long, and the
@@ -25,7 +27,7 @@
 	}
 	t.Cleanup(func() { listener.Close() })
 	var ended []Reason
-	return NewCallers(listener, 10, func(_ *CallerConn, why Reason) { ended = append(ended, why) }), &ended
+	return NewCallers(listener, env.Real{}, 10, func(_ *CallerConn, why Reason) { ended = append(ended, why) }), &ended
 }
 
 // connect returns a new connection that seems idle for long, and the caller's end.
--- a/internal/httpwire/link.go
+++ b/internal/httpwire/link.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"heathgap/internal/env"
 )
 
 // Link is a connection of this sidecar's own making, to an endpoint or to
@@ -25,8 +27,8 @@
 }
 
 // Dial opens a connection. It fails when the context ends or timeout passes.
-func Dial(ctx context.Context, address string, timeout time.Duration) (*Link, error) {
-	conn, err := (&net.Dialer{Timeout: timeout}).DialContext(ctx, "tcp", address)
+func Dial(ctx context.Context, world env.Env, address string, timeout time.Duration) (*Link, error) {
+	conn, err := world.Dial(ctx, address, timeout)
 	if err != nil {
 		return nil, err
 	}
@@ -60,6 +62,9 @@
 	if l.closed.Load() || l.in.Buffered() > 0 {
 		return false
 	}
+	if told, ok := l.conn.(interface{ Fresh() bool }); ok { // it knows by itself
+		return told.Fresh()
+	}
 	raw, ok := l.conn.(syscall.Conn)
 	if !ok {
 		return true
--- /dev/null
+++ b/internal/lifecycle/process.go
@@ -0,0 +1,108 @@
+package lifecycle
+
+import (
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
+
+	"heathgap/internal/config"
+	"heathgap/internal/operator"
+)
+
+const logLines = 4096 // kept for a log that is read slowly; beyond them lines are dropped, so that nobody waits
+
+// Process runs a sidecar that only its environment tells what to do: BALANCER_*,
+// and the path of an operator's file where there is one.
+func Process() int {
+	file, err := operator.FromEnv(os.Getenv)
+	if err != nil {
+		log := zerolog.New(os.Stderr).With().Timestamp().Logger()
+		log.Error().Err(err).Msg("bad operator's file")
+		return 1
+	}
+	return Main(Options{Operator: file})
+}
+
+// Main runs a sidecar as a process until it is told to stop, and returns the
+// process's exit code.
+func Main(opts Options) int {
+	runtime.GOMAXPROCS(1) // it has one core at most, and shares that
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	var dropped atomic.Int64
+	out := diode.NewWriter(os.Stderr, logLines, 0, func(missed int) { dropped.Add(int64(missed)) })
+	defer out.Close() // writes what is left
+	log := zerolog.New(out).With().Timestamp().Logger()
+	sig := heedSignals()
+	conf, err := config.Load(os.Getenv)
+	if err != nil {
+		log.Error().Err(err).Msg("bad configuration")
+		return 1
+	}
+	log = log.With().Str("sidecar", conf.Name).Logger()
+	debug.SetMemoryLimit(conf.HeapBytes)
+	sidecar, err := Start(conf, log, opts)
+	if err != nil {
+		log.Error().Err(err).Msg("cannot start")
+		return 1
+	}
+	code := sidecar.attend(sig, os.Getenv)
+	if n := dropped.Load(); n > 0 {
+		log.Warn().Int64("lines", n).Msg("log lines dropped")
+	}
+	return code
+}
+
+// signals are those that a sidecar heeds, a channel each: one that repeats must
+// not take another's place.
+type signals struct{ stop, reload, report chan os.Signal }
+
+// heedSignals is called before anything else: a signal that comes early must wait,
+// not end the process.
+func heedSignals() signals {
+	s := signals{make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan os.Signal, 1)}
+	signal.Notify(s.stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(s.reload, syscall.SIGHUP)
+	signal.Notify(s.report, syscall.SIGUSR1)
+	return s
+}
+
+// attend heeds signals until one says to stop, or the server ends. A SIGHUP that
+// comes during a reload brings one more; those that come during a stop are nothing.
+func (s *Sidecar) attend(sig signals, env func(string) string) int {
+	for {
+		select {
+		case <-sig.stop:
+			s.Stop()
+			return 0
+		case <-sig.reload:
+			s.reload(env)
+		case <-sig.report:
+			s.log.Info().Object("counters", s.Counters()).Int("callers", s.callers.Open()).Msg("counters")
+		case err := <-s.served:
+			s.log.Error().Err(err).Msg("cannot accept connections")
+			return 1
+		}
+	}
+}
+
+// reload takes over what a changed configuration may change in a running sidecar:
+// the address of discovery. A faulty one changes nothing.
+func (s *Sidecar) reload(env func(string) string) {
+	next, err := config.Reload(env)
+	if err != nil {
+		s.log.Error().Err(err).Msg("bad configuration, the old one stays")
+		return
+	}
+	if keys := s.conf.NeedRestart(next); len(keys) > 0 {
+		s.log.Warn().Strs("keys", keys).Msg("changed keys need a restart")
+	}
+	s.engine.Move(next.Discovery)
+	s.log.Info().Str("discovery", next.Discovery).Msg("reloaded")
+}
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/sidecar.go
@@ -4,21 +4,14 @@
 import (
 	"context"
 	"fmt"
-	"net"
-	"os"
-	"os/signal"
-	"runtime"
-	"runtime/debug"
-	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/rs/zerolog/diode"
 	"github.com/valyala/fasthttp"
 
 	"heathgap/decide"
 	"heathgap/internal/config"
+	"heathgap/internal/env"
 	"heathgap/internal/httpwire"
 	"heathgap/internal/operator"
 	"heathgap/internal/pipeline"
@@ -42,8 +35,6 @@
 	idleTime  = 15 * time.Second // callers keep connections; what is forgotten ends at last
 	writeTime = 5 * time.Second  // an answer must be taken by then
 
-	logLines = 4096 // kept for a log that is read slowly; beyond them lines are dropped, so that nobody waits
-
 	spareWorkers = 256 // above the callers' connections: fasthttp must never refuse by itself
 )
 
@@ -52,6 +43,7 @@
 	conf    *config.Config
 	log     zerolog.Logger
 	ends    zerolog.Logger // for ends of connections
+	world   env.Env
 	engine  *pipeline.Engine
 	callers *httpwire.Callers
 	server  *fasthttp.Server
@@ -78,6 +70,7 @@
 type Options struct {
 	Operator operator.File
 	Decider  Decider // nil for the module
+	World    env.Env // nil for the real one
 }
 
 // Start starts a sidecar; it takes requests when Start has returned.
@@ -85,6 +78,10 @@
 	if opts.Decider == nil {
 		opts.Decider = Module
 	}
+	if opts.World == nil {
+		opts.World = env.Real{}
+	}
+	world := opts.World
 	balancer, err := opts.Decider(conf)
 	if err != nil {
 		return nil, err
@@ -94,24 +91,24 @@
 	if n := opts.Operator.Log.ConnectionEnded; n > 1 {
 		ends = log.Sample(zerolog.LevelSampler{InfoSampler: &zerolog.BasicSampler{N: uint32(n)}})
 	}
-	engine := pipeline.New(conf, pipeline.Logs{All: log, Ends: ends}, balancer)
-	listener, err := net.Listen("tcp", conf.Listen)
+	engine := pipeline.New(conf, world, pipeline.Logs{All: log, Ends: ends}, balancer)
+	listener, err := world.Listen(conf.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	s := &Sidecar{
-		conf: conf, log: log, ends: ends, engine: engine, ran: make(chan struct{}), served: make(chan error, 1),
+		conf: conf, log: log, ends: ends, world: world, engine: engine, ran: make(chan struct{}), served: make(chan error, 1),
 	}
 	s.stayFor = max(leastStay, s.finishTime()-s.shortestAim())
-	s.callers = httpwire.NewCallers(listener, conf.CallerConns, s.callerEnded)
+	s.callers = httpwire.NewCallers(listener, world, conf.CallerConns, s.callerEnded)
 	s.server = newServer(engine, conf)
 	var ctx context.Context
 	ctx, s.cancel = context.WithCancel(context.Background())
-	go func() {
+	world.Go("owner", func() {
 		defer close(s.ran)
 		engine.Run(ctx)
-	}()
-	go func() { s.served <- s.server.Serve(s.callers) }()
+	})
+	world.Go("server", func() { s.served <- s.server.Serve(s.callers) })
 	log.Info().Str("listen", listener.Addr().String()).Str("discovery", conf.Discovery).Msg("ready")
 	return s, nil
 }
@@ -159,10 +156,10 @@
 // sidecar. When a request that comes may not be answered any more before the
 // platform kills the process, each answer becomes the last on its connection.
 func (s *Sidecar) Stop() {
-	begin := time.Now()
+	begin := s.world.Now()
 	s.engine.Unready()
 	s.log.Info().Msg("stopping")
-	time.Sleep(s.stayFor)
+	s.world.Sleep(s.stayFor)
 	s.engine.Drain()
 	s.callers.Close()
 	s.emptyOut(begin.Add(s.finishTime()))
@@ -175,9 +172,9 @@
 
 // emptyOut waits until all callers have their answers, until a time at most.
 func (s *Sidecar) emptyOut(until time.Time) {
-	for s.callers.Open() > 0 && time.Now().Before(until) {
+	for s.callers.Open() > 0 && s.world.Now().Before(until) {
 		s.callers.RetireIdle(httpwire.ReasonShutdown)
-		time.Sleep(pollEvery)
+		s.world.Sleep(pollEvery)
 	}
 }
 
@@ -198,92 +195,3 @@
 	}
 	return shortest
 }
-
-// Process runs a sidecar that only its environment tells what to do: BALANCER_*,
-// and the path of an operator's file where there is one.
-func Process() int {
-	file, err := operator.FromEnv(os.Getenv)
-	if err != nil {
-		log := zerolog.New(os.Stderr).With().Timestamp().Logger()
-		log.Error().Err(err).Msg("bad operator's file")
-		return 1
-	}
-	return Main(Options{Operator: file})
-}
-
-// Main runs a sidecar as a process until it is told to stop, and returns the
-// process's exit code.
-func Main(opts Options) int {
-	runtime.GOMAXPROCS(1) // it has one core at most, and shares that
-	zerolog.TimeFieldFormat = time.RFC3339Nano
-	var dropped atomic.Int64
-	out := diode.NewWriter(os.Stderr, logLines, 0, func(missed int) { dropped.Add(int64(missed)) })
-	defer out.Close() // writes what is left
-	log := zerolog.New(out).With().Timestamp().Logger()
-	sig := heedSignals()
-	conf, err := config.Load(os.Getenv)
-	if err != nil {
-		log.Error().Err(err).Msg("bad configuration")
-		return 1
-	}
-	log = log.With().Str("sidecar", conf.Name).Logger()
-	debug.SetMemoryLimit(conf.HeapBytes)
-	sidecar, err := Start(conf, log, opts)
-	if err != nil {
-		log.Error().Err(err).Msg("cannot start")
-		return 1
-	}
-	code := sidecar.attend(sig, os.Getenv)
-	if n := dropped.Load(); n > 0 {
-		log.Warn().Int64("lines", n).Msg("log lines dropped")
-	}
-	return code
-}
-
-// signals are those that a sidecar heeds, a channel each: one that repeats must
-// not take another's place.
-type signals struct{ stop, reload, report chan os.Signal }
-
-// heedSignals is called before anything else: a signal that comes early must wait,
-// not end the process.
-func heedSignals() signals {
-	s := signals{make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan os.Signal, 1)}
-	signal.Notify(s.stop, syscall.SIGTERM, syscall.SIGINT)
-	signal.Notify(s.reload, syscall.SIGHUP)
-	signal.Notify(s.report, syscall.SIGUSR1)
-	return s
-}
-
-// attend heeds signals until one says to stop, or the server ends. A SIGHUP that
-// comes during a reload brings one more; those that come during a stop are nothing.
-func (s *Sidecar) attend(sig signals, env func(string) string) int {
-	for {
-		select {
-		case <-sig.stop:
-			s.Stop()
-			return 0
-		case <-sig.reload:
-			s.reload(env)
-		case <-sig.report:
-			s.log.Info().Object("counters", s.Counters()).Int("callers", s.callers.Open()).Msg("counters")
-		case err := <-s.served:
-			s.log.Error().Err(err).Msg("cannot accept connections")
-			return 1
-		}
-	}
-}
-
-// reload takes over what a changed configuration may change in a running sidecar:
-// the address of discovery. A faulty one changes nothing.
-func (s *Sidecar) reload(env func(string) string) {
-	next, err := config.Reload(env)
-	if err != nil {
-		s.log.Error().Err(err).Msg("bad configuration, the old one stays")
-		return
-	}
-	if keys := s.conf.NeedRestart(next); len(keys) > 0 {
-		s.log.Warn().Strs("keys", keys).Msg("changed keys need a restart")
-	}
-	s.engine.Move(next.Discovery)
-	s.log.Info().Str("discovery", next.Discovery).Msg("reloaded")
-}
--- a/internal/pipeline/discover.go
+++ b/internal/pipeline/discover.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"heathgap/decide"
+	"heathgap/internal/env"
 	"heathgap/internal/httpwire"
 )
 
@@ -94,14 +94,15 @@
 		return
 	}
 	e.watch.running = true
-	go e.runWatch(e.watch)
+	w := e.watch
+	e.world.Go("discovery", func() { e.runWatch(w) })
 }
 
 // runWatch watches until a call fails or the watch is ended.
 func (e *Engine) runWatch(w *watch) {
 	for {
 		before, known := w.index, w.known
-		list, keep, err := w.call()
+		list, keep, err := w.call(e.world)
 		if err != nil {
 			e.endWatch(w, httpwire.ReasonBroken, err)
 			e.post(listFailed{w})
@@ -112,9 +113,11 @@
 		}
 		e.post(listCame{w, list})
 		if known && list.Index == before {
+			pause := e.world.NewTimer(stalePause)
 			select {
-			case <-time.After(stalePause):
+			case <-pause.C:
 			case <-w.ended.Done():
+				pause.Stop()
 			}
 		}
 	}
@@ -122,14 +125,14 @@
 
 // call makes one call to discovery: it fetches the whole list while there is
 // none, and else waits for what is newer.
-func (w *watch) call() (list *httpwire.List, keep bool, err error) {
+func (w *watch) call(world env.Env) (list *httpwire.List, keep bool, err error) {
 	message, limit := httpwire.EncodeFetch(), w.times.fetch
 	if w.known {
-		wait := w.times.wait + rand.N(w.times.spread)
+		wait := w.times.wait + world.Chance(w.times.spread)
 		message, limit = httpwire.EncodeWatch(w.index, wait), wait+w.times.beyond
 	}
 	if w.link == nil {
-		link, err := httpwire.Dial(w.ended, w.address, w.times.dial)
+		link, err := httpwire.Dial(w.ended, world, w.address, w.times.dial)
 		if err != nil {
 			return nil, false, err
 		}
@@ -137,7 +140,7 @@
 	}
 	stop := context.AfterFunc(w.ended, w.link.Close)
 	defer stop()
-	if _, err := w.link.Send(message, time.Now().Add(limit)); err != nil {
+	if _, err := w.link.Send(message, world.Now().Add(limit)); err != nil {
 		return nil, false, fmt.Errorf("writing: %w", err)
 	}
 	answer, keep, err := httpwire.DecodeListReply(w.link.Reader())
@@ -210,8 +213,8 @@
 		e.tell(decide.Event{Kind: decide.ListFailed})
 		return
 	}
-	pause := rewatchPause + rand.N(rewatchPause)
-	time.AfterFunc(pause, func() { e.post(rewatch{}) })
+	pause := rewatchPause + e.world.Chance(rewatchPause)
+	e.world.AfterFunc(pause, func() { e.post(rewatch{}) })
 }
 
 // rewatch begins a new watch after a pause.
--- a/internal/pipeline/engine.go
+++ b/internal/pipeline/engine.go
@@ -15,6 +15,7 @@
 
 	"heathgap/decide"
 	"heathgap/internal/config"
+	"heathgap/internal/env"
 	"heathgap/internal/httpwire"
 	"heathgap/internal/state"
 )
@@ -46,6 +47,7 @@
 	conf      *config.Config
 	log       zerolog.Logger
 	ends      zerolog.Logger // for ends of connections
+	world     env.Env
 	clock     state.Clock
 	events    chan event
 	stopped   chan struct{} // closed when Run has returned
@@ -69,9 +71,9 @@
 }
 
 // New returns an engine that has not started.
-func New(conf *config.Config, logs Logs, balancer Decider) *Engine {
+func New(conf *config.Config, world env.Env, logs Logs, balancer Decider) *Engine {
 	e := &Engine{
-		conf: conf, log: logs.All, ends: logs.Ends, clock: state.NewClock(), balancer: balancer,
+		conf: conf, log: logs.All, ends: logs.Ends, world: world, clock: state.NewClock(world), balancer: balancer,
 		events: make(chan event, eventQueue), stopped: make(chan struct{}),
 		requests: state.NewRequests(), endpoints: state.NewEndpoints(),
 	}
@@ -87,7 +89,7 @@
 	e.sweepAt = e.clock.Now() + sweepEvery
 	e.tell(decide.Event{Kind: decide.Start})
 	e.startList()
-	timer := time.NewTimer(0)
+	timer := e.world.NewTimer(0)
 	defer timer.Stop()
 	for {
 		e.runDue()
--- a/internal/pipeline/send.go
+++ b/internal/pipeline/send.go
@@ -45,7 +45,8 @@
 	var ctx context.Context
 	ctx, attempt.GiveUp = context.WithCancel(context.Background())
 	e.timeouts.Add(attempt)
-	go e.exchange(ctx, attempt, link, to.Address)
+	address := to.Address // as it is now: the line may change
+	e.world.Go("exchange", func() { e.exchange(ctx, attempt, link, address) })
 }
 
 // exchanged is how an exchange has ended: its connection, and its outcome.
@@ -69,7 +70,7 @@
 	}()
 	if link == nil {
 		var err error
-		if link, err = httpwire.Dial(ctx, address, e.conf.ConnectTimeout); err != nil {
+		if link, err = httpwire.Dial(ctx, e.world, address, e.conf.ConnectTimeout); err != nil {
 			done.outcome, done.ended = decide.ConnectFailed, httpwire.ReasonDialFailed
 			return
 		}
--- a/internal/pipeline/send_test.go
+++ b/internal/pipeline/send_test.go
@@ -10,6 +10,7 @@
 
 	"heathgap/decide"
 	"heathgap/internal/config"
+	"heathgap/internal/env"
 	"heathgap/internal/httpwire"
 	"heathgap/internal/state"
 )
@@ -24,7 +25,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return New(conf, Logs{All: zerolog.Nop(), Ends: zerolog.Nop()}, balancer)
+	return New(conf, env.Real{}, Logs{All: zerolog.Nop(), Ends: zerolog.Nop()}, balancer)
 }
 
 // An attempt whose time is up while its connection is still being made has never
--- a/internal/state/clock.go
+++ b/internal/state/clock.go
@@ -8,18 +8,22 @@
 	"time"
 
 	"heathgap/decide"
+	"heathgap/internal/env"
 )
 
 // Clock tells the module's time: since the Unix epoch, as starts of endpoints
 // are told, and monotonic from the process's start on.
-type Clock struct{ started time.Time }
+type Clock struct {
+	world   env.Env
+	started time.Time
+}
 
 // NewClock returns a clock that begins now.
-func NewClock() Clock { return Clock{started: time.Now()} }
+func NewClock(world env.Env) Clock { return Clock{world: world, started: world.Now()} }
 
 // Now is the present time.
 func (c Clock) Now() decide.Time {
-	return decide.Time(c.started.UnixNano()) + time.Since(c.started)
+	return decide.Time(c.started.UnixNano()) + c.world.Now().Sub(c.started)
 }
 
 // At is the moment of a time, for deadlines of connections.
--- a/internal/state/request.go
+++ b/internal/state/request.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -82,8 +83,11 @@
 // Get returns a kept request, or nil.
 func (t *Requests) Get(id decide.RequestID) *Request { return t.byID[id] }
 
-// All returns the kept requests.
-func (t *Requests) All() []*Request { return slices.Collect(maps.Values(t.byID)) }
+// All returns the kept requests, the oldest first: a map's order must not decide
+// what any of them gets.
+func (t *Requests) All() []*Request {
+	return slices.SortedFunc(maps.Values(t.byID), func(a, b *Request) int { return cmp.Compare(a.ID, b.ID) })
+}
 
 // Held is how many requests are without a final answer.
 func (t *Requests) Held() int { return len(t.open) }
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"heathgap/decide"
+	"heathgap/internal/env"
 	"heathgap/internal/httpwire"
 )
 
@@ -65,7 +66,7 @@
 		t.Fatal(err)
 	}
 	defer listener.Close()
-	link, err := httpwire.Dial(t.Context(), listener.Addr().String(), 10*time.Second)
+	link, err := httpwire.Dial(t.Context(), env.Real{}, listener.Addr().String(), 10*time.Second)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -222,7 +223,7 @@
 
 // Starts of endpoints are told since the epoch, long before this process's.
 func TestClockCountsFromTheEpoch(t *testing.T) {
-	c := NewClock()
+	c := NewClock(env.Real{})
 	now := c.Now()
 	if off := time.Until(time.Unix(0, int64(now))); off > time.Second || off < -time.Second {
 		t.Errorf("off by %v", off)
