--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -82,6 +82,9 @@
 	return err
 }
 
+// Parse reads a configuration's text as a start would.
+func Parse(text []byte, env func(string) string) (*Config, error) { return parse(text, env, false) }
+
 func load(env func(string) string, running bool) (*Config, error) {
 	path := env(EnvFile)
 	if path == "" {
--- a/internal/env/env.go
+++ b/internal/env/env.go
@@ -15,7 +15,7 @@
 	// Now is the present time, monotonic within a process.
 	Now() time.Time
 	// NewTimer returns a timer that fires once, as time.NewTimer does.
-	NewTimer(d time.Duration) *time.Timer
+	NewTimer(d time.Duration) Timer
 	// AfterFunc calls f in a goroutine of its own after a time.
 	AfterFunc(d time.Duration, f func())
 	// Sleep pauses the calling goroutine.
@@ -30,6 +30,13 @@
 	Chance(d time.Duration) time.Duration
 }
 
+// Timer is a time.Timer. After Stop or Reset no stale time is received.
+type Timer interface {
+	C() <-chan time.Time
+	Reset(d time.Duration)
+	Stop()
+}
+
 // Real is the machine that the process runs on.
 type Real struct{}
 
@@ -37,7 +44,18 @@
 func (Real) Now() time.Time { return time.Now() }
 
 // NewTimer is time.NewTimer.
-func (Real) NewTimer(d time.Duration) *time.Timer { return time.NewTimer(d) }
+func (Real) NewTimer(d time.Duration) Timer { return realTimer{time.NewTimer(d)} }
+
+type realTimer struct{ t *time.Timer }
+
+// C is where the time comes.
+func (r realTimer) C() <-chan time.Time { return r.t.C }
+
+// Reset is time.Timer's.
+func (r realTimer) Reset(d time.Duration) { r.t.Reset(d) }
+
+// Stop is time.Timer's.
+func (r realTimer) Stop() { r.t.Stop() }
 
 // AfterFunc is time.AfterFunc.
 func (Real) AfterFunc(d time.Duration, f func()) { time.AfterFunc(d, f) }
--- a/internal/httpwire/answer.go
+++ b/internal/httpwire/answer.go
@@ -95,6 +95,9 @@
 	return false
 }
 
+// Left is how many bytes are left.
+func (m *Room) Left() int64 { return m.left.Load() }
+
 // Return gives bytes back.
 func (m *Room) Return(bytes int) { m.left.Add(int64(bytes)) }
 
--- a/internal/lifecycle/sidecar.go
+++ b/internal/lifecycle/sidecar.go
@@ -170,6 +170,16 @@
 	s.log.Info().Object("counters", s.engine.Snapshot()).Int("callers", s.callers.Open()).Msg("stopped")
 }
 
+// Abandon ends all at once, as the end of a process does: nothing is answered. A
+// simulated world calls it when it has cut the sidecar's connections.
+func (s *Sidecar) Abandon() {
+	s.cancel()
+	s.callers.Close()
+}
+
+// Audit checks what the engine keeps; it must stand still meanwhile.
+func (s *Sidecar) Audit() error { return s.engine.Audit() }
+
 // emptyOut waits until all callers have their answers, until a time at most.
 func (s *Sidecar) emptyOut(until time.Time) {
 	for s.callers.Open() > 0 && s.world.Now().Before(until) {
--- /dev/null
+++ b/internal/pipeline/audit.go
@@ -0,0 +1,36 @@
+package pipeline
+
+import "fmt"
+
+// Audit checks that what the engine keeps adds up. It is for tests and simulations:
+// it reads the owner's state, which must stand still meanwhile.
+func (e *Engine) Audit() error {
+	if most := e.conf.Transport.MostHeld; most > 0 && e.requests.Held() > most {
+		return fmt.Errorf("%d requests are held, and %d may be", e.requests.Held(), most)
+	}
+	if err := e.requests.Audit(); err != nil {
+		return err
+	}
+	out := 0
+	for _, r := range e.requests.All() {
+		for _, a := range r.Attempts {
+			if !a.Settled {
+				out++
+			}
+		}
+	}
+	if n := e.timeouts.Len(); n != out {
+		return fmt.Errorf("%d attempts are out, and %d wait for their time-outs", out, n)
+	}
+	if err := e.pool.Audit(); err != nil {
+		return err
+	}
+	ends := e.counters.Served + e.counters.Refused + e.counters.Failed + e.counters.Left
+	if ends+e.requests.Held() != e.counters.Taken {
+		return fmt.Errorf("%d requests taken, %d ended, %d held", e.counters.Taken, ends, e.requests.Held())
+	}
+	if left, all := e.room.Left(), e.conf.AnswerBytes; left < 0 || left > all {
+		return fmt.Errorf("room for answers: %d of %d left", left, all)
+	}
+	return nil
+}
--- a/internal/pipeline/discover.go
+++ b/internal/pipeline/discover.go
@@ -115,7 +115,7 @@
 		if known && list.Index == before {
 			pause := e.world.NewTimer(stalePause)
 			select {
-			case <-pause.C:
+			case <-pause.C():
 			case <-w.ended.Done():
 				pause.Stop()
 			}
--- a/internal/pipeline/engine.go
+++ b/internal/pipeline/engine.go
@@ -98,7 +98,7 @@
 		case <-ctx.Done():
 			e.watch.end()
 			return
-		case <-timer.C:
+		case <-timer.C():
 		case ev := <-e.events:
 			e.runDue() // what is late is late, whatever has come in the meantime
 			ev.handle(e)
--- a/internal/state/pool.go
+++ b/internal/state/pool.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -139,3 +140,21 @@
 		delete(p.holders, e)
 	}
 }
+
+// Audit checks that what is kept adds up.
+func (p *Pool) Audit() error {
+	idle := 0
+	for e := range p.holders {
+		if len(e.idle) == 0 {
+			return fmt.Errorf("endpoint %s: no idle connection, and it counts as having some", e.Name)
+		}
+		if !e.Listed {
+			return fmt.Errorf("endpoint %s: it has left, and keeps idle connections", e.Name)
+		}
+		idle += len(e.idle)
+	}
+	if p.open < idle || p.open > p.most {
+		return fmt.Errorf("%d connections are counted, %d are idle, and %d may be", p.open, idle, p.most)
+	}
+	return nil
+}
--- a/internal/state/request.go
+++ b/internal/state/request.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"sync/atomic"
@@ -131,3 +132,25 @@
 		delete(t.byID, r.ID)
 	}
 }
+
+// Audit checks that what is kept adds up.
+func (t *Requests) Audit() error {
+	for id, r := range t.byID {
+		out := 0
+		for _, a := range r.Attempts {
+			if !a.Settled {
+				out++
+			}
+		}
+		if out != r.out {
+			return fmt.Errorf("request %d: %d attempts are out, and %d are counted", id, out, r.out)
+		}
+		if r.Over && out == 0 {
+			return fmt.Errorf("request %d: it is over and kept", id)
+		}
+		if _, open := t.open[r.Message.ID]; !open && !r.Over {
+			return fmt.Errorf("request %d: its caller's id %q is not open", id, r.Message.ID)
+		}
+	}
+	return nil
+}
--- a/internal/state/timeouts.go
+++ b/internal/state/timeouts.go
@@ -62,3 +62,6 @@
 	a.place = 0
 	return a
 }
+
+// Len is how many attempts are out.
+func (t *Timeouts) Len() int { return len(t.byUntil) }
