--- a/internal/lifecycle/sidecar.go
+++ b/internal/lifecycle/sidecar.go
@@ -177,6 +177,9 @@
 	s.callers.Close()
 }
 
+// Move goes on with the list of another discovery.
+func (s *Sidecar) Move(discovery string) { s.engine.Move(discovery) }
+
 // Audit checks what the engine keeps; it must stand still meanwhile.
 func (s *Sidecar) Audit() error { return s.engine.Audit() }
 
--- /dev/null
+++ b/internal/sim/world.go
@@ -0,0 +1,212 @@
+// Package sim runs the sidecar's network code in a world of its own: virtual time,
+// connections that carry real bytes, endpoints, discovery, clients and faults, all
+// of which follow from one seed. After each step the rules and the engine's books are
+// checked.
+//
+// Goroutines of the sidecar are real and live in a testing/synctest bubble. Whatever
+// one does that others can see (a read, a write, a dial, the start of a goroutine, a
+// timer) parks it until the scheduler releases it. The scheduler acts only when all
+// stand still, and picks by the seed among the steps that are ready; so that no two
+// goroutines run at once in an order that nobody chose.
+package sim
+
+import (
+	"fmt"
+	"hash"
+	"hash/fnv"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// op is something that a goroutine wants to do and waits to be allowed.
+type op struct {
+	key     string // unique among what is parked
+	ready   func(now time.Time) bool
+	due     func() time.Time // when it becomes ready by itself; zero for never
+	release chan struct{}
+}
+
+// event is something that the world does at a time.
+type event struct {
+	key string
+	at  time.Time
+	do  func()
+	off bool // it was called off
+}
+
+// World is the simulated world. Its own state changes in steps alone; the mutex is for
+// goroutines that park while the scheduler looks.
+type World struct {
+	wait  func() // until all other goroutines of the bubble stand still
+	order *rand.Rand
+	wake  chan struct{}
+
+	mu     sync.Mutex
+	parked []*op
+	events []*event
+	closed bool // nothing parks any more
+
+	start time.Time
+	steps int
+	sum   hash.Hash64
+	trace io.Writer // nil for none
+	check func() error
+}
+
+// newWorld returns a world; wait is synctest.Wait.
+func newWorld(seed uint64, wait func(), trace io.Writer) *World {
+	return &World{
+		wait: wait, order: rand.New(rand.NewPCG(seed, 11)), wake: make(chan struct{}, 1), start: time.Now(),
+		sum: fnv.New64a(), trace: trace,
+	}
+}
+
+// now is the virtual time since the world began.
+func (w *World) now() time.Duration { return time.Since(w.start) }
+
+// poke has the scheduler look again.
+func (w *World) poke() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+// park waits until the scheduler releases it. ready and due are asked with w.mu held;
+// a nil ready is ready at once.
+func (w *World) park(key string, ready func(now time.Time) bool, due func() time.Time) {
+	o := &op{key: key, ready: ready, due: due, release: make(chan struct{})}
+	w.mu.Lock()
+	if w.closed {
+		w.mu.Unlock()
+		return
+	}
+	w.parked = append(w.parked, o)
+	w.mu.Unlock()
+	w.poke()
+	<-o.release
+}
+
+// at has the world do something at a time, and returns it to be called off.
+func (w *World) at(key string, at time.Time, do func()) *event {
+	e := &event{key: key, at: at, do: do}
+	w.mu.Lock()
+	w.events = append(w.events, e)
+	w.mu.Unlock()
+	w.poke()
+	return e
+}
+
+// after is at, counted from now.
+func (w *World) after(key string, d time.Duration, do func()) *event {
+	return w.at(key, time.Now().Add(d), do)
+}
+
+// off calls an event off.
+func (w *World) off(e *event) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e.off = true
+}
+
+// step is one thing that may come next.
+type step struct {
+	key   string
+	op    *op
+	event *event
+}
+
+// ready lists what may come next, in an order that does not depend on how it came
+// about, and when the next thing becomes ready by itself.
+func (w *World) ready() (steps []step, next time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	sooner := func(at time.Time) {
+		if !at.IsZero() && (next.IsZero() || at.Before(next)) {
+			next = at
+		}
+	}
+	w.events = slices.DeleteFunc(w.events, func(e *event) bool { return e.off })
+	for _, e := range w.events {
+		if e.at.After(now) {
+			sooner(e.at)
+			continue
+		}
+		steps = append(steps, step{key: e.key, event: e})
+	}
+	for _, o := range w.parked {
+		if o.ready == nil || o.ready(now) {
+			steps = append(steps, step{key: o.key, op: o})
+			continue
+		}
+		if o.due != nil {
+			sooner(o.due())
+		}
+	}
+	slices.SortFunc(steps, func(a, b step) int { return strings.Compare(a.key, b.key) })
+	return steps, next
+}
+
+// run takes steps until done says so, a check fails, or nothing is left to come.
+func (w *World) run(done func() bool) error {
+	for {
+		w.wait()
+		if w.check != nil {
+			if err := w.check(); err != nil {
+				return err
+			}
+		}
+		if done() {
+			return nil
+		}
+		steps, next := w.ready()
+		if len(steps) > 0 {
+			w.take(steps[w.order.IntN(len(steps))], len(steps))
+			continue
+		}
+		if next.IsZero() {
+			return fmt.Errorf("step %d at %v: nothing is left to come", w.steps, w.now())
+		}
+		select {
+		case <-time.After(time.Until(next)):
+		case <-w.wake:
+		}
+	}
+}
+
+// take takes one step.
+func (w *World) take(s step, among int) {
+	w.steps++
+	line := fmt.Sprintf("%d %d %s %d\n", w.steps, w.now(), s.key, among)
+	io.WriteString(w.sum, line) //nolint:errcheck // a hash does not fail
+	if w.trace != nil {
+		io.WriteString(w.trace, line) //nolint:errcheck // a trace that is cut short shows that
+	}
+	w.mu.Lock()
+	if s.op != nil {
+		w.parked = slices.DeleteFunc(w.parked, func(o *op) bool { return o == s.op })
+		w.mu.Unlock()
+		close(s.op.release)
+		return
+	}
+	w.events = slices.DeleteFunc(w.events, func(e *event) bool { return e == s.event })
+	w.mu.Unlock()
+	s.event.do()
+}
+
+// close lets all go that is parked, for good: the run is over.
+func (w *World) close() {
+	w.mu.Lock()
+	w.closed = true
+	parked := w.parked
+	w.parked, w.events = nil, nil
+	w.mu.Unlock()
+	for _, o := range parked {
+		close(o.release)
+	}
+}
