--- /dev/null
+++ b/decide/audit.go
@@ -0,0 +1,37 @@
+package decide
+
+import "fmt"
+
+// Audit checks that what a balancer keeps adds up, and returns how many attempts it
+// takes to be out. It decides nothing; tests and simulations call it between events.
+func (b *Balancer) Audit() (out int, err error) {
+	if t := b.bucket.tokens; t < 0 || t > floorBurst {
+		return 0, fmt.Errorf("bucket: %v tokens, beyond 0 to %v", t, floorBurst)
+	}
+	inFlight := map[*endpoint]int{}
+	for id, r := range b.held {
+		n := 0
+		for i := range r.attempts {
+			if a := &r.attempts[i]; !a.settled {
+				n++
+				inFlight[a.to]++
+			}
+		}
+		if n != r.out {
+			return 0, fmt.Errorf("request %d: %d attempts are out, and %d are counted", id, n, r.out)
+		}
+		if r.over && n == 0 {
+			return 0, fmt.Errorf("request %d: it is over and held", id)
+		}
+		out += n
+	}
+	if out != b.hold.out {
+		return 0, fmt.Errorf("%d attempts are out, and the hold counts %d", out, b.hold.out)
+	}
+	for _, e := range b.fleet.order {
+		if e.inFlight != inFlight[e] {
+			return 0, fmt.Errorf("endpoint %d: %d attempts are out, and %d are counted", e.id, inFlight[e], e.inFlight)
+		}
+	}
+	return out, nil
+}
--- a/internal/pipeline/audit.go
+++ b/internal/pipeline/audit.go
@@ -22,6 +22,15 @@
 	if n := e.timeouts.Len(); n != out {
 		return fmt.Errorf("%d attempts are out, and %d wait for their time-outs", out, n)
 	}
+	if m, ok := e.balancer.(interface{ Audit() (int, error) }); ok {
+		theirs, err := m.Audit()
+		if err != nil {
+			return fmt.Errorf("module: %w", err)
+		}
+		if theirs != out {
+			return fmt.Errorf("%d attempts are out, and the module counts %d", out, theirs)
+		}
+	}
 	if err := e.pool.Audit(); err != nil {
 		return err
 	}
--- a/internal/sim/models.go
+++ b/internal/sim/models.go
@@ -541,6 +541,11 @@
 		c.peerClose(false)
 		return
 	}
+	if k.limit == nil { // it broke before anything was written
+		k.refused(c)
+		c.peerClose(false)
+		return
+	}
 	a := k.ask
 	switch {
 	case c.proc.dead:
--- a/internal/sim/net.go
+++ b/internal/sim/net.go
@@ -68,7 +68,8 @@
 	if c.dice.Float64() < spikeShare {
 		most = spikeLatency
 	}
-	return leastLatency + time.Duration(c.dice.Int64N(int64(most)))
+	// On a grid: some things then come in the same instant, and the scheduler picks.
+	return leastLatency * time.Duration(1+c.dice.Int64N(int64(most/leastLatency)))
 }
 
 // post puts a segment on its way; w.mu is held. Segments of one way keep their order.
--- /dev/null
+++ b/internal/sim/replay_test.go
@@ -0,0 +1,70 @@
+package sim
+
+import (
+	"os"
+	"os/exec"
+	"runtime"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// printHash in the environment has the test's own program print the hash of a seed.
+const printHash = "HEATHGAP_SIM_HASH"
+
+const replaySeeds = 25
+
+// TestPrintHash is the other process of TestSameSeedSameTrace.
+func TestPrintHash(t *testing.T) {
+	if os.Getenv(printHash) == "" {
+		t.Skip("run by another test")
+	}
+	for seed := range uint64(replaySeeds) {
+		os.Stdout.WriteString("hash " + strconv.FormatUint(play(t, Draw(seed), Options{}).Hash, 16) + "\n")
+	}
+}
+
+// The same seed takes the same steps: twice in one process, with one processor and
+// with all, and in other processes.
+func TestSameSeedSameTrace(t *testing.T) {
+	var want []string
+	for seed := range uint64(replaySeeds) {
+		want = append(want, strconv.FormatUint(play(t, Draw(seed), Options{}).Hash, 16))
+	}
+	before := runtime.GOMAXPROCS(1)
+	for seed := range uint64(replaySeeds) {
+		if got := strconv.FormatUint(play(t, Draw(seed), Options{}).Hash, 16); got != want[seed] {
+			t.Errorf("seed %d: %s with one processor, %s with %d", seed, got, want[seed], before)
+		}
+	}
+	runtime.GOMAXPROCS(before)
+	for _, processors := range []string{"1", "8"} {
+		cmd := exec.Command(os.Args[0], "-test.run=^TestPrintHash$")
+		cmd.Env = append(os.Environ(), printHash+"=1", "GOMAXPROCS="+processors)
+		out, err := cmd.Output()
+		if err != nil {
+			t.Fatalf("%v: %s", err, out)
+		}
+		var got []string
+		for line := range strings.Lines(string(out)) {
+			if hash, ok := strings.CutPrefix(line, "hash "); ok {
+				got = append(got, strings.TrimSpace(hash))
+			}
+		}
+		if strings.Join(got, " ") != strings.Join(want, " ") {
+			t.Errorf("another process with %s processors:\n%v\nwant\n%v", processors, got, want)
+		}
+	}
+}
+
+// Different seeds take different steps: a hash that never changes would show nothing.
+func TestOtherSeedOtherTrace(t *testing.T) {
+	seen := map[uint64]uint64{}
+	for seed := range uint64(replaySeeds) {
+		hash := play(t, Draw(seed), Options{}).Hash
+		if other, known := seen[hash]; known {
+			t.Errorf("seeds %d and %d take the same steps", seed, other)
+		}
+		seen[hash] = seed
+	}
+}
--- a/internal/sim/run.go
+++ b/internal/sim/run.go
@@ -23,13 +23,15 @@
 
 // Figures of the simulated deployment.
 const (
-	coldFor     = 2 * time.Second
-	answerSlack = 20 * time.Millisecond
-	drainGrace  = 300 * time.Millisecond
-	askEvery    = 5 * time.Second
-	keyWindow   = 3 * time.Second
-	deadline    = time.Second
-	meanWork    = 15 * time.Millisecond
+	coldFor  = 2 * time.Second
+	coldFrom = 0.25
+	// More than so many times its present capacity, for so long, pushes a cold one over.
+	fallMultiple = 3.0
+	fallFor      = 500 * time.Millisecond
+	answerSlack  = 20 * time.Millisecond
+	drainGrace   = 300 * time.Millisecond
+	askEvery     = 5 * time.Second
+	deadline     = time.Second
 	// margin is what the network may add between a sidecar and who watches it: an
 	// answer and an attempt each on their way.
 	margin     = 4 * spikeLatency
@@ -119,9 +121,9 @@
 // Run plays a script. It must be called in a bubble of testing/synctest.
 func Run(script Script, opts Options) Result {
 	s := &simulation{
-		w: newWorld(script.Seed, opts.Wait, opts.Trace), script: script, opts: opts, work: meanWork,
+		w: newWorld(script.Seed, opts.Wait, opts.Trace), script: script, opts: opts, work: script.Work,
 		book: truth.New(truth.Conf{AnswerSlack: answerSlack, DrainGrace: drainGrace, AskEvery: askEvery, Margin: margin}),
-		keys: &keyMemory{window: keyWindow, seen: map[string]*keyRun{}}, routes: map[string]peer{},
+		keys: &keyMemory{window: script.Window, seen: map[string]*keyRun{}}, routes: map[string]peer{},
 		classes: map[string]decide.Class{
 			"look": {Effect: decide.Safe, Deadline: deadline}, "pay": {Effect: decide.Keyed, Deadline: deadline},
 			"burn": {Effect: decide.Unsafe, Deadline: deadline},
@@ -215,7 +217,7 @@
 		address = s.endpoints[place].address
 	}
 	st, err := station.New(station.Conf{
-		Cores: 2, Speed: 1, Slots: 8, Queue: 8, ColdFrom: 0.25, ColdFor: coldFor, FallMultiple: 4, FallFor: time.Second,
+		Cores: 1, Speed: 1, Slots: 8, Queue: 8, ColdFrom: coldFrom, ColdFor: coldFor, FallMultiple: fallMultiple, FallFor: fallFor,
 	}, s.now(), cold)
 	if err != nil {
 		panic(err) // the figures are right
@@ -275,7 +277,7 @@
 func (s *simulation) config(sc *sidecar) []byte {
 	class := func(name, effect string, worth float64) map[string]any {
 		return map[string]any{"name": name, "effect": effect, "group": "all", "aim": 200.0, "deadline": millis(deadline),
-			"window": millis(keyWindow), "worth": worth, "late_share": 0.5}
+			"window": millis(s.script.Window), "worth": worth, "late_share": 0.5}
 	}
 	text, err := json.Marshal(map[string]any{
 		"name": sc.name, "listen": sc.name + ":7070", "discovery": "discovery:1",
@@ -288,7 +290,7 @@
 			"bounds": map[string]any{"cancel": true, "second_copies": true, "retry_after": true, "max_attempts": 4,
 				"max_retry_after": 2000.0, "connect_timeout": 300.0, "conn_idle": 3000.0, "most_held": 200},
 			"rules": map[string]any{"answer_slack": millis(answerSlack), "ask_every": millis(askEvery), "cold": millis(coldFor),
-				"cold_from": 0.25, "drain_grace": millis(drainGrace), "fall_multiple": 4.0, "overload_for": 1000.0},
+				"cold_from": coldFrom, "drain_grace": millis(drainGrace), "fall_multiple": fallMultiple, "overload_for": millis(fallFor)},
 			"profiles": []any{class("look", "repeatable", 1), class("pay", "by_key", 3), class("burn", "once", 3)},
 		},
 	})
--- a/internal/sim/script.go
+++ b/internal/sim/script.go
@@ -57,6 +57,8 @@
 	Sidecars  int
 	Endpoints int
 	Duration  time.Duration
+	Window    time.Duration // in which keys are known
+	Work      time.Duration // of a request, on average
 	Asks      []Ask
 	Faults    []Fault
 }
@@ -68,19 +70,39 @@
 	mostBackends  = 6
 	leastAsks     = 40
 	moreAsks      = 80
-	mostFaults    = 8
+	heavyAsks     = 400 // of one script in heavyEvery
+	heavyEvery    = 6
+	mostFaults    = 10
+	stormEvery    = 4 // one script in so many has all four kinds of trouble at once
 	scriptTime    = 6 * time.Second
+	grid          = time.Millisecond // requests and faults begin on it, so that some meet in an instant
+	lightWork     = 15 * time.Millisecond
+	heavyWork     = 40 * time.Millisecond
+	longWindow    = 3 * time.Second
+	shortWindow   = 600 * time.Millisecond // of one script in three: repeats must stay within it
 )
 
+// drawTime draws a time on the grid.
+func drawTime(r *rand.Rand, most time.Duration) time.Duration {
+	return time.Duration(r.Int64N(int64(most/grid))) * grid
+}
+
 // Draw draws a script from a seed.
 func Draw(seed uint64) Script {
 	r := rand.New(rand.NewPCG(seed, 12))
 	s := Script{
 		Seed: seed, Sidecars: 1 + r.IntN(mostSidecars), Duration: scriptTime,
-		Endpoints: leastBackends + r.IntN(mostBackends-leastBackends+1),
+		Endpoints: leastBackends + r.IntN(mostBackends-leastBackends+1), Window: longWindow, Work: lightWork,
+	}
+	asks := leastAsks + r.IntN(moreAsks)
+	if r.IntN(heavyEvery) == 0 {
+		asks, s.Work = heavyAsks, heavyWork
 	}
-	for n := range leastAsks + r.IntN(moreAsks) {
-		a := Ask{ID: fmt.Sprintf("r%03d", n), At: time.Duration(r.Int64N(int64(s.Duration)))}
+	if r.IntN(3) == 0 {
+		s.Window = shortWindow
+	}
+	for n := range asks {
+		a := Ask{ID: fmt.Sprintf("r%03d", n), At: drawTime(r, s.Duration)}
 		switch k := r.IntN(10); {
 		case k < 5:
 			a.Class = "look"
@@ -110,13 +132,31 @@
 		}
 		s.Faults = append(s.Faults, Fault{
 			Kind: kinds[r.IntN(len(kinds))], Target: r.IntN(mostBackends),
-			At: time.Duration(r.Int64N(int64(s.Duration))), For: time.Duration(1 + r.Int64N(int64(2*time.Second))),
+			At: drawTime(r, s.Duration), For: grid + drawTime(r, longestFault),
 		})
 	}
+	if r.IntN(stormEvery) == 0 {
+		s.Faults = append(s.Faults, storm(r, s.Duration)...)
+	}
 	slices.SortStableFunc(s.Faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return s
 }
 
+// longestFault bounds how long a fault lasts.
+const longestFault = 2 * time.Second
+
+// storm draws a restart, a failure, a stall and a cold arrival that meet.
+func storm(r *rand.Rand, long time.Duration) (faults []Fault) {
+	meet := drawTime(r, long-longestFault) + longestFault/2
+	for _, kinds := range [][]Kind{{Kill, Stop}, {Errors, Half, Garbage, Refuse}, {Stall, Hang, CutOff}, {Cold, Crash}} {
+		before := drawTime(r, longestFault/2)
+		faults = append(faults, Fault{
+			Kind: kinds[r.IntN(len(kinds))], Target: r.IntN(mostBackends), At: meet - before, For: before + drawTime(r, longestFault/2),
+		})
+	}
+	return faults
+}
+
 // Overlap tells whether a restart, a failure, a stall and a cold arrival are all
 // under way at one time.
 func (s *Script) Overlap() bool {
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -1,10 +1,16 @@
 package sim
 
 import (
+	"cmp"
 	"flag"
 	"os"
+	"runtime"
+	"slices"
+	"strconv"
+	"sync"
 	"testing"
 	"testing/synctest"
+	"time"
 )
 
 var (
@@ -29,11 +35,76 @@
 		playOne(t, uint64(*oneSeed))
 		return
 	}
-	for seed := range uint64(*seeds) {
-		r := play(t, Draw(seed), Options{})
-		if r.Failure != nil {
-			t.Errorf("seed %d: %v", seed, r.Failure)
+	total := playSeeds(t, *seeds, Options{})
+	for _, f := range total.failures {
+		t.Errorf("seed %d: %v", f.seed, f.failure)
+	}
+	total.log(t)
+}
+
+// sum adds up runs.
+type sum struct {
+	runs, overlaps, steps, asks, faults, attempts int
+	verdicts                                      [4]int
+	simulated, took                               time.Duration
+	failures                                      []failedSeed
+}
+
+type failedSeed struct {
+	seed    uint64
+	failure *Failure
+}
+
+func (s *sum) log(t *testing.T) {
+	t.Helper()
+	n := float64(max(1, s.runs))
+	t.Logf("%d seeds in %v: %.1f requests, %.1f attempts, %.1f faults and %.0f steps a seed; %d with all four kinds of trouble at once; %.0f simulated seconds a second, %.0f steps a second; served %d, refused %d, failed %d",
+		s.runs, s.took.Round(time.Millisecond), float64(s.asks)/n, float64(s.attempts)/n, float64(s.faults)/n,
+		float64(s.steps)/n, s.overlaps, s.simulated.Seconds()/s.took.Seconds(), float64(s.steps)/s.took.Seconds(),
+		s.verdicts[0], s.verdicts[1], s.verdicts[2])
+}
+
+// playSeeds plays seeds from 0 on, on all processors.
+func playSeeds(t *testing.T, n int, opts Options) *sum {
+	t.Helper()
+	total := &sum{}
+	var mu sync.Mutex
+	began := time.Now()
+	t.Run("seeds", func(t *testing.T) {
+		workers := runtime.GOMAXPROCS(0)
+		for worker := range workers {
+			t.Run(strconv.Itoa(worker), func(t *testing.T) {
+				t.Parallel()
+				for seed := worker; seed < n; seed += workers {
+					script := Draw(uint64(seed))
+					r := play(t, script, opts)
+					mu.Lock()
+					total.add(uint64(seed), &script, r)
+					mu.Unlock()
+				}
+			})
 		}
+	})
+	total.took = time.Since(began)
+	slices.SortFunc(total.failures, func(a, b failedSeed) int { return cmp.Compare(a.seed, b.seed) })
+	return total
+}
+
+func (s *sum) add(seed uint64, script *Script, r Result) {
+	s.runs++
+	s.steps += r.Steps
+	s.asks += r.Asks
+	s.faults += r.Faults
+	s.attempts += r.Attempts
+	s.simulated += r.Time
+	for i, v := range r.Verdicts {
+		s.verdicts[i] += v
+	}
+	if script.Overlap() {
+		s.overlaps++
+	}
+	if r.Failure != nil {
+		s.failures = append(s.failures, failedSeed{seed, r.Failure})
 	}
 }
 
