Simulation: ten planted bugs, each found by its own rule and shrunk to a few requests

Bugs are planted by the tests alone, round the module or in a process's connections.

The scheduler now picks by the seed, the step's name and the time, not by a running draw: a script from which something is left out keeps the order of the rest, and gets small.

--- /dev/null
+++ b/internal/sim/bugs_test.go
@@ -0,0 +1,177 @@
+package sim
+
+import (
+	"flag"
+	"slices"
+	"testing"
+	"time"
+
+	"heathgap/decide"
+	"heathgap/internal/config"
+	"heathgap/internal/lab/truth"
+	"heathgap/internal/lifecycle"
+	"heathgap/internal/pipeline"
+)
+
+var bugSeeds = flag.Int("sim.bugseeds", 1000, "within so many seeds each planted bug must be found")
+
+// buggy is the module with a bug round it.
+type buggy struct {
+	inner pipeline.Decider
+	// before may change an event; false swallows it.
+	before func(now decide.Time, ev *decide.Event) bool
+	// after may change what is decided.
+	after func(now decide.Time, ev *decide.Event, out []decide.Action) []decide.Action
+}
+
+// Handle is pipeline.Decider's.
+func (b *buggy) Handle(now decide.Time, ev *decide.Event, out []decide.Action) []decide.Action {
+	changed := *ev
+	changed.Endpoints = slices.Clone(ev.Endpoints)
+	if b.before != nil && !b.before(now, &changed) {
+		return out
+	}
+	from := len(out)
+	out = b.inner.Handle(now, &changed, out)
+	if b.after != nil {
+		out = append(out[:from], b.after(now, &changed, slices.Clone(out[from:]))...)
+	}
+	return out
+}
+
+// Audit passes the module's on.
+func (b *buggy) Audit() (int, error) { return b.inner.(*decide.Balancer).Audit() }
+
+// round makes deciders with a bug; plant is called for each start of a sidecar.
+func round(plant func(conf *config.Config, b *buggy)) lifecycle.Decider {
+	return func(conf *config.Config) (pipeline.Decider, error) {
+		b := &buggy{}
+		own := *conf
+		own.Settings.Classes = slices.Clone(conf.Settings.Classes)
+		plant(&own, b)
+		inner, err := lifecycle.Module(&own)
+		b.inner = inner
+		return b, err
+	}
+}
+
+// lines plants a change of each line of a list.
+func lines(change func(l *decide.Endpoint)) lifecycle.Decider {
+	return round(func(_ *config.Config, b *buggy) {
+		b.before = func(_ decide.Time, ev *decide.Event) bool {
+			for i := range ev.Endpoints {
+				change(&ev.Endpoints[i])
+			}
+			return true
+		}
+	})
+}
+
+// bugs are planted by the tests alone, each to be found by its own rule.
+var bugs = map[string]struct {
+	opts  Options
+	rules []string // any of them names it
+}{
+	"sends again by itself when a used connection breaks": {
+		Options{Bug: func(p *Proc) { p.resend = true }}, []string{string(truth.Doubled), string(truth.SentAfter)}},
+	"does not look at the window": {
+		Options{Decider: round(func(conf *config.Config, _ *buggy) {
+			for i := range conf.Settings.Classes {
+				conf.Settings.Classes[i].Window = time.Hour
+			}
+		})}, []string{string(truth.Doubled)}},
+	"takes what is unsafe for safe": {
+		Options{Decider: round(func(conf *config.Config, _ *buggy) {
+			for i := range conf.Settings.Classes {
+				conf.Settings.Classes[i].Effect = decide.Safe
+			}
+		})}, []string{string(truth.Doubled)}},
+	"ignores drains": {
+		Options{Decider: lines(func(l *decide.Endpoint) {
+			if l.State == decide.Draining {
+				l.State = decide.Active
+			}
+		})}, []string{string(truth.Drained)}},
+	"takes cold endpoints for warm": {
+		Options{Decider: lines(func(l *decide.Endpoint) { l.Started = 0 })}, []string{string(truth.PushedOver)}},
+	"answers once more when an attempt is called off": {
+		Options{Bug: func(p *Proc) { p.doubleOnCancel = true }}, []string{string(truth.AnsweredTwice)}},
+	"forgets attempts whose dial failed": {
+		Options{Decider: round(func(_ *config.Config, b *buggy) {
+			b.before = func(_ decide.Time, ev *decide.Event) bool {
+				return ev.Kind != decide.Finished || ev.Outcome != decide.ConnectFailed
+			}
+		})}, []string{"books"}},
+	"takes the list of before a reload": {
+		Options{Decider: round(func(_ *config.Config, b *buggy) {
+			var first []decide.Endpoint
+			b.before = func(_ decide.Time, ev *decide.Event) bool {
+				if ev.Kind == decide.ListRestored {
+					first = slices.Clone(ev.Endpoints)
+				}
+				if ev.Kind == decide.ListReplaced {
+					ev.Endpoints = slices.Clone(first)
+				}
+				return true
+			}
+		})}, []string{string(truth.Drained)}},
+	"waits for its time-out a second too long": {
+		Options{Decider: round(func(_ *config.Config, b *buggy) {
+			b.before = func(_ decide.Time, ev *decide.Event) bool {
+				if ev.Kind == decide.Arrived {
+					ev.Grace += time.Second
+				}
+				return ev.Kind != decide.TimerDue
+			}
+		})}, []string{string(truth.Lost)}},
+	"in one order of two events alone: forgets a request that comes in the instant of an answer": {
+		Options{Decider: round(func(_ *config.Config, b *buggy) {
+			var answered decide.Time
+			b.before = func(now decide.Time, ev *decide.Event) bool {
+				if ev.Kind == decide.Finished && ev.Outcome == decide.Served {
+					answered = now
+				}
+				return ev.Kind != decide.Arrived || now != answered
+			}
+		})}, []string{string(truth.Lost)}},
+}
+
+// Each planted bug is found, by its own rule, and made small enough to read.
+func TestPlantedBugs(t *testing.T) {
+	const smallAsks = 20  // a script that people can read
+	const shrinkMost = 10 // failing seeds that are made smaller: a crowded one may not get small
+	for name, bug := range bugs {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fails := func(s Script) *Failure { return play(t, s, bug.opts).Failure }
+			var small Script
+			found, first := 0, uint64(0)
+			for seed := uint64(0); seed < uint64(*bugSeeds) && found < shrinkMost; seed++ {
+				failure := fails(Draw(seed))
+				if failure == nil {
+					continue
+				}
+				if !slices.Contains(bug.rules, failure.Rule) {
+					t.Fatalf("seed %d: found as %q, want one of %q: %v", seed, failure.Rule, bug.rules, failure)
+				}
+				if found++; found == 1 {
+					first = seed
+				}
+				if small = Shrink(Draw(seed), fails); len(small.Asks) < smallAsks {
+					break
+				}
+			}
+			if found == 0 {
+				t.Fatalf("not found within %d seeds", *bugSeeds)
+			}
+			t.Logf("found after %d seeds; of seed %d, %d requests, %d faults, %d sidecars, %d endpoints are left: %v",
+				first+1, small.Seed, len(small.Asks), len(small.Faults), small.Sidecars, small.Endpoints, fails(small))
+			if len(small.Asks) >= smallAsks {
+				t.Errorf("%d requests are left, want under %d", len(small.Asks), smallAsks)
+			}
+			if f := play(t, small, Options{}).Failure; f != nil {
+				t.Errorf("the small script fails without the bug: %v", f)
+			}
+		})
+	}
+}
--- a/internal/sim/models.go
+++ b/internal/sim/models.go
@@ -277,6 +277,9 @@
 		return
 	}
 	e.number++
+	// Up to the network's grid: an answer may then leave, and come, in the same instant
+	// as something else does.
+	at = (at + leastLatency - 1).Truncate(leastLatency)
 	e.next = e.s.w.at(fmt.Sprintf("%s/work/%d", e.name, e.number), e.s.w.start.Add(at), func() {
 		e.next = nil
 		e.due()
--- a/internal/sim/net.go
+++ b/internal/sim/net.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"slices"
 	"syscall"
 	"time"
 )
@@ -48,7 +49,9 @@
 	toPeer, toUs []segment
 	peerBusy     bool // an event for the first of toPeer stands
 	usBusy       bool
-	peerDone     bool // the peer has ended its side
+	peerDone     bool   // the peer has ended its side
+	dialed       string // where to, if the sidecar made it
+	written      []byte // the newest message without an answer, for a planted bug
 }
 
 // segment is what travels one way.
@@ -138,10 +141,14 @@
 	switch {
 	case s.rst:
 		c.reset, c.in = true, nil
+		if c.proc.resend && c.dialed != "" && !c.closed && len(c.written) > 0 {
+			c.proc.sendAgain(c)
+		}
 	case s.fin:
 		c.eof = true
 	default:
 		c.in = append(c.in, s.bytes...)
+		c.written = nil // it is answered
 	}
 	c.arm()
 }
@@ -224,6 +231,12 @@
 		}
 		take := min(len(b)-n, bufferBytes-c.flying)
 		c.flying += take
+		if c.proc.resend && c.dialed != "" {
+			c.written = append(c.written, b[n:n+take]...)
+		}
+		if c.proc.doubleOnCancel && c.dialed == "" {
+			c.proc.newest, c.proc.newestText = c, slices.Clone(b[n:n+take])
+		}
 		c.post(&c.toPeer, segment{bytes: append([]byte(nil), b[n:n+take]...)})
 		c.arm()
 		n += take
@@ -242,6 +255,10 @@
 		return net.ErrClosed
 	}
 	c.closed = true
+	if n := c.proc.newest; n != nil && !n.closed && c.dialed != "" && !c.eof && !c.reset {
+		n.post(&n.toPeer, segment{bytes: c.proc.newestText})
+		n.arm()
+	}
 	if !c.proc.dead {
 		c.post(&c.toPeer, segment{fin: len(c.in) == 0, rst: len(c.in) > 0})
 		c.arm()
--- a/internal/sim/proc.go
+++ b/internal/sim/proc.go
@@ -23,6 +23,12 @@
 	listener *listener
 	conns    []*conn
 	counts   map[string]int // of goroutines, dials and timers, by what for
+
+	// Bugs that tests plant into the process's connections.
+	resend         bool  // a used connection that breaks has its message sent again
+	doubleOnCancel bool  // a connection that is given up has the newest answer written again
+	newest         *conn // the caller's connection that was answered last, and with what
+	newestText     []byte
 }
 
 var _ env.Env = (*Proc)(nil)
@@ -171,10 +177,28 @@
 	case down:
 		return nil, errRefused
 	}
+	c.dialed = address
 	p.conns = append(p.conns, c)
 	return c, nil
 }
 
+// sendAgain is the planted bug: what was written to a connection that broke goes out
+// once more, on another, by itself.
+func (p *Proc) sendAgain(from *conn) {
+	other := p.route(from.dialed)
+	if other == nil || len(from.written) == 0 {
+		return
+	}
+	c := p.w.newConn(p, from.id+"/again", other, p.seed)
+	c.post(&c.toPeer, segment{bytes: from.written})
+	p.w.events = append(p.w.events, &event{key: c.id + "/syn", at: time.Now().Add(c.latency()), do: func() {
+		other.opened(c)
+		p.w.mu.Lock()
+		c.arm()
+		p.w.mu.Unlock()
+	}})
+}
+
 // dialed is a peer whose machine may be cut off: connections do not come up then.
 type dialed interface{ silent() bool }
 
--- a/internal/sim/run.go
+++ b/internal/sim/run.go
@@ -23,11 +23,11 @@
 
 // Figures of the simulated deployment.
 const (
-	coldFor  = 2 * time.Second
-	coldFrom = 0.25
+	coldFor  = 4 * time.Second
+	coldFrom = 0.1
 	// More than so many times its present capacity, for so long, pushes a cold one over.
-	fallMultiple = 3.0
-	fallFor      = 500 * time.Millisecond
+	fallMultiple = 2.0
+	fallFor      = 300 * time.Millisecond
 	answerSlack  = 20 * time.Millisecond
 	drainGrace   = 300 * time.Millisecond
 	askEvery     = 5 * time.Second
@@ -87,11 +87,10 @@
 	list      *discovery
 	sidecars  []*sidecar
 	idle      []*client
-	clients   int
+	clients   map[string]bool // connections by their ids
 	settled   int
 	unreached int
 	verdicts  [4]int
-	rand      *rand.Rand
 }
 
 // sidecar is one sidecar over all its starts.
@@ -128,7 +127,7 @@
 			"look": {Effect: decide.Safe, Deadline: deadline}, "pay": {Effect: decide.Keyed, Deadline: deadline},
 			"burn": {Effect: decide.Unsafe, Deadline: deadline},
 		},
-		rand: rand.New(rand.NewPCG(script.Seed, 13)),
+		clients: map[string]bool{},
 	}
 	s.list = newDiscovery(s)
 	s.routes["discovery:1"], s.routes["discovery:2"] = s.list, s.list
@@ -306,7 +305,7 @@
 func (s *simulation) ask(a Ask) {
 	s.idle = slices.DeleteFunc(s.idle, func(k *client) bool { return k.gone })
 	if n := len(s.idle); n > 0 && !a.Fresh {
-		i := s.rand.IntN(n)
+		i := s.dice("idle", a.ID).IntN(n)
 		k := s.idle[i]
 		s.idle = slices.Delete(s.idle, i, i+1)
 		k.ask = &a
@@ -329,9 +328,13 @@
 		s.settled++
 		return
 	}
-	s.clients++
+	id := "c/" + a.ID
+	for s.clients[id] { // it crossed the end of a connection, and is sent once more
+		id += "+"
+	}
+	s.clients[id] = true
 	k := &client{s: s, ask: a}
-	k.c = s.w.connect(up[s.rand.IntN(len(up))].proc, fmt.Sprintf("c%d", s.clients), k, s.script.Seed)
+	k.c = s.w.connect(up[s.dice("front", a.ID).IntN(len(up))].proc, id, k, s.script.Seed)
 }
 
 // strike begins a fault, and has it end.
--- a/internal/sim/script.go
+++ b/internal/sim/script.go
@@ -70,14 +70,14 @@
 	mostBackends  = 6
 	leastAsks     = 40
 	moreAsks      = 80
-	heavyAsks     = 400 // of one script in heavyEvery
-	heavyEvery    = 6
+	heavyAsks     = 300 // of one script in heavyEvery, which also has a cold arrival
+	heavyEvery    = 5
 	mostFaults    = 10
 	stormEvery    = 4 // one script in so many has all four kinds of trouble at once
 	scriptTime    = 6 * time.Second
 	grid          = time.Millisecond // requests and faults begin on it, so that some meet in an instant
 	lightWork     = 15 * time.Millisecond
-	heavyWork     = 40 * time.Millisecond
+	heavyWork     = 50 * time.Millisecond
 	longWindow    = 3 * time.Second
 	shortWindow   = 600 * time.Millisecond // of one script in three: repeats must stay within it
 )
@@ -97,6 +97,7 @@
 	asks := leastAsks + r.IntN(moreAsks)
 	if r.IntN(heavyEvery) == 0 {
 		asks, s.Work = heavyAsks, heavyWork
+		s.Faults = append(s.Faults, Fault{Kind: Cold, At: drawTime(r, s.Duration/2)})
 	}
 	if r.IntN(3) == 0 {
 		s.Window = shortWindow
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -15,7 +15,7 @@
 	"hash"
 	"hash/fnv"
 	"io"
-	"math/rand/v2"
+	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -41,9 +41,9 @@
 // World is the simulated world. Its own state changes in steps alone; the mutex is for
 // goroutines that park while the scheduler looks.
 type World struct {
-	wait  func() // until all other goroutines of the bubble stand still
-	order *rand.Rand
-	wake  chan struct{}
+	wait func() // until all other goroutines of the bubble stand still
+	seed uint64
+	wake chan struct{}
 
 	mu     sync.Mutex
 	parked []*op
@@ -60,7 +60,7 @@
 // newWorld returns a world; wait is synctest.Wait.
 func newWorld(seed uint64, wait func(), trace io.Writer) *World {
 	return &World{
-		wait: wait, order: rand.New(rand.NewPCG(seed, 11)), wake: make(chan struct{}, 1), start: time.Now(),
+		wait: wait, seed: mix(seed + 1), wake: make(chan struct{}, 1), start: time.Now(),
 		sum: fnv.New64a(), trace: trace,
 	}
 }
@@ -166,7 +166,7 @@
 		}
 		steps, next := w.ready()
 		if len(steps) > 0 {
-			w.take(steps[w.order.IntN(len(steps))], len(steps))
+			w.take(w.pick(steps), len(steps))
 			continue
 		}
 		if next.IsZero() {
@@ -179,6 +179,27 @@
 	}
 }
 
+// pick chooses among the steps that are ready: the first by a draw that follows from
+// the seed, the step's name and the time alone. A script from which something is left
+// out so keeps the order of the rest, and can be made small.
+func (w *World) pick(steps []step) step {
+	least, first := uint64(math.MaxUint64), 0
+	now := uint64(w.now())
+	for i, s := range steps {
+		if draw := mix(w.seed ^ mix(hashOf(s.key)^mix(now))); draw < least {
+			least, first = draw, i
+		}
+	}
+	return steps[first]
+}
+
+// mix spreads a number's bits (the finalizer of SplitMix64).
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
 // take takes one step.
 func (w *World) take(s step, among int) {
 	w.steps++
