--- a/internal/sim/bugs_test.go
+++ b/internal/sim/bugs_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"flag"
+	"path/filepath"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,6 +15,8 @@
 	"heathgap/internal/pipeline"
 )
 
+var keepBugs = flag.Bool("sim.keepbugs", false, "the small scripts of planted bugs are kept in the corpus")
+
 var bugSeeds = flag.Int("sim.bugseeds", 1000, "within so many seeds each planted bug must be found")
 
 // buggy is the module with a bug round it.
@@ -169,6 +173,13 @@
 			if len(small.Asks) >= smallAsks {
 				t.Errorf("%d requests are left, want under %d", len(small.Asks), smallAsks)
 			}
+			if *keepBugs {
+				file := strings.NewReplacer(" ", "-", ":", "", ",", "").Replace(name)
+				kept := Kept{Why: "planted: " + name + ": " + fails(small).Error(), Script: small}
+				if err := kept.Save(filepath.Join(corpus, file+".json")); err != nil {
+					t.Error(err)
+				}
+			}
 			if f := play(t, small, Options{}).Failure; f != nil {
 				t.Errorf("the small script fails without the bug: %v", f)
 			}
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -3,7 +3,9 @@
 import (
 	"cmp"
 	"flag"
+	"fmt"
 	"os"
+	"path/filepath"
 	"runtime"
 	"slices"
 	"strconv"
@@ -14,10 +16,11 @@
 )
 
 var (
-	seeds     = flag.Int("sim.seeds", 100, "so many seeds are played")
-	oneSeed   = flag.Int64("sim.seed", -1, "only this one")
-	traceFile = flag.String("sim.trace", "", "where its steps are written")
-	logFile   = flag.String("sim.log", "", "where its sidecars' logs are written")
+	seeds      = flag.Int("sim.seeds", 100, "so many seeds are played")
+	oneSeed    = flag.Int64("sim.seed", -1, "only this one")
+	shrinkSeed = flag.Int64("sim.shrink", -1, "the script of this seed is made small and kept")
+	traceFile  = flag.String("sim.trace", "", "where its steps are written")
+	logFile    = flag.String("sim.log", "", "where its sidecars' logs are written")
 )
 
 // play plays a script in a bubble of its own.
@@ -129,3 +132,58 @@
 		t.Errorf("seed %d: %v", seed, r.Failure)
 	}
 }
+
+// corpus holds scripts that once failed, small: each must pass for ever.
+const corpus = "testdata/seeds"
+
+func TestCorpus(t *testing.T) {
+	paths, err := filepath.Glob(filepath.Join(corpus, "*.json"))
+	if err != nil || len(paths) == 0 {
+		t.Fatalf("no corpus: %v", err)
+	}
+	for _, path := range paths {
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			kept, err := LoadKept(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if r := play(t, kept.Script, Options{}); r.Failure != nil {
+				t.Errorf("%s: %v", kept.Why, r.Failure)
+			}
+		})
+	}
+}
+
+// TestShrink makes the script of a failing seed small and keeps it.
+func TestShrink(t *testing.T) {
+	if *shrinkSeed < 0 {
+		t.Skip("asked for with -sim.shrink")
+	}
+	fails := func(s Script) *Failure { return play(t, s, Options{}).Failure }
+	script := Draw(uint64(*shrinkSeed))
+	first := fails(script)
+	if first == nil {
+		t.Fatalf("seed %d does not fail", *shrinkSeed)
+	}
+	small := Shrink(script, fails)
+	last := fails(small)
+	path := filepath.Join(corpus, fmt.Sprintf("seed-%d.json", *shrinkSeed))
+	if err := (Kept{Why: last.Error(), Script: small}).Save(path); err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%d of %d requests and %d of %d faults are left, in %s: %v", len(small.Asks), len(script.Asks),
+		len(small.Faults), len(script.Faults), path, last)
+}
+
+// A kept file that is no script is refused.
+func TestLoadKept(t *testing.T) {
+	for name, text := range map[string]string{"no JSON": "{", "nothing": "{}", "no sidecar": `{"Script":{"Asks":[{"ID":"a"}]}}`} {
+		path := filepath.Join(t.TempDir(), "x.json")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := LoadKept(path); err == nil {
+			t.Errorf("%s: taken", name)
+		}
+	}
+}
