--- a/internal/sim/models.go
+++ b/internal/sim/models.go
@@ -179,6 +179,7 @@
 // take takes a request that has come whole.
 func (e *endpoint) take(c *conn, q request) {
 	class, known := e.s.classes[q.class]
+	e.s.seen[q.id] = true
 	arrived := func(runs, repeat bool) {
 		e.s.book.Arrived(truth.Arrival{ID: q.id, Endpoint: e.name, First: q.first, Whole: q.whole, Runs: runs, Repeat: repeat})
 	}
@@ -358,6 +359,11 @@
 	d.lines[l.Name], d.changed[l.Name] = l, d.index
 	if l.Status != "SERVING" {
 		d.s.book.Draining(d.s.now(), l.Name)
+		for _, sc := range d.s.sidecars {
+			if sc.proc.dialing[l.Address] > 0 {
+				d.s.w.met[DrainDuringDial]++
+			}
+		}
 	}
 	waiting := d.waiting
 	d.waiting = nil
@@ -498,6 +504,7 @@
 	until := k.out + class.Deadline
 	k.s.book.Asking(truth.Request{ID: a.ID, Sidecar: k.c.proc.name(), Effect: class.Effect, Key: a.Key, Until: until + spikeLatency*2})
 	k.s.book.Written(a.ID)
+	k.s.asking[k] = true
 	method, more := "GET", ""
 	if class.Effect != decide.Safe {
 		method, more = "POST", "Content-Length: 4\r\n"
@@ -531,6 +538,7 @@
 func (k *client) end(reset bool) {
 	k.s.w.off(k.limit)
 	k.ask, k.gone = nil, true
+	delete(k.s.asking, k)
 	k.s.settled++
 	k.c.peerClose(reset)
 }
@@ -557,6 +565,7 @@
 		// It ended as the request crossed that: once more, on a new connection.
 		k.s.w.off(k.limit)
 		k.ask = nil
+		delete(k.s.asking, k)
 		c.peerClose(false)
 		k.s.connect(a)
 		return
@@ -606,6 +615,7 @@
 		k.s.book.Surplus(now, a.ID)
 	}
 	k.s.verdicts[verdict]++
+	delete(k.s.asking, k)
 	k.s.settled++
 	k.uses++
 	k.ask = nil
--- a/internal/sim/net.go
+++ b/internal/sim/net.go
@@ -259,6 +259,9 @@
 		n.post(&n.toPeer, segment{bytes: c.proc.newestText})
 		n.arm()
 	}
+	if c.dialed != "" && c.flying > 0 {
+		c.w.met[CancelCrosses]++
+	}
 	if !c.proc.dead {
 		c.post(&c.toPeer, segment{fin: len(c.in) == 0, rst: len(c.in) > 0})
 		c.arm()
--- a/internal/sim/run.go
+++ b/internal/sim/run.go
@@ -61,6 +61,7 @@
 	Faults   int
 	Verdicts [4]int // served, refused, failed, malformed
 	Attempts int
+	Met      map[Case]int // rare meetings of events
 }
 
 // Options are those of a run.
@@ -90,6 +91,8 @@
 	clients   map[string]bool // connections by their ids
 	settled   int
 	unreached int
+	asking    map[*client]bool // those that have asked and heard nothing yet
+	seen      map[string]bool  // requests of which an attempt has come to an endpoint
 	verdicts  [4]int
 }
 
@@ -127,7 +130,7 @@
 			"look": {Effect: decide.Safe, Deadline: deadline}, "pay": {Effect: decide.Keyed, Deadline: deadline},
 			"burn": {Effect: decide.Unsafe, Deadline: deadline},
 		},
-		clients: map[string]bool{},
+		clients: map[string]bool{}, seen: map[string]bool{}, asking: map[*client]bool{},
 	}
 	s.list = newDiscovery(s)
 	s.routes["discovery:1"], s.routes["discovery:2"] = s.list, s.list
@@ -150,7 +153,7 @@
 	err := s.w.run(s.done)
 	result := Result{
 		Hash: s.w.sum.Sum64(), Steps: s.w.steps, Time: s.now(), Asks: len(script.Asks), Faults: len(script.Faults),
-		Verdicts: s.verdicts,
+		Verdicts: s.verdicts, Met: s.w.met,
 	}
 	for _, t := range s.book.Close().Sidecars {
 		result.Attempts += t.Arrivals
@@ -391,6 +394,11 @@
 	}
 	switch f.Kind {
 	case Reload:
+		for _, w := range s.list.waiting {
+			if w.c.proc == proc {
+				s.w.met[ReloadDuringCall]++
+			}
+		}
 		proc.Go("reload", func() { run.Move("discovery:2") })
 	case Kill:
 		s.end(proc, run)
@@ -413,6 +421,11 @@
 
 // end ends a process at once.
 func (s *simulation) end(p *Proc, run *lifecycle.Sidecar) {
+	for k := range s.asking {
+		if k.c.proc == p && k.ask != nil && !s.seen[k.ask.ID] {
+			s.w.met[KillBeforeSend]++
+		}
+	}
 	p.kill()
 	run.Abandon()
 }
--- a/internal/sim/script.go
+++ b/internal/sim/script.go
@@ -74,6 +74,7 @@
 	heavyEvery    = 5
 	mostFaults    = 10
 	stormEvery    = 4 // one script in so many has all four kinds of trouble at once
+	cutDrainEvery = 6 // one script in so many has an endpoint drain whose machine is cut off
 	scriptTime    = 6 * time.Second
 	grid          = time.Millisecond // requests and faults begin on it, so that some meet in an instant
 	lightWork     = 15 * time.Millisecond
@@ -139,6 +140,12 @@
 	if r.IntN(stormEvery) == 0 {
 		s.Faults = append(s.Faults, storm(r, s.Duration)...)
 	}
+	if r.IntN(cutDrainEvery) == 0 {
+		// Dials to a machine that is cut off hang: the drain comes meanwhile.
+		cut := Fault{Kind: CutOff, Target: r.IntN(mostBackends), At: drawTime(r, s.Duration), For: longestFault}
+		drain := Fault{Kind: Drain, Target: cut.Target, At: cut.At + drawTime(r, longestFault/2), For: longestFault}
+		s.Faults = append(s.Faults, cut, drain)
+	}
 	slices.SortStableFunc(s.Faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return s
 }
