--- /dev/null
+++ b/internal/env/bench_test.go
@@ -0,0 +1,42 @@
+package env
+
+import (
+	"testing"
+	"time"
+)
+
+// BenchmarkSeam shows what the seam costs beside the straight call.
+func BenchmarkSeam(b *testing.B) {
+	var world Env = Real{}
+	var sum time.Time
+	b.Run("time.Now", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			sum = time.Now()
+		}
+	})
+	b.Run("Env.Now", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			sum = world.Now()
+		}
+	})
+	done := make(chan int)
+	b.Run("go", func(b *testing.B) {
+		b.ReportAllocs()
+		for i := 0; b.Loop(); i++ {
+			go send(done, i)
+			<-done
+		}
+	})
+	b.Run("Env.Go", func(b *testing.B) {
+		b.ReportAllocs()
+		for i := 0; b.Loop(); i++ {
+			world.Go("x", func() { send(done, i) })
+			<-done
+		}
+	})
+	_ = sum
+}
+
+func send(to chan<- int, n int) { to <- n }
