Console for operators, figures by class, bans by hand

Counts are atomics read where they stand; DISABLE and ENABLE go to the owner through a channel that it looks at first, and to the module as Banned and Unbanned, which treat an endpoint as draining and, after the ban, as just restarted. Two faults found beside it: requests written at once on a connection left their room for answers taken and their place counted.

--- a/decide/audit.go
+++ b/decide/audit.go
@@ -35,3 +35,6 @@
 	}
 	return out, nil
 }
+
+// Avoided is how many listed endpoints nothing new goes to: they drain, or are banned by hand.
+func (b *Balancer) Avoided() int { return len(b.fleet.order) - len(b.fleet.ready) }
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -23,10 +24,8 @@
 	payoffFloor      = 0.05            // least payoff: one out of favour still wins a pick now and then
 	payoffGain       = 0.15            // weight of the newest outcome in the smoothed payoff
 	driftTime        = 8 * time.Second // an unpicked endpoint goes this slowly towards the others' mean
-)
 
-// Figures of what the design leaves open.
-const (
+	// Figures of what the design leaves open.
 	waitStep       = 20 * time.Millisecond // how often waiting requests are looked at again
 	graceSpread    = 10 * time.Millisecond // graces of first tries differ by less
 	firstPayoff    = 0.8                   // least part of the mean payoff of a first choice
@@ -40,10 +39,8 @@
 	askPauseMost   = 4 * time.Second       // and longest
 
 	streamMix = 0x9e3779b97f4a7c15 // sets the second half of the random state apart from the seed
-)
 
-// Figures of the hold: the exception for a tier that is full.
-const (
+	// Figures of the hold: the exception for a tier that is full.
 	holdStretch = 1.35            // answers may take this many times their usual least
 	leastTime   = time.Minute     // the usual least follows slower answers this slowly
 	holdLeast   = 2.0             // attempts for each ready endpoint and tier that are always allowed
@@ -61,10 +58,8 @@
 	overdueTimes = 6 // times its usual time from which on an attempt may be taken for lost
 
 	tenantBurst = 2 * time.Second // how much of its allowance a tenant may use at once
-)
 
-// Figures of scouting: the hold where endpoints tell their load to probes.
-const (
+	// Figures of scouting: the hold where endpoints tell their load to probes.
 	scoutsEach = 2                     // endpoints that are asked for a request at a time: the pick's two
 	flatPlaces = 0.5                   // part of the places that any worth may take
 	fullBusy   = 0.95                  // utilization from which on there are none of them
@@ -90,7 +85,7 @@
 	requests
 	bucket    bucket
 	hold      hold
-	tenants   map[string]*tenant
+	tenants   map[string]*bucket // requests inside each customer's share, of this instance's part of it
 	fleet     fleet
 	mostWorth float64       // of a class
 	askNext   time.Duration // pause after the next failed call for the list
@@ -119,11 +114,13 @@
 		b.classes[c.Name] = &class{Class: c, sheddable: least < most && c.Worth == least}
 	}
 	b.unknown = class{Class: Class{Effect: Unsafe, Worth: set.Classes[0].Worth, Aim: set.Classes[0].Aim}}
-	b.held, b.bucket, b.tenants = map[RequestID]*request{}, newBucket(&set), map[string]*tenant{}
+	b.held, b.bucket, b.tenants = map[RequestID]*request{}, newBucket(&set), map[string]*bucket{}
 	for _, t := range set.Tenants {
-		b.tenants[t.Name] = &tenant{rate: t.Allowed / float64(max(1, set.Peers))}
+		rate := t.Allowed / float64(max(1, set.Peers))
+		b.tenants[t.Name] = &bucket{floor: rate, burst: max(1, rate*tenantBurst.Seconds())}
 	}
 	b.mostWorth, b.fleet.byID = max(most, math.SmallestNonzeroFloat64), map[EndpointID]*endpoint{}
+	b.fleet.banned, b.askNext = map[EndpointID]bool{}, askPause
 	b.hold.each = holdStart * b.tierShare()
 	return b, nil
 }
@@ -133,7 +130,9 @@
 	b.now, b.actions = now, actions
 	switch e.Kind {
 	case Start:
-		b.startList()
+		if b.set.MustAsk { // soon, but not in step with peers that start too
+			b.timers.set(b.now+b.jitter(firstAskSpread), timerList, 0)
+		}
 	case Arrived:
 		b.arrived(e)
 	case Finished:
@@ -146,6 +145,12 @@
 		b.listFailed()
 	case ProbeFinished:
 		b.scoutBack(e)
+	case StreamBroke:
+		if to := b.fleet.byID[e.Endpoint]; to != nil {
+			to.payoff *= 1 - payoffGain // as a failure
+		}
+	case Banned, Unbanned:
+		b.ban(e.Endpoint, e.Kind == Banned)
 	}
 	b.runTimers() // after the event: a request whose end it tells is left alone
 	actions = b.timers.arm(now, b.actions)
@@ -210,10 +215,7 @@
 
 // arrived takes a new request: first attempts go free and at once.
 func (b *Balancer) arrived(e *Event) {
-	c := b.classes[e.Class]
-	if c == nil {
-		c = &b.unknown
-	}
+	c := cmp.Or(b.classes[e.Class], &b.unknown)
 	r := &request{id: e.Request, class: c, deadline: b.now + e.Grace, came: b.now}
 	waited := b.waited(c, e)
 	r.aimAt = b.now + c.Aim - waited
@@ -333,7 +335,7 @@
 	if e.Outcome == Served {
 		b.stopRest(r)
 	}
-	if !r.over && !r.bound && r.out == 0 {
+	if !r.over && r.out == 0 {
 		b.retry(r)
 	}
 	b.release(r)
@@ -601,7 +603,7 @@
 
 // hasPlace tells whether what an endpoint has just told leaves a place for a request.
 func (b *Balancer) hasPlace(r *request, e *endpoint) bool {
-	if !b.fresh(e) || e.state != Active {
+	if !b.fresh(e) || e.state != Active || b.fleet.banned[e.id] {
 		return false
 	}
 	if e.load.Outstanding < 0 { // it has answered: nothing waits there
@@ -617,24 +619,15 @@
 	return flat + (1-flat)*r.value/b.mostWorth
 }
 
-// tenant counts a customer's requests against this instance's part of its share.
-type tenant struct {
-	rate   float64 // requests a second inside the share, at this instance
-	left   float64
-	filled Time
-}
-
 // charge books a request on its tenant's allowance. It returns the part of its worth that is left to it.
-func (b *Balancer) charge(t *tenant) float64 {
+func (b *Balancer) charge(t *bucket) float64 {
 	if t == nil || !b.set.Front || b.set.Entry == Own {
 		return 1
 	}
-	left := t.left + t.rate*(b.now-t.filled).Seconds()
-	t.left, t.filled = min(max(1, t.rate*tenantBurst.Seconds()), left), b.now
-	if t.left < 1 {
+	if t.refill(b.now); t.tokens < 1 {
 		return b.set.OverShareWorth
 	}
-	t.left--
+	t.tokens--
 	return 1
 }
 
@@ -703,7 +696,7 @@
 
 // mayRetry tells whether the limit of attempts, the effects and the time leave another.
 func (b *Balancer) mayRetry(r *request) bool {
-	return len(r.attempts) < b.set.Limits.MaxAttempts && b.anyMayTake(r) && b.now < b.lastUse(r)
+	return !r.bound && len(r.attempts) < b.set.Limits.MaxAttempts && b.anyMayTake(r) && b.now < b.lastUse(r)
 }
 
 // lastUse is when another attempt can last earn anything. After it the timer that ends the request has fired.
@@ -758,11 +751,12 @@
 // fleet is what the instance knows of the tier it sends to.
 type fleet struct {
 	byID     map[EndpointID]*endpoint
-	order    []*endpoint // everything listed, in the order first heard of
-	ready    []*endpoint // what new work may go to, in this instance's own order
-	mean     float64     // mean payoff of the ready endpoints that have had an outcome
-	warm     float64     // ready endpoints, cold ones by their present capacity
-	size     float64     // the same by their listed weight
+	banned   map[EndpointID]bool // by hand, listed or not
+	order    []*endpoint         // everything listed, in the order first heard of
+	ready    []*endpoint         // what new work may go to, in this instance's own order
+	mean     float64             // mean payoff of the ready endpoints that have had an outcome
+	warm     float64             // ready endpoints, cold ones by their present capacity
+	size     float64             // the same by their listed weight
 	meanAt   Time
 	served   float64 // served attempts, forgotten over rateTime
 	servedAt Time
@@ -782,6 +776,7 @@
 	state    EndpointState
 	weight   float64
 	started  Time
+	line     Endpoint // as it was listed last; started is later after a ban
 	inFlight int
 	payoff   float64 // smoothed: 1 if served within the aim, less when slower, 0 on failure
 	touched  Time    // when it was last picked or drifted
@@ -918,7 +913,7 @@
 	if e.Outcome == Served {
 		b.bucket.refill(b.now)
 		b.bucket.add(depositPerServed)
-		b.countServed()
+		b.fleet.served, b.fleet.servedAt = b.fleet.served*decay(b.now-b.fleet.servedAt, rateTime)+1, b.now
 		a.to.passed = max(a.to.passed, a.sent)
 		r.class.pace.observe(b.now, r.work, e.Latency, b.binds())
 	}
@@ -970,15 +965,6 @@
 
 // ---- Cold starts ----
 
-func (b *Balancer) countServed() {
-	b.fleet.served = b.fleet.served*decay(b.now-b.fleet.servedAt, rateTime) + 1
-	b.fleet.servedAt = b.now
-}
-
-func (b *Balancer) servedRate() float64 {
-	return b.fleet.served * decay(b.now-b.fleet.servedAt, rateTime) / rateTime.Seconds()
-}
-
 func decay(age, over time.Duration) float64 { return math.Exp(-age.Seconds() / over.Seconds()) }
 
 // capacity is the part of its full capacity that an endpoint has at least.
@@ -995,7 +981,8 @@
 	if e.cold == 0 {
 		return true
 	}
-	rate := b.capacity(e) * e.weight * b.servedRate() / max(b.measured().size, e.weight)
+	served := b.fleet.served * decay(b.now-b.fleet.servedAt, rateTime) / rateTime.Seconds()
+	rate := b.capacity(e) * e.weight * served / max(b.measured().size, e.weight)
 	rate = max(rate, coldTrickle/float64(b.set.Peers))
 	e.credit, e.creditAt = min(1, e.credit+rate*(b.now-e.creditAt).Seconds()), b.now
 	return e.credit >= 1
@@ -1003,13 +990,6 @@
 
 // ---- The endpoint list ----
 
-// startList asks for the list soon, but not in step with peers that start too.
-func (b *Balancer) startList() {
-	if b.askNext = askPause; b.set.MustAsk {
-		b.timers.set(b.now+b.jitter(firstAskSpread), timerList, 0)
-	}
-}
-
 func (b *Balancer) jitter(d time.Duration) time.Duration {
 	return time.Duration(b.rng.Float64() * float64(d))
 }
@@ -1031,20 +1011,36 @@
 		}
 	}
 	for i := range e.Endpoints {
-		b.update(&e.Endpoints[i])
+		b.update(&e.Endpoints[i], e.Endpoints[i].Started)
 	}
-	f.order = slices.DeleteFunc(f.order, func(e *endpoint) bool {
-		if e.state == Gone && f.byID[e.id] == e {
-			delete(f.byID, e.id)
-		}
-		return e.state == Gone
-	})
-	f.ready = f.ready[:0]
-	for _, known := range f.order {
-		if known.state == Active {
-			f.ready = append(f.ready, known)
+	b.takeStock()
+}
+
+// ban has an endpoint count as draining, whatever lists tell, until it ends: then it has just been restarted.
+func (b *Balancer) ban(id EndpointID, on bool) {
+	f := &b.fleet
+	if f.banned[id] == on {
+		return
+	}
+	if f.banned[id] = true; !on {
+		delete(f.banned, id)
+		if e := f.byID[id]; e != nil {
+			line := e.line
+			e.line.Started = -1 // so that it is a new one
+			b.update(&line, b.now)
 		}
 	}
+	b.takeStock()
+}
+
+// takeStock sorts out what is gone and what new work may go to.
+func (b *Balancer) takeStock() {
+	f := &b.fleet
+	maps.DeleteFunc(f.byID, func(_ EndpointID, e *endpoint) bool { return e.state == Gone })
+	f.order = slices.DeleteFunc(f.order, func(e *endpoint) bool { return e.state == Gone })
+	f.ready = slices.DeleteFunc(append(f.ready[:0], f.order...), func(e *endpoint) bool {
+		return e.state != Active || f.banned[e.id]
+	})
 	f.mean = 0
 	b.measured()
 	b.shareOut()
@@ -1075,22 +1071,22 @@
 }
 
 // update takes over one line of the list. A changed start time is a new process: nothing in flight, and cold.
-func (b *Balancer) update(line *Endpoint) {
+func (b *Balancer) update(line *Endpoint, started Time) {
 	e := b.fleet.byID[line.ID]
-	if e != nil && e.started != line.Started && line.State != Gone {
+	if e != nil && e.line.Started != line.Started && line.State != Gone {
 		e.state = Gone
 		e = nil
 	}
 	if e == nil {
-		e = &endpoint{id: line.ID, payoff: b.measured().mean, touched: b.now, started: line.Started}
-		if line.Started > 0 && b.now-line.Started < b.set.Rules.ColdTime {
+		e = &endpoint{id: line.ID, payoff: b.measured().mean, touched: b.now, started: started}
+		if started > 0 && b.now-started < b.set.Rules.ColdTime {
 			e.cold = -1
 		}
 		e.credit, e.creditAt = b.rng.Float64(), b.now // peers must not all send their first at once
 		b.fleet.byID[e.id] = e
 		b.fleet.order = append(b.fleet.order, e)
 	}
-	e.zone, e.cell, e.state, e.weight = line.Zone, line.Cell, line.State, 1
+	e.line, e.zone, e.cell, e.state, e.weight = *line, line.Zone, line.Cell, line.State, 1
 	if e.zone != b.set.Zone {
 		e.remote = b.set.Prices.CrossZone
 	}
--- a/decide/types.go
+++ b/decide/types.go
@@ -216,7 +216,7 @@
 	Start         EventKind = iota // the instance starts
 	Arrived                        // Request, Class, Repeat, Work, Tenant, Grace
 	Finished                       // Request, Attempt, Endpoint, Outcome, Latency, Over
-	StreamBegan                    // Request, Attempt
+	StreamBegan                    // Request, Attempt: bytes have gone that can't go twice, of its body or its answer
 	ClientLeft                     // Request
 	TimerDue                       // the timer asked for is due
 	ListChanged                    // Endpoints: only changed lines
@@ -224,6 +224,9 @@
 	ListRestored                   // Endpoints: the whole list as last known, maybe old
 	ListFailed                     // asking for the list failed, or watching it ended
 	ProbeFinished                  // Endpoint, Outcome, Latency, Load
+	StreamBroke                    // Endpoint: it has broken off an answer that counted as served when it began
+	Banned                         // Endpoint, listed or not: nothing new for it until Unbanned, whatever a list says
+	Unbanned                       // Endpoint: the ban has ended, however often it was told
 )
 
 // Event is something that happened to the instance.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -26,6 +26,7 @@
 	envName      = "BALANCER_NAME"
 	envListen    = "BALANCER_LISTEN"
 	envDiscovery = "BALANCER_DISCOVERY"
+	envConsole   = "BALANCER_CONSOLE"
 )
 
 // Defaults, and parts of the limits that each use may take.
@@ -49,6 +50,7 @@
 	Name      string
 	Listen    string
 	Discovery string
+	Console   string // where operators connect; empty for no console
 	Seed      uint64
 	Known     *httpwire.List // the list as last known; nil without one
 	Settings  decide.Settings
@@ -116,6 +118,7 @@
 		Name:      cmp.Or(env(envName), o.Text("name")),
 		Listen:    cmp.Or(env(envListen), o.Text("listen")),
 		Discovery: cmp.Or(env(envDiscovery), o.Text("discovery")),
+		Console:   cmp.Or(env(envConsole), o.Text("console")),
 	}
 	if running {
 		c.Discovery = cmp.Or(o.Text("discovery"), env(envDiscovery))
@@ -154,6 +157,7 @@
 	}{
 		{"name", c.Name == next.Name},
 		{"listen", c.Listen == next.Listen},
+		{"console", c.Console == next.Console},
 		{"limits", c.HeapBytes == next.HeapBytes && c.CallerConns == next.CallerConns &&
 			c.EndpointConns == next.EndpointConns},
 		{"settings", c.Transport == next.Transport && reflect.DeepEqual(c.Settings, next.Settings)},
@@ -169,7 +173,12 @@
 	if c.Name == "" {
 		return errors.New("name: missing")
 	}
-	for _, a := range []struct{ key, value string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+	for _, a := range []struct{ key, value string }{
+		{"listen", c.Listen}, {"discovery", c.Discovery}, {"console", c.Console},
+	} {
+		if a.value == "" && a.key == "console" {
+			continue // none is wanted
+		}
 		if a.value == "" {
 			return fmt.Errorf("%s: missing", a.key)
 		}
--- /dev/null
+++ b/internal/console/console.go
@@ -0,0 +1,178 @@
+// Package console is the operators' way into a running sidecar: one line a
+// connection, answered by one line (STATS: by the figures and a line EOF).
+package console
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"heathgap/internal/env"
+)
+
+// Bounds of a console.
+const (
+	// Callers that are served at a time: some for each who watches, and descriptors of
+	// these only. Beyond them, the one that has kept silent longest makes room.
+	mostCalls = 8
+	// A call must have come by then, and its answer be taken in as long again. Operators
+	// type, and some callers take seconds; who never ends its line must not stay.
+	callTime = 5 * time.Second
+	// Bytes of a call's line: the longest word, a space, and an id of any length met.
+	maxLine = 512
+	// What may still be read behind a line that is too long, in time and bytes.
+	lastRead = 500 * time.Millisecond
+	mostRead = 64 << 10
+
+	acceptPause = 20 * time.Millisecond // after a failed accept: descriptors may run out for a moment
+)
+
+// Operations are what a console can ask for. All may be called at any time.
+type Operations interface {
+	// Ready tells whether this process serves.
+	Ready() bool
+	// Figures returns the figures, a line each.
+	Figures() []byte
+	// Disable keeps everything from an endpoint until Enable; it returns when that binds.
+	// It fails where the endpoint has never been listed.
+	Disable(id string) error
+	// Enable ends a ban, however often it was called for.
+	Enable(id string) error
+}
+
+// Console serves operators' calls.
+type Console struct {
+	listener net.Listener
+	world    env.Env
+	ops      Operations
+	log      zerolog.Logger
+
+	mu    sync.Mutex
+	calls []net.Conn // whose line has not come whole, the oldest first
+}
+
+// Open listens at an address and serves calls until Close.
+func Open(address string, world env.Env, ops Operations, log zerolog.Logger) (*Console, error) {
+	listener, err := world.Listen(address)
+	if err != nil {
+		return nil, fmt.Errorf("console: %w", err)
+	}
+	c := &Console{listener: listener, world: world, ops: ops, log: log}
+	world.Go("console", c.accept)
+	return c, nil
+}
+
+// Address is where it listens.
+func (c *Console) Address() string { return c.listener.Addr().String() }
+
+// Close ends it. Calls whose line has come are still answered.
+func (c *Console) Close() { c.listener.Close() }
+
+func (c *Console) accept() {
+	for {
+		conn, err := c.listener.Accept()
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return
+		case err != nil:
+			c.world.Sleep(acceptPause)
+			continue
+		}
+		c.enter(conn)
+		c.world.Go("call", func() { c.serve(conn) })
+	}
+}
+
+// enter books a call. Guards against callers that finish no call and hold all places:
+// the oldest of them gives way.
+func (c *Console) enter(conn net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.calls) >= mostCalls {
+		c.calls[0].Close()
+		c.calls = append(c.calls[:0], c.calls[1:]...)
+	}
+	c.calls = append(c.calls, conn)
+}
+
+// leave forgets a call whose line has come, or never will.
+func (c *Console) leave(conn net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i, other := range c.calls {
+		if other == conn {
+			c.calls = append(c.calls[:i], c.calls[i+1:]...)
+			return
+		}
+	}
+}
+
+func (c *Console) serve(conn net.Conn) {
+	defer conn.Close()
+	conn.SetDeadline(c.world.Now().Add(callTime))
+	line, err := bufio.NewReaderSize(conn, maxLine).ReadSlice('\n')
+	c.leave(conn)
+	if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
+		return // it never ended its line
+	}
+	conn.SetDeadline(c.world.Now().Add(callTime))
+	conn.Write(c.answer(line, err))
+	if tcp, ok := conn.(interface{ CloseWrite() error }); ok && err != nil {
+		// Guards against a reset that takes the answer with it: what still comes is read.
+		tcp.CloseWrite()
+		conn.SetDeadline(c.world.Now().Add(lastRead))
+		io.CopyN(io.Discard, conn, mostRead)
+	}
+}
+
+// errCall is what a call must be.
+var errCall = errors.New("allowed are READY, STATS, DISABLE ID and ENABLE ID")
+
+// answer is all that a call is answered with.
+func (c *Console) answer(line []byte, err error) []byte {
+	if err != nil {
+		return refusal(fmt.Errorf("a line of %d bytes or more; %w", maxLine, errCall))
+	}
+	words := strings.Fields(string(line))
+	if len(words) == 0 {
+		return refusal(fmt.Errorf("an empty line; %w", errCall))
+	}
+	word, ids := words[0], words[1:]
+	change := map[string]func(string) error{"DISABLE": c.ops.Disable, "ENABLE": c.ops.Enable}[word]
+	switch {
+	case change != nil && len(ids) == 1:
+		if err := change(ids[0]); err != nil {
+			return refusal(err)
+		}
+		c.log.Info().Str("call", word).Str("endpoint", ids[0]).Msg("console")
+		return []byte("200 " + word + " done\n")
+	case change != nil:
+		return refusal(fmt.Errorf("%s takes one id, not %d", word, len(ids)))
+	case word != "READY" && word != "STATS":
+		return refusal(fmt.Errorf("unknown call %.32q; %w", word, errCall))
+	case len(ids) > 0:
+		return refusal(fmt.Errorf("%s takes no argument", word))
+	case word == "STATS":
+		return append(append([]byte("200 figures\n"), c.ops.Figures()...), "EOF\n"...)
+	case !c.ops.Ready():
+		return refusal(errors.New("not ready: this process does not serve yet, or is ending"))
+	}
+	return []byte("200 ready\n")
+}
+
+// refusal is a no, in one line whatever the reason holds.
+func refusal(err error) []byte {
+	return []byte("400 " + strings.Map(func(r rune) rune {
+		if r < ' ' || r > '~' {
+			return '?'
+		}
+		return r
+	}, err.Error()) + "\n")
+}
--- /dev/null
+++ b/internal/figures/figures.go
@@ -0,0 +1,85 @@
+// Package figures holds what a sidecar counts for its operators: one set of counts
+// for each class, read while they change. The log's sums come from the same counts.
+package figures
+
+import (
+	"slices"
+	"strconv"
+	"sync/atomic"
+)
+
+// End says how a request that was taken has ended.
+type End uint8
+
+// The ends.
+const (
+	Served  End = iota
+	Refused     // answered 429 or 503: trying again is harmless
+	Failed      // any other answer, or one that broke off half way
+	Left        // its caller went before its answer
+	ends
+)
+
+// endNames are the figures' names of ends; one whose caller has gone has no figure.
+var endNames = [...]string{Served: "ok", Refused: "shed", Failed: "errors"}
+
+// prefix stands before each figure's name.
+const prefix = "sidecar."
+
+// Board is all figures of one process, from 0 at its start. Any goroutine may count
+// and read.
+type Board struct {
+	names   []string // of classes, sorted
+	classes map[string]*[ends]atomic.Int64
+
+	Tries   atomic.Int64 // attempts written whole to endpoints
+	Active  atomic.Int64 // requests taken whose answer is not written to its end
+	Pool    atomic.Int64 // endpoints in the list
+	Ejected atomic.Int64 // of them those that are avoided now
+}
+
+// New returns a board for classes with these names.
+func New(classes []string) *Board {
+	b := &Board{names: slices.Sorted(slices.Values(classes)), classes: map[string]*[ends]atomic.Int64{}}
+	for _, name := range classes {
+		b.classes[name] = new([ends]atomic.Int64)
+	}
+	return b
+}
+
+// Count books the end of a request. A class that the board does not know is passed
+// over: no request of one is ever taken.
+func (b *Board) Count(class string, end End) {
+	if c := b.classes[class]; c != nil {
+		c[end].Add(1)
+	}
+}
+
+// Sum is how many requests of all classes have ended so.
+func (b *Board) Sum(end End) int {
+	n := int64(0)
+	for _, c := range b.classes {
+		n += c[end].Load()
+	}
+	return int(n)
+}
+
+// Append writes all figures, a line each: counts as name:value|c, present values as
+// name:value|g.
+func (b *Board) Append(text []byte) []byte {
+	for _, class := range b.names {
+		for end, name := range endNames {
+			text = appendLine(text, name+"."+class, b.classes[class][end].Load(), 'c')
+		}
+	}
+	text = appendLine(text, "tries", b.Tries.Load(), 'c')
+	text = appendLine(text, "active", b.Active.Load(), 'g')
+	text = appendLine(text, "pool_size", b.Pool.Load(), 'g')
+	return appendLine(text, "pool_ejected", b.Ejected.Load(), 'g')
+}
+
+func appendLine(text []byte, name string, value int64, kind byte) []byte {
+	text = append(append(append(text, prefix...), name...), ':')
+	text = strconv.AppendInt(text, value, 10)
+	return append(text, '|', kind, '\n')
+}
--- a/internal/httpwire/caller.go
+++ b/internal/httpwire/caller.go
@@ -283,6 +283,7 @@
 func (c *CallerConn) Answered(written func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.settle()
 	c.answered, c.written = true, written
 	c.requests++
 }
@@ -363,6 +364,8 @@
 	done := make(chan struct{})
 	c.watching = done
 	c.mu.Lock()
+	c.settle() // guards against requests written at once: the server reads no more between them
+	c.begin()
 	c.held, c.proven = true, true
 	c.owner.held.Add(1)
 	c.Conn.SetReadDeadline(time.Time{})
--- a/internal/lifecycle/sidecar.go
+++ b/internal/lifecycle/sidecar.go
@@ -11,6 +11,7 @@
 
 	"heathgap/decide"
 	"heathgap/internal/config"
+	"heathgap/internal/console"
 	"heathgap/internal/env"
 	"heathgap/internal/httpwire"
 	"heathgap/internal/operator"
@@ -48,6 +49,7 @@
 	engine  *pipeline.Engine
 	callers *httpwire.Callers
 	server  *fasthttp.Server
+	console *console.Console // nil where none is configured
 	cancel  context.CancelFunc
 	ran     chan struct{} // closed when the engine has stopped
 	served  chan error    // what the server ended with
@@ -109,6 +111,12 @@
 	s.stayFor = max(leastStay, s.finishTime()-s.shortestAim())
 	s.callers = httpwire.NewCallers(listener, world, conf.CallerConns, s.callerEnded)
 	s.server = newServer(engine, conf)
+	if conf.Console != "" {
+		if s.console, err = console.Open(conf.Console, world, engine, log); err != nil {
+			listener.Close()
+			return nil, err
+		}
+	}
 	var ctx context.Context
 	ctx, s.cancel = context.WithCancel(context.Background())
 	world.Go("owner", func() {
@@ -116,6 +124,7 @@
 		engine.Run(ctx)
 	})
 	world.Go("server", func() { s.served <- s.server.Serve(s.callers) })
+	engine.Serve(true)
 	log.Info().Str("listen", listener.Addr().String()).Str("discovery", conf.Discovery).Msg("ready")
 	return s, nil
 }
@@ -174,6 +183,9 @@
 	s.emptyOut(begin.Add(s.finishTime() + leaveAfter))
 	s.cancel()
 	<-s.ran
+	if s.console != nil {
+		s.console.Close()
+	}
 	s.log.Info().Object("counters", s.engine.Snapshot()).Int("callers", s.callers.Open()).Msg("stopped")
 }
 
--- a/internal/pipeline/admit.go
+++ b/internal/pipeline/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"heathgap/decide"
+	"heathgap/internal/figures"
 	"heathgap/internal/httpwire"
 	"heathgap/internal/state"
 )
@@ -30,6 +31,7 @@
 		// What the settings and the limits leave no room for is turned away unseen:
 		// the module is not asked, as in the simulator.
 		e.counters.Over++
+		e.board.Count(a.message.Class, figures.Refused)
 		a.answer <- httpwire.Answer{Verdict: httpwire.Refused, Last: a.crowded}
 		return
 	}
--- a/internal/pipeline/audit.go
+++ b/internal/pipeline/audit.go
@@ -34,7 +34,8 @@
 	if err := e.pool.Audit(); err != nil {
 		return err
 	}
-	ends := e.counters.Served + e.counters.Refused + e.counters.Failed + e.counters.Left
+	c := e.snapshot()
+	ends := c.Served + c.Refused + c.Failed + c.Left
 	if ends+e.requests.Held() != e.counters.Taken {
 		return fmt.Errorf("%d requests taken, %d ended, %d held", e.counters.Taken, ends, e.requests.Held())
 	}
--- a/internal/pipeline/discover.go
+++ b/internal/pipeline/discover.go
@@ -198,6 +198,16 @@
 		e.pool.DropAll(s, httpwire.ReasonUnlisted)
 	}
 	e.tell(decide.Event{Kind: kind, Endpoints: lines})
+	e.listed.Store(true)
+	e.takeStock()
+}
+
+// takeStock brings the figures of the list up to date.
+func (e *Engine) takeStock() {
+	e.board.Pool.Store(int64(e.endpoints.Len()))
+	if m, ok := e.balancer.(interface{ Avoided() int }); ok {
+		e.board.Ejected.Store(int64(m.Avoided()))
+	}
 }
 
 // listFailed is a call to discovery that has failed.
--- a/internal/pipeline/engine.go
+++ b/internal/pipeline/engine.go
@@ -16,6 +16,7 @@
 	"heathgap/decide"
 	"heathgap/internal/config"
 	"heathgap/internal/env"
+	"heathgap/internal/figures"
 	"heathgap/internal/httpwire"
 	"heathgap/internal/state"
 	"heathgap/internal/watching"
@@ -23,8 +24,9 @@
 
 // Figures of the engine.
 const (
-	eventQueue = 1024        // events that may wait for the owner before their senders do
-	sweepEvery = time.Second // idle connections are looked at so often
+	eventQueue  = 1024        // events that may wait for the owner before their senders do
+	urgentQueue = 8           // the same for operators' calls
+	sweepEvery  = time.Second // idle connections are looked at so often
 )
 
 // Decider decides what is done with each request: the module, or what the lab puts
@@ -51,10 +53,14 @@
 	world     env.Env
 	clock     state.Clock
 	events    chan event
-	stopped   chan struct{} // closed when Run has returned
-	unready   atomic.Bool   // the process is stopping: callers should look elsewhere
-	draining  atomic.Bool   // each answer is the last on its connection
-	malformed atomic.Int64  // requests answered 400: a flood of them must not fill the queue
+	urgent    chan event     // of operators: looked at before all others, however many wait
+	board     *figures.Board // read at any time
+	listed    atomic.Bool    // there has been a list
+	serving   atomic.Bool    // callers are accepted
+	stopped   chan struct{}  // closed when Run has returned
+	unready   atomic.Bool    // the process is stopping: callers should look elsewhere
+	draining  atomic.Bool    // each answer is the last on its connection
+	malformed atomic.Int64   // requests answered 400: a flood of them must not fill the queue
 	balancer  Decider
 	requests  *state.Requests
 	endpoints *state.Endpoints
@@ -75,9 +81,14 @@
 func New(conf *config.Config, world env.Env, logs Logs, balancer Decider) *Engine {
 	e := &Engine{
 		conf: conf, log: logs.All, ends: logs.Ends, world: world, clock: state.NewClock(world), balancer: balancer,
-		events: make(chan event, eventQueue), stopped: make(chan struct{}),
+		events: make(chan event, eventQueue), urgent: make(chan event, urgentQueue), stopped: make(chan struct{}),
 		requests: state.NewRequests(), endpoints: state.NewEndpoints(),
 	}
+	names := make([]string, 0, len(conf.Classes))
+	for name := range conf.Classes {
+		names = append(names, name)
+	}
+	e.board = figures.New(names)
 	e.room = httpwire.NewRoom(conf.AnswerBytes)
 	e.pool = state.NewPool(conf.EndpointConns, conf.IdleFor, e.linkEnded)
 	e.watch = newWatch(conf.Discovery, usualTimes)
@@ -94,8 +105,16 @@
 	defer timer.Stop()
 	for {
 		e.runDue()
+		select {
+		case ev := <-e.urgent:
+			ev.handle(e)
+			continue
+		default:
+		}
 		timer.Reset(max(0, e.nextDue()-e.clock.Now()))
 		select {
+		case ev := <-e.urgent:
+			ev.handle(e)
 		case <-ctx.Done():
 			e.watch.end()
 			return
@@ -201,6 +220,8 @@
 func (e *Engine) snapshot() Snapshot {
 	counters := e.counters
 	counters.Malformed = int(e.malformed.Load())
+	counters.Served, counters.Failed = e.board.Sum(figures.Served), e.board.Sum(figures.Failed)
+	counters.Refused, counters.Left = e.board.Sum(figures.Refused)-counters.Over, e.board.Sum(figures.Left)
 	var watched *watching.Counts
 	if w, ok := e.balancer.(*watching.Watch); ok {
 		counts := w.Counts()
--- a/internal/pipeline/relay.go
+++ b/internal/pipeline/relay.go
@@ -2,27 +2,25 @@
 
 import (
 	"heathgap/decide"
+	"heathgap/internal/figures"
 	"heathgap/internal/httpwire"
 	"heathgap/internal/state"
 )
 
 // Relay: a request's one final answer goes to its caller.
 
+// ends are what verdicts count as.
+var ends = [...]figures.End{
+	httpwire.Served: figures.Served, httpwire.Refused: figures.Refused, httpwire.Failed: figures.Failed,
+	httpwire.Abandoned: figures.Left,
+}
+
 // relay gives a request its final answer, unless it has had one.
 func (e *Engine) relay(r *state.Request, answer httpwire.Answer) {
 	if !e.requests.End(r) {
 		return
 	}
-	switch answer.Verdict {
-	case httpwire.Served:
-		e.counters.Served++
-	case httpwire.Refused:
-		e.counters.Refused++
-	case httpwire.Failed:
-		e.counters.Failed++
-	case httpwire.Abandoned:
-		e.counters.Left++
-	}
+	e.board.Count(r.Message.Class, ends[answer.Verdict])
 	r.Answer <- answer
 	e.requests.Release(r)
 }
--- a/internal/pipeline/send.go
+++ b/internal/pipeline/send.go
@@ -85,6 +85,7 @@
 		done.outcome, done.ended = decide.ConnectFailed, httpwire.ReasonNotWritten
 		return
 	}
+	e.board.Tries.Add(1)
 	var reply httpwire.Reply
 	if err == nil {
 		reply, err = httpwire.DecodeReply(link.Reader(), e.room)
--- a/internal/pipeline/takein.go
+++ b/internal/pipeline/takein.go
@@ -20,12 +20,15 @@
 	if conn == nil {
 		panic("pipeline: a connection that Callers did not accept")
 	}
-	taken := 0
+	taken, active := 0, int64(0)
 	if string(ctx.Path()) == httpwire.ReadyPath && ctx.IsGet() {
 		e.answerReady(ctx)
 	} else {
 		answer := e.takeIn(ctx, conn)
 		taken = answer.Taken
+		if answer.Verdict != httpwire.Malformed {
+			active = 1
+		}
 		httpwire.EncodeAnswer(&answer, &ctx.Response)
 		if answer.Last {
 			ctx.SetConnectionClose()
@@ -34,7 +37,10 @@
 	if e.draining.Load() || conn.Retired() {
 		ctx.SetConnectionClose()
 	}
-	conn.Answered(func() { e.room.Return(taken) })
+	conn.Answered(func() {
+		e.room.Return(taken)
+		e.board.Active.Add(-active)
+	})
 }
 
 // answerReady tells whether the sidecar takes requests.
@@ -65,11 +71,15 @@
 		message: &message, deadline: now + message.Remaining, crowded: conn.Crowded(),
 		answer: make(chan httpwire.Answer, 1),
 	}
+	e.board.Active.Add(1)
 	e.post(in)
 	conn.Watch(func() { e.post(callerLeft{in}) })
 	defer conn.Unwatch()
 	select {
 	case answer := <-in.answer:
+		if answer.Verdict == httpwire.Malformed {
+			e.board.Active.Add(-1)
+		}
 		return answer
 	case <-e.stopped:
 		return httpwire.Answer{Verdict: httpwire.Failed}
--- a/internal/state/endpoint.go
+++ b/internal/state/endpoint.go
@@ -1,7 +1,10 @@
 package state
 
 import (
+	"fmt"
 	"hash/fnv"
+	"maps"
+	"slices"
 
 	"heathgap/decide"
 	"heathgap/internal/httpwire"
@@ -19,11 +22,26 @@
 type Endpoints struct {
 	byName map[string]*Endpoint
 	byID   map[decide.EndpointID]*Endpoint
+
+	banned map[string]decide.EndpointID // by hand; each keeps its id, listed or not
+	seen   map[uint64]struct{}          // hashes of names that have been listed
+	ring   []uint64                     // the same in their order: the oldest makes room
+	next   int
 }
 
+// mostSeen bounds the names that are known to have been listed, some 40 bytes each.
+// The oldest that makes room can still be banned once it is listed again.
+const mostSeen = 4096
+
+// mostBanned bounds bans that stand at once: far more than any maintenance needs.
+const mostBanned = 1024
+
 // NewEndpoints returns an empty registry.
 func NewEndpoints() *Endpoints {
-	return &Endpoints{byName: map[string]*Endpoint{}, byID: map[decide.EndpointID]*Endpoint{}}
+	return &Endpoints{
+		byName: map[string]*Endpoint{}, byID: map[decide.EndpointID]*Endpoint{},
+		banned: map[string]decide.EndpointID{}, seen: map[uint64]struct{}{},
+	}
 }
 
 // Get returns the endpoint with an id, or nil.
@@ -73,15 +91,88 @@
 // add gives a name an id that is the same at every sidecar, as long as no two
 // names share one: instances order endpoints by id, each beginning elsewhere.
 func (t *Endpoints) add(name string) *Endpoint {
+	id, banned := t.banned[name]
+	if !banned {
+		id = t.free(name)
+	}
+	e := &Endpoint{ID: id, Listed: true}
+	t.byName[name], t.byID[id] = e, e
+	t.See(hashOf(name))
+	return e
+}
+
+// free is the id that a name gets: its hash, or the next that neither an endpoint nor
+// a ban has.
+func (t *Endpoints) free(name string) decide.EndpointID {
 	h := fnv.New32a()
 	h.Write([]byte(name))
 	id := decide.EndpointID(h.Sum32())
-	for t.byID[id] != nil {
+	for t.byID[id] != nil || t.keeps(id) {
 		id++
 	}
-	e := &Endpoint{ID: id, Listed: true}
-	t.byName[name], t.byID[id] = e, e
-	return e
+	return id
+}
+
+func (t *Endpoints) keeps(id decide.EndpointID) bool {
+	for _, kept := range t.banned {
+		if kept == id {
+			return true
+		}
+	}
+	return false
+}
+
+func hashOf(name string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	return h.Sum64()
+}
+
+// See remembers the hash of a name that has been listed, here or in a process before.
+func (t *Endpoints) See(hash uint64) {
+	if _, known := t.seen[hash]; known {
+		return
+	}
+	t.seen[hash] = struct{}{}
+	if len(t.ring) < mostSeen {
+		t.ring = append(t.ring, hash)
+		return
+	}
+	delete(t.seen, t.ring[t.next])
+	t.ring[t.next] = hash
+	t.next = (t.next + 1) % mostSeen
+}
+
+// Seen returns the hashes of names that have been listed.
+func (t *Endpoints) Seen() []uint64 { return slices.Clone(t.ring) }
+
+// Banned returns the names that are banned.
+func (t *Endpoints) Banned() []string { return slices.Sorted(maps.Keys(t.banned)) }
+
+// Ban books a ban by hand, or its end, and returns the endpoint's id. It fails where
+// the name has never been listed, or bans are too many.
+func (t *Endpoints) Ban(name string, on bool) (decide.EndpointID, error) {
+	id, banned := t.banned[name]
+	e := t.byName[name]
+	_, seen := t.seen[hashOf(name)]
+	switch {
+	case e != nil:
+		id = e.ID
+	case banned:
+	case !seen:
+		return 0, fmt.Errorf("endpoint %.64q has never been listed", name)
+	default:
+		id = t.free(name)
+	}
+	switch {
+	case !on:
+		delete(t.banned, name)
+	case !banned && len(t.banned) >= mostBanned:
+		return 0, fmt.Errorf("%d endpoints are banned already, the most that may be", mostBanned)
+	default:
+		t.banned[name] = id
+	}
+	return id, nil
 }
 
 func (t *Endpoints) remove(e *Endpoint) {
--- a/internal/watching/watching.go
+++ b/internal/watching/watching.go
@@ -77,6 +77,14 @@
 	}, nil
 }
 
+// Avoided is the deciding one's, where it tells.
+func (w *Watch) Avoided() int {
+	if d, ok := w.deciding.(interface{ Avoided() int }); ok {
+		return d.Avoided()
+	}
+	return 0
+}
+
 // Counts returns what has been counted so far.
 func (w *Watch) Counts() Counts { return w.counts }
 
