--- a/decide/ban_test.go
+++ b/decide/ban_test.go
@@ -82,7 +82,14 @@
 		t.Errorf("%d sent to banned endpoints", n)
 	}
 	s.arrive(500, "read")
-	s.after(2*time.Second).want(s.tick(), Refuse)
+	for _, a := range s.after(2 * time.Second).tick() {
+		if a.Kind != Refuse || a.After == 0 {
+			t.Errorf("%+v, want refusals that say when to come back", a)
+		}
+	}
+	if len(s.b.held) != 0 {
+		t.Errorf("%d requests are still held", len(s.b.held))
+	}
 }
 
 // What has partly gone can't go twice, and its failure ends the request at once:
