Upgrade under load: the new process takes the listener over from the old one

The old process now gives its listening descriptor, list and bans over a Unix socket in TMPDIR, stops accepting and ends its connections answer by answer; bans at either console bind in both. If the new process dies, the old one accepts again.

--- a/internal/httpwire/caller.go
+++ b/internal/httpwire/caller.go
@@ -17,9 +17,12 @@
 type Callers struct {
 	net.Listener
 	world env.Env
-	most  int
+	most  atomic.Int64
 	ended func(c *CallerConn, why Reason)
 
+	paused atomic.Bool
+	resume chan struct{} // one that is stale only has Accept look again
+
 	held atomic.Int64 // connections with a whole request on them
 
 	mu      sync.Mutex
@@ -30,7 +33,41 @@
 // NewCallers wraps a listener. Beyond so many connections, those that have been
 // idle longest make room. ended is called once for each that ends.
 func NewCallers(l net.Listener, world env.Env, most int, ended func(c *CallerConn, why Reason)) *Callers {
-	return &Callers{Listener: l, world: world, most: most, ended: ended, conns: map[*CallerConn]struct{}{}}
+	c := &Callers{Listener: l, world: world, ended: ended, conns: map[*CallerConn]struct{}{}, resume: make(chan struct{}, 1)}
+	c.Bound(most)
+	return c
+}
+
+// Bound sets how many connections there may be. It binds when the next one comes.
+func (l *Callers) Bound(most int) { l.most.Store(int64(most)) }
+
+// Pause keeps Accept from accepting until Resume: another process does meanwhile, on
+// the same descriptor. What has been accepted is not touched.
+func (l *Callers) Pause() {
+	l.paused.Store(true)
+	if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
+		d.SetDeadline(aPast)
+	}
+}
+
+// Resume ends a pause.
+func (l *Callers) Resume() {
+	if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
+		d.SetDeadline(time.Time{})
+	}
+	if l.paused.Swap(false) {
+		select {
+		case l.resume <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Close ends accepting.
+func (l *Callers) Close() error {
+	err := l.Listener.Close()
+	l.Resume()
+	return err
 }
 
 // Pauses of the callers' side.
@@ -47,17 +84,22 @@
 func (l *Callers) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	for err != nil {
-		if errors.Is(err, net.ErrClosed) {
+		switch {
+		case errors.Is(err, net.ErrClosed):
 			return nil, err
+		case l.paused.Load():
+			<-l.resume
+		case errors.Is(err, os.ErrDeadlineExceeded): // a pause that has ended since
+		default:
+			l.retireOldest(1)
+			l.world.Sleep(acceptPause)
 		}
-		l.retireOldest(1)
-		l.world.Sleep(acceptPause)
 		conn, err = l.Listener.Accept()
 	}
 	c := &CallerConn{Conn: conn, owner: l, changed: l.world.Now()}
 	l.mu.Lock()
 	l.conns[c] = struct{}{}
-	look := len(l.conns) > l.most && !l.looking
+	look := int64(len(l.conns)) > l.most.Load() && !l.looking
 	l.looking = l.looking || look
 	l.mu.Unlock()
 	if look {
@@ -69,7 +111,7 @@
 // makeRoom ends idle connections until there are no more than there should be.
 func (l *Callers) makeRoom() {
 	l.mu.Lock()
-	over := len(l.conns) - l.most
+	over := len(l.conns) - int(l.most.Load())
 	l.looking = over > 0
 	l.mu.Unlock()
 	if over > 0 {
@@ -298,7 +340,7 @@
 // Crowded tells whether more requests are held than there should be connections.
 func (c *CallerConn) Crowded() bool {
 	l := c.owner
-	return l.held.Load() > int64(l.most)
+	return l.held.Load() > l.most.Load()
 }
 
 // Note sets why the connection ends, unless that is known already.
--- a/internal/lifecycle/process.go
+++ b/internal/lifecycle/process.go
@@ -14,6 +14,7 @@
 
 	"heathgap/internal/config"
 	"heathgap/internal/operator"
+	"heathgap/internal/takeover"
 )
 
 const logLines = 4096 // kept for a log that is read slowly; beyond them lines are dropped, so that nobody waits
@@ -47,6 +48,9 @@
 	}
 	log = log.With().Str("sidecar", conf.Name).Logger()
 	debug.SetMemoryLimit(conf.HeapBytes)
+	if conf.Console != "" { // READY is how the platform learns that a successor serves
+		opts.Meet = takeover.Path(os.TempDir(), conf.Name, conf.Listen)
+	}
 	sidecar, err := Start(conf, log, opts)
 	if err != nil {
 		log.Error().Err(err).Msg("cannot start")
--- a/internal/lifecycle/sidecar.go
+++ b/internal/lifecycle/sidecar.go
@@ -50,6 +50,7 @@
 	callers *httpwire.Callers
 	server  *fasthttp.Server
 	console *console.Console // nil where none is configured
+	upgrade upgrade
 	cancel  context.CancelFunc
 	ran     chan struct{} // closed when the engine has stopped
 	served  chan error    // what the server ended with
@@ -72,6 +73,7 @@
 // Options are what a sidecar is started with beside its configuration.
 type Options struct {
 	Operator operator.File
+	Meet     string  // where the processes of an upgrade meet; empty for nowhere
 	Decider  Decider // nil for the module
 	World    env.Env // nil for the real one
 }
@@ -101,18 +103,18 @@
 		ends = log.Sample(zerolog.LevelSampler{InfoSampler: &zerolog.BasicSampler{N: uint32(n)}})
 	}
 	engine := pipeline.New(conf, world, pipeline.Logs{All: log, Ends: ends}, balancer)
-	listener, err := world.Listen(conf.Listen)
-	if err != nil {
-		return nil, fmt.Errorf("listen: %w", err)
-	}
 	s := &Sidecar{
 		conf: conf, log: log, ends: ends, world: world, engine: engine, ran: make(chan struct{}), served: make(chan error, 1),
 	}
+	listener, err := s.listen(opts.Meet)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
 	s.stayFor = max(leastStay, s.finishTime()-s.shortestAim())
 	s.callers = httpwire.NewCallers(listener, world, conf.CallerConns, s.callerEnded)
 	s.server = newServer(engine, conf)
 	if conf.Console != "" {
-		if s.console, err = console.Open(conf.Console, world, engine, log); err != nil {
+		if s.console, err = console.Open(conf.Console, world, s, log); err != nil {
 			listener.Close()
 			return nil, err
 		}
@@ -123,8 +125,12 @@
 		defer close(s.ran)
 		engine.Run(ctx)
 	})
+	if err := s.succeed(); err != nil {
+		return nil, fmt.Errorf("taking over: %w", err)
+	}
 	world.Go("server", func() { s.served <- s.server.Serve(s.callers) })
 	engine.Serve(true)
+	s.offer(opts.Meet, listener)
 	log.Info().Str("listen", listener.Addr().String()).Str("discovery", conf.Discovery).Msg("ready")
 	return s, nil
 }
@@ -174,9 +180,12 @@
 func (s *Sidecar) Stop() {
 	begin := s.world.Now()
 	s.engine.Unready()
-	s.log.Info().Msg("stopping")
-	s.world.Sleep(s.stayFor)
-	s.engine.Drain()
+	s.log.Info().Bool("succeeded", s.upgrade.yielded.Load()).Msg("stopping")
+	s.upgrade.stopping.Store(true)
+	if !s.upgrade.yielded.Load() { // else callers find the other process already
+		s.world.Sleep(s.stayFor)
+	}
+	s.engine.Drain(true)
 	s.callers.Close()
 	s.emptyOut(begin.Add(s.finishTime()))
 	s.engine.Finish()
@@ -186,6 +195,7 @@
 	if s.console != nil {
 		s.console.Close()
 	}
+	s.upgrade.end()
 	s.log.Info().Object("counters", s.engine.Snapshot()).Int("callers", s.callers.Open()).Msg("stopped")
 }
 
--- /dev/null
+++ b/internal/lifecycle/upgrade.go
@@ -0,0 +1,216 @@
+package lifecycle
+
+import (
+	"errors"
+	"net"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"syscall"
+
+	"heathgap/internal/takeover"
+)
+
+// Upgrade: one process of a sidecar takes the place of another under load. The rules
+// see one sidecar, and so do the limits: while both live, each keeps to half of them.
+
+// processes share the limits during an upgrade.
+const processes = 2
+
+// upgrade is a process's part in one.
+type upgrade struct {
+	path     string         // where the processes meet; empty for nowhere
+	before   *takeover.Peer // the predecessor; nil without one
+	yielded  atomic.Bool    // a successor accepts callers
+	stopping atomic.Bool    // the platform has said so
+
+	mu    sync.Mutex
+	peers []*takeover.Peer // that live: predecessor, successor
+	door  *takeover.Door   // for a successor; nil when there is none
+}
+
+// listen returns where callers connect: a predecessor's own listener if there is one.
+func (s *Sidecar) listen(meet string) (net.Listener, error) {
+	if s.upgrade.path = meet; meet == "" {
+		return s.world.Listen(s.conf.Listen)
+	}
+	peer, listener, state, err := takeover.Find(meet)
+	if err == nil {
+		err = s.engine.Inherit(state)
+	}
+	switch {
+	case err == nil:
+		s.upgrade.before = peer
+		s.join(peer)
+		s.log.Info().Msg("a predecessor serves")
+		return listener, nil
+	case !errors.Is(err, takeover.ErrNone):
+		s.log.Warn().Err(err).Msg("no predecessor, starting without one")
+	}
+	if peer != nil {
+		peer.Close()
+		listener.Close()
+	}
+	return takeover.Listen(s.conf.Listen)
+}
+
+// join counts the other process in.
+func (s *Sidecar) join(peer *takeover.Peer) {
+	u := &s.upgrade
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.peers = append(u.peers, peer)
+}
+
+// part counts it out. The limits are this process's alone again.
+func (s *Sidecar) part(peer *takeover.Peer) {
+	u := &s.upgrade
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for i, p := range u.peers {
+		if p == peer {
+			u.peers = append(u.peers[:i], u.peers[i+1:]...)
+			break
+		}
+	}
+	if len(u.peers) == 0 {
+		s.share(1)
+	}
+}
+
+// share keeps this process to a part of the limits.
+func (s *Sidecar) share(parts int) {
+	s.callers.Bound(s.conf.CallerConns / parts)
+	s.engine.Share(parts)
+	debug.SetMemoryLimit(s.conf.HeapBytes / int64(parts))
+}
+
+// succeed takes the predecessor's place, if there is one: when it returns, that has
+// stopped accepting. On an error it has not, and goes on.
+func (s *Sidecar) succeed() error {
+	peer := s.upgrade.before
+	if peer == nil {
+		return nil
+	}
+	s.share(processes)
+	go peer.Run(successor{s, peer})
+	return peer.Take()
+}
+
+// successor is what this process does for its predecessor.
+type successor struct {
+	*Sidecar
+	peer *takeover.Peer
+}
+
+// Yield is nothing that a predecessor asks for.
+func (successor) Yield() {}
+
+// Gone is takeover.Handler's.
+func (s successor) Gone(bool) {
+	s.log.Info().Msg("the predecessor has ended")
+	s.part(s.peer)
+}
+
+// offer lets a successor come.
+func (s *Sidecar) offer(meet string, listener net.Listener) {
+	l, ok := listener.(syscall.Conn)
+	if meet == "" || !ok {
+		return
+	}
+	door, err := takeover.Offer(meet, l, func(peer *takeover.Peer) ([]byte, takeover.Handler, error) {
+		s.join(peer)
+		s.log.Info().Msg("a successor has come")
+		state, err := s.engine.Legacy()
+		return state, predecessor{s, peer, listener}, err
+	})
+	if err != nil {
+		// Guards against a folder that takes no socket: the sidecar serves, and its
+		// successor shares its address instead.
+		s.log.Warn().Err(err).Msg("no way in for a successor")
+		return
+	}
+	s.upgrade.mu.Lock()
+	defer s.upgrade.mu.Unlock()
+	if s.upgrade.door != nil {
+		s.upgrade.door.Close()
+	}
+	s.upgrade.door = door
+}
+
+// predecessor is what this process does for its successor.
+type predecessor struct {
+	*Sidecar
+	peer     *takeover.Peer
+	listener net.Listener
+}
+
+// Yield stops accepting. What stands on the connections that there are is served, and
+// each answer is the last on its connection.
+func (s predecessor) Yield() {
+	s.upgrade.yielded.Store(true)
+	s.callers.Pause()
+	s.engine.Drain(true)
+	s.share(processes)
+	s.log.Info().Msg("a successor serves")
+	go debug.FreeOSMemory()
+}
+
+// Gone goes on as before if the successor has ended and this process is not to stop.
+func (s predecessor) Gone(yielded bool) {
+	s.part(s.peer)
+	if !yielded || s.upgrade.stopping.Load() {
+		return
+	}
+	s.log.Warn().Msg("the successor has ended, serving again")
+	s.upgrade.yielded.Store(false)
+	s.engine.Drain(false)
+	s.callers.Resume()
+	s.offer(s.upgrade.path, s.listener)
+}
+
+// Adopt is takeover.Handler's.
+func (s *Sidecar) Adopt(name string, on bool) {
+	if err := s.engine.Adopt(name, on); err != nil {
+		s.log.Warn().Err(err).Msg("a ban of the other process")
+	}
+}
+
+// Ready is console.Operations'.
+func (s *Sidecar) Ready() bool { return s.engine.Ready() }
+
+// Figures is console.Operations'.
+func (s *Sidecar) Figures() []byte { return s.engine.Figures() }
+
+// Disable bans an endpoint here and in the other process of an upgrade.
+func (s *Sidecar) Disable(name string) error { return s.ban(name, true, s.engine.Disable) }
+
+// Enable ends a ban in both.
+func (s *Sidecar) Enable(name string) error { return s.ban(name, false, s.engine.Enable) }
+
+func (s *Sidecar) ban(name string, on bool, here func(string) error) error {
+	if err := here(name); err != nil {
+		return err
+	}
+	s.upgrade.mu.Lock()
+	peers := append([]*takeover.Peer(nil), s.upgrade.peers...)
+	s.upgrade.mu.Unlock()
+	for _, peer := range peers {
+		if err := peer.Tell(name, on); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// end leaves the other process to itself.
+func (u *upgrade) end() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.door != nil {
+		u.door.Close()
+	}
+	for _, p := range u.peers {
+		p.Close()
+	}
+}
--- /dev/null
+++ b/internal/lifecycle/upgrade_test.go
@@ -0,0 +1,198 @@
+package lifecycle
+
+import (
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"heathgap/internal/lab/scripted"
+	"heathgap/internal/takeover"
+)
+
+// generation starts one more process of a sidecar, with a console of its own.
+func generation(t *testing.T, conf map[string]any) (p *process, console string) {
+	t.Helper()
+	console = scripted.FreeAddress(t)
+	conf["console"] = console
+	p = launch(t, conf)
+	eventually(t, "READY", func() bool { return isYes(console) })
+	return p, console
+}
+
+func isYes(console string) bool {
+	answer, err := tryAsk(console, "READY")
+	return err == nil && strings.HasPrefix(answer, "200 ")
+}
+
+// upgradable is a configuration whose processes meet in a folder of the test's own.
+func upgradable(t *testing.T, d *scripted.Discovery, known ...map[string]any) (conf map[string]any, address string) {
+	t.Helper()
+	t.Setenv("TMPDIR", t.TempDir())
+	conf = testConfig(d, known...)
+	address = scripted.FreeAddress(t)
+	conf["listen"] = address
+	return conf, address
+}
+
+// callers ask all the time, on connections that they keep and on new ones, until
+// stopped; they tell how many calls were answered 200, and what else came.
+func callers(t *testing.T, address string) (stop func() (served int64, other []string)) {
+	t.Helper()
+	ended := make(chan struct{})
+	var wait sync.WaitGroup
+	var served atomic.Int64
+	var mu sync.Mutex
+	var other []string
+	for i := range 8 {
+		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: i%2 == 0}, Timeout: patience}
+		wait.Go(func() {
+			for {
+				select {
+				case <-ended:
+					return
+				default:
+				}
+				answer, err := client.Do(request(t, address, http.MethodGet, "/look", ""))
+				if err == nil && answer.StatusCode == 200 {
+					served.Add(1)
+					answer.Body.Close()
+					continue
+				}
+				mu.Lock()
+				if err != nil {
+					other = append(other, err.Error())
+				} else {
+					other = append(other, answer.Status)
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	return func() (int64, []string) {
+		close(ended)
+		wait.Wait()
+		return served.Load(), other
+	}
+}
+
+// A new process takes the old one's place under load: no request meets a refused or
+// reset connection, bans hold in both and over it, and only the old one ends.
+func TestReplacingTheProcess(t *testing.T) {
+	e1, e2 := scripted.StartEndpoint(t, "e1", nil), scripted.StartEndpoint(t, "e2", nil)
+	conf, address := upgradable(t, scripted.StartDiscovery(t), e1.Line(), e2.Line())
+	old, oldConsole := generation(t, conf)
+	if got := ask(t, oldConsole, "DISABLE e1"); !strings.HasPrefix(got, "200 ") {
+		t.Fatalf("DISABLE: %q", got)
+	}
+	before := e1.Count()
+	stop := callers(t, address)
+	var last *process
+	console := oldConsole
+	for range 3 { // an upgrade of an upgrade works as the first does
+		next, nextConsole := generation(t, conf)
+		time.Sleep(100 * time.Millisecond)
+		old.Process.Signal(syscall.SIGTERM)
+		begin := time.Now()
+		if err := old.Wait(); err != nil || time.Since(begin) > 3*time.Second {
+			t.Errorf("the old process: %v after %v", err, time.Since(begin))
+		}
+		old, last, console = next, next, nextConsole
+	}
+	served, other := stop()
+	if len(other) > 0 || served < 100 {
+		t.Errorf("%d served, and %d met %.300q", served, len(other), other)
+	}
+	if e1.Count() != before || stats(t, console)["pool_ejected"] != 1 {
+		t.Errorf("%d sent to what is banned over upgrades; %v", e1.Count()-before, stats(t, console))
+	}
+	if got := ask(t, console, "ENABLE e1"); !strings.HasPrefix(got, "200 ") {
+		t.Errorf("ENABLE: %q", got)
+	}
+	eventually(t, "e1 serves again", func() bool { get(t, address, "/look"); return e1.Count() > before })
+	last.Process.Signal(syscall.SIGTERM)
+	if err := last.Wait(); err != nil {
+		t.Errorf("the last process: %v", err)
+	}
+}
+
+// While both processes live, a call at either console binds in both before its yes.
+func TestBansBindInBothProcesses(t *testing.T) {
+	d := scripted.StartDiscovery(t)
+	e1, e2 := scripted.StartEndpoint(t, "e1", nil), scripted.StartEndpoint(t, "e2", nil)
+	conf, _ := upgradable(t, d, e1.Line(), e2.Line())
+	_, first := generation(t, conf)
+	_, second := generation(t, conf)
+	for i, call := range []struct {
+		at, word string
+		ejected  int
+	}{
+		{first, "DISABLE e1", 1}, {second, "DISABLE e1", 1}, {second, "DISABLE e2", 2}, {first, "ENABLE e2", 1},
+		{second, "ENABLE e1", 0}, {first, "DISABLE e2", 1},
+	} {
+		if got := ask(t, call.at, call.word); !strings.HasPrefix(got, "200 ") {
+			t.Fatalf("%d, %s: %q", i, call.word, got)
+		}
+		for _, console := range []string{first, second} {
+			if n := stats(t, console)["pool_ejected"]; n != call.ejected {
+				t.Errorf("%d, after %s: %d ejected, want %d", i, call.word, n, call.ejected)
+			}
+		}
+	}
+}
+
+// Guards against a new process that takes the sidecar down with it: the old one
+// accepts again when its successor ends, and lets the next one come.
+func TestSuccessorThatDies(t *testing.T) {
+	e := scripted.StartEndpoint(t, "e1", nil)
+	conf, address := upgradable(t, scripted.StartDiscovery(t), e.Line())
+	old, _ := generation(t, conf)
+	for range 2 {
+		next, _ := generation(t, conf)
+		next.Process.Kill()
+		next.Wait()
+		eventually(t, "the old one accepts again", func() bool {
+			status, _, err := try(request(t, address, http.MethodGet, "/look", ""))
+			return err == nil && status == 200
+		})
+	}
+	if !strings.Contains(old.log.String(), "serving again") {
+		t.Errorf("the old process has not noticed:\n%s", old.log)
+	}
+	conf["seed"] = "none"
+	failed := launch(t, conf)
+	if failed.Wait(); failed.ProcessState.ExitCode() != 1 {
+		t.Errorf("a faulty successor: exit code %d", failed.ProcessState.ExitCode())
+	}
+	if status, _ := get(t, address, "/look"); status != 200 {
+		t.Errorf("after a faulty successor: %d", status)
+	}
+}
+
+// What a killed process leaves in the folder is named and passed over.
+func TestStaleWayIn(t *testing.T) {
+	e := scripted.StartEndpoint(t, "e1", nil)
+	conf, address := upgradable(t, scripted.StartDiscovery(t), e.Line())
+	path := takeover.Path(os.TempDir(), "t0", address)
+	for _, torn := range []bool{false, true} {
+		if torn {
+			if err := os.WriteFile(path, []byte("{\"v"), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		p, _ := generation(t, conf)
+		if said := strings.Contains(p.log.String(), "no predecessor"); said != torn {
+			t.Errorf("torn %v, and the log says so: %v\n%s", torn, said, p.log)
+		}
+		if status, _ := get(t, address, "/look"); status != 200 {
+			t.Errorf("torn %v: %d", torn, status)
+		}
+		p.Process.Kill()
+		p.Wait()
+		os.Remove(path)
+	}
+}
--- a/internal/pipeline/discover.go
+++ b/internal/pipeline/discover.go
@@ -77,12 +77,21 @@
 // startList takes over the list as last known, and watches where the module
 // expects changes to come by themselves.
 func (e *Engine) startList() {
-	if known := e.conf.Known; known != nil {
+	known := e.conf.Known
+	if e.legacy != nil {
+		known = &e.legacy.List
+	}
+	if known != nil {
+		e.index = known.Index
 		e.watch.index, e.watch.known = known.Index, true
 		restored := *known
 		restored.Whole = true
 		e.takeList(&restored, decide.ListRestored)
 	}
+	if e.legacy != nil {
+		e.takeLegacy(e.legacy)
+		e.legacy = nil
+	}
 	if !e.conf.Settings.MustAsk {
 		e.startWatch()
 	}
@@ -184,6 +193,7 @@
 		return
 	}
 	e.counters.Lists++
+	e.index = c.list.Index
 	kind := decide.ListChanged
 	if c.list.Whole {
 		kind = decide.ListReplaced
--- a/internal/pipeline/engine.go
+++ b/internal/pipeline/engine.go
@@ -69,6 +69,8 @@
 	timeouts  state.Timeouts
 	counters  state.Counters
 	watch     *watch      // of the present discovery
+	index     int64       // the list's version
+	legacy    *Legacy     // of a predecessor; nil without one
 	moduleDue decide.Time // when the module wants to be woken; 0 when it does not
 	sweepAt   decide.Time
 	pending   []decide.Event // for the module, behind the one it is being told
@@ -170,8 +172,8 @@
 // Unready has GET /up say that the sidecar takes no new callers.
 func (e *Engine) Unready() { e.unready.Store(true) }
 
-// Drain makes every answer from now on the last on its connection.
-func (e *Engine) Drain() { e.draining.Store(true) }
+// Drain makes every answer from now on the last on its connection, or no more.
+func (e *Engine) Drain(on bool) { e.draining.Store(on) }
 
 // Finish fails what is still held: the process is about to end, or to be killed,
 // and what it leaves unanswered is lost. A failure promises nothing, so that it
--- a/internal/pipeline/operate.go
+++ b/internal/pipeline/operate.go
@@ -1,7 +1,9 @@
 package pipeline
 
 import (
+	"encoding/json"
 	"errors"
+	"fmt"
 
 	"heathgap/decide"
 	"heathgap/internal/httpwire"
@@ -27,8 +29,18 @@
 // Enable ends a ban.
 func (e *Engine) Enable(name string) error { return e.ban(name, false) }
 
+// Adopt takes over a ban by hand, or its end, from the other process of an upgrade,
+// which knows that the endpoint has been listed.
+func (e *Engine) Adopt(name string, on bool) error {
+	return e.call(banCall{name: name, on: on, seen: true, done: make(chan error, 1)})
+}
+
 func (e *Engine) ban(name string, on bool) error {
-	call := banCall{name: name, on: on, done: make(chan error, 1)}
+	return e.call(banCall{name: name, on: on, done: make(chan error, 1)})
+}
+
+// call has the owner do something at once, and waits until it has.
+func (e *Engine) call(call banCall) error {
 	select {
 	case e.urgent <- call:
 	case <-e.stopped:
@@ -46,11 +58,15 @@
 type banCall struct {
 	name string
 	on   bool
+	seen bool // another process knows the name
 	done chan error
 }
 
 func (c banCall) handle(e *Engine) {
-	id, err := e.endpoints.Ban(c.name, c.on)
+	if c.seen {
+		e.endpoints.See(c.name)
+	}
+	id, err := e.endpoints.Ban(c.name, c.on, e.clock.Now())
 	if err == nil {
 		kind := decide.Unbanned
 		if c.on {
@@ -64,3 +80,77 @@
 	}
 	c.done <- err
 }
+
+// Legacy is what a process leaves to the one that takes its place.
+type Legacy struct {
+	List   httpwire.List // as last known
+	Seen   []uint64      // hashes of names that have been listed
+	Banned []string
+	Lifted []string // whose bans have ended lately: they may still be cold
+}
+
+// Legacy returns what a successor must know, as text.
+func (e *Engine) Legacy() ([]byte, error) {
+	reply := make(chan Legacy, 1)
+	select {
+	case e.urgent <- legacyWanted{reply}:
+	case <-e.stopped:
+		return nil, errEnded
+	}
+	select {
+	case l := <-reply:
+		return json.Marshal(l)
+	case <-e.stopped:
+		return nil, errEnded
+	}
+}
+
+type legacyWanted struct{ reply chan Legacy }
+
+func (w legacyWanted) handle(e *Engine) {
+	t := e.endpoints
+	w.reply <- Legacy{
+		List: httpwire.List{Index: e.index, Whole: true, Endpoints: t.Lines()}, Seen: t.Seen(), Banned: t.Banned(),
+		Lifted: t.Lifted(e.clock.Now() - e.conf.Settings.Rules.ColdTime),
+	}
+}
+
+// Inherit has the engine start with what a predecessor has left. It is called before Run.
+func (e *Engine) Inherit(text []byte) error {
+	var l Legacy
+	if err := json.Unmarshal(text, &l); err != nil {
+		return fmt.Errorf("what the predecessor left: %w", err)
+	}
+	e.legacy = &l
+	return nil
+}
+
+// takeLegacy takes over a predecessor's list and bans.
+func (e *Engine) takeLegacy(l *Legacy) {
+	for _, hash := range l.Seen {
+		e.endpoints.Remember(hash)
+	}
+	for _, name := range l.Banned {
+		e.takeBan(name, true)
+	}
+	for _, name := range l.Lifted {
+		e.takeBan(name, true)
+		e.takeBan(name, false)
+	}
+}
+
+func (e *Engine) takeBan(name string, on bool) {
+	c := banCall{name: name, on: on, seen: true, done: make(chan error, 1)}
+	c.handle(e)
+	if err := <-c.done; err != nil {
+		e.log.Warn().Err(err).Msg("a predecessor's ban")
+	}
+}
+
+// Share bounds connections to endpoints by a part of what one process may hold, while
+// two processes share the limits.
+func (e *Engine) Share(parts int) { e.post(share{parts}) }
+
+type share struct{ parts int }
+
+func (s share) handle(e *Engine) { e.pool.Bound(e.conf.EndpointConns / s.parts) }
--- a/internal/state/endpoint.go
+++ b/internal/state/endpoint.go
@@ -27,6 +27,8 @@
 	seen   map[uint64]struct{}          // hashes of names that have been listed
 	ring   []uint64                     // the same in their order: the oldest makes room
 	next   int
+
+	lifted map[string]decide.Time // bans that have ended, and when; mostBanned of them
 }
 
 // mostSeen bounds the names that are known to have been listed, some 40 bytes each.
@@ -40,7 +42,7 @@
 func NewEndpoints() *Endpoints {
 	return &Endpoints{
 		byName: map[string]*Endpoint{}, byID: map[decide.EndpointID]*Endpoint{},
-		banned: map[string]decide.EndpointID{}, seen: map[uint64]struct{}{},
+		banned: map[string]decide.EndpointID{}, seen: map[uint64]struct{}{}, lifted: map[string]decide.Time{},
 	}
 }
 
@@ -97,7 +99,7 @@
 	}
 	e := &Endpoint{ID: id, Listed: true}
 	t.byName[name], t.byID[id] = e, e
-	t.See(hashOf(name))
+	t.See(name)
 	return e
 }
 
@@ -128,8 +130,11 @@
 	return h.Sum64()
 }
 
-// See remembers the hash of a name that has been listed, here or in a process before.
-func (t *Endpoints) See(hash uint64) {
+// See remembers that a name has been listed.
+func (t *Endpoints) See(name string) { t.Remember(hashOf(name)) }
+
+// Remember is See for what a process before has told, by the name's hash.
+func (t *Endpoints) Remember(hash uint64) {
 	if _, known := t.seen[hash]; known {
 		return
 	}
@@ -151,7 +156,7 @@
 
 // Ban books a ban by hand, or its end, and returns the endpoint's id. It fails where
 // the name has never been listed, or bans are too many.
-func (t *Endpoints) Ban(name string, on bool) (decide.EndpointID, error) {
+func (t *Endpoints) Ban(name string, on bool, now decide.Time) (decide.EndpointID, error) {
 	id, banned := t.banned[name]
 	e := t.byName[name]
 	_, seen := t.seen[hashOf(name)]
@@ -166,6 +171,9 @@
 	}
 	switch {
 	case !on:
+		if banned && len(t.lifted) < mostBanned {
+			t.lifted[name] = now
+		}
 		delete(t.banned, name)
 	case !banned && len(t.banned) >= mostBanned:
 		return 0, fmt.Errorf("%d endpoints are banned already, the most that may be", mostBanned)
@@ -180,3 +188,18 @@
 	delete(t.byName, e.Name)
 	delete(t.byID, e.ID)
 }
+
+// Lifted returns the names whose bans have ended since a time, and forgets the others.
+func (t *Endpoints) Lifted(since decide.Time) []string {
+	maps.DeleteFunc(t.lifted, func(_ string, at decide.Time) bool { return at < since })
+	return slices.Sorted(maps.Keys(t.lifted))
+}
+
+// Lines returns the list as it stands, by name.
+func (t *Endpoints) Lines() []httpwire.ListedEndpoint {
+	lines := make([]httpwire.ListedEndpoint, 0, len(t.byName))
+	for _, name := range slices.Sorted(maps.Keys(t.byName)) {
+		lines = append(lines, t.byName[name].ListedEndpoint)
+	}
+	return lines
+}
--- /dev/null
+++ b/internal/takeover/takeover.go
@@ -0,0 +1,370 @@
+// Package takeover lets one process of a sidecar take the place of another under load:
+// the old one offers its listening descriptor and what it knows on a Unix socket, and
+// both tell each other of operators' calls until the old one ends.
+//
+// What is said, after one byte that carries the descriptor: JSON objects, each with one
+// thing in it (message). Both processes are the same user's; others are turned away.
+package takeover
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io/fs"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// version is that of what is said. A process that speaks another says so and starts as
+// if nobody had answered.
+const version = 1
+
+// Times of the exchange: a new process has seconds to say that it serves, and a
+// predecessor that hangs must not cost it those.
+const (
+	findTime = 2 * time.Second        // for the descriptor and the state
+	takeTime = time.Second            // for the old one's word that it has stopped accepting
+	tellTime = 400 * time.Millisecond // for the other's word on an operator's call, who waits 1 s at most
+)
+
+// message is one thing that is said. Exactly one field beside Seq and On is set.
+type message struct {
+	Version int             `json:"version,omitempty"` // with State
+	State   json.RawMessage `json:"state,omitempty"`   // what the old process knows
+	Take    bool            `json:"take,omitempty"`    // the new one is about to accept
+	Taken   bool            `json:"taken,omitempty"`   // the old one has stopped accepting
+	Ban     string          `json:"ban,omitempty"`     // an endpoint's name, with On and Seq
+	On      bool            `json:"on,omitempty"`
+	Seq     int             `json:"seq,omitempty"`
+	Done    int             `json:"done,omitempty"` // the Seq of a Ban that binds now
+}
+
+// Path is where the processes of one sidecar meet, in a folder that they share.
+func Path(dir, name, listen string) string {
+	h := fnv.New64a()
+	h.Write([]byte(name + "\x00" + listen))
+	return filepath.Join(dir, fmt.Sprintf("heathgap-%016x.sock", h.Sum64()))
+}
+
+// Listen opens a TCP address that the other process of an upgrade may open too, where
+// the descriptor itself can't be had.
+func Listen(address string) (net.Listener, error) {
+	conf := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		var failed error
+		err := c.Control(func(fd uintptr) {
+			failed = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+		})
+		return errors.Join(err, failed)
+	}}
+	return conf.Listen(nil, "tcp", address)
+}
+
+// Peer is the other process of an upgrade.
+type Peer struct {
+	conn *net.UnixConn
+	in   *json.Decoder
+
+	mu      sync.Mutex
+	out     *json.Encoder
+	seq     int
+	waiting map[int]chan struct{} // for Done, by Seq
+	taken   chan struct{}         // closed when the old one has stopped accepting
+	gone    chan struct{}         // closed when the other has ended
+}
+
+func newPeer(conn *net.UnixConn) *Peer {
+	return &Peer{
+		conn: conn, in: json.NewDecoder(conn), out: json.NewEncoder(conn),
+		waiting: map[int]chan struct{}{}, taken: make(chan struct{}), gone: make(chan struct{}),
+	}
+}
+
+// ErrNone says that no predecessor is there.
+var ErrNone = errors.New("no predecessor")
+
+// Find looks for a predecessor and returns it with its listener, on which nothing is
+// to be accepted before Take, and its state. The error is ErrNone where nobody has
+// listened there yet; any other tells what is wrong with who has.
+func Find(path string) (p *Peer, listener net.Listener, state []byte, err error) {
+	if _, err := os.Lstat(path); errors.Is(err, fs.ErrNotExist) {
+		return nil, nil, nil, ErrNone
+	}
+	conn, err := (&net.Dialer{Timeout: findTime}).Dial("unix", path)
+	if err != nil {
+		return nil, nil, nil, fmt.Errorf("%s is stale: %w", path, err)
+	}
+	uc := conn.(*net.UnixConn)
+	defer func() {
+		if err != nil {
+			uc.Close()
+		}
+	}()
+	uc.SetDeadline(time.Now().Add(findTime))
+	if err := sameUser(uc); err != nil {
+		return nil, nil, nil, err
+	}
+	if listener, err = receive(uc); err != nil {
+		return nil, nil, nil, fmt.Errorf("%s: no descriptor: %w", path, err)
+	}
+	p = newPeer(uc)
+	var m message
+	if err = p.in.Decode(&m); err == nil && m.Version != version {
+		err = fmt.Errorf("it speaks version %d, and this is %d", m.Version, version)
+	}
+	if err != nil {
+		listener.Close()
+		return nil, nil, nil, fmt.Errorf("%s: no state: %w", path, err)
+	}
+	uc.SetDeadline(time.Time{})
+	return p, listener, m.State, nil
+}
+
+// sameUser turns away the processes of other users.
+func sameUser(conn *net.UnixConn) error {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var cred *unix.Ucred
+	var failed error
+	err = raw.Control(func(fd uintptr) {
+		cred, failed = unix.GetsockoptUcred(int(fd), unix.SOL_SOCKET, unix.SO_PEERCRED)
+	})
+	if err = errors.Join(err, failed); err != nil {
+		return err
+	}
+	if int(cred.Uid) != os.Getuid() {
+		return fmt.Errorf("the other process is user %d's, not %d's", cred.Uid, os.Getuid())
+	}
+	return nil
+}
+
+// receive reads the byte that carries a listener's descriptor.
+func receive(conn *net.UnixConn) (net.Listener, error) {
+	var b [1]byte
+	oob := make([]byte, unix.CmsgSpace(4))
+	n, oobn, _, _, err := conn.ReadMsgUnix(b[:], oob)
+	if err != nil {
+		return nil, err
+	}
+	parts, err := unix.ParseSocketControlMessage(oob[:oobn])
+	if err != nil || n != 1 || len(parts) != 1 {
+		return nil, fmt.Errorf("%d bytes with %d control messages: %w", n, len(parts), errors.Join(err, fs.ErrInvalid))
+	}
+	fds, err := unix.ParseUnixRights(&parts[0])
+	if err != nil || len(fds) != 1 {
+		return nil, fmt.Errorf("%d descriptors: %w", len(fds), errors.Join(err, fs.ErrInvalid))
+	}
+	file := os.NewFile(uintptr(fds[0]), "listener")
+	defer file.Close()
+	return net.FileListener(file)
+}
+
+// give writes the byte that carries a listener's descriptor.
+func give(conn *net.UnixConn, listener syscall.Conn) error {
+	raw, err := listener.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var failed error
+	err = raw.Control(func(fd uintptr) {
+		_, _, failed = conn.WriteMsgUnix([]byte{'L'}, unix.UnixRights(int(fd)), nil)
+	})
+	return errors.Join(err, failed)
+}
+
+// Handler is what a process does when the other says something. Its methods are called
+// one at a time.
+type Handler interface {
+	// Adopt takes over a ban by hand, or its end; it returns when that binds.
+	Adopt(name string, on bool)
+	// Yield stops accepting: the other is about to.
+	Yield()
+	// Gone says that the other has ended; yielded tells whether Yield was called.
+	Gone(yielded bool)
+}
+
+// Run hears what the other says until it ends.
+func (p *Peer) Run(h Handler) {
+	yielded := false
+	for {
+		var m message
+		if err := p.in.Decode(&m); err != nil {
+			p.conn.Close()
+			close(p.gone)
+			h.Gone(yielded)
+			return
+		}
+		switch {
+		case m.Ban != "":
+			h.Adopt(m.Ban, m.On)
+			p.say(message{Done: m.Seq})
+		case m.Take && !yielded:
+			yielded = true
+			h.Yield()
+			p.say(message{Taken: true})
+		case m.Taken:
+			select {
+			case <-p.taken:
+			default:
+				close(p.taken)
+			}
+		case m.Done > 0:
+			p.mu.Lock()
+			if done := p.waiting[m.Done]; done != nil {
+				close(done)
+				delete(p.waiting, m.Done)
+			}
+			p.mu.Unlock()
+		}
+	}
+}
+
+func (p *Peer) say(m message) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conn.SetWriteDeadline(time.Now().Add(tellTime))
+	return p.out.Encode(m)
+}
+
+// Take has the predecessor stop accepting, and returns when it has, or has ended. On
+// an error it may still accept. Run must be at work.
+func (p *Peer) Take() error {
+	if err := p.say(message{Take: true}); err != nil {
+		return err
+	}
+	timer := time.NewTimer(takeTime)
+	defer timer.Stop()
+	select {
+	case <-p.taken:
+	case <-p.gone:
+	case <-timer.C:
+		return errors.New("the predecessor goes on accepting")
+	}
+	return nil
+}
+
+// Tell tells the other of a ban by hand, or its end, and waits until that binds there,
+// the other has ended, or it does not answer.
+func (p *Peer) Tell(name string, on bool) error {
+	done := make(chan struct{})
+	p.mu.Lock()
+	p.seq++
+	seq := p.seq
+	p.waiting[seq] = done
+	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		delete(p.waiting, seq)
+		p.mu.Unlock()
+	}()
+	if err := p.say(message{Ban: name, On: on, Seq: seq}); err != nil {
+		return nil // it has ended
+	}
+	timer := time.NewTimer(tellTime)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-p.gone:
+	case <-timer.C:
+		return errors.New("the other process of the upgrade does not answer; try again")
+	}
+	return nil
+}
+
+// Close ends the connection to the other.
+func (p *Peer) Close() { p.conn.Close() }
+
+// Door is where a successor comes.
+type Door struct {
+	listener *net.UnixListener
+	mu       sync.Mutex
+	busy     bool
+}
+
+// Offer waits for a successor at a path, one at a time; what stands there is replaced.
+// enter is called for each, and returns what it is given.
+func Offer(path string, listener syscall.Conn, enter func(*Peer) (state []byte, h Handler, err error)) (*Door, error) {
+	// Bound beside it and renamed: there is no moment without a way in for a successor.
+	beside := path + ".new"
+	os.Remove(beside)
+	address := &net.UnixAddr{Name: beside, Net: "unix"}
+	l, err := net.ListenUnix("unix", address)
+	if err != nil {
+		return nil, err
+	}
+	l.SetUnlinkOnClose(false) // a successor's may stand there by then
+	err = errors.Join(os.Chmod(beside, 0o600), os.Rename(beside, path))
+	if err != nil {
+		l.Close()
+		return nil, err
+	}
+	d := &Door{listener: l}
+	go d.serve(listener, enter)
+	return d, nil
+}
+
+// Close lets nobody in any more. A successor that has come stays.
+func (d *Door) Close() { d.listener.Close() }
+
+func (d *Door) serve(listener syscall.Conn, enter func(*Peer) ([]byte, Handler, error)) {
+	for {
+		conn, err := d.listener.AcceptUnix()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(findTime / 100) // descriptors may run out for a moment
+			continue
+		}
+		d.mu.Lock()
+		busy := d.busy
+		d.busy = true
+		d.mu.Unlock()
+		if busy || sameUser(conn) != nil {
+			conn.Close()
+			if !busy {
+				d.free()
+			}
+			continue
+		}
+		go func() {
+			defer d.free()
+			d.attend(conn, listener, enter)
+		}()
+	}
+}
+
+func (d *Door) free() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.busy = false
+}
+
+// attend gives one successor what it needs, and hears it until it ends.
+func (d *Door) attend(conn *net.UnixConn, listener syscall.Conn, enter func(*Peer) ([]byte, Handler, error)) {
+	p := newPeer(conn)
+	// Bans that come from here on are told to it, behind the state.
+	p.mu.Lock()
+	state, h, err := enter(p)
+	if err == nil {
+		conn.SetWriteDeadline(time.Now().Add(findTime))
+		if err = give(conn, listener); err == nil {
+			err = p.out.Encode(message{Version: version, State: state})
+		}
+	}
+	p.mu.Unlock()
+	if err != nil {
+		conn.Close()
+	}
+	if h != nil {
+		p.Run(h)
+	}
+}
