--- a/internal/httpwire/answer.go
+++ b/internal/httpwire/answer.go
@@ -7,6 +7,7 @@
 	"io"
 	"math"
 	"net/http/httputil"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"heathgap/decide"
+	"heathgap/internal/env"
 )
 
 // Verdict is how a request ends for its caller.
@@ -38,6 +40,7 @@
 	Reason     string        // what is wrong with a malformed request
 	Last       bool          // the caller's connection ends with it
 	Taken      int           // of the room for answers, to be returned when it is written
+	Rest       *AnswerRest   // of a long body, Body being its beginning; nil for one that is whole
 }
 
 // EncodeAnswer writes the answer for a caller.
@@ -51,6 +54,12 @@
 		if a.Encoding != "" {
 			m.Header.SetContentEncoding(a.Encoding)
 		}
+		if a.Rest != nil {
+			// In chunks, so that each piece goes out as it comes and an end that is cut off shows.
+			m.ImmediateHeaderFlush = true
+			m.SetBodyStream(a.Rest, -1)
+			return
+		}
 		m.SetBodyRaw(a.Body)
 	case Refused:
 		m.SetStatusCode(fasthttp.StatusServiceUnavailable)
@@ -74,8 +83,9 @@
 	Body     []byte
 	Type     string
 	Encoding string
-	Close    bool // the endpoint ends the connection
-	Taken    int  // of the room for answers
+	Close    bool        // the endpoint ends the connection
+	Taken    int         // of the room for answers
+	Rest     *AnswerRest // of a long body, of which Body is the beginning; nil for one that is whole
 }
 
 // DecodeLoad reads a load report: name=value with commas between them, in one line. Names that the module has no use
@@ -142,40 +152,99 @@
 
 func (e bodyError) Error() string { return string(e) }
 
-// errOpenEnded is the failure of an answer whose end only the end of the
-// connection would tell: a half-written one would look whole.
+// errOpenEnded is the failure of an answer whose end only the end of the connection
+// tells, and whose head does not say so: a half-written one would look whole.
 var errOpenEnded = errors.New("answer without a length")
 
-// DecodeReply reads an endpoint's answer; its body takes of the room.
-func DecodeReply(r *bufio.Reader, room *Room) (Reply, error) {
+// Lengths that a head does not tell, in fasthttp's words.
+const chunked, identity = -1, -2
+
+// beginTime is how long a long answer is held back for more of it than its first bytes:
+// a spoilt one shows itself by then most often, and can be tried elsewhere.
+const beginTime = 150 * time.Millisecond
+
+// Receive reads the answer to what was sent: whole, or the beginning of a long one.
+func (l *Link) Receive(room *Room, world env.Env) (Reply, error) {
+	reply, err := decodeReply(l.in, room, &pacer{link: l, world: world})
+	if reply.Rest != nil {
+		reply.Rest.link, reply.Rest.world = l, world
+	}
+	return reply, err
+}
+
+// DecodeReply reads an endpoint's answer from what can't wait.
+func DecodeReply(r *bufio.Reader, room *Room) (Reply, error) { return decodeReply(r, room, nil) }
+
+// pacer tells when to stop waiting for more of an answer's beginning.
+type pacer struct {
+	link  *Link
+	world env.Env
+	until time.Time // zero before the head has come
+}
+
+// more waits for the next bytes, and tells whether they came in time.
+func (p *pacer) more() bool {
+	now := p.world.Now()
+	if p.until.IsZero() {
+		p.until = now.Add(beginTime)
+	}
+	if p.link.in.Buffered() > 0 {
+		return true
+	}
+	p.link.conn.SetReadDeadline(p.until)
+	_, err := p.link.in.Peek(1)
+	p.link.conn.SetReadDeadline(p.link.until)
+	return !errors.Is(err, os.ErrDeadlineExceeded) // any other error shows at the next read
+}
+
+// decodeReply reads an answer; what is read of its body takes of the room.
+func decodeReply(r *bufio.Reader, room *Room, pace *pacer) (Reply, error) {
 	m := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(m)
-	body, err := readResponse(m, r, MaxAnswer, room)
+	body, err := readHead(m, r)
 	if err != nil {
-		room.Return(cap(body))
 		return Reply{}, err
 	}
 	h := &m.Header
 	status := h.StatusCode()
-	return Reply{
+	reply := Reply{
 		Outcome:  outcomeOf(status, string(h.Peek(headerTurnedAway)) == "1"),
 		Status:   status,
-		Body:     body,
-		Taken:    cap(body),
 		Type:     string(h.ContentType()),
 		Encoding: string(h.ContentEncoding()),
 		Close:    h.ConnectionClose(),
-	}, nil
+	}
+	length := h.ContentLength()
+	if length > MaxAnswer {
+		return Reply{}, errTooLong
+	}
+	if body == nil {
+		return reply, nil
+	}
+	first, whole, err := readBeginning(body, length, room, pace)
+	reply.Body, reply.Taken = first, cap(first)
+	switch {
+	case err != nil:
+		room.Return(cap(first))
+		return Reply{}, err
+	case !whole && reply.Outcome != decide.Served: // it tells all that it has to tell
+		reply.Close = true
+	case !whole:
+		reply.Rest = &AnswerRest{Length: length, first: first, body: body}
+	}
+	return reply, nil
 }
 
-// readResponse reads a whole response of a known length and returns its body.
-func readResponse(m *fasthttp.Response, r *bufio.Reader, most int, room *Room) ([]byte, error) {
-	const chunked, identity = -1, -2 // what fasthttp says of lengths that the head does not tell
+// readHead reads a head, past interim ones, and returns the reader of the body behind
+// it, which ends with io.EOF only at the body's end; nil where there is none.
+func readHead(m *fasthttp.Response, r *bufio.Reader) (io.Reader, error) {
 	m.Header.SetNoDefaultContentType(true)
+	closes := false
 	for ahead := 0; ; ahead++ {
 		if ahead > mostAhead {
 			return nil, errAhead
 		}
+		closes = saysClose(r)
 		if err := m.Header.Read(r); err != nil {
 			return nil, err
 		}
@@ -187,51 +256,143 @@
 		return nil, nil // these never have a body
 	}
 	switch length := m.Header.ContentLength(); {
-	case length == identity:
-		return nil, errOpenEnded
-	case length > most:
-		return nil, errTooLong
+	case length == 0:
+		return nil, nil
 	case length == chunked:
-		body, err := readBody(httputil.NewChunkedReader(r), most, room)
-		if err == nil {
-			err = m.Header.ReadTrailer(r)
+		return &chunkedBody{r: r, chunks: httputil.NewChunkedReader(r)}, nil
+	case length != identity:
+		return &exactBody{r: r, left: length}, nil
+	case closes:
+		return r, nil
+	}
+	return nil, errOpenEnded
+}
+
+// saysClose tells whether the head that comes next says itself that the connection
+// ends with its answer. fasthttp says so of all heads without a length.
+func saysClose(r *bufio.Reader) bool {
+	var head []byte
+	for n, end := 1, -1; end < 0; n = len(head) + 1 {
+		var err error
+		if head, err = r.Peek(max(n, r.Buffered())); err != nil {
+			return false
 		}
-		return body, err
-	default:
-		body, err := readBody(io.LimitReader(r, int64(length)), length, room)
-		if err == nil && len(body) < length {
+		if end = bytes.Index(head, []byte("\r\n\r\n")); end >= 0 {
+			head = head[:end]
+		}
+	}
+	for i, line := range bytes.Split(head, []byte("\r\n")) {
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		if i == 0 && bytes.HasPrefix(line, []byte("HTTP/1.0")) ||
+			bytes.EqualFold(name, []byte("Connection")) && bytes.EqualFold(bytes.TrimSpace(value), []byte("close")) {
+			return true
+		}
+	}
+	return false
+}
+
+// exactBody is a body of a told length.
+type exactBody struct {
+	r    *bufio.Reader
+	left int
+}
+
+// Read is io.Reader's.
+func (b *exactBody) Read(p []byte) (int, error) {
+	n, err := b.r.Read(p[:min(len(p), b.left)])
+	switch b.left -= n; {
+	case b.left == 0:
+		return n, io.EOF
+	case err == io.EOF:
+		return n, io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// chunkedBody is a body in chunks, with the trailer behind it, which is passed over.
+type chunkedBody struct {
+	r      *bufio.Reader
+	chunks io.Reader
+}
+
+// Read is io.Reader's.
+func (b *chunkedBody) Read(p []byte) (int, error) {
+	n, err := b.chunks.Read(p)
+	if err == io.EOF {
+		if failed := skipTrailer(b.r); failed != nil {
+			err = failed
+		}
+	}
+	return n, err
+}
+
+// skipTrailer reads to the empty line that ends a chunked body.
+func skipTrailer(r *bufio.Reader) error {
+	for left := MaxHead; left > 0; {
+		line, err := r.ReadSlice('\n')
+		if err == io.EOF {
 			err = io.ErrUnexpectedEOF
 		}
-		return body, err
+		if err != nil {
+			return err
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return nil
+		}
+		left -= len(line)
 	}
+	return errTooLong
 }
 
-// readBody reads a body of so many bytes at most. It takes memory as the bytes come:
-// guards against heads that announce more than ever comes.
-// What was taken of the room is the capacity of what is returned, also with an error.
-func readBody(r io.Reader, most int, room *Room) ([]byte, error) {
-	var body []byte
+// readBeginning reads a body of which length is told, or below 0, whole if it holds
+// MaxWhole bytes at most. It takes memory as the bytes come: guards against heads that
+// announce more than ever comes. What was taken of the room is the capacity of what is
+// returned, also with an error.
+func readBeginning(r io.Reader, length int, room *Room, pace *pacer) (body []byte, whole bool, err error) {
 	for {
+		if len(body) >= MaxWhole && length != len(body) {
+			return body, false, nil
+		}
+		if len(body) > 0 && (length < 0 || length > MaxWhole) && pace != nil && !pace.more() {
+			return body, false, nil
+		}
 		if len(body) == cap(body) {
-			more := min(max(firstBody, cap(body)), most+1-cap(body)) // a byte past it tells that it is longer
+			more := min(max(firstBody, cap(body)), MaxWhole-cap(body))
+			if length > 0 {
+				more = min(more, length-len(body))
+			}
 			if !room.Take(more) {
-				return body, errNoRoom
+				return body, false, errNoRoom
 			}
 			body = append(make([]byte, 0, cap(body)+more), body...)
 		}
 		n, err := r.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		switch {
-		case len(body) > most:
-			return body, errTooLong
 		case err == io.EOF:
-			return body, nil
+			return body, true, nil
 		case err != nil:
-			return body, err
+			return body, false, err
 		}
 	}
 }
 
+// readWhole reads a whole answer of so many bytes at most, which is kept.
+func readWhole(m *fasthttp.Response, r *bufio.Reader, most int) ([]byte, error) {
+	body, err := readHead(m, r)
+	if err != nil || body == nil {
+		return nil, err
+	}
+	if m.Header.ContentLength() > most {
+		return nil, errTooLong
+	}
+	text, err := io.ReadAll(io.LimitReader(body, int64(most)+1))
+	if err == nil && len(text) > most {
+		err = errTooLong
+	}
+	return text, err
+}
+
 // outcomeOf reads a status. An endpoint that turned a request away has never
 // run it; any other failure may have.
 func outcomeOf(status int, turnedAway bool) decide.Outcome {
--- a/internal/httpwire/caller.go
+++ b/internal/httpwire/caller.go
@@ -198,6 +198,9 @@
 	retired  bool      // no further request is to be read
 	changed  time.Time // when it last became idle, or busy
 	requests int
+	body     *bodyPace     // while a body is read; nil else
+	cut      bool          // no more of a body is wanted
+	unread   bool          // a body has not come to its end: what still comes must be read before a close
 	early    []byte        // what came while Watch looked; the next Read returns it
 	watching chan struct{} // closed when the watch has ended; nil while there is none
 	closed   bool
@@ -222,7 +225,13 @@
 		c.mu.Unlock()
 		return n, nil
 	}
-	idle := !c.busy
+	idle, began := !c.busy, time.Time{}
+	if c.body != nil {
+		began = c.owner.world.Now()
+		if c.Conn.SetReadDeadline(began.Add(c.body.left())); c.cut {
+			c.Conn.SetReadDeadline(aPast)
+		}
+	}
 	c.mu.Unlock()
 	n, err := c.Conn.Read(b)
 	if n == 0 && idle && errors.Is(err, os.ErrDeadlineExceeded) {
@@ -230,11 +239,15 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.body != nil && !began.IsZero() {
+		c.body.got += n
+		c.body.waited += c.owner.world.Now().Sub(began)
+	}
 	if n > 0 {
 		c.begin()
 		return n, err
 	}
-	if err != nil {
+	if err != nil && !c.cut {
 		c.note(c.readReason(err))
 		if !c.busy && errors.Is(err, os.ErrDeadlineExceeded) {
 			err = io.EOF
@@ -255,6 +268,50 @@
 	return n, err
 }
 
+// bodyBegins marks that a body is read from here on.
+func (c *CallerConn) bodyBegins() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.body, c.unread = &bodyPace{}, true
+}
+
+// bodyEnded marks that no body is read any more, and whether it has come whole.
+func (c *CallerConn) bodyEnded(whole bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.body != nil {
+		c.body, c.cut, c.unread = nil, false, !whole
+		c.Conn.SetReadDeadline(time.Time{})
+	}
+}
+
+// cutBody ends the read of a body that is under way.
+func (c *CallerConn) cutBody() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.body != nil {
+		c.cut = true
+		c.Conn.SetReadDeadline(aPast)
+	}
+}
+
+// Hold marks that the connection holds a request whose body still comes.
+func (c *CallerConn) Hold() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hold()
+}
+
+// hold does that; c.mu is held.
+func (c *CallerConn) hold() {
+	c.settle() // guards against requests written at once: the server reads no more between them
+	c.begin()
+	if !c.held {
+		c.held, c.proven = true, true
+		c.owner.held.Add(1)
+	}
+}
+
 // begin marks that a request has begun to come; c.mu is held.
 func (c *CallerConn) begin() {
 	if !c.busy {
@@ -301,8 +358,10 @@
 	return ReasonPeerReset
 }
 
-// Write writes for the server.
+// Write writes for the server. A caller may take its time, and must take some bytes
+// within pieceStall.
 func (c *CallerConn) Write(b []byte) (int, error) {
+	c.Conn.SetWriteDeadline(c.owner.world.Now().Add(pieceStall))
 	n, err := c.Conn.Write(b)
 	if err != nil {
 		c.Note(ReasonWriteFailed)
@@ -337,6 +396,9 @@
 	return c.requests
 }
 
+// Held is how many connections hold a whole request, or one whose body still comes.
+func (l *Callers) Held() int { return int(l.held.Load()) }
+
 // Crowded tells whether more requests are held than there should be connections.
 func (c *CallerConn) Crowded() bool {
 	l := c.owner
@@ -406,10 +468,7 @@
 	done := make(chan struct{})
 	c.watching = done
 	c.mu.Lock()
-	c.settle() // guards against requests written at once: the server reads no more between them
-	c.begin()
-	c.held, c.proven = true, true
-	c.owner.held.Add(1)
+	c.hold()
 	c.Conn.SetReadDeadline(time.Time{})
 	c.mu.Unlock()
 	c.owner.world.Go("watch", func() {
@@ -445,8 +504,11 @@
 	c.letGo()
 	c.wasWritten()
 	c.note(ReasonAskedClose)
-	why := c.why
+	why, linger := c.why, c.unread
 	c.mu.Unlock()
+	if first && linger {
+		c.linger()
+	}
 	if first {
 		l := c.owner
 		l.mu.Lock()
@@ -456,3 +518,26 @@
 	}
 	return c.Conn.Close()
 }
+
+// What a caller may still send of a body that nobody wants, in time: longer than most
+// bodies take.
+const lingerTime = 5 * time.Second
+
+// linger reads what still comes of a body before the connection is closed. Guards
+// against a reset, which would take the answer with it.
+func (c *CallerConn) linger() {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	c.Conn.SetReadDeadline(c.owner.world.Now().Add(lingerTime))
+	buf := pieces.Get().(*[pieceSize]byte)
+	defer pieces.Put(buf)
+	for left := MaxBody; left > 0; {
+		n, err := c.Conn.Read(buf[:])
+		if err != nil {
+			return
+		}
+		left -= n
+	}
+}
--- a/internal/httpwire/discovery.go
+++ b/internal/httpwire/discovery.go
@@ -60,7 +60,7 @@
 func DecodeListReply(r *bufio.Reader) (List, bool, error) {
 	m := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(m)
-	body, err := readResponse(m, r, maxList, NewRoom(maxList+1))
+	body, err := readWhole(m, r, maxList)
 	if err != nil {
 		return List{}, false, err
 	}
--- a/internal/httpwire/fuzz_test.go
+++ b/internal/httpwire/fuzz_test.go
@@ -53,6 +53,7 @@
 		if err != nil {
 			return
 		}
+		r.Body = m.Body()
 		if r.ID == "" || len(r.ID) > maxName || r.Class == "" || r.Remaining < 0 || r.Remaining > maxRemaining {
 			t.Errorf("taken: %+v", r)
 		}
--- a/internal/httpwire/httpwire_test.go
+++ b/internal/httpwire/httpwire_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"runtime"
 	"strconv"
@@ -14,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"heathgap/decide"
+	"heathgap/internal/env"
 )
 
 func decode(t *testing.T, text string) (Request, error) {
@@ -22,7 +25,9 @@
 	if err := m.Read(bufio.NewReader(strings.NewReader(text))); err != nil {
 		t.Fatal(err)
 	}
-	return DecodeRequest(&m)
+	r, err := DecodeRequest(&m)
+	r.Body = m.Body()
+	return r, err
 }
 
 func TestDecodeRequest(t *testing.T) {
@@ -87,6 +92,19 @@
 	}
 }
 
+// A target may be absolute; what goes on is its path and query.
+func TestTargets(t *testing.T) {
+	for uri, want := range map[string]string{
+		"/a/b?c=d": "/a/b?c=d", "http://h/a?c": "/a?c", "HTTP://h:80/a": "/a", "http://h": "", "http://h?c": "",
+		"ftp://h/a": "", "/a?u=http://h/x": "/a?u=http://h/x",
+	} {
+		r, err := decode(t, "GET "+uri+" HTTP/1.1\r\nHost: h\r\nX-Txn: 1\r\nX-Remaining: 1\r\n\r\n")
+		if (err != nil) != (want == "") || err == nil && (r.URI != want || r.Class != "a") {
+			t.Errorf("%s: %q of class %q, %v", uri, r.URI, r.Class, err)
+		}
+	}
+}
+
 // What is kept of a request and written on is bounded.
 func TestLongNames(t *testing.T) {
 	long := strings.Repeat("a", maxName+1)
@@ -179,11 +197,16 @@
 	}{
 		"long":               {head(long) + strings.Repeat("x", long), roomy, long},
 		"long chunks":        {chunked + chunk(long) + chunk(long) + "0\r\n\r\n", roomy, 2 * long},
+		"to the close":       {"HTTP/1.1 200 OK\r\nconnection: Close\r\n\r\n" + strings.Repeat("x", long), roomy, long},
+		"of HTTP/1.0":        {"HTTP/1.0 200 OK\r\n\r\nhi", roomy, 2},
+		"no length":          {"HTTP/1.1 200 OK\r\n\r\nhi", roomy, -1},
+		"trailer":            {chunked + "2;ext=1\r\nhi\r\n0\r\nX-Sum: 1\r\n\r\n", roomy, 2},
+		"cut off":            {head(long) + strings.Repeat("x", long-1), roomy, -1},
 		"longest":            {head(MaxAnswer) + strings.Repeat("x", MaxAnswer), roomy, MaxAnswer},
 		"too long":           {head(MaxAnswer+1) + strings.Repeat("x", MaxAnswer+1), roomy, -1},
 		"3 GB":               {head(3<<30) + "x", roomy, -1},
 		"chunks too long":    {chunked + chunk(MaxAnswer) + chunk(1) + "0\r\n\r\n", roomy, -1},
-		"no room":            {head(long) + strings.Repeat("x", long), long / 2, -1},
+		"no room":            {head(long) + strings.Repeat("x", long), MaxWhole / 2, -1},
 		"announced only":     {head(MaxAnswer) + "x", roomy, -1},
 		"no last chunk":      {chunked + chunk(long), roomy, -1},
 		"no end of trailer":  {chunked + chunk(long) + "0\r\n", roomy, -1},
@@ -192,8 +215,18 @@
 	} {
 		room := NewRoom(int64(c.room))
 		r, err := DecodeReply(bufio.NewReader(strings.NewReader(c.text)), room)
-		if failed := err != nil; failed != (c.want < 0) || !failed && len(r.Body) != c.want {
-			t.Errorf("%s: %d bytes, %v; want %d", name, len(r.Body), err, c.want)
+		length := len(r.Body)
+		if r.Rest != nil { // it is passed on, and the pipe's end shows what would be written
+			var out bytes.Buffer
+			ours, theirs := net.Pipe()
+			defer ours.Close()
+			defer theirs.Close()
+			r.Rest.link, r.Rest.world = &Link{conn: ours}, env.Real{}
+			_, err = r.Rest.WriteTo(&out)
+			length = out.Len()
+		}
+		if failed := err != nil; failed != (c.want < 0) || !failed && length != c.want {
+			t.Errorf("%s: %d bytes, %v; want %d", name, length, err, c.want)
 		}
 		if room.Return(r.Taken); !room.Take(c.room) {
 			t.Errorf("%s: not all of its room came back", name)
--- a/internal/httpwire/link.go
+++ b/internal/httpwire/link.go
@@ -22,6 +22,7 @@
 type Link struct {
 	conn   net.Conn
 	in     *bufio.Reader
+	until  time.Time // the deadline of the exchange at hand
 	closed atomic.Bool
 	Uses   int // exchanges begun on it
 }
@@ -39,6 +40,7 @@
 // last byte was written: without it, the message has never run.
 func (l *Link) Send(message []byte, deadline time.Time) (whole bool, err error) {
 	l.Uses++
+	l.until = deadline
 	if err := l.conn.SetDeadline(deadline); err != nil {
 		return false, err
 	}
@@ -46,6 +48,12 @@
 	return n == len(message), err
 }
 
+// Await sets until when the answer to what was sent is waited for.
+func (l *Link) Await(deadline time.Time) error {
+	l.until = deadline
+	return l.conn.SetDeadline(deadline)
+}
+
 // Reader is where the answer to what was sent is read.
 func (l *Link) Reader() *bufio.Reader { return l.in }
 
--- a/internal/httpwire/names.go
+++ b/internal/httpwire/names.go
@@ -24,13 +24,17 @@
 	serviceHost = "service.internal"
 )
 
-// MaxBody is the most that the body of a request may hold, in bytes.
-const MaxBody = 64 << 10
+// MaxWhole is the most of a body that is read whole before it goes on, in bytes, in
+// either direction: what can be tried again. Shorter ones are all that a tier without
+// long bodies has.
+const MaxWhole = 64 << 10
 
-// MaxAnswer is the most that the body of an answer may hold, in bytes. Answers are
-// longer than requests, and one that is turned down has run in vain: this is some
-// times the longest that has been met.
-const MaxAnswer = 2 << 20
+// MaxBody and MaxAnswer are the most that the body of a request and of an answer may
+// hold, in bytes: what the operators name, and none of it is kept.
+const (
+	MaxBody   = 32 << 20
+	MaxAnswer = 32 << 20
+)
 
 // MaxHead is the most that the head of a message may take, in bytes. Each
 // connection has a buffer of that size: a thousand connections hold 8 MB with them.
--- a/internal/httpwire/request.go
+++ b/internal/httpwire/request.go
@@ -26,6 +26,7 @@
 	URI       string // path and query, as they came
 	Type      string // of the body's content
 	Body      []byte
+	Upload    *Upload // of a long body, of which Body is the beginning; nil for one that is whole
 }
 
 // Bounds of what a caller may say.
@@ -43,7 +44,7 @@
 // on its connection can be trusted.
 var ErrFraming = errors.New("ambiguous message")
 
-// DecodeRequest reads a caller's request. What it returns shares no memory
+// DecodeRequest reads the head of a caller's request. What it returns shares no memory
 // with m, which is used again for the next request.
 func DecodeRequest(m *fasthttp.Request) (Request, error) {
 	h := &m.Header
@@ -57,14 +58,13 @@
 		Labels: string(h.Peek(headerLabels)),
 		Repeat: string(h.Peek(headerResent)) == "1",
 		Method: string(h.Method()),
-		URI:    string(h.RequestURI()),
+		URI:    string(target(h.RequestURI())),
 		Type:   string(h.ContentType()),
-		Body:   bytes.Clone(m.Body()),
 	}
 	if r.Method != fasthttp.MethodGet && r.Method != fasthttp.MethodPost {
 		return Request{}, fmt.Errorf("method: %q is neither GET nor POST", r.Method)
 	}
-	if r.Method == fasthttp.MethodGet && len(r.Body) > 0 {
+	if length := h.ContentLength(); r.Method == fasthttp.MethodGet && (length > 0 || length == chunked) {
 		return Request{}, errors.New("body: a GET has none")
 	}
 	if r.ID == "" {
@@ -77,7 +77,7 @@
 			return Request{}, fmt.Errorf("%s: %d bytes, and %d are allowed", f.name, len(f.value), maxName)
 		}
 	}
-	class, err := classOf(h.RequestURI())
+	class, err := classOf([]byte(r.URI))
 	if err != nil {
 		return Request{}, err
 	}
@@ -89,6 +89,22 @@
 	return r, nil
 }
 
+// target returns path and query of a request's target, which may be absolute.
+func target(uri []byte) []byte {
+	scheme, rest, absolute := bytes.Cut(uri, []byte("://"))
+	if !absolute || !bytes.EqualFold(scheme, []byte("http")) {
+		return uri
+	}
+	switch at := bytes.IndexAny(rest, "/?#"); {
+	case at < 0:
+		return []byte("/")
+	case rest[at] != '/':
+		return append([]byte("/"), rest[at:]...)
+	default:
+		return rest[at:]
+	}
+}
+
 // classOf returns the first part of a request's path.
 func classOf(uri []byte) (string, error) {
 	if len(uri) == 0 || uri[0] != '/' {
@@ -123,7 +139,6 @@
 		coding = coding || bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding))
 		rest = next
 	}
-	const chunked = -1 // what fasthttp says of the length of a chunked body
 	if coding && (length || h.ContentLength() != chunked) {
 		return fmt.Errorf("%w: its length is told in two ways, or by an unknown coding", ErrFraming)
 	}
@@ -192,8 +207,16 @@
 	if r.Type != "" {
 		h.SetContentType(r.Type)
 	}
-	if r.Method != fasthttp.MethodGet {
+	switch {
+	case r.Upload != nil:
+		h.SetContentLength(max(chunked, r.Upload.Length))
+	case r.Method != fasthttp.MethodGet:
 		h.SetContentLength(len(r.Body))
 	}
-	return append(h.AppendBytes(nil), r.Body...)
+	text := h.AppendBytes(nil)
+	if r.Upload != nil && r.Upload.Length < 0 {
+		text = append(strconv.AppendInt(text, int64(len(r.Body)), 16), "\r\n"...)
+		return append(append(text, r.Body...), "\r\n"...)
+	}
+	return append(text, r.Body...)
 }
--- /dev/null
+++ b/internal/httpwire/stream.go
@@ -0,0 +1,287 @@
+package httpwire
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"heathgap/internal/env"
+)
+
+// What is long goes through small buffers, a piece at a time, as fast as its slower
+// side goes. What holds MaxWhole bytes at most is read whole instead, so that it can
+// be tried again.
+
+// pieceSize is the most of a long body that is read before it is written on, in bytes:
+// few system calls for each megabyte, and some hundred of them are few megabytes.
+const pieceSize = 16 << 10
+
+// pieceStall is how long a peer may let a long body stand still. Peers take seconds to
+// read or write; one that does nothing for so long never will.
+const pieceStall = 10 * time.Second
+
+var pieces = sync.Pool{New: func() any { return new([pieceSize]byte) }}
+
+// Bounds of a body that its caller sends, as time that the sidecar waits for it.
+const (
+	// For the next bytes, and for all beyond what the rate gives: who sends no more is
+	// owed an end within 3 s.
+	bodyGrace = 2500 * time.Millisecond
+	bodyRate  = 32 << 10 // bytes a second: half of what slow callers are known to send
+)
+
+// bodyPace is how fast a body comes. Only time spent waiting for the caller counts: a
+// slow endpoint holds a fast caller up.
+type bodyPace struct {
+	got    int
+	waited time.Duration
+}
+
+// left is how long may be waited for the next piece.
+func (p *bodyPace) left() time.Duration {
+	return min(bodyGrace, bodyGrace+time.Duration(p.got)*time.Second/bodyRate-p.waited)
+}
+
+// ErrBody is the fault of a body that is too long, too slow or broken off.
+var ErrBody = errors.New("body")
+
+// errStopped is what a read of a body ends with that nobody wants any more.
+var errStopped = errors.New("no more of the body is wanted")
+
+// ReadBody reads the body of a request whose head has come: whole, or, where it is
+// long, its first bytes and the Upload that brings the rest.
+func ReadBody(ctx *fasthttp.RequestCtx, conn *CallerConn) ([]byte, *Upload, error) {
+	stream, length := ctx.RequestBodyStream(), ctx.Request.Header.ContentLength()
+	if stream == nil || length == 0 {
+		return nil, nil, nil
+	}
+	if length > MaxBody {
+		return nil, nil, fmt.Errorf("%w: %d bytes, and %d are allowed", ErrBody, length, MaxBody)
+	}
+	conn.bodyBegins()
+	u := &Upload{Length: length, body: stream, conn: conn, done: make(chan struct{})}
+	size := firstBody
+	if length > 0 {
+		size = min(length, MaxWhole+1)
+	}
+	first := make([]byte, 0, size)
+	for {
+		if len(first) > MaxWhole {
+			return first, u, nil
+		}
+		if len(first) == cap(first) {
+			first = append(make([]byte, 0, min(2*cap(first), MaxWhole+1)), first...)
+		}
+		n, err := u.Read(first[len(first):cap(first)])
+		switch first = first[:len(first)+n]; {
+		case err == io.EOF:
+			return first, nil, nil
+		case err != nil:
+			return nil, nil, fmt.Errorf("%w: %w", ErrBody, err)
+		}
+	}
+}
+
+// Upload is what its caller has still to send of a long body. It goes to one attempt.
+type Upload struct {
+	Length  int // of the whole body in bytes; below 0 where only its end tells
+	body    io.Reader
+	conn    *CallerConn
+	claimed atomic.Bool
+
+	mu   sync.Mutex // held while a read is under way
+	got  int
+	over bool
+	err  error
+	done chan struct{} // closed when the body has ended, well or not
+}
+
+// Claim gives the rest to an attempt, once: it can't be sent twice.
+func (u *Upload) Claim() bool { return !u.claimed.Swap(true) }
+
+// Done is closed when the body has come to its end, or never will.
+func (u *Upload) Done() <-chan struct{} { return u.done }
+
+// Err is how it has ended, once Done is closed: nil if it has come whole.
+func (u *Upload) Err() error { return u.err }
+
+// Read reads on. It ends with io.EOF only when the body is whole.
+func (u *Upload) Read(b []byte) (int, error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.over {
+		if u.err == nil {
+			return 0, io.EOF
+		}
+		return 0, u.err
+	}
+	n, err := u.body.Read(b)
+	switch u.got += n; {
+	case u.got > MaxBody:
+		err = fmt.Errorf("longer than %d bytes", MaxBody)
+	case err == io.EOF && u.Length >= 0 && u.got < u.Length:
+		err = io.ErrUnexpectedEOF // fasthttp's stream takes an early end for the end
+	case err == nil && u.got == u.Length:
+		err = io.EOF
+	}
+	if err != nil {
+		u.end(err)
+	}
+	return n, err
+}
+
+// end books the end; u.mu is held.
+func (u *Upload) end(err error) {
+	if u.over {
+		return
+	}
+	u.over = true
+	if err != io.EOF {
+		u.err = err
+	}
+	u.conn.bodyEnded(u.err == nil)
+	close(u.done)
+}
+
+// Stop ends reading: when it returns, nobody reads the caller's connection for a body.
+func (u *Upload) Stop() {
+	u.conn.cutBody()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.end(errStopped)
+}
+
+// WriteUpload writes the rest of a body behind what Send has written, as it comes. It
+// tells whether the last byte was written. An error that wraps ErrBody is the caller's.
+func (l *Link) WriteUpload(u *Upload, world env.Env) (whole bool, err error) {
+	buf := pieces.Get().(*[pieceSize]byte)
+	defer pieces.Put(buf)
+	for {
+		n, err := u.Read(buf[:])
+		if err != nil && err != io.EOF {
+			return false, fmt.Errorf("%w: %w", ErrBody, err)
+		}
+		last := err == io.EOF
+		if err := l.writePiece(buf[:n], u.Length < 0, last, world); err != nil {
+			return false, err
+		}
+		if last {
+			return true, nil
+		}
+	}
+}
+
+// writePiece writes a piece, framed as a chunk where the length is not told.
+func (l *Link) writePiece(b []byte, chunked, last bool, world env.Env) error {
+	if chunked {
+		framed := make([]byte, 0, len(b)+len("\r\n")+chunkFrame)
+		if len(b) > 0 {
+			framed = append(strconv.AppendInt(framed, int64(len(b)), 16), "\r\n"...)
+			framed = append(append(framed, b...), "\r\n"...)
+		}
+		if last {
+			framed = append(framed, lastChunk...)
+		}
+		b = framed
+	}
+	if len(b) == 0 {
+		return nil
+	}
+	if err := l.conn.SetWriteDeadline(world.Now().Add(pieceStall)); err != nil {
+		return err
+	}
+	_, err := l.conn.Write(b)
+	return err
+}
+
+// Framing of chunks.
+const (
+	chunkFrame = 24 // bytes that it takes at most beside the piece
+	lastChunk  = "0\r\n\r\n"
+)
+
+// How a long answer ended on its way.
+const (
+	Whole       AnswerEnd = iota // all of it is written
+	BrokenOff                    // its endpoint broke it off, or it was longer than may be
+	NobodyReads                  // its caller has gone
+)
+
+// AnswerEnd is how the passing on of a long answer has ended.
+type AnswerEnd uint8
+
+// AnswerRest is a long answer that is passed on as it comes: fasthttp writes it as the
+// body of a response. It ends once.
+type AnswerRest struct {
+	Length int // of the whole body in bytes; below 0 where only its end tells
+	first  []byte
+	body   io.Reader
+	link   *Link
+	world  env.Env
+	ended  func(AnswerEnd) // set by Pass; nil before, and after the end
+}
+
+// Pass says who is told of the end, once.
+func (a *AnswerRest) Pass(ended func(AnswerEnd)) { a.ended = ended }
+
+// SupportsBodyWriteTo has fasthttp use WriteTo.
+func (a *AnswerRest) SupportsBodyWriteTo() bool { return true }
+
+// Read is io.Reader's, which fasthttp asks of bodies; WriteTo is what it uses.
+func (a *AnswerRest) Read([]byte) (int, error) {
+	return 0, errors.New("a long answer is written, not read")
+}
+
+// WriteTo writes all of it. On an error what is written must not look whole.
+func (a *AnswerRest) WriteTo(w io.Writer) (int64, error) {
+	n, err := w.Write(a.first)
+	total := int64(n)
+	a.first = nil
+	if err != nil {
+		a.end(NobodyReads)
+		return total, err
+	}
+	buf := pieces.Get().(*[pieceSize]byte)
+	defer pieces.Put(buf)
+	for {
+		a.link.conn.SetReadDeadline(a.world.Now().Add(pieceStall))
+		n, err := a.body.Read(buf[:])
+		if total += int64(n); total > MaxAnswer {
+			a.end(BrokenOff)
+			return total, errTooLong
+		}
+		if n > 0 {
+			if _, err := w.Write(buf[:n]); err != nil {
+				a.end(NobodyReads)
+				return total, err
+			}
+		}
+		switch {
+		case err == io.EOF:
+			a.end(Whole)
+			return total, nil
+		case err != nil:
+			a.end(BrokenOff)
+			return total, err
+		}
+	}
+}
+
+// Close is called when it is written, or never will be.
+func (a *AnswerRest) Close() error {
+	a.end(NobodyReads)
+	return nil
+}
+
+func (a *AnswerRest) end(how AnswerEnd) {
+	if ended := a.ended; ended != nil {
+		a.ended = nil
+		ended(how)
+	}
+}
--- a/internal/lifecycle/sidecar.go
+++ b/internal/lifecycle/sidecar.go
@@ -31,11 +31,10 @@
 	finishAfter = 550 * time.Millisecond // past the longest deadline or patientFor: what is held fails then
 	leaveAfter  = 100 * time.Millisecond // after that, whatever is not written by then
 
-	// A request must have come whole by then, the first so long after its connection:
+	// A request's head must have come by then, the first so long after its connection:
 	// who sends nothing, or never the end, is owed a word or a close within 3 s.
-	readTime  = 2500 * time.Millisecond
-	idleTime  = 15 * time.Second // callers keep connections; what is forgotten ends at last
-	writeTime = 5 * time.Second  // an answer must be taken by then
+	readTime = 2500 * time.Millisecond
+	idleTime = 15 * time.Second // callers keep connections; what is forgotten ends at last
 
 	spareWorkers = 256 // above the callers' connections: fasthttp must never refuse by itself
 )
@@ -143,10 +142,10 @@
 		ErrorHandler:                 engine.Unreadable,
 		Concurrency:                  4*conf.CallerConns + spareWorkers,
 		ReadBufferSize:               httpwire.MaxHead,
+		StreamRequestBody:            true,
 		MaxRequestBodySize:           httpwire.MaxBody,
 		ReadTimeout:                  readTime,
 		IdleTimeout:                  idleTime,
-		WriteTimeout:                 writeTime,
 		NoDefaultServerHeader:        true,
 		NoDefaultDate:                true,
 		NoDefaultContentType:         true,
--- /dev/null
+++ b/internal/lifecycle/stream_test.go
@@ -0,0 +1,292 @@
+package lifecycle
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"heathgap/decide"
+	"heathgap/internal/lab/scripted"
+)
+
+// pattern is a body in which each byte tells its place.
+func pattern(length int) []byte {
+	b := make([]byte, length)
+	for i := range b {
+		b[i] = byte(i>>12 ^ i)
+	}
+	return b
+}
+
+// Long answers and bodies go through unchanged, in both framings, several at once, and
+// memory does not follow their bytes; what is longer than may be is turned down.
+func TestLongBothWays(t *testing.T) {
+	const long, at, memoryMB = 24 << 20, 6, 64
+	answer := pattern(long)
+	e := scripted.StartEndpoint(t, "e1", nil)
+	slow := http.NewServeMux()
+	slow.HandleFunc("/look/", func(w http.ResponseWriter, r *http.Request) { w.Write(answer) })
+	slow.HandleFunc("/pay/", func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil || !bytes.Equal(body, answer) {
+			w.WriteHeader(500)
+		}
+		fmt.Fprint(w, len(body))
+	})
+	address := serveRaw(t, slow)
+	line := e.Line()
+	line["address"] = address
+	conf, listen := testConfig(scripted.StartDiscovery(t), line), scripted.FreeAddress(t)
+	conf["listen"] = listen
+	conf["limits"] = map[string]any{"memory_mb": memoryMB, "sockets": 384}
+	setDeadlines(conf, 20000)
+	p := launch(t, conf)
+	eventually(t, "ready", isReady(t, listen))
+	var wait sync.WaitGroup
+	for i := range at {
+		wait.Go(func() {
+			r := request(t, listen, http.MethodGet, "/look/long", "")
+			r.Header.Set("X-Remaining", "20")
+			status, body, err := try(r)
+			if status != 200 || err != nil || body != string(answer) {
+				t.Errorf("answer: %d, %d bytes, %v", status, len(body), err)
+			}
+		})
+		wait.Go(func() {
+			r := request(t, listen, http.MethodPost, "/pay/long", "")
+			r.Header.Set("X-Remaining", "20")
+			r.Header.Set("Idempotency-Key", newID())
+			r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(answer)), long
+			if i%2 == 0 {
+				r.ContentLength = -1 // in chunks
+			}
+			if status, body, err := try(r); status != 200 || err != nil || body != fmt.Sprint(long) {
+				t.Errorf("body %d: %d %q, %v", i, status, body, err)
+			}
+		})
+	}
+	wait.Wait()
+	if kb := peakMemory(t, p.Process.Pid); kb > memoryMB<<10 {
+		t.Errorf("it took %d kB at its peak, and may take %d", kb, memoryMB<<10)
+	}
+	r := request(t, listen, http.MethodPost, "/pay/long", "")
+	r.Header.Set("Idempotency-Key", newID())
+	r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(make([]byte, 33<<20))), 33<<20
+	if status, _, err := try(r); err == nil && status < 400 {
+		t.Errorf("33 MB: %d, want an error", status)
+	}
+}
+
+func serveRaw(t *testing.T, h http.Handler) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: h}
+	go server.Serve(l)
+	t.Cleanup(func() { server.Close() })
+	return l.Addr().String()
+}
+
+// A long answer that breaks off half way never looks whole, the module hears of it, and
+// it counts as an error; one that begins slowly begins to go out while it still comes.
+func TestLongAnswerThatBreaksOff(t *testing.T) {
+	release := make(chan struct{})
+	e := scripted.StartEndpoint(t, "e1", func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "told") {
+			w.Header().Set("Content-Length", "200000")
+		}
+		w.Write(pattern(100_000))
+		w.(http.Flusher).Flush()
+		<-release
+		panic(http.ErrAbortHandler)
+	})
+	conf := testConfig(scripted.StartDiscovery(t), e.Line())
+	conf["console"] = "127.0.0.1:0"
+	s := start(t, conf)
+	for i, path := range []string{"/look/told", "/look/chunks"} {
+		answer, err := http.DefaultClient.Do(request(t, s.Address(), http.MethodGet, path, ""))
+		if err != nil || answer.StatusCode != 200 {
+			t.Fatalf("%s: %v", path, err)
+		}
+		if _, err := io.ReadFull(answer.Body, make([]byte, 90_000)); err != nil {
+			t.Errorf("%s: its beginning does not come while the rest does not: %v", path, err)
+		}
+		if n := stats(t, s.console.Address())["active"]; n != 1 {
+			t.Errorf("%s: %d active on its way", path, n)
+		}
+		release <- struct{}{}
+		if _, err := io.ReadAll(answer.Body); err == nil {
+			t.Errorf("%s: half an answer looks whole", path)
+		}
+		answer.Body.Close()
+		eventually(t, "it counts as an error", func() bool {
+			f := stats(t, s.console.Address())
+			return f["errors.look"] == i+1 && f["active"] == 0
+		})
+	}
+	if n := e.Count(); n != 2 {
+		t.Errorf("%d attempts, want 2: what has begun can't go twice", n)
+	}
+}
+
+// A body that breaks off or is too slow reaches no endpoint whole; a slow one that
+// keeps to its rate does, also while the endpoint takes its time to read.
+func TestLongBodies(t *testing.T) {
+	var whole atomic.Int64
+	e := scripted.StartEndpoint(t, "e1", func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(50 * time.Millisecond)
+		if n, err := io.Copy(io.Discard, r.Body); err == nil {
+			whole.Add(1)
+			fmt.Fprint(w, n)
+		}
+	})
+	s := start(t, testConfig(scripted.StartDiscovery(t), e.Line()))
+	const length = 200_000
+	for name, c := range map[string]struct {
+		framing string
+		send    func(conn net.Conn)
+		want    string // the answer's status, of those that are served
+
+		continues bool // it is told to go on first
+	}{
+		"whole":        {fmt.Sprint("Content-Length: ", length), func(c net.Conn) { c.Write(pattern(length)) }, "200", false},
+		"in pieces":    {fmt.Sprint("Content-Length: ", length), sendSlowly(length, 20, 20*time.Millisecond), "200", false},
+		"in chunks":    {"Transfer-Encoding: chunked", sendChunks(length, true), "200", false},
+		"continue":     {"Expect: 100-continue\r\nContent-Length: 5", func(c net.Conn) { c.Write([]byte("hello")) }, "200", true},
+		"broken off":   {fmt.Sprint("Content-Length: ", length), func(c net.Conn) { c.Write(pattern(length - 1)); closeWrite(c) }, "", false},
+		"no end":       {"Transfer-Encoding: chunked", func(c net.Conn) { sendChunks(length, false)(c); closeWrite(c) }, "", false},
+		"stands still": {fmt.Sprint("Content-Length: ", length), func(c net.Conn) { c.Write(pattern(length / 2)) }, "", false},
+		"not even so":  {"Content-Length: 5000", func(c net.Conn) { c.Write(pattern(100)) }, "400", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			before := whole.Load()
+			conn, err := net.Dial("tcp", s.Address())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			conn.SetDeadline(time.Now().Add(patience))
+			fmt.Fprintf(conn, "POST http://service.internal/pay/x HTTP/1.1\r\nHost: x\r\nX-Txn: %s\r\nX-Remaining: 1.9\r\n"+
+				"Idempotency-Key: %s\r\n%s\r\n\r\n", newID(), newID(), c.framing)
+			c.send(conn)
+			begin := time.Now()
+			in := bufio.NewReader(conn)
+			line, _ := in.ReadString('\n')
+			if c.continues && strings.Contains(line, " 100 ") {
+				in.ReadString('\n')
+				line, _ = in.ReadString('\n')
+			}
+			served := c.want == "200"
+			if served && !strings.Contains(line, " 200 ") || !served && strings.Contains(line, " 200 ") {
+				t.Errorf("%q, want %q", line, c.want)
+			}
+			if took := time.Since(begin); !served && took > 3*time.Second {
+				t.Errorf("it was owed an end within 3 s, and got one after %v", took)
+			}
+			if !served && whole.Load() != before {
+				t.Error("half a body reached an endpoint whole")
+			}
+		})
+	}
+	eventually(t, "nothing is kept", func() bool { return s.Counters().Held == 0 && s.callers.Open() == 0 })
+}
+
+func closeWrite(c net.Conn) { c.(*net.TCPConn).CloseWrite() }
+
+func sendSlowly(length, pieces int, pause time.Duration) func(net.Conn) {
+	return func(c net.Conn) {
+		for body := pattern(length); len(body) > 0; time.Sleep(pause) {
+			n := min(len(body), length/pieces)
+			c.Write(body[:n])
+			body = body[n:]
+		}
+	}
+}
+
+func sendChunks(length int, end bool) func(net.Conn) {
+	return func(c net.Conn) {
+		for body := pattern(length); len(body) > 0; {
+			n := min(len(body), 7777)
+			fmt.Fprintf(c, "%x;ext=1\r\n%s\r\n", n, body[:n])
+			body = body[n:]
+		}
+		if end {
+			io.WriteString(c, "0\r\nX-Sum: 1\r\n\r\n")
+		}
+	}
+}
+
+// While a connection to an endpoint can't be made, a long body waits for the next one;
+// once some of it has gone, nothing is sent again.
+func TestLongBodyIsSentOnce(t *testing.T) {
+	good := scripted.StartEndpoint(t, "good", func(w http.ResponseWriter, r *http.Request) { io.Copy(io.Discard, r.Body) })
+	gone := scripted.Line("gone", scripted.FreeAddress(t))
+	s := start(t, testConfig(scripted.StartDiscovery(t), gone, good.Line()))
+	send := func(address string) int {
+		r := request(t, address, http.MethodPost, "/burn/long", string(pattern(150_000)))
+		status, _, err := try(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return status
+	}
+	for range 6 {
+		if status := send(s.Address()); status != 200 {
+			t.Errorf("beside an endpoint that is gone: %d", status)
+		}
+	}
+	bad := scripted.StartEndpoint(t, "bad", func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		panic(http.ErrAbortHandler)
+	})
+	s = start(t, testConfig(scripted.StartDiscovery(t), bad.Line()))
+	if status := send(s.Address()); status == 200 || status == 503 || bad.Count() != 1 {
+		t.Errorf("after it may have run: %d, sent %d times; want a failure and once", status, bad.Count())
+	}
+	if c := s.Counters(); c.Outcomes[decide.Reset] != 1 {
+		t.Errorf("outcomes %v", c.Outcomes)
+	}
+}
+
+// Several requests written at once on a connection are answered in their order, and
+// leave nothing taken.
+func TestRequestsWrittenAtOnce(t *testing.T) {
+	e := scripted.StartEndpoint(t, "e1", func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, r.URL.Path) })
+	s := start(t, testConfig(scripted.StartDiscovery(t), e.Line()))
+	conn, err := net.Dial("tcp", s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(patience))
+	var text strings.Builder
+	for i := range 5 {
+		fmt.Fprintf(&text, "GET /look/%d HTTP/1.1\r\nHost: x\r\nX-Txn: %s\r\nX-Remaining: 1.5\r\n\r\n", i, newID())
+	}
+	io.WriteString(conn, text.String())
+	in := bufio.NewReader(conn)
+	for i := range 5 {
+		answer, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if body, _ := io.ReadAll(answer.Body); string(body) != fmt.Sprint("/look/", i) {
+			t.Errorf("answer %d: %q", i, body)
+		}
+	}
+	conn.Close()
+	eventually(t, "nothing is kept", func() bool { return s.callers.Open() == 0 })
+	if err := s.Audit(); err != nil || s.callers.Held() != 0 {
+		t.Errorf("%v; requests held %v", err, s.callers.Held() != 0)
+	}
+}
--- a/internal/pipeline/audit.go
+++ b/internal/pipeline/audit.go
@@ -36,8 +36,8 @@
 	}
 	c := e.snapshot()
 	ends := c.Served + c.Refused + c.Failed + c.Left
-	if ends+e.requests.Held() != e.counters.Taken {
-		return fmt.Errorf("%d requests taken, %d ended, %d held", e.counters.Taken, ends, e.requests.Held())
+	if ends+c.Held != e.counters.Taken {
+		return fmt.Errorf("%d requests taken, %d ended, %d held", e.counters.Taken, ends, c.Held)
 	}
 	if left, all := e.room.Left(), e.conf.AnswerBytes; left < 0 || left > all {
 		return fmt.Errorf("room for answers: %d of %d left", left, all)
--- a/internal/pipeline/book.go
+++ b/internal/pipeline/book.go
@@ -34,7 +34,7 @@
 	if outcome == decide.Served {
 		e.relay(r, httpwire.Answer{
 			Verdict: httpwire.Served, Body: reply.Body, Type: reply.Type, Encoding: reply.Encoding,
-			Taken: reply.Taken,
+			Taken: reply.Taken, Rest: reply.Rest,
 		})
 	}
 	ev := decide.Event{
--- a/internal/pipeline/engine.go
+++ b/internal/pipeline/engine.go
@@ -75,6 +75,7 @@
 	sweepAt   decide.Time
 	pending   []decide.Event // for the module, behind the one it is being told
 	telling   bool
+	passing   int  // long answers whose rest is on its way
 	stopping  bool // nothing is taken any more
 	actions   []decide.Action
 }
@@ -200,7 +201,7 @@
 type Snapshot struct {
 	state.Counters
 	Watched   *watching.Counts // what other settings would have done; nil where nothing is watched
-	Held      int              // requests without a final answer
+	Held      int              // requests without a final answer, or one that is not whole yet
 	Endpoints int              // listed
 	Links     int              // connections to endpoints
 }
@@ -230,7 +231,7 @@
 		watched = &counts
 	}
 	return Snapshot{
-		Counters: counters, Watched: watched, Held: e.requests.Held(), Endpoints: e.endpoints.Len(), Links: e.pool.Open(),
+		Counters: counters, Watched: watched, Held: e.requests.Held() + e.passing, Endpoints: e.endpoints.Len(), Links: e.pool.Open(),
 	}
 }
 
--- a/internal/pipeline/probe.go
+++ b/internal/pipeline/probe.go
@@ -57,13 +57,13 @@
 		p.outcome, p.ended = decide.ConnectFailed, httpwire.ReasonNotWritten
 		return
 	}
-	reply, err := httpwire.DecodeReply(p.link.Reader(), e.room)
+	reply, err := p.link.Receive(e.room, e.world)
 	if err != nil {
 		p.outcome, p.ended = decide.TimedOut, httpwire.ReasonBroken
 		return
 	}
 	p.outcome, p.reply = reply.Outcome, &reply
-	if reply.Close {
+	if reply.Close || reply.Rest != nil { // no report is so long
 		p.ended = httpwire.ReasonPeerClose
 	}
 }
--- a/internal/pipeline/relay.go
+++ b/internal/pipeline/relay.go
@@ -20,7 +20,9 @@
 	if !e.requests.End(r) {
 		return
 	}
-	e.board.Count(r.Message.Class, ends[answer.Verdict])
+	if answer.Rest == nil { // else it ends when the rest has
+		e.board.Count(r.Message.Class, ends[answer.Verdict])
+	}
 	r.Answer <- answer
 	e.requests.Release(r)
 }
@@ -36,3 +38,54 @@
 	e.relay(r, httpwire.Answer{Verdict: httpwire.Abandoned, Last: true})
 	e.tell(decide.Event{Kind: decide.ClientLeft, Request: r.ID})
 }
+
+// begun is a long answer whose beginning has come.
+type begun struct {
+	attempt *state.Attempt
+	link    *httpwire.Link
+	reply   *httpwire.Reply
+}
+
+// handle gives it to its caller, who takes the rest from the endpoint's connection.
+func (b begun) handle(e *Engine) {
+	a := b.attempt
+	if a.Settled || a.Request.Over {
+		exchanged{
+			attempt: a, link: b.link, ended: httpwire.ReasonGivenUp, outcome: decide.Served, reply: b.reply,
+		}.handle(e)
+		return
+	}
+	e.passing++
+	b.reply.Rest.Pass(func(how httpwire.AnswerEnd) { e.post(passed{b, how}) })
+	e.tell(decide.Event{Kind: decide.StreamBegan, Request: a.Request.ID, Attempt: a.Number})
+	e.settle(a, decide.Served, b.reply)
+}
+
+// passed is a long answer that has come to an end.
+type passed struct {
+	begun
+	how httpwire.AnswerEnd
+}
+
+func (p passed) handle(e *Engine) {
+	e.passing--
+	to, ended, end := p.attempt.Endpoint, httpwire.Reason(""), figures.Served
+	switch {
+	case p.how == httpwire.BrokenOff:
+		ended, end = httpwire.ReasonBroken, figures.Failed
+	case p.how == httpwire.NobodyReads:
+		ended, end = httpwire.ReasonCallerLeft, figures.Left
+	case p.reply.Close:
+		ended = httpwire.ReasonPeerClose
+	}
+	if ended == "" {
+		e.pool.Put(to, p.link, e.clock.Now())
+	} else {
+		e.pool.Drop(to, p.link, ended)
+	}
+	p.attempt.GiveUp() // frees what belongs to its context
+	e.board.Count(p.attempt.Request.Message.Class, end)
+	if p.how == httpwire.BrokenOff {
+		e.tell(decide.Event{Kind: decide.StreamBroke, Endpoint: to.ID})
+	}
+}
--- a/internal/pipeline/send.go
+++ b/internal/pipeline/send.go
@@ -66,6 +66,10 @@
 		if ctx.Err() != nil {
 			done.ended = httpwire.ReasonGivenUp
 		}
+		if done.reply != nil && done.reply.Rest != nil && ctx.Err() == nil {
+			e.post(begun{a, done.link, done.reply})
+			return
+		}
 		e.post(done)
 	}()
 	link, done.ended = e.connect(ctx, link, address)
@@ -73,23 +77,19 @@
 		done.outcome = decide.ConnectFailed
 		return
 	}
-	if !a.Write() { // its request has ended while the connection was being made
-		done.outcome = decide.NotSent
+	upload := a.Request.Message.Upload
+	if !a.Write() || upload != nil && !upload.Claim() {
+		done.outcome = decide.NotSent // its request has ended while the connection was being made
 		return
 	}
 	stop := context.AfterFunc(ctx, link.Close)
 	defer stop()
-	message := httpwire.EncodeAttempt(a.Request.Message, a.Until-e.clock.Now())
-	whole, err := link.Send(message, e.clock.At(a.Until).Add(readSlack))
-	if !whole {
+	if err := e.write(a, link, upload); err != nil {
 		done.outcome, done.ended = decide.ConnectFailed, httpwire.ReasonNotWritten
 		return
 	}
 	e.board.Tries.Add(1)
-	var reply httpwire.Reply
-	if err == nil {
-		reply, err = httpwire.DecodeReply(link.Reader(), e.room)
-	}
+	reply, err := link.Receive(e.room, e.world)
 	if err != nil {
 		done.outcome, done.ended = decide.Reset, httpwire.ReasonBroken
 		return
@@ -100,6 +100,59 @@
 	}
 }
 
+// write writes an attempt. On an error its last byte is not written: it has never run.
+func (e *Engine) write(a *state.Attempt, link *httpwire.Link, upload *httpwire.Upload) error {
+	wait := a.Until - e.clock.Now()
+	message := httpwire.EncodeAttempt(a.Request.Message, wait)
+	whole, err := link.Send(message, e.clock.At(a.Until).Add(readSlack))
+	if whole {
+		err = nil // what comes of it shows when the answer is read
+	}
+	if err != nil || upload == nil {
+		return err
+	}
+	e.post(uploading{a})
+	if _, err := link.WriteUpload(upload, e.world); err != nil {
+		return err
+	}
+	e.post(uploaded{a})
+	return link.Await(e.world.Now().Add(a.Request.Message.Remaining + readSlack))
+}
+
+// uploading is an attempt that has begun to take the rest of a long body. It can't be
+// sent again; how fast its caller sends bounds it, not its deadline.
+type uploading struct{ attempt *state.Attempt }
+
+func (u uploading) handle(e *Engine) {
+	a := u.attempt
+	if a.Settled {
+		return
+	}
+	e.restart(a, mostUpload)
+	e.tell(decide.Event{Kind: decide.StreamBegan, Request: a.Request.ID, Attempt: a.Number})
+}
+
+// mostUpload is past the time that the longest body takes at the least rate.
+const mostUpload = 20 * time.Minute
+
+// uploaded is an attempt whose last byte is written: its time counts from here.
+type uploaded struct{ attempt *state.Attempt }
+
+func (u uploaded) handle(e *Engine) {
+	if a := u.attempt; !a.Settled {
+		a.Sent = e.clock.Now()
+		e.restart(a, a.Request.Message.Remaining)
+	}
+}
+
+// restart gives an attempt, and its request, so much time from now on.
+func (e *Engine) restart(a *state.Attempt, left decide.Time) {
+	e.timeouts.Remove(a)
+	a.Until = e.clock.Now() + left
+	a.Request.Deadline = a.Until
+	e.timeouts.Add(a)
+}
+
 // connect returns the idle connection that the owner took, or a new one where that is nil, and why it is of no use.
 func (e *Engine) connect(ctx context.Context, link *httpwire.Link, address string) (*httpwire.Link, httpwire.Reason) {
 	if link == nil {
--- a/internal/pipeline/takein.go
+++ b/internal/pipeline/takein.go
@@ -24,9 +24,9 @@
 	if string(ctx.Path()) == httpwire.ReadyPath && ctx.IsGet() {
 		e.answerReady(ctx)
 	} else {
-		answer := e.takeIn(ctx, conn)
+		answer, counted := e.takeIn(ctx, conn)
 		taken = answer.Taken
-		if answer.Verdict != httpwire.Malformed {
+		if counted {
 			active = 1
 		}
 		httpwire.EncodeAnswer(&answer, &ctx.Response)
@@ -50,42 +50,78 @@
 	}
 }
 
-// takeIn hands a request over and waits for its answer.
-func (e *Engine) takeIn(ctx *fasthttp.RequestCtx, conn *httpwire.CallerConn) httpwire.Answer {
-	now := e.clock.Now()
+// takeIn hands a request over and waits for its answer. counted tells whether the
+// request counts as active until that is written.
+func (e *Engine) takeIn(ctx *fasthttp.RequestCtx, conn *httpwire.CallerConn) (answer httpwire.Answer, counted bool) {
 	message, err := httpwire.DecodeRequest(&ctx.Request)
 	if err == nil {
 		err = e.check(&message)
 	}
+	if err == nil {
+		message.Body, message.Upload, err = httpwire.ReadBody(ctx, conn)
+	}
+	if err != nil {
+		e.malformed.Add(1)
+		// What follows may be a part of it.
+		last := errors.Is(err, httpwire.ErrFraming) || errors.Is(err, httpwire.ErrBody)
+		return httpwire.Answer{Verdict: httpwire.Malformed, Reason: err.Error(), Last: last}, false
+	}
 	if most := e.conf.Classes[message.Class].Deadline; most > 0 {
 		// Guards against times that no client of the class has: what is kept for a
 		// request, the module's timers with it, is kept until then.
 		message.Remaining = min(message.Remaining, most)
 	}
-	if err != nil {
-		e.malformed.Add(1)
-		last := errors.Is(err, httpwire.ErrFraming) // what follows may be a part of it
-		return httpwire.Answer{Verdict: httpwire.Malformed, Reason: err.Error(), Last: last}
-	}
 	in := &arrival{
-		message: &message, deadline: now + message.Remaining, crowded: conn.Crowded(),
+		message: &message, deadline: e.clock.Now() + message.Remaining, crowded: conn.Crowded(),
 		answer: make(chan httpwire.Answer, 1),
 	}
-	e.board.Active.Add(1)
-	e.post(in)
-	conn.Watch(func() { e.post(callerLeft{in}) })
-	defer conn.Unwatch()
+	if message.Upload == nil {
+		e.board.Active.Add(1)
+		e.post(in)
+		conn.Watch(func() { e.post(callerLeft{in}) })
+		defer conn.Unwatch()
+		return e.await(in), true
+	}
+	return e.awaitUpload(in, conn)
+}
+
+// await waits for a request's answer.
+func (e *Engine) await(in *arrival) httpwire.Answer {
 	select {
 	case answer := <-in.answer:
-		if answer.Verdict == httpwire.Malformed {
-			e.board.Active.Add(-1)
-		}
 		return answer
 	case <-e.stopped:
 		return httpwire.Answer{Verdict: httpwire.Failed}
 	}
 }
 
+// awaitUpload waits for the answer to a request whose body still comes. Its caller is
+// watched when all of that is there.
+func (e *Engine) awaitUpload(in *arrival, conn *httpwire.CallerConn) (answer httpwire.Answer, counted bool) {
+	upload := in.message.Upload
+	conn.Hold()
+	e.post(in)
+	defer upload.Stop()
+	select {
+	case answer = <-in.answer:
+		answer.Last = true // more of the body may come
+		return answer, false
+	case <-e.stopped:
+		return httpwire.Answer{Verdict: httpwire.Failed, Last: true}, false
+	case <-upload.Done():
+	}
+	if upload.Err() != nil {
+		e.post(callerLeft{in})
+		answer = e.await(in)
+		answer.Last = true
+		return answer, false
+	}
+	e.board.Active.Add(1)
+	conn.Watch(func() { e.post(callerLeft{in}) })
+	defer conn.Unwatch()
+	return e.await(in), true
+}
+
 // check turns down what no endpoint may see: a class that the settings do not
 // have, a method that is not the class's, and a keyed request whose repeats no
 // endpoint could drop.
