--- a/internal/lifecycle/stream_test.go
+++ b/internal/lifecycle/stream_test.go
@@ -31,7 +31,6 @@
 func TestLongBothWays(t *testing.T) {
 	const long, at, memoryMB = 24 << 20, 6, 64
 	answer := pattern(long)
-	e := scripted.StartEndpoint(t, "e1", nil)
 	slow := http.NewServeMux()
 	slow.HandleFunc("/look/", func(w http.ResponseWriter, r *http.Request) { w.Write(answer) })
 	slow.HandleFunc("/pay/", func(w http.ResponseWriter, r *http.Request) {
@@ -41,10 +40,8 @@
 		}
 		fmt.Fprint(w, len(body))
 	})
-	address := serveRaw(t, slow)
-	line := e.Line()
-	line["address"] = address
-	conf, listen := testConfig(scripted.StartDiscovery(t), line), scripted.FreeAddress(t)
+	conf := testConfig(scripted.StartDiscovery(t), scripted.Line("e1", serveRaw(t, slow)))
+	listen := scripted.FreeAddress(t)
 	conf["listen"] = listen
 	conf["limits"] = map[string]any{"memory_mb": memoryMB, "sockets": 384}
 	setDeadlines(conf, 20000)
@@ -143,14 +140,14 @@
 // keeps to its rate does, also while the endpoint takes its time to read.
 func TestLongBodies(t *testing.T) {
 	var whole atomic.Int64
-	e := scripted.StartEndpoint(t, "e1", func(w http.ResponseWriter, r *http.Request) {
+	address := serveRaw(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(50 * time.Millisecond)
 		if n, err := io.Copy(io.Discard, r.Body); err == nil {
 			whole.Add(1)
 			fmt.Fprint(w, n)
 		}
-	})
-	s := start(t, testConfig(scripted.StartDiscovery(t), e.Line()))
+	}))
+	s := start(t, testConfig(scripted.StartDiscovery(t), scripted.Line("e1", address)))
 	const length = 200_000
 	for name, c := range map[string]struct {
 		framing string
