--- a/decide/audit.go
+++ b/decide/audit.go
@@ -8,13 +8,14 @@
 	if t := b.bucket.tokens; t < 0 || t > floorBurst {
 		return 0, fmt.Errorf("bucket: %v tokens, beyond 0 to %v", t, floorBurst)
 	}
-	inFlight := map[*endpoint]int{}
+	inFlight, counted := map[*endpoint]int{}, 0
 	for id, r := range b.held {
 		n := 0
 		for i := range r.attempts {
 			if a := &r.attempts[i]; !a.settled {
 				n++
-				inFlight[a.to]++
+				inFlight[a.to] += a.counted
+				counted += a.counted
 			}
 		}
 		if n != r.out {
@@ -25,12 +26,12 @@
 		}
 		out += n
 	}
-	if out != b.hold.out {
-		return 0, fmt.Errorf("%d attempts are out, and the hold counts %d", out, b.hold.out)
+	if counted != b.hold.out {
+		return 0, fmt.Errorf("%d attempts are in flight, and the hold counts %d", counted, b.hold.out)
 	}
 	for _, e := range b.fleet.order {
 		if e.inFlight != inFlight[e] {
-			return 0, fmt.Errorf("endpoint %d: %d attempts are out, and %d are counted", e.id, inFlight[e], e.inFlight)
+			return 0, fmt.Errorf("endpoint %d: %d attempts are out, and %d are counted", e.line.ID, inFlight[e], e.inFlight)
 		}
 	}
 	return out, nil
--- a/decide/ban_test.go
+++ b/decide/ban_test.go
@@ -118,3 +118,26 @@
 		t.Errorf("payoff %v after a broken answer, %v before", after, before)
 	}
 }
+
+// Guards against a tier that counts as full of bodies that still come: while its client
+// sends, an endpoint does nothing for a request, and its place goes to another.
+func TestPlaceWhileABodyComes(t *testing.T) {
+	s := start(t, testSettings(), two()...)
+	last := s.fill("once")
+	s.want(s.arrive(last+1, "once"))
+	s.want(s.event(Event{Kind: StreamBegan, Request: 1}), Send)
+	if out, err := s.b.Audit(); err != nil || out != int(last)-1 {
+		t.Errorf("%d out, %v; want %d", out, err, last-1)
+	}
+	full := s.b.hold.out
+	s.event(Event{Kind: BodyCame, Request: 1})
+	s.event(Event{Kind: BodyCame, Request: 1})
+	if s.b.hold.out != full+1 {
+		t.Errorf("%d in flight when the body has come, want %d", s.b.hold.out, full+1)
+	}
+	s.after(5*ms).finish(1, 0, Served)
+	s.event(Event{Kind: BodyCame, Request: 1})
+	if _, err := s.b.Audit(); err != nil {
+		t.Error(err)
+	}
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -94,10 +94,10 @@
 // class is a request class with what its requests share.
 type class struct {
 	Class
-	sheddable bool // the lowest worth, where worth differs
-	pace      pace
-	grace     time.Duration // of a first try: the one that most share; the longest seen at lower tiers
-	votes     int           // tries that have lately had it, less those that have not
+	leaves float64 // part of the bucket left to others: by the lowest worth, where worth differs
+	pace   pace
+	grace  time.Duration // of a first try: the one that most share; the longest seen at lower tiers
+	votes  int           // tries that have lately had it, less those that have not
 }
 
 // New returns a balancer that has seen nothing yet. The seed is its only source of randomness.
@@ -111,7 +111,10 @@
 		least, most = min(least, c.Worth), max(most, c.Worth)
 	}
 	for _, c := range set.Classes {
-		b.classes[c.Name] = &class{Class: c, sheddable: least < most && c.Worth == least}
+		b.classes[c.Name] = &class{Class: c}
+		if least < most && c.Worth == least {
+			b.classes[c.Name].leaves = spareShare
+		}
 	}
 	b.unknown = class{Class: Class{Effect: Unsafe, Worth: set.Classes[0].Worth, Aim: set.Classes[0].Aim}}
 	b.held, b.bucket, b.tenants = map[RequestID]*request{}, newBucket(&set), map[string]*bucket{}
@@ -138,7 +141,9 @@
 	case Finished:
 		b.finished(e)
 	case StreamBegan, ClientLeft:
-		b.clientDid(e)
+		b.clientDid(e, 0)
+	case BodyCame:
+		b.clientDid(e, 1)
 	case ListChanged, ListReplaced, ListRestored:
 		b.listCame(e)
 	case ListFailed:
@@ -210,6 +215,7 @@
 	to      *endpoint
 	sent    Time
 	settled bool
+	counted int  // 1 while it counts as in flight, else 0
 	ran     bool // it may have run; true until an outcome proves otherwise
 }
 
@@ -268,13 +274,12 @@
 	}
 	b.hold.turned *= 1 - busyGain
 	r.attempts = append(r.attempts, attempt{to: to, sent: b.now, ran: true})
-	r.out, r.funded = r.out+1, false
-	b.hold.out++
-	to.inFlight, to.since = to.inFlight+1, to.since+1
+	r.out, r.funded, to.since = r.out+1, false, to.since+1
+	b.count(&r.attempts[len(r.attempts)-1], 1)
 	if to.cold < 0 {
 		to.credit--
 	}
-	b.act(Action{Kind: Send, Request: r.id, Endpoint: to.id})
+	b.act(Action{Kind: Send, Request: r.id, Endpoint: to.line.ID})
 	b.copyLost(r)
 }
 
@@ -327,9 +332,8 @@
 	}
 	a := &r.attempts[e.Attempt]
 	a.settled, a.ran = true, !e.Outcome.NeverRan()
-	a.to.inFlight--
+	b.count(a, 0)
 	r.out--
-	b.hold.out--
 	b.learn(r, a, e)
 	r.over = r.over || e.Over
 	if e.Outcome == Served {
@@ -365,6 +369,11 @@
 	return l.MaxRetryAfter/2 + b.jitter(l.MaxRetryAfter/2)
 }
 
+// count counts an attempt as in flight, or not: its endpoint does nothing for it while its body comes.
+func (b *Balancer) count(a *attempt, n int) {
+	a.to.inFlight, b.hold.out, a.counted = a.to.inFlight+n-a.counted, b.hold.out+n-a.counted, n
+}
+
 // release forgets a request that is over and has nothing out.
 func (b *Balancer) release(r *request) {
 	if r.over && r.out == 0 {
@@ -399,19 +408,24 @@
 	}
 }
 
-// clientDid books that a client has begun to take a stream, or has left.
-func (b *Balancer) clientDid(e *Event) {
-	if r := b.held[e.Request]; r != nil {
-		r.bound = r.bound || e.Kind == StreamBegan
-		r.over = r.over || e.Kind == ClientLeft
+// clientDid books that a client has left, or begun to send or take what can't go twice, or sent it all.
+func (b *Balancer) clientDid(e *Event, inFlight int) {
+	r := b.held[e.Request]
+	if r == nil {
+		return
+	}
+	if e.Kind == ClientLeft {
+		r.over = true
 		b.release(r)
+	} else if r.bound = true; e.Attempt < len(r.attempts) && !r.attempts[e.Attempt].settled {
+		b.count(&r.attempts[e.Attempt], inFlight)
+		b.sendHeld()
 	}
 }
 
 // ---- The hold: first attempts when the tier is full ----
 
-// hold keeps first attempts back while as many are out as the limit allows. It guards against the jam that
-// free ones make: endpoints that hold too many slow down, all answers come late, and repeats keep it so.
+// hold keeps first attempts back at a limit, against the jam that free ones make (docs/design.md).
 type hold struct {
 	out     int        // attempts without an outcome
 	queue   []*request // held back, worthiest first, then oldest
@@ -487,8 +501,7 @@
 	b.ask()
 }
 
-// latest is when a held request is given up: it can hardly be in time. Where endpoints are asked and few
-// requests find no place, one that can still earn something late waits on at that worth.
+// latest is when a held request is given up: hardly in time. Scouted, it waits on while late answers earn.
 func (b *Balancer) latest(r *request) Time {
 	usual := r.class.pace.usual(r.work)
 	at := r.aimAt - lateSlack*usual
@@ -538,7 +551,7 @@
 		for i := 0; i < count && b.now >= r.askAt; i++ {
 			if e := b.toAsk(r); e != nil {
 				e.scout, r.asked, r.awaited = r, r.asked+1, r.awaited+1
-				b.act(Action{Kind: Probe, Endpoint: e.id})
+				b.act(Action{Kind: Probe, Endpoint: e.line.ID})
 			}
 		}
 		if b.now >= r.askAt {
@@ -603,7 +616,7 @@
 
 // hasPlace tells whether what an endpoint has just told leaves a place for a request.
 func (b *Balancer) hasPlace(r *request, e *endpoint) bool {
-	if !b.fresh(e) || e.state != Active || b.fleet.banned[e.id] {
+	if !b.fresh(e) || e.state != Active || b.fleet.banned[e.line.ID] {
 		return false
 	}
 	if e.load.Outstanding < 0 { // it has answered: nothing waits there
@@ -612,8 +625,7 @@
 	return e.load.Outstanding+float64(e.since) < b.hold.each*float64(b.set.Peers)*b.placeShare(r)
 }
 
-// placeShare is the part of an endpoint's places that a request may take: low worth leaves more of them the
-// busier all are. An instance's own refusals do not tell: with little traffic it finds a place for anything.
+// placeShare is the part of an endpoint's places that a request may take: low worth leaves more when busy.
 func (b *Balancer) placeShare(r *request) float64 {
 	flat := flatPlaces * max(0, min(1, (fullBusy-b.fleet.busy)/busySpan))
 	return flat + (1-flat)*r.value/b.mostWorth
@@ -660,18 +672,10 @@
 
 func (k *bucket) add(tokens float64) { k.tokens = min(k.burst, k.tokens+tokens) }
 
-// needed is what the bucket must hold before a retry may take a token: the lowest worth leaves half of it.
-func (k *bucket) needed(c *class) float64 {
-	if c.sheddable {
-		return 1 + spareShare*k.burst
-	}
-	return 1
-}
-
 // wait is how long the floor alone takes to fund a retry of the class.
 func (k *bucket) wait(now Time, c *class) time.Duration {
 	k.refill(now)
-	return max(0, time.Duration((k.needed(c)-k.tokens)/k.floor*float64(time.Second)))
+	return max(0, time.Duration((1+c.leaves*k.burst-k.tokens)/k.floor*float64(time.Second)))
 }
 
 // retry sends a request again if a token funds it. Else it waits for one, or is given up if that is no use.
@@ -727,7 +731,8 @@
 }
 
 func sameGroup(g Group, a, b *endpoint) bool {
-	return g == GroupAll || g == GroupZone && a.zone == b.zone || g == GroupCell && a.cell == b.cell
+	like, as := &a.line, &b.line
+	return g == GroupAll || g == GroupZone && like.Zone == as.Zone || g == GroupCell && like.Cell == as.Cell
 }
 
 // anyMayTake tells whether the effects leave the request any ready endpoint.
@@ -769,10 +774,7 @@
 
 // endpoint is one process. A restarted one is new: what was learned of the old does not speak for it.
 type endpoint struct {
-	id       EndpointID
-	zone     string
 	remote   float64 // price of crossing to its zone
-	cell     int
 	state    EndpointState
 	weight   float64
 	started  Time
@@ -1039,7 +1041,7 @@
 	maps.DeleteFunc(f.byID, func(_ EndpointID, e *endpoint) bool { return e.state == Gone })
 	f.order = slices.DeleteFunc(f.order, func(e *endpoint) bool { return e.state == Gone })
 	f.ready = slices.DeleteFunc(append(f.ready[:0], f.order...), func(e *endpoint) bool {
-		return e.state != Active || f.banned[e.id]
+		return e.state != Active || f.banned[e.line.ID]
 	})
 	f.mean = 0
 	b.measured()
@@ -1047,12 +1049,12 @@
 	b.sendWaiting()
 }
 
-// shareOut puts the ready endpoints into this instance's own order: the own zone where crossings are priced,
-// then cold ones, whose credit must not lie idle, then ids. Peers begin apart, spread by the golden ratio.
+// shareOut puts the ready ones in the own order: own zone, cold ones, ids; peers begin apart (docs/design.md).
 func (b *Balancer) shareOut() {
 	f := &b.fleet
 	slices.SortFunc(f.ready, func(a, e *endpoint) int {
-		return cmp.Or(cmp.Compare(a.remote, e.remote), cmp.Compare(a.cold, e.cold), cmp.Compare(a.id, e.id))
+		near, cold := cmp.Compare(a.remote, e.remote), cmp.Compare(a.cold, e.cold)
+		return cmp.Or(near, cold, cmp.Compare(a.line.ID, e.line.ID))
 	})
 	f.near = len(f.ready)
 	if at := slices.IndexFunc(f.ready, func(e *endpoint) bool { return e.remote > 0 }); at >= 0 {
@@ -1078,16 +1080,16 @@
 		e = nil
 	}
 	if e == nil {
-		e = &endpoint{id: line.ID, payoff: b.measured().mean, touched: b.now, started: started}
+		e = &endpoint{payoff: b.measured().mean, touched: b.now, started: started}
 		if started > 0 && b.now-started < b.set.Rules.ColdTime {
 			e.cold = -1
 		}
 		e.credit, e.creditAt = b.rng.Float64(), b.now // peers must not all send their first at once
-		b.fleet.byID[e.id] = e
+		b.fleet.byID[line.ID] = e
 		b.fleet.order = append(b.fleet.order, e)
 	}
-	e.line, e.zone, e.cell, e.state, e.weight = *line, line.Zone, line.Cell, line.State, 1
-	if e.zone != b.set.Zone {
+	e.line, e.state, e.weight = *line, line.State, 1
+	if line.Zone != b.set.Zone {
 		e.remote = b.set.Prices.CrossZone
 	}
 	if b.set.WeightKnown && line.Weight > 0 {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -147,7 +147,7 @@
 }
 
 func TestBucket(t *testing.T) {
-	rich, poor := &class{}, &class{sheddable: true}
+	rich, poor := &class{}, &class{leaves: spareShare}
 	k := bucket{tokens: 1, floor: floorRate, burst: floorBurst}
 	if !take(&k, rich) || take(&k, rich) {
 		t.Fatal("one token must fund exactly one retry")
@@ -267,7 +267,7 @@
 		var got []EndpointID
 		for _, e := range s.b.fleet.ready {
 			if s.b.mayTake(r, e) {
-				got = append(got, e.id)
+				got = append(got, e.line.ID)
 			}
 		}
 		if !slices.Equal(got, c.legal) {
@@ -467,12 +467,12 @@
 		e.known = true
 	}
 	s.b.fleet.byID[1].payoff = 0.2
-	if got := s.b.pick(&request{class: s.b.classes["read"]}); got.id != 2 {
+	if got := s.b.pick(&request{class: s.b.classes["read"]}); got.line.ID != 2 {
 		t.Error("the lower payoff won")
 	}
 	s.b.fleet.byID[1].payoff, s.b.fleet.byID[1].touched = 0.6, s.now
 	s.b.fleet.byID[2].inFlight = 1
-	if got := s.b.pick(&request{class: s.b.classes["read"]}); got.id != 1 {
+	if got := s.b.pick(&request{class: s.b.classes["read"]}); got.line.ID != 1 {
 		t.Error("payoff 0.6 with nothing in flight must beat payoff 1 with one")
 	}
 }
@@ -695,7 +695,7 @@
 	s.b.now = s.now
 	s.b.fleet.byID[1].inFlight = 1000
 	s.b.fleet.byID[1].payoff, s.b.fleet.byID[2].payoff = 1, payoffFloor
-	if got := s.b.candidates(&request{class: s.b.classes["read"]}); len(got) != 1 || got[0].id != 2 {
+	if got := s.b.candidates(&request{class: s.b.classes["read"]}); len(got) != 1 || got[0].line.ID != 2 {
 		t.Errorf("candidates are %d endpoints, want only the one with room", len(got))
 	}
 }
--- a/decide/types.go
+++ b/decide/types.go
@@ -224,6 +224,7 @@
 	ListRestored                   // Endpoints: the whole list as last known, maybe old
 	ListFailed                     // asking for the list failed, or watching it ended
 	ProbeFinished                  // Endpoint, Outcome, Latency, Load
+	BodyCame                       // Request, Attempt: the rest of the body that began to go then has come whole
 	StreamBroke                    // Endpoint: it has broken off an answer that counted as served when it began
 	Banned                         // Endpoint, listed or not: nothing new for it until Unbanned, whatever a list says
 	Unbanned                       // Endpoint: the ban has ended, however often it was told
--- a/internal/pipeline/send.go
+++ b/internal/pipeline/send.go
@@ -142,6 +142,7 @@
 	if a := u.attempt; !a.Settled {
 		a.Sent = e.clock.Now()
 		e.restart(a, a.Request.Message.Remaining)
+		e.tell(decide.Event{Kind: decide.BodyCame, Request: a.Request.ID, Attempt: a.Number})
 	}
 }
 
--- a/internal/watching/watching.go
+++ b/internal/watching/watching.go
@@ -111,7 +111,7 @@
 		w.counts.Watched++
 		w.views[ev.Request] = &view{}
 		w.tell(now, ev)
-	case decide.Finished, decide.StreamBegan, decide.ClientLeft:
+	case decide.Finished, decide.StreamBegan, decide.BodyCame, decide.ClientLeft:
 		if v := w.views[ev.Request]; v != nil && !v.differed {
 			w.tell(now, ev)
 		}
