--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1049,7 +1049,7 @@
 	b.sendWaiting()
 }
 
-// shareOut puts the ready ones in the own order: own zone, cold ones, ids; peers begin apart (docs/design.md).
+// shareOut puts the ready ones in the own order: zone, cold ones, ids; peers begin apart (docs/design.md).
 func (b *Balancer) shareOut() {
 	f := &b.fleet
 	slices.SortFunc(f.ready, func(a, e *endpoint) int {
