A watch of the list waits 4 s at least, not 16 s: a lost answer blinds for less

Waits go by the number of peers now, since discovery works through calls in turn. Ruled out: newcomers that refuse by themselves (what refused was draining or gone), capacity, discovery being down. Two more causes seen and not mended here: quick refusals lower the hold's stretch, and a refuser outranks crowded ones.

--- a/internal/pipeline/discover.go
+++ b/internal/pipeline/discover.go
@@ -24,10 +24,19 @@
 	beyond time.Duration // what a watch may take after its wait: then its news count as told
 }
 
-// usualTimes are those of a sidecar.
-var usualTimes = callTimes{
-	dial: 2 * time.Second, fetch: 6 * time.Second,
-	wait: 16 * time.Second, spread: 8 * time.Second, beyond: 2 * time.Second,
+// Figures of a watch. An answer may be lost on its way, and nothing tells: until its
+// wait is over the sidecar is blind. Discovery works through all sidecars' calls in
+// turn: the more there are, the longer each waits.
+const (
+	waitEach  = time.Second // for each instance of the tier
+	waitLeast = 4 * time.Second
+	waitMost  = 16 * time.Second
+)
+
+// usualTimes are those of a sidecar with so many peers, itself included.
+func usualTimes(peers int) callTimes {
+	wait := min(max(time.Duration(peers)*waitEach, waitLeast), waitMost)
+	return callTimes{dial: 2 * time.Second, fetch: 6 * time.Second, wait: wait, spread: wait / 2, beyond: 2 * time.Second}
 }
 
 // rewatchPause is the least pause after a failure where the module does not ask.
