--- a/internal/lifecycle/stream_test.go
+++ b/internal/lifecycle/stream_test.go
@@ -283,6 +283,8 @@
 	}
 	conn.Close()
 	eventually(t, "nothing is kept", func() bool { return s.callers.Open() == 0 })
+	s.stayFor, s.stopped = 0, true
+	s.Stop()
 	if err := s.Audit(); err != nil || s.callers.Held() != 0 {
 		t.Errorf("%v; requests held %v", err, s.callers.Held() != 0)
 	}
