--- a/internal/pipeline/engine.go
+++ b/internal/pipeline/engine.go
@@ -197,11 +197,15 @@
 	}
 }
 
+// Passing tells whether long answers are on their way.
+func (e *Engine) Passing() bool { return e.Snapshot().Passing > 0 }
+
 // Snapshot is what the engine counts and holds.
 type Snapshot struct {
 	state.Counters
 	Watched   *watching.Counts // what other settings would have done; nil where nothing is watched
 	Held      int              // requests without a final answer, or one that is not whole yet
+	Passing   int              // of those held, the ones whose answer is on its way
 	Endpoints int              // listed
 	Links     int              // connections to endpoints
 }
@@ -231,7 +235,8 @@
 		watched = &counts
 	}
 	return Snapshot{
-		Counters: counters, Watched: watched, Held: e.requests.Held() + e.passing, Endpoints: e.endpoints.Len(), Links: e.pool.Open(),
+		Counters: counters, Watched: watched, Held: e.requests.Held() + e.passing,
+		Passing: e.passing, Endpoints: e.endpoints.Len(), Links: e.pool.Open(),
 	}
 }
 
