Long answers on their way at an upgrade go on in the successor

Seen: upgrade+bulk+slow broke the rule on lost requests, 6 and 7 long answers that take over 3.7 s, cut off by the platform's SIGKILL. The old process now gives its successor both descriptors, what it has read and not written, and its place in the framing; chunks are read by a reader that can be gone on from (answer.go, chunkedBody). Ruled out before: that the old process cuts them itself.

--- a/internal/httpwire/answer.go
+++ b/internal/httpwire/answer.go
@@ -3,10 +3,10 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"errors"
 	"io"
 	"math"
-	"net/http/httputil"
 	"os"
 	"strconv"
 	"sync/atomic"
@@ -259,7 +259,7 @@
 	case length == 0:
 		return nil, nil
 	case length == chunked:
-		return &chunkedBody{r: r, chunks: httputil.NewChunkedReader(r)}, nil
+		return &chunkedBody{r: r}, nil
 	case length != identity:
 		return &exactBody{r: r, left: length}, nil
 	case closes:
@@ -309,19 +309,48 @@
 	return n, err
 }
 
-// chunkedBody is a body in chunks, with the trailer behind it, which is passed over.
+// chunkedBody is a body in chunks, with the trailer behind it, which is passed over. A
+// read that fails changes nothing: another process can go on from left and behind.
 type chunkedBody struct {
 	r      *bufio.Reader
-	chunks io.Reader
+	left   int  // bytes of the chunk at hand that have not come
+	behind bool // a chunk has come whole, and the end of its line has not
 }
 
+// errChunk is the fault of a chunk that can't be read.
+var errChunk = errors.New("malformed chunk")
+
 // Read is io.Reader's.
 func (b *chunkedBody) Read(p []byte) (int, error) {
-	n, err := b.chunks.Read(p)
-	if err == io.EOF {
-		if failed := skipTrailer(b.r); failed != nil {
-			err = failed
+	for b.left == 0 {
+		line, err := peekLine(b.r)
+		if err != nil {
+			return 0, err
+		}
+		if b.behind {
+			if len(bytes.TrimRight(line, "\r\n")) > 0 {
+				return 0, errChunk
+			}
+			b.behind = false
+			b.r.Discard(len(line))
+			continue
 		}
+		size, _, _ := bytes.Cut(line, []byte(";"))
+		n, err := strconv.ParseUint(string(bytes.TrimSpace(size)), 16, 31)
+		if err != nil {
+			return 0, errChunk
+		}
+		b.r.Discard(len(line))
+		if n == 0 {
+			return 0, cmp.Or(skipTrailer(b.r), io.EOF)
+		}
+		b.left = int(n)
+	}
+	n, err := b.r.Read(p[:min(len(p), b.left)])
+	b.left -= n
+	b.behind = b.left == 0
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
 	}
 	return n, err
 }
@@ -329,13 +358,11 @@
 // skipTrailer reads to the empty line that ends a chunked body.
 func skipTrailer(r *bufio.Reader) error {
 	for left := MaxHead; left > 0; {
-		line, err := r.ReadSlice('\n')
-		if err == io.EOF {
-			err = io.ErrUnexpectedEOF
-		}
+		line, err := peekLine(r)
 		if err != nil {
 			return err
 		}
+		r.Discard(len(line))
 		if len(bytes.TrimRight(line, "\r\n")) == 0 {
 			return nil
 		}
@@ -344,6 +371,23 @@
 	return errTooLong
 }
 
+// peekLine returns the next line with its end, and leaves it where it is.
+func peekLine(r *bufio.Reader) ([]byte, error) {
+	for n := 1; ; {
+		text, err := r.Peek(max(n, r.Buffered()))
+		if end := bytes.IndexByte(text, '\n'); end >= 0 {
+			return text[:end+1], nil
+		}
+		switch {
+		case err == io.EOF:
+			return nil, io.ErrUnexpectedEOF
+		case err != nil:
+			return nil, err
+		}
+		n = len(text) + 1
+	}
+}
+
 // readBeginning reads a body of which length is told, or below 0, whole if it holds
 // MaxWhole bytes at most. It takes memory as the bytes come: guards against heads that
 // announce more than ever comes. What was taken of the room is the capacity of what is
--- a/internal/httpwire/caller.go
+++ b/internal/httpwire/caller.go
@@ -200,6 +200,8 @@
 	requests int
 	body     *bodyPace     // while a body is read; nil else
 	cut      bool          // no more of a body is wanted
+	detached bool          // another process goes on with the answer at hand
+	unsent   []byte        // of it, what was not written here: a piece at most
 	unread   bool          // a body has not come to its end: what still comes must be read before a close
 	early    []byte        // what came while Watch looked; the next Read returns it
 	watching chan struct{} // closed when the watch has ended; nil while there is none
@@ -361,8 +363,21 @@
 // Write writes for the server. A caller may take its time, and must take some bytes
 // within pieceStall.
 func (c *CallerConn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	if c.detached {
+		c.unsent = append(c.unsent, b...)
+		c.mu.Unlock()
+		return len(b), nil
+	}
 	c.Conn.SetWriteDeadline(c.owner.world.Now().Add(pieceStall))
+	c.mu.Unlock()
 	n, err := c.Conn.Write(b)
+	c.mu.Lock()
+	if c.detached && errors.Is(err, os.ErrDeadlineExceeded) {
+		c.unsent = append(c.unsent, b[n:]...)
+		n, err = len(b), nil
+	}
+	c.mu.Unlock()
 	if err != nil {
 		c.Note(ReasonWriteFailed)
 	}
@@ -379,6 +394,21 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// detach has what is written from now on only noted: another process is to write it.
+func (c *CallerConn) detach() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.detached = true
+	c.Conn.SetWriteDeadline(aPast)
+}
+
+// unsentBytes returns what was written and only noted.
+func (c *CallerConn) unsentBytes() []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.unsent
+}
+
 // Answered marks that the server has the answer to the request at hand. written is
 // called once, when that is written or its connection ends.
 func (c *CallerConn) Answered(written func()) {
--- a/internal/httpwire/reason.go
+++ b/internal/httpwire/reason.go
@@ -29,6 +29,7 @@
 	ReasonGivenUp    Reason = "given_up"    // its attempt was given up
 	ReasonPeerClose  Reason = "peer_close"  // the answer said Connection: close
 	ReasonMoved      Reason = "moved"       // a reload names another discovery
+	ReasonHandedOver Reason = "handed_over" // another process goes on with its long answer
 	ReasonBanned     Reason = "banned"      // its endpoint was banned by hand
 	ReasonUnlisted   Reason = "unlisted"    // its endpoint has left the list or restarted
 )
--- a/internal/httpwire/stream.go
+++ b/internal/httpwire/stream.go
@@ -1,12 +1,18 @@
 package httpwire
 
 import (
+	"bufio"
+	"bytes"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"net"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -206,11 +212,15 @@
 	lastChunk  = "0\r\n\r\n"
 )
 
+// errHandedOver ends the writing of a response that another process goes on with.
+var errHandedOver = errors.New("another process goes on")
+
 // How a long answer ended on its way.
 const (
 	Whole       AnswerEnd = iota // all of it is written
 	BrokenOff                    // its endpoint broke it off, or it was longer than may be
 	NobodyReads                  // its caller has gone
+	HandedOver                   // another process goes on with it
 )
 
 // AnswerEnd is how the passing on of a long answer has ended.
@@ -220,16 +230,98 @@
 // body of a response. It ends once.
 type AnswerRest struct {
 	Length int // of the whole body in bytes; below 0 where only its end tells
+	Class  string
 	first  []byte
 	body   io.Reader
 	link   *Link
+	to     atomic.Pointer[CallerConn]
 	world  env.Env
 	ended  func(AnswerEnd) // set by Pass; nil before, and after the end
+	give   atomic.Pointer[Give]
 }
 
+// Give hands a long answer to another process: what it needs to go on, as text, and the
+// connections of its caller and its endpoint.
+type Give func(state []byte, caller, endpoint syscall.Conn) error
+
 // Pass says who is told of the end, once.
 func (a *AnswerRest) Pass(ended func(AnswerEnd)) { a.ended = ended }
 
+// HandOver has the answer handed to another process at the next piece. It may be called
+// at any time.
+func (a *AnswerRest) HandOver(give Give) {
+	a.give.Store(&give)
+	a.link.conn.SetReadDeadline(aPast)
+	if to := a.to.Load(); to != nil {
+		to.detach()
+	}
+}
+
+// To says whose connection it is written to.
+func (a *AnswerRest) To(conn *CallerConn) { a.to.Store(conn) }
+
+// Over is what another process needs to go on with a long answer.
+type Over struct {
+	Class    string
+	Unsent   []byte // read and not written
+	Buffered []byte // read from the endpoint's connection, and not unframed
+	Left     int    // bytes that are left of the body, or of the chunk at hand; below 0: to the connection's end
+	Chunked  bool
+	Behind   bool // a chunk has come whole, and the end of its line has not
+	Total    int64
+}
+
+// handOver hands it over, and tells whether it has.
+func (a *AnswerRest) handOver(give Give, total int64) bool {
+	to := a.to.Load()
+	over := Over{Class: a.Class, Unsent: to.unsentBytes(), Left: -1, Total: total}
+	switch b := a.body.(type) {
+	case *exactBody:
+		over.Left = b.left
+	case *chunkedBody:
+		over.Left, over.Chunked, over.Behind = b.left, true, b.behind
+	}
+	over.Buffered, _ = a.link.in.Peek(a.link.in.Buffered())
+	state, err := json.Marshal(over)
+	caller, ok := to.Conn.(syscall.Conn)
+	endpoint, ok2 := a.link.conn.(syscall.Conn)
+	return err == nil && ok && ok2 && give(state, caller, endpoint) == nil
+}
+
+// GoOn passes on what another process has begun to: it writes to the caller what is
+// left of the answer, and ends both connections.
+func GoOn(over *Over, caller, endpoint net.Conn, world env.Env) AnswerEnd {
+	defer caller.Close()
+	defer endpoint.Close()
+	in := bufio.NewReaderSize(io.MultiReader(bytes.NewReader(over.Buffered), endpoint), MaxHead)
+	var body io.Reader = in
+	switch {
+	case over.Chunked:
+		body = &chunkedBody{r: in, left: over.Left, behind: over.Behind}
+	case over.Left >= 0:
+		body = &exactBody{r: in, left: over.Left}
+	}
+	out := &Link{conn: caller}
+	if out.writePiece(over.Unsent, false, false, world) != nil {
+		return NobodyReads
+	}
+	buf := pieces.Get().(*[pieceSize]byte)
+	defer pieces.Put(buf)
+	for total := over.Total; ; {
+		endpoint.SetReadDeadline(world.Now().Add(pieceStall))
+		n, err := body.Read(buf[:])
+		if total += int64(n); total > MaxAnswer || err != nil && err != io.EOF {
+			return BrokenOff
+		}
+		if out.writePiece(buf[:n], true, err == io.EOF, world) != nil {
+			return NobodyReads
+		}
+		if err == io.EOF {
+			return Whole
+		}
+	}
+}
+
 // SupportsBodyWriteTo has fasthttp use WriteTo.
 func (a *AnswerRest) SupportsBodyWriteTo() bool { return true }
 
@@ -251,7 +343,19 @@
 	defer pieces.Put(buf)
 	for {
 		a.link.conn.SetReadDeadline(a.world.Now().Add(pieceStall))
-		n, err := a.body.Read(buf[:])
+		give, n, err := a.give.Load(), 0, error(os.ErrDeadlineExceeded)
+		if give == nil {
+			n, err = a.body.Read(buf[:])
+			give = a.give.Load()
+		}
+		if give != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+			how := BrokenOff
+			if a.handOver(*give, total) {
+				how = HandedOver
+			}
+			a.end(how)
+			return total, errHandedOver
+		}
 		if total += int64(n); total > MaxAnswer {
 			a.end(BrokenOff)
 			return total, errTooLong
--- a/internal/lifecycle/sidecar.go
+++ b/internal/lifecycle/sidecar.go
@@ -30,7 +30,10 @@
 	patientFor  = 3 * time.Second
 	finishAfter = 550 * time.Millisecond // past the longest deadline or patientFor: what is held fails then
 	leaveAfter  = 100 * time.Millisecond // after that, whatever is not written by then
-	passTime    = time.Minute            // long answers that their endpoints still give go on so long, if the platform lets them
+	// So long before what is held fails, a successor gets the long answers on their way.
+	handOverAhead = 550 * time.Millisecond
+
+	passTime = time.Minute // long answers that their endpoints still give go on so long, if the platform lets them
 
 	// A request's head must have come by then, the first so long after its connection:
 	// who sends nothing, or never the end, is owed a word or a close within 3 s.
@@ -187,6 +190,8 @@
 	}
 	s.engine.Drain(true)
 	s.callers.Close()
+	s.emptyOut(begin.Add(s.finishTime() - handOverAhead))
+	s.handOver()
 	s.emptyOut(begin.Add(s.finishTime()))
 	if s.engine.Finish(); s.engine.Passing() {
 		s.emptyOut(begin.Add(passTime))
--- a/internal/lifecycle/upgrade.go
+++ b/internal/lifecycle/upgrade.go
@@ -1,6 +1,7 @@
 package lifecycle
 
 import (
+	"encoding/json"
 	"errors"
 	"net"
 	"runtime/debug"
@@ -8,6 +9,7 @@
 	"sync/atomic"
 	"syscall"
 
+	"heathgap/internal/httpwire"
 	"heathgap/internal/takeover"
 )
 
@@ -169,6 +171,31 @@
 	s.offer(s.upgrade.path, s.listener)
 }
 
+// GoOn is takeover.Handler's.
+func (s *Sidecar) GoOn(state []byte, caller, endpoint net.Conn) {
+	var over httpwire.Over
+	if err := json.Unmarshal(state, &over); err != nil {
+		s.log.Warn().Err(err).Msg("a long answer of the other process")
+		caller.Close()
+		endpoint.Close()
+		return
+	}
+	s.engine.GoOn(&over, caller, endpoint)
+}
+
+// handOver gives the long answers that are still on their way to the successor, if
+// there is one.
+func (s *Sidecar) handOver() {
+	if !s.upgrade.yielded.Load() {
+		return
+	}
+	s.upgrade.mu.Lock()
+	defer s.upgrade.mu.Unlock()
+	if n := len(s.upgrade.peers); n > 0 {
+		s.engine.HandOver(s.upgrade.peers[n-1].Give)
+	}
+}
+
 // Adopt is takeover.Handler's.
 func (s *Sidecar) Adopt(name string, on bool) {
 	if err := s.engine.Adopt(name, on); err != nil {
--- a/internal/lifecycle/upgrade_test.go
+++ b/internal/lifecycle/upgrade_test.go
@@ -1,8 +1,11 @@
 package lifecycle
 
 import (
+	"bytes"
+	"io"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -196,3 +199,56 @@
 		os.Remove(path)
 	}
 }
+
+// Long answers that outlive the old process's time go on in its successor, unchanged:
+// of either framing, from endpoints that take their time and to callers that do.
+func TestLongAnswersOverAnUpgrade(t *testing.T) {
+	const long = 12 << 20
+	text := pattern(long)
+	e := scripted.StartEndpoint(t, "e1", func(w http.ResponseWriter, r *http.Request) {
+		if strings.Contains(r.URL.Path, "told") {
+			w.Header().Set("Content-Length", strconv.Itoa(long))
+		}
+		if strings.Contains(r.URL.Path, "reader") {
+			w.Write(text)
+			return
+		}
+		w.Write(text[:100_000])
+		for at := 100_000; at < long; at += long / 16 {
+			w.(http.Flusher).Flush()
+			time.Sleep(200 * time.Millisecond)
+			w.Write(text[at:min(long, at+long/16)])
+		}
+	})
+	conf, address := upgradable(t, scripted.StartDiscovery(t), e.Line())
+	setDeadlines(conf, 1000)
+	old, _ := generation(t, conf)
+	var wait sync.WaitGroup
+	paths := []string{"/look/told/giver", "/look/chunks/giver", "/look/told/reader", "/look/chunks/reader"}
+	for _, path := range paths {
+		answer, err := http.DefaultClient.Do(request(t, address, http.MethodGet, path, ""))
+		if err != nil || answer.StatusCode != 200 {
+			t.Fatalf("%s: %v", path, err)
+		}
+		wait.Go(func() {
+			defer answer.Body.Close()
+			if strings.Contains(path, "reader") {
+				time.Sleep(2 * time.Second)
+			}
+			if got, err := io.ReadAll(answer.Body); err != nil || !bytes.Equal(got, text) {
+				t.Errorf("%s: %d bytes, %v; want %d", path, len(got), err, long)
+			}
+		})
+	}
+	_, console := generation(t, conf)
+	old.Process.Signal(syscall.SIGTERM)
+	begin := time.Now()
+	if err := old.Wait(); err != nil || time.Since(begin) > 1900*time.Millisecond {
+		t.Errorf("the old process: %v after %v", err, time.Since(begin))
+	}
+	wait.Wait()
+	eventually(t, "they count in the new process", func() bool {
+		f := stats(t, console)
+		return f["ok.look"] == len(paths) && f["active"] == 0
+	})
+}
--- a/internal/pipeline/audit.go
+++ b/internal/pipeline/audit.go
@@ -36,7 +36,7 @@
 	}
 	c := e.snapshot()
 	ends := c.Served + c.Refused + c.Failed + c.Left
-	if ends+c.Held != e.counters.Taken {
+	if ends+c.Held != e.counters.Taken+c.GoneOn {
 		return fmt.Errorf("%d requests taken, %d ended, %d held", e.counters.Taken, ends, c.Held)
 	}
 	if left, all := e.room.Left(), e.conf.AnswerBytes; left < 0 || left > all {
--- a/internal/pipeline/engine.go
+++ b/internal/pipeline/engine.go
@@ -56,6 +56,7 @@
 	urgent    chan event     // of operators: looked at before all others, however many wait
 	board     *figures.Board // read at any time
 	listed    atomic.Bool    // there has been a list
+	goneOn    atomic.Int64   // long answers of another process that ended here
 	serving   atomic.Bool    // callers are accepted
 	stopped   chan struct{}  // closed when Run has returned
 	unready   atomic.Bool    // the process is stopping: callers should look elsewhere
@@ -75,8 +76,8 @@
 	sweepAt   decide.Time
 	pending   []decide.Event // for the module, behind the one it is being told
 	telling   bool
-	passing   int  // long answers whose rest is on its way
-	stopping  bool // nothing is taken any more
+	passing   map[*httpwire.AnswerRest]struct{} // long answers whose rest is on its way
+	stopping  bool                              // nothing is taken any more
 	actions   []decide.Action
 }
 
@@ -85,7 +86,7 @@
 	e := &Engine{
 		conf: conf, log: logs.All, ends: logs.Ends, world: world, clock: state.NewClock(world), balancer: balancer,
 		events: make(chan event, eventQueue), urgent: make(chan event, urgentQueue), stopped: make(chan struct{}),
-		requests: state.NewRequests(), endpoints: state.NewEndpoints(),
+		requests: state.NewRequests(), endpoints: state.NewEndpoints(), passing: map[*httpwire.AnswerRest]struct{}{},
 	}
 	names := make([]string, 0, len(conf.Classes))
 	for name := range conf.Classes {
@@ -226,7 +227,7 @@
 
 func (e *Engine) snapshot() Snapshot {
 	counters := e.counters
-	counters.Malformed = int(e.malformed.Load())
+	counters.Malformed, counters.GoneOn = int(e.malformed.Load()), int(e.goneOn.Load())
 	counters.Served, counters.Failed = e.board.Sum(figures.Served), e.board.Sum(figures.Failed)
 	counters.Refused, counters.Left = e.board.Sum(figures.Refused)-counters.Over, e.board.Sum(figures.Left)
 	var watched *watching.Counts
@@ -235,8 +236,8 @@
 		watched = &counts
 	}
 	return Snapshot{
-		Counters: counters, Watched: watched, Held: e.requests.Held() + e.passing,
-		Passing: e.passing, Endpoints: e.endpoints.Len(), Links: e.pool.Open(),
+		Counters: counters, Watched: watched, Held: e.requests.Held() + len(e.passing),
+		Passing: len(e.passing), Endpoints: e.endpoints.Len(), Links: e.pool.Open(),
 	}
 }
 
--- a/internal/pipeline/relay.go
+++ b/internal/pipeline/relay.go
@@ -1,6 +1,8 @@
 package pipeline
 
 import (
+	"net"
+
 	"heathgap/decide"
 	"heathgap/internal/figures"
 	"heathgap/internal/httpwire"
@@ -55,7 +57,8 @@
 		}.handle(e)
 		return
 	}
-	e.passing++
+	e.passing[b.reply.Rest] = struct{}{}
+	b.reply.Rest.Class = a.Request.Message.Class
 	b.reply.Rest.Pass(func(how httpwire.AnswerEnd) { e.post(passed{b, how}) })
 	e.tell(decide.Event{Kind: decide.StreamBegan, Request: a.Request.ID, Attempt: a.Number})
 	e.settle(a, decide.Served, b.reply)
@@ -68,11 +71,13 @@
 }
 
 func (p passed) handle(e *Engine) {
-	e.passing--
+	delete(e.passing, p.reply.Rest)
 	to, ended, end := p.attempt.Endpoint, httpwire.Reason(""), figures.Served
 	switch {
 	case p.how == httpwire.BrokenOff:
 		ended, end = httpwire.ReasonBroken, figures.Failed
+	case p.how == httpwire.HandedOver:
+		ended, end = httpwire.ReasonHandedOver, figures.Left // it counts where it ends
 	case p.how == httpwire.NobodyReads:
 		ended, end = httpwire.ReasonCallerLeft, figures.Left
 	case p.reply.Close:
@@ -89,3 +94,33 @@
 		e.tell(decide.Event{Kind: decide.StreamBroke, Endpoint: to.ID})
 	}
 }
+
+// HandOver has all long answers on their way given to another process.
+func (e *Engine) HandOver(give httpwire.Give) { e.post(handOver{give}) }
+
+type handOver struct{ give httpwire.Give }
+
+func (h handOver) handle(e *Engine) {
+	for rest := range e.passing {
+		rest.HandOver(h.give)
+	}
+}
+
+// GoOn passes on, in a goroutine of its own, what another process has begun to. It
+// ends with the answer, or when one side stands still.
+func (e *Engine) GoOn(over *httpwire.Over, caller, endpoint net.Conn) {
+	e.board.Active.Add(1)
+	e.world.Go("go on", func() {
+		end := figures.Left
+		switch httpwire.GoOn(over, caller, endpoint, e.world) {
+		case httpwire.Whole:
+			end = figures.Served
+		case httpwire.BrokenOff:
+			end = figures.Failed
+		}
+		e.board.Active.Add(-1)
+		e.board.Count(over.Class, end)
+		e.goneOn.Add(1)
+		e.log.Info().Str("class", over.Class).Uint8("end", uint8(end)).Msg("went on with a long answer")
+	})
+}
--- a/internal/pipeline/takein.go
+++ b/internal/pipeline/takein.go
@@ -29,6 +29,9 @@
 		if counted {
 			active = 1
 		}
+		if answer.Rest != nil {
+			answer.Rest.To(conn)
+		}
 		httpwire.EncodeAnswer(&answer, &ctx.Response)
 		if answer.Last {
 			ctx.SetConnectionClose()
--- a/internal/state/counters.go
+++ b/internal/state/counters.go
@@ -19,6 +19,7 @@
 	Refused   int
 	Failed    int
 	Left      int // callers that went before their answer
+	GoneOn    int // long answers that another process took and this one ended; among the three ends above
 	Lists     int // answers of discovery
 	ListFails int // failed calls to discovery
 }
@@ -38,7 +39,7 @@
 // MarshalZerologObject writes the counters into a log line.
 func (c *Counters) MarshalZerologObject(e *zerolog.Event) {
 	e.Int("taken", c.Taken).Int("malformed", c.Malformed).Int("turned_away", c.Over).
-		Int("served", c.Served).Int("refused", c.Refused).Int("failed", c.Failed).Int("left", c.Left).
+		Int("served", c.Served).Int("refused", c.Refused).Int("failed", c.Failed).Int("left", c.Left).Int("gone_on", c.GoneOn).
 		Int("sent", c.Sent).Int("probed", c.Probed).Int("dialed", c.Dialed).
 		Int("lists", c.Lists).Int("list_failures", c.ListFails)
 	outcomes := zerolog.Dict()
--- a/internal/takeover/takeover.go
+++ b/internal/takeover/takeover.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"io"
 	"io/fs"
 	"net"
 	"os"
@@ -44,6 +45,50 @@
 	On      bool            `json:"on,omitempty"`
 	Seq     int             `json:"seq,omitempty"`
 	Done    int             `json:"done,omitempty"` // the Seq of a Ban that binds now
+	Over    json.RawMessage `json:"over,omitempty"` // a long answer on its way; two descriptors come with it
+}
+
+// rights reads a connection and keeps the descriptors that come with its bytes.
+type rights struct {
+	conn *net.UnixConn
+	fds  []int // that came and were not taken
+}
+
+// mostRights bounds the descriptors of one read.
+const mostRights = 4
+
+// Read is io.Reader's.
+func (r *rights) Read(b []byte) (int, error) {
+	oob := make([]byte, unix.CmsgSpace(4*mostRights))
+	n, oobn, _, _, err := r.conn.ReadMsgUnix(b, oob)
+	if err == nil && n == 0 && len(b) > 0 {
+		err = io.EOF
+	}
+	parts, _ := unix.ParseSocketControlMessage(oob[:oobn])
+	for i := range parts {
+		fds, _ := unix.ParseUnixRights(&parts[i])
+		r.fds = append(r.fds, fds...)
+	}
+	return n, err
+}
+
+// conns takes the next two descriptors as connections.
+func (r *rights) conns() (a, b net.Conn, err error) {
+	if len(r.fds) < 2 {
+		return nil, nil, fmt.Errorf("%d descriptors came, not 2", len(r.fds))
+	}
+	files := [2]*os.File{os.NewFile(uintptr(r.fds[0]), "caller"), os.NewFile(uintptr(r.fds[1]), "endpoint")}
+	r.fds = r.fds[2:]
+	defer files[0].Close()
+	defer files[1].Close()
+	if a, err = net.FileConn(files[0]); err != nil {
+		return nil, nil, err
+	}
+	if b, err = net.FileConn(files[1]); err != nil {
+		a.Close()
+		return nil, nil, err
+	}
+	return a, b, nil
 }
 
 // Path is where the processes of one sidecar meet, in a folder that they share.
@@ -69,6 +114,7 @@
 // Peer is the other process of an upgrade.
 type Peer struct {
 	conn *net.UnixConn
+	fds  *rights
 	in   *json.Decoder
 
 	mu      sync.Mutex
@@ -80,8 +126,9 @@
 }
 
 func newPeer(conn *net.UnixConn) *Peer {
+	fds := &rights{conn: conn}
 	return &Peer{
-		conn: conn, in: json.NewDecoder(conn), out: json.NewEncoder(conn),
+		conn: conn, fds: fds, in: json.NewDecoder(fds), out: json.NewEncoder(conn),
 		waiting: map[int]chan struct{}{}, taken: make(chan struct{}), gone: make(chan struct{}),
 	}
 }
@@ -169,15 +216,10 @@
 
 // give writes the byte that carries a listener's descriptor.
 func give(conn *net.UnixConn, listener syscall.Conn) error {
-	raw, err := listener.SyscallConn()
-	if err != nil {
+	return withFD(listener, func(fd int) error {
+		_, _, err := conn.WriteMsgUnix([]byte{'L'}, unix.UnixRights(fd), nil)
 		return err
-	}
-	var failed error
-	err = raw.Control(func(fd uintptr) {
-		_, _, failed = conn.WriteMsgUnix([]byte{'L'}, unix.UnixRights(int(fd)), nil)
 	})
-	return errors.Join(err, failed)
 }
 
 // Handler is what a process does when the other says something. Its methods are called
@@ -185,6 +227,8 @@
 type Handler interface {
 	// Adopt takes over a ban by hand, or its end; it returns when that binds.
 	Adopt(name string, on bool)
+	// GoOn goes on with a long answer that the other has begun to pass on.
+	GoOn(state []byte, caller, endpoint net.Conn)
 	// Yield stops accepting: the other is about to.
 	Yield()
 	// Gone says that the other has ended; yielded tells whether Yield was called.
@@ -206,6 +250,10 @@
 		case m.Ban != "":
 			h.Adopt(m.Ban, m.On)
 			p.say(message{Done: m.Seq})
+		case m.Over != nil:
+			if caller, endpoint, err := p.fds.conns(); err == nil {
+				h.GoOn(m.Over, caller, endpoint)
+			}
 		case m.Take && !yielded:
 			yielded = true
 			h.Yield()
@@ -279,6 +327,39 @@
 	return nil
 }
 
+// Give hands a long answer on its way to the other.
+func (p *Peer) Give(state []byte, caller, endpoint syscall.Conn) error {
+	text, err := json.Marshal(message{Over: state})
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conn.SetWriteDeadline(time.Now().Add(tellTime))
+	n := 0
+	err = withFD(caller, func(a int) error {
+		return withFD(endpoint, func(b int) (err error) {
+			n, _, err = p.conn.WriteMsgUnix(text, unix.UnixRights(a, b), nil)
+			return err
+		})
+	})
+	if err == nil && n < len(text) {
+		_, err = p.conn.Write(text[n:])
+	}
+	return err
+}
+
+// withFD calls f with a connection's descriptor, which is not closed meanwhile.
+func withFD(c syscall.Conn, f func(fd int) error) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var failed error
+	err = raw.Control(func(fd uintptr) { failed = f(int(fd)) })
+	return errors.Join(err, failed)
+}
+
 // Close ends the connection to the other.
 func (p *Peer) Close() { p.conn.Close() }
 
