--- a/internal/pipeline/engine.go
+++ b/internal/pipeline/engine.go
@@ -76,6 +76,7 @@
 	sweepAt   decide.Time
 	pending   []decide.Event // for the module, behind the one it is being told
 	telling   bool
+	give      httpwire.Give                     // for long answers, once they go to another process
 	passing   map[*httpwire.AnswerRest]struct{} // long answers whose rest is on its way
 	stopping  bool                              // nothing is taken any more
 	actions   []decide.Action
--- a/internal/pipeline/relay.go
+++ b/internal/pipeline/relay.go
@@ -62,6 +62,9 @@
 	b.reply.Rest.Pass(func(how httpwire.AnswerEnd) { e.post(passed{b, how}) })
 	e.tell(decide.Event{Kind: decide.StreamBegan, Request: a.Request.ID, Attempt: a.Number})
 	e.settle(a, decide.Served, b.reply)
+	if e.give != nil {
+		b.reply.Rest.HandOver(e.give)
+	}
 }
 
 // passed is a long answer that has come to an end.
@@ -95,12 +98,14 @@
 	}
 }
 
-// HandOver has all long answers on their way given to another process.
+// HandOver has all long answers on their way given to another process, and those that
+// begin from now on.
 func (e *Engine) HandOver(give httpwire.Give) { e.post(handOver{give}) }
 
 type handOver struct{ give httpwire.Give }
 
 func (h handOver) handle(e *Engine) {
+	e.give = h.give
 	for rest := range e.passing {
 		rest.HandOver(h.give)
 	}
