--- a/internal/lifecycle/upgrade_test.go
+++ b/internal/lifecycle/upgrade_test.go
@@ -210,7 +210,7 @@
 			w.Header().Set("Content-Length", strconv.Itoa(long))
 		}
 		if strings.Contains(r.URL.Path, "late") { // it begins when the others have been handed over
-			time.Sleep(3600 * time.Millisecond)
+			time.Sleep(3300 * time.Millisecond)
 		}
 		if strings.Contains(r.URL.Path, "reader") {
 			w.Write(text)
@@ -234,7 +234,7 @@
 			r.Header.Set("X-Remaining", "4.9")
 			answer, err := http.DefaultClient.Do(r)
 			if err != nil || answer.StatusCode != 200 {
-				t.Errorf("%s: %v", path, err)
+				t.Errorf("%s: %v, %v", path, answer, err)
 				return
 			}
 			defer answer.Body.Close()
