Long answers to HTTP/1.0 go out with their length; no lingering for who sends nothing

Chunks went to callers of HTTP/1.0, which can't read them; those of unknown length fail. A body that broke off or stood still kept its connection for 5 s more after the answer.

--- a/internal/httpwire/answer.go
+++ b/internal/httpwire/answer.go
@@ -57,7 +57,11 @@
 		if a.Rest != nil {
 			// In chunks, so that each piece goes out as it comes and an end that is cut off shows.
 			m.ImmediateHeaderFlush = true
-			m.SetBodyStream(a.Rest, -1)
+			size := chunked
+			if a.Rest.Whole {
+				size = a.Rest.Length
+			}
+			m.SetBodyStream(a.Rest, size)
 			return
 		}
 		m.SetBodyRaw(a.Body)
--- a/internal/httpwire/caller.go
+++ b/internal/httpwire/caller.go
@@ -277,12 +277,12 @@
 	c.body, c.unread = &bodyPace{}, true
 }
 
-// bodyEnded marks that no body is read any more, and whether it has come whole.
-func (c *CallerConn) bodyEnded(whole bool) {
+// bodyEnded marks that no body is read any more, and whether nothing more of it comes.
+func (c *CallerConn) bodyEnded(all bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.body != nil {
-		c.body, c.cut, c.unread = nil, false, !whole
+		c.body, c.cut, c.unread = nil, false, !all
 		c.Conn.SetReadDeadline(time.Time{})
 	}
 }
--- a/internal/httpwire/stream.go
+++ b/internal/httpwire/stream.go
@@ -130,7 +130,7 @@
 	n, err := u.body.Read(b)
 	switch u.got += n; {
 	case u.got > MaxBody:
-		err = fmt.Errorf("longer than %d bytes", MaxBody)
+		err = fmt.Errorf("%w: %d bytes are allowed", errTooLong, MaxBody)
 	case err == io.EOF && u.Length >= 0 && u.got < u.Length:
 		err = io.ErrUnexpectedEOF // fasthttp's stream takes an early end for the end
 	case err == nil && u.got == u.Length:
@@ -151,7 +151,8 @@
 	if err != io.EOF {
 		u.err = err
 	}
-	u.conn.bodyEnded(u.err == nil)
+	// Who has broken off or stands still sends nothing that would have to be read.
+	u.conn.bodyEnded(!errors.Is(err, errStopped) && !errors.Is(err, errTooLong))
 	close(u.done)
 }
 
@@ -231,6 +232,7 @@
 type AnswerRest struct {
 	Length int // of the whole body in bytes; below 0 where only its end tells
 	Class  string
+	Whole  bool // it is written with its length, not in chunks: for callers of HTTP/1.0
 	first  []byte
 	body   io.Reader
 	link   *Link
@@ -274,6 +276,9 @@
 // handOver hands it over, and tells whether it has.
 func (a *AnswerRest) handOver(give Give, total int64) bool {
 	to := a.to.Load()
+	if a.Whole {
+		return false
+	}
 	over := Over{Class: a.Class, Unsent: to.unsentBytes(), Left: -1, Total: total}
 	switch b := a.body.(type) {
 	case *exactBody:
--- a/internal/lifecycle/stream_test.go
+++ b/internal/lifecycle/stream_test.go
@@ -289,3 +289,31 @@
 		t.Errorf("%v; requests held %v", err, s.callers.Held() != 0)
 	}
 }
+
+// Guards against chunks that go to a caller of HTTP/1.0, which can't read them.
+func TestLongAnswerToHTTP10(t *testing.T) {
+	text := pattern(300_000)
+	e := scripted.StartEndpoint(t, "e1", func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "told") {
+			w.Header().Set("Content-Length", fmt.Sprint(len(text)))
+		}
+		w.Write(text)
+	})
+	s := start(t, testConfig(scripted.StartDiscovery(t), e.Line()))
+	for path, want := range map[string]int{"/look/told": 200, "/look/chunks": 502} {
+		conn, err := net.Dial("tcp", s.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		conn.SetDeadline(time.Now().Add(patience))
+		fmt.Fprintf(conn, "GET %s HTTP/1.0\r\nHost: x\r\nX-Txn: %s\r\nX-Remaining: 1.5\r\n\r\n", path, newID())
+		answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil || answer.StatusCode != want || len(answer.TransferEncoding) > 0 {
+			t.Fatalf("%s: %+v, %v", path, answer, err)
+		}
+		if got, err := io.ReadAll(answer.Body); err != nil || want == 200 && !bytes.Equal(got, text) {
+			t.Errorf("%s: %d bytes, %v", path, len(got), err)
+		}
+	}
+}
--- a/internal/lifecycle/upgrade.go
+++ b/internal/lifecycle/upgrade.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"net"
+	"os"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -236,6 +237,9 @@
 	defer u.mu.Unlock()
 	if u.door != nil {
 		u.door.Close()
+		if !u.yielded.Load() { // else a successor's stands there
+			os.Remove(u.path)
+		}
 	}
 	for _, p := range u.peers {
 		p.Close()
--- a/internal/lifecycle/upgrade_test.go
+++ b/internal/lifecycle/upgrade_test.go
@@ -121,6 +121,9 @@
 	if err := last.Wait(); err != nil {
 		t.Errorf("the last process: %v", err)
 	}
+	if left, _ := os.ReadDir(os.TempDir()); len(left) > 0 {
+		t.Errorf("%v is left behind", left)
+	}
 }
 
 // While both processes live, a call at either console binds in both before its yes.
--- a/internal/pipeline/takein.go
+++ b/internal/pipeline/takein.go
@@ -29,8 +29,12 @@
 		if counted {
 			active = 1
 		}
-		if answer.Rest != nil {
-			answer.Rest.To(conn)
+		if rest := answer.Rest; rest != nil && !ctx.Request.Header.IsHTTP11() && rest.Length < 0 {
+			rest.Close() // there is no way to tell its end but the connection's
+			answer.Verdict, answer.Rest, answer.Last = httpwire.Failed, nil, true
+		} else if rest != nil {
+			rest.Whole = !ctx.Request.Header.IsHTTP11()
+			rest.To(conn)
 		}
 		httpwire.EncodeAnswer(&answer, &ctx.Response)
 		if answer.Last {
