--- /dev/null
+++ b/deploy/deploy_test.go
@@ -0,0 +1,55 @@
+// Package deploy_test reads the operators' files as their bench does.
+package deploy_test
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// value returns what the key of deploy/balancer.toml holds.
+func value(t *testing.T, key string) string {
+	t.Helper()
+	text, err := os.ReadFile("balancer.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := regexp.MustCompile(`(?m)^` + key + ` = "([^"]*)"`).FindSubmatch(text)
+	if m == nil {
+		t.Fatalf("balancer.toml: no key %q with a string", key)
+	}
+	return string(m[1])
+}
+
+// TestLinkMode guards against a deploy file that loses the dynamic link against the C library: the operators'
+// standing test can't lead a static program's sockets and clocks to itself, and the program would not start there.
+func TestLinkMode(t *testing.T) {
+	build := value(t, "build")
+	if !strings.Contains(build, "go build -ldflags=-linkmode=external ") {
+		t.Errorf("build is %q; it has to link with -ldflags=-linkmode=external", build)
+	}
+	if run := value(t, "run"); run != "exec bin/heathgap" {
+		t.Errorf("run is %q; it has to end by exec in one process", run)
+	}
+	for _, other := range []string{"../README.md", "../.ci/run"} {
+		if text, err := os.ReadFile(other); err != nil || !strings.Contains(string(text), build) {
+			t.Errorf("%s does not build as balancer.toml does (%v)", other, err)
+		}
+	}
+}
+
+// TestDynamic guards against a build that names the link mode and is static all the same (cgo off, no package that
+// brings the C library in): what is built has to ask for a loader.
+func TestDynamic(t *testing.T) {
+	bin := filepath.Join(t.TempDir(), "heathgap")
+	out, err := exec.Command("go", "build", "-ldflags=-linkmode=external", "-o", bin, "../cmd/heathgap").CombinedOutput()
+	if err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	if out, err := exec.Command("go", "tool", "nm", bin).CombinedOutput(); err != nil || !strings.Contains(string(out), "_cgo_init") {
+		t.Errorf("the program was not linked with cgo (%v)", err)
+	}
+}
