Where only draining binds, an endpoint told gone serves on until it fails

rules.removal_not_binding reaches the module (Rules.GoneServes) and the sidecar's registry. Cause: the operators' lists may be wrong at two of the three new deployments, and the module dropped whatever a list left out. One told gone without draining comes last in the pick until it has served what was sent since, ends with its first time-out, reset or failed connection, and after a minute at the latest; state.Endpoints keeps its address as long.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -37,6 +37,7 @@
 	firstAskSpread = 1 * time.Second       // the first call for the list comes within this
 	askPause       = 1 * time.Second       // shortest pause before asking again after a failed call
 	askPauseMost   = 4 * time.Second       // and longest
+	absentTime     = time.Minute           // an endpoint told gone that no longer binds is kept so long
 
 	streamMix = 0x9e3779b97f4a7c15 // sets the second half of the random state apart from the seed
 
@@ -785,6 +786,7 @@
 	cold     int     // -1 while it may be cold, else 0
 	known    bool    // it has had an outcome
 	passed   Time    // when the newest of the attempts that it has served was sent
+	absent   Time    // when it was told gone, where that does not bind; 0 while it is listed
 	credit   float64 // sends that the cold budget allows now
 	creditAt Time
 	scout    *request // the request for which it is being asked
@@ -850,6 +852,8 @@
 		return 3
 	case b.scouting():
 		return 0
+	case e.doubted():
+		return 2
 	case e.inFlight == 0 && b.payoff(e) >= firstPayoff*b.measured().mean:
 		return 0
 	case !b.crowded(e):
@@ -924,6 +928,10 @@
 	}
 	a.to.payoff += payoffGain * (got - a.to.payoff)
 	a.to.touched, a.to.known = b.now, true
+	if a.to.absent > 0 && (e.Outcome == ConnectFailed || e.Outcome == TimedOut || e.Outcome == Reset) {
+		a.to.state = Gone
+		b.sortOut()
+	}
 	b.adjust(r, e)
 }
 
@@ -1009,7 +1017,7 @@
 	f := &b.fleet
 	if e.Kind != ListChanged { // what a whole list no longer names is gone
 		for _, known := range f.order {
-			known.state = Gone
+			b.leave(known)
 		}
 	}
 	for i := range e.Endpoints {
@@ -1018,6 +1026,19 @@
 	b.takeStock()
 }
 
+// leave books that an endpoint was told gone. Where that does not bind (Rules.GoneServes), one that did not
+// drain serves on until an attempt fails: lists may be wrong. It comes last until it has served since.
+func (b *Balancer) leave(e *endpoint) {
+	if b.set.Rules.GoneServes && e.state == Active && (e.absent == 0 || b.now-e.absent < absentTime) {
+		e.absent = cmp.Or(e.absent, b.now)
+		return
+	}
+	e.state = Gone
+}
+
+// doubted tells whether an endpoint was told gone and has served nothing sent since.
+func (e *endpoint) doubted() bool { return e.absent > e.passed }
+
 // ban has an endpoint count as draining, whatever lists tell, until it ends: then it has just been restarted.
 func (b *Balancer) ban(id EndpointID, on bool) {
 	f := &b.fleet
@@ -1035,8 +1056,14 @@
 	b.takeStock()
 }
 
-// takeStock sorts out what is gone and what new work may go to.
+// takeStock looks anew at what new work may go to, and sends what has waited for it.
 func (b *Balancer) takeStock() {
+	b.sortOut()
+	b.sendWaiting()
+}
+
+// sortOut forgets what is gone.
+func (b *Balancer) sortOut() {
 	f := &b.fleet
 	maps.DeleteFunc(f.byID, func(_ EndpointID, e *endpoint) bool { return e.state == Gone })
 	f.order = slices.DeleteFunc(f.order, func(e *endpoint) bool { return e.state == Gone })
@@ -1046,7 +1073,6 @@
 	f.mean = 0
 	b.measured()
 	b.shareOut()
-	b.sendWaiting()
 }
 
 // shareOut puts the ready ones in the own order: zone, cold ones, ids; peers begin apart (docs/design.md).
@@ -1075,7 +1101,11 @@
 // update takes over one line of the list. A changed start time is a new process: nothing in flight, and cold.
 func (b *Balancer) update(line *Endpoint, started Time) {
 	e := b.fleet.byID[line.ID]
-	if e != nil && e.line.Started != line.Started && line.State != Gone {
+	if e != nil && line.State == Gone {
+		b.leave(e)
+		return
+	}
+	if e != nil && e.line.Started != line.Started {
 		e.state = Gone
 		e = nil
 	}
@@ -1088,7 +1118,7 @@
 		b.fleet.byID[line.ID] = e
 		b.fleet.order = append(b.fleet.order, e)
 	}
-	e.line, e.state, e.weight = *line, line.State, 1
+	e.line, e.state, e.weight, e.absent = *line, line.State, 1, 0
 	if line.Zone != b.set.Zone {
 		e.remote = b.set.Prices.CrossZone
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -895,3 +895,36 @@
 	s.event(Event{Kind: ListReplaced, Endpoints: many(20)})
 	s.want(s.arrive(2, "read"), Send)
 }
+
+// Where only draining binds, lists that wrongly call endpoints gone must not take them away, and what is truly gone
+// must cost one failed attempt: a list that forgot half of the tier had halved it.
+func TestGoneServesOn(t *testing.T) {
+	set := testSettings()
+	set.Limits.MaxAttempts = 9
+	set.Rules.GoneServes = true
+	s := start(t, set, two()...)
+	s.event(Event{Kind: ListReplaced, Endpoints: two()[:1]})
+	s.want(s.arrive(1, "read"), Send)
+	if got := s.want(s.arrive(2, "read"), Send); got[0].Endpoint != 1 {
+		t.Errorf("while one that is listed has room, %+v went to one told gone", got[0])
+	}
+	s.event(Event{Kind: ListChanged, Endpoints: []Endpoint{{ID: 1, State: Gone}}})
+	for id := RequestID(3); id < 40; id++ { // both are told gone, and serve on
+		s.want(s.after(10*ms).arrive(id, "read"), Send)
+		s.finish(id, 0, Served)
+	}
+	got := s.want(s.arrive(50, "read"), Send)
+	s.finish(50, 0, ConnectFailed)
+	for id := RequestID(51); id < 70; id++ {
+		if to := s.want(s.arrive(id, "read"), Send)[0].Endpoint; to == got[0].Endpoint {
+			t.Fatalf("sent to %d, which is gone and has failed", to)
+		}
+		s.finish(id, 0, Served)
+	}
+	s.event(Event{Kind: ListReplaced, Endpoints: []Endpoint{{ID: 1, State: Draining}, {ID: 2, State: Draining}}})
+	s.event(Event{Kind: ListReplaced})
+	s.want(s.arrive(80, "read"))
+	plain := start(t, testSettings(), two()...)
+	plain.event(Event{Kind: ListReplaced})
+	plain.want(plain.arrive(1, "read"))
+}
--- a/decide/types.go
+++ b/decide/types.go
@@ -165,6 +165,7 @@
 	FallMultiple float64       // sent more than this many times its present capacity
 	FallWindow   time.Duration // for this long, a cold endpoint falls over
 	DrainGrace   time.Duration // sends to a draining endpoint end within this
+	GoneServes   bool          // only draining binds: one told gone, or left out, without it may serve on
 }
 
 // EndpointState is what the list says of an endpoint.
--- a/internal/pipeline/discover.go
+++ b/internal/pipeline/discover.go
@@ -212,7 +212,7 @@
 
 // takeList books a list and tells the module.
 func (e *Engine) takeList(list *httpwire.List, kind decide.EventKind) {
-	lines, stale := e.endpoints.Update(list)
+	lines, stale := e.endpoints.Update(list, e.clock.Now())
 	for _, s := range stale {
 		e.pool.DropAll(s, httpwire.ReasonUnlisted)
 	}
--- a/internal/pipeline/engine.go
+++ b/internal/pipeline/engine.go
@@ -94,6 +94,9 @@
 	for name := range conf.Classes {
 		names = append(names, name)
 	}
+	if conf.Settings.Rules.GoneServes {
+		e.endpoints.KeepGone()
+	}
 	e.board = figures.New(names)
 	e.room = httpwire.NewRoom(conf.AnswerBytes)
 	e.pool = state.NewPool(conf.EndpointConns, conf.IdleFor, e.linkEnded)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -113,6 +113,7 @@
 	r.FallMultiple = o.Float("fall_multiple")
 	r.FallWindow = o.Duration("overload_for")
 	r.DrainGrace = o.Duration("drain_grace")
+	r.GoneServes = o.Boolean("removal_not_binding")
 }
 
 func decodeClass(o jsonread.Object) decide.Class {
--- a/internal/state/endpoint.go
+++ b/internal/state/endpoint.go
@@ -5,6 +5,7 @@
 	"hash/fnv"
 	"maps"
 	"slices"
+	"time"
 
 	"heathgap/decide"
 	"heathgap/internal/httpwire"
@@ -29,8 +30,15 @@
 	next   int
 
 	lifted map[string]decide.Time // bans that have ended, and when; mostBanned of them
+
+	// Where being told gone does not bind, one that did not drain is still sent to; nil else. Each ends when it is
+	// listed again, or with the first list that comes absentTime after it was told gone.
+	absent map[string]decide.Time
 }
 
+// absentTime is a little more than the minute for which the module may send to what is told gone.
+const absentTime = 70 * time.Second
+
 // mostSeen bounds the names that are known to have been listed, some 40 bytes each.
 // The oldest that makes room can still be banned once it is listed again.
 const mostSeen = 4096
@@ -46,16 +54,32 @@
 	}
 }
 
+// KeepGone has endpoints that are told gone without draining stay known for a while (rules.removal_not_binding).
+func (t *Endpoints) KeepGone() { t.absent = map[string]decide.Time{} }
+
+// leave books that an endpoint was told gone, and reports whether its connections are of no use any more.
+func (t *Endpoints) leave(e *Endpoint, now decide.Time) bool {
+	if at, known := t.absent[e.Name]; t.absent != nil && e.State == decide.Active && (!known || now-at < absentTime) {
+		if !known {
+			t.absent[e.Name] = now
+		}
+		return false
+	}
+	delete(t.absent, e.Name)
+	t.remove(e)
+	return true
+}
+
 // Get returns the endpoint with an id, or nil.
 func (t *Endpoints) Get(id decide.EndpointID) *Endpoint { return t.byID[id] }
 
-// Len is how many are known.
-func (t *Endpoints) Len() int { return len(t.byName) }
+// Len is how many are listed.
+func (t *Endpoints) Len() int { return len(t.byName) - len(t.absent) }
 
 // Update takes over a list and returns it in the module's words, with the
 // endpoints whose connections are of no use any more: those that have left or
 // started again.
-func (t *Endpoints) Update(list *httpwire.List) (lines []decide.Endpoint, stale []*Endpoint) {
+func (t *Endpoints) Update(list *httpwire.List, now decide.Time) (lines []decide.Endpoint, stale []*Endpoint) {
 	named := make(map[string]bool, len(list.Endpoints))
 	for _, line := range list.Endpoints {
 		named[line.Name] = true
@@ -65,22 +89,29 @@
 		}
 		if e == nil {
 			e = t.add(line.Name)
-		} else if line.State == decide.Gone || e.Since != line.Since || e.Address != line.Address {
+		} else if line.State != decide.Gone && (e.Since != line.Since || e.Address != line.Address) {
 			stale = append(stale, e)
 		}
 		lines = append(lines, toModule(e.ID, &line))
-		if e.ListedEndpoint = line; line.State == decide.Gone {
-			t.remove(e)
+		if line.State != decide.Gone {
+			e.ListedEndpoint = line
+			delete(t.absent, line.Name)
+		} else if t.leave(e, now) {
+			stale = append(stale, e)
 		}
 	}
 	if list.Whole {
 		for name, e := range t.byName {
-			if !named[name] {
-				t.remove(e)
+			if !named[name] && t.leave(e, now) {
 				stale = append(stale, e)
 			}
 		}
 	}
+	for name, at := range t.absent {
+		if e := t.byName[name]; now-at >= absentTime && t.leave(e, now) {
+			stale = append(stale, e)
+		}
+	}
 	return lines, stale
 }
 
@@ -199,6 +230,9 @@
 func (t *Endpoints) Lines() []httpwire.ListedEndpoint {
 	lines := make([]httpwire.ListedEndpoint, 0, len(t.byName))
 	for _, name := range slices.Sorted(maps.Keys(t.byName)) {
+		if _, absent := t.absent[name]; absent {
+			continue
+		}
 		lines = append(lines, t.byName[name].ListedEndpoint)
 	}
 	return lines
