Endpoints are asked before a request only where each caller has its own sidecar

Scouting was made for sidecars that see almost nothing; where callers share 2 to 25 instances an even part of the limit says more than a probe, and costs none. Its condition now holds Entry == Own, the shape that its comment names; the move's two deployments are of that shape.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -535,7 +535,7 @@
 
 // scouting tells whether the hold goes by what endpoints say: even parts say nothing where few carry most.
 func (b *Balancer) scouting() bool {
-	return b.set.Front && b.set.Limits.Probing && b.set.Report.How != Silent
+	return b.set.Front && b.set.Entry == Own && b.set.Limits.Probing && b.set.Report.How != Silent
 }
 
 // ask asks endpoints for the held requests that have nowhere to go: two at a time, or one where that is dear.
