Held requests are not refused before a tenth of their aim has passed

A trace of one instance shows its usual time at 5.5 times its work; twice that lies beyond the aim, so latest() was past on arrival and each was refused in the instant in which no place was free (decide.go, latest). The mean says little of one request.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -52,6 +52,7 @@
 	stretchGain = 0.03            // weight of the newest outcome in the smoothed stretch
 	stretchTime = 3 * time.Second // or over which it is smoothed, where outcomes are few
 	holdBinds   = 0.8             // part of the limit that must be out for a quick answer to raise it
+	heldLeast   = 0.1             // part of its aim for which a held request waits at least
 	lateSlack   = 2               // times its usual time that a held request is given for its attempt
 	holdUneven  = 1.25            // times its even part of the limit that one endpoint may have out
 	paceCount   = 40              // answers over which a class's pace is smoothed
@@ -506,6 +507,9 @@
 func (b *Balancer) latest(r *request) Time {
 	usual := r.class.pace.usual(r.work)
 	at := r.aimAt - lateSlack*usual
+	if !b.scouting() { // hints and means say little of one request: the worthiest gets a place if one comes free
+		at = max(at, min(r.came+time.Duration(heldLeast*float64(r.class.Aim)), r.deadline-b.set.Tick))
+	}
 	if b.scouting() && !r.late && b.now >= at && r.class.LateShare > 0 && b.hold.turned < turnedMost {
 		r.late, r.value = true, r.value*r.class.LateShare
 		b.timers.set(max(b.now+waitStep, r.deadline-usual), timerRequest, r.id)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -928,3 +928,26 @@
 	plain.event(Event{Kind: ListReplaced})
 	plain.want(plain.arrive(1, "read"))
 }
+
+// What a class's past answers say of one request is little: work differs tenfold. A held request whose class has been
+// slow was refused on arrival, however much it was worth, and a place that came free a moment later went to lesser ones.
+func TestHeldForAMoment(t *testing.T) {
+	set := testSettings()
+	set.Limits.SecondCopies = false
+	s := start(t, set, two()[:1]...)
+	for id := RequestID(1); id <= 60; id++ { // answers take longer than half of the aim
+		s.want(s.after(400*ms).arrive(id, "read"), Send)
+		s.event(Event{Kind: Finished, Request: id, Outcome: Served, Latency: 150 * ms, Over: true})
+	}
+	out := RequestID(100)
+	for len(s.arrive(out, "read")) > 0 { // until the tier is full
+		out++
+	}
+	if got := s.after(time.Duration(heldLeast*200-2) * ms).tick(); len(got) > 0 {
+		t.Errorf("refused before a tenth of its aim had passed: %+v", got)
+	}
+	got := s.event(Event{Kind: Finished, Request: 100, Outcome: Served, Latency: 50 * ms, Over: true})
+	if len(got) != 1 || got[0].Kind != Send || got[0].Request != out {
+		t.Errorf("a place came free: %+v, want request %d sent", got, out)
+	}
+}
