--- a/decide/decide.go
+++ b/decide/decide.go
@@ -507,7 +507,7 @@
 func (b *Balancer) latest(r *request) Time {
 	usual := r.class.pace.usual(r.work)
 	at := r.aimAt - lateSlack*usual
-	if !b.scouting() { // hints and means say little of one request: the worthiest gets a place if one comes free
+	if !b.scouting() { // means say little of one request: the worthiest gets a place if one comes free
 		at = max(at, min(r.came+time.Duration(heldLeast*float64(r.class.Aim)), r.deadline-b.set.Tick))
 	}
 	if b.scouting() && !r.late && b.now >= at && r.class.LateShare > 0 && b.hold.turned < turnedMost {
