Errors that follow the request teach no payoff and no limit, and get no third try

Ruled out: endpoints at fault, since second tries went elsewhere and failed alike.

Now second opinions are counted: the part of them that agree takes its weight off the payoff's lesson, and off the chance of another try, a tenth of which stays to see the end of it; two endpoints' errors end the request at once. Errors move the limit no more. What else it covers: errors passed up from a lower tier that is jammed. Harm: while half of the endpoints truly fail, second tries agree often and lessons are halved.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -23,6 +23,8 @@
 	spareShare       = 0.5             // part of the bucket that the lowest worth leaves to the others
 	payoffFloor      = 0.05            // least payoff: one out of favour still wins a pick now and then
 	payoffGain       = 0.15            // weight of the newest outcome in the smoothed payoff
+	alikeGain        = 0.1             // weight of the newest second opinion on an error
+	secondLeast      = 0.1             // part of the errors on which one is asked for, at least
 	driftTime        = 8 * time.Second // an unpicked endpoint goes this slowly towards the others' mean
 
 	// Figures of what the design leaves open.
@@ -219,6 +221,7 @@
 	settled bool
 	counted int  // 1 while it counts as in flight, else 0
 	ran     bool // it may have run; true until an outcome proves otherwise
+	erred   bool // it was answered with an error
 }
 
 // arrived takes a new request: first attempts go free and at once.
@@ -341,13 +344,33 @@
 	if e.Outcome == Served {
 		b.stopRest(r)
 	}
-	if !r.over && r.out == 0 {
+	switch {
+	case r.over || r.out > 0:
+	case e.Outcome == ServerError && b.faulty(r):
+		b.giveUp(r)
+	default:
 		b.retry(r)
 	}
 	b.release(r)
 	b.sendHeld()
 }
 
+// faulty tells whether another try of a request that was answered with an error is likely to be as well: two
+// endpoints have said so, or second opinions lately agree. A few are asked for all the same, to see that end.
+func (b *Balancer) faulty(r *request) bool {
+	return r.errors(nil) > 1 || b.rng.Float64() < min(b.fleet.alike, 1-secondLeast)
+}
+
+// errors counts the other endpoints that have answered the request with an error.
+func (r *request) errors(but *endpoint) (n int) {
+	for i := range r.attempts {
+		if r.attempts[i].erred && r.attempts[i].to != but {
+			n++
+		}
+	}
+	return n
+}
+
 // giveUp ends a request: refused where that is allowed, else failed.
 func (b *Balancer) giveUp(r *request) {
 	r.over = true
@@ -462,8 +485,8 @@
 
 // adjust moves the limit: up while it binds and attempts take little more than their least, else down.
 func (b *Balancer) adjust(r *request, e *Event) {
-	if r.class.pace.seen == 0 || len(b.fleet.ready) == 0 {
-		return
+	if r.class.pace.seen == 0 || len(b.fleet.ready) == 0 || e.Outcome == ServerError {
+		return // a quick error says nothing of how full the tier is
 	}
 	h := &b.hold
 	gain := max(stretchGain, 1-decay(b.now-h.at, stretchTime))
@@ -770,6 +793,7 @@
 	meanAt   Time
 	served   float64 // served attempts, forgotten over rateTime
 	servedAt Time
+	alike    float64     // smoothed part of second opinions on errors that are errors as well
 	busy     float64     // smoothed utilization, as endpoints report it
 	near     int         // the first of the ready ones: the own zone, or all where crossing is free
 	heard    []*endpoint // those that have answered a probe just now
@@ -930,7 +954,17 @@
 	if e.Outcome == Served || e.Outcome == Canceled { // called off: at least so slow
 		got = min(1, float64(yardstick(r))/float64(max(e.Latency, 1)))
 	}
-	a.to.payoff += payoffGain * (got - a.to.payoff)
+	weight, before := payoffGain, r.errors(a.to)
+	if a.erred = e.Outcome == ServerError; a.erred { // as far as it is the endpoint's and not the request's
+		weight *= 1 - b.fleet.alike
+	}
+	if before > 0 && e.Outcome == Served {
+		b.fleet.alike -= alikeGain * b.fleet.alike
+	} else if before > 0 && a.erred {
+		b.fleet.alike += alikeGain * (1 - b.fleet.alike)
+		weight = 0
+	}
+	a.to.payoff += weight * (got - a.to.payoff)
 	a.to.touched, a.to.known = b.now, true
 	if a.to.absent > 0 && (e.Outcome == ConnectFailed || e.Outcome == TimedOut || e.Outcome == Reset) {
 		a.to.state = Gone
