The hold expects of a request what its worth and work bear out

Two faults of the yardstick (pace): its least was that of a mean over 40 answers, which by chance alone lies 0.2 to 0.3 below what is usual where work differs much; and time was taken to grow as work does, so that what all pay alike made light work look slow, and a hold that lets light work pass lowered its own limit. Ruled out: the trouble (over), a choke (none in the prices), fewer quick answers (a quantile in place of the mean was no gain).

The mean payoff's age lost its own least.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -32,8 +32,7 @@
 	graceSpread    = 10 * time.Millisecond // graces of first tries differ by less
 	firstPayoff    = 0.8                   // least part of the mean payoff of a first choice
 	leastPart      = 2                     // idle endpoints in the own order to draw among, at least
-	meanAge        = 50 * time.Millisecond // how old the mean payoff may be when it is used
-	meanAgeEach    = time.Millisecond      // and for each endpoint: a walk of hundreds costs time
+	meanAgeEach    = time.Millisecond      // how old the mean payoff may be, for each endpoint
 	rateTime       = 3 * time.Second       // averaging time of the served rate
 	coldTrickle    = 1.0                   // sends a second to a cold endpoint, over all peers, at least
 	firstAskSpread = 1 * time.Second       // the first call for the list comes within this
@@ -58,6 +57,8 @@
 	lateSlack   = 2               // times its usual time that a held request is given for its attempt
 	holdUneven  = 1.25            // times its even part of the limit that one endpoint may have out
 	paceCount   = 40              // answers over which a class's pace is smoothed
+	slopePrior  = 0.05            // weight, as a spread, of the guess that time grows as work does
+	leastCount  = 200             // and over which its least is: the least of a short mean is mostly chance
 
 	overdueTimes = 6 // times its usual time from which on an attempt may be taken for lost
 
@@ -236,8 +237,12 @@
 	}
 	b.held[r.id] = r
 	b.timers.set(r.deadline-b.set.Tick, timerRequest, r.id)
-	if b.set.Front && waited > 0 && b.now+c.pace.usual(r.work) >= r.aimAt {
+	if usual := c.pace.usual(r.work); b.set.Front && waited > 0 && b.now+usual >= r.aimAt {
 		r.value *= c.LateShare
+	} else if b.set.Front && !b.scouting() { // what is to be expected of it: answers after the aim earn less
+		left, takes := (r.aimAt - b.now).Seconds(), usual.Seconds()
+		inTime := left * left / (left*left + takes*takes)
+		r.value *= inTime + (1-inTime)*c.LateShare
 	}
 	b.admit(r)
 }
@@ -355,8 +360,7 @@
 	b.sendHeld()
 }
 
-// faulty tells whether another try of a request that was answered with an error is likely to be as well: two
-// endpoints have said so, or second opinions lately agree. A few are asked for all the same, to see that end.
+// faulty tells whether another try is likely to be an error too: two say so, or second opinions agree.
 func (b *Balancer) faulty(r *request) bool {
 	return r.errors(nil) > 1 || b.rng.Float64() < min(b.fleet.alike, 1-secondLeast)
 }
@@ -490,7 +494,7 @@
 	}
 	h := &b.hold
 	gain := max(stretchGain, 1-decay(b.now-h.at, stretchTime))
-	h.stretch += gain * (logTime(r.work, e.Latency) - r.class.pace.least - h.stretch)
+	h.stretch += gain * (r.class.pace.took(r.work, e.Latency) - r.class.pace.least - h.stretch)
 	step := h.each * holdPace * min(1, (b.now-h.at).Seconds())
 	h.at = b.now
 	switch {
@@ -880,7 +884,7 @@
 		return 3
 	case b.scouting():
 		return 0
-	case e.doubted():
+	case e.absent > e.passed: // told gone, and has served nothing since
 		return 2
 	case e.inFlight == 0 && b.payoff(e) >= firstPayoff*b.measured().mean:
 		return 0
@@ -913,7 +917,7 @@
 // measured brings the fleet's sums up to date, to meanAge at least.
 func (b *Balancer) measured() *fleet {
 	f := &b.fleet
-	if f.mean > 0 && b.now-f.meanAt < max(meanAge, time.Duration(len(f.ready))*meanAgeEach) {
+	if f.mean > 0 && b.now-f.meanAt < time.Duration(len(f.ready))*meanAgeEach {
 		return f
 	}
 	f.mean, f.warm, f.size, f.meanAt = 1, 0, 0, b.now
@@ -954,15 +958,15 @@
 	if e.Outcome == Served || e.Outcome == Canceled { // called off: at least so slow
 		got = min(1, float64(yardstick(r))/float64(max(e.Latency, 1)))
 	}
-	weight, before := payoffGain, r.errors(a.to)
+	weight, second := payoffGain, r.errors(a.to) > 0
 	if a.erred = e.Outcome == ServerError; a.erred { // as far as it is the endpoint's and not the request's
 		weight *= 1 - b.fleet.alike
 	}
-	if before > 0 && e.Outcome == Served {
+	switch {
+	case second && e.Outcome == Served:
 		b.fleet.alike -= alikeGain * b.fleet.alike
-	} else if before > 0 && a.erred {
-		b.fleet.alike += alikeGain * (1 - b.fleet.alike)
-		weight = 0
+	case second && a.erred:
+		b.fleet.alike, weight = b.fleet.alike+alikeGain*(1-b.fleet.alike), 0
 	}
 	a.to.payoff += weight * (got - a.to.payoff)
 	a.to.touched, a.to.known = b.now, true
@@ -978,37 +982,55 @@
 	return min(r.class.Aim, cmp.Or(r.class.pace.usual(r.work), r.class.Aim))
 }
 
-// pace is how long served attempts take, by logarithm, for a unit of work: a few heavy ones hardly move it.
+// pace is how long served attempts take, by logarithm, with the usual work: a few heavy ones hardly move it.
+// It need not grow as work does: what all pay alike makes light work look slow, and heavy work hopeless.
 type pace struct {
-	log   float64 // smoothed
-	least float64 // the least it has been lately
-	seen  int     // served attempts, counted up to paceCount
-	at    Time
+	log    float64 // smoothed
+	long   float64 // the same over more answers
+	least  float64 // the least that has been lately
+	work   float64 // logarithm of the usual work
+	spread float64 // of the work's logarithm: its smoothed square,
+	joint  float64 // and its smoothed product with that of the time
+	seen   int     // served attempts, counted up to leastCount
+	at     Time
 }
 
 // observe takes in a served attempt.
 func (p *pace) observe(now Time, work float64, latency time.Duration, full bool) {
-	p.seen = min(p.seen+1, paceCount)
-	p.log += (logTime(work, latency) - p.log) / float64(p.seen)
-	if p.seen < paceCount || p.log < p.least {
-		p.least = p.log
+	if p.seen == 0 {
+		p.work = math.Log(work)
+	}
+	p.seen = min(p.seen+1, leastCount)
+	gain, took, off := 1/float64(p.seen), p.took(work, latency), math.Log(work)-p.work
+	p.joint += (off*(logTime(latency)-p.long) - p.joint) * gain
+	p.spread += (off*off - p.spread) * gain
+	p.work += off * gain
+	p.log += (took - p.log) / float64(min(p.seen, paceCount))
+	if p.long += (took - p.long) * gain; p.seen < paceCount || p.long < p.least {
+		p.least = p.long
 	}
 	if !full { // a full tier would teach its own queues as usual, and the hold's limit creep up
-		p.least += (1 - decay(now-p.at, leastTime)) * (p.log - p.least)
+		p.least += (1 - decay(now-p.at, leastTime)) * (p.long - p.least)
 	}
 	p.at = now
 }
 
-func logTime(work float64, latency time.Duration) float64 {
-	return math.Log(max(latency, time.Millisecond).Seconds() / work)
+// slope is the part of a difference in work that shows in the time, by logarithm: all until seen otherwise.
+func (p *pace) slope() float64 { return max(0, min(1, (p.joint+slopePrior)/(p.spread+slopePrior))) }
+
+// took is the logarithm of the time that an attempt would have taken with the usual work.
+func (p *pace) took(work float64, latency time.Duration) float64 {
+	return logTime(latency) - p.slope()*(math.Log(work)-p.work)
 }
 
+func logTime(d time.Duration) float64 { return math.Log(max(d, time.Millisecond).Seconds()) }
+
 // usual is the time that an attempt with so much work takes lately, if seen.
 func (p *pace) usual(work float64) time.Duration {
 	if p.seen == 0 {
 		return 0
 	}
-	return time.Duration(math.Exp(p.log) * work * float64(time.Second))
+	return time.Duration(math.Exp(p.log+p.slope()*(math.Log(work)-p.work)) * float64(time.Second))
 }
 
 // ---- Cold starts ----
@@ -1064,8 +1086,7 @@
 	b.takeStock()
 }
 
-// leave books that an endpoint was told gone. Where that does not bind (Rules.GoneServes), one that did not
-// drain serves on until an attempt fails: lists may be wrong. It comes last until it has served since.
+// leave books that one was told gone. Where only draining binds it serves on, last, until it fails.
 func (b *Balancer) leave(e *endpoint) {
 	if b.set.Rules.GoneServes && e.state == Active && (e.absent == 0 || b.now-e.absent < absentTime) {
 		e.absent = cmp.Or(e.absent, b.now)
@@ -1074,9 +1095,6 @@
 	e.state = Gone
 }
 
-// doubted tells whether an endpoint was told gone and has served nothing sent since.
-func (e *endpoint) doubted() bool { return e.absent > e.passed }
-
 // ban has an endpoint count as draining, whatever lists tell, until it ends: then it has just been restarted.
 func (b *Balancer) ban(id EndpointID, on bool) {
 	f := &b.fleet
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"testing"
@@ -998,3 +999,63 @@
 		t.Errorf("a place came free: %+v, want request %d sent", got, out)
 	}
 }
+
+// Where much of the time is the same for all, light requests looked slow for their work: a full tier that let them
+// pass first saw its answers as slowed down, lowered its limit, and let still lighter ones pass.
+func TestTimeThatDoesNotGrowWithWork(t *testing.T) {
+	var p pace
+	took := func(work float64) time.Duration {
+		return 300*ms + time.Duration(work*float64(100*ms))
+	}
+	for n := range 400 {
+		work := []float64{0.1, 0.3, 1, 3}[n%4]
+		p.observe(Time(n)*50*ms, work, took(work), true)
+	}
+	for _, work := range []float64{0.1, 1, 3} {
+		if got, want := p.usual(work), took(work); got < want*7/10 || got > want*13/10 {
+			t.Errorf("with work %.1f an attempt usually takes %v, told %v", work, want, got)
+		}
+	}
+	before := p.log
+	for n := range 100 {
+		p.observe(Time(400+n)*50*ms, 0.1, took(0.1), true)
+	}
+	if p.log > before+math.Log(holdStretch)/2 {
+		t.Errorf("light requests alone slow the pace from %.2f to %.2f", before, p.log)
+	}
+	var same pace
+	for n := range 400 {
+		work := []float64{0.1, 0.3, 1, 3}[n%4]
+		same.observe(Time(n)*50*ms, work, time.Duration(work*float64(time.Second)), true)
+	}
+	if got := same.usual(2); got < 1900*ms || got > 2100*ms {
+		t.Errorf("where time grows as work does, twice the work takes %v", got)
+	}
+}
+
+// Among requests of one class the one that will hardly be in time had its place by age, and took it from those that will.
+func TestHeldByExpectedWorth(t *testing.T) {
+	set := testSettings()
+	set.HintsWork = true
+	s := start(t, set, two()[:1]...)
+	work := func(id RequestID, work time.Duration) []Action {
+		return s.event(Event{Kind: Arrived, Request: id, Class: "read", Grace: time.Second, Work: work})
+	}
+	for id := RequestID(1); id <= 60; id++ {
+		s.after(400 * ms)
+		s.want(work(id, 20*ms), Send)
+		s.event(Event{Kind: Finished, Request: id, Outcome: Served, Latency: 40 * ms, Over: true})
+	}
+	out := RequestID(100)
+	for len(work(out, 20*ms)) > 0 {
+		out++
+	}
+	heavy, light := out+1, out+2
+	work(heavy, 400*ms)
+	work(light, 10*ms)
+	s.event(Event{Kind: Finished, Request: 100, Outcome: Served, Latency: 40 * ms, Over: true})
+	got := s.event(Event{Kind: Finished, Request: 101, Outcome: Served, Latency: 40 * ms, Over: true})
+	if len(got) != 1 || got[0].Request == heavy {
+		t.Errorf("a request of 800 ms within an aim of 200 ms went before one of 20 ms: %+v", got)
+	}
+}
