A class or tenant that drags stands back in the hold's queue; the wait is one usual time

The queue went by worth alone. Ruled out: the limit (at its most, 6.0 a tier), tokens (27 to 30 of 30), the stretch (below 0 all along).

It covers hangs and errors that come late for one tenant too; all slowed alike keep their order. Harm: a class that recovers is believed only after seconds. With it a held request is given up one usual time before its aim, two where endpoints are asked, and the least wait of a tenth of the aim no longer earns its lines and is gone.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -53,11 +53,9 @@
 	stretchGain = 0.03            // weight of the newest outcome in the smoothed stretch
 	stretchTime = 3 * time.Second // or over which it is smoothed, where outcomes are few
 	holdBinds   = 0.8             // part of the limit that must be out for a quick answer to raise it
-	heldLeast   = 0.1             // part of its aim for which a held request waits at least
-	lateSlack   = 2               // times its usual time that a held request is given for its attempt
 	holdUneven  = 1.25            // times its even part of the limit that one endpoint may have out
 	paceCount   = 40              // answers over which a class's pace is smoothed
-	slopePrior  = 0.05            // weight, as a spread, of the guess that time grows as work does
+	slopePrior  = 0.05            // weight, as a spread of work, of the guess that time grows as work does
 	leastCount  = 200             // and over which its least is: the least of a short mean is mostly chance
 
 	overdueTimes = 6 // times its usual time from which on an attempt may be taken for lost
@@ -73,6 +71,7 @@
 	drawTries  = 12                    // draws for them: a walk of hundreds a request costs too much
 	scoutsMost = 8                     // endpoints that are asked for a request in all
 	dearProbe  = 0.005                 // price of a probe a request from which on they are asked one by one
+	askSlack   = 1                     // usual times more that a request is given: asking takes time
 	turnedMost = 0.1                   // part of them from which on nothing waits to be late
 	scoutStep  = 25 * time.Millisecond // when a request without a place asks again
 	freshTime  = 15 * time.Millisecond // how long an answer speaks for its endpoint
@@ -101,6 +100,7 @@
 	Class
 	leaves float64 // part of the bucket left to others: by the lowest worth, where worth differs
 	pace   pace
+	toll   toll
 	grace  time.Duration // of a first try: the one that most share; the longest seen at lower tiers
 	votes  int           // tries that have lately had it, less those that have not
 }
@@ -186,8 +186,6 @@
 
 func (b *Balancer) act(a Action) { b.actions = append(b.actions, a) }
 
-// ---- Requests ----
-
 // requests is everything held for clients.
 type requests struct {
 	held    map[RequestID]*request
@@ -197,22 +195,23 @@
 
 // request is one try of a client and its attempts, held until every attempt has its outcome.
 type request struct {
-	id       RequestID
-	class    *class
-	deadline Time    // when the client gives up
-	aimAt    Time    // when the aim passes, as far as can be told
-	work     float64 // expected work, as the hint tells; 1 without hints
-	value    float64 // what an answer within the aim is worth
-	attempts []attempt
-	out      int  // attempts without an outcome
-	funded   bool // a token is spent on its next attempt
-	over     bool // the final answer is given, or nobody waits for one
-	bound    bool // a stream has begun: the attempt is the client's
-	came     Time
-	late     bool // it has been held until it can hardly be in time
-	asked    int  // endpoints asked for it
-	awaited  int  // of them without an answer
-	askAt    Time // when it may ask again
+	id             RequestID
+	class          *class
+	deadline       Time    // when the client gives up
+	aimAt          Time    // when the aim passes, as far as can be told
+	work           float64 // expected work, as the hint tells; 1 without hints
+	value          float64 // what an answer within the aim is worth
+	attempts       []attempt
+	out            int  // attempts without an outcome
+	funded         bool // a token is spent on its next attempt
+	over           bool // the final answer is given, or nobody waits for one
+	bound          bool // a stream has begun: the attempt is the client's
+	came           Time
+	late           bool     // it has been held until it can hardly be in time
+	asked, awaited int      // endpoints asked for it, and of them without an answer
+	askAt          Time     // when it may ask again
+	errors         int      // answers to it that were errors
+	tolls          [2]*toll // of its class and its tenant
 }
 
 // attempt is one send of a request.
@@ -222,7 +221,6 @@
 	settled bool
 	counted int  // 1 while it counts as in flight, else 0
 	ran     bool // it may have run; true until an outcome proves otherwise
-	erred   bool // it was answered with an error
 }
 
 // arrived takes a new request: first attempts go free and at once.
@@ -232,6 +230,7 @@
 	waited := b.waited(c, e)
 	r.aimAt = b.now + c.Aim - waited
 	r.value = c.Worth * b.charge(b.tenants[e.Tenant])
+	r.tolls = [2]*toll{&c.toll, &cmp.Or(b.tenants[e.Tenant], &b.bucket).toll}
 	if r.work = 1; b.set.HintsWork && e.Work > 0 {
 		r.work = e.Work.Seconds()
 	}
@@ -241,8 +240,8 @@
 		r.value *= c.LateShare
 	} else if b.set.Front && !b.scouting() { // what is to be expected of it: answers after the aim earn less
 		left, takes := (r.aimAt - b.now).Seconds(), usual.Seconds()
-		inTime := left * left / (left*left + takes*takes)
-		r.value *= inTime + (1-inTime)*c.LateShare
+		r.value *= (left*left + c.LateShare*takes*takes) / (left*left + takes*takes)
+		r.value *= math.Exp(-r.tolls[0].now(b.now) - r.tolls[1].now(b.now)) // it holds a place
 	}
 	b.admit(r)
 }
@@ -362,17 +361,7 @@
 
 // faulty tells whether another try is likely to be an error too: two say so, or second opinions agree.
 func (b *Balancer) faulty(r *request) bool {
-	return r.errors(nil) > 1 || b.rng.Float64() < min(b.fleet.alike, 1-secondLeast)
-}
-
-// errors counts the other endpoints that have answered the request with an error.
-func (r *request) errors(but *endpoint) (n int) {
-	for i := range r.attempts {
-		if r.attempts[i].erred && r.attempts[i].to != but {
-			n++
-		}
-	}
-	return n
+	return r.errors > 1 || b.rng.Float64() < min(b.fleet.alike, 1-secondLeast)
 }
 
 // giveUp ends a request: refused where that is allowed, else failed.
@@ -452,8 +441,6 @@
 	}
 }
 
-// ---- The hold: first attempts when the tier is full ----
-
 // hold keeps first attempts back at a limit, against the jam that free ones make (docs/design.md).
 type hold struct {
 	out     int        // attempts without an outcome
@@ -489,8 +476,9 @@
 
 // adjust moves the limit: up while it binds and attempts take little more than their least, else down.
 func (b *Balancer) adjust(r *request, e *Event) {
-	if r.class.pace.seen == 0 || len(b.fleet.ready) == 0 || e.Outcome == ServerError {
-		return // a quick error says nothing of how full the tier is
+	told := e.Outcome == Served || e.Outcome == TimedOut || e.Outcome == Canceled
+	if r.class.pace.seen == 0 || len(b.fleet.ready) == 0 || !told {
+		return // quick errors and refusals say nothing of how slow a full tier is
 	}
 	h := &b.hold
 	gain := max(stretchGain, 1-decay(b.now-h.at, stretchTime))
@@ -533,9 +521,9 @@
 // latest is when a held request is given up: hardly in time. Scouted, it waits on while late answers earn.
 func (b *Balancer) latest(r *request) Time {
 	usual := r.class.pace.usual(r.work)
-	at := r.aimAt - lateSlack*usual
-	if !b.scouting() { // means say little of one request: the worthiest gets a place if one comes free
-		at = max(at, min(r.came+time.Duration(heldLeast*float64(r.class.Aim)), r.deadline-b.set.Tick))
+	at := r.aimAt - usual
+	if b.scouting() {
+		at -= askSlack * usual
 	}
 	if b.scouting() && !r.late && b.now >= at && r.class.LateShare > 0 && b.hold.turned < turnedMost {
 		r.late, r.value = true, r.value*r.class.LateShare
@@ -562,8 +550,6 @@
 	b.hold.queue = append(kept, b.hold.queue...)
 }
 
-// ---- Scouting: the hold where endpoints tell their load when asked ----
-
 // scouting tells whether the hold goes by what endpoints say: even parts say nothing where few carry most.
 func (b *Balancer) scouting() bool {
 	return b.set.Front && b.set.Entry == Own && b.set.Limits.Probing && b.set.Report.How != Silent
@@ -675,14 +661,13 @@
 	return 1
 }
 
-// ---- The retry token bucket ----
-
 // bucket funds retries: a tenth of what is served, and a floor.
 type bucket struct {
 	tokens float64
 	filled Time
 	floor  float64 // tokens a second
 	burst  float64 // most that it holds
+	toll   toll    // of the tenant whose share it is, or of all without one
 }
 
 // newBucket returns a full one. Hundreds of whole floors would bound nothing: many instances share one.
@@ -743,8 +728,6 @@
 	return r.deadline - b.set.Tick
 }
 
-// ---- Rules on effects and refusals ----
-
 // mayTake is the one rule on effects: whether another attempt may go there. What is out counts as having run.
 func (b *Balancer) mayTake(r *request, to *endpoint) bool {
 	if r.over || r.bound || (r.out > 0 && !b.set.Limits.SecondCopies) {
@@ -783,8 +766,6 @@
 	return c.Effect == Safe || c.Effect == Keyed && c.Group == GroupAll || !mayHaveRun(r)
 }
 
-// ---- The pick ----
-
 // fleet is what the instance knows of the tier it sends to.
 type fleet struct {
 	byID     map[EndpointID]*endpoint
@@ -954,21 +935,30 @@
 		b.fleet.served, b.fleet.servedAt = b.fleet.served*decay(b.now-b.fleet.servedAt, rateTime)+1, b.now
 		a.to.passed = max(a.to.passed, a.sent)
 		r.class.pace.observe(b.now, r.work, e.Latency, b.binds())
+		if b.scouting() { // a place was free: what is left of the time is work
+			r.class.pace.joint, r.class.pace.spread = 0, 0
+		}
 	}
 	if e.Outcome == Served || e.Outcome == Canceled { // called off: at least so slow
 		got = min(1, float64(yardstick(r))/float64(max(e.Latency, 1)))
 	}
-	weight, second := payoffGain, r.errors(a.to) > 0
-	if a.erred = e.Outcome == ServerError; a.erred { // as far as it is the endpoint's and not the request's
-		weight *= 1 - b.fleet.alike
-	}
+	weight := payoffGain
 	switch {
-	case second && e.Outcome == Served:
+	case r.errors > 0 && e.Outcome == Served:
 		b.fleet.alike -= alikeGain * b.fleet.alike
-	case second && a.erred:
+	case r.errors > 0 && e.Outcome == ServerError:
 		b.fleet.alike, weight = b.fleet.alike+alikeGain*(1-b.fleet.alike), 0
 	}
+	if e.Outcome == ServerError { // it is the endpoint's as far as second opinions lately differ
+		weight, r.errors = weight*(1-b.fleet.alike), r.errors+1
+	}
 	a.to.payoff += weight * (got - a.to.payoff)
+	for _, t := range r.tolls {
+		if a.ran && r.class.pace.seen > 0 {
+			held := r.class.pace.took(r.work, e.Latency) - r.class.pace.least
+			t.held, t.at = (1-payoffGain)*t.now(b.now)+payoffGain*held, b.now
+		}
+	}
 	a.to.touched, a.to.known = b.now, true
 	if a.to.absent > 0 && (e.Outcome == ConnectFailed || e.Outcome == TimedOut || e.Outcome == Reset) {
 		a.to.state = Gone
@@ -977,22 +967,29 @@
 	b.adjust(r, e)
 }
 
+// toll is how much longer than usual requests of a class or a tenant lately hold their places, by logarithm.
+type toll struct {
+	held float64
+	at   Time
+}
+
+// now is what is left of it: it is forgotten as payoffs are.
+func (t *toll) now(now Time) float64 { return max(0, t.held*decay(now-t.at, driftTime)) }
+
 // yardstick earns the full payoff: the aim, or what served attempts take if less, as calls of lower tiers do.
 func yardstick(r *request) time.Duration {
 	return min(r.class.Aim, cmp.Or(r.class.pace.usual(r.work), r.class.Aim))
 }
 
-// pace is how long served attempts take, by logarithm, with the usual work: a few heavy ones hardly move it.
-// It need not grow as work does: what all pay alike makes light work look slow, and heavy work hopeless.
+// pace is how long served attempts take, by logarithm, with the usual work: what all pay alike is not work's.
 type pace struct {
-	log    float64 // smoothed
-	long   float64 // the same over more answers
-	least  float64 // the least that has been lately
-	work   float64 // logarithm of the usual work
-	spread float64 // of the work's logarithm: its smoothed square,
-	joint  float64 // and its smoothed product with that of the time
-	seen   int     // served attempts, counted up to leastCount
-	at     Time
+	log           float64 // smoothed
+	long          float64 // the same over more answers
+	least         float64 // the least that has been lately
+	work          float64 // logarithm of the usual work
+	spread, joint float64 // of the work's logarithm: its smoothed square, and product with that of the time
+	seen          int     // served attempts, counted up to leastCount
+	at            Time
 }
 
 // observe takes in a served attempt.
@@ -1033,8 +1030,6 @@
 	return time.Duration(math.Exp(p.log+p.slope()*(math.Log(work)-p.work)) * float64(time.Second))
 }
 
-// ---- Cold starts ----
-
 func decay(age, over time.Duration) float64 { return math.Exp(-age.Seconds() / over.Seconds()) }
 
 // capacity is the part of its full capacity that an endpoint has at least.
@@ -1058,8 +1053,6 @@
 	return e.credit >= 1
 }
 
-// ---- The endpoint list ----
-
 func (b *Balancer) jitter(d time.Duration) time.Duration {
 	return time.Duration(b.rng.Float64() * float64(d))
 }
