An endpoint told gone ends after its minute though no list names it again

Seen on reading the change once more: where only draining binds and discovery sends changes alone, leave() was the only place that ended such an endpoint, and a change never names it twice, so it stayed for good. sortOut now ends it with any list that comes.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -350,8 +350,8 @@
 	}
 	switch {
 	case r.over || r.out > 0:
-	case e.Outcome == ServerError && b.faulty(r):
-		b.giveUp(r)
+	case e.Outcome == ServerError && (r.errors > 1 || b.rng.Float64() < min(b.fleet.alike, 1-secondLeast)):
+		b.giveUp(r) // another would likely be an error too: two are, or second opinions lately agree
 	default:
 		b.retry(r)
 	}
@@ -359,11 +359,6 @@
 	b.sendHeld()
 }
 
-// faulty tells whether another try is likely to be an error too: two say so, or second opinions agree.
-func (b *Balancer) faulty(r *request) bool {
-	return r.errors > 1 || b.rng.Float64() < min(b.fleet.alike, 1-secondLeast)
-}
-
 // giveUp ends a request: refused where that is allowed, else failed.
 func (b *Balancer) giveUp(r *request) {
 	r.over = true
@@ -895,7 +890,7 @@
 	return max(payoffFloor, e.payoff)
 }
 
-// measured brings the fleet's sums up to date, to meanAge at least.
+// measured brings the fleet's sums up to date, to meanAgeEach for each endpoint at least.
 func (b *Balancer) measured() *fleet {
 	f := &b.fleet
 	if f.mean > 0 && b.now-f.meanAt < time.Duration(len(f.ready))*meanAgeEach {
@@ -953,9 +948,8 @@
 		weight, r.errors = weight*(1-b.fleet.alike), r.errors+1
 	}
 	a.to.payoff += weight * (got - a.to.payoff)
-	for _, t := range r.tolls {
-		if a.ran && r.class.pace.seen > 0 {
-			held := r.class.pace.took(r.work, e.Latency) - r.class.pace.least
+	if held := r.class.pace.took(r.work, e.Latency) - r.class.pace.least; a.ran && r.class.pace.seen > 0 {
+		for _, t := range r.tolls {
 			t.held, t.at = (1-payoffGain)*t.now(b.now)+payoffGain*held, b.now
 		}
 	}
@@ -1081,7 +1075,7 @@
 
 // leave books that one was told gone. Where only draining binds it serves on, last, until it fails.
 func (b *Balancer) leave(e *endpoint) {
-	if b.set.Rules.GoneServes && e.state == Active && (e.absent == 0 || b.now-e.absent < absentTime) {
+	if b.set.Rules.GoneServes && e.state == Active {
 		e.absent = cmp.Or(e.absent, b.now)
 		return
 	}
@@ -1114,8 +1108,11 @@
 // sortOut forgets what is gone.
 func (b *Balancer) sortOut() {
 	f := &b.fleet
-	maps.DeleteFunc(f.byID, func(_ EndpointID, e *endpoint) bool { return e.state == Gone })
-	f.order = slices.DeleteFunc(f.order, func(e *endpoint) bool { return e.state == Gone })
+	gone := func(e *endpoint) bool {
+		return e.state == Gone || e.absent > 0 && b.now-e.absent >= absentTime
+	}
+	maps.DeleteFunc(f.byID, func(_ EndpointID, e *endpoint) bool { return gone(e) })
+	f.order = slices.DeleteFunc(f.order, gone)
 	f.ready = slices.DeleteFunc(append(f.ready[:0], f.order...), func(e *endpoint) bool {
 		return e.state != Active || f.banned[e.line.ID]
 	})
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -972,6 +972,12 @@
 	s.event(Event{Kind: ListReplaced, Endpoints: []Endpoint{{ID: 1, State: Draining}, {ID: 2, State: Draining}}})
 	s.event(Event{Kind: ListReplaced})
 	s.want(s.arrive(80, "read"))
+	aged := start(t, set, two()...) // only changes come, and none names it again
+	aged.event(Event{Kind: ListChanged, Endpoints: []Endpoint{{ID: 1, State: Gone}}})
+	aged.after(absentTime).event(Event{Kind: ListChanged})
+	if len(aged.b.fleet.byID) != 1 {
+		t.Errorf("%d endpoints are kept, want the one that is listed", len(aged.b.fleet.byID))
+	}
 	plain := start(t, testSettings(), two()...)
 	plain.event(Event{Kind: ListReplaced})
 	plain.want(plain.arrive(1, "read"))
