--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -78,19 +78,20 @@
 // Each message names the key that is at fault, with its place.
 func TestDecodeNamesTheKey(t *testing.T) {
 	for text, want := range map[string]string{
-		`[]`:                                  "want an object",
-		`{"me":"x"}`:                          "me: want a number",
-		`{"bounds":[]}`:                       "bounds: want an object",
-		`{"bounds":{"cancel":1}}`:             "bounds.cancel: want true or false",
-		`{"rules":{"cold":"long"}}`:           "rules.cold: want a number of milliseconds",
+		`[]`:                               "want an object",
+		`{"me":"x"}`:                       "me: want a number",
+		`{"bounds":[]}`:                    "bounds: want an object",
+		`{"bounds":{"cancel":1}}`:          "bounds.cancel: want true or false",
+		`{"rules":{"cold":"long"}}`:        "rules.cold: want a number of milliseconds",
+		`{"profiles":{}}`:                  "profiles: want an array",
+		`{"profiles":[7]}`:                 "profiles[0]: want an object",
+		`{"profiles":[{},{"effect":"?"}]}`: "profiles[1].effect: unknown value",
+		`{"parties":[{"name":1}]}`:         "parties[0].name: want a string",
+		`{"report":{"how":"loudly"}}`:      "report.how: unknown value",
+		`{"report":{"fields":[1]}}`:        "report.fields[0]: want a string",
+		`{"deductions":{"probe":"dear"}}`:  "deductions.probe: want a number",
+
 		`{"rules":{"removal_not_binding":1}}`: "rules.removal_not_binding: want true or false",
-		`{"profiles":{}}`:                     "profiles: want an array",
-		`{"profiles":[7]}`:                    "profiles[0]: want an object",
-		`{"profiles":[{},{"effect":"?"}]}`:    "profiles[1].effect: unknown value",
-		`{"parties":[{"name":1}]}`:            "parties[0].name: want a string",
-		`{"report":{"how":"loudly"}}`:         "report.how: unknown value",
-		`{"report":{"fields":[1]}}`:           "report.fields[0]: want a string",
-		`{"deductions":{"probe":"dear"}}`:     "deductions.probe: want a number",
 	} {
 		if _, _, err := Decode(parse(t, text)); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%s: error %v, want %q in it", text, err, want)
