--- a/decide/decide.go
+++ b/decide/decide.go
@@ -159,6 +159,8 @@
 		if to := b.fleet.byID[e.Endpoint]; to != nil {
 			to.payoff *= 1 - payoffGain // as a failure
 		}
+	case Ruled:
+		b.ruled(e.Ruling)
 	case Banned, Unbanned:
 		b.ban(e.Endpoint, e.Kind == Banned)
 	}
--- a/decide/types.go
+++ b/decide/types.go
@@ -229,6 +229,7 @@
 	StreamBroke                    // Endpoint: it has broken off an answer that counted as served when it began
 	Banned                         // Endpoint, listed or not: nothing new for it until Unbanned, whatever a list says
 	Unbanned                       // Endpoint: the ban has ended, however often it was told
+	Ruled                          // Ruling: it holds from now on
 )
 
 // Event is something that happened to the instance.
@@ -247,6 +248,7 @@
 	Over      bool // the request has had its final answer
 	Load      Load // the endpoint's report, if one came
 	Endpoints []Endpoint
+	Ruling    *Ruling
 }
 
 // ActionKind says which fields of an Action are set.
--- /dev/null
+++ b/internal/versions/file.go
@@ -0,0 +1,75 @@
+package versions
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"heathgap/decide"
+	"heathgap/internal/tomlread"
+)
+
+// EffectWords and GroupWords are the words of files, the same as in the settings.
+var (
+	EffectWords = map[decide.Effect]string{decide.Safe: "repeatable", decide.Keyed: "by_key", decide.Unsafe: "once"}
+	GroupWords  = map[decide.Group]string{decide.GroupAll: "all", decide.GroupZone: "zone", decide.GroupCell: "cell"}
+)
+
+// keyOf finds the key of a word.
+func keyOf[K comparable](words map[K]string, word string) K {
+	for k, w := range words {
+		if w == word {
+			return k
+		}
+	}
+	var none K
+	return none
+}
+
+// Load reads a document that people wrote, with its note. The error tells all that is wrong, a line each.
+func Load(path string) (doc Document, note string, err error) {
+	file, err := tomlread.Load(path)
+	if err != nil {
+		return Document{}, "", err
+	}
+	return decode(file)
+}
+
+func decode(file *tomlread.Doc) (doc Document, note string, err error) {
+	root := file.Root
+	note = root.Text("note", "")
+	doc.MaxAttempts = root.Int("max_attempts", 0, 1, MostAttempts)
+	// Only false says something: where copies are barred, no version may bring them in.
+	if root.Has("second_copies") && root.Bool("second_copies", false) {
+		root.Fail("second_copies", "true", "false, or no key: each sidecar's own setting holds then")
+	}
+	doc.NoSecondCopies = root.Has("second_copies")
+	doc.Banned = root.Texts("banned")
+	if slices.Sort(doc.Banned); len(slices.Compact(slices.Clone(doc.Banned))) != len(doc.Banned) {
+		root.Fail("banned", "a name twice", "each name once")
+	}
+	doc.Classes = map[string]Class{}
+	for _, t := range root.Tables("class", MostClasses) {
+		t.Need("name", "the name of a class")
+		t.Need("effect", "repeatable, by_key, once")
+		name := t.Text("name", "")
+		if _, twice := doc.Classes[name]; twice {
+			t.Fail("name", fmt.Sprintf("%q, a second time", name), "each class once")
+		}
+		c := Class{Effect: keyOf(EffectWords, t.Word("effect", "once", slices.Sorted(maps.Values(EffectWords))...))}
+		if c.Effect == decide.Keyed {
+			t.Need("window", `a time such as "800ms"`)
+			c.Group = keyOf(GroupWords, t.Word("group", "all", "all", "zone", "cell"))
+			c.Window = t.Duration("window", time.Second, 0, MostWindow)
+		}
+		doc.Classes[name] = c
+	}
+	if err := file.Err(); err != nil {
+		return Document{}, "", err
+	}
+	if len(doc.Classes) == 0 {
+		doc.Classes = nil
+	}
+	return doc, note, doc.Check()
+}
--- /dev/null
+++ b/internal/versions/versions_test.go
@@ -0,0 +1,143 @@
+package versions
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"heathgap/decide"
+	"heathgap/internal/tomlread"
+)
+
+func drawRules(rt *rapid.T, label string) Rules {
+	r := Rules{Classes: map[string]Class{}, Banned: map[string]bool{}}
+	for _, name := range []string{"a", "b"} {
+		c := Class{Effect: rapid.SampledFrom([]decide.Effect{decide.Safe, decide.Keyed, decide.Unsafe}).Draw(rt, label)}
+		if c.Effect == decide.Keyed {
+			c.Group = decide.Group(rapid.IntRange(0, 2).Draw(rt, label))
+			c.Window = time.Duration(rapid.IntRange(0, 2).Draw(rt, label))
+		}
+		r.Classes[name] = c
+		if rapid.Bool().Draw(rt, label) {
+			r.Banned[name] = true
+		}
+	}
+	r.MaxAttempts, r.SecondCopies = rapid.IntRange(1, 3).Draw(rt, label), rapid.Bool().Draw(rt, label)
+	return r
+}
+
+// What is acted on between two versions does nothing that either forbids, and what a member acts on that is cut off does
+// nothing that any version forbids.
+func TestStricterIsAllowedByBoth(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		a, b := drawRules(rt, "a"), drawRules(rt, "b")
+		both, err := a.Stricter(b)
+		back, errBack := b.Stricter(a)
+		if (err == nil) != (errBack == nil) {
+			rt.Fatalf("one way %v, the other %v", err, errBack)
+		}
+		if err != nil {
+			if !strings.Contains(err.Error(), "group") {
+				rt.Fatal(err)
+			}
+			return
+		}
+		for _, other := range []Rules{a, b, back} {
+			if key, ok := other.Allows(both); !ok {
+				rt.Fatalf("%s: %+v does not allow %+v", key, other, both)
+			}
+		}
+		cautious := a.Cautious(nil)
+		cautious.Banned, cautious.MaxAttempts = b.Banned, min(a.MaxAttempts, b.MaxAttempts)
+		if key, ok := b.Allows(cautious); !ok {
+			rt.Fatalf("%s: %+v does not allow the cautious %+v", key, b, cautious)
+		}
+	})
+}
+
+// Allows itself must be able to say no, key by key.
+func TestAllowsSaysNo(t *testing.T) {
+	strict := Rules{Classes: map[string]Class{"a": {Effect: decide.Unsafe}, "b": {decide.Keyed, decide.GroupZone, 1}}, MaxAttempts: 1,
+		Banned: map[string]bool{"e": true}}
+	for key, change := range map[string]func(*Rules){
+		"class.a.effect": func(r *Rules) { r.Classes["a"] = Class{Effect: decide.Safe} },
+		"class.b.group":  func(r *Rules) { r.Classes["b"] = Class{decide.Keyed, decide.GroupAll, 1} },
+		"class.b.window": func(r *Rules) { r.Classes["b"] = Class{decide.Keyed, decide.GroupZone, 2} },
+		"max_attempts":   func(r *Rules) { r.MaxAttempts = 2 },
+		"second_copies":  func(r *Rules) { r.SecondCopies = true },
+		"banned.e":       func(r *Rules) { delete(r.Banned, "e") },
+	} {
+		loose := strict.clone()
+		change(&loose)
+		if got, ok := strict.Allows(loose); ok || got != key {
+			t.Errorf("%s: %q, %v", key, got, ok)
+		}
+		if got, ok := loose.Allows(strict); !ok {
+			t.Errorf("%s: the other way is refused by %q", key, got)
+		}
+	}
+}
+
+func TestFits(t *testing.T) {
+	own := Own(&decide.Settings{Classes: []decide.Class{{Name: "look", Effect: decide.Safe},
+		{Name: "pay", Effect: decide.Keyed, Group: decide.GroupAll, Window: time.Second}}})
+	doc := func(name string, c Class) *Document { return &Document{Classes: map[string]Class{name: c}} }
+	zone, cell := Class{decide.Keyed, decide.GroupZone, 1}, Class{decide.Keyed, decide.GroupCell, 1}
+	for want, c := range map[string]struct{ from, to *Document }{
+		"":                          {&Document{}, doc("pay", Class{Effect: decide.Unsafe})},
+		"class.buy: this sidecar":   {&Document{}, doc("buy", Class{Effect: decide.Unsafe})},
+		"class.fixed: this sidecar": {&Document{}, doc("fixed", zone)},
+		"class.look.effect: call":   {&Document{}, doc("look", zone)},
+		"class.pay.effect: looser":  {&Document{}, doc("pay", Class{Effect: decide.Safe})},
+		"class.pay.window: looser":  {&Document{}, doc("pay", Class{decide.Keyed, decide.GroupAll, time.Hour})},
+		"max_attempts: looser":      {&Document{}, &Document{MaxAttempts: 9}},
+		"class.pay.group: zone and": {doc("pay", zone), doc("pay", cell)},
+	} {
+		if err := own.Fits(c.from, c.to, nil); err == nil != (want == "") || err != nil && !strings.HasPrefix(err.Error(), want) {
+			t.Errorf("%q: %v", want, err)
+		}
+	}
+	if err := own.Fits(&Document{}, doc("pay", Class{Effect: decide.Unsafe}), []string{"pay"}); err == nil {
+		t.Error("a fixed class changes")
+	}
+}
+
+// A file that people write, and what is wrong with one, by line.
+func TestDecode(t *testing.T) {
+	read := func(text string) (Document, error) {
+		file, err := tomlread.Parse("v.toml", []byte(text))
+		if err != nil {
+			return Document{}, err
+		}
+		doc, _, err := decode(file)
+		return doc, err
+	}
+	doc, err := read("max_attempts = 2\nsecond_copies = false\nbanned = [\"s-2\", \"s-1\"]\n[[class]]\nname = \"pay\"\neffect = \"by_key\"\ngroup = \"zone\"\nwindow = \"1s\"\n")
+	if err != nil || doc.Classes["pay"] != (Class{decide.Keyed, decide.GroupZone, time.Second}) || !slices.Equal(doc.Banned, []string{"s-1", "s-2"}) ||
+		doc.MaxAttempts != 2 || !doc.NoSecondCopies {
+		t.Errorf("%+v, %v", doc, err)
+	}
+	other := doc
+	if other.Hash() != doc.Hash() {
+		t.Error("equal documents, other hashes")
+	}
+	if other.MaxAttempts = 3; other.Hash() == doc.Hash() {
+		t.Error("other documents, equal hashes")
+	}
+	for text, want := range map[string]string{
+		"max_attempts = 0":                             "v.toml:1: max_attempts",
+		"second_copies = true":                         "v.toml:1: second_copies",
+		"banned = [\"a\", \"a\"]":                      "v.toml:1: banned",
+		"[[class]]\nname = \"x\"\neffect = \"?\"":      "v.toml:3: class[0].effect",
+		"[[class]]\nname = \"x\"\neffect = \"by_key\"": "class[0].window: missing",
+		"[[class]]\nname = \"x\"\neffect = \"once\"\n[[class]]\nname = \"x\"\neffect = \"once\"": "a second time",
+		"ban = []": "v.toml:1: ban: unknown key",
+	} {
+		if _, err := read(text); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v, want %q", text, err, want)
+		}
+	}
+}
