The crew, pure: ledger, leases by leader and member, and a model that plays them

Cause: a bound on contradictions needs somebody who may conclude that a silent member has stopped acting. Change: internal/crew holds the ledger (members, epochs, rounds of versions), the leader's granter and the member's holder.

--- /dev/null
+++ b/internal/crew/crew_test.go
@@ -0,0 +1,308 @@
+package crew
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"heathgap/decide"
+	"heathgap/internal/versions"
+)
+
+// dice draws from 0 up to, but not including, n.
+type dice func(n int) int
+
+// bug is planted round the pure parts: what their driver could get wrong.
+type bug string
+
+const (
+	none          bug = ""
+	countsFromNow bug = "the holder counts its lease from the answer"
+	noWait        bug = "a new leader takes leases given before it for ended"
+	shortWait     bug = "the granter waits for the lease alone, without drift"
+	noPrepare     bug = "a version is active at once"
+	stoppedClock  bug = "a holder does not see its lease end"
+	oldLeader     bug = "a leader that was replaced goes on granting"
+	lateWord      bug = "a holder takes late word for new"
+)
+
+// model plays several members, leaders that come and go, clocks that differ, and answers that come late or never.
+type model struct {
+	roll    dice
+	bug     bug
+	terms   Terms
+	now     time.Duration // true time
+	rates   []float64
+	holders []*Holder
+	ledger  *Ledger
+	granter *Granter
+	old     *Granter
+	oldL    *Ledger
+	leader  float64 // rate of its clock
+	flying  []flight
+	stopped time.Duration
+	cut     int // a member that hears nothing and is not heard
+}
+
+type flight struct {
+	to    int
+	asked Boot
+	grant Grant
+}
+
+func newModel(roll dice, b bug) *model {
+	m := &model{roll: roll, bug: b, ledger: NewLedger(), leader: 1, stopped: -1,
+		terms: Terms{Lease: time.Second, Drift: 0.1, Slack: 10 * time.Millisecond}}
+	own := versions.Own(&decide.Settings{Classes: []decide.Class{{Name: "pay", Effect: decide.Safe}}})
+	for i := range 3 {
+		m.rates = append(m.rates, 1+m.terms.Drift*float64(roll(3)-1))
+		m.holders = append(m.holders, NewHolder(Member{Name: fmt.Sprint("m", i), Token: uint64(i + 1)}, m.terms, own, 0))
+	}
+	m.lead()
+	return m
+}
+
+func (m *model) boot(i int) Boot {
+	if m.bug == stoppedClock && i == 0 && m.stopped >= 0 {
+		return Boot(float64(m.stopped) * m.rates[i])
+	}
+	return Boot(float64(m.now) * m.rates[i])
+}
+
+func (m *model) leaderBoot() Boot { return Boot(float64(m.now) * m.leader) }
+
+// lead brings a new leader.
+func (m *model) lead() {
+	m.old, m.oldL = m.granter, m.ledger.Clone()
+	m.leader = 1 + m.terms.Drift*float64(m.roll(3)-1)
+	conf := m.terms
+	if m.bug == shortWait {
+		conf.Drift, conf.Slack = 0, 0
+	}
+	m.granter = NewGranter(conf)
+	m.granter.Due(m.leaderBoot(), m.ledger.Clone()) // it looks at the members at once
+	if m.bug == noWait {
+		for _, s := range m.granter.said {
+			s.until = 0
+		}
+	}
+	// Terms are told by their hash: the planted wait must not show there.
+	if m.bug == shortWait {
+		for _, h := range m.holders {
+			h.terms = Terms{Lease: m.terms.Lease}
+		}
+	}
+}
+
+// step takes one step. Most are small, so that what takes several fits into the time between two leases' ends.
+func (m *model) step() {
+	m.now += time.Duration(m.roll(15)) * time.Millisecond
+	switch m.roll(120) {
+	case 0:
+		m.now += time.Duration(m.roll(1500)) * time.Millisecond
+	case 1, 2:
+		m.lead()
+	case 3, 4, 5:
+		m.cut = m.roll(len(m.holders) + 1) // the last one is nobody
+	}
+	if m.ledger.Next == nil && m.roll(20) == 0 {
+		effect := decide.Unsafe
+		if m.ledger.Active.Number%2 == 1 {
+			effect = decide.Safe
+		}
+		m.ledger.Apply(&Entry{Propose: &Proposal{ID: uint64(m.roll(1<<30)) + 1, Parent: m.ledger.Active.Number,
+			Doc: versions.Document{Classes: map[string]versions.Class{"pay": {Effect: effect}}}}})
+	}
+	if m.bug == noPrepare && m.ledger.Next != nil && m.ledger.Next.State == Prepared {
+		m.ledger.Apply(&Entry{Activate: m.ledger.Next.Number, Epoch: m.ledger.Epoch})
+	}
+	if m.roll(3) > 0 {
+		for _, e := range m.granter.Due(m.leaderBoot(), m.ledger) {
+			m.ledger.Apply(&e)
+		}
+	}
+	if i := m.roll(len(m.holders)); i != m.cut {
+		m.ask(i)
+		if m.roll(4) > 0 {
+			m.deliver(len(m.flying) - 1)
+		}
+	}
+	if len(m.flying) > 0 && m.roll(8) == 0 {
+		m.deliver(m.roll(len(m.flying)))
+	}
+}
+
+func (m *model) ask(i int) {
+	r, asked := m.holders[i].Ask(), m.boot(i)
+	by, ledger := m.granter, m.ledger
+	if m.bug == oldLeader && m.old != nil && m.roll(2) == 0 {
+		by, ledger = m.old, m.oldL
+	}
+	m.flying = append(m.flying, flight{i, asked, by.Renew(m.leaderBoot(), ledger, &r)})
+}
+
+// deliver hands over an answer that is on its way, or loses it.
+func (m *model) deliver(n int) {
+	f := m.flying[n]
+	m.flying = append(m.flying[:n], m.flying[n+1:]...)
+	if m.roll(8) == 0 {
+		return
+	}
+	if m.bug == countsFromNow {
+		f.asked = m.boot(f.to)
+	}
+	if m.bug == lateWord {
+		m.holders[f.to].asked = 0
+	}
+	m.holders[f.to].Told(f.asked, &f.grant)
+	if f.to == 0 && m.stopped < 0 && f.grant.Granted && m.now > time.Second {
+		m.stopped = m.now
+	}
+}
+
+// check tells whether two members vouch for versions that have none in common: one acts by rules that the other has
+// left, or has not come to.
+func (m *model) check() error {
+	for i, a := range m.holders {
+		x := a.Acting(m.boot(i))
+		for j, b := range m.holders[:i] {
+			y := b.Acting(m.boot(j))
+			if x.Cautious || y.Cautious {
+				continue
+			}
+			if x.Active != y.Active && x.Next != y.Active && y.Next != x.Active {
+				return fmt.Errorf("at %v m%d acts on %d+%d and m%d on %d+%d", m.now, i, x.Active, x.Next, j, y.Active, y.Next)
+			}
+		}
+	}
+	return nil
+}
+
+const modelSteps = 400
+
+func TestNoTwoActOnVersionsApart(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		rng := rand.New(rand.NewPCG(seed, 1))
+		m := newModel(rng.IntN, none)
+		for range modelSteps {
+			m.step()
+			if err := m.check(); err != nil {
+				rt.Fatal(err)
+			}
+		}
+	})
+}
+
+// Each planted bug is caught, and versions do come through without one.
+func TestModelCatchesPlantedBugs(t *testing.T) {
+	const seeds = 4000
+	for _, b := range []bug{countsFromNow, noWait, shortWait, noPrepare, stoppedClock, oldLeader, lateWord} {
+		found := -1
+		for seed := 0; seed < seeds && found < 0; seed++ {
+			m := newModel(rand.New(rand.NewPCG(uint64(seed), 2)).IntN, b)
+			for range modelSteps {
+				if m.step(); m.check() != nil {
+					found = seed
+					break
+				}
+			}
+		}
+		if found < 0 {
+			t.Errorf("%s: not found in %d seeds", b, seeds)
+		}
+		t.Logf("%s: found by seed %d", b, found)
+		m := newModel(rand.New(rand.NewPCG(uint64(found), 2)).IntN, none)
+		for range modelSteps {
+			if m.step(); m.check() != nil {
+				t.Fatalf("seed %d fails without the bug: %v", found, m.check())
+			}
+		}
+	}
+	versions := uint64(0)
+	for seed := range uint64(1000) {
+		m := newModel(rand.New(rand.NewPCG(seed, 3)).IntN, none)
+		for range modelSteps {
+			if m.step(); m.check() != nil {
+				t.Fatalf("without a bug, seed %d: %v", seed, m.check())
+			}
+		}
+		versions += m.ledger.Active.Number
+	}
+	if versions < 300 {
+		t.Errorf("%d versions became active in 1000 runs: nothing is shown of those that do not", versions)
+	}
+}
+
+func propose(id, parent uint64, max int) *Entry {
+	return &Entry{Propose: &Proposal{ID: id, Parent: parent, Doc: versions.Document{MaxAttempts: max}}}
+}
+
+// Two proposals at once, one said twice, one on an old parent, one that refuses, and conclusions of an older epoch.
+func TestLedger(t *testing.T) {
+	l := NewLedger()
+	must := func(want bool, e *Entry) {
+		t.Helper()
+		if err := l.Apply(e); (err == nil) != want {
+			t.Fatalf("%+v: %v", e, err)
+		}
+	}
+	a, b := Member{Name: "a", Token: 1}, Member{Name: "a", Token: 2}
+	must(true, &Entry{Enter: []Member{a}})
+	must(true, &Entry{Enter: []Member{b}}) // the same name twice: the first one stays
+	if l.Members["a"] != a || l.Epoch != 1 {
+		t.Fatalf("%+v", l)
+	}
+	must(true, propose(7, 0, 2))
+	must(true, propose(7, 0, 2)) // said again
+	must(false, propose(8, 0, 3))
+	must(false, &Entry{Prepare: 1, Epoch: 0})
+	must(true, &Entry{Prepare: 1, Epoch: 1})
+	must(false, &Entry{End: &End{1, "late"}, Epoch: 1}) // prepared: it can't end by a refusal any more
+	must(true, &Entry{Gone: []Member{b}})               // not the one that is in
+	must(true, &Entry{Activate: 1, Epoch: 1})
+	must(false, propose(9, 0, 3)) // its author saw version 0
+	must(false, propose(9, 1, 2)) // nothing differs
+	must(true, propose(9, 1, 3))
+	must(true, &Entry{End: &End{2, "m refuses"}, Epoch: 1})
+	if l.Last != 2 || l.Active.Number != 1 || l.Next != nil || len(l.Rounds()) != 2 || l.Find(9).State != Refused {
+		t.Errorf("%+v", l)
+	}
+	must(true, &Entry{Gone: []Member{a}})
+	if l.Epoch != 2 || len(l.Members) != 0 {
+		t.Errorf("%+v", l)
+	}
+}
+
+// What the granter says no to.
+func TestRenewRefuses(t *testing.T) {
+	terms := Terms{Lease: time.Second}
+	l := NewLedger()
+	l.Apply(&Entry{Enter: []Member{{Name: "a", Token: 1}}})
+	g := NewGranter(terms)
+	for _, c := range []struct {
+		name    string
+		r       Renewal
+		now     Boot
+		granted bool
+		again   bool
+	}{
+		{"good", Renewal{Member: Member{Name: "a", Token: 1}, Epoch: 1}, 0, true, false},
+		{"older epoch", Renewal{Member: Member{Name: "a", Token: 1}}, 0, false, true},
+		{"the same name twice", Renewal{Member: Member{Name: "a", Token: 2}, Epoch: 1}, 0, false, false},
+		{"its lease over", Renewal{Member: Member{Name: "a", Token: 2}, Epoch: 1}, 2 * time.Second, false, true},
+		{"newcomer", Renewal{Member: Member{Name: "b", Token: 1}}, 0, false, true},
+		{"other terms", Renewal{Member: Member{Name: "a", Token: 1}, Terms: "other", Epoch: 1}, 0, false, false},
+		{"no name", Renewal{}, 0, false, false},
+	} {
+		if c.r.Terms == "" {
+			c.r.Terms = terms.Hash()
+		}
+		if got := g.Renew(c.now, l, &c.r); got.Granted != c.granted || got.Again != c.again || (got.Why == "") != c.granted {
+			t.Errorf("%s: %+v", c.name, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/crew/granter.go
@@ -0,0 +1,196 @@
+package crew
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"heathgap/internal/crew/terms"
+)
+
+// Renewal is what a member asks the leader for: a lease, again and again.
+type Renewal struct {
+	Member
+	Terms string `cbor:"10,keyasint"` // Terms.Hash
+	Epoch uint64 `cbor:"11,keyasint"` // as the member knows it
+	// Checked is the number of the proposal that it has looked at, and Refusal why it can't take it.
+	Checked uint64 `cbor:"12,keyasint,omitempty"`
+	Refusal string `cbor:"13,keyasint,omitempty"`
+	// Prepared is the number of the proposal that it acts on together with the active version.
+	Prepared uint64 `cbor:"14,keyasint,omitempty"`
+	// HasActive and HasNext are the versions whose documents it has: they are not sent again.
+	HasActive uint64 `cbor:"15,keyasint,omitempty"`
+	HasNext   uint64 `cbor:"16,keyasint,omitempty"`
+	Leaving   bool   `cbor:"17,keyasint,omitempty"` // the process ends: its name is free
+}
+
+// Grant is the leader's answer.
+type Grant struct {
+	// Granted tells whether the member holds a lease, from before it asked.
+	Granted bool   `cbor:"1,keyasint"`
+	Why     string `cbor:"2,keyasint,omitempty"` // if not
+	Again   bool   `cbor:"3,keyasint,omitempty"` // if not: asking again at once, with what is told here, may do
+	Epoch   uint64 `cbor:"4,keyasint"`
+	// Active and Next are told without their documents where the member has them.
+	Active Round  `cbor:"5,keyasint"`
+	Next   *Round `cbor:"6,keyasint,omitempty"`
+}
+
+// said is what a granter knows of a member, in memory alone.
+type said struct {
+	token    uint64
+	until    Boot // its lease may be acted on until then
+	checked  uint64
+	refusal  string
+	prepared uint64
+	epoch    uint64 // under which the three above were said
+}
+
+// Granter is the leader's side of the leases. It lives for one term of a leader; a new
+// one knows nothing of leases given before, and takes each for held for their whole time.
+type Granter struct {
+	conf  Terms
+	said  map[string]*said
+	enter map[string]Member // asked to come in, and are not in the ledger yet
+	gone  map[string]Member // said that they leave
+}
+
+// NewGranter returns that of a leader that has just come to lead.
+func NewGranter(conf Terms) *Granter {
+	return &Granter{conf: conf, said: map[string]*said{}, enter: map[string]Member{}, gone: map[string]Member{}}
+}
+
+// of returns what is known of a member of the ledger. One that is met for the first time may have been granted a lease a
+// moment ago, by a leader before, or has just come in.
+func (g *Granter) of(now Boot, m Member) *said {
+	s := g.said[m.Name]
+	if s == nil || s.token != m.Token {
+		s = &said{token: m.Token, until: now + g.conf.Wait()}
+		g.said[m.Name] = s
+	}
+	return s
+}
+
+// Renew answers a renewal. The caller has made sure, after the renewal came, that a
+// majority still takes it for the leader and that the ledger is up to date; it calls
+// Told when the answer has been handed to the network.
+func (g *Granter) Renew(now Boot, l *Ledger, r *Renewal) Grant {
+	grant := Grant{Epoch: l.Epoch, Active: l.Active}
+	if l.Next != nil {
+		next := *l.Next // a grant is on its way while the ledger goes on
+		grant.Next = &next
+	}
+	no := func(again bool, format string, args ...any) Grant {
+		grant.Why, grant.Again = fmt.Sprintf(format, args...), again
+		grant.Active, grant.Next = Round{}, nil // not without a lease
+		return grant
+	}
+	in, there := l.Members[r.Name]
+	switch {
+	case r.Name == "" || r.Token == 0 || len(r.Name) > 256:
+		return no(false, "name: %d bytes, token %d; allowed: a name of 1 to 256 bytes and a token", len(r.Name), r.Token)
+	case r.Terms != g.conf.Hash():
+		return no(false, "terms differ: the crew has %v; start this process with the same [crew]", g.conf)
+	case there && in.Token != r.Token:
+		if g.of(now, in).until > now {
+			return no(false, "name %q is another process's, whose lease may hold for %v more; give this one a name of its own, or end the other",
+				r.Name, g.of(now, in).until-now)
+		}
+		return no(true, "name %q: the process before is being counted out", r.Name)
+	case r.Leaving:
+		if there {
+			g.gone[r.Name] = in
+		}
+		return no(false, "left")
+	case !there && len(l.Members) >= terms.MostMembers:
+		return no(false, "the crew is full: %d members", terms.MostMembers)
+	case !there || in != r.Member:
+		if len(g.enter) < terms.MostMembers {
+			g.enter[r.Name] = r.Member
+		}
+		return no(true, "%q is coming in", r.Name)
+	case r.Epoch != l.Epoch:
+		return no(true, "epoch %d has passed, it is %d", r.Epoch, l.Epoch)
+	}
+	s := g.of(now, in)
+	s.checked, s.refusal, s.prepared, s.epoch = r.Checked, r.Refusal, r.Prepared, r.Epoch
+	s.until = max(s.until, now+g.conf.Wait())
+	grant.Granted = true
+	if grant.Active.Number == r.HasActive {
+		grant.Active.Doc.Classes, grant.Active.Doc.Banned = nil, nil
+	}
+	if grant.Next != nil && grant.Next.Number == r.HasNext {
+		grant.Next.Doc.Classes, grant.Next.Doc.Banned = nil, nil
+	}
+	return grant
+}
+
+// Told counts a lease from the moment after its answer went: now is read then. (The holder counts from before it
+// asked, so that counting from Renew on would do; an answer's time on its way is a margin more.)
+func (g *Granter) Told(now Boot, r *Renewal) {
+	if s := g.said[r.Name]; s != nil && s.token == r.Token {
+		s.until = max(s.until, now+g.conf.Wait())
+	}
+}
+
+// Due returns the entries that the leader has to propose now. It is called when none is on its way.
+func (g *Granter) Due(now Boot, l *Ledger) []Entry {
+	var due []Entry
+	var change Entry
+	for _, name := range slices.Sorted(maps.Keys(l.Members)) {
+		m := l.Members[name]
+		if left, does := g.gone[name]; does && left.Token == m.Token || g.of(now, m).until <= now {
+			change.Gone = append(change.Gone, m)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(g.enter)) {
+		m := g.enter[name]
+		if in, there := l.Members[name]; there && (in == m || in.Token != m.Token) {
+			continue
+		}
+		change.Enter = append(change.Enter, m)
+	}
+	clear(g.enter) // proposed once; who is not in then asks again
+	maps.DeleteFunc(g.gone, func(name string, m Member) bool { return l.Members[name].Token != m.Token })
+	maps.DeleteFunc(g.said, func(name string, s *said) bool { return l.Members[name].Token != s.token })
+	if len(change.Gone) > 0 || len(change.Enter) > 0 {
+		return append(due, change) // the rest waits for the new epoch
+	}
+	if e, ok := g.round(now, l); ok {
+		due = append(due, e)
+	}
+	return due
+}
+
+// round tells whether the proposal under way may go on: when each member has said so, in
+// this epoch. Who says nothing is counted out when its lease has surely ended.
+func (g *Granter) round(now Boot, l *Ledger) (Entry, bool) {
+	if l.Next == nil {
+		return Entry{}, false
+	}
+	number, all := l.Next.Number, true
+	for _, name := range slices.Sorted(maps.Keys(l.Members)) {
+		s := g.of(now, l.Members[name])
+		current := s.epoch == l.Epoch
+		if l.Next.State == Checking && current && s.checked == number && s.refusal != "" {
+			return Entry{End: &End{number, fmt.Sprintf("%s refuses: %s", name, s.refusal)}, Epoch: l.Epoch}, true
+		}
+		done := s.checked
+		if l.Next.State == Prepared {
+			done = s.prepared
+		}
+		all = all && current && done == number
+	}
+	switch {
+	case !all:
+		return Entry{}, false
+	case l.Next.State == Checking:
+		return Entry{Prepare: number, Epoch: l.Epoch}, true
+	}
+	return Entry{Activate: number, Epoch: l.Epoch}, true
+}
+
+// Until is when a member's lease has surely ended, for people.
+func (g *Granter) Until(now Boot, l *Ledger, name string) Boot {
+	return g.of(now, l.Members[name]).until
+}
--- /dev/null
+++ b/internal/crew/holder.go
@@ -0,0 +1,158 @@
+package crew
+
+import (
+	"fmt"
+
+	"heathgap/decide"
+	"heathgap/internal/versions"
+)
+
+// Stance is what a member acts on.
+type Stance struct {
+	Rules    versions.Rules
+	Cautious bool   // it holds no lease: the rules agree with every version
+	Active   uint64 // the version acted on
+	Next     uint64 // acted on together with it, while that is prepared; 0 for none
+	Epoch    uint64
+}
+
+// Holder is a member's side of the leases. What it is told it acts on until its lease
+// ends, counted from before it asked.
+type Holder struct {
+	Self  Member
+	terms Terms
+	own   versions.Rules
+	// connect is the time that a connection to an endpoint may take: windows are judged less that.
+	connect decide.Time
+
+	ends     Boot // of the lease; 0 before the first
+	asked    Boot // when the newest word was asked for that was taken
+	epoch    uint64
+	active   Round
+	next     *Round
+	checked  uint64
+	refusal  string
+	prepared uint64
+	rules    versions.Rules // of the lease
+	cautious versions.Rules
+}
+
+// NewHolder returns that of a process that has not been told anything.
+func NewHolder(self Member, terms Terms, own versions.Rules, connect decide.Time) *Holder {
+	return &Holder{Self: self, terms: terms, own: own, connect: connect, rules: own, cautious: own.Cautious(terms.FixedClasses)}
+}
+
+// Ask returns the renewal to be sent now. The caller notes the time before it, for Told.
+func (h *Holder) Ask() Renewal {
+	r := Renewal{Member: h.Self, Terms: h.terms.Hash(), Epoch: h.epoch, Checked: h.checked, Refusal: h.refusal,
+		Prepared: h.prepared, HasActive: h.active.Number}
+	if h.next != nil {
+		r.HasNext = h.next.Number
+	}
+	return r
+}
+
+// Told takes the answer to what was asked at a time. It tells whether what is acted on
+// has changed: then the caller puts Acting in force before it asks again, since the next
+// renewal says so. An error is an answer that can't be true.
+func (h *Holder) Told(asked Boot, g *Grant) (changed bool, err error) {
+	if asked < h.asked {
+		return false, nil // late word: what was asked for after it says more
+	}
+	h.asked = asked
+	if g.Epoch < h.epoch {
+		return false, fmt.Errorf("epoch %d after %d: late word, or a crew that was formed anew (then restart this process)", g.Epoch, h.epoch)
+	}
+	if !g.Granted {
+		h.epoch = g.Epoch
+		return false, nil
+	}
+	active, err := h.whole(&g.Active)
+	if err != nil {
+		return false, err
+	}
+	var next *Round
+	if g.Next != nil {
+		if next, err = h.whole(g.Next); err != nil {
+			return false, err
+		}
+	}
+	if active.Number < h.active.Number {
+		return false, fmt.Errorf("version %d after %d: what has been active does not come back", active.Number, h.active.Number)
+	}
+	before := h.stamp()
+	h.active, h.next, h.epoch = *active, next, g.Epoch
+	h.ends = max(h.ends, asked+h.terms.Lease)
+	h.look()
+	return h.stamp() != before, nil
+}
+
+// stamp is equal as long as the rules are.
+func (h *Holder) stamp() [3]uint64 {
+	s := [3]uint64{h.active.Number}
+	if h.next != nil {
+		s[1], s[2] = h.next.Number, uint64(h.next.State)
+	}
+	return s
+}
+
+// whole returns a round with its document: from what came, or from what is known.
+func (h *Holder) whole(r *Round) (*Round, error) {
+	if r.Number == 0 {
+		return r, nil
+	}
+	for _, known := range []*Round{&h.active, h.next} {
+		if known != nil && known.Number == r.Number && known.Hash == r.Hash {
+			out := *r
+			out.Doc = known.Doc
+			return &out, nil
+		}
+	}
+	if err := r.Check(); err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+// look works out what is acted on, and what is to be said of the proposal under way.
+func (h *Holder) look() {
+	now := h.own.Over(&h.active.Doc, h.connect)
+	h.rules = now
+	if h.next == nil {
+		return
+	}
+	if h.checked != h.next.Number {
+		h.checked, h.refusal = h.next.Number, ""
+		if err := h.own.Fits(&h.active.Doc, &h.next.Doc, h.terms.FixedClasses); err != nil {
+			h.refusal = err.Error()
+		}
+	}
+	both, err := now.Stricter(h.own.Over(&h.next.Doc, h.connect))
+	if h.next.State == Prepared && err == nil {
+		h.rules, h.prepared = both, h.next.Number
+		return
+	}
+	// A ban binds at once wherever it is heard, be it only proposed.
+	for _, name := range h.next.Doc.Banned {
+		h.rules.Banned[name] = true
+	}
+}
+
+// Acting is what is acted on at a time, and until when that may be relied on without
+// another look.
+func (h *Holder) Acting(now Boot) Stance {
+	s := Stance{Rules: h.rules, Active: h.active.Number, Epoch: h.epoch}
+	if h.next != nil && h.next.State == Prepared && h.prepared == h.next.Number {
+		s.Next = h.next.Number
+	}
+	if now >= h.ends {
+		s.Cautious, s.Next = true, 0
+		s.Rules = h.cautious
+		s.Rules.Banned = h.rules.Banned // bans and drains are kept
+		s.Rules.MaxAttempts = h.rules.MaxAttempts
+	}
+	return s
+}
+
+// Ends is when the lease ends; 0 before the first.
+func (h *Holder) Ends() Boot { return h.ends }
--- /dev/null
+++ b/internal/crew/ledger.go
@@ -0,0 +1,230 @@
+// Package crew holds what the sidecars of a crew agree on, and by which rules: who is in, in which epoch, which version of
+// the rules is acted on, and until when each may act on it. It is pure: no clock, no I/O, no goroutine. Its folders carry
+// it out: keeper the agreement, member a sidecar's part.
+//
+// Three parts: Ledger is what the keepers' log says, the same everywhere; Granter is what their leader keeps in memory
+// alone; Holder is a member's side.
+package crew
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"heathgap/internal/crew/terms"
+	"heathgap/internal/versions"
+)
+
+// Boot is a moment on a machine's clock that goes on while it is suspended (CLOCK_BOOTTIME). Moments of different
+// processes are never compared.
+type Boot = time.Duration
+
+// Terms are those of the operator's file.
+type Terms = terms.Terms
+
+// Member is a process that is in the crew.
+type Member struct {
+	Name    string `cbor:"1,keyasint"`
+	Token   uint64 `cbor:"2,keyasint"` // of one start of the process: the same name twice is two tokens
+	Zone    string `cbor:"3,keyasint,omitempty"`
+	Address string `cbor:"4,keyasint"` // where peers reach it
+}
+
+// State is how far a proposed version has come.
+type State uint8
+
+// The states, in their order.
+const (
+	Checking State = iota + 1 // each member looks whether it can take it
+	Prepared                  // each acts on what both neighbours allow
+	Active                    // acted on
+	Refused                   // ended; it was never acted on
+)
+
+// String is the word that people read.
+func (s State) String() string {
+	return [...]string{"none", "checking", "prepared", "active", "refused"}[min(int(s), 4)]
+}
+
+// Round is a version with its state.
+type Round struct {
+	versions.Version
+	ID    uint64 `cbor:"20,keyasint"` // of the proposal: said twice, it counts once
+	State State  `cbor:"21,keyasint"`
+	Why   string `cbor:"22,keyasint,omitempty"` // it was refused
+}
+
+// mostHistory bounds the ended rounds that the ledger keeps, for people and for proposals
+// that are said again; documents of 64 KiB make 8 MiB of it at most.
+const mostHistory = 128
+
+// Ledger is what the keepers agree on. It changes by Apply alone, in the order of their
+// log, and is the same after the same entries.
+type Ledger struct {
+	Epoch   uint64            `cbor:"1,keyasint"` // rises with each change of members
+	Members map[string]Member `cbor:"2,keyasint"` // by name
+	Active  Round             `cbor:"3,keyasint"` // number 0 before the first version
+	Next    *Round            `cbor:"4,keyasint,omitempty"`
+	// History holds rounds that have ended, the newest last: refused, or active once.
+	History []Round `cbor:"5,keyasint,omitempty"`
+	Last    uint64  `cbor:"6,keyasint"` // the highest number given
+	// Keepers are ids by names: of the folders that take part in the agreement.
+	Keepers map[string]uint64 `cbor:"7,keyasint"`
+}
+
+// NewLedger returns that of a crew without members and versions.
+func NewLedger() *Ledger { return &Ledger{Members: map[string]Member{}} }
+
+// Entry is one change that a leader proposes. One of its parts is set.
+type Entry struct {
+	Enter    []Member  `cbor:"1,keyasint,omitempty"`
+	Gone     []Member  `cbor:"2,keyasint,omitempty"` // by name and token
+	Propose  *Proposal `cbor:"3,keyasint,omitempty"`
+	Prepare  uint64    `cbor:"4,keyasint,omitempty"` // number
+	Activate uint64    `cbor:"5,keyasint,omitempty"`
+	End      *End      `cbor:"6,keyasint,omitempty"`
+	// Epoch under which the leader came to the conclusion; 0 where it rests on no members.
+	Epoch uint64 `cbor:"7,keyasint,omitempty"`
+}
+
+// Proposal is a version that somebody asks for.
+type Proposal struct {
+	ID     uint64            `cbor:"1,keyasint"`
+	Parent uint64            `cbor:"2,keyasint"` // what the author saw as active
+	Author string            `cbor:"3,keyasint,omitempty"`
+	Note   string            `cbor:"4,keyasint,omitempty"`
+	Doc    versions.Document `cbor:"5,keyasint"`
+}
+
+// End is a proposal's end by refusal.
+type End struct {
+	Number uint64 `cbor:"1,keyasint"`
+	Why    string `cbor:"2,keyasint"`
+}
+
+// Apply takes one entry of the log. An entry that does not fit any more changes nothing:
+// its reason is for whoever proposed it.
+func (l *Ledger) Apply(e *Entry) error {
+	switch {
+	case len(e.Enter) > 0 || len(e.Gone) > 0:
+		return l.change(e.Enter, e.Gone)
+	case e.Propose != nil:
+		return l.propose(e.Propose)
+	case e.Epoch != l.Epoch:
+		// Guards against a conclusion about members that have changed since it was drawn.
+		return fmt.Errorf("epoch %d has passed, it is %d", e.Epoch, l.Epoch)
+	case e.Prepare > 0:
+		return l.advance(e.Prepare, Checking, Prepared)
+	case e.Activate > 0:
+		if err := l.advance(e.Activate, Prepared, Active); err != nil {
+			return err
+		}
+		if l.Active.Number > 0 {
+			l.keep(l.Active)
+		}
+		l.Active, l.Next = *l.Next, nil
+	case e.End != nil:
+		if l.Next == nil || l.Next.Number != e.End.Number || l.Next.State != Checking {
+			return fmt.Errorf("version %d is not being checked", e.End.Number)
+		}
+		l.Next.State, l.Next.Why = Refused, e.End.Why
+		l.keep(*l.Next)
+		l.Next = nil
+	}
+	return nil
+}
+
+func (l *Ledger) change(enter, gone []Member) error {
+	changed := false
+	for _, m := range gone {
+		if in, there := l.Members[m.Name]; there && in.Token == m.Token {
+			delete(l.Members, m.Name)
+			changed = true
+		}
+	}
+	for _, m := range enter {
+		// Guards against a second process under one name: the first must be gone before.
+		if in, there := l.Members[m.Name]; there && in.Token != m.Token || !there && len(l.Members) >= terms.MostMembers {
+			continue
+		}
+		changed = changed || l.Members[m.Name] != m
+		l.Members[m.Name] = m
+	}
+	if changed {
+		l.Epoch++
+	}
+	return nil
+}
+
+func (l *Ledger) propose(p *Proposal) error {
+	if l.Find(p.ID) != nil {
+		return nil // said again: its answer was lost
+	}
+	switch {
+	case l.Next != nil:
+		return fmt.Errorf("version %d is under way (%v); propose again when it has ended", l.Next.Number, l.Next.State)
+	case p.Parent != l.Active.Number:
+		return fmt.Errorf("parent %d is not the active version, that is %d; look at it (versions, diff) and propose again",
+			p.Parent, l.Active.Number)
+	}
+	v := versions.Version{Number: l.Last + 1, Parent: p.Parent, Author: p.Author, Note: p.Note, Doc: p.Doc, Hash: p.Doc.Hash()}
+	if err := v.Check(); err != nil {
+		return err
+	}
+	if v.Hash == l.Active.Hash {
+		return fmt.Errorf("nothing differs from version %d", l.Active.Number)
+	}
+	l.Last++
+	l.Next = &Round{Version: v, ID: p.ID, State: Checking}
+	return nil
+}
+
+func (l *Ledger) advance(number uint64, from, to State) error {
+	if l.Next == nil || l.Next.Number != number || l.Next.State != from {
+		return fmt.Errorf("version %d is not %v", number, from)
+	}
+	l.Next.State = to
+	return nil
+}
+
+func (l *Ledger) keep(r Round) {
+	if len(l.History) >= mostHistory {
+		l.History = slices.Delete(l.History, 0, len(l.History)-mostHistory+1)
+	}
+	l.History = append(l.History, r)
+}
+
+// Rounds are all rounds that are kept, the oldest first.
+func (l *Ledger) Rounds() []Round {
+	all := slices.Clone(l.History)
+	if l.Active.Number > 0 {
+		all = append(all, l.Active)
+	}
+	if l.Next != nil {
+		all = append(all, *l.Next)
+	}
+	slices.SortFunc(all, func(a, b Round) int { return int(a.Number) - int(b.Number) })
+	return all
+}
+
+// Find returns the round of a proposal, nil if there is none or it is too long ago.
+func (l *Ledger) Find(id uint64) *Round {
+	for _, r := range l.Rounds() {
+		if r.ID == id {
+			return &r
+		}
+	}
+	return nil
+}
+
+// Clone returns a ledger that changes by itself. Documents are never changed, and shared.
+func (l *Ledger) Clone() *Ledger {
+	c := *l
+	c.Members, c.History, c.Keepers = maps.Clone(l.Members), slices.Clone(l.History), maps.Clone(l.Keepers)
+	if l.Next != nil {
+		next := *l.Next
+		c.Next = &next
+	}
+	return &c
+}
--- /dev/null
+++ b/internal/crew/terms/terms.go
@@ -0,0 +1,49 @@
+// Package terms holds what all processes of a crew must be started with alike. It stands apart from package crew so that
+// reading an operator's file links none of the agreement's libraries.
+package terms
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Terms are what all processes of a crew must be started with alike: a lease that holder
+// and granter count differently would protect nothing.
+type Terms struct {
+	Lease time.Duration // for so long a member may act on what it was told, from before it asked
+	Drift float64       // each clock's rate is right to this part, at most
+	Slack time.Duration // between a member's look at its lease and what it then does
+	// FixedClasses no version may change: a member that is cut off goes on with them as they are.
+	FixedClasses []string
+}
+
+// Bounds of the terms, and of a crew.
+const (
+	LeastLease  = 200 * time.Millisecond // shorter ones end between two renewals on a busy machine
+	MostLease   = time.Minute
+	MostDrift   = 0.1
+	MostMembers = 4096
+	MostKeepers = 7
+)
+
+// Wait is how long after its last word a granter takes a lease for held: however far
+// apart both clocks go within the drift, the holder has stopped by then.
+func (t Terms) Wait() time.Duration {
+	return time.Duration(float64(t.Lease)*(1+t.Drift)/(1-t.Drift)) + t.Slack
+}
+
+// Hash is equal for equal terms.
+func (t Terms) Hash() string {
+	fixed := slices.Sorted(slices.Values(t.FixedClasses))
+	sum := sha256.Sum256(fmt.Appendf(nil, "%d %v %d %q", t.Lease, t.Drift, t.Slack, fixed))
+	return fmt.Sprintf("%x", sum[:8])
+}
+
+// String names them as the operator's file does.
+func (t Terms) String() string {
+	return fmt.Sprintf("lease %v, drift %v, slack %v, fixed_classes [%s]", t.Lease, t.Drift, t.Slack,
+		strings.Join(t.FixedClasses, " "))
+}
