--- /dev/null
+++ b/internal/crew/keeper/form.go
@@ -0,0 +1,228 @@
+package keeper
+
+import (
+	"fmt"
+	"maps"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.etcd.io/raft/v3"
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"heathgap/internal/crew"
+	"heathgap/internal/peers"
+)
+
+// Form: how keepers with empty folders become a crew, and how one with an empty folder comes into a crew that stands.
+//
+// Each draws an id when its folder is made. A keeper that has heard the ids of all keepers named in its file writes this
+// set into its folder, where it does not change any more; it begins when every other one has said that it holds the same
+// set, or one that holds it says that it has begun. So a folder that is lost on the way can't make two crews of one: its
+// new id is in nobody's set, and the others wait until all start anew, or have begun without it.
+
+// formWord is what a keeper says of itself.
+type formWord struct {
+	Name  string            `cbor:"1,keyasint"`
+	ID    uint64            `cbor:"2,keyasint"`
+	Set   map[string]uint64 `cbor:"3,keyasint,omitempty"`
+	Begun bool              `cbor:"4,keyasint,omitempty"`
+	Terms string            `cbor:"5,keyasint"`
+}
+
+func (k *Keeper) word() formWord {
+	set := k.store.who.Set
+	if k.node != nil && len(k.ledger.Keepers) > 0 {
+		set = k.ledger.Keepers
+	}
+	return formWord{k.conf.Name, k.store.who.ID, maps.Clone(set), k.node != nil && len(k.ledger.Keepers) > 0, k.conf.Terms.Hash()}
+}
+
+// settled tells whether this keeper's own folder takes part in the agreement.
+func (k *Keeper) settled() bool {
+	return k.node != nil && k.ledger.Keepers[k.conf.Name] == k.store.who.ID
+}
+
+// askToForm asks the other keepers, each in a goroutine of its own.
+func (k *Keeper) askToForm() {
+	for name, address := range k.conf.Keepers {
+		if name == k.conf.Name {
+			continue
+		}
+		mine := k.word()
+		k.world.Go("form", func() {
+			line := peers.NewLine(k.world, k.conf.Crew, k.conf.Name, address)
+			defer line.Close()
+			var theirs formWord
+			if err := line.Call("form", mine, &theirs, peerTime); err != nil {
+				return
+			}
+			k.post(func() { k.hear(theirs) })
+		})
+	}
+}
+
+// takeForm answers another keeper's word with the own one.
+func (k *Keeper) takeForm(_ string, body []byte) (any, error) {
+	var theirs formWord
+	if err := peers.Decode(body, &theirs); err != nil {
+		return nil, fmt.Errorf("form: malformed: %w", err)
+	}
+	reply := make(chan formWord, 1)
+	if !k.post(func() {
+		k.hear(theirs)
+		reply <- k.word()
+	}) {
+		return nil, ErrEnded
+	}
+	select {
+	case w := <-reply:
+		return w, nil
+	case <-k.ended:
+		return nil, ErrEnded
+	}
+}
+
+// hear takes another keeper's word.
+func (k *Keeper) hear(w formWord) {
+	if k.fail != nil || w.Name == k.conf.Name || k.conf.Keepers[w.Name] == "" || w.ID == 0 {
+		return
+	}
+	before, known := k.heard[w.Name]
+	if k.heard[w.Name] = w; w.Terms != k.conf.Terms.Hash() {
+		if !known || before.Terms != w.Terms {
+			k.log.Error().Str("keeper", w.Name).Str("here", k.conf.Terms.String()).Msg("its terms differ; start all with the same [crew]")
+		}
+		return
+	}
+	if k.node != nil && len(k.ledger.Keepers) > 0 {
+		k.replace(w)
+		return
+	}
+	if k.node == nil {
+		k.fail = k.form()
+	}
+}
+
+// form takes the next step towards a crew, if there is one to take.
+func (k *Keeper) form() error {
+	mine := k.store.who.Set
+	for _, w := range k.heard {
+		if w.Set != nil && w.Set[k.conf.Name] != k.store.who.ID {
+			return nil // formed, or about to be, with a folder that is lost: this one is to replace it
+		}
+	}
+	if mine == nil {
+		if len(k.heard) < len(k.conf.Keepers)-1 {
+			return nil
+		}
+		set := map[string]uint64{k.conf.Name: k.store.who.ID}
+		for name, w := range k.heard {
+			set[name] = w.ID
+		}
+		for _, w := range k.heard {
+			if w.Terms != k.conf.Terms.Hash() || w.Set != nil && !maps.Equal(w.Set, set) {
+				return nil
+			}
+		}
+		if err := k.store.form(set); err != nil {
+			return fmt.Errorf("writing: %w", err)
+		}
+		mine = set
+	}
+	alike, begun := 0, false
+	for _, w := range k.heard {
+		if maps.Equal(w.Set, mine) {
+			alike++
+			begun = begun || w.Begun
+		}
+	}
+	if alike < len(mine)-1 && !begun {
+		return nil
+	}
+	return k.found(mine)
+}
+
+// found writes the beginning that all keepers of a set have in common: a snapshot with an empty ledger.
+func (k *Keeper) found(set map[string]uint64) error {
+	ledger := crew.NewLedger()
+	ledger.Keepers = maps.Clone(set)
+	text, err := cbor.Marshal(ledger)
+	if err != nil {
+		return err
+	}
+	conf := &raftpb.ConfState{}
+	for _, id := range set {
+		conf.Voters = append(conf.Voters, id)
+	}
+	first := uint64(1)
+	snap := &raftpb.Snapshot{Data: text, Metadata: &raftpb.SnapshotMetadata{ConfState: conf, Index: &first, Term: &first}}
+	if err := k.store.save(&raftpb.HardState{Term: &first, Commit: &first}, nil, snap, true); err != nil {
+		return fmt.Errorf("writing: %w", err)
+	}
+	k.log.Info().Int("keepers", len(set)).Msg("the crew is formed")
+	return k.begin()
+}
+
+// replacement is the context of a change of keepers.
+type replacement struct {
+	Name string `cbor:"1,keyasint"`
+	ID   uint64 `cbor:"2,keyasint"`
+}
+
+// replace has the leader put a keeper's new folder in the place of the one that it lost, one at a time, and only if the
+// old one has not been heard of for an election's time: the same name started twice must not push out who serves.
+func (k *Keeper) replace(w formWord) {
+	old, there := k.ledger.Keepers[w.Name]
+	if k.state != raft.StateLeader || !there || old == w.ID || w.Set != nil || k.changing(0) || k.mark != 0 || !k.caughtUp() {
+		return
+	}
+	if p, ok := k.node.Status().Progress[old]; ok && p.RecentActive {
+		k.log.Warn().Str("keeper", w.Name).Msg("a second process under this name has an empty folder; the first one serves, nothing is changed")
+		return
+	}
+	context, err := cbor.Marshal(replacement{w.Name, w.ID})
+	if err != nil {
+		return
+	}
+	add, remove := raftpb.ConfChangeAddNode, raftpb.ConfChangeRemoveNode
+	err = k.node.ProposeConfChange(&raftpb.ConfChangeV2{Context: context, Changes: []*raftpb.ConfChangeSingle{
+		{Type: &add, NodeId: &w.ID}, {Type: &remove, NodeId: &old},
+	}})
+	if err == nil {
+		k.log.Info().Str("keeper", w.Name).Msg("a keeper comes back with an empty folder")
+	}
+}
+
+// changing tells whether a change of keepers is under way; with an id, whether that one is a part of it.
+func (k *Keeper) changing(id uint64) bool {
+	if k.conf3 == nil {
+		return false
+	}
+	for _, voters := range [][]uint64{k.conf3.GetVoters(), k.conf3.GetVotersOutgoing()} {
+		for _, v := range voters {
+			if id != 0 && v == id {
+				return true
+			}
+		}
+	}
+	return id == 0 && len(k.conf3.GetVotersOutgoing()) > 0
+}
+
+// applyConf takes a change of keepers that is agreed on.
+func (k *Keeper) applyConf(e *raftpb.Entry) error {
+	change := &raftpb.ConfChangeV2{}
+	if err := proto.Unmarshal(e.GetData(), change); err != nil {
+		return fmt.Errorf("%w: entry %d: %w", errDamaged, e.GetIndex(), err)
+	}
+	k.conf3 = k.node.ApplyConfChange(change)
+	if len(change.GetContext()) == 0 {
+		return nil // the end of a joint change
+	}
+	var r replacement
+	if err := cbor.Unmarshal(change.GetContext(), &r); err != nil {
+		return fmt.Errorf("%w: entry %d: %w", errDamaged, e.GetIndex(), err)
+	}
+	k.ledger.Keepers[r.Name] = r.ID
+	k.log.Info().Str("keeper", r.Name).Msg("a keeper's folder was replaced")
+	return nil
+}
--- /dev/null
+++ b/internal/crew/member/member.go
@@ -0,0 +1,281 @@
+// Package member makes a sidecar a member of a crew: it keeps the sidecar's lease, tells the engine what to act on, and
+// runs a keeper where this sidecar is one.
+package member
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"heathgap/internal/config"
+	"heathgap/internal/crew"
+	"heathgap/internal/crew/keeper"
+	"heathgap/internal/env"
+	"heathgap/internal/operator"
+	"heathgap/internal/peers"
+	"heathgap/internal/pipeline"
+	"heathgap/internal/versions"
+)
+
+// Figures of a member.
+const (
+	// beats of a lease: a member asks so often, so that several answers may be lost before it is cut off.
+	beats = 8
+	// callPart of a lease is how long one renewal may take: two keepers can be tried before it ends.
+	callPart  = 3
+	leaveTime = 500 * time.Millisecond // for the word that this process ends
+	mostAgain = 4                      // renewals in a row that the leader has asked for
+)
+
+// Member is a sidecar's part in a crew.
+type Member struct {
+	conf   operator.Crew
+	world  env.Env
+	log    zerolog.Logger
+	server *peers.Server
+	keeper *keeper.Keeper         // nil where this sidecar is none
+	lines  map[string]*peers.Line // to keepers, by name
+	order  []string               // keepers' names, the one to be asked first in front
+
+	mu         sync.Mutex
+	holder     *crew.Holder
+	generation uint64
+	warned     string // the last reason that was logged; guarded by mu
+	acting     atomic.Pointer[acted]
+	halt       chan struct{}
+	ended      chan struct{}
+
+	renewals, refused, lost atomic.Int64
+}
+
+// acted is what is acted on until a time.
+type acted struct {
+	pipeline.Acting
+	stance crew.Stance
+	until  crew.Boot // of the lease; what stands here holds no longer
+}
+
+// Start begins; the sidecar acts cautiously until the crew has told it more.
+func Start(table operator.Crew, conf *config.Config, world env.Env, log zerolog.Logger) (*Member, error) {
+	log = log.With().Str("crew", table.Name).Logger()
+	self := crew.Member{Name: conf.Name, Token: keeper.Draw(), Zone: conf.Settings.Zone, Address: table.Address}
+	m := &Member{
+		conf: table, world: world, log: log, lines: map[string]*peers.Line{},
+		holder: crew.NewHolder(self, table.Terms, versions.Own(&conf.Settings), conf.ConnectTimeout),
+		halt:   make(chan struct{}), ended: make(chan struct{}),
+	}
+	m.publish(world.Boot())
+	var err error
+	if m.server, err = peers.Listen(world, table.Address, table.Name); err != nil {
+		return nil, err
+	}
+	handlers := map[string]peers.Handler{"acting": m.tellActing}
+	if _, is := table.Keepers[conf.Name]; is {
+		if table.Data == "" {
+			m.server.Close()
+			return nil, fmt.Errorf("crew.data: missing; allowed: a folder of this keeper's own (%s stands under crew.keeper)", conf.Name)
+		}
+		m.keeper, err = keeper.Open(keeper.Conf{
+			Crew: table.Name, Name: conf.Name, Keepers: table.Keepers, Terms: table.Terms, Data: table.Data,
+		}, world, log)
+		if err != nil {
+			m.server.Close()
+			return nil, err
+		}
+		maps.Copy(handlers, m.keeper.Handlers())
+		world.Go("keeper", m.keeper.Run)
+	}
+	for _, name := range slices.Sorted(maps.Keys(table.Keepers)) {
+		m.lines[name] = peers.NewLine(world, table.Name, conf.Name, table.Keepers[name])
+		m.order = append(m.order, name)
+	}
+	m.server.Serve(world, handlers)
+	world.Go("lease", m.run)
+	return m, nil
+}
+
+// Acting is pipeline.Rules': the lease is looked at each time, so that a process that was paused finds it ended before it
+// acts.
+func (m *Member) Acting() *pipeline.Acting {
+	a := m.acting.Load()
+	if now := m.world.Boot(); now >= a.until && !a.Cautious {
+		return &m.publish(now).Acting
+	}
+	return &a.Acting
+}
+
+// publish puts in force what the holder says, if it differs.
+func (m *Member) publish(now crew.Boot) *acted {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.publishLocked(now)
+}
+
+func (m *Member) publishLocked(now crew.Boot) *acted {
+	stance := m.holder.Acting(now)
+	before := m.acting.Load()
+	if before != nil && before.Cautious == stance.Cautious && before.stance.Active == stance.Active &&
+		before.stance.Next == stance.Next && maps.Equal(before.Banned, stance.Rules.Banned) {
+		next := *before // the same, for longer
+		next.until, next.stance.Epoch = m.holder.Ends(), stance.Epoch
+		m.acting.Store(&next)
+		return &next
+	}
+	m.generation++
+	next := &acted{stance: stance, until: m.holder.Ends(), Acting: pipeline.Acting{
+		Generation: m.generation, Ruling: stance.Rules.Ruling(), Banned: stance.Rules.Banned, Cautious: stance.Cautious,
+	}}
+	m.acting.Store(next)
+	ev := m.log.Info()
+	if stance.Cautious {
+		ev = m.log.Warn()
+	}
+	ev.Bool("cautious", stance.Cautious).Uint64("version", stance.Active).Uint64("next", stance.Next).Uint64("epoch", stance.Epoch).
+		Int("banned", len(stance.Rules.Banned)).Msg("rules in force")
+	return next
+}
+
+// run keeps the lease until Stop.
+func (m *Member) run() {
+	defer close(m.ended)
+	beat := m.conf.Terms.Lease / beats
+	timer := m.world.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-m.halt:
+			return
+		case <-timer.C():
+		}
+		for range mostAgain {
+			if again := m.renew(); !again {
+				break
+			}
+		}
+		m.Acting() // an end of the lease is told when it comes, not with the next request
+		timer.Reset(beat)
+	}
+}
+
+// renew asks for the lease once. It tells whether to ask again at once.
+func (m *Member) renew() (again bool) {
+	m.mu.Lock()
+	r := m.holder.Ask()
+	m.mu.Unlock()
+	asked := m.world.Boot()
+	m.renewals.Add(1)
+	grant, err := m.ask(&r)
+	if err != nil {
+		m.lost.Add(1)
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before := r
+	_, err = m.holder.Told(asked, grant)
+	if err != nil {
+		m.warn("the crew's word can't be taken", err.Error())
+		return false
+	}
+	m.publishLocked(m.world.Boot())
+	if !grant.Granted {
+		m.refused.Add(1)
+		if !grant.Again {
+			m.warn("the crew grants no lease", grant.Why)
+		}
+		return grant.Again
+	}
+	m.warned = ""
+	// What is new to the leader it hears now, not with the next beat: a version comes through that much sooner.
+	after := m.holder.Ask()
+	return after.Checked != before.Checked || after.Prepared != before.Prepared
+}
+
+// warn writes a line, but not the same one with each beat.
+func (m *Member) warn(what, why string) {
+	if key, _, _ := strings.Cut(why, "whose lease"); key != m.warned {
+		m.warned = key
+		m.log.Warn().Str("why", why).Msg(what)
+	}
+}
+
+// errNoLeader is that no keeper leads, or none that can be reached.
+var errNoLeader = errors.New("no keeper leads that can be reached")
+
+// ask finds the leader and asks it.
+func (m *Member) ask(r *crew.Renewal) (*crew.Grant, error) {
+	limit := m.world.Now().Add(m.conf.Terms.Lease)
+	for tries := 0; tries < len(m.order)+2; tries++ {
+		name := m.order[0]
+		var reply keeper.Renewed
+		err := m.lines[name].Call("renew", r, &reply, m.conf.Terms.Lease/callPart)
+		if err == nil && reply.Grant != nil {
+			return reply.Grant, nil
+		}
+		if !m.world.Now().Before(limit) {
+			break
+		}
+		if reply.Leader != "" && reply.Leader != name && m.lines[reply.Leader] != nil {
+			m.first(reply.Leader)
+			continue
+		}
+		m.order = append(m.order[1:], name)
+	}
+	return nil, errNoLeader
+}
+
+// first puts a keeper in front.
+func (m *Member) first(name string) {
+	i := slices.Index(m.order, name)
+	m.order = slices.Insert(slices.Delete(m.order, i, i+1), 0, name)
+}
+
+// Acts is what a member says that it acts on.
+type Acts struct {
+	Name     string   `cbor:"1,keyasint"`
+	Cautious bool     `cbor:"2,keyasint"`
+	Active   uint64   `cbor:"3,keyasint"`
+	Next     uint64   `cbor:"4,keyasint"`
+	Epoch    uint64   `cbor:"5,keyasint"`
+	LeaseMS  int      `cbor:"6,keyasint"` // left; below 0 when it has ended
+	Banned   []string `cbor:"7,keyasint,omitempty"`
+	Renewals int64    `cbor:"8,keyasint"`
+	Refused  int64    `cbor:"9,keyasint"`
+	Lost     int64    `cbor:"10,keyasint"`
+}
+
+func (m *Member) tellActing(string, []byte) (any, error) {
+	m.Acting()
+	a := m.acting.Load()
+	return Acts{
+		Name: m.holder.Self.Name, Cautious: a.Cautious, Active: a.stance.Active, Next: a.stance.Next, Epoch: a.stance.Epoch,
+		LeaseMS: int((a.until - m.world.Boot()).Milliseconds()), Banned: slices.Sorted(maps.Keys(a.Banned)),
+		Renewals: m.renewals.Load(), Refused: m.refused.Load(), Lost: m.lost.Load(),
+	}, nil
+}
+
+// Stop says that this process ends, so that its name is free and nobody waits for its lease, and ends the keeper.
+func (m *Member) Stop() {
+	close(m.halt)
+	<-m.ended
+	m.mu.Lock()
+	r := m.holder.Ask()
+	m.mu.Unlock()
+	r.Leaving = true
+	var reply keeper.Renewed
+	m.lines[m.order[0]].Call("renew", &r, &reply, leaveTime) //nolint:errcheck // else its lease's end says it
+	for _, l := range m.lines {
+		l.Close()
+	}
+	if m.keeper != nil {
+		m.keeper.Stop()
+	}
+	m.server.Close()
+}
--- /dev/null
+++ b/internal/crew/member/process.go
@@ -0,0 +1,38 @@
+package member
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/rs/zerolog"
+
+	"heathgap/internal/config"
+	"heathgap/internal/env"
+	"heathgap/internal/lifecycle"
+	"heathgap/internal/operator"
+)
+
+// Process runs a sidecar as a member of the crew that its operator's file names, and returns the process's exit code.
+func Process() int {
+	file, err := operator.FromEnv(os.Getenv)
+	if err == nil && file.Crew == nil {
+		err = fmt.Errorf("%s: no table [crew]; bin/heathgap serves without one", os.Getenv(operator.EnvFile))
+	}
+	if err != nil {
+		log := zerolog.New(os.Stderr).With().Timestamp().Logger()
+		log.Error().Err(err).Msg("bad operator's file")
+		return 1
+	}
+	return lifecycle.Main(lifecycle.Options{Operator: file, Crew: Joiner(*file.Crew)})
+}
+
+// Joiner makes sidecars members of the crew that a table names.
+func Joiner(table operator.Crew) func(*config.Config, env.Env, zerolog.Logger) (lifecycle.Crew, error) {
+	return func(conf *config.Config, world env.Env, log zerolog.Logger) (lifecycle.Crew, error) {
+		m, err := Start(table, conf, world, log)
+		if err != nil {
+			return nil, err
+		}
+		return m, nil
+	}
+}
--- a/internal/env/env.go
+++ b/internal/env/env.go
@@ -8,12 +8,17 @@
 	"math/rand/v2"
 	"net"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Env is the world as a sidecar meets it.
 type Env interface {
 	// Now is the present time, monotonic within a process.
 	Now() time.Time
+	// Boot is the time since some moment before the process's start; unlike Now's it goes on while the machine is
+	// suspended. A lease is counted by it.
+	Boot() time.Duration
 	// NewTimer returns a timer that fires once, as time.NewTimer does.
 	NewTimer(d time.Duration) Timer
 	// AfterFunc calls f in a goroutine of its own after a time.
@@ -43,6 +48,15 @@
 // Now is time.Now.
 func (Real) Now() time.Time { return time.Now() }
 
+// Boot is CLOCK_BOOTTIME. Where the kernel has none (Linux before 2.6.39) there is nothing to count a lease by.
+func (Real) Boot() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		panic(err)
+	}
+	return time.Duration(t.Nano())
+}
+
 // NewTimer is time.NewTimer.
 func (Real) NewTimer(d time.Duration) Timer { return realTimer{time.NewTimer(d)} }
 
--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,235 @@
+// Package peers is how processes of a crew talk: HTTP/1.1 on the sidecar's own network code, with CBOR bodies. It has no
+// encryption and no sign-in: a crew's addresses are loopback, or a closed network of the operators.
+package peers
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/valyala/fasthttp"
+
+	"heathgap/internal/env"
+	"heathgap/internal/httpwire"
+)
+
+// Bounds.
+const (
+	// MostMessage bounds a message in bytes: the keepers' snapshot with the longest history of the longest documents.
+	MostMessage = 16 << 20
+	// mostConns are served at a time: each member has one, and members of a fleet that starts at once come a few times.
+	mostConns = 8192
+	readTime  = 5 * time.Second  // for a message, once its first byte has come
+	idleTime  = 70 * time.Second // above the longest lease: members renew more often
+	dialTime  = time.Second
+	mostWhy   = 4096 // bytes of a refusal
+)
+
+// prefix of all paths; the number is the version of what is said.
+const prefix = "/crew/1/"
+
+// Message is what goes over the wire: whose it is, and what it says.
+type Message struct {
+	Crew string          `cbor:"1,keyasint"` // another crew's is refused
+	From string          `cbor:"2,keyasint"`
+	Body cbor.RawMessage `cbor:"3,keyasint"`
+}
+
+// ErrRefused is that a peer understood a message and did not take it.
+var ErrRefused = errors.New("refused")
+
+// Handler answers messages of one kind. Its error is told to who asked.
+type Handler func(from string, body []byte) (any, error)
+
+// decoding bounds what a message may hold before memory is taken.
+var decoding, _ = cbor.DecOptions{MaxArrayElements: 1 << 16, MaxMapPairs: 1 << 16, MaxNestedLevels: 16}.DecMode()
+
+// Decode reads a message's body.
+func Decode(body []byte, into any) error { return decoding.Unmarshal(body, into) }
+
+// Server answers peers.
+type Server struct {
+	crew     string
+	handlers map[string]Handler
+	listener net.Listener
+	server   *fasthttp.Server
+	conns    atomic.Int64
+	Refused  atomic.Int64 // connections that there was no room for
+	BytesIn  atomic.Int64
+	BytesOut atomic.Int64
+}
+
+// Listen opens an address; Serve begins to answer there.
+func Listen(world env.Env, address, crew string) (*Server, error) {
+	l, err := world.Listen(address)
+	if err != nil {
+		return nil, fmt.Errorf("crew.address: %w", err)
+	}
+	s := &Server{crew: crew, listener: l}
+	s.server = &fasthttp.Server{
+		Handler: s.handle, Concurrency: 2 * mostConns, MaxRequestBodySize: MostMessage, ReadTimeout: readTime,
+		WriteTimeout: readTime, IdleTimeout: idleTime, NoDefaultServerHeader: true, NoDefaultDate: true,
+		NoDefaultContentType: true, Logger: silent{}, CloseOnShutdown: true,
+		ConnState: func(_ net.Conn, state fasthttp.ConnState) {
+			switch state {
+			case fasthttp.StateNew:
+				s.conns.Add(1)
+			case fasthttp.StateClosed, fasthttp.StateHijacked:
+				s.conns.Add(-1)
+			}
+		},
+	}
+	return s, nil
+}
+
+type silent struct{}
+
+// Printf is fasthttp.Logger's.
+func (silent) Printf(string, ...any) {}
+
+// Serve answers messages by their kinds until Close.
+func (s *Server) Serve(world env.Env, handlers map[string]Handler) {
+	s.handlers = handlers
+	world.Go("peers", func() { s.server.Serve(s.listener) }) //nolint:errcheck // it ends with Close
+}
+
+// Address is where it listens.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Close ends it; what is being answered is cut.
+func (s *Server) Close() { s.listener.Close() }
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	if s.conns.Load() > mostConns {
+		s.Refused.Add(1)
+		ctx.SetConnectionClose()
+		ctx.Error("too many connections", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	s.BytesIn.Add(int64(len(ctx.Request.Body())))
+	kind, ok := strings.CutPrefix(string(ctx.Path()), prefix)
+	do := s.handlers[kind]
+	if !ok || do == nil || !ctx.IsPost() {
+		ctx.Error(fmt.Sprintf("%s %.100s: unknown; allowed: POST %s... of a heathgap of this version", ctx.Method(), ctx.Path(), prefix),
+			fasthttp.StatusNotFound)
+		return
+	}
+	var m Message
+	if err := Decode(ctx.Request.Body(), &m); err != nil {
+		ctx.Error(fmt.Sprintf("%s: malformed: %v", kind, err), fasthttp.StatusBadRequest)
+		return
+	}
+	if m.Crew != s.crew {
+		ctx.Error(fmt.Sprintf("%s: for the crew %.100q; this is one of %q", kind, m.Crew, s.crew), fasthttp.StatusForbidden)
+		return
+	}
+	answer, err := do(m.From, m.Body)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusConflict)
+		return
+	}
+	text, err := cbor.Marshal(answer)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	s.BytesOut.Add(int64(len(text)))
+	ctx.SetBody(text)
+}
+
+// Line calls one address, one message at a time, on a connection that it keeps. Its methods may be called by any
+// goroutine; they wait for one another.
+type Line struct {
+	world      env.Env
+	crew, from string
+	address    string
+
+	mu   sync.Mutex
+	link *httpwire.Link
+}
+
+// NewLine returns one that is not connected.
+func NewLine(world env.Env, crew, from, address string) *Line {
+	return &Line{world: world, crew: crew, from: from, address: address}
+}
+
+// Address is where it calls.
+func (l *Line) Address() string { return l.address }
+
+// Close ends its connection.
+func (l *Line) Close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.drop()
+}
+
+func (l *Line) drop() {
+	if l.link != nil {
+		l.link.Close()
+		l.link = nil
+	}
+}
+
+// Call says one thing and reads the answer into a value, within a time. An error that is ErrRefused came from the peer;
+// after any other one nobody knows whether the peer has heard it.
+func (l *Line) Call(kind string, body, answer any, within time.Duration) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	err := l.call(kind, body, answer, within)
+	if err != nil && !errors.Is(err, ErrRefused) {
+		l.drop()
+	}
+	return err
+}
+
+func (l *Line) call(kind string, body, answer any, within time.Duration) error {
+	raw, err := cbor.Marshal(body)
+	if err != nil {
+		return err
+	}
+	text, err := cbor.Marshal(Message{l.crew, l.from, raw})
+	if err != nil {
+		return err
+	}
+	until := l.world.Now().Add(within)
+	if l.link != nil && !l.link.Fresh() {
+		l.drop()
+	}
+	if l.link == nil {
+		if l.link, err = httpwire.Dial(context.Background(), l.world, l.address, min(dialTime, within)); err != nil {
+			return err
+		}
+	}
+	var head bytes.Buffer
+	fmt.Fprintf(&head, "POST %s%s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n\r\n", prefix, kind, l.address, len(text))
+	head.Write(text)
+	if whole, err := l.link.Send(head.Bytes(), until); !whole {
+		return fmt.Errorf("%s: writing: %w", l.address, err)
+	}
+	var r fasthttp.Response
+	if err := r.ReadLimitBody(l.link.Reader(), MostMessage); err != nil {
+		if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF
+		}
+		return fmt.Errorf("%s: answer: %w", l.address, err)
+	}
+	if r.ConnectionClose() {
+		l.drop()
+	}
+	if r.StatusCode() != fasthttp.StatusOK {
+		why := r.Body()
+		return fmt.Errorf("%w by %s: %s", ErrRefused, l.address, why[:min(len(why), mostWhy)])
+	}
+	if answer == nil {
+		return nil
+	}
+	return Decode(r.Body(), answer)
+}
--- a/internal/sim/proc.go
+++ b/internal/sim/proc.go
@@ -52,6 +52,9 @@
 // Now is env.Env's.
 func (p *Proc) Now() time.Time { return time.Now() }
 
+// Boot is env.Env's: machines are not suspended here.
+func (p *Proc) Boot() time.Duration { return p.w.now() }
+
 // Go is env.Env's: the goroutine begins when the scheduler says so.
 func (p *Proc) Go(name string, f func()) {
 	key := p.number(name)
