A sidecar acts on its crew's rules: [crew], bin/heathgap-crew, heathgap crew ...

Cause: what the crew agrees on has to bind where requests are decided and written. Result: bin/heathgap links no library of it; off, it costs one comparison an event.

--- a/internal/command/heathgap.go
+++ b/internal/command/heathgap.go
@@ -24,9 +24,10 @@
 
 // heathgap is the command line of the sidecar.
 type heathgap struct {
-	Serve   serve   `cmd:"" default:"withargs" help:"Run one sidecar, told by BALANCER_CONFIG; without any command, this one."`
-	Check   check   `cmd:"" help:"Tell all that is wrong with files, and start nothing."`
-	Version version `cmd:"" help:"Tell which build this is."`
+	Serve   serve        `cmd:"" default:"withargs" help:"Run one sidecar, told by BALANCER_CONFIG; without any command, this one."`
+	Check   check        `cmd:"" help:"Tell all that is wrong with files, and start nothing."`
+	Crew    crewCommands `cmd:"" help:"Ask the crew that an operator's file names, and change its rules."`
+	Version version      `cmd:"" help:"Tell which build this is."`
 }
 
 // Out is where a command writes.
@@ -78,18 +79,22 @@
 
 // target is the sidecar's program, beside this one, and its environment.
 func (c *serve) target(executable func() (string, error)) (path string, env []string, err error) {
-	env = os.Environ()
+	env, program := os.Environ(), "heathgap"
 	if c.Operator != "" {
-		if _, err := operator.Load(c.Operator); err != nil {
+		file, err := operator.Load(c.Operator)
+		if err != nil {
 			return "", nil, err
 		}
+		if file.Crew != nil {
+			program = "heathgap-crew"
+		}
 		env = append(env, operator.EnvFile+"="+c.Operator)
 	}
 	self, err := executable()
 	if err != nil {
 		return "", nil, err
 	}
-	return filepath.Join(filepath.Dir(self), "heathgap"), env, nil
+	return filepath.Join(filepath.Dir(self), program), env, nil
 }
 
 type check struct {
--- a/internal/lifecycle/process.go
+++ b/internal/lifecycle/process.go
@@ -1,6 +1,7 @@
 package lifecycle
 
 import (
+	"fmt"
 	"os"
 	"os/signal"
 	"runtime"
@@ -23,6 +24,9 @@
 // and the path of an operator's file where there is one.
 func Process() int {
 	file, err := operator.FromEnv(os.Getenv)
+	if err == nil && file.Crew != nil {
+		err = fmt.Errorf("%s: it has a table [crew]: bin/heathgap serve --operator starts bin/heathgap-crew with it", os.Getenv(operator.EnvFile))
+	}
 	if err != nil {
 		log := zerolog.New(os.Stderr).With().Timestamp().Logger()
 		log.Error().Err(err).Msg("bad operator's file")
--- a/internal/lifecycle/sidecar.go
+++ b/internal/lifecycle/sidecar.go
@@ -53,6 +53,7 @@
 	callers *httpwire.Callers
 	server  *fasthttp.Server
 	console *console.Console // nil where none is configured
+	crew    Crew             // nil for a sidecar in none
 	upgrade upgrade
 	cancel  context.CancelFunc
 	ran     chan struct{} // closed when the engine has stopped
@@ -79,6 +80,15 @@
 	Meet     string  // where the processes of an upgrade meet; empty for nowhere
 	Decider  Decider // nil for the module
 	World    env.Env // nil for the real one
+	// Crew makes the sidecar a member of a crew; nil for a sidecar in none.
+	Crew func(conf *config.Config, world env.Env, log zerolog.Logger) (Crew, error)
+}
+
+// Crew is a sidecar's part in a crew: the rules on which its members agree.
+type Crew interface {
+	pipeline.Rules
+	// Stop leaves the crew.
+	Stop()
 }
 
 // Start starts a sidecar; it takes requests when Start has returned.
@@ -109,6 +119,14 @@
 	s := &Sidecar{
 		conf: conf, log: log, ends: ends, world: world, engine: engine, ran: make(chan struct{}), served: make(chan error, 1),
 	}
+	if opts.Crew != nil {
+		crew, err := opts.Crew(conf, world, log)
+		if err != nil {
+			return nil, err
+		}
+		engine.Heed(crew)
+		s.crew = crew
+	}
 	listener, err := s.listen(opts.Meet)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
@@ -203,6 +221,9 @@
 		s.console.Close()
 	}
 	s.upgrade.end()
+	if s.crew != nil {
+		s.crew.Stop() // only now: what it has acted on until here the crew's rules allowed
+	}
 	s.log.Info().Object("counters", s.engine.Snapshot()).Int("callers", s.callers.Open()).Msg("stopped")
 }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -26,6 +26,7 @@
 type File struct {
 	Log   Log
 	Watch Watch
+	Crew  *Crew // nil for a sidecar in no crew
 }
 
 // Watch is the table [watch].
@@ -87,6 +88,9 @@
 		}
 		f.Watch.Settings = set
 	}
+	if doc.Root.Has("crew") {
+		f.Crew = decodeCrew(doc.Root.Table("crew"))
+	}
 	if err := doc.Err(); err != nil {
 		return File{}, err
 	}
--- a/internal/pipeline/discover.go
+++ b/internal/pipeline/discover.go
@@ -212,13 +212,21 @@
 
 // takeList books a list and tells the module.
 func (e *Engine) takeList(list *httpwire.List, kind decide.EventKind) {
+	if e.rules != nil {
+		list = e.withhold(list)
+	}
+	e.tell(decide.Event{Kind: kind, Endpoints: e.update(list)})
+	e.listed.Store(true)
+	e.takeStock()
+}
+
+// update books a list and returns it in the module's words.
+func (e *Engine) update(list *httpwire.List) []decide.Endpoint {
 	lines, stale := e.endpoints.Update(list, e.clock.Now())
 	for _, s := range stale {
 		e.pool.DropAll(s, httpwire.ReasonUnlisted)
 	}
-	e.tell(decide.Event{Kind: kind, Endpoints: lines})
-	e.listed.Store(true)
-	e.takeStock()
+	return lines
 }
 
 // takeStock brings the figures of the list up to date.
--- a/internal/pipeline/engine.go
+++ b/internal/pipeline/engine.go
@@ -81,6 +81,17 @@
 	passing   map[*httpwire.AnswerRest]struct{} // long answers whose rest is on its way
 	stopping  bool                              // nothing is taken any more
 	actions   []decide.Action
+
+	rules    Rules // nil where the sidecar is in no crew
+	acting   *Acting
+	byCrew   map[string]bool                    // endpoints that the crew's version bans; true where one by hand stands beside it
+	withheld map[string]httpwire.ListedEndpoint // lines of the list that are not taken yet, by name
+}
+
+// Heed has the engine act on rules that others agree on. It is called before Run.
+func (e *Engine) Heed(rules Rules) {
+	e.rules, e.acting = rules, &Acting{}
+	e.byCrew, e.withheld = map[string]bool{}, map[string]httpwire.ListedEndpoint{}
 }
 
 // New returns an engine that has not started.
--- a/internal/pipeline/operate.go
+++ b/internal/pipeline/operate.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 
 	"heathgap/decide"
 	"heathgap/internal/httpwire"
@@ -63,6 +64,9 @@
 }
 
 func (c banCall) handle(e *Engine) {
+	if e.rules != nil && e.handBan(&c) {
+		return
+	}
 	if c.seen {
 		e.endpoints.See(c.name)
 	}
@@ -109,8 +113,12 @@
 
 func (w legacyWanted) handle(e *Engine) {
 	t := e.endpoints
+	byHand := slices.DeleteFunc(t.Banned(), func(name string) bool {
+		hand, crew := e.byCrew[name]
+		return crew && !hand // the successor hears of it from the crew
+	})
 	w.reply <- Legacy{
-		List: httpwire.List{Index: e.index, Whole: true, Endpoints: t.Lines()}, Seen: t.Seen(), Banned: t.Banned(),
+		List: httpwire.List{Index: e.index, Whole: true, Endpoints: t.Lines()}, Seen: t.Seen(), Banned: byHand,
 		Lifted: t.Lifted(e.clock.Now() - e.conf.Settings.Rules.ColdTime),
 	}
 }
--- a/internal/pipeline/route.go
+++ b/internal/pipeline/route.go
@@ -18,6 +18,9 @@
 	}
 	e.telling = true
 	for len(e.pending) > 0 {
+		if e.rules != nil {
+			e.heed()
+		}
 		next := e.pending[0]
 		e.pending = e.pending[1:]
 		e.actions = e.balancer.Handle(e.clock.Now(), &next, e.actions[:0])
--- a/internal/pipeline/send.go
+++ b/internal/pipeline/send.go
@@ -24,6 +24,9 @@
 	}
 	to := e.endpoints.Get(a.Endpoint)
 	attempt := e.requests.Begin(r, to, now, until)
+	if e.rules != nil {
+		attempt.Generation = e.acting.Generation
+	}
 	switch {
 	case r.Over, r.Deadline <= now:
 		e.settle(attempt, decide.NotSent, nil)
@@ -78,6 +81,10 @@
 		return
 	}
 	upload := a.Request.Message.Upload
+	if e.rules != nil && !e.mayWrite(a) {
+		done.outcome = decide.NotSent
+		return
+	}
 	if !a.Write() || upload != nil && !upload.Claim() {
 		done.outcome = decide.NotSent // its request has ended while the connection was being made
 		return
--- a/internal/state/endpoint.go
+++ b/internal/state/endpoint.go
@@ -73,6 +73,9 @@
 // Get returns the endpoint with an id, or nil.
 func (t *Endpoints) Get(id decide.EndpointID) *Endpoint { return t.byID[id] }
 
+// Known tells whether an endpoint of that name is listed, or still sent to.
+func (t *Endpoints) Known(name string) bool { return t.byName[name] != nil }
+
 // Len is how many are listed.
 func (t *Endpoints) Len() int { return len(t.byName) - len(t.absent) }
 
--- a/internal/state/request.go
+++ b/internal/state/request.go
@@ -33,8 +33,10 @@
 	Until    decide.Time // when it times out
 	GiveUp   context.CancelFunc
 	Settled  bool // it has its outcome
-	gate     atomic.Int32
-	place    int // in Timeouts, from 1; 0 when it is not there
+	// Generation is that of the rules by which it was decided on; 0 where there are none beside the settings.
+	Generation uint64
+	gate       atomic.Int32
+	place      int // in Timeouts, from 1; 0 when it is not there
 }
 
 // The states of an attempt's gate.
