A rig of processes: relays, faults and a book that judges a crew from outside

Cause: promises across processes need several processes of the program, and a verdict that is not theirs. Change: heathlab crew FILE plays kills, stops, cuts either way, wiped folders, resets and proposals between 3 to 30 processes; internal/lab/accord judges by what endpoints received, and by what each said.

--- /dev/null
+++ b/internal/lab/accord/accord.go
@@ -0,0 +1,264 @@
+// Package accord judges whether the processes of a crew kept to rules that agree: from what reached endpoints, when, and
+// from what each process said that it acts on. It is pure. Times count from the start of a run, on one clock.
+package accord
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Conf holds the figures of the rules.
+type Conf struct {
+	AtMost time.Duration // members may contradict each other for so long
+	// Margin is for sockets and goroutines of who watches: what it saw may have happened that much before.
+	Margin time.Duration
+}
+
+// Forbids is what a version forbids, of what endpoints can see.
+type Forbids struct {
+	Resend bool     // of the probed class
+	Banned []string // endpoints that get nothing
+}
+
+// Saying is what a process said that it acts on, when that was heard.
+type Saying struct {
+	At       time.Duration
+	Cautious bool
+	Active   uint64
+	Next     uint64 // acted on as well; 0 for none
+}
+
+// Act is something that an endpoint saw a process do.
+type Act struct {
+	At       time.Duration
+	Process  string
+	Endpoint string
+	Resend   bool // of the probed class: else any request
+	What     string
+}
+
+// Break is one case of a broken rule.
+type Break struct {
+	Rule string
+	At   time.Duration
+	What string
+}
+
+// The rules.
+const (
+	Contradicts = "contradicts" // an act that others have held forbidden for too long
+	AgainstSelf = "against_own" // an act that the process itself had said it forbids
+	FarApart    = "far_apart"   // two members on versions that are no neighbours
+	GoesBack    = "goes_back"   // a member on a version before one that it had acted on
+	TwoLeaders  = "two_leaders" // two leaders of one term
+	LostVersion = "lost"        // a version that was told is not there any more
+)
+
+const mostBreaks = 50
+
+// Book is the account of a run.
+type Book struct {
+	conf     Conf
+	forbids  map[uint64]Forbids
+	said     map[string][]Saying
+	names    []string
+	acts     []Act
+	leaders  map[uint64]string
+	told     []uint64
+	breaks   []Break
+	starts   map[string][]time.Duration // of a process: what it said before counts no more
+	recorded int
+}
+
+// New returns an empty book.
+func New(conf Conf) *Book {
+	return &Book{conf: conf, forbids: map[uint64]Forbids{}, said: map[string][]Saying{}, leaders: map[uint64]string{},
+		starts: map[string][]time.Duration{}}
+}
+
+// Version books what a version forbids. Version 0 forbids nothing.
+func (b *Book) Version(number uint64, f Forbids) { b.forbids[number] = f }
+
+// Told books that somebody was told that a version is agreed on.
+func (b *Book) Told(number uint64) { b.told = append(b.told, number) }
+
+// Started books a start of a process.
+func (b *Book) Started(at time.Duration, name string) { b.starts[name] = append(b.starts[name], at) }
+
+// Says books what a process said.
+func (b *Book) Says(name string, s Saying) {
+	if _, known := b.said[name]; !known {
+		b.names = append(b.names, name)
+	}
+	said := b.said[name]
+	if n := len(said); n > 0 && s.Active < said[n-1].Active && !b.startedBetween(name, said[n-1].At, s.At) {
+		b.broken(GoesBack, s.At, "%s acts on version %d after version %d", name, s.Active, said[n-1].Active)
+	}
+	b.said[name] = append(said, s)
+}
+
+func (b *Book) startedBetween(name string, from, to time.Duration) bool {
+	return slices.ContainsFunc(b.starts[name], func(at time.Duration) bool { return at >= from && at <= to })
+}
+
+// Did books an act.
+func (b *Book) Did(a Act) { b.acts = append(b.acts, a) }
+
+// Leads books that a process is said to lead in a term.
+func (b *Book) Leads(at time.Duration, term uint64, name string) {
+	if name == "" || term == 0 {
+		return
+	}
+	if other := b.leaders[term]; other != "" && other != name {
+		b.broken(TwoLeaders, at, "%s and %s lead in term %d", other, name, term)
+	}
+	b.leaders[term] = name
+}
+
+func (b *Book) broken(rule string, at time.Duration, format string, args ...any) {
+	if b.recorded++; len(b.breaks) < mostBreaks {
+		b.breaks = append(b.breaks, Break{rule, at, fmt.Sprintf(format, args...)})
+	}
+}
+
+// forbidden tells whether what a process says it acts on forbids an act.
+func (b *Book) forbidden(s *Saying, a *Act) bool {
+	if s.Cautious {
+		return false // it vouches for nothing: it only does less itself
+	}
+	for _, number := range []uint64{s.Active, s.Next} {
+		f := b.forbids[number]
+		if a.Resend && f.Resend || !a.Resend && slices.Contains(f.Banned, a.Endpoint) {
+			return true
+		}
+	}
+	return false
+}
+
+// since tells from when on a process has held an act forbidden that came at a time: its first word of an unbroken
+// stretch that reaches past the act. ok is false when it did not hold it forbidden then.
+func (b *Book) since(name string, a *Act) (from time.Duration, ok bool) {
+	said := b.said[name]
+	next, _ := slices.BinarySearchFunc(said, a.At, func(s Saying, at time.Duration) int { return cmp.Compare(s.At, at) })
+	if next == len(said) || next == 0 || !b.forbidden(&said[next], a) {
+		return 0, false
+	}
+	i := next - 1
+	if !b.forbidden(&said[i], a) || b.startedBetween(name, said[i].At, said[next].At) {
+		return 0, false
+	}
+	for i > 0 && b.forbidden(&said[i-1], a) && !b.startedBetween(name, said[i-1].At, said[i].At) {
+		i--
+	}
+	return said[i].At, true
+}
+
+// Report is what a run came to.
+type Report struct {
+	Breaks []Break
+	Broken int // in all; the first are in Breaks
+	// Longest is the longest that an act went on which others held forbidden.
+	Longest time.Duration
+	Acts    int // that were judged
+	// Against counts acts that some member held forbidden, also for a time that is allowed.
+	Against int
+	// Unaware counts requests to banned endpoints by processes that were cut off before the ban.
+	Unaware int
+}
+
+// unaware tells whether a process sent to a banned endpoint that was cut off before it heard of the ban: it can't know, and
+// goes on serving. What it had heard before still binds it.
+func (b *Book) unaware(a *Act) bool {
+	said := b.said[a.Process]
+	next, _ := slices.BinarySearchFunc(said, a.At, func(s Saying, at time.Duration) int { return cmp.Compare(s.At, at) })
+	if a.Resend || next == len(said) || next == 0 && !said[0].Cautious {
+		return false
+	}
+	for _, s := range said[max(0, next-1) : next+1] {
+		if s.Cautious && !slices.Contains(b.forbids[s.Active].Banned, a.Endpoint) {
+			return true
+		}
+	}
+	return false
+}
+
+// Close judges the run. present tells which versions the crew still has in the end, by number.
+func (b *Book) Close(present map[uint64]bool) Report {
+	r := Report{Acts: len(b.acts)}
+	for i := range b.acts {
+		a := &b.acts[i]
+		if b.unaware(a) {
+			r.Unaware++
+			continue
+		}
+		against := false
+		for _, name := range b.names {
+			from, ok := b.since(name, a)
+			if !ok {
+				continue
+			}
+			for_ := a.At - from
+			if name == a.Process {
+				if for_ > b.conf.Margin {
+					b.broken(AgainstSelf, a.At, "%s did %s %v after it had said that it is forbidden", name, a.What, for_)
+				}
+				continue
+			}
+			against = true
+			if r.Longest = max(r.Longest, for_); for_ > b.conf.AtMost+b.conf.Margin {
+				b.broken(Contradicts, a.At, "%s did %s, %s has held that forbidden for %v", a.Process, a.What, name, for_)
+			}
+		}
+		if against {
+			r.Against++
+		}
+	}
+	b.checkApart()
+	for _, number := range b.told {
+		if present != nil && !present[number] {
+			b.broken(LostVersion, 0, "version %d was told and is gone", number)
+		}
+	}
+	r.Breaks, r.Broken = b.breaks, b.recorded
+	return r
+}
+
+// checkApart looks for members that vouch for versions that are no neighbours: one that others had left behind for good
+// longer ago than is allowed.
+func (b *Book) checkApart() {
+	var all []struct {
+		Saying
+		name string
+	}
+	for _, name := range b.names {
+		for _, s := range b.said[name] {
+			all = append(all, struct {
+				Saying
+				name string
+			}{s, name})
+		}
+	}
+	slices.SortStableFunc(all, func(x, y struct {
+		Saying
+		name string
+	}) int {
+		return cmp.Compare(x.At, y.At)
+	})
+	first := map[uint64]time.Duration{} // when each version was first acted on alone
+	highest := uint64(0)
+	for _, s := range all {
+		if s.Cautious {
+			continue
+		}
+		if s.Next == 0 && s.Active > highest {
+			highest = s.Active
+			first[highest] = s.At
+		}
+		if at, ok := first[highest]; ok && s.Active < highest && s.Next != highest && s.At-at > b.conf.AtMost+b.conf.Margin {
+			b.broken(FarApart, s.At, "%s acts on version %d, %v after version %d alone was acted on", s.name, s.Active, s.At-at, highest)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/rig/crew.go
@@ -0,0 +1,812 @@
+package rig
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"heathgap/decide"
+	"heathgap/internal/crew"
+	"heathgap/internal/crew/keeper"
+	"heathgap/internal/crew/member"
+	"heathgap/internal/env"
+	"heathgap/internal/lab/accord"
+	"heathgap/internal/lab/scenario"
+	"heathgap/internal/peers"
+	"heathgap/internal/versions"
+)
+
+// A crew of real processes with relays between them: faults on the ways and of the processes, a load that endpoints
+// count, and a book (internal/lab/accord) that judges from outside.
+
+// Figures of a crew's rig.
+const (
+	crewEndpoints  = 4
+	pollCrew       = 40 * time.Millisecond  // each process is asked so often what it acts on
+	pollTime       = 500 * time.Millisecond // for one answer: a process may be stopped
+	probeEvery     = 200 * time.Millisecond // a request that all endpoints break off: is it sent again?
+	probedClass    = "pay"
+	loadClass      = "look"
+	crewMargin     = 250 * time.Millisecond // for a poll, its answer and a busy machine
+	leaderTime     = 15 * time.Second       // for a crew to form and to have a leader
+	proposeTime    = 2 * time.Second        // for one try of a proposal
+	leastAttempts  = 2                      // with two a probe shows whether it may be sent again, at one retry's price
+	settleFor      = 1500 * time.Millisecond
+	crewDeadlineMS = 800.0
+)
+
+// CrewOptions are those of a run.
+type CrewOptions struct {
+	Program  func() *exec.Cmd // a command that runs one member
+	LogDir   string           // for the processes' logs; empty for none
+	Dir      string           // for their files; empty for one of the run's own, which ends with it
+	Progress func(line string)
+	// Separate starts the processes without a crew, each with its own rules: what the crew prevents shows so.
+	Separate bool
+}
+
+// CrewRecord is what a run came to.
+type CrewRecord struct {
+	Name      string   `json:"name"`
+	Seed      uint64   `json:"seed"`
+	Processes int      `json:"processes"`
+	Steps     []string `json:"steps"` // as they were played
+	Broken    int      `json:"broken"`
+	Breaks    []string `json:"breaks,omitempty"`
+	// Contradicted is the longest that an act went on which another member held forbidden.
+	Contradicted float64            `json:"contradicted_ms"`
+	AtMost       float64            `json:"contradict_at_most_ms"`
+	Acts         int                `json:"acts"`
+	Against      int                `json:"acts_against"`
+	Asked        int                `json:"asked"`
+	Served       int                `json:"served"`
+	Versions     []CrewVersion      `json:"versions,omitempty"`
+	Leaders      map[uint64]string  `json:"leaders,omitempty"` // by term
+	CautiousMS   map[string]float64 `json:"cautious_ms,omitempty"`
+}
+
+// CrewVersion is how one proposal went.
+type CrewVersion struct {
+	Number   uint64  `json:"number"`
+	State    string  `json:"state"`
+	Why      string  `json:"why,omitempty"`
+	ActiveMS float64 `json:"active_ms,omitempty"` // until the last live member acted on it alone
+}
+
+// crewProc is one process over all its starts.
+type crewProc struct {
+	name    string
+	host    string
+	listen  string
+	address string // of its part in the crew
+	dir     string
+	starts  int
+	proc    *process
+	line    *peers.Line
+
+	mu      sync.Mutex
+	up      bool // it runs, and is not stopped
+	stopped bool
+}
+
+// crewRig is a run.
+type crewRig struct {
+	scene *scenario.Crew
+	opts  CrewOptions
+	seed  uint64
+	dir   string
+	hosts *hosts
+	began time.Time
+
+	procs  []*crewProc
+	relays map[[2]string]*relay // from one process to a keeper
+	ends   []*crewEndpoint
+
+	mu       sync.Mutex // guards book and what follows
+	book     *accord.Book
+	rec      CrewRecord
+	leader   string // as last said
+	lastTerm uint64
+	pending  map[uint64]time.Duration // versions on their way, and when they were proposed
+	lastAt   map[string]member.Acts
+	cautious map[string]time.Duration
+	asked    atomic.Int64
+	served   atomic.Int64
+	ids      sync.Map // of probes that have come to an endpoint
+}
+
+// seen tells whether a probe has come before.
+func (r *crewRig) seen(id string) bool {
+	_, before := r.ids.LoadOrStore(id, struct{}{})
+	return before
+}
+
+func (r *crewRig) now() time.Duration { return time.Since(r.began) }
+
+func (r *crewRig) note(format string, args ...any) {
+	line := fmt.Sprintf("%6.2fs ", r.now().Seconds()) + fmt.Sprintf(format, args...)
+	r.mu.Lock()
+	r.rec.Steps = append(r.rec.Steps, line)
+	r.mu.Unlock()
+	if r.opts.Progress != nil {
+		r.opts.Progress(line)
+	}
+}
+
+// RunCrew plays a crew's scenario.
+func RunCrew(ctx context.Context, scene *scenario.Crew, seed uint64, opts CrewOptions) (*CrewRecord, error) {
+	dir, err := opts.Dir, error(nil)
+	if dir == "" {
+		if dir, err = os.MkdirTemp("", "heathgap-crew-"); err != nil {
+			return nil, err
+		}
+		defer os.RemoveAll(dir)
+	}
+	r := &crewRig{
+		scene: scene, opts: opts, seed: seed, dir: dir, hosts: newHosts(), began: time.Now(), relays: map[[2]string]*relay{},
+		book: accord.New(accord.Conf{AtMost: scene.ContradictAtMost, Margin: crewMargin}), pending: map[uint64]time.Duration{},
+		lastAt: map[string]member.Acts{}, cautious: map[string]time.Duration{},
+		rec: CrewRecord{Name: scene.Name, Seed: seed, Processes: scene.Keepers + scene.Members, Leaders: map[uint64]string{},
+			AtMost: millis(scene.ContradictAtMost)},
+	}
+	r.book.Version(0, accord.Forbids{})
+	defer r.close()
+	if err := r.start(ctx); err != nil {
+		return nil, err
+	}
+	playing, done := context.WithCancel(ctx)
+	var all sync.WaitGroup
+	for _, p := range r.procs {
+		all.Go(func() { r.poll(playing, p) })
+		all.Go(func() { r.probe(playing, p) })
+		all.Go(func() { r.load(playing, p) })
+	}
+	err = r.play(ctx)
+	if err == nil {
+		err = r.settle(ctx)
+	}
+	done()
+	all.Wait()
+	if err != nil {
+		return nil, err
+	}
+	r.judge()
+	return &r.rec, nil
+}
+
+// start starts endpoints, relays and processes, and waits until there is a leader.
+func (r *crewRig) start(ctx context.Context) error {
+	for i := range crewEndpoints {
+		e, err := startCrewEndpoint(r, fmt.Sprintf("e-%d", i+1))
+		if err != nil {
+			return err
+		}
+		r.ends = append(r.ends, e)
+	}
+	for i := range r.scene.Keepers + r.scene.Members {
+		p := &crewProc{name: fmt.Sprintf("k%d", i+1), host: r.hosts.take()}
+		if i >= r.scene.Keepers {
+			p.name = fmt.Sprintf("m%d", i+1-r.scene.Keepers)
+		}
+		p.dir = filepath.Join(r.dir, p.name)
+		var err error
+		if p.listen, err = freePort(p.host); err != nil {
+			return err
+		}
+		if p.address, err = freePort(p.host); err != nil {
+			return err
+		}
+		p.line = peers.NewLine(env.Real{}, r.scene.Name, "lab", p.address)
+		r.procs = append(r.procs, p)
+	}
+	for _, p := range r.procs {
+		for _, k := range r.procs[:r.scene.Keepers] {
+			if p == k {
+				continue
+			}
+			way, err := newRelay(r.hosts.take(), k.address)
+			if err != nil {
+				return err
+			}
+			r.relays[[2]string{p.name, k.name}] = way
+		}
+	}
+	var starting sync.WaitGroup
+	faults := make([]error, len(r.procs))
+	for i, p := range r.procs {
+		starting.Go(func() { faults[i] = r.startProc(ctx, p) })
+	}
+	starting.Wait()
+	if err := errors.Join(faults...); err != nil {
+		return err
+	}
+	if r.opts.Separate {
+		return nil
+	}
+	limit := time.Now().Add(leaderTime)
+	for {
+		ready := 0
+		for _, p := range r.procs {
+			var a member.Acts
+			if p.line.Call("acting", struct{}{}, &a, pollTime) == nil && !a.Cautious {
+				ready++
+			}
+		}
+		if ready == len(r.procs) {
+			r.note("%d processes hold a lease", ready)
+			return nil
+		}
+		if time.Now().After(limit) || ctx.Err() != nil {
+			return fmt.Errorf("only %d of %d processes hold a lease after %v; keep the logs (LogDir) and look there", ready, len(r.procs), leaderTime)
+		}
+		time.Sleep(pollCrew)
+	}
+}
+
+// operatorFile is what a process is told of the crew.
+func (r *crewRig) operatorFile(p *crewProc) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "[crew]\nname = %q\naddress = %q\ndata = %q\nlease = %q\ndrift = %v\nslack = %q\ncontradict_at_most = %q\n",
+		r.scene.Name, p.address, filepath.Join(p.dir, "data"), r.scene.Lease, r.scene.Drift, r.scene.Slack, r.scene.ContradictAtMost)
+	fmt.Fprintf(&b, "fixed_classes = [%q]\n", loadClass)
+	for _, k := range r.procs[:r.scene.Keepers] {
+		address := k.address
+		if way := r.relays[[2]string{p.name, k.name}]; way != nil {
+			address = way.address()
+		}
+		fmt.Fprintf(&b, "[[crew.keeper]]\nname = %q\naddress = %q\n", k.name, address)
+	}
+	return b.String()
+}
+
+// config is a process's configuration. effect is that of the probed class.
+func (r *crewRig) config(p *crewProc, effect decide.Effect) ([]byte, error) {
+	lines := []any{}
+	for i, e := range r.ends {
+		lines = append(lines, map[string]any{"name": e.name, "address": e.address, "zone": "a", "group": i, "status": "SERVING"})
+	}
+	class := func(name, effect string) any {
+		return map[string]any{"name": name, "effect": effect, "group": "all", "aim": 300.0, "deadline": crewDeadlineMS, "worth": 1.0}
+	}
+	return json.Marshal(map[string]any{
+		"name": p.name, "listen": p.listen, "discovery": p.host + ":9", "seed": fmt.Sprintf("%x", r.seed+uint64(p.starts)*7919),
+		"known": map[string]any{"index": 1, "snapshot": true, "endpoints": lines},
+		"settings": map[string]any{
+			"me": slices.Index(r.procs, p), "replicas_of_me": len(r.procs), "az": "a", "tier": 0, "stages": []string{"one"}, "tick": 2.0,
+			"membership_mode": "subscribe", "over_share_worth": 0.1,
+			"bounds": map[string]any{"cancel": true, "max_attempts": leastAttempts, "connect_timeout": 300.0, "conn_idle": 5000.0, "most_held": 500},
+			"rules": map[string]any{"answer_slack": 50.0, "ask_every": 5000.0, "cold": 1000.0, "cold_from": 0.5, "drain_grace": 300.0,
+				"fall_multiple": 50.0, "overload_for": 5000.0},
+			"profiles": []any{class(loadClass, "repeatable"), class(probedClass, versions.EffectWords[effect])},
+		},
+	})
+}
+
+func (r *crewRig) startProc(ctx context.Context, p *crewProc) error {
+	return r.startAs(ctx, p, decide.Safe)
+}
+
+func (r *crewRig) startAs(ctx context.Context, p *crewProc, effect decide.Effect) error {
+	p.starts++
+	if err := os.MkdirAll(filepath.Join(p.dir, "data"), 0o700); err != nil {
+		return err
+	}
+	conf, err := r.config(p, effect)
+	if err != nil {
+		return err
+	}
+	confPath, operatorPath := filepath.Join(p.dir, "sidecar.json"), filepath.Join(p.dir, "operator.toml")
+	if err := errors.Join(os.WriteFile(confPath, conf, 0o600), os.WriteFile(operatorPath, []byte(r.operatorFile(p)), 0o600)); err != nil {
+		return err
+	}
+	cmd := r.opts.Program()
+	if cmd.Env == nil {
+		cmd.Env = os.Environ()
+	}
+	if !r.opts.Separate {
+		cmd.Env = append(cmd.Env, "HEATHGAP_OPERATOR="+operatorPath)
+	}
+	logPath := ""
+	if r.opts.LogDir != "" {
+		logPath = filepath.Join(r.opts.LogDir, p.name+".log")
+	}
+	r.mu.Lock()
+	r.book.Started(r.now(), p.name)
+	r.mu.Unlock()
+	if p.proc, err = startProcess(cmd, p.name, confPath, logPath); err != nil {
+		return err
+	}
+	if err := waitUp(ctx, p.listen, p.proc); err != nil {
+		p.proc.end(syscall.SIGKILL)
+		p.proc.wait(killTime)
+		return fmt.Errorf("%s: %w: %s", p.name, err, p.proc.lastLine)
+	}
+	p.setUp(true)
+	return nil
+}
+
+func (p *crewProc) setUp(up bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.up = up
+}
+
+func (p *crewProc) isUp() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.up
+}
+
+// poll asks a process what it acts on, and a keeper who leads.
+func (r *crewRig) poll(ctx context.Context, p *crewProc) {
+	for ; ctx.Err() == nil; time.Sleep(pollCrew) {
+		if r.opts.Separate {
+			r.mu.Lock()
+			r.book.Says(p.name, accord.Saying{At: r.now(), Active: uint64(p.starts - 1)})
+			r.mu.Unlock()
+			continue
+		}
+		var a member.Acts
+		asked := r.now()
+		if !p.isUp() || p.line.Call("acting", struct{}{}, &a, pollTime) != nil {
+			continue
+		}
+		r.mu.Lock()
+		// What it said held when it was asked or later; the margin covers the time between.
+		r.book.Says(p.name, accord.Saying{At: asked, Cautious: a.Cautious, Active: a.Active, Next: a.Next})
+		if a.Cautious {
+			r.cautious[p.name] += pollCrew
+		}
+		r.lastAt[p.name] = a
+		r.arrivedAt(asked)
+		r.mu.Unlock()
+		if strings.HasPrefix(p.name, "k") {
+			r.askLeader(p)
+		}
+	}
+}
+
+// arrivedAt books versions that every live process acts on alone.
+func (r *crewRig) arrivedAt(now time.Duration) {
+	for number, since := range r.pending {
+		all, one := true, false
+		for _, p := range r.procs {
+			a, heard := r.lastAt[p.name]
+			acts := heard && !a.Cautious && a.Active >= number
+			one = one || acts && p.isUp()
+			all = all && (acts || !p.isUp() || heard && a.Cautious)
+		}
+		if all && one {
+			r.rec.Versions = append(r.rec.Versions, CrewVersion{Number: number, State: "active", ActiveMS: millis(now - since)})
+			delete(r.pending, number)
+		}
+	}
+}
+
+func (r *crewRig) askLeader(p *crewProc) {
+	var s keeper.Status
+	if p.line.Call("status", struct{}{}, &s, pollTime) != nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	// A keeper names the leader of its term; who leads says so itself.
+	if s.Leader == "" {
+		return
+	}
+	r.book.Leads(r.now(), s.Term, s.Leader)
+	if r.rec.Leaders[s.Term] = s.Leader; s.Term >= r.lastTerm {
+		r.leader, r.lastTerm = s.Leader, s.Term
+	}
+}
+
+// load asks for what is served, at an even pace.
+func (r *crewRig) load(ctx context.Context, p *crewProc) {
+	client := &http.Client{Timeout: time.Duration(crewDeadlineMS) * time.Millisecond}
+	defer client.CloseIdleConnections()
+	pace := time.NewTicker(time.Duration(float64(time.Second) / r.scene.Rate))
+	defer pace.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-pace.C:
+		}
+		if !p.isUp() {
+			continue
+		}
+		code := r.get(client, p, loadClass, n)
+		if !p.isUp() { // it was ended meanwhile: its client would have gone elsewhere
+			continue
+		}
+		r.asked.Add(1)
+		if code == http.StatusOK {
+			r.served.Add(1)
+		}
+	}
+}
+
+// probe asks for what all endpoints break off.
+func (r *crewRig) probe(ctx context.Context, p *crewProc) {
+	client := &http.Client{Timeout: 2 * time.Duration(crewDeadlineMS) * time.Millisecond}
+	defer client.CloseIdleConnections()
+	pace := time.NewTicker(probeEvery)
+	defer pace.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-pace.C:
+			if p.isUp() {
+				r.get(client, p, probedClass, n)
+			}
+		}
+	}
+}
+
+func (r *crewRig) get(client *http.Client, p *crewProc, class string, n int) int {
+	q, err := http.NewRequest(http.MethodGet, "http://"+p.listen+"/"+class+"/x", nil)
+	if err != nil {
+		return 0
+	}
+	q.Header.Set("X-Txn", fmt.Sprintf("%s.%d.%s%d", p.name, p.starts, class[:1], n))
+	q.Header.Set("X-Remaining", "0.7")
+	answer, err := client.Do(q)
+	if err != nil {
+		return 0
+	}
+	answer.Body.Close()
+	return answer.StatusCode
+}
+
+// byName finds a process: by its name, or by its part.
+func (r *crewRig) byName(who string) *crewProc {
+	r.mu.Lock()
+	leader := r.leader
+	r.mu.Unlock()
+	switch who {
+	case "leader":
+		who = leader
+	case "follower":
+		for _, p := range r.procs[:r.scene.Keepers] {
+			if p.name != leader && p.isUp() {
+				who = p.name
+				break
+			}
+		}
+	}
+	for _, p := range r.procs {
+		if p.name == who {
+			return p
+		}
+	}
+	return r.procs[0]
+}
+
+// play plays the steps at their times.
+func (r *crewRig) play(ctx context.Context) error {
+	steps := slices.Clone(r.scene.Steps)
+	steps = append(steps, r.draw()...)
+	slices.SortStableFunc(steps, func(a, b scenario.CrewStep) int { return int(a.At - b.At) })
+	begin := r.now()
+	var ends sync.WaitGroup
+	defer ends.Wait()
+	for _, s := range steps {
+		if err := r.sleepUntil(ctx, begin+s.At); err != nil {
+			return err
+		}
+		if err := r.strike(ctx, s, &ends); err != nil {
+			return err
+		}
+	}
+	return r.sleepUntil(ctx, begin+r.scene.Duration)
+}
+
+func (r *crewRig) sleepUntil(ctx context.Context, at time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(at - r.now()):
+		return nil
+	}
+}
+
+// draw draws the steps that follow from the seed.
+func (r *crewRig) draw() []scenario.CrewStep {
+	dice := rand.New(rand.NewPCG(r.seed, 0xc4e3))
+	var steps []scenario.CrewStep
+	span := r.scene.Duration - 2*r.scene.Lease
+	for range r.scene.Random {
+		at := time.Duration(dice.Int64N(int64(span)))
+		who := []string{"leader", "follower", r.procs[dice.IntN(len(r.procs))].name}[dice.IntN(3)]
+		do := scenario.CrewFaults[dice.IntN(len(scenario.CrewFaults))]
+		steps = append(steps, scenario.CrewStep{
+			At: at, Do: do, Who: who, Way: scenario.CrewWays[dice.IntN(len(scenario.CrewWays))],
+			For: r.scene.Lease/2 + time.Duration(dice.Int64N(int64(2*r.scene.Lease))),
+		})
+	}
+	for i := range r.scene.Proposals {
+		at := time.Duration(i+1) * span / time.Duration(r.scene.Proposals+1)
+		s := scenario.CrewStep{At: at, Do: "propose", Effect: "once"}
+		if i%2 == 1 {
+			s.Effect, s.Ban = "repeatable", r.ends[dice.IntN(len(r.ends))].name
+		}
+		steps = append(steps, s)
+	}
+	return steps
+}
+
+// strike plays one step; what it began ends after its time.
+func (r *crewRig) strike(ctx context.Context, s scenario.CrewStep, ends *sync.WaitGroup) error {
+	if s.Do == "propose" {
+		ends.Go(func() { r.propose(ctx, s) })
+		return nil
+	}
+	p := r.byName(s.Who)
+	r.note("%s %s %s %v", s.Do, p.name, s.Way, s.For)
+	later := func(do func()) {
+		ends.Go(func() {
+			select {
+			case <-ctx.Done():
+			case <-time.After(s.For):
+			}
+			do()
+		})
+	}
+	back := func() {
+		if err := r.startProc(ctx, p); err != nil && ctx.Err() == nil {
+			r.mu.Lock()
+			r.rec.Breaks = append(r.rec.Breaks, "does not come back: "+err.Error())
+			r.rec.Broken++
+			r.mu.Unlock()
+		}
+		r.note("%s is back", p.name)
+	}
+	switch s.Do {
+	case "kill", "wipe", "term":
+		if !p.isUp() {
+			return nil
+		}
+		p.setUp(false)
+		signal := syscall.SIGKILL
+		if s.Do == "term" {
+			signal = syscall.SIGTERM
+		}
+		p.proc.end(signal)
+		later(func() {
+			if !p.proc.wait(killTime) {
+				p.proc.end(syscall.SIGKILL)
+				p.proc.wait(killTime)
+			}
+			if s.Do == "wipe" {
+				os.RemoveAll(filepath.Join(p.dir, "data"))
+			}
+			back()
+		})
+	case "stop":
+		if !p.isUp() {
+			return nil
+		}
+		p.setUp(false)
+		p.proc.signal(syscall.SIGSTOP)
+		later(func() {
+			p.proc.signal(syscall.SIGCONT)
+			p.setUp(true)
+			r.note("%s goes on", p.name)
+		})
+	case "cut":
+		r.cutWays(p, s.Way, true)
+		later(func() {
+			r.cutWays(p, s.Way, false)
+			r.note("%s is whole again", p.name)
+		})
+	case "reset":
+		for ways, way := range r.relays {
+			if ways[0] == p.name || ways[1] == p.name {
+				way.reset()
+			}
+		}
+	case "restart": // without a crew: with other rules
+		p.setUp(false)
+		p.proc.end(syscall.SIGKILL)
+		p.proc.wait(killTime)
+		r.mu.Lock()
+		r.book.Version(1, accord.Forbids{Resend: true})
+		r.mu.Unlock()
+		return r.startAs(ctx, p, decide.Unsafe)
+	}
+	return nil
+}
+
+// cutWays cuts the ways of a process, or opens them: what comes to it ("in"), what it says ("out"), or both.
+func (r *crewRig) cutWays(p *crewProc, way string, cut bool) {
+	for ways, relay := range r.relays {
+		out, in := there, back // of a way that begins at the process
+		switch p.name {
+		case ways[0]:
+		case ways[1]:
+			out, in = back, there
+		default:
+			continue
+		}
+		if way != "in" {
+			relay.set(out, cut)
+		}
+		if way != "out" {
+			relay.set(in, cut)
+		}
+	}
+}
+
+// propose proposes a version at whichever keeper leads, until it is told or refused.
+func (r *crewRig) propose(ctx context.Context, s scenario.CrewStep) {
+	id := keeper.Draw()
+	limit := time.Now().Add(r.scene.Duration)
+	for i := 0; ctx.Err() == nil && time.Now().Before(limit); i++ {
+		p := r.procs[i%r.scene.Keepers]
+		var st keeper.Status
+		if !p.isUp() || p.line.Call("status", struct{}{}, &st, pollTime) != nil || st.Ledger == nil || st.Leader != p.name {
+			time.Sleep(pollCrew)
+			continue
+		}
+		doc := st.Ledger.Active.Doc
+		effect := decide.Safe
+		for e, word := range versions.EffectWords {
+			if word == s.Effect {
+				effect = e
+			}
+		}
+		doc.Classes = maps.Clone(doc.Classes)
+		if s.Effect != "" {
+			if doc.Classes == nil {
+				doc.Classes = map[string]versions.Class{}
+			}
+			doc.Classes[probedClass] = versions.Class{Effect: effect}
+		}
+		doc.Banned = nil
+		if s.Ban != "" {
+			doc.Banned = []string{s.Ban}
+		}
+		r.mu.Lock()
+		next := st.Ledger.Last + 1
+		// Before anybody can act on it; a number that is given to another proposal is overwritten.
+		r.book.Version(next, accord.Forbids{Resend: doc.Classes[probedClass].Effect == decide.Unsafe, Banned: doc.Banned})
+		r.mu.Unlock()
+		began := r.now()
+		var told keeper.Proposed
+		err := p.line.Call("propose", crew.Proposal{ID: id, Parent: st.Ledger.Active.Number, Author: "lab", Doc: doc}, &told, proposeTime)
+		if err == nil && told.Number > 0 {
+			r.mu.Lock()
+			r.book.Version(told.Number, accord.Forbids{Resend: doc.Classes[probedClass].Effect == decide.Unsafe, Banned: doc.Banned})
+			r.book.Told(told.Number)
+			r.pending[told.Number] = began
+			r.mu.Unlock()
+			r.note("version %d told: %s %s", told.Number, s.Effect, s.Ban)
+			return
+		}
+		time.Sleep(2 * pollCrew)
+	}
+}
+
+// settle waits until nothing is on its way, so that what was told can be looked for.
+func (r *crewRig) settle(ctx context.Context) error {
+	if r.opts.Separate {
+		return nil
+	}
+	limit := time.Now().Add(leaderTime)
+	for time.Now().Before(limit) && ctx.Err() == nil {
+		r.mu.Lock()
+		left := len(r.pending)
+		r.mu.Unlock()
+		if left == 0 {
+			return r.sleepUntil(ctx, r.now()+settleFor)
+		}
+		time.Sleep(pollCrew)
+	}
+	return ctx.Err()
+}
+
+// judge closes the book.
+func (r *crewRig) judge() {
+	present := map[uint64]bool{}
+	for _, k := range r.procs[:r.scene.Keepers] {
+		var st keeper.Status
+		if !r.opts.Separate && k.line.Call("status", struct{}{}, &st, pollTime) == nil && st.Leader == k.name && st.Ledger != nil {
+			for _, round := range st.Ledger.Rounds() {
+				present[round.Number] = true
+				if round.State == crew.Refused {
+					r.rec.Versions = append(r.rec.Versions, CrewVersion{Number: round.Number, State: "refused", Why: round.Why})
+				}
+			}
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for number, since := range r.pending {
+		r.rec.Breaks = append(r.rec.Breaks, fmt.Sprintf("version %d, told at %v, is not acted on by all", number, since))
+		r.rec.Broken++
+	}
+	if r.opts.Separate {
+		present = nil
+	}
+	report := r.book.Close(present)
+	for _, b := range report.Breaks {
+		r.rec.Breaks = append(r.rec.Breaks, fmt.Sprintf("%s at %.2fs: %s", b.Rule, b.At.Seconds(), b.What))
+	}
+	r.rec.Broken += report.Broken
+	r.rec.Contradicted, r.rec.Acts, r.rec.Against = millis(report.Longest), report.Acts, report.Against
+	r.rec.Asked, r.rec.Served = int(r.asked.Load()), int(r.served.Load())
+	r.rec.CautiousMS = map[string]float64{}
+	for name, d := range r.cautious {
+		r.rec.CautiousMS[name] = millis(d)
+	}
+}
+
+// close ends all that was started, each by its own id.
+func (r *crewRig) close() {
+	for _, p := range r.procs {
+		if p.proc != nil {
+			p.proc.signal(syscall.SIGCONT)
+			p.proc.end(syscall.SIGKILL)
+			p.proc.wait(killTime)
+		}
+		if p.line != nil {
+			p.line.Close()
+		}
+	}
+	for _, way := range r.relays {
+		way.close()
+	}
+	for _, e := range r.ends {
+		e.server.Close()
+	}
+}
+
+// crewEndpoint answers the load, breaks off the probes, and tells the book what comes.
+type crewEndpoint struct {
+	name, address string
+	server        *http.Server
+}
+
+func startCrewEndpoint(r *crewRig, name string) (*crewEndpoint, error) {
+	host := r.hosts.take()
+	listener, err := (env.Real{}).Listen(host + ":0")
+	if err != nil {
+		return nil, err
+	}
+	e := &crewEndpoint{name: name, address: listener.Addr().String()}
+	e.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		id := q.Header.Get("X-Txn")
+		process, _, _ := strings.Cut(id, ".")
+		probed := strings.HasPrefix(q.URL.Path, "/"+probedClass)
+		again := probed && r.seen(id)
+		r.mu.Lock()
+		if again {
+			r.book.Did(accord.Act{At: r.now(), Process: process, Resend: true, What: "send " + id + " again"})
+		}
+		r.book.Did(accord.Act{At: r.now(), Process: process, Endpoint: name, What: "send " + id + " to " + name})
+		r.mu.Unlock()
+		if !probed {
+			w.Write([]byte("good\n")) //nolint:errcheck // its client shows
+			return
+		}
+		if conn, _, err := w.(http.Hijacker).Hijack(); err == nil {
+			reset(conn)
+		}
+	})}
+	go e.server.Serve(listener) //nolint:errcheck // until Close
+	return e, nil
+}
--- /dev/null
+++ b/internal/lab/rig/relay.go
@@ -0,0 +1,143 @@
+package rig
+
+import (
+	"io"
+	"net"
+	"sync"
+)
+
+// relay carries connections from one process to another. A way that is cut holds its bytes, as a network does whose
+// packets are lost: they come late, or never if the connection ends before.
+type relay struct {
+	listener net.Listener
+	target   string
+
+	mu     sync.Mutex
+	open   *sync.Cond
+	cut    [2]bool // there, and back
+	closed bool
+	conns  map[net.Conn]struct{}
+}
+
+// The ways of a relay.
+const (
+	there = iota
+	back
+)
+
+// newRelay listens at a free port of a host.
+func newRelay(host, target string) (*relay, error) {
+	listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+	if err != nil {
+		return nil, err
+	}
+	r := &relay{listener: listener, target: target, conns: map[net.Conn]struct{}{}}
+	r.open = sync.NewCond(&r.mu)
+	go r.accept()
+	return r, nil
+}
+
+func (r *relay) address() string { return r.listener.Addr().String() }
+
+func (r *relay) accept() {
+	for {
+		from, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.carry(from)
+	}
+}
+
+func (r *relay) carry(from net.Conn) {
+	to, err := net.Dial("tcp", r.target)
+	if err != nil {
+		reset(from)
+		return
+	}
+	r.mu.Lock()
+	r.conns[from], r.conns[to] = struct{}{}, struct{}{}
+	closed := r.closed
+	r.mu.Unlock()
+	if closed {
+		r.drop(from, to)
+		return
+	}
+	var both sync.WaitGroup
+	both.Go(func() { r.copy(to, from, there) })
+	both.Go(func() { r.copy(from, to, back) })
+	both.Wait()
+	r.drop(from, to)
+}
+
+func (r *relay) drop(conns ...net.Conn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range conns {
+		delete(r.conns, c)
+		c.Close()
+	}
+}
+
+// copy passes on one way until its end.
+func (r *relay) copy(to, from net.Conn, way int) {
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		r.mu.Lock()
+		for r.cut[way] && !r.closed {
+			r.open.Wait()
+		}
+		r.mu.Unlock()
+		if n > 0 {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				reset(from)
+				return
+			}
+		}
+		if err != nil {
+			if err == io.EOF {
+				if half, ok := to.(*net.TCPConn); ok {
+					half.CloseWrite()
+				}
+				return
+			}
+			reset(to)
+			return
+		}
+	}
+}
+
+// set cuts a way or opens it.
+func (r *relay) set(way int, cut bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut[way] = cut
+	r.open.Broadcast()
+}
+
+// reset breaks all connections, in the middle of whatever they carry.
+func (r *relay) reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		reset(c)
+	}
+}
+
+func (r *relay) close() {
+	r.listener.Close()
+	r.mu.Lock()
+	r.closed = true
+	r.open.Broadcast()
+	r.mu.Unlock()
+	r.reset()
+}
+
+// reset ends a connection by a reset.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		tcp.SetLinger(0)
+	}
+	c.Close()
+}
--- a/internal/lab/rig/rig_test.go
+++ b/internal/lab/rig/rig_test.go
@@ -25,6 +25,9 @@
 const asSidecar = "HEATHGAP_TEST_POLICY"
 
 func TestMain(m *testing.M) {
+	if bug := os.Getenv(asMember); bug != "" {
+		os.Exit(memberMain(bug))
+	}
 	if name := os.Getenv(asSidecar); name != "" {
 		decider, err := policy.ByName(name)
 		if err != nil {
--- /dev/null
+++ b/internal/lab/scenario/crew.go
@@ -0,0 +1,102 @@
+package scenario
+
+import (
+	"fmt"
+	"time"
+
+	"heathgap/internal/tomlread"
+)
+
+// Crew is a scenario of several processes that agree, and of what fails among them.
+type Crew struct {
+	Name             string
+	About            string
+	Seed             uint64
+	Keepers          int // of the processes; the others are members alone
+	Members          int
+	Lease            time.Duration
+	Drift            float64
+	Slack            time.Duration
+	ContradictAtMost time.Duration
+	Duration         time.Duration
+	Rate             float64 // requests a second to each process
+	Random           int     // faults that are drawn from the seed
+	Proposals        int     // versions that are proposed at even times
+	Steps            []CrewStep
+}
+
+// CrewStep is a fault, or a proposal.
+type CrewStep struct {
+	At     time.Duration
+	Do     string
+	Who    string // a process (k1, m2), "leader", or "follower": a keeper that does not lead
+	Way    string // of a cut
+	For    time.Duration
+	Effect string // of a proposal: that of the probed class
+	Ban    string // and the endpoint that it bans; empty for none
+}
+
+// CrewFaults are what can be done to a process, and CrewWays which way a cut goes: what comes to it, what it says, both.
+var (
+	CrewFaults = []string{"kill", "term", "stop", "cut", "wipe", "reset"}
+	CrewWays   = []string{"both", "in", "out"}
+)
+
+// Bounds of a crew's scenario.
+const (
+	mostCrew      = 30
+	mostCrewSteps = 64
+	mostCrewTime  = 30 * time.Minute
+)
+
+// LoadCrew reads a crew's scenario. The error tells all that is wrong, a line each.
+func LoadCrew(path string) (*Crew, error) {
+	doc, err := tomlread.Load(path)
+	if err != nil {
+		return nil, err
+	}
+	return decodeCrew(doc)
+}
+
+// ParseCrew reads one from a text; the name is for errors.
+func ParseCrew(file string, text []byte) (*Crew, error) {
+	doc, err := tomlread.Parse(file, text)
+	if err != nil {
+		return nil, err
+	}
+	return decodeCrew(doc)
+}
+
+func decodeCrew(doc *tomlread.Doc) (*Crew, error) {
+	t := doc.Root
+	t.Need("name", "a text")
+	c := &Crew{
+		Name: t.Text("name", "crew"), About: t.Text("about", ""), Seed: uint64(t.Int("seed", 1, 0, 1<<31)),
+		Keepers: t.Int("keepers", 3, 1, 7), Members: t.Int("members", 2, 0, mostCrew-1),
+		Lease: t.Duration("lease", time.Second, 200*time.Millisecond, time.Minute), Drift: t.Float("drift", 0.01, 0, 0.1),
+		Slack:            t.Duration("slack", 200*time.Millisecond, 0, 10*time.Second),
+		ContradictAtMost: t.Duration("contradict_at_most", 1500*time.Millisecond, 200*time.Millisecond, 5*time.Minute),
+		Duration:         t.Duration("duration", 10*time.Second, time.Second, mostCrewTime),
+		Rate:             t.Float("rate", 40, 1, 1000), Random: t.Int("random", 0, 0, mostCrewSteps),
+		Proposals: t.Int("proposals", 0, 0, mostCrewSteps),
+	}
+	if c.Keepers+c.Members > mostCrew {
+		t.Fail("members", fmt.Sprintf("%d keepers and %d members", c.Keepers, c.Members), fmt.Sprintf("up to %d processes", mostCrew))
+	}
+	if c.Duration < 4*c.Lease {
+		t.Fail("duration", c.Duration.String(), "four leases or more")
+	}
+	for _, s := range t.Tables("step", mostCrewSteps) {
+		s.Need("do", "propose, kill, term, stop, cut, wipe, reset, restart")
+		step := CrewStep{
+			At: s.Duration("at", 0, 0, mostCrewTime), Do: s.Word("do", "propose", append([]string{"propose", "restart"}, CrewFaults...)...),
+			Who: s.Text("who", "leader"), Way: s.Word("way", "both", CrewWays...), For: s.Duration("for", time.Second, 0, mostCrewTime),
+			Effect: s.Text("effect", ""), Ban: s.Text("ban", ""),
+		}
+		if step.At > c.Duration {
+			s.Fail("at", step.At.String(), "a time up to duration")
+		}
+		c.Steps = append(c.Steps, step)
+	}
+	return c, doc.Err()
+}
--- /dev/null
+++ b/internal/labcommand/crew.go
@@ -0,0 +1,89 @@
+package labcommand
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"heathgap/internal/command"
+	"heathgap/internal/lab/rig"
+	"heathgap/internal/lab/scenario"
+)
+
+// labCrew plays a crew of real processes with faults between them.
+type labCrew struct {
+	File    string        `arg:"" help:"The crew's scenario; those that come with heathgap stand in lab/crews."`
+	Seed    *uint64       `help:"In place of the scenario's."`
+	Seeds   int           `default:"1" help:"So many seeds in turn, from that one on."`
+	Hold    time.Duration `help:"Play no steps: keep the crew up under load for so long, to try commands on."`
+	Dir     string        `placeholder:"DIR" help:"Keep the processes' files there."`
+	Logs    string        `placeholder:"DIR" help:"Keep their logs there."`
+	Program string        `placeholder:"PATH" help:"A member's program; heathgap-crew beside this one if not given."`
+	Without bool          `help:"Start the processes without a crew: what a crew prevents shows."`
+	JSON    bool          `name:"json" help:"Print records."`
+	Quiet   bool          `help:"Print no progress."`
+}
+
+// Run plays; its exit code tells whether all held.
+func (c *labCrew) Run(o *command.Out) error {
+	s, err := scenario.LoadCrew(c.File)
+	if err != nil {
+		return err
+	}
+	program := c.Program
+	if program == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return err
+		}
+		program = filepath.Join(filepath.Dir(self), "heathgap-crew")
+		if c.Without {
+			program = filepath.Join(filepath.Dir(self), "heathgap")
+		}
+	}
+	for _, dir := range []string{c.Dir, c.Logs} {
+		if dir != "" {
+			if err := os.MkdirAll(dir, 0o755); err != nil {
+				return err
+			}
+		}
+	}
+	if c.Hold > 0 {
+		s.Steps, s.Random, s.Proposals, s.Duration = nil, 0, 0, c.Hold
+	}
+	opts := rig.CrewOptions{Program: func() *exec.Cmd { return exec.Command(program) }, LogDir: c.Logs, Dir: c.Dir, Separate: c.Without}
+	if !c.Quiet && !c.JSON {
+		opts.Progress = func(line string) { fmt.Fprintln(o, line) }
+	}
+	ctx, stop := interruptible()
+	defer stop()
+	first, good := s.Seed, true
+	if c.Seed != nil {
+		first = *c.Seed
+	}
+	for seed := first; seed < first+uint64(max(1, c.Seeds)); seed++ {
+		r, err := rig.RunCrew(ctx, s, seed, opts)
+		if err != nil {
+			return fmt.Errorf("seed %d: %w", seed, err)
+		}
+		good = good && r.Broken == 0
+		if c.JSON {
+			if err := json.NewEncoder(o).Encode(r); err != nil {
+				return err
+			}
+			continue
+		}
+		fmt.Fprintf(o, "seed %d: %d processes, %d leaders, %d versions, contradicted %.0f ms at most (allowed %.0f), served %d of %d, broken %d\n",
+			seed, r.Processes, len(r.Leaders), len(r.Versions), r.Contradicted, r.AtMost, r.Served, r.Asked, r.Broken)
+		for _, b := range r.Breaks {
+			fmt.Fprintln(o, "broken:", b)
+		}
+	}
+	if !good {
+		return errNotGood
+	}
+	return nil
+}
