--- a/internal/sim/bugs_test.go
+++ b/internal/sim/bugs_test.go
@@ -87,7 +87,7 @@
 			for i := range conf.Settings.Classes {
 				conf.Settings.Classes[i].Window = time.Hour
 			}
-		})}, []string{string(truth.Doubled)}, 66},
+		})}, []string{string(truth.Doubled)}, 905},
 	"takes what is unsafe for safe": {
 		Options{Decider: round(func(conf *config.Config, _ *buggy) {
 			for i := range conf.Settings.Classes {
@@ -131,7 +131,7 @@
 				}
 				return ev.Kind != decide.TimerDue
 			}
-		})}, []string{string(truth.Lost)}, 7},
+		})}, []string{string(truth.Lost)}, 195},
 	"in one order of two events alone: forgets a request that comes in the instant of an answer": {
 		Options{Decider: round(func(_ *config.Config, b *buggy) {
 			var answered decide.Time
@@ -141,7 +141,7 @@
 				}
 				return ev.Kind != decide.Arrived || now != answered
 			}
-		})}, []string{string(truth.Lost)}, 105},
+		})}, []string{string(truth.Lost)}, 38},
 }
 
 // seedsToTry are the hint, unless the search is to be from scratch, and all others.
