A refused member hears of bans; a start waits for the crew's first word

Change: the leader tells versions with a refusal too, and a start waits for the first word, a lease at most. The book counts a contradiction from when the one allows what the other forbids, and holds a cautious process to its own word.

--- a/internal/crew/crew_test.go
+++ b/internal/crew/crew_test.go
@@ -306,3 +306,21 @@
 		}
 	}
 }
+
+// Guards against a process that sends, after a restart, to what was banned while it was away: without a lease, since the
+// one of the process before still holds, it keeps the bans all the same.
+func TestRefusedHearsOfBans(t *testing.T) {
+	terms := Terms{Lease: time.Second}
+	l := NewLedger()
+	l.Apply(&Entry{Enter: []Member{{Name: "a", Token: 1}}})
+	l.Apply(&Entry{Propose: &Proposal{ID: 1, Doc: versions.Document{Banned: []string{"e"}}}})
+	h := NewHolder(Member{Name: "a", Token: 2}, terms, versions.Own(&decide.Settings{}), 0)
+	r := h.Ask()
+	grant := NewGranter(terms).Renew(0, l, &r)
+	if _, err := h.Told(0, &grant); err != nil {
+		t.Fatal(err)
+	}
+	if s := h.Acting(1); grant.Granted || !s.Cautious || !s.Rules.Banned["e"] {
+		t.Errorf("%+v after %+v", s, grant)
+	}
+}
--- a/internal/crew/granter.go
+++ b/internal/crew/granter.go
@@ -26,7 +26,8 @@
 
 // Grant is the leader's answer.
 type Grant struct {
-	// Granted tells whether the member holds a lease, from before it asked.
+	// Granted tells whether the member holds a lease, from before it asked. What else is told binds no leader, but who has
+	// no lease keeps the bans that it hears of: a process that has just started does not send to what was banned before.
 	Granted bool   `cbor:"1,keyasint"`
 	Why     string `cbor:"2,keyasint,omitempty"` // if not
 	Again   bool   `cbor:"3,keyasint,omitempty"` // if not: asking again at once, with what is told here, may do
@@ -82,7 +83,6 @@
 	}
 	no := func(again bool, format string, args ...any) Grant {
 		grant.Why, grant.Again = fmt.Sprintf(format, args...), again
-		grant.Active, grant.Next = Round{}, nil // not without a lease
 		return grant
 	}
 	in, there := l.Members[r.Name]
@@ -90,6 +90,7 @@
 	case r.Name == "" || r.Token == 0 || len(r.Name) > 256:
 		return no(false, "name: %d bytes, token %d; allowed: a name of 1 to 256 bytes and a token", len(r.Name), r.Token)
 	case r.Terms != g.conf.Hash():
+		grant.Active, grant.Next = Round{}, nil
 		return no(false, "terms differ: the crew has %v; start this process with the same [crew]", g.conf)
 	case there && in.Token != r.Token:
 		if g.of(now, in).until > now {
--- a/internal/crew/holder.go
+++ b/internal/crew/holder.go
@@ -63,10 +63,6 @@
 	if g.Epoch < h.epoch {
 		return false, fmt.Errorf("epoch %d after %d: late word, or a crew that was formed anew (then restart this process)", g.Epoch, h.epoch)
 	}
-	if !g.Granted {
-		h.epoch = g.Epoch
-		return false, nil
-	}
 	active, err := h.whole(&g.Active)
 	if err != nil {
 		return false, err
@@ -82,7 +78,9 @@
 	}
 	before := h.stamp()
 	h.active, h.next, h.epoch = *active, next, g.Epoch
-	h.ends = max(h.ends, asked+h.terms.Lease)
+	if g.Granted {
+		h.ends = max(h.ends, asked+h.terms.Lease)
+	}
 	h.look()
 	return h.stamp() != before, nil
 }
--- a/internal/crew/member/member.go
+++ b/internal/crew/member/member.go
@@ -49,6 +49,7 @@
 	generation uint64
 	warned     string // the last reason that was logged; guarded by mu
 	acting     atomic.Pointer[acted]
+	heard      chan struct{} // closed by the first word of a leader
 	halt       chan struct{}
 	ended      chan struct{}
 
@@ -69,7 +70,7 @@
 	m := &Member{
 		conf: table, world: world, log: log, lines: map[string]*peers.Line{},
 		holder: crew.NewHolder(self, table.Terms, versions.Own(&conf.Settings), conf.ConnectTimeout),
-		halt:   make(chan struct{}), ended: make(chan struct{}),
+		heard:  make(chan struct{}), halt: make(chan struct{}), ended: make(chan struct{}),
 	}
 	m.publish(world.Boot())
 	var err error
@@ -98,6 +99,15 @@
 	}
 	m.server.Serve(world, handlers)
 	world.Go("lease", m.run)
+	// Guards against a process that sends to what was banned while it was away. Keepers that can't be heard delay a start
+	// by a lease at most.
+	timer := world.NewTimer(table.Terms.Lease)
+	defer timer.Stop()
+	select {
+	case <-m.heard:
+	case <-timer.C():
+		log.Warn().Msg("no word from the crew yet: serving cautiously, without the bans of its version")
+	}
 	return m, nil
 }
 
@@ -185,6 +195,11 @@
 		return false
 	}
 	m.publishLocked(m.world.Boot())
+	select {
+	case <-m.heard:
+	default:
+		close(m.heard)
+	}
 	if !grant.Granted {
 		m.refused.Add(1)
 		if !grant.Again {
--- a/internal/lab/accord/accord_test.go
+++ b/internal/lab/accord/accord_test.go
@@ -50,6 +50,21 @@
 			acts(b, "b", Saying{Active: 1})
 			b.Did(Act{At: 500 * ms, Process: "a", Endpoint: "e"})
 		}, Contradicts},
+		"loosened a moment ago": {func(b *Book) {
+			acts(b, "b", Saying{Active: 1, Next: 2})
+			for at := time.Duration(0); at <= time.Second; at += 20 * ms {
+				s := Saying{At: at, Active: 1}
+				if at >= 450*ms {
+					s.Active = 2
+				}
+				b.Says("a", s)
+			}
+			b.Did(resend(500 * ms))
+		}, ""},
+		"cautious, and does it": {func(b *Book) {
+			acts(b, "a", Saying{Cautious: true})
+			b.Did(resend(500 * ms))
+		}, AgainstSelf},
 		"another endpoint": {func(b *Book) {
 			acts(b, "b", Saying{Active: 1})
 			b.Did(Act{At: 500 * ms, Process: "a", Endpoint: "f"})
