Crew: tests of folders, messages, [crew] and rules in force; full disks and set-back folders

Cause: each storage and message fault of the crew needs a case that fails without its code. Change: the store is played at each step, torn at each 61st byte, cut at each page, named as another's, of a later format, opened twice; bbolt's panics and faults of memory over damaged pages become one line; [crew] is documented and checked by line; the rig plays full (RLIMIT_FSIZE on the live process) and setback. Result: no damaged folder is taken for what it never was; tests of the touched packages pass.

--- a/internal/crew/keeper/store.go
+++ b/internal/crew/keeper/store.go
@@ -7,6 +7,7 @@
 	"hash/crc32"
 	"os"
 	"path/filepath"
+	"runtime/debug"
 	"time"
 
 	"go.etcd.io/bbolt"
@@ -70,7 +71,7 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, fmt.Errorf("crew.data: %w", err)
 	}
-	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: lockTime})
+	db, err := openDB(path)
 	switch {
 	case errors.Is(err, bbolterr.ErrTimeout):
 		return nil, fmt.Errorf("%s: another process uses it; end that first, or give this one a folder of its own", path)
@@ -78,13 +79,32 @@
 		return nil, fmt.Errorf("%s: %w: %w; %s", path, errDamaged, err, remedy)
 	}
 	s := &store{db: db, path: path, mem: raft.NewMemoryStorage()}
-	if err = s.load(crewName, name, fresh); err != nil {
+	if err = guard(func() error { return s.load(crewName, name, fresh) }); err != nil {
 		db.Close()
 		return nil, fmt.Errorf("%s: %w; %s", path, err, remedy)
 	}
 	return s, syncFolder(dir)
 }
 
+func openDB(path string) (db *bbolt.DB, err error) {
+	err = guard(func() (err error) {
+		db, err = bbolt.Open(path, 0o600, &bbolt.Options{Timeout: lockTime})
+		return err
+	})
+	return db, err
+}
+
+// guard turns bbolt's panics over pages that can't be, and faults of memory that a cut file no longer backs, into errors.
+func guard(do func() error) (err error) {
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	defer func() {
+		if p := recover(); p != nil {
+			err = fmt.Errorf("%w: %v", errDamaged, p)
+		}
+	}()
+	return do()
+}
+
 // syncFolder makes the names in a folder durable.
 func syncFolder(dir string) error {
 	f, err := os.Open(dir)
--- /dev/null
+++ b/internal/crew/keeper/store_test.go
@@ -0,0 +1,168 @@
+package keeper
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"go.etcd.io/bbolt"
+	"go.etcd.io/raft/v3/raftpb"
+
+	"heathgap/internal/crew"
+)
+
+func open(t *testing.T, dir, crewName, name string) (*store, error) {
+	t.Helper()
+	return openStore(dir, crewName, name, Draw)
+}
+
+// fill writes so many entries, one sync each, behind the beginning of a crew.
+func fill(t *testing.T, s *store, n uint64, after func(i uint64)) {
+	t.Helper()
+	k := &Keeper{conf: Conf{Name: s.who.Name}, store: s, ledger: crew.NewLedger()}
+	if err := k.found(map[string]uint64{s.who.Name: s.who.ID}); err != nil {
+		t.Fatal(err)
+	}
+	for i := uint64(2); i < n+2; i++ {
+		term := i / 10
+		if err := s.save(&raftpb.HardState{Term: &term, Vote: &s.who.ID, Commit: &i},
+			[]*raftpb.Entry{{Index: &i, Term: &term, Data: bytes.Repeat([]byte{byte(i)}, 100)}}, nil, true); err != nil {
+			t.Fatal(err)
+		}
+		if after != nil {
+			after(i)
+		}
+	}
+}
+
+// digest is all that raft would go on with.
+func digest(t *testing.T, s *store) string {
+	t.Helper()
+	hard, conf, err := s.mem.InitialState()
+	first, _ := s.mem.FirstIndex()
+	last, _ := s.mem.LastIndex()
+	text := fmt.Sprint(s.who, hard.GetTerm(), hard.GetVote(), hard.GetCommit(), conf.GetVoters(), first, last, err)
+	if last >= first {
+		entries, err := s.mem.Entries(first, last+1, 1<<30)
+		for _, e := range entries {
+			text += fmt.Sprint(e.GetIndex(), e.GetTerm(), e.GetData())
+		}
+		text += fmt.Sprint(err)
+	}
+	return text
+}
+
+// What was saved before a process died is there after: at every single step.
+func TestStoreKeepsEachStep(t *testing.T) {
+	dir, copies := t.TempDir(), t.TempDir()
+	s, err := open(t, dir, "c", "k")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := map[uint64]string{}
+	fill(t, s, 60, func(i uint64) {
+		want[i] = digest(t, s)
+		if err := os.CopyFS(filepath.Join(copies, fmt.Sprint(i)), os.DirFS(dir)); err != nil {
+			t.Fatal(err)
+		}
+		if i == 40 {
+			conf := &raftpb.ConfState{Voters: []uint64{s.who.ID}}
+			if err := s.compact(i, conf, []byte{0xa0}, 5); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+	s.close()
+	for i, digested := range want {
+		again, err := open(t, filepath.Join(copies, fmt.Sprint(i)), "c", "k")
+		if err != nil {
+			t.Fatalf("step %d: %v", i, err)
+		}
+		// Entries that stay in memory for followers that lag are not on the disk behind a snapshot.
+		if got := digest(t, again); got != digested && i <= 40 {
+			t.Errorf("step %d:\n%s\nwant\n%s", i, got, digested)
+		}
+		if last, _ := again.mem.LastIndex(); last != i {
+			t.Errorf("step %d: the log ends at %d", i, last)
+		}
+		again.close()
+	}
+}
+
+// A folder that is another's, damaged or cut is refused, or is what it was: never something else.
+func TestStoreRefuses(t *testing.T) {
+	dir := t.TempDir()
+	s, err := open(t, dir, "c", "k")
+	if err != nil {
+		t.Fatal(err)
+	}
+	before := map[string]bool{}
+	fill(t, s, 20, func(uint64) { before[digest(t, s)] = true })
+	good := digest(t, s)
+	if _, err := open(t, dir, "c", "k"); err == nil || !strings.Contains(err.Error(), "another process") {
+		t.Errorf("the same folder twice: %v", err)
+	}
+	s.close()
+	for _, who := range [][2]string{{"c", "other"}, {"other", "k"}} {
+		if _, err := open(t, dir, who[0], who[1]); err == nil || !strings.Contains(err.Error(), "belongs to") {
+			t.Errorf("%v: %v", who, err)
+		}
+	}
+	text, err := os.ReadFile(filepath.Join(dir, fileName))
+	if err != nil {
+		t.Fatal(err)
+	}
+	refused, same := 0, 0
+	try := func(what string, text []byte) {
+		t.Helper()
+		dir := t.TempDir()
+		if err := os.WriteFile(filepath.Join(dir, fileName), text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		s, err := open(t, dir, "c", "k")
+		if err != nil {
+			refused++
+			if !strings.Contains(err.Error(), "move the folder away") {
+				t.Errorf("%s: %v does not say what to do", what, err)
+			}
+			return
+		}
+		defer s.close()
+		if got := digest(t, s); got != good && !before[got] {
+			t.Errorf("%s: taken for\n%s", what, got)
+		}
+		same++
+	}
+	for at := 0; at < len(text); at += 61 {
+		torn := bytes.Clone(text)
+		torn[at] ^= 0x40
+		try(fmt.Sprintf("byte %d", at), torn)
+	}
+	for size := 4096; size < len(text); size += 4096 {
+		try(fmt.Sprintf("cut at %d", size), text[:size])
+	}
+	if refused < 20 || same < 20 {
+		t.Errorf("%d refused, %d the same: the one or the other is not tried", refused, same)
+	}
+}
+
+// A later build's folder is named as one.
+func TestStoreOfLaterFormat(t *testing.T) {
+	dir := t.TempDir()
+	s, err := open(t, dir, "c", "k")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.who.Format = storeFormat + 1
+	if err := s.db.Update(func(tx *bbolt.Tx) error { return s.putIdentity(tx) }); err != nil {
+		t.Fatal(err)
+	}
+	s.close()
+	if _, err := open(t, dir, "c", "k"); err == nil || !strings.Contains(err.Error(), "of format 2") || errors.Is(err, errDamaged) {
+		t.Error(err)
+	}
+}
--- a/internal/crew/member/process.go
+++ b/internal/crew/member/process.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/rs/zerolog"
 
@@ -23,6 +25,9 @@
 		log.Error().Err(err).Msg("bad operator's file")
 		return 1
 	}
+	// A limit on the size of files is a write that fails, as a full disk is: the keeper takes no further part, the sidecar
+	// goes on.
+	signal.Ignore(syscall.SIGXFSZ)
 	return lifecycle.Main(lifecycle.Options{Operator: file, Crew: Joiner(*file.Crew)})
 }
 
--- a/internal/lab/rig/crew.go
+++ b/internal/lab/rig/crew.go
@@ -18,6 +18,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"heathgap/decide"
 	"heathgap/internal/crew"
 	"heathgap/internal/crew/keeper"
@@ -246,6 +248,11 @@
 			}
 		}
 		if ready == len(r.procs) {
+			for _, p := range r.procs[:r.scene.Keepers] { // for who is set back later
+				if err := os.CopyFS(filepath.Join(p.dir, "copy"), os.DirFS(filepath.Join(p.dir, "data"))); err != nil {
+					return err
+				}
+			}
 			r.note("%d processes hold a lease", ready)
 			return nil
 		}
@@ -576,7 +583,7 @@
 		r.note("%s is back", p.name)
 	}
 	switch s.Do {
-	case "kill", "wipe", "term":
+	case "kill", "wipe", "term", "setback":
 		if !p.isUp() {
 			return nil
 		}
@@ -591,8 +598,12 @@
 				p.proc.end(syscall.SIGKILL)
 				p.proc.wait(killTime)
 			}
-			if s.Do == "wipe" {
-				os.RemoveAll(filepath.Join(p.dir, "data"))
+			data := filepath.Join(p.dir, "data")
+			if s.Do != "kill" && s.Do != "term" {
+				os.RemoveAll(data)
+			}
+			if s.Do == "setback" {
+				os.CopyFS(data, os.DirFS(filepath.Join(p.dir, "copy"))) //nolint:errcheck // without a copy it is a wipe
 			}
 			back()
 		})
@@ -613,6 +624,21 @@
 			r.cutWays(p, s.Way, false)
 			r.note("%s is whole again", p.name)
 		})
+	case "full": // no file of it may grow, nor be written past its first page: as on a full disk
+		if p.isUp() {
+			limit := &unix.Rlimit{Cur: 4096, Max: unix.RLIM_INFINITY}
+			if err := unix.Prlimit(p.proc.cmd.Process.Pid, unix.RLIMIT_FSIZE, limit, nil); err != nil {
+				return err
+			}
+			later(func() { // room again: the keeper takes part when its process is started anew
+				if p.isUp() {
+					p.setUp(false)
+					p.proc.end(syscall.SIGKILL)
+					p.proc.wait(killTime)
+					back()
+				}
+			})
+		}
 	case "reset":
 		for ways, way := range r.relays {
 			if ways[0] == p.name || ways[1] == p.name {
--- a/internal/lab/scenario/crew.go
+++ b/internal/lab/scenario/crew.go
@@ -38,7 +38,7 @@
 
 // CrewFaults are what can be done to a process, and CrewWays which way a cut goes: what comes to it, what it says, both.
 var (
-	CrewFaults = []string{"kill", "term", "stop", "cut", "wipe", "reset"}
+	CrewFaults = []string{"kill", "term", "stop", "cut", "wipe", "reset", "full", "setback"}
 	CrewWays   = []string{"both", "in", "out"}
 )
 
@@ -87,7 +87,7 @@
 		t.Fail("duration", c.Duration.String(), "four leases or more")
 	}
 	for _, s := range t.Tables("step", mostCrewSteps) {
-		s.Need("do", "propose, kill, term, stop, cut, wipe, reset, restart")
+		s.Need("do", "propose, kill, term, stop, cut, wipe, reset, full, setback, restart")
 		step := CrewStep{
 			At: s.Duration("at", 0, 0, mostCrewTime), Do: s.Word("do", "propose", append([]string{"propose", "restart"}, CrewFaults...)...),
 			Who: s.Text("who", "leader"), Way: s.Word("way", "both", CrewWays...), For: s.Duration("for", time.Second, 0, mostCrewTime),
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -88,6 +88,7 @@
 		}
 		f.Watch.Settings = set
 	}
+	doc.Root.Skip("crew") // a table that may stand there
 	if doc.Root.Has("crew") {
 		f.Crew = decodeCrew(doc.Root.Table("crew"))
 	}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -46,10 +46,49 @@
 		`operator.toml:2: log.level: "loud"; allowed: info, warn, error`,
 		`operator.toml:3: log.connection_ended_every: 0; allowed: a whole number from 1 to 1000000`,
 		`operator.toml:4: log.levle: unknown key; allowed: connection_ended_every, level`,
-		`operator.toml:5: tenants: unknown key; allowed: log`,
+		`operator.toml:5: tenants: unknown key; allowed: crew, log`,
 	} {
 		if !strings.Contains(err.Error(), want) {
 			t.Errorf("told\n%v\nwithout\n%s", err, want)
 		}
 	}
 }
+
+// The crew's table as deploy/operator.toml shows it, and what is wrong with one, by line.
+func TestCrew(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/operator.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, table, found := strings.Cut(string(text), "# [crew]\n")
+	if !found {
+		t.Fatal("deploy/operator.toml has no [crew]")
+	}
+	shown := "[crew]\n"
+	for line := range strings.Lines(table) {
+		if bare := strings.TrimPrefix(line, "# "); strings.Contains(bare, " = ") || strings.HasPrefix(bare, "[[") {
+			shown += bare
+		}
+	}
+	f, err := load(t, shown)
+	if err != nil || f.Crew == nil || len(f.Crew.Keepers) != 1 || f.Crew.Terms.Lease != defaultLease || f.Crew.ContradictAtMost != defaultContradict ||
+		f.Crew.Terms.Slack != defaultSlack || f.Crew.Terms.Drift != defaultDrift {
+		t.Fatalf("%+v, %v of\n%s", f.Crew, err, shown)
+	}
+	const keeper = "\n[[crew.keeper]]\nname = \"k\"\naddress = \"127.0.0.1:9\"\n"
+	const good = "[crew]\nname = \"c\"\naddress = \"127.0.0.1:9\"\n"
+	for more, want := range map[string]string{
+		"lease = \"3s\"" + keeper:                              ":4: crew.lease: lease, drift and slack add up to 3.26",
+		"lease = \"3s\"\ncontradict_at_most = \"3s\"" + keeper: ":5: crew.contradict_at_most",
+		"lease = \"1ms\"" + keeper:                             ":4: crew.lease: \"1ms\"; allowed",
+		"drift = 0.5" + keeper:                                 ":4: crew.drift",
+		"":                                                     "crew.keeper: missing",
+		keeper + keeper:                                        "a second time",
+		"keepers = 3" + keeper:                                 ":4: crew.keepers: unknown key",
+		"\n[[crew.keeper]]\nname = \"k\"\naddress = \"x\"\n": "crew.keeper[0].address: \"x\"",
+	} {
+		if _, err := load(t, good+more); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v, want %q", more, err, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/peers/peers_test.go
@@ -0,0 +1,114 @@
+package peers
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"heathgap/internal/env"
+)
+
+const within = 2 * time.Second
+
+func serve(t *testing.T, crew string) *Server {
+	t.Helper()
+	s, err := Listen(env.Real{}, "127.0.0.1:0", crew)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	s.Serve(env.Real{}, map[string]Handler{
+		"echo": func(from string, body []byte) (any, error) {
+			var text string
+			if err := Decode(body, &text); err != nil {
+				return nil, err
+			}
+			return from + ":" + text, nil
+		},
+		"no": func(string, []byte) (any, error) { return nil, errors.New("it may not be") },
+	})
+	return s
+}
+
+// What is said is heard, refusals are told from losses, and a connection that broke is made anew.
+func TestCall(t *testing.T) {
+	s := serve(t, "c")
+	l := NewLine(env.Real{}, "c", "me", s.Address())
+	defer l.Close()
+	var answer string
+	for range 2 {
+		if err := l.Call("echo", "hello", &answer, within); err != nil || answer != "me:hello" {
+			t.Fatalf("%q, %v", answer, err)
+		}
+	}
+	for kind, want := range map[string]string{"no": "it may not be", "none": "unknown; allowed"} {
+		if err := l.Call(kind, "x", nil, within); !errors.Is(err, ErrRefused) || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", kind, err)
+		}
+	}
+	if err := l.Call("echo", 7, &answer, within); !errors.Is(err, ErrRefused) {
+		t.Errorf("a body of another kind: %v", err)
+	}
+	l.link.Close()
+	if err := l.Call("echo", "again", &answer, within); err != nil || answer != "me:again" {
+		t.Errorf("after a broken connection: %q, %v", answer, err)
+	}
+	other := NewLine(env.Real{}, "other", "me", s.Address())
+	defer other.Close()
+	if err := other.Call("echo", "x", nil, within); !errors.Is(err, ErrRefused) || !strings.Contains(err.Error(), "for the crew") {
+		t.Errorf("another crew's: %v", err)
+	}
+	nobody := NewLine(env.Real{}, "c", "me", "127.0.0.1:9")
+	if err := nobody.Call("echo", "x", nil, within); err == nil || errors.Is(err, ErrRefused) {
+		t.Errorf("nobody there: %v", err)
+	}
+}
+
+// A peer that never answers costs a call its time and no more.
+func TestCallEnds(t *testing.T) {
+	silentPeer, err := (env.Real{}).Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silentPeer.Close()
+	l := NewLine(env.Real{}, "c", "me", silentPeer.Addr().String())
+	defer l.Close()
+	began := time.Now()
+	if err := l.Call("echo", "x", nil, 100*time.Millisecond); err == nil || time.Since(began) > within {
+		t.Errorf("%v after %v", err, time.Since(began))
+	}
+}
+
+// What is no message is answered by what is wrong with it, and does no harm.
+func TestBadMessages(t *testing.T) {
+	s := serve(t, "c")
+	url := "http://" + s.Address()
+	for _, c := range []struct {
+		method, path, body string
+		want               int
+	}{
+		{"POST", "/crew/1/echo", "no CBOR", 400},
+		{"POST", "/crew/1/echo", "", 400},
+		{"POST", "/crew/1/echo", "\xbb\xff\xff\xff\xff\xff\xff\xff\xff", 400}, // a map of 2^64-1 pairs
+		{"GET", "/crew/1/echo", "", 404},
+		{"POST", "/crew/2/echo", "", 404},
+		{"POST", "/", "", 404},
+	} {
+		q, err := http.NewRequest(c.method, url+c.path, strings.NewReader(c.body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		answer, err := http.DefaultClient.Do(q)
+		if err != nil {
+			t.Fatalf("%+v: %v", c, err)
+		}
+		text, _ := io.ReadAll(answer.Body)
+		answer.Body.Close()
+		if answer.StatusCode != c.want || len(text) == 0 {
+			t.Errorf("%+v: %d %q", c, answer.StatusCode, text)
+		}
+	}
+}
