--- a/internal/lab/accord/accord.go
+++ b/internal/lab/accord/accord.go
@@ -22,9 +22,10 @@
 	Banned []string // endpoints that get nothing
 }
 
-// Saying is what a process said that it acts on, when that was heard.
+// Saying is what a process said that it acts on, at a moment between the question and the answer.
 type Saying struct {
-	At       time.Duration
+	At       time.Duration // it was asked
+	Heard    time.Duration // and had answered; At where it is 0
 	Cautious bool
 	Active   uint64
 	Next     uint64 // acted on as well; 0 for none
@@ -93,6 +94,7 @@
 		b.names = append(b.names, name)
 	}
 	said := b.said[name]
+	s.Heard = max(s.Heard, s.At)
 	if n := len(said); n > 0 && s.Active < said[n-1].Active && !b.startedBetween(name, said[n-1].At, s.At) {
 		b.broken(GoesBack, s.At, "%s acts on version %d after version %d", name, s.Active, said[n-1].Active)
 	}
@@ -157,7 +159,7 @@
 	for i > 0 && meets(&said[i-1]) && !b.startedBetween(name, said[i-1].At, said[i].At) {
 		i--
 	}
-	return said[i].At, true
+	return said[i].Heard, said[i].Heard <= at
 }
 
 // allowedFrom tells from when on the process of an act may have allowed it, by its own word: the last word before that
@@ -176,7 +178,7 @@
 	}
 	for ; i >= 0 && said[i].At >= from; i-- {
 		if b.barred(&said[i], a) {
-			return min(said[i].At, a.At)
+			return min(said[i].Heard, a.At)
 		}
 	}
 	return from
--- a/internal/lab/accord/accord_test.go
+++ b/internal/lab/accord/accord_test.go
@@ -68,6 +68,12 @@
 			b.Says("a", Saying{At: 520 * ms, Active: 2})
 			b.Did(resend(500 * ms))
 		}, ""},
+		"asked before, answered after": {func(b *Book) {
+			b.Says("a", Saying{At: 0})
+			b.Says("a", Saying{At: 100 * ms, Heard: 510 * ms, Active: 1})
+			b.Says("a", Saying{At: 520 * ms, Active: 1})
+			b.Did(resend(500 * ms))
+		}, ""},
 		"cautious, and does it": {func(b *Book) {
 			acts(b, "a", Saying{Cautious: true})
 			b.Did(resend(500 * ms))
