--- /dev/null
+++ b/internal/crew/keeper/clear.go
@@ -0,0 +1,125 @@
+package keeper
+
+import (
+	"fmt"
+	"time"
+
+	"go.etcd.io/raft/v3/raftpb"
+)
+
+// Clear: a folder that was set back to an earlier copy has forgotten votes and entries that others rest on. So a keeper
+// that starts with the folder of a formed crew takes no part until it has asked the others what they know.
+//
+// A vote or an entry that counted rests on n/2+1 folders, this one among them, so on n/2 others. Whoever has heard of
+// n - n/2 others has heard of one of those. From their terms it knows in which it must not vote any more, and from the ends
+// of their logs how long its own, and that of whom it votes for, must be. Where one of them proves that this folder held
+// more, it is refused.
+//
+// With fewer others to be reached it goes on after a while by what its folder says: a crew with one keeper dead must
+// survive a restart of another. A folder that was set back is then taken for true (docs/crew.md says so).
+
+const clearTime = 3 * time.Second
+
+// past is what is known of a folder: the highest term in which it has spoken, and the highest entry that it has held.
+type past struct {
+	Term  uint64 `cbor:"1,keyasint"`
+	Index uint64 `cbor:"2,keyasint"`
+}
+
+// logEnd is where a log ends; a later one has all that was agreed on up to an earlier one.
+type logEnd struct {
+	Term  uint64 `cbor:"1,keyasint"`
+	Index uint64 `cbor:"2,keyasint"`
+}
+
+func (l logEnd) before(other logEnd) bool {
+	return l.Term < other.Term || l.Term == other.Term && l.Index < other.Index
+}
+
+// clearing is a keeper's part between its start and its taking part; nil else.
+type clearing struct {
+	until time.Time
+	words map[string]formWord
+}
+
+// logEnd is that of this keeper's folder.
+func (k *Keeper) logEnd() logEnd {
+	last, err := k.store.mem.LastIndex()
+	if err != nil {
+		return logEnd{}
+	}
+	term, err := k.store.mem.Term(last)
+	if err != nil {
+		return logEnd{}
+	}
+	return logEnd{term, last}
+}
+
+// noteSeen remembers what another keeper has let on of its folder. A pre-vote names a term that is not in its folder.
+func (k *Keeper) noteSeen(m *raftpb.Message) {
+	if t := m.GetType(); t == raftpb.MsgPreVote || t == raftpb.MsgPreVoteResp {
+		return
+	}
+	p := k.seen[m.GetFrom()]
+	p.Term = max(p.Term, m.GetTerm())
+	if m.GetType() == raftpb.MsgAppResp && !m.GetReject() {
+		p.Index = max(p.Index, m.GetIndex())
+	}
+	k.seen[m.GetFrom()] = p
+}
+
+// hearClearing takes another keeper's word while this one takes no part yet.
+func (k *Keeper) hearClearing(w formWord) error {
+	if w.ID != k.ledger.Keepers[w.Name] {
+		return nil
+	}
+	hard, _, err := k.store.mem.InitialState()
+	if err != nil {
+		return err
+	}
+	if of := w.Seen[k.store.who.ID]; of.Term > hard.GetTerm() || of.Index > k.logEnd().Index {
+		return fmt.Errorf("this folder ends at entry %d of term %d, and %s knows that it held entry %d and term %d: it was set back to an earlier copy",
+			k.logEnd().Index, hard.GetTerm(), w.Name, of.Index, of.Term)
+	}
+	k.clearing.words[w.Name] = w
+	if n := len(k.ledger.Keepers); len(k.clearing.words) < n-n/2 {
+		return nil
+	}
+	for _, w := range k.clearing.words {
+		k.voteAfter = max(k.voteAfter, w.Term)
+		if k.atLeast.before(w.End) {
+			k.atLeast = w.End
+		}
+	}
+	k.clearing = nil
+	if k.voteAfter > hard.GetTerm() {
+		// Words of older leaders are refused from now on, as by any member that has heard of a newer term.
+		k.node.Step(&raftpb.Message{Type: raftpb.MsgHeartbeatResp.Enum(), From: &w.ID, To: &k.store.who.ID, Term: &k.voteAfter}) //nolint:errcheck
+	} else if k.voteAfter < hard.GetTerm() || hard.GetVote() != 0 {
+		k.voteAfter = 0 // its own folder holds whom it has voted for
+	}
+	return nil
+}
+
+// mayVote tells whether a vote that is asked for may be given.
+func (k *Keeper) mayVote(m *raftpb.Message) bool {
+	if t := m.GetType(); t != raftpb.MsgVote && t != raftpb.MsgPreVote {
+		return true
+	}
+	return m.GetTerm() > k.voteAfter && !(logEnd{m.GetLogTerm(), m.GetIndex()}).before(k.atLeast)
+}
+
+// takesPart tells whether this keeper has asked the others, or waited long enough for them.
+func (k *Keeper) takesPart() bool {
+	if k.clearing != nil && !k.world.Now().Before(k.clearing.until) {
+		k.clearing = nil
+		k.log.Warn().Msg("too few other keepers answer: going on by this folder alone; if it is a restored copy, end this process and move it away")
+	}
+	return k.clearing == nil
+}
+
+// maySay tells whether a message may go out: this keeper asks for no votes while its log lacks what the others have told of.
+func (k *Keeper) maySay(m *raftpb.Message) bool {
+	t := m.GetType()
+	return t != raftpb.MsgPreVote && t != raftpb.MsgVote || !k.logEnd().before(k.atLeast)
+}
--- /dev/null
+++ b/internal/crew/keeper/clear_test.go
@@ -0,0 +1,111 @@
+package keeper
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.etcd.io/raft/v3/raftpb"
+
+	"heathgap/internal/crew"
+	"heathgap/internal/env"
+)
+
+// started is a keeper of three that has just started with a folder whose log ends at entry 5 of term 4; it has not voted
+// in that term.
+func started(t *testing.T) *Keeper {
+	t.Helper()
+	k, err := Open(Conf{Crew: "c", Name: "a", Keepers: map[string]string{"a": "x:1", "b": "x:2", "c": "x:3"},
+		Terms: crew.Terms{Lease: time.Second}, Data: t.TempDir()}, env.Real{}, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { k.store.close() })
+	if err := k.found(map[string]uint64{"a": k.store.who.ID, "b": 2, "c": 3}); err != nil {
+		t.Fatal(err)
+	}
+	term := uint64(4)
+	for i := uint64(2); i <= 5; i++ {
+		if err := k.store.save(&raftpb.HardState{Term: &term, Commit: &i}, []*raftpb.Entry{{Index: &i, Term: &term}}, nil, true); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := k.start(); err != nil || k.clearing == nil {
+		t.Fatalf("%v, clearing %v", err, k.clearing)
+	}
+	return k
+}
+
+func vote(term, logTerm, index uint64) *raftpb.Message {
+	from := uint64(2)
+	return &raftpb.Message{Type: raftpb.MsgVote.Enum(), From: &from, Term: &term, LogTerm: &logTerm, Index: &index}
+}
+
+// Guards against a folder that was set back to an earlier copy: two leaders of one term came of one in a storm, since it
+// voted a second time.
+func TestFolderSetBackIsFound(t *testing.T) {
+	for name, seen := range map[string]past{"it held more": {Term: 4, Index: 9}, "it spoke in a later term": {Term: 5, Index: 5}} {
+		k := started(t)
+		k.hear(formWord{Name: "b", ID: 2, Terms: k.conf.Terms.Hash(), Seen: map[uint64]past{k.store.who.ID: seen}})
+		if k.fail == nil || !strings.Contains(k.fail.Error(), "set back to an earlier copy") {
+			t.Errorf("%s: %v", name, k.fail)
+		}
+	}
+	k := started(t)
+	k.hear(formWord{Name: "b", ID: 2, Terms: k.conf.Terms.Hash(), Seen: map[uint64]past{k.store.who.ID: {Term: 4, Index: 5}}})
+	if k.fail != nil {
+		t.Errorf("a folder that is as it was: %v", k.fail)
+	}
+}
+
+// Where nobody proves it, what the others know still bounds what the keeper does: it votes in no term that they have heard
+// of, for nobody whose log lacks what they have, and does not stand while its own does.
+func TestStartedKeeperIsBoundByTheOthers(t *testing.T) {
+	k := started(t)
+	hash := k.conf.Terms.Hash()
+	k.hear(formWord{Name: "b", ID: 2, Terms: hash, Term: 6, End: logEnd{4, 5}})
+	if k.takesPart() {
+		t.Fatal("one of two others is not enough: that other may be the one that a vote was not given to")
+	}
+	ask := vote(7, 6, 8)
+	ask.To = &k.store.who.ID
+	if err := k.takeMessages("b", []*raftpb.Message{ask}); err != nil || k.node.BasicStatus().HardState.GetTerm() != 4 {
+		t.Errorf("it heeds a candidate before it takes part: %v", err)
+	}
+	k.hear(formWord{Name: "c", ID: 3, Terms: hash, Term: 5, End: logEnd{6, 8}})
+	if !k.takesPart() {
+		t.Fatal("it has heard both others and takes no part")
+	}
+	if term := k.node.BasicStatus().HardState.GetTerm(); term != 6 {
+		t.Errorf("term %d: word of a leader of term 5 would be taken", term)
+	}
+	for _, c := range []struct {
+		m    *raftpb.Message
+		want bool
+	}{
+		{vote(6, 6, 8), false}, // it may have voted in that term
+		{vote(7, 6, 8), true},
+		{vote(7, 6, 7), false}, // lacks what c has
+		{vote(7, 4, 99), false},
+	} {
+		if got := k.mayVote(c.m); got != c.want {
+			t.Errorf("%v: %v", c.m, got)
+		}
+	}
+	if k.maySay(vote(7, 4, 5)) {
+		t.Error("it asks for votes with a log that lacks what c has")
+	}
+}
+
+// With too few others it waits, and then goes on by its folder: one dead keeper does not stop another's restart.
+func TestStartWithTooFewOthers(t *testing.T) {
+	k := started(t)
+	if k.takesPart() {
+		t.Error("it does not wait")
+	}
+	k.clearing.until = k.world.Now()
+	if !k.takesPart() || !k.mayVote(vote(5, 4, 5)) {
+		t.Error("it waits for ever")
+	}
+}
--- a/internal/crew/keeper/form.go
+++ b/internal/crew/keeper/form.go
@@ -27,6 +27,10 @@
 	Set   map[string]uint64 `cbor:"3,keyasint,omitempty"`
 	Begun bool              `cbor:"4,keyasint,omitempty"`
 	Terms string            `cbor:"5,keyasint"`
+	// What a keeper that starts with an older folder must know.
+	Term uint64          `cbor:"6,keyasint,omitempty"`
+	End  logEnd          `cbor:"7,keyasint"`
+	Seen map[uint64]past `cbor:"8,keyasint,omitempty"`
 }
 
 func (k *Keeper) word() formWord {
@@ -34,7 +38,12 @@
 	if k.node != nil && len(k.ledger.Keepers) > 0 {
 		set = k.ledger.Keepers
 	}
-	return formWord{k.conf.Name, k.store.who.ID, maps.Clone(set), k.node != nil && len(k.ledger.Keepers) > 0, k.conf.Terms.Hash()}
+	w := formWord{Name: k.conf.Name, ID: k.store.who.ID, Set: maps.Clone(set), Begun: k.node != nil && len(k.ledger.Keepers) > 0,
+		Terms: k.conf.Terms.Hash(), End: k.logEnd(), Seen: maps.Clone(k.seen)}
+	if k.node != nil {
+		w.Term = k.node.BasicStatus().HardState.GetTerm()
+	}
+	return w
 }
 
 // settled tells whether this keeper's own folder takes part in the agreement.
@@ -94,6 +103,10 @@
 		}
 		return
 	}
+	if k.clearing != nil {
+		k.fail = k.hearClearing(w)
+		return
+	}
 	if k.node != nil && len(k.ledger.Keepers) > 0 {
 		k.replace(w)
 		return
--- a/internal/crew/keeper/keeper.go
+++ b/internal/crew/keeper/keeper.go
@@ -84,7 +84,12 @@
 	asked   map[uint64][]chan proposed // proposals on their way, by id
 	heard   map[string]formWord
 	out     map[string]*outbox
-	Dropped atomic.Int64 // messages to keepers that there was no room for
+	seen    map[uint64]past // of other keepers' folders, by id
+	// What the others told when this keeper started with a folder: see clear.go.
+	clearing  *clearing
+	voteAfter uint64
+	atLeast   logEnd
+	Dropped   atomic.Int64 // messages to keepers that there was no room for
 }
 
 // renewal is a member's renewal that waits.
@@ -133,7 +138,7 @@
 	return &Keeper{
 		conf: conf, world: world, log: logTo, store: store, events: make(chan func(), eventQueue),
 		halt: make(chan struct{}), ended: make(chan struct{}), ledger: crew.NewLedger(), asked: map[uint64][]chan proposed{},
-		heard: map[string]formWord{}, out: map[string]*outbox{},
+		heard: map[string]formWord{}, out: map[string]*outbox{}, seen: map[uint64]past{},
 	}, nil
 }
 
@@ -173,10 +178,10 @@
 			return
 		case <-timer.C():
 			timer.Reset(tick)
-			if k.node != nil {
+			if k.node != nil && k.takesPart() {
 				k.node.Tick()
 			}
-			if now := k.world.Now(); !k.settled() && !now.Before(nextForm) {
+			if now := k.world.Now(); (!k.settled() || k.clearing != nil) && !now.Before(nextForm) {
 				nextForm = now.Add(formEvery)
 				k.askToForm()
 			}
@@ -223,7 +228,11 @@
 	if hard, conf, err := k.store.mem.InitialState(); err != nil || raft.IsEmptyHardState(hard) && len(conf.GetVoters()) == 0 {
 		return err
 	}
-	return k.begin()
+	if err := k.begin(); err != nil || len(k.ledger.Keepers) < 2 {
+		return err
+	}
+	k.clearing = &clearing{until: k.world.Now().Add(clearTime), words: map[string]formWord{}}
+	return nil
 }
 
 // begin begins raft with what the folder holds.
@@ -629,6 +638,10 @@
 				return err
 			}
 		}
+		if k.clearing != nil || !k.mayVote(m) {
+			continue // raft asks again
+		}
+		k.noteSeen(m)
 		if raft.IsLocalMsg(m.GetType()) {
 			return fmt.Errorf("raft: a message of type %v", m.GetType())
 		}
--- a/internal/crew/keeper/outbox.go
+++ b/internal/crew/keeper/outbox.go
@@ -20,7 +20,7 @@
 	for _, m := range messages {
 		name := k.nameOf(m.GetTo())
 		address := k.conf.Keepers[name]
-		if address == "" {
+		if address == "" || !k.maySay(m) {
 			continue
 		}
 		o := k.out[name]
--- a/internal/lab/rig/crew.go
+++ b/internal/lab/rig/crew.go
@@ -76,8 +76,12 @@
 	Asked        int                `json:"asked"`
 	Served       int                `json:"served"`
 	Versions     []CrewVersion      `json:"versions,omitempty"`
-	Leaders      map[uint64]string  `json:"leaders,omitempty"` // by term
+	Leaders      map[uint64]string  `json:"leaders,omitempty"`   // by term
+	Replaced     []string           `json:"replaced,omitempty"`  // keepers whose folder was lost
+	LeaderMS     []float64          `json:"leader_ms,omitempty"` // from each strike on a leader until another one was heard of
 	CautiousMS   map[string]float64 `json:"cautious_ms,omitempty"`
+	RSSMB        map[string]float64 `json:"rss_mb"` // of the last start
+	CPU          map[string]float64 `json:"cpu_s"`  // of the last start
 }
 
 // CrewVersion is how one proposal went.
@@ -113,9 +117,10 @@
 	hosts *hosts
 	began time.Time
 
-	procs  []*crewProc
-	relays map[[2]string]*relay // from one process to a keeper
-	ends   []*crewEndpoint
+	procs   []*crewProc
+	relays  map[[2]string]*relay // from one process to a keeper
+	folders map[string]uint64    // keepers' ids when the crew was formed
+	ends    []*crewEndpoint
 
 	mu       sync.Mutex // guards book and what follows
 	book     *accord.Book
@@ -123,6 +128,7 @@
 	leader   string // as last said
 	lastTerm uint64
 	lastTold uint64
+	struck   time.Duration            // when the leader was killed or stopped; 0 once another one leads
 	pending  map[uint64]time.Duration // versions on their way, and when they were proposed
 	lastAt   map[string]member.Acts
 	cautious map[string]time.Duration
@@ -163,6 +169,7 @@
 		book: accord.New(accord.Conf{AtMost: scene.ContradictAtMost, Margin: crewMargin}), pending: map[uint64]time.Duration{},
 		lastAt: map[string]member.Acts{}, cautious: map[string]time.Duration{},
 		rec: CrewRecord{Name: scene.Name, Seed: seed, Processes: scene.Keepers + scene.Members, Leaders: map[uint64]string{},
+			RSSMB: map[string]float64{}, CPU: map[string]float64{},
 			AtMost: millis(scene.ContradictAtMost)},
 	}
 	r.book.Version(0, accord.Forbids{})
@@ -254,6 +261,11 @@
 					return err
 				}
 			}
+			var st keeper.Status
+			if err := r.procs[0].line.Call("status", struct{}{}, &st, pollTime); err != nil {
+				return err
+			}
+			r.folders = st.Ledger.Keepers
 			r.note("%d processes hold a lease", ready)
 			return nil
 		}
@@ -416,6 +428,10 @@
 	}
 	r.book.Leads(r.now(), s.Term, s.Leader)
 	if r.rec.Leaders[s.Term] = s.Leader; s.Term >= r.lastTerm {
+		if s.Term > r.lastTerm && r.struck > 0 {
+			r.rec.LeaderMS = append(r.rec.LeaderMS, millis(r.now()-r.struck))
+			r.struck = 0
+		}
 		r.leader, r.lastTerm = s.Leader, s.Term
 	}
 }
@@ -564,6 +580,11 @@
 	}
 	p := r.byName(s.Who)
 	r.note("%s %s %s %v", s.Do, p.name, s.Way, s.For)
+	r.mu.Lock()
+	if p.name == r.leader && (s.Do == "kill" || s.Do == "stop" && s.For > time.Second) && p.isUp() {
+		r.struck = r.now()
+	}
+	r.mu.Unlock()
 	later := func(do func()) {
 		ends.Go(func() {
 			select {
@@ -758,6 +779,11 @@
 	for _, k := range r.procs[:r.scene.Keepers] {
 		var st keeper.Status
 		if !r.opts.Separate && k.line.Call("status", struct{}{}, &st, pollTime) == nil && st.Leader == k.name && st.Ledger != nil {
+			for name, id := range st.Ledger.Keepers {
+				if id != r.folders[name] {
+					r.rec.Replaced = append(r.rec.Replaced, name)
+				}
+			}
 			for _, round := range st.Ledger.Rounds() {
 				present[round.Number] = true
 				if round.State == crew.Refused {
@@ -782,6 +808,11 @@
 	r.rec.Broken += report.Broken
 	r.rec.Contradicted, r.rec.Acts, r.rec.Against = millis(report.Longest), report.Acts, report.Against
 	r.rec.Asked, r.rec.Served = int(r.asked.Load()), int(r.served.Load())
+	for _, p := range r.procs {
+		if u, err := p.proc.usage(); err == nil {
+			r.rec.RSSMB[p.name], r.rec.CPU[p.name] = u.rssMB, u.cpu
+		}
+	}
 	r.rec.CautiousMS = map[string]float64{}
 	for name, d := range r.cautious {
 		r.rec.CautiousMS[name] = millis(d)
--- a/internal/lab/rig/crew_test.go
+++ b/internal/lab/rig/crew_test.go
@@ -134,6 +134,62 @@
 	}
 }
 
+// The leader is stopped for twice its lease and goes on, then hears and is not heard; all keepers die at once; a folder is
+// lost. Every version that was told comes through, in its order, and none contradicts another for too long.
+func TestCrewThroughWorse(t *testing.T) {
+	r := playCrew(t, crewScene(t, `
+duration = "10s"
+[[step]]
+at = "300ms"
+do = "propose"
+effect = "once"
+[[step]]
+at = "1300ms"
+do = "stop"
+for = "1300ms"
+[[step]]
+at = "1400ms"
+do = "propose"
+effect = "repeatable"
+ban = "e-1"
+[[step]]
+at = "4s"
+do = "cut"
+way = "out"
+for = "1500ms"
+[[step]]
+at = "4200ms"
+do = "propose"
+effect = "once"
+[[step]]
+at = "6500ms"
+do = "kill"
+who = "k1"
+for = "300ms"
+[[step]]
+at = "6500ms"
+do = "kill"
+who = "k2"
+for = "300ms"
+[[step]]
+at = "6500ms"
+do = "kill"
+who = "k3"
+for = "300ms"
+[[step]]
+at = "8500ms"
+do = "wipe"
+who = "follower"
+for = "300ms"
+`), bugNone, CrewOptions{})
+	for _, b := range r.Breaks {
+		t.Error(b)
+	}
+	if len(r.Versions) != 3 || len(r.Replaced) != 1 || float64(r.Served) < 0.95*float64(r.Asked) {
+		t.Errorf("versions %+v, folders replaced %v, served %d of %d", r.Versions, r.Replaced, r.Served, r.Asked)
+	}
+}
+
 // Each planted bug is caught by its own rule.
 func TestCrewCatchesPlantedBugs(t *testing.T) {
 	const bannedThenCut = "duration = \"6s\"\n[[step]]\nat = \"200ms\"\ndo = \"propose\"\nban = \"e-2\"\n" +
