--- a/internal/versions/versions.go
+++ b/internal/versions/versions.go
@@ -20,7 +20,7 @@
 const (
 	MostClasses  = 64
 	MostBanned   = 1024 // as many as a sidecar keeps bans by hand
-	MostText     = 64 << 10
+	MostText     = 64 << 10 // bytes, encoded: the keepers' history holds 8 MiB of them then
 	MostAttempts = 16
 	MostWindow   = time.Hour
 	mostName     = 256
@@ -54,11 +54,15 @@
 
 // Hash returns the hash of the canonical encoding (RFC 8949, 4.2.1).
 func (d *Document) Hash() Hash {
+	return sha256.Sum256(d.encoded())
+}
+
+func (d *Document) encoded() []byte {
 	text, err := encoding.Marshal(d)
 	if err != nil {
 		panic(err) // a struct of plain fields
 	}
-	return sha256.Sum256(text)
+	return text
 }
 
 // Version is a document with its place among the others.
@@ -119,6 +123,9 @@
 			return fmt.Errorf("banned[%d]: %.40q; allowed: names of 1 to %d bytes, sorted, each once", i, name, mostName)
 		}
 	}
+	if size := len(d.encoded()); size > MostText {
+		return fmt.Errorf("document: %d bytes; allowed: up to %d", size, MostText)
+	}
 	return nil
 }
 
--- a/internal/versions/versions_test.go
+++ b/internal/versions/versions_test.go
@@ -1,6 +1,7 @@
 package versions
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -127,6 +128,13 @@
 	if other.MaxAttempts = 3; other.Hash() == doc.Hash() {
 		t.Error("other documents, equal hashes")
 	}
+	long := Document{}
+	for i := range MostBanned {
+		long.Banned = append(long.Banned, fmt.Sprintf("%0*d", mostName, i))
+	}
+	if err := long.Check(); err == nil || !strings.HasPrefix(err.Error(), "document: ") {
+		t.Errorf("a document of %d names of %d bytes: %v", MostBanned, mostName, err)
+	}
 	for text, want := range map[string]string{
 		"max_attempts = 0":                             "v.toml:1: max_attempts",
 		"second_copies = true":                         "v.toml:1: second_copies",
