--- a/internal/versions/versions.go
+++ b/internal/versions/versions.go
@@ -19,7 +19,7 @@
 // Bounds of a document: every member keeps two of them, and the keepers their history.
 const (
 	MostClasses  = 64
-	MostBanned   = 1024 // as many as a sidecar keeps bans by hand
+	MostBanned   = 1024     // as many as a sidecar keeps bans by hand
 	MostText     = 64 << 10 // bytes, encoded: the keepers' history holds 8 MiB of them then
 	MostAttempts = 16
 	MostWindow   = time.Hour
