Command line: tests of crew commands that fail

Cause: each refusal of the command line needs a case. Change: no table, no keeper, no file, faulty flags, serve with [crew].

--- a/internal/command/heathgap_test.go
+++ b/internal/command/heathgap_test.go
@@ -71,3 +71,39 @@
 		t.Errorf("%q, %q, %v", path, env[len(env)-1], err)
 	}
 }
+
+// A crew that can't be reached, or a file that names none, ends a command with one line and exit code 1.
+func TestCrewCommandsFail(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	bare, version := write("bare.toml", ""), write("version.toml", "max_attempts = 2\n")
+	away := write("away.toml", "[crew]\nname = \"c\"\naddress = \"127.0.0.1:9\"\n[[crew.keeper]]\nname = \"k\"\naddress = \"127.0.0.1:9\"\n")
+	for _, c := range []struct {
+		args []string
+		want string
+		code int
+	}{
+		{[]string{"crew", "status", "--operator", bare}, "no table [crew]", ExitFailed},
+		{[]string{"crew", "status", "--operator", away}, "no keeper answers: keeper k:", ExitFailed},
+		{[]string{"crew", "undo", "--operator", away}, "no keeper answers", ExitFailed},
+		{[]string{"crew", "propose", "--operator", away, version}, "no keeper answers", ExitFailed},
+		{[]string{"crew", "propose", "--operator", away, bare + "x"}, "no such file", ExitFailed},
+		{[]string{"crew", "members"}, "missing flags: --operator", ExitUsage},
+		{[]string{"crew", "diff", "--operator", away, "x", "1"}, "from", ExitUsage},
+	} {
+		if code, _, stderr := run(c.args...); code != c.code || !strings.Contains(stderr, c.want) {
+			t.Errorf("%v: %d, %q", c.args, code, stderr)
+		}
+	}
+	// A sidecar without the agreement's libraries must not pass over [crew].
+	s := serve{Operator: away}
+	if path, _, err := s.target(func() (string, error) { return "/x/bin/heathgap-cli", nil }); err != nil || path != "/x/bin/heathgap-crew" {
+		t.Errorf("serve starts %q, %v", path, err)
+	}
+}
