Crew: a keeper's lost folder is filled again

Result: three keepers wiped in turn are filled (TestLostFoldersAreFilled); the storm still has runs that end without a leader, looked into next.

--- a/internal/crew/keeper/form.go
+++ b/internal/crew/keeper/form.go
@@ -34,11 +34,7 @@
 }
 
 func (k *Keeper) word() formWord {
-	set := k.store.who.Set
-	if k.node != nil && len(k.ledger.Keepers) > 0 {
-		set = k.ledger.Keepers
-	}
-	w := formWord{Name: k.conf.Name, ID: k.store.who.ID, Set: maps.Clone(set), Begun: k.node != nil && len(k.ledger.Keepers) > 0,
+	w := formWord{Name: k.conf.Name, ID: k.store.who.ID, Set: maps.Clone(k.store.who.Set), Begun: k.node != nil && len(k.ledger.Keepers) > 0,
 		Terms: k.conf.Terms.Hash(), End: k.logEnd(), Seen: maps.Clone(k.seen)}
 	if k.node != nil {
 		w.Term = k.node.BasicStatus().HardState.GetTerm()
@@ -120,8 +116,10 @@
 func (k *Keeper) form() error {
 	mine := k.store.who.Set
 	for _, w := range k.heard {
-		if w.Set != nil && w.Set[k.conf.Name] != k.store.who.ID {
-			return nil // formed, or about to be, with a folder that is lost: this one is to replace it
+		// Formed, or about to be, with a folder that is lost: this one is to replace it. Guards against a newcomer that
+		// makes up a beginning of its own from who stands in for the first ones.
+		if (w.Set != nil || w.Begun) && w.Set[k.conf.Name] != k.store.who.ID {
+			return nil
 		}
 	}
 	if mine == nil {
@@ -237,5 +235,7 @@
 	}
 	k.ledger.Keepers[r.Name] = r.ID
 	k.log.Info().Str("keeper", r.Name).Msg("a keeper's folder was replaced")
-	return nil
+	// Guards against a newcomer that never gets the log: raft gives it a snapshot, and turns down one whose members it is
+	// not among.
+	return k.snapshot()
 }
--- a/internal/crew/keeper/keeper.go
+++ b/internal/crew/keeper/keeper.go
@@ -438,6 +438,11 @@
 	if err != nil || k.conf3 == nil || k.applied < first+compactEvery {
 		return err
 	}
+	return k.snapshot()
+}
+
+// snapshot puts one of the present ledger in the place of the log up to here.
+func (k *Keeper) snapshot() error {
 	text, err := cbor.Marshal(k.ledger)
 	if err != nil {
 		return err
@@ -476,6 +481,11 @@
 			return name
 		}
 	}
+	for name, w := range k.heard { // a newcomer has no ledger yet, and must answer who fills its folder
+		if w.ID == id {
+			return name
+		}
+	}
 	return ""
 }
 
--- /dev/null
+++ b/internal/crew/keeper/keeper_test.go
@@ -0,0 +1,128 @@
+package keeper
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"heathgap/internal/crew"
+	"heathgap/internal/env"
+	"heathgap/internal/peers"
+	"heathgap/internal/versions"
+)
+
+// three are keepers on loopback in this process.
+type three struct {
+	t       *testing.T
+	dir     string
+	keepers map[string]*Keeper
+	servers map[string]*peers.Server
+	conf    Conf
+}
+
+func startThree(t *testing.T) *three {
+	t.Helper()
+	c := &three{t: t, dir: t.TempDir(), keepers: map[string]*Keeper{}, servers: map[string]*peers.Server{},
+		conf: Conf{Crew: "c", Keepers: map[string]string{}, Terms: crew.Terms{Lease: time.Second}}}
+	for _, name := range []string{"a", "b", "c"} {
+		s, err := peers.Listen(env.Real{}, "127.0.0.1:0", "c")
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.servers[name], c.conf.Keepers[name] = s, s.Address()
+	}
+	for name := range c.servers {
+		c.start(name)
+	}
+	t.Cleanup(func() {
+		for name := range c.keepers {
+			c.stop(name)
+		}
+	})
+	return c
+}
+
+func (c *three) start(name string) {
+	c.t.Helper()
+	conf := c.conf
+	conf.Name, conf.Data = name, c.dir+"/"+name
+	k, err := Open(conf, env.Real{}, zerolog.New(zerolog.NewTestWriter(c.t)).With().Str("keeper", name).Logger())
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	s := c.servers[name]
+	if s == nil {
+		if s, err = peers.Listen(env.Real{}, conf.Keepers[name], "c"); err != nil {
+			c.t.Fatal(err)
+		}
+	}
+	c.keepers[name], c.servers[name] = k, s
+	s.Serve(env.Real{}, k.Handlers())
+	go k.Run()
+}
+
+func (c *three) stop(name string) {
+	c.keepers[name].Stop()
+	c.servers[name].Close()
+	delete(c.keepers, name)
+	delete(c.servers, name)
+}
+
+// leader waits for one that all agree on, with the same entries applied.
+func (c *three) leader() string {
+	c.t.Helper()
+	last := ""
+	for limit := time.Now().Add(20 * time.Second); time.Now().Before(limit); time.Sleep(50 * time.Millisecond) {
+		seen := map[string]int{}
+		last = ""
+		for name, k := range c.keepers {
+			s, err := k.Status()
+			if err != nil {
+				continue
+			}
+			seen[fmt.Sprint(s.Leader, s.Applied, s.Ledger.Active.Number, s.Ledger.Keepers)]++
+			last += fmt.Sprintf(" %s: leader %q term %d applied %d;", name, s.Leader, s.Term, s.Applied)
+			if s.Leader != "" && seen[fmt.Sprint(s.Leader, s.Applied, s.Ledger.Active.Number, s.Ledger.Keepers)] == len(c.keepers) {
+				return s.Leader
+			}
+		}
+	}
+	c.t.Fatalf("no agreement:%s", last)
+	return ""
+}
+
+// Guards against a keeper with an empty folder that is put in the lost one's place and never filled: each in turn, and the
+// version that was told is still there.
+func TestLostFoldersAreFilled(t *testing.T) {
+	c := startThree(t)
+	lead := c.leader()
+	p := crew.Proposal{ID: 7, Doc: versions.Document{MaxAttempts: 2}}
+	if told, err := c.keepers[lead].Propose(p); err != nil || told.Number != 1 {
+		t.Fatalf("%+v, %v", told, err)
+	}
+	for _, name := range []string{"a", "b", "c"} {
+		before := c.keepers[name].store.who.ID
+		c.stop(name)
+		if err := os.RemoveAll(c.dir + "/" + name); err != nil {
+			t.Fatal(err)
+		}
+		c.leader()
+		c.start(name)
+		for limit := time.Now().Add(10 * time.Second); ; time.Sleep(50 * time.Millisecond) {
+			s, err := c.keepers[c.leader()].Status()
+			if err == nil && s.Ledger.Keepers[name] != before {
+				break
+			}
+			if time.Now().After(limit) {
+				t.Fatalf("%s is not taken in", name)
+			}
+		}
+	}
+	s, err := c.keepers[c.leader()].Status()
+	if err != nil || s.Ledger.Find(7) == nil {
+		t.Errorf("the version that was told is gone: %+v, %v", s, err)
+	}
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -30,6 +30,7 @@
 	readTime  = 5 * time.Second  // for a message, once its first byte has come
 	idleTime  = 70 * time.Second // above the longest lease: members renew more often
 	dialTime  = time.Second
+	closeTime = 200 * time.Millisecond
 	mostWhy   = 4096 // bytes of a refusal
 )
 
@@ -104,8 +105,13 @@
 // Address is where it listens.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
-// Close ends it; what is being answered is cut.
-func (s *Server) Close() { s.listener.Close() }
+// Close ends it, with the connections that it keeps; what is being answered has a moment to go.
+func (s *Server) Close() {
+	s.listener.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), closeTime)
+	defer cancel()
+	s.server.ShutdownWithContext(ctx) //nolint:errcheck // what does not end in time ends with the process
+}
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	if s.conns.Load() > mostConns {
