Command line: one way to ask a crew's keepers

Cause: six commands opened the file and asked the keepers in the same lines. Change: look and led of crewAt.

--- a/internal/command/crew.go
+++ b/internal/command/crew.go
@@ -83,6 +83,26 @@
 	return best, nil
 }
 
+// look asks the keepers that the file names.
+func (a *crewAt) look() (*crewTalk, keeper.Status, error) {
+	t, err := a.open()
+	if err != nil {
+		return nil, keeper.Status{}, err
+	}
+	s, err := t.status()
+	return t, s, err
+}
+
+// led is look, with a leader.
+func (a *crewAt) led() (*crewTalk, keeper.Status, error) {
+	t, err := a.open()
+	if err != nil {
+		return nil, keeper.Status{}, err
+	}
+	s, err := t.led()
+	return t, s, err
+}
+
 // led is status, with a leader.
 func (t *crewTalk) led() (keeper.Status, error) {
 	s, err := t.status()
@@ -109,11 +129,7 @@
 
 // Run tells the crew's state.
 func (c *crewStatus) Run(o *Out) error {
-	t, err := c.open()
-	if err != nil {
-		return err
-	}
-	s, err := t.status()
+	t, s, err := c.look()
 	if err != nil {
 		return err
 	}
@@ -152,11 +168,7 @@
 
 // Run asks each member.
 func (c *crewMembers) Run(o *Out) error {
-	t, err := c.open()
-	if err != nil {
-		return err
-	}
-	s, err := t.status()
+	t, s, err := c.look()
 	if err != nil {
 		return err
 	}
@@ -214,11 +226,7 @@
 
 // Run lists what the keepers keep.
 func (c *crewVersions) Run(o *Out) error {
-	t, err := c.open()
-	if err != nil {
-		return err
-	}
-	s, err := t.status()
+	_, s, err := c.look()
 	if err != nil {
 		return err
 	}
@@ -252,11 +260,7 @@
 
 // Run tells what differs.
 func (c *crewDiff) Run(o *Out) error {
-	t, err := c.open()
-	if err != nil {
-		return err
-	}
-	s, err := t.status()
+	_, s, err := c.look()
 	if err != nil {
 		return err
 	}
@@ -308,11 +312,7 @@
 	if c.Note != "" {
 		note = c.Note
 	}
-	t, err := c.open()
-	if err != nil {
-		return err
-	}
-	s, err := t.led()
+	t, s, err := c.led()
 	if err != nil {
 		return err
 	}
@@ -330,11 +330,7 @@
 
 // Run proposes what held before.
 func (c *crewUndo) Run(o *Out) error {
-	t, err := c.open()
-	if err != nil {
-		return err
-	}
-	s, err := t.led()
+	t, s, err := c.led()
 	if err != nil {
 		return err
 	}
