--- a/internal/crew/keeper/keeper.go
+++ b/internal/crew/keeper/keeper.go
@@ -564,7 +564,9 @@
 				}
 			}
 		} else {
-			s.Leader, s.Term = k.nameOf(k.leader), k.node.BasicStatus().HardState.GetTerm()
+			// Both of one moment: between two steps raft may be in a later term than the leader that was booked last.
+			now := k.node.BasicStatus()
+			s.Leader, s.Term = k.nameOf(now.Lead), now.HardState.GetTerm()
 		}
 		if k.granter != nil {
 			s.Leases = map[string]int{}
