--- a/internal/lab/accord/accord.go
+++ b/internal/lab/accord/accord.go
@@ -163,11 +163,14 @@
 }
 
 // allowedFrom tells from when on the process of an act may have allowed it, by its own word: the last word before that
-// which did not. It is 0 where the next word after the act does not allow it either.
+// which did not. It is 0 where neither the word before the act nor the one after it allows it.
 func (b *Book) allowedFrom(a *Act) time.Duration {
 	said := b.said[a.Process]
 	i, _ := slices.BinarySearchFunc(said, a.At, func(s Saying, at time.Duration) int { return cmp.Compare(s.At, at) })
 	if i == len(said) || b.barred(&said[i], a) {
+		i-- // a lease may have ended in between
+	}
+	if i < 0 || b.barred(&said[i], a) {
 		return 0
 	}
 	from := time.Duration(0) // a start before the act begins anew
--- a/internal/lab/accord/accord_test.go
+++ b/internal/lab/accord/accord_test.go
@@ -61,6 +61,13 @@
 			}
 			b.Did(resend(500 * ms))
 		}, ""},
+		"loosened, and cut off right after": {func(b *Book) {
+			acts(b, "b", Saying{Active: 1, Next: 2})
+			b.Says("a", Saying{At: 440 * ms, Active: 1})
+			b.Says("a", Saying{At: 480 * ms, Active: 2})
+			b.Says("a", Saying{At: 520 * ms, Active: 2, Cautious: true})
+			b.Did(resend(500 * ms))
+		}, ""},
 		"loosened, and started anew": {func(b *Book) {
 			acts(b, "b", Saying{Active: 1, Next: 2})
 			b.Says("a", Saying{At: 0, Active: 1})
