--- a/internal/crew/keeper/form.go
+++ b/internal/crew/keeper/form.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 	"go.etcd.io/raft/v3"
@@ -234,6 +235,8 @@
 		return fmt.Errorf("%w: entry %d: %w", errDamaged, e.GetIndex(), err)
 	}
 	k.ledger.Keepers[r.Name] = r.ID
+	in := slices.Collect(maps.Values(k.ledger.Keepers))
+	maps.DeleteFunc(k.seen, func(id uint64, _ past) bool { return !slices.Contains(in, id) })
 	k.log.Info().Str("keeper", r.Name).Msg("a keeper's folder was replaced")
 	// Guards against a newcomer that never gets the log: raft gives it a snapshot, and turns down one whose members it is
 	// not among.
