--- a/internal/lab/accord/accord_test.go
+++ b/internal/lab/accord/accord_test.go
@@ -68,6 +68,22 @@
 			b.Says("a", Saying{At: 520 * ms, Active: 2, Cautious: true})
 			b.Did(resend(500 * ms))
 		}, ""},
+		"stopped, and loosened before it is asked again": {func(b *Book) {
+			acts(b, "b", Saying{Active: 1, Next: 2})
+			b.Says("a", Saying{At: 20 * ms, Active: 1})
+			b.Says("a", Saying{At: 520 * ms, Active: 2})
+			b.Did(resend(500 * ms))
+		}, ""},
+		"allowed between two words that are far apart": {func(b *Book) {
+			b.Says("a", Saying{At: 20 * ms, Cautious: true})
+			b.Says("a", Saying{At: 520 * ms, Active: 1})
+			b.Did(resend(500 * ms))
+		}, ""},
+		"loosened for long, and still done": {func(b *Book) {
+			acts(b, "b", Saying{Active: 1, Next: 2})
+			acts(b, "a", Saying{Active: 2})
+			b.Did(resend(500 * ms))
+		}, Contradicts},
 		"loosened, and started anew": {func(b *Book) {
 			acts(b, "b", Saying{Active: 1, Next: 2})
 			b.Says("a", Saying{At: 0, Active: 1})
