A keeper that lags hears a folder that it does not know yet

On reading, takeMessages refused every id but the one in its own ledger, so a keeper behind a change of folders refused the new one, which may lead. Change: ids that were replaced are agreed on and remembered, 256 of them; only these are refused. Result: a test that fails without it.

--- a/internal/crew/keeper/clear_test.go
+++ b/internal/crew/keeper/clear_test.go
@@ -109,3 +109,19 @@
 		t.Error("it waits for ever")
 	}
 }
+
+// Guards against a keeper that lags behind a change of folders and refuses the new one's word: a folder that it does not
+// know is heard, one that was replaced is not.
+func TestUnknownFolderIsHeard(t *testing.T) {
+	k := started(t)
+	k.clearing = nil
+	from, term, commit := uint64(99), uint64(7), uint64(0)
+	m := &raftpb.Message{Type: raftpb.MsgHeartbeat.Enum(), From: &from, To: &k.store.who.ID, Term: &term, Commit: &commit}
+	if err := k.takeMessages("b", []*raftpb.Message{m}); err != nil || k.node.BasicStatus().Lead != from {
+		t.Errorf("a folder that is not known yet: %v, leader %d", err, k.node.BasicStatus().Lead)
+	}
+	k.ledger.Former = []uint64{from}
+	if err := k.takeMessages("b", []*raftpb.Message{m}); err == nil || !strings.Contains(err.Error(), "was replaced") {
+		t.Errorf("a folder that was replaced: %v", err)
+	}
+}
--- a/internal/crew/keeper/form.go
+++ b/internal/crew/keeper/form.go
@@ -234,6 +234,8 @@
 	if err := cbor.Unmarshal(change.GetContext(), &r); err != nil {
 		return fmt.Errorf("%w: entry %d: %w", errDamaged, e.GetIndex(), err)
 	}
+	former := append(k.ledger.Former, k.ledger.Keepers[r.Name])
+	k.ledger.Former = former[max(0, len(former)-crew.MostFormer):]
 	k.ledger.Keepers[r.Name] = r.ID
 	in := slices.Collect(maps.Values(k.ledger.Keepers))
 	maps.DeleteFunc(k.seen, func(id uint64, _ past) bool { return !slices.Contains(in, id) })
--- a/internal/crew/keeper/keeper.go
+++ b/internal/crew/keeper/keeper.go
@@ -639,7 +639,9 @@
 		if m.GetTo() != k.store.who.ID {
 			return fmt.Errorf("%s has another folder now: this word was for the one before", k.conf.Name)
 		}
-		if id, there := k.ledger.Keepers[from]; there && k.settled() && id != m.GetFrom() && !k.changing(m.GetFrom()) {
+		// Only what is agreed on is refused. Guards against a keeper that lags behind a change of folders and refuses the new
+		// one, which may lead: it was never filled (storm seed 365).
+		if slices.Contains(k.ledger.Former, m.GetFrom()) && !k.changing(m.GetFrom()) {
 			return fmt.Errorf("the folder of %s was replaced: it takes no part any more; move it away and start again", from)
 		}
 		if k.node == nil { // a newcomer in the place of a folder that is lost
--- a/internal/crew/ledger.go
+++ b/internal/crew/ledger.go
@@ -55,6 +55,9 @@
 	Why   string `cbor:"22,keyasint,omitempty"` // it was refused
 }
 
+// MostFormer bounds the replaced folders that are remembered: far more than are ever tried again.
+const MostFormer = 256
+
 // mostHistory bounds the ended rounds that the ledger keeps, for people and for proposals
 // that are said again; documents of 64 KiB make 8 MiB of it at most.
 const mostHistory = 128
@@ -71,6 +74,8 @@
 	Last    uint64  `cbor:"6,keyasint"` // the highest number given
 	// Keepers are ids by names: of the folders that take part in the agreement.
 	Keepers map[string]uint64 `cbor:"7,keyasint"`
+	// Former are ids of folders that others took the place of, the newest last.
+	Former []uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // NewLedger returns that of a crew without members and versions.
@@ -222,6 +227,7 @@
 func (l *Ledger) Clone() *Ledger {
 	c := *l
 	c.Members, c.History, c.Keepers = maps.Clone(l.Members), slices.Clone(l.History), maps.Clone(l.Keepers)
+	c.Former = slices.Clone(l.Former)
 	if l.Next != nil {
 		next := *l.Next
 		c.Next = &next
