--- a/internal/lab/rig/crew.go
+++ b/internal/lab/rig/crew.go
@@ -600,6 +600,17 @@
 		ends.Go(func() { r.propose(ctx, s) })
 		return nil
 	}
+	if s.Who == "keepers" || s.Who == "all" {
+		for i, p := range r.procs {
+			if one := s; s.Who == "all" || i < r.scene.Keepers {
+				one.Who = p.name
+				if err := r.strike(ctx, one, ends); err != nil {
+					return err
+				}
+			}
+		}
+		return nil
+	}
 	p := r.byName(s.Who)
 	own := s.Do != "cut" && s.Do != "reset" && s.Do != "restart" // of the process itself
 	if own && !p.begin() {
--- a/internal/lab/rig/crew_test.go
+++ b/internal/lab/rig/crew_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -28,8 +29,37 @@
 	bugGoesOn  = "goes on when its lease has ended"
 	bugForgets = "forgets bans when it is cut off"
 	bugStays   = "acts on the first rules that it was told"
+	bugSlow    = "its clock is slower than the terms allow"
+	// No bug: clocks whose rates are off by as much as the terms allow, one fast, the next slow.
+	clocksOff = "clocks off"
 )
 
+// otherClock is the machine's, but for the rate of the clock that leases are counted by.
+type otherClock struct {
+	env.Env
+	rate  float64
+	began time.Duration
+}
+
+// Boot is env.Env's.
+func (c otherClock) Boot() time.Duration {
+	return c.began + time.Duration(float64(c.Env.Boot()-c.began)*c.rate)
+}
+
+// clockOf is a member's clock.
+func clockOf(world env.Env, bug, name string, drift float64) env.Env {
+	rate := 1.0
+	switch {
+	case bug == bugSlow && name == "m2":
+		rate = 0.15 // its lease lasts longer than it is cut off
+	case bug == clocksOff && name[len(name)-1]%2 == 0:
+		rate = 1 + drift
+	case bug == clocksOff:
+		rate = 1 - drift
+	}
+	return otherClock{world, rate, world.Boot()}
+}
+
 // buggyMember is a member with a bug round it.
 type buggyMember struct {
 	lifecycle.Crew
@@ -63,7 +93,7 @@
 	join := member.Joiner(*file.Crew)
 	return lifecycle.Main(lifecycle.Options{Operator: file,
 		Crew: func(conf *config.Config, world env.Env, log zerolog.Logger) (lifecycle.Crew, error) {
-			m, err := join(conf, world, log)
+			m, err := join(conf, clockOf(world, bug, conf.Name, file.Crew.Terms.Drift), log)
 			return &buggyMember{Crew: m, bug: bug}, err
 		}})
 }
@@ -114,9 +144,9 @@
 `
 
 // Five processes: a member is cut off, the leader killed with a version on its way, and both come back. Nobody acts on
-// rules that contradict another's for longer than is promised, and the version is not lost.
+// rules that contradict another's for longer than is promised, and the version is not lost; with clocks as far off as they may be.
 func TestCrew(t *testing.T) {
-	r := playCrew(t, crewScene(t, cutAndPropose+"[[step]]\nat = \"1200ms\"\ndo = \"kill\"\nfor = \"2s\"\n"), bugNone, CrewOptions{})
+	r := playCrew(t, crewScene(t, cutAndPropose+"[[step]]\nat = \"1200ms\"\ndo = \"kill\"\nfor = \"2s\"\n"), clocksOff, CrewOptions{})
 	for _, b := range r.Breaks {
 		t.Error(b)
 	}
@@ -196,6 +226,7 @@
 		"[[step]]\nat = \"2500ms\"\ndo = \"cut\"\nwho = \"m2\"\nfor = \"3s\"\n"
 	for bug, c := range map[string]struct{ scene, rule string }{
 		bugGoesOn:  {cutAndPropose, accord.Contradicts},
+		bugSlow:    {cutAndPropose, accord.Contradicts},
 		bugForgets: {bannedThenCut, accord.Contradicts},
 		bugStays:   {"duration = \"4s\"\n[[step]]\nat = \"200ms\"\ndo = \"propose\"\neffect = \"once\"\n", accord.AgainstSelf},
 	} {
--- a/internal/lab/scenario/crew.go
+++ b/internal/lab/scenario/crew.go
@@ -29,7 +29,7 @@
 type CrewStep struct {
 	At     time.Duration
 	Do     string
-	Who    string // a process (k1, m2), "leader", or "follower": a keeper that does not lead
+	Who    string // a process (k1, m2), "leader", "follower" (a keeper that does not lead), "keepers" or "all"
 	Way    string // of a cut
 	For    time.Duration
 	Effect string // of a proposal: that of the probed class
@@ -67,6 +67,20 @@
 	return decodeCrew(doc)
 }
 
+// has tells whether somebody goes by a name.
+func (c *Crew) has(who string) bool {
+	var n int
+	switch who {
+	case "leader", "follower", "keepers", "all":
+		return true
+	}
+	if _, err := fmt.Sscanf(who, "k%d", &n); err == nil && who == fmt.Sprintf("k%d", n) {
+		return n >= 1 && n <= c.Keepers
+	}
+	_, err := fmt.Sscanf(who, "m%d", &n)
+	return err == nil && who == fmt.Sprintf("m%d", n) && n >= 1 && n <= c.Members
+}
+
 func decodeCrew(doc *tomlread.Doc) (*Crew, error) {
 	t := doc.Root
 	t.Need("name", "a text")
@@ -93,6 +107,9 @@
 			Who: s.Text("who", "leader"), Way: s.Word("way", "both", CrewWays...), For: s.Duration("for", time.Second, 0, mostCrewTime),
 			Effect: s.Text("effect", ""), Ban: s.Text("ban", ""),
 		}
+		if !c.has(step.Who) {
+			s.Fail("who", step.Who, fmt.Sprintf("leader, follower, keepers, all, k1 to k%d, m1 to m%d", c.Keepers, c.Members))
+		}
 		if step.At > c.Duration {
 			s.Fail("at", step.At.String(), "a time up to duration")
 		}
--- /dev/null
+++ b/internal/lab/scenario/crew_test.go
@@ -0,0 +1,26 @@
+package scenario
+
+import (
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// The crews that come with heathgap are read, and a name that nobody has is refused: it would have struck the first keeper.
+func TestCrews(t *testing.T) {
+	paths, err := filepath.Glob("../../../lab/crews/*.toml")
+	if err != nil || len(paths) < 3 {
+		t.Fatalf("%q, %v", paths, err)
+	}
+	for _, path := range paths {
+		if _, err := LoadCrew(path); err != nil {
+			t.Error(err)
+		}
+	}
+	for who, good := range map[string]bool{"leader": true, "all": true, "k3": true, "m2": true, "k4": false, "m0": false, "m3": false, "m1x": false, "nobody": false} {
+		_, err := ParseCrew("f.toml", []byte("name = \"x\"\n[[step]]\ndo = \"kill\"\nwho = \""+who+"\"\n"))
+		if (err == nil) != good || err != nil && !strings.Contains(err.Error(), "k1 to k3, m1 to m2") {
+			t.Errorf("%s: %v", who, err)
+		}
+	}
+}
