--- a/internal/crew/keeper/keeper_test.go
+++ b/internal/crew/keeper/keeper_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"heathgap/decide"
 	"heathgap/internal/crew"
 	"heathgap/internal/env"
 	"heathgap/internal/peers"
@@ -126,3 +127,55 @@
 		t.Errorf("the version that was told is gone: %+v, %v", s, err)
 	}
 }
+
+// The last majority of folders is lost for good: what docs/crew.md has operators do forms a crew anew, without versions, and it
+// takes proposals. Who was in the former crew does not take its word.
+func TestAllFoldersLost(t *testing.T) {
+	c := startThree(t)
+	if told, err := c.keepers[c.leader()].Propose(crew.Proposal{ID: 7, Doc: versions.Document{MaxAttempts: 2}}); err != nil || told.Number != 1 {
+		t.Fatalf("%+v, %v", told, err)
+	}
+	member := crew.NewHolder(crew.Member{Name: "m", Token: 1}, c.conf.Terms, versions.Own(&decide.Settings{}), 0)
+	grant := ask(t, c, member)
+	if _, err := member.Told(0, grant); err != nil || grant.Next == nil && grant.Active.Number != 1 {
+		t.Fatalf("%+v, %v", grant, err)
+	}
+	for _, name := range []string{"a", "b", "c"} {
+		c.stop(name)
+		if err := os.RemoveAll(c.dir + "/" + name); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, name := range []string{"a", "b", "c"} {
+		c.start(name)
+	}
+	lead := c.leader()
+	if s, err := c.keepers[lead].Status(); err != nil || len(s.Ledger.Rounds()) != 0 {
+		t.Fatalf("%+v, %v", s.Ledger, err)
+	}
+	if _, err := member.Told(1, ask(t, c, member)); err == nil {
+		t.Error("a member of the former crew takes the new one's word")
+	}
+	if told, err := c.keepers[lead].Propose(crew.Proposal{ID: 8, Doc: versions.Document{MaxAttempts: 3}}); err != nil || told.Number != 1 {
+		t.Errorf("%+v, %v", told, err)
+	}
+}
+
+// ask has a member ask the leader until it is in, or refused for good.
+func ask(t *testing.T, c *three, h *crew.Holder) *crew.Grant {
+	t.Helper()
+	for limit := time.Now().Add(10 * time.Second); time.Now().Before(limit); time.Sleep(20 * time.Millisecond) {
+		a, err := c.keepers[c.leader()].Renew(h.Ask())
+		if err != nil || a.Grant == nil {
+			continue
+		}
+		if !a.Grant.Again {
+			return a.Grant
+		}
+		if _, err := h.Told(0, a.Grant); err != nil {
+			return a.Grant
+		}
+	}
+	t.Fatal("no answer")
+	return nil
+}
