--- a/internal/sim/crewsim/run.go
+++ b/internal/sim/crewsim/run.go
@@ -12,6 +12,7 @@
 	"heathgap/decide"
 	"heathgap/internal/crew"
 	"heathgap/internal/crew/keeper"
+	"heathgap/internal/sim"
 	"heathgap/internal/versions"
 )
 
@@ -81,17 +82,7 @@
 )
 
 // Failure is a broken rule.
-type Failure struct {
-	Rule string
-	Step int
-	At   time.Duration
-	What string
-}
-
-// Error tells it in a line.
-func (f *Failure) Error() string {
-	return fmt.Sprintf("step %d at %v: %s: %s", f.Step, f.At, f.Rule, f.What)
-}
+type Failure = sim.Failure
 
 // Result is what a run left.
 type Result struct {
@@ -214,7 +205,7 @@
 
 func (r *run) broken(rule, format string, args ...any) {
 	if r.fault == nil && (r.opts.Only == "" || rule == r.opts.Only) {
-		r.fault = &Failure{rule, r.w.steps, r.w.now, fmt.Sprintf(format, args...)}
+		r.fault = &Failure{Rule: rule, Step: r.w.steps, At: r.w.now, What: fmt.Sprintf(format, args...)}
 		r.w.note("broken "+rule, "")
 	}
 }
