Tests of the simulations share their replay and their files

Cause: the crew's simulation wrote anew how internal/sim compares traces of other processes and opens files for traces and logs; two tests of the command line each wrote their own way to write files.

--- a/internal/command/heathgap_test.go
+++ b/internal/command/heathgap_test.go
@@ -14,24 +14,29 @@
 	return code, stdout.String(), stderr.String()
 }
 
-// Guards against a check that passes a faulty file, stops at the first one, or
-// starts something.
-func TestCheck(t *testing.T) {
+// files returns a function that writes files into a folder of the test's own.
+func files(t *testing.T) (write func(name, text string) string) {
 	dir := t.TempDir()
-	write := func(name, text string) string {
+	return func(name, text string) string {
 		path := filepath.Join(dir, name)
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
 		return path
 	}
+}
+
+// Guards against a check that passes a faulty file, stops at the first one, or
+// starts something.
+func TestCheck(t *testing.T) {
+	write := files(t)
 	good := write("good.toml", "[log]\nlevel = \"warn\"\n")
 	bad := write("bad.toml", "[log]\nlevel = \"loud\"\nevery = 3\n")
 	config := write("config.json", `{"name":"n","listen":"x"}`)
 	if code, stdout, _ := run("check", good); code != 0 || !strings.Contains(stdout, "good.toml: good") {
 		t.Errorf("a good file: %d, %q", code, stdout)
 	}
-	code, stdout, stderr := run("check", bad, good, config, filepath.Join(dir, "none.toml"), "x.yaml")
+	code, stdout, stderr := run("check", bad, good, config, filepath.Join(filepath.Dir(good), "none.toml"), "x.yaml")
 	if code != ExitFailed || !strings.Contains(stdout, "good.toml: good") {
 		t.Errorf("bad files: %d, %q", code, stdout)
 	}
@@ -74,14 +79,7 @@
 
 // A crew that can't be reached, or a file that names none, ends a command with one line and exit code 1.
 func TestCrewCommandsFail(t *testing.T) {
-	dir := t.TempDir()
-	write := func(name, text string) string {
-		path := filepath.Join(dir, name)
-		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		return path
-	}
+	write := files(t)
 	bare, version := write("bare.toml", ""), write("version.toml", "max_attempts = 2\n")
 	away := write("away.toml", "[crew]\nname = \"c\"\naddress = \"127.0.0.1:9\"\n[[crew.keeper]]\nname = \"k\"\naddress = \"127.0.0.1:9\"\n")
 	for _, c := range []struct {
--- a/internal/sim/crewsim/sim_test.go
+++ b/internal/sim/crewsim/sim_test.go
@@ -4,11 +4,11 @@
 	"flag"
 	"fmt"
 	"os"
-	"os/exec"
 	"slices"
-	"strings"
 	"testing"
 	"time"
+
+	"heathgap/internal/sim/simtest"
 )
 
 var (
@@ -74,20 +74,7 @@
 }
 
 func playOne(t *testing.T, seed uint64) {
-	opts := Options{}
-	for path, to := range map[*string]func(*os.File){
-		traceFile: func(f *os.File) { opts.Trace = f }, logFile: func(f *os.File) { opts.Log = f },
-	} {
-		if *path == "" {
-			continue
-		}
-		f, err := os.Create(*path)
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer f.Close()
-		to(f)
-	}
+	opts := Options{Trace: simtest.Create(t, *traceFile), Log: simtest.Create(t, *logFile)}
 	r := Play(seed, usual(), opts)
 	t.Logf("%+v", r)
 	if r.Failure != nil {
@@ -116,7 +103,7 @@
 		t.Skip("run by another test")
 	}
 	for _, h := range hashes(t) {
-		fmt.Println("hash", h)
+		fmt.Println(simtest.HashMark + h)
 	}
 }
 
@@ -126,23 +113,7 @@
 	if seen := slices.Compact(slices.Sorted(slices.Values(want))); len(seen) != replaySeeds {
 		t.Errorf("%d seeds take %d ways", replaySeeds, len(seen))
 	}
-	for _, processors := range []string{"1", "8"} {
-		cmd := exec.Command(os.Args[0], "-test.run=^TestPrintHash$")
-		cmd.Env = append(os.Environ(), printHash+"=1", "GOMAXPROCS="+processors)
-		out, err := cmd.Output()
-		if err != nil {
-			t.Fatalf("%v: %s", err, out)
-		}
-		var got []string
-		for line := range strings.Lines(string(out)) {
-			if h, ok := strings.CutPrefix(line, "hash "); ok {
-				got = append(got, strings.TrimSpace(h))
-			}
-		}
-		if !slices.Equal(got, want) {
-			t.Errorf("with %s processors %v, want %v", processors, got, want)
-		}
-	}
+	simtest.SameElsewhere(t, "TestPrintHash", printHash, want)
 }
 
 // Each write of a keeper's disk meets each trouble in turn, until a run has none left to meet: what was told is there, and
--- a/internal/sim/replay_test.go
+++ b/internal/sim/replay_test.go
@@ -2,11 +2,11 @@
 
 import (
 	"os"
-	"os/exec"
 	"runtime"
 	"strconv"
-	"strings"
 	"testing"
+
+	"heathgap/internal/sim/simtest"
 )
 
 // printHash in the environment has the test's own program print the hash of a seed.
@@ -20,7 +20,7 @@
 		t.Skip("run by another test")
 	}
 	for seed := range uint64(replaySeeds) {
-		os.Stdout.WriteString("hash " + strconv.FormatUint(play(t, Draw(seed), Options{}).Hash, 16) + "\n")
+		os.Stdout.WriteString(simtest.HashMark + strconv.FormatUint(play(t, Draw(seed), Options{}).Hash, 16) + "\n")
 	}
 }
 
@@ -38,23 +38,7 @@
 		}
 	}
 	runtime.GOMAXPROCS(before)
-	for _, processors := range []string{"1", "8"} {
-		cmd := exec.Command(os.Args[0], "-test.run=^TestPrintHash$")
-		cmd.Env = append(os.Environ(), printHash+"=1", "GOMAXPROCS="+processors)
-		out, err := cmd.Output()
-		if err != nil {
-			t.Fatalf("%v: %s", err, out)
-		}
-		var got []string
-		for line := range strings.Lines(string(out)) {
-			if hash, ok := strings.CutPrefix(line, "hash "); ok {
-				got = append(got, strings.TrimSpace(hash))
-			}
-		}
-		if strings.Join(got, " ") != strings.Join(want, " ") {
-			t.Errorf("another process with %s processors:\n%v\nwant\n%v", processors, got, want)
-		}
-	}
+	simtest.SameElsewhere(t, "TestPrintHash", printHash, want)
 }
 
 // Different seeds take different steps: a hash that never changes would show nothing.
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -13,6 +13,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"heathgap/internal/sim/simtest"
 )
 
 var (
@@ -126,20 +128,7 @@
 }
 
 func playOne(t *testing.T, seed uint64) {
-	opts := Options{}
-	for path, to := range map[*string]func(*os.File){
-		traceFile: func(f *os.File) { opts.Trace = f }, logFile: func(f *os.File) { opts.Log = f },
-	} {
-		if *path == "" {
-			continue
-		}
-		f, err := os.Create(*path)
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer f.Close()
-		to(f)
-	}
+	opts := Options{Trace: simtest.Create(t, *traceFile), Log: simtest.Create(t, *logFile)}
 	r := play(t, Draw(seed), opts)
 	t.Logf("%+v", r)
 	if r.Failure != nil {
