Rig: hosts that one run alone has, ports dealt out once; twins, older builds, dying proposers

A process listens at its crew's address first and for callers second, and the rig drew both ports from the kernel for one host, giving each back before the process took it: 32 of 200,000 such pairs are the same port, one of 1,250 runs of five processes. Ruled out: another process on that host (the net goes by the lab's process id) and connections (they come from 127.0.0.1).

Now a run holds each of its hosts by a guard port, so that no other run on the machine has it, and deals out ports below the kernel's, each once.

Hard cases of the crew in processes: a member replaced by an older build (its words are refused, it serves cautiously, nobody waits for it), a name started twice, a proposer that is gone before it hears anything, and a lease clock that stands still while its process is stopped (planted; the check finds it, and finds nothing where the clock is sound).

--- a/internal/lab/rig/crew.go
+++ b/internal/lab/rig/crew.go
@@ -47,6 +47,8 @@
 	proposeTime    = 2 * time.Second        // for one try of a proposal
 	leastAttempts  = 2                      // with two a probe shows whether it may be sent again, at one retry's price
 	settleFor      = 1500 * time.Millisecond
+	twinMark       = "'"
+	hangUpAfter    = time.Millisecond // a proposer that dies: its word is out, and no answer can have come
 	crewDeadlineMS = 800.0
 )
 
@@ -56,6 +58,8 @@
 	LogDir   string           // for the processes' logs; empty for none
 	Dir      string           // for their files; empty for one of the run's own, which ends with it
 	Progress func(line string)
+	// Older is a command that runs one member of an older build, for the step of that name; nil for none.
+	Older func() *exec.Cmd
 	// Separate starts the processes without a crew, each with its own rules: what the crew prevents shows so.
 	Separate bool
 }
@@ -94,7 +98,9 @@
 
 // crewProc is one process over all its starts.
 type crewProc struct {
-	name    string
+	name    string // in the run; that of a second process of a name has twinMark behind it
+	goes    string // the name that it is started with
+	older   bool   // it is to be started as an older build
 	host    string
 	listen  string
 	address string // of its part in the crew
@@ -208,17 +214,31 @@
 		}
 		r.ends = append(r.ends, e)
 	}
-	for i := range r.scene.Keepers + r.scene.Members {
-		p := &crewProc{name: fmt.Sprintf("k%d", i+1), host: r.hosts.take()}
-		if i >= r.scene.Keepers {
-			p.name = fmt.Sprintf("m%d", i+1-r.scene.Keepers)
+	var names []string
+	for i := range r.scene.Keepers {
+		names = append(names, fmt.Sprintf("k%d", i+1))
+	}
+	for i := range r.scene.Members {
+		names = append(names, fmt.Sprintf("m%d", i+1))
+	}
+	twins := 0
+	for _, s := range r.scene.Steps {
+		if twin := s.Who + twinMark; s.Do == "twin" && !slices.Contains(names, twin) {
+			names = append(names, twin)
+			twins++
 		}
+	}
+	for _, name := range names {
+		p := &crewProc{name: name, goes: strings.TrimSuffix(name, twinMark)}
 		p.dir = filepath.Join(r.dir, p.name)
 		var err error
-		if p.listen, err = freePort(p.host); err != nil {
+		if p.host, err = r.hosts.take(); err != nil {
 			return err
 		}
-		if p.address, err = freePort(p.host); err != nil {
+		if p.listen, err = r.hosts.address(p.host); err != nil {
+			return err
+		}
+		if p.address, err = r.hosts.address(p.host); err != nil {
 			return err
 		}
 		p.line = peers.NewLine(env.Real{}, r.scene.Name, "lab", p.address)
@@ -229,7 +249,11 @@
 			if p == k {
 				continue
 			}
-			way, err := newRelay(r.hosts.take(), k.address)
+			host, err := r.hosts.take()
+			if err != nil {
+				return err
+			}
+			way, err := newRelay(host, k.address)
 			if err != nil {
 				return err
 			}
@@ -237,8 +261,9 @@
 		}
 	}
 	var starting sync.WaitGroup
-	faults := make([]error, len(r.procs))
-	for i, p := range r.procs {
+	first := r.procs[:len(r.procs)-twins]
+	faults := make([]error, len(first))
+	for i, p := range first {
 		starting.Go(func() { faults[i] = r.startProc(ctx, p) })
 	}
 	starting.Wait()
@@ -251,13 +276,13 @@
 	limit := time.Now().Add(leaderTime)
 	for {
 		ready := 0
-		for _, p := range r.procs {
+		for _, p := range first {
 			var a member.Acts
 			if p.line.Call("acting", struct{}{}, &a, pollTime) == nil && !a.Cautious {
 				ready++
 			}
 		}
-		if ready == len(r.procs) {
+		if ready == len(first) {
 			for _, p := range r.procs[:r.scene.Keepers] { // for who is set back later
 				if err := os.CopyFS(filepath.Join(p.dir, "copy"), os.DirFS(filepath.Join(p.dir, "data"))); err != nil {
 					return err
@@ -272,7 +297,7 @@
 			return nil
 		}
 		if time.Now().After(limit) || ctx.Err() != nil {
-			return fmt.Errorf("only %d of %d processes hold a lease after %v; keep the logs (LogDir) and look there", ready, len(r.procs), leaderTime)
+			return fmt.Errorf("only %d of %d processes hold a lease after %v; keep the logs (LogDir) and look there", ready, len(first), leaderTime)
 		}
 		time.Sleep(pollCrew)
 	}
@@ -304,7 +329,7 @@
 		return map[string]any{"name": name, "effect": effect, "group": "all", "aim": 300.0, "deadline": crewDeadlineMS, "worth": 1.0}
 	}
 	return json.Marshal(map[string]any{
-		"name": p.name, "listen": p.listen, "discovery": p.host + ":9", "seed": fmt.Sprintf("%x", r.seed+uint64(p.starts)*7919),
+		"name": p.goes, "listen": p.listen, "discovery": p.host + ":9", "seed": fmt.Sprintf("%x", r.seed+uint64(p.starts)*7919),
 		"known": map[string]any{"index": 1, "snapshot": true, "endpoints": lines},
 		"settings": map[string]any{
 			"me": slices.Index(r.procs, p), "replicas_of_me": len(r.procs), "az": "a", "tier": 0, "stages": []string{"one"}, "tick": 2.0,
@@ -335,6 +360,9 @@
 		return err
 	}
 	cmd := r.opts.Program()
+	if p.older {
+		cmd = r.opts.Older()
+	}
 	if cmd.Env == nil {
 		cmd.Env = os.Environ()
 	}
@@ -600,6 +628,12 @@
 		ends.Go(func() { r.propose(ctx, s) })
 		return nil
 	}
+	if s.Do == "older" && r.opts.Older == nil {
+		return errors.New(`step "older": no program of an older build is named`)
+	}
+	if s.Do == "twin" {
+		s.Who += twinMark
+	}
 	if s.Who == "keepers" || s.Who == "all" {
 		for i, p := range r.procs {
 			if one := s; s.Who == "all" || i < r.scene.Keepers {
@@ -612,7 +646,7 @@
 		return nil
 	}
 	p := r.byName(s.Who)
-	own := s.Do != "cut" && s.Do != "reset" && s.Do != "restart" // of the process itself
+	own := s.Do != "cut" && s.Do != "reset" && s.Do != "restart" && s.Do != "twin" // of the process itself
 	if own && !p.begin() {
 		return nil
 	}
@@ -675,6 +709,27 @@
 			}
 			back()
 		})
+	case "older": // replaced by one, and put back
+		p.older = true
+		p.setUp(false)
+		p.proc.end(syscall.SIGKILL)
+		p.proc.wait(killTime)
+		back()
+		later(func() {
+			p.older = false
+			p.setUp(false)
+			p.proc.end(syscall.SIGKILL)
+			p.proc.wait(killTime)
+			back()
+		})
+	case "twin":
+		back()
+		later(func() {
+			p.setUp(false)
+			p.proc.end(syscall.SIGKILL)
+			p.proc.wait(killTime)
+			r.note("%s is gone", p.name)
+		})
 	case "stop":
 		p.setUp(false)
 		p.proc.signal(syscall.SIGSTOP)
@@ -795,7 +850,13 @@
 		r.mu.Unlock()
 		began := r.now()
 		var told keeper.Proposed
-		err := p.line.Call("propose", crew.Proposal{ID: id, Parent: st.Ledger.Active.Number, Author: "lab", Doc: doc}, &told, proposeTime)
+		proposal := crew.Proposal{ID: id, Parent: st.Ledger.Active.Number, Author: "lab", Doc: doc}
+		var err error
+		if s.Dies && i == 0 {
+			err = r.sayAndDie(p, proposal, &told)
+		} else {
+			err = p.line.Call("propose", proposal, &told, proposeTime)
+		}
 		if err == nil && told.Number > 0 {
 			r.mu.Lock()
 			r.book.Version(told.Number, accord.Forbids{Resend: doc.Classes[probedClass].Effect == decide.Unsafe, Banned: doc.Banned})
@@ -810,6 +871,25 @@
 	}
 }
 
+// sayAndDie proposes as somebody who is gone before any answer; whether the proposal counts then shows at the keepers alone.
+func (r *crewRig) sayAndDie(p *crewProc, proposal crew.Proposal, told *keeper.Proposed) error {
+	proposer := peers.NewLine(env.Real{}, r.scene.Name, "lab", p.address)
+	err := proposer.Call("propose", proposal, nil, hangUpAfter)
+	proposer.Close()
+	r.note("a proposer has died: %v", err)
+	for limit := time.Now().Add(proposeTime); time.Now().Before(limit); time.Sleep(pollCrew) {
+		var st keeper.Status
+		if p.line.Call("status", struct{}{}, &st, pollTime) != nil || st.Ledger == nil {
+			continue
+		}
+		if round := st.Ledger.Find(proposal.ID); round != nil {
+			told.Number = round.Number
+			return nil
+		}
+	}
+	return errors.New("it did not count")
+}
+
 // settle waits until nothing is on its way, so that what was told can be looked for.
 func (r *crewRig) settle(ctx context.Context) error {
 	if r.opts.Separate {
@@ -878,6 +958,9 @@
 	r.rec.Contradicted, r.rec.Acts, r.rec.Against = millis(report.Longest), report.Acts, report.Against
 	r.rec.Asked, r.rec.Served = int(r.asked.Load()), int(r.served.Load())
 	for _, p := range r.procs {
+		if p.proc == nil {
+			continue
+		}
 		if u, err := p.proc.usage(); err == nil {
 			r.rec.RSSMB[p.name], r.rec.CPU[p.name] = u.rssMB, u.cpu
 		}
@@ -935,6 +1018,7 @@
 	for _, e := range r.ends {
 		e.server.Close()
 	}
+	r.hosts.close()
 }
 
 // crewEndpoint answers the load, breaks off the probes, and tells the book what comes.
@@ -944,7 +1028,10 @@
 }
 
 func startCrewEndpoint(r *crewRig, name string) (*crewEndpoint, error) {
-	host := r.hosts.take()
+	host, err := r.hosts.take()
+	if err != nil {
+		return nil, err
+	}
 	listener, err := (env.Real{}).Listen(host + ":0")
 	if err != nil {
 		return nil, err
--- a/internal/lab/rig/crew_test.go
+++ b/internal/lab/rig/crew_test.go
@@ -1,9 +1,14 @@
 package rig
 
 import (
+	"bytes"
+	"context"
+	"net"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -30,6 +35,9 @@
 	bugForgets = "forgets bans when it is cut off"
 	bugStays   = "acts on the first rules that it was told"
 	bugSlow    = "its clock is slower than the terms allow"
+	bugSleeps  = "its clock stops with its process"
+	// No bug: a build whose words are another version's.
+	olderBuild = "older build"
 	// No bug: clocks whose rates are off by as much as the terms allow, one fast, the next slow.
 	clocksOff = "clocks off"
 )
@@ -46,10 +54,63 @@
 	return c.began + time.Duration(float64(c.Env.Boot()-c.began)*c.rate)
 }
 
+// sleeper's clock stands still while the process is stopped, as one does that does not go on while a machine is suspended.
+type sleeper struct {
+	env.Env
+	mu         sync.Mutex
+	last, lost time.Duration
+}
+
+// sleepGap without a look at the clock is taken for a stop: a member that runs looks with each beat, and by stayAwake.
+const sleepGap = 300 * time.Millisecond
+
+// Boot is env.Env's.
+func (s *sleeper) Boot() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Env.Boot()
+	if now-s.last > sleepGap {
+		s.lost += now - s.last
+	}
+	s.last = now
+	return now - s.lost
+}
+
+func (s *sleeper) stayAwake() {
+	for range time.Tick(sleepGap / 10) {
+		s.Boot()
+	}
+}
+
+// olderWorld's connections say the words of another version.
+type olderWorld struct{ env.Env }
+
+type olderConn struct{ net.Conn }
+
+// Dial is env.Env's.
+func (w olderWorld) Dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+	conn, err := w.Env.Dial(ctx, address, timeout)
+	if err != nil {
+		return nil, err
+	}
+	return olderConn{conn}, nil
+}
+
+// Write is net.Conn's.
+func (c olderConn) Write(b []byte) (int, error) {
+	return c.Conn.Write(bytes.Replace(b, []byte("POST /crew/1/"), []byte("POST /crew/0/"), 1))
+}
+
 // clockOf is a member's clock.
 func clockOf(world env.Env, bug, name string, drift float64) env.Env {
 	rate := 1.0
 	switch {
+	case bug == olderBuild:
+		return olderWorld{world}
+	case bug == bugSleeps && name == "m2":
+		s := &sleeper{Env: world, last: world.Boot()}
+		go s.stayAwake()
+		return s
 	case bug == bugSlow && name == "m2":
 		rate = 0.15 // its lease lasts longer than it is cut off
 	case bug == clocksOff && name[len(name)-1]%2 == 0:
@@ -111,7 +172,10 @@
 	t.Helper()
 	opts.LogDir = t.TempDir()
 	if dir := os.Getenv("HEATHGAP_TEST_LOGS"); dir != "" { // kept for who looks into a failure
-		opts.LogDir = dir
+		opts.LogDir = filepath.Join(dir, strings.NewReplacer("/", "-", " ", "-").Replace(t.Name()))
+		if err := os.MkdirAll(opts.LogDir, 0o755); err != nil {
+			t.Fatal(err)
+		}
 	}
 	opts.Program = func() *exec.Cmd {
 		cmd := exec.Command(os.Args[0])
@@ -121,6 +185,11 @@
 		}
 		return cmd
 	}
+	opts.Older = func() *exec.Cmd {
+		cmd := exec.Command(os.Args[0])
+		cmd.Env = append(os.Environ(), asMember+"="+olderBuild)
+		return cmd
+	}
 	r, err := RunCrew(t.Context(), s, s.Seed, opts)
 	if err != nil {
 		t.Fatalf("%v; logs of its processes: HEATHGAP_TEST_LOGS=DIR go test ./internal/lab/rig -run '%s'", err, t.Name())
@@ -220,27 +289,82 @@
 	}
 }
 
-// Each planted bug is caught by its own rule.
+// A process of another build and a second process of a name serve cautiously and hold up nobody; a proposal counts though its
+// proposer died before it heard so; who was named twice holds the lease when the first one has ended.
+func TestCrewStrangers(t *testing.T) {
+	t.Parallel()
+	r := playCrew(t, crewScene(t, `
+duration = "7s"
+[[step]]
+at = "200ms"
+do = "older"
+who = "m1"
+for = "3500ms"
+[[step]]
+at = "300ms"
+do = "twin"
+who = "m2"
+for = "6s"
+[[step]]
+at = "1500ms"
+do = "propose"
+effect = "once"
+dies = true
+[[step]]
+at = "4s"
+do = "kill"
+who = "m2"
+for = "4s"
+`), bugNone, CrewOptions{})
+	for _, b := range r.Breaks {
+		t.Error(b)
+	}
+	if len(r.Versions) != 1 || r.Versions[0].State != "active" || r.Versions[0].ActiveMS > 3000 {
+		t.Errorf("versions: %+v", r.Versions)
+	}
+	if r.CautiousMS["m1"] < 1500 || r.CautiousMS["m2'"] < 2000 || r.CautiousMS["m2'"] > 5500 {
+		t.Errorf("cautious: %v; want most of 3.5 s at m1, and at m2' until m2 has gone", r.CautiousMS)
+	}
+	if float64(r.Served) < 0.95*float64(r.Asked) {
+		t.Errorf("served %d of %d", r.Served, r.Asked)
+	}
+}
+
+// Each planted bug is caught by its own rule, and a sound program breaks none in the same scene.
 func TestCrewCatchesPlantedBugs(t *testing.T) {
 	const bannedThenCut = "duration = \"6s\"\n[[step]]\nat = \"200ms\"\ndo = \"propose\"\nban = \"e-2\"\n" +
 		"[[step]]\nat = \"2500ms\"\ndo = \"cut\"\nwho = \"m2\"\nfor = \"3s\"\n"
+	const stopAndPropose = "duration = \"6s\"\n[[step]]\nat = \"800ms\"\ndo = \"cut\"\nwho = \"m2\"\nfor = \"5s\"\n" +
+		"[[step]]\nat = \"810ms\"\ndo = \"stop\"\nwho = \"m2\"\nfor = \"3s\"\n" +
+		"[[step]]\nat = \"1s\"\ndo = \"propose\"\neffect = \"once\"\n"
 	for bug, c := range map[string]struct{ scene, rule string }{
 		bugGoesOn:  {cutAndPropose, accord.Contradicts},
 		bugSlow:    {cutAndPropose, accord.Contradicts},
+		bugSleeps:  {stopAndPropose, accord.Contradicts},
 		bugForgets: {bannedThenCut, accord.Contradicts},
 		bugStays:   {"duration = \"4s\"\n[[step]]\nat = \"200ms\"\ndo = \"propose\"\neffect = \"once\"\n", accord.AgainstSelf},
 	} {
 		t.Run(bug, func(t *testing.T) {
+			t.Parallel()
 			r := playCrew(t, crewScene(t, c.scene), bug, CrewOptions{})
 			if !strings.Contains(strings.Join(r.Breaks, "\n"), c.rule+" at") {
 				t.Errorf("not found as %q: %q", c.rule, r.Breaks)
 			}
 		})
 	}
+	for name, scene := range map[string]string{"sound, cut off": bannedThenCut, "sound, stopped": stopAndPropose} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			if r := playCrew(t, crewScene(t, scene), bugNone, CrewOptions{}); r.Broken > 0 || len(r.Versions) != 1 {
+				t.Errorf("versions %+v, breaks %q", r.Versions, r.Breaks)
+			}
+		})
+	}
 }
 
 // Without a crew the same contradiction goes on for as long as nobody looks: what the crew is for.
 func TestCrewWithout(t *testing.T) {
+	t.Parallel()
 	s := crewScene(t, "duration = \"4s\"\nkeepers = 1\nmembers = 1\n[[step]]\nat = \"500ms\"\ndo = \"restart\"\nwho = \"m1\"\n")
 	r := playCrew(t, s, bugNone, CrewOptions{Separate: true})
 	if r.Contradicted < 2*r.AtMost {
--- a/internal/lab/rig/fleet.go
+++ b/internal/lab/rig/fleet.go
@@ -68,17 +68,19 @@
 func (t *tier) addSlot() (*slot, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := &slot{tier: t, number: len(t.slots), host: t.rig.hosts.take()}
+	s := &slot{tier: t, number: len(t.slots)}
+	var err error
+	if s.host, err = t.rig.hosts.take(); err != nil {
+		return nil, err
+	}
 	if t.conf.Calls > 0 {
 		next := t.place + 1
 		name := fmt.Sprintf("%s-%d-calls", t.conf.Name, s.number)
-		list, err := t.rig.lists[next].For(name, t.rig.hosts.take())
-		if err != nil {
-			return nil, err
-		}
 		s.sidecar = &sidecar{
 			rig: t.rig, name: name, tier: next, number: s.number, peers: t.conf.Endpoints, zone: s.zone(),
-			host: t.rig.hosts.take(), list: list,
+		}
+		if err := s.sidecar.settle(); err != nil {
+			return nil, err
 		}
 		s.only = &load.Only{}
 		s.client = load.NewClient(t.rig.book, s.only, t.rig.grace())
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -121,10 +121,9 @@
 	for n := range conf.Sidecars {
 		s := &sidecar{
 			rig: r, name: fmt.Sprintf("s%d", n), number: n, peers: conf.Sidecars,
-			zone: conf.Zones[n%len(conf.Zones)], host: r.hosts.take(),
+			zone: conf.Zones[n%len(conf.Zones)],
 		}
-		var err error
-		if s.list, err = r.lists[0].For(s.name, r.hosts.take()); err != nil {
+		if err := s.settle(); err != nil {
 			return err
 		}
 		r.first = append(r.first, s)
@@ -167,6 +166,7 @@
 	for _, l := range r.lists {
 		l.Close()
 	}
+	r.hosts.close()
 }
 
 // play makes load and faults, and closes the book.
--- a/internal/lab/rig/sidecar.go
+++ b/internal/lab/rig/sidecar.go
@@ -45,6 +45,20 @@
 	random  uint64
 }
 
+// settle gives it a host, and a discovery that listens at another.
+func (s *sidecar) settle() error {
+	var err error
+	if s.host, err = s.rig.hosts.take(); err != nil {
+		return err
+	}
+	at, err := s.rig.hosts.take()
+	if err != nil {
+		return err
+	}
+	s.list, err = s.rig.lists[s.tier].For(s.name, at)
+	return err
+}
+
 // start starts it, at its address if it has one, and returns when it is ready.
 func (s *sidecar) start(ctx context.Context) (*load.Target, error) {
 	s.mu.Lock()
@@ -68,7 +82,7 @@
 func (s *sidecar) startOnce(ctx context.Context) error {
 	if s.address == "" {
 		var err error
-		if s.address, err = freePort(s.host); err != nil {
+		if s.address, err = s.rig.hosts.address(s.host); err != nil {
 			return err
 		}
 	}
--- a/internal/lab/scenario/crew.go
+++ b/internal/lab/scenario/crew.go
@@ -34,6 +34,7 @@
 	For    time.Duration
 	Effect string // of a proposal: that of the probed class
 	Ban    string // and the endpoint that it bans; empty for none
+	Dies   bool   // its proposer is gone before it hears anything
 }
 
 // CrewFaults are what can be done to a process, and CrewWays which way a cut goes: what comes to it, what it says, both.
@@ -101,15 +102,18 @@
 		t.Fail("duration", c.Duration.String(), "four leases or more")
 	}
 	for _, s := range t.Tables("step", mostCrewSteps) {
-		s.Need("do", "propose, kill, term, stop, cut, wipe, reset, full, setback, restart")
+		s.Need("do", "propose, kill, term, stop, cut, wipe, reset, full, setback, restart, twin, older")
 		step := CrewStep{
-			At: s.Duration("at", 0, 0, mostCrewTime), Do: s.Word("do", "propose", append([]string{"propose", "restart"}, CrewFaults...)...),
+			At: s.Duration("at", 0, 0, mostCrewTime), Do: s.Word("do", "propose", append([]string{"propose", "restart", "twin", "older"}, CrewFaults...)...),
 			Who: s.Text("who", "leader"), Way: s.Word("way", "both", CrewWays...), For: s.Duration("for", time.Second, 0, mostCrewTime),
-			Effect: s.Text("effect", ""), Ban: s.Text("ban", ""),
+			Effect: s.Text("effect", ""), Ban: s.Text("ban", ""), Dies: s.Bool("dies", false),
 		}
 		if !c.has(step.Who) {
 			s.Fail("who", step.Who, fmt.Sprintf("leader, follower, keepers, all, k1 to k%d, m1 to m%d", c.Keepers, c.Members))
 		}
+		if (step.Do == "twin" || step.Do == "older") && (step.Who == "keepers" || step.Who == "all") {
+			s.Fail("who", step.Who, "one process")
+		}
 		if step.At > c.Duration {
 			s.Fail("at", step.At.String(), "a time up to duration")
 		}
--- a/internal/labcommand/crew.go
+++ b/internal/labcommand/crew.go
@@ -22,6 +22,7 @@
 	Dir     string        `placeholder:"DIR" help:"Keep the processes' files there."`
 	Logs    string        `placeholder:"DIR" help:"Keep their logs there."`
 	Program string        `placeholder:"PATH" help:"A member's program; heathgap-crew beside this one if not given."`
+	Older   string        `placeholder:"PATH" help:"A member's program of an older build, for steps that do \"older\"."`
 	Without bool          `help:"Start the processes without a crew: what a crew prevents shows."`
 	JSON    bool          `name:"json" help:"Print records."`
 	Quiet   bool          `help:"Print no progress."`
@@ -55,6 +56,9 @@
 		s.Steps, s.Random, s.Proposals, s.Duration = nil, 0, 0, c.Hold
 	}
 	opts := rig.CrewOptions{Program: func() *exec.Cmd { return exec.Command(program) }, LogDir: c.Logs, Dir: c.Dir, Separate: c.Without}
+	if c.Older != "" {
+		opts.Older = func() *exec.Cmd { return exec.Command(c.Older) }
+	}
 	if !c.Quiet && !c.JSON {
 		opts.Progress = func(line string) { fmt.Fprintln(o, line) }
 	}
