Console: a crew's figures among STATS

Version, next version, epoch, what is left of the lease, whether it is cautious or leads, bans of versions, and renewals that were refused or not heard. A sidecar in no crew says what it said before.

--- a/internal/crew/member/member.go
+++ b/internal/crew/member/member.go
@@ -18,6 +18,7 @@
 	"heathgap/internal/crew"
 	"heathgap/internal/crew/keeper"
 	"heathgap/internal/env"
+	"heathgap/internal/figures"
 	"heathgap/internal/operator"
 	"heathgap/internal/peers"
 	"heathgap/internal/pipeline"
@@ -244,6 +245,34 @@
 	}, nil
 }
 
+// Figures is lifecycle.Crew's.
+func (m *Member) Figures(text []byte) []byte {
+	m.Acting()
+	a := m.acting.Load()
+	cautious, leads := int64(0), int64(0)
+	if a.Cautious {
+		cautious = 1
+	}
+	if m.keeper != nil && m.keeper.Leads() {
+		leads = 1
+	}
+	for _, f := range []struct {
+		name  string
+		value int64
+		kind  byte
+	}{
+		{"crew_cautious", cautious, figures.Present}, {"crew_version", int64(a.stance.Active), figures.Present},
+		{"crew_next", int64(a.stance.Next), figures.Present}, {"crew_epoch", int64(a.stance.Epoch), figures.Present},
+		{"crew_lease_ms", max(0, (a.until - m.world.Boot()).Milliseconds()), figures.Present},
+		{"crew_banned", int64(len(a.Banned)), figures.Present}, {"crew_leads", leads, figures.Present},
+		{"crew_renewals", m.renewals.Load(), figures.Counts}, {"crew_refused", m.refused.Load(), figures.Counts},
+		{"crew_unheard", m.lost.Load(), figures.Counts},
+	} {
+		text = figures.Append(text, f.name, f.value, f.kind)
+	}
+	return text
+}
+
 // Stop says that this process ends, so that its name is free and nobody waits for its lease, and ends the keeper.
 func (m *Member) Stop() {
 	close(m.halt)
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -69,16 +69,23 @@
 func (b *Board) Append(text []byte) []byte {
 	for _, class := range b.names {
 		for end, name := range endNames {
-			text = appendLine(text, name+"."+class, b.classes[class][end].Load(), 'c')
+			text = Append(text, name+"."+class, b.classes[class][end].Load(), Counts)
 		}
 	}
-	text = appendLine(text, "tries", b.Tries.Load(), 'c')
-	text = appendLine(text, "active", b.Active.Load(), 'g')
-	text = appendLine(text, "pool_size", b.Pool.Load(), 'g')
-	return appendLine(text, "pool_ejected", b.Ejected.Load(), 'g')
+	text = Append(text, "tries", b.Tries.Load(), Counts)
+	text = Append(text, "active", b.Active.Load(), Present)
+	text = Append(text, "pool_size", b.Pool.Load(), Present)
+	return Append(text, "pool_ejected", b.Ejected.Load(), Present)
 }
 
-func appendLine(text []byte, name string, value int64, kind byte) []byte {
+// The kinds of figures.
+const (
+	Counts  = 'c' // from 0 at the process's start
+	Present = 'g'
+)
+
+// Append writes one figure's line.
+func Append(text []byte, name string, value int64, kind byte) []byte {
 	text = append(append(append(text, prefix...), name...), ':')
 	text = strconv.AppendInt(text, value, 10)
 	return append(text, '|', kind, '\n')
--- a/internal/lifecycle/sidecar.go
+++ b/internal/lifecycle/sidecar.go
@@ -87,6 +87,8 @@
 // Crew is a sidecar's part in a crew: the rules on which its members agree.
 type Crew interface {
 	pipeline.Rules
+	// Figures appends those of its part, a line each.
+	Figures(text []byte) []byte
 	// Stop leaves the crew.
 	Stop()
 }
--- a/internal/lifecycle/upgrade.go
+++ b/internal/lifecycle/upgrade.go
@@ -204,7 +204,13 @@
 func (s *Sidecar) Ready() bool { return s.engine.Ready() }
 
 // Figures is console.Operations'.
-func (s *Sidecar) Figures() []byte { return s.engine.Figures() }
+func (s *Sidecar) Figures() []byte {
+	text := s.engine.Figures()
+	if s.crew != nil {
+		text = s.crew.Figures(text)
+	}
+	return text
+}
 
 // Disable bans an endpoint here and in the other process of an upgrade.
 func (s *Sidecar) Disable(name string) error { return s.ban(name, true, s.engine.Disable) }
