--- a/internal/crew/granter.go
+++ b/internal/crew/granter.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"heathgap/internal/crew/terms"
+	"heathgap/internal/holdings"
 )
 
 // Renewal is what a member asks the leader for: a lease, again and again.
@@ -23,6 +24,11 @@
 	HasNext   uint64 `cbor:"16,keyasint,omitempty"`
 	Leaving   bool   `cbor:"17,keyasint,omitempty"` // the process ends: its name is free
 	Heard     Word   `cbor:"18,keyasint"`           // of the newest answer that came
+	// HasTable is the number of the table of seats that it has, and HasRoster the epoch of the members that it knows. Filled are
+	// its words on seats that lack nothing any more.
+	HasTable  uint64            `cbor:"19,keyasint,omitempty"`
+	HasRoster uint64            `cbor:"20,keyasint,omitempty"`
+	Filled    []holdings.Filled `cbor:"21,keyasint,omitempty"`
 }
 
 // Word is what a member says back so that the leader knows that it hears: which leader answered, and when by its clock.
@@ -43,6 +49,9 @@
 	Active Round  `cbor:"5,keyasint"`
 	Next   *Round `cbor:"6,keyasint,omitempty"`
 	Word   Word   `cbor:"7,keyasint"` // to be said back
+	// Table and Roster are told where the member has others.
+	Table  *holdings.Table   `cbor:"8,keyasint,omitempty"`
+	Roster []holdings.Member `cbor:"9,keyasint,omitempty"`
 }
 
 // said is what a granter knows of a member, in memory alone.
@@ -69,12 +78,18 @@
 	gone  map[string]Member // said that they leave
 
 	// What follows spares a leader the look at each member with each renewal: at 3,000 members that look was most of its work.
-	news    bool   // something was said since the last look that may make an entry due
-	soonest Boot   // no lease that was known then ends before
-	looked  stage  // the ledger then
-	lacks   string // a member whose word the round under way waited for then
+	news    bool                         // something was said since the last look that may make an entry due
+	soonest Boot                         // no lease that was known then ends before
+	looked  stage                        // the ledger then
+	filled  map[string][]holdings.Filled // as each member said last
+	seats   seating                      // for which seats were planned last
+	dead    map[int]Boot                 // since when no ready seat of a shard is in the crew
+	lacks   string                       // a member whose word the round under way waited for then
 }
 
+// seating is what seats follow from.
+type seating struct{ epoch, table uint64 }
+
 // stage is how far a ledger is, of what makes entries due.
 type stage struct {
 	epoch, active, next uint64
@@ -91,7 +106,8 @@
 
 // NewGranter returns that of a leader that has just come to lead, in a term.
 func NewGranter(conf Terms, term uint64) *Granter {
-	return &Granter{conf: conf, term: term, said: map[string]*said{}, enter: map[string]Member{}, gone: map[string]Member{}, news: true}
+	return &Granter{conf: conf, term: term, said: map[string]*said{}, enter: map[string]Member{}, gone: map[string]Member{}, news: true,
+		filled: map[string][]holdings.Filled{}, dead: map[int]Boot{}}
 }
 
 // of returns what is known of a member of the ledger. One that is met for the first time may have been granted a lease a
@@ -173,6 +189,12 @@
 	}
 	s.until = max(s.until, now+g.conf.Wait())
 	grant.Granted = true
+	if l.Table != nil && (r.HasTable != l.Table.Number || r.HasRoster != l.Epoch) {
+		grant.Table, grant.Roster = l.Table.Clone(), l.Roster()
+	}
+	if len(r.Filled) > 0 && len(r.Filled) <= holdings.Shards*terms.MostCopies && !slices.Equal(g.filled[r.Name], r.Filled) {
+		g.filled[r.Name], g.news, g.seats = r.Filled, true, seating{}
+	}
 	if grant.Active.Number == r.HasActive {
 		grant.Active.Doc.Classes, grant.Active.Doc.Banned = nil, nil
 	}
@@ -226,6 +248,7 @@
 	}
 	clear(g.enter) // proposed once; who is not in then asks again
 	maps.DeleteFunc(g.gone, func(name string, m Member) bool { return l.Members[name].Token != m.Token })
+	maps.DeleteFunc(g.filled, func(name string, _ []holdings.Filled) bool { return l.Members[name].Token == 0 })
 	maps.DeleteFunc(g.said, func(name string, s *said) bool { return l.Members[name].Token != s.token })
 	if len(change.Gone) > 0 || len(change.Enter) > 0 {
 		return append(due, change) // the rest waits for the new epoch
@@ -233,9 +256,53 @@
 	if e, ok := g.round(now, l); ok {
 		due = append(due, e)
 	}
+	if e, ok := g.seat(now, l); ok {
+		due = append(due, e)
+	}
 	return due
 }
 
+// seat tells which seats follow from who is in the crew, and from what primaries have said.
+func (g *Granter) seat(now Boot, l *Ledger) (Entry, bool) {
+	if g.conf.Holdings.Copies == 0 {
+		return Entry{}, false
+	}
+	table := l.Table
+	if table == nil {
+		table = &holdings.Table{}
+	}
+	late := false // a shard has waited for long enough
+	for i := range table.Shards {
+		if !table.Shards[i].Dead(func(w holdings.Who, token uint64) bool { return l.Members[w.Name].Token == token }) {
+			delete(g.dead, i)
+			continue
+		}
+		if g.dead[i] == 0 {
+			g.dead[i] = max(1, now)
+		}
+		end := g.dead[i] + g.conf.Holdings.LostAfter
+		if late = late || now >= end; now < end {
+			g.soonest = min(g.soonest, end)
+		}
+	}
+	if at := (seating{l.Epoch, table.Number}); at == g.seats && !late {
+		return Entry{}, false
+	}
+	var filled []holdings.Filled
+	for _, name := range slices.Sorted(maps.Keys(g.filled)) {
+		filled = append(filled, g.filled[name]...)
+	}
+	changes := table.Plan(l.Roster(), g.conf.Holdings.Copies, filled, func(shard int) bool {
+		since, dead := g.dead[shard]
+		return dead && now >= since+g.conf.Holdings.LostAfter
+	})
+	if len(changes) == 0 {
+		g.seats = seating{l.Epoch, table.Number}
+		return Entry{}, false
+	}
+	return Entry{Seats: changes, Epoch: l.Epoch}, true
+}
+
 // round tells whether the proposal under way may go on: when each member has said so, in
 // this epoch. Who says nothing is counted out when its lease has surely ended.
 func (g *Granter) round(now Boot, l *Ledger) (Entry, bool) {
--- a/internal/crew/holder.go
+++ b/internal/crew/holder.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"heathgap/decide"
+	"heathgap/internal/holdings"
 	"heathgap/internal/versions"
 )
 
@@ -36,6 +37,11 @@
 	prepared uint64
 	rules    versions.Rules // of the lease
 	cautious versions.Rules
+	table    *holdings.Table
+	roster   []holdings.Member
+	rosterOf uint64 // the epoch of the roster
+	// Filled are the words of this sidecar's replica, for the next renewal.
+	Filled []holdings.Filled
 }
 
 // NewHolder returns that of a process that has not been told anything.
@@ -46,7 +52,10 @@
 // Ask returns the renewal to be sent now. The caller notes the time before it, for Told.
 func (h *Holder) Ask() Renewal {
 	r := Renewal{Member: h.Self, Terms: h.terms.Hash(), Epoch: h.epoch, Checked: h.checked, Refusal: h.refusal,
-		Prepared: h.prepared, HasActive: h.active.Number, Heard: h.heard}
+		Prepared: h.prepared, HasActive: h.active.Number, Heard: h.heard, HasRoster: h.rosterOf, Filled: h.Filled}
+	if h.table != nil {
+		r.HasTable = h.table.Number
+	}
 	if h.next != nil {
 		r.HasNext = h.next.Number
 	}
@@ -81,6 +90,9 @@
 	h.active, h.next, h.epoch = *active, next, g.Epoch
 	if g.Granted {
 		h.ends = max(h.ends, asked+h.terms.Lease)
+		if g.Table != nil {
+			h.table, h.roster, h.rosterOf = g.Table, g.Roster, g.Epoch
+		}
 	}
 	h.look()
 	return h.stamp() != before, nil
@@ -153,5 +165,16 @@
 	return s
 }
 
+// Seats are what it was told last of holdings: this process's stay in the crew, the table, and the members. The table is nil
+// before the first, or where nothing is held. What is told here is never changed afterwards.
+func (h *Holder) Seats() (me holdings.Who, table *holdings.Table, roster []holdings.Member) {
+	for _, m := range h.roster {
+		if m.Token == h.Self.Token && m.Name == h.Self.Name {
+			me = m.Who
+		}
+	}
+	return me, h.table, h.roster
+}
+
 // Ends is when the lease ends; 0 before the first.
 func (h *Holder) Ends() Boot { return h.ends }
--- a/internal/crew/ledger.go
+++ b/internal/crew/ledger.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"heathgap/internal/crew/terms"
+	"heathgap/internal/holdings"
 	"heathgap/internal/versions"
 )
 
@@ -83,19 +84,24 @@
 	// Turned are ids of proposals that were turned down, the newest last. Guards against one whose author was told no, and
 	// of which an earlier word, held up on its way, comes when it would count.
 	Turned []uint64 `cbor:"9,keyasint,omitempty"`
+	// In are the epochs in which members came in, by name: who was counted out and came in again is another stay.
+	In map[string]uint64 `cbor:"10,keyasint,omitempty"`
+	// Table are the seats in the shards of what sidecars hold for one another; nil where they hold nothing.
+	Table *holdings.Table `cbor:"11,keyasint,omitempty"`
 }
 
 // NewLedger returns that of a crew without members and versions.
-func NewLedger() *Ledger { return &Ledger{Members: map[string]Member{}} }
+func NewLedger() *Ledger { return &Ledger{Members: map[string]Member{}, In: map[string]uint64{}} }
 
 // Entry is one change that a leader proposes. One of its parts is set.
 type Entry struct {
-	Enter    []Member  `cbor:"1,keyasint,omitempty"`
-	Gone     []Member  `cbor:"2,keyasint,omitempty"` // by name and token
-	Propose  *Proposal `cbor:"3,keyasint,omitempty"`
-	Prepare  uint64    `cbor:"4,keyasint,omitempty"` // number
-	Activate uint64    `cbor:"5,keyasint,omitempty"`
-	End      *End      `cbor:"6,keyasint,omitempty"`
+	Enter    []Member          `cbor:"1,keyasint,omitempty"`
+	Gone     []Member          `cbor:"2,keyasint,omitempty"` // by name and token
+	Propose  *Proposal         `cbor:"3,keyasint,omitempty"`
+	Prepare  uint64            `cbor:"4,keyasint,omitempty"` // number
+	Activate uint64            `cbor:"5,keyasint,omitempty"`
+	End      *End              `cbor:"6,keyasint,omitempty"`
+	Seats    []holdings.Change `cbor:"8,keyasint,omitempty"`
 	// Epoch under which the leader came to the conclusion; 0 where it rests on no members.
 	Epoch uint64 `cbor:"7,keyasint,omitempty"`
 }
@@ -126,6 +132,11 @@
 	case e.Epoch != l.Epoch:
 		// Guards against a conclusion about members that have changed since it was drawn.
 		return fmt.Errorf("epoch %d has passed, it is %d", e.Epoch, l.Epoch)
+	case len(e.Seats) > 0:
+		if l.Table == nil {
+			l.Table = &holdings.Table{}
+		}
+		return l.Table.Apply(e.Seats)
 	case e.Prepare > 0:
 		return l.advance(e.Prepare, Checking, Prepared)
 	case e.Activate > 0:
@@ -152,6 +163,7 @@
 	for _, m := range gone {
 		if in, there := l.Members[m.Name]; there && in.Token == m.Token {
 			delete(l.Members, m.Name)
+			delete(l.In, m.Name)
 			changed = true
 		}
 	}
@@ -162,6 +174,12 @@
 		}
 		changed = changed || l.Members[m.Name] != m
 		l.Members[m.Name] = m
+		if _, stays := l.In[m.Name]; !stays {
+			if l.In == nil { // a ledger that an older build wrote
+				l.In = map[string]uint64{}
+			}
+			l.In[m.Name] = l.Epoch + 1
+		}
 	}
 	if changed {
 		l.Epoch++
@@ -242,11 +260,24 @@
 	return nil
 }
 
+// Roster are the members as holdings know them, in one order.
+func (l *Ledger) Roster() []holdings.Member {
+	out := make([]holdings.Member, 0, len(l.Members))
+	for _, name := range slices.Sorted(maps.Keys(l.Members)) {
+		m := l.Members[name]
+		out = append(out, holdings.Member{Who: holdings.Who{Name: name, In: l.In[name]}, Token: m.Token, Zone: m.Zone, Address: m.Address})
+	}
+	return out
+}
+
 // Clone returns a ledger that changes by itself. Documents are never changed, and shared.
 func (l *Ledger) Clone() *Ledger {
 	c := *l
 	c.Members, c.History, c.Keepers = maps.Clone(l.Members), slices.Clone(l.History), maps.Clone(l.Keepers)
-	c.Former, c.Turned = slices.Clone(l.Former), slices.Clone(l.Turned)
+	c.Former, c.Turned, c.In = slices.Clone(l.Former), slices.Clone(l.Turned), maps.Clone(l.In)
+	if l.Table != nil {
+		c.Table = l.Table.Clone()
+	}
 	if l.Next != nil {
 		next := *l.Next
 		c.Next = &next
--- a/internal/crew/terms/terms.go
+++ b/internal/crew/terms/terms.go
@@ -18,6 +18,7 @@
 	Slack time.Duration // between a member's look at its lease and what it then does
 	// FixedClasses no version may change: a member that is cut off goes on with them as they are.
 	FixedClasses []string
+	Holdings     Holdings
 }
 
 // Bounds of the terms, and of a crew.
@@ -38,12 +39,20 @@
 // Hash is equal for equal terms.
 func (t Terms) Hash() string {
 	fixed := slices.Sorted(slices.Values(t.FixedClasses))
-	sum := sha256.Sum256(fmt.Appendf(nil, "%d %v %d %q", t.Lease, t.Drift, t.Slack, fixed))
+	text := fmt.Appendf(nil, "%d %v %d %q", t.Lease, t.Drift, t.Slack, fixed)
+	if t.Holdings.Copies > 0 {
+		text = fmt.Appendf(text, " %+v", t.Holdings)
+	}
+	sum := sha256.Sum256(text)
 	return fmt.Sprintf("%x", sum[:8])
 }
 
 // String names them as the operator's file does.
 func (t Terms) String() string {
-	return fmt.Sprintf("lease %v, drift %v, slack %v, fixed_classes [%s]", t.Lease, t.Drift, t.Slack,
-		strings.Join(t.FixedClasses, " "))
+	holdings := ""
+	if h := t.Holdings; h.Copies > 0 {
+		holdings = fmt.Sprintf(", holdings: copies %d, keep %v, lost_after %v", h.Copies, h.Keep, h.LostAfter)
+	}
+	return fmt.Sprintf("lease %v, drift %v, slack %v, fixed_classes [%s]%s", t.Lease, t.Drift, t.Slack,
+		strings.Join(t.FixedClasses, " "), holdings)
 }
--- /dev/null
+++ b/internal/holdings/model_test.go
@@ -0,0 +1,523 @@
+package holdings
+
+import (
+	"container/heap"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"heathgap/decide"
+)
+
+var (
+	seeds   = flag.Int("holdings.seeds", 24, "so many seeds are played")
+	oneSeed = flag.Int("holdings.seed", -1, "only this one")
+)
+
+// The model: sidecars with their replicas, a ledger that is always right (the keepers'), owners that claim keys and finish
+// them, ways that delay, lose and double, machines that die with what they held, and processes that stand still. An effect that
+// happens twice, or an outcome that was told and is not there, breaks it.
+const (
+	modelLease = time.Second
+	modelWait  = 1200 * time.Millisecond
+	modelTime  = 30 * time.Second
+	sayTime    = 500 * time.Millisecond // for one exchange
+	askTime    = 2 * time.Second        // a request's
+)
+
+// orders is the class of what is claimed: endpoints drop its repeats for so long.
+var orders = decide.Class{Effect: decide.Keyed, Window: 5 * time.Second}
+
+type modelEvent struct {
+	at Boot
+	n  int
+	do func()
+}
+
+type modelQueue []modelEvent
+
+func (q modelQueue) Len() int { return len(q) }
+func (q modelQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].n < q[j].n
+}
+func (q modelQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *modelQueue) Push(e any)   { *q = append(*q, e.(modelEvent)) }
+func (q *modelQueue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+type sidecar struct {
+	name, zone string
+	token      uint64
+	dead       bool
+	paused     bool
+	cut        bool // from the keepers
+	inbox      []func()
+	replica    *Replica
+	me         Who
+	leased     Boot
+}
+
+type model struct {
+	t       *testing.T
+	dice    *rand.Rand
+	now     Boot
+	queue   modelQueue
+	n       int
+	bug     string
+	terms   Terms
+	all     []*sidecar
+	epoch   uint64
+	in      map[string]Member
+	until   map[string]Boot
+	filled  map[string][]Filled
+	table   *Table
+	dead    [Shards]Boot
+	effects map[string]int
+	first   map[string]Boot // when each key came to an endpoint
+	told    map[string]string
+	claims  uint64
+	broken  string
+	counts  map[string]int
+}
+
+func (m *model) after(d time.Duration, do func()) {
+	m.n++
+	heap.Push(&m.queue, modelEvent{m.now + d, m.n, do})
+}
+
+func (m *model) between(a, b time.Duration) time.Duration {
+	return a + time.Duration(m.dice.Int64N(int64(b-a)))
+}
+
+func (m *model) breaks(format string, args ...any) {
+	if m.broken == "" {
+		m.broken = fmt.Sprintf("%v: ", m.now) + fmt.Sprintf(format, args...)
+	}
+}
+
+// on has a sidecar do something, when it goes on.
+func (s *sidecar) on(do func()) {
+	switch {
+	case s.dead:
+	case s.paused:
+		s.inbox = append(s.inbox, do)
+	default:
+		do()
+	}
+}
+
+func (m *model) start(s *sidecar) {
+	m.claims++
+	s.token, s.dead, s.paused, s.me, s.leased, s.inbox = m.claims, false, false, Who{}, 0, nil
+	s.replica = NewReplica(m.terms, 1<<16)
+	m.beat(s, s.token)
+	m.tick(s, s.token)
+}
+
+func (m *model) tick(s *sidecar, token uint64) {
+	if s.dead || s.token != token {
+		return
+	}
+	s.on(func() { s.replica.Tick(m.now); m.say(s) })
+	m.after(20*time.Millisecond, func() { m.tick(s, token) })
+}
+
+// beat renews a lease; the ledger is the keepers', and never wrong.
+func (m *model) beat(s *sidecar, token uint64) {
+	if s.dead || s.token != token {
+		return
+	}
+	m.after(m.between(100*time.Millisecond, 150*time.Millisecond), func() { m.beat(s, token) })
+	if s.paused || s.cut {
+		return
+	}
+	asked := m.now
+	m.after(m.between(time.Millisecond, 30*time.Millisecond), func() {
+		if s.token != token {
+			return
+		}
+		in, there := m.in[s.name]
+		if !there || in.Token != token {
+			if !there {
+				m.epoch++
+				m.in[s.name] = Member{Who: Who{s.name, m.epoch}, Token: token, Zone: s.zone}
+				m.until[s.name] = m.now + modelWait
+			}
+			return
+		}
+		m.until[s.name] = m.now + modelWait
+		s.on(func() {
+			if s.token != token {
+				return
+			}
+			m.filled[s.name] = s.replica.Filled()
+		})
+		table, members := m.table.Clone(), m.members()
+		m.after(m.between(time.Millisecond, 30*time.Millisecond), func() {
+			s.on(func() {
+				if s.token != token || asked+modelLease < s.leased {
+					return
+				}
+				s.me, s.leased = in.Who, asked+modelLease
+				s.replica.Learn(m.now, in.Who, table, members)
+				s.replica.Lease(s.leased)
+				m.say(s)
+			})
+		})
+	})
+}
+
+func (m *model) members() []Member {
+	var out []Member
+	for _, s := range m.all {
+		if in, there := m.in[s.name]; there {
+			out = append(out, in)
+		}
+	}
+	return out
+}
+
+// keepers counts out whose lease has surely ended, and plans seats.
+func (m *model) keepers() {
+	m.after(30*time.Millisecond, m.keepers)
+	for _, s := range m.all {
+		if _, there := m.in[s.name]; there && m.now >= m.until[s.name] {
+			delete(m.in, s.name)
+			m.epoch++
+		}
+	}
+	members := m.members()
+	var filled []Filled
+	for _, s := range m.all {
+		filled = append(filled, m.filled[s.name]...)
+	}
+	for i := range m.table.Shards {
+		if !m.table.Shards[i].Dead(func(w Who, token uint64) bool {
+			in, there := m.in[w.Name]
+			return there && (in.Who == w || in.Token == token)
+		}) {
+			m.dead[i] = 0
+		} else if m.dead[i] == 0 {
+			m.dead[i] = m.now
+		}
+	}
+	changes := m.table.Plan(members, m.terms.Copies, filled, func(i int) bool { return m.dead[i] > 0 && m.now > m.dead[i]+m.terms.LostAfter })
+	for i := range changes {
+		if m.bug == "same zone" {
+			for j := range changes[i].Seats {
+				changes[i].Seats[j] = changes[i].Seats[0]
+			}
+			changes[i].Seats = changes[i].Seats[:1]
+		}
+	}
+	if err := m.table.Apply(changes); err != nil {
+		m.breaks("plan: %v", err)
+	}
+}
+
+// say sends what is to be said.
+func (m *model) say(s *sidecar) {
+	for _, to := range s.replica.Peers() {
+		b := s.replica.Next(m.now, to.Who)
+		if b == nil {
+			continue
+		}
+		over, token := false, s.token
+		end := func(a *Batched) {
+			s.on(func() {
+				if !over && s.token == token {
+					over = true
+					s.replica.Said(m.now, to.Who, b, a)
+					m.say(s)
+				}
+			})
+		}
+		m.after(sayTime, func() { end(nil) })
+		other := m.all[slices.IndexFunc(m.all, func(o *sidecar) bool { return o.name == to.Name })]
+		arrive := func() {
+			m.after(m.delay(), func() {
+				other.on(func() {
+					if a := other.replica.Take(m.now, b); a != nil {
+						m.after(m.delay(), func() { end(a) })
+					}
+				})
+			})
+		}
+		if m.dice.Float64() > 0.02 {
+			arrive()
+		}
+		if m.dice.Float64() < 0.02 {
+			arrive()
+		}
+		if m.bug == "answers before the copies" {
+			m.after(0, func() { end(&Batched{}) })
+		}
+	}
+}
+
+func (m *model) delay() time.Duration {
+	if m.dice.Float64() < 0.03 {
+		return m.between(time.Millisecond, 700*time.Millisecond)
+	}
+	return m.between(200*time.Microsecond, 3*time.Millisecond)
+}
+
+// ask says an owner's word to the primary that it knows of, until it has an answer that counts, or its time is over.
+func (m *model) ask(s *sidecar, a *Ask, until Boot, done func(Answer)) {
+	token := s.token
+	again := func(last Answer) {
+		m.after(50*time.Millisecond, func() {
+			s.on(func() {
+				if s.token != token || m.now >= until {
+					if s.token == token {
+						done(last)
+					}
+					return
+				}
+				m.ask(s, a, until, done)
+			})
+		})
+	}
+	if s.replica.table == nil || len(s.replica.table.Shards[a.Key.Shard()].Seats) == 0 {
+		again(Answer{Kind: NotHere})
+		return
+	}
+	to := s.replica.table.Shards[a.Key.Shard()].Seats[0].Who
+	over := false
+	end := func(got Answer) {
+		s.on(func() {
+			if over || s.token != token {
+				return
+			}
+			over = true
+			switch got.Kind {
+			case NotHere, Short, Running, Away, Full:
+				again(got)
+			default:
+				done(got)
+			}
+		})
+	}
+	m.after(sayTime, func() { end(Answer{Kind: Away}) })
+	other := m.all[slices.IndexFunc(m.all, func(o *sidecar) bool { return o.name == to.Name })]
+	m.after(m.delay(), func() {
+		other.on(func() {
+			other.replica.Ask(m.now, a, func(got Answer) { m.after(m.delay(), func() { end(got) }) })
+			m.say(other)
+		})
+	})
+}
+
+// request is a client's, through one sidecar.
+func (m *model) request(s *sidecar, key string, next func()) {
+	if s.dead || s.me == (Who{}) {
+		next()
+		return
+	}
+	m.claims++
+	owner, until := s.me, m.now+askTime
+	a := &Ask{Do: Open, Key: Key{Class: "order", Text: key}, Owner: owner, Claim: m.claims, Lasts: askTime}
+	m.claim(s, a, until, next)
+}
+
+func (m *model) claim(s *sidecar, a *Ask, until Boot, next func()) {
+	token, key, owner := s.token, a.Key.Text, a.Owner
+	_, before := m.told[key] // an answer may come long after it was given
+	m.ask(s, a, until, func(got Answer) {
+		if got.Kind == Unclear && MayRepeat(&orders, got.Age, until-m.now, 0) {
+			m.counts["again"]++
+			again := *a
+			again.Do, again.Rev, again.Lasts = Again, got.Rev, until-m.now
+			m.claim(s, &again, until, next)
+			return
+		}
+		defer next()
+		m.counts[got.Kind.String()]++
+		want, told := m.told[key]
+		switch got.Kind {
+		case Was:
+			if told && string(got.Outcome.Body) != want {
+				m.breaks("key %s: %q, and %q was told", key, got.Outcome.Body, want)
+			}
+		case Yes:
+			if before && a.Do == Open {
+				m.breaks("key %s: claimed anew, and %q was told", key, want)
+			}
+			if m.dice.Float64() < 0.01 { // between the word and the first byte
+				m.pause(s, m.between(time.Second, 10*time.Second))
+			}
+			m.after(m.delay(), func() {
+				s.on(func() {
+					// The last look before the first byte.
+					if s.token != token || m.bug != "no last look" && (m.now >= until || s.me != owner || m.now >= s.leased) {
+						return
+					}
+					if first, came := m.first[key]; !came {
+						m.first[key] = m.now
+					} else if m.now < first+orders.Window {
+						m.counts["dropped"]++
+						return // its answer would be the first one's; this owner dies of it
+					}
+					m.effects[key]++
+					if m.effects[key] > 1 {
+						m.breaks("key %s: %d effects", key, m.effects[key])
+					}
+					outcome := fmt.Sprintf("%s by %s", key, s.name)
+					m.after(m.between(time.Millisecond, 100*time.Millisecond), func() {
+						s.on(func() {
+							f := *a
+							f.Do, f.Outcome = Finish, &Outcome{Body: []byte(outcome)}
+							m.ask(s, &f, until, func(got Answer) {
+								if got.Kind == Yes {
+									m.told[key] = outcome
+									m.counts["told"]++
+								}
+							})
+						})
+					})
+				})
+			})
+		case Unclear, Missing:
+			if before {
+				m.breaks("key %s: %v, and %q was told", key, got.Kind, want)
+			}
+		}
+	})
+}
+
+func (m *model) pause(s *sidecar, long time.Duration) {
+	if s.paused || s.dead {
+		return
+	}
+	m.counts["pauses"]++
+	s.paused = true
+	m.after(long, func() {
+		if !s.paused {
+			return
+		}
+		s.paused = false
+		inbox := s.inbox
+		s.inbox = nil
+		for _, do := range inbox {
+			s.on(do)
+		}
+	})
+}
+
+// whole tells whether each shard has its copies, so that the next machine may be lost.
+func (m *model) whole() bool {
+	for i := range m.table.Shards {
+		s := &m.table.Shards[i]
+		if len(s.Seats) < m.terms.Copies || slices.ContainsFunc(s.Seats, func(seat Seat) bool { return !seat.Ready || m.in[seat.Name].Who != seat.Who }) {
+			return false
+		}
+	}
+	return true
+}
+
+func playModel(t *testing.T, seed uint64, bug string) (string, map[string]int) {
+	m := &model{t: t, dice: rand.New(rand.NewPCG(seed, 0x401d)), bug: bug, terms: Terms{Copies: 2, Keep: time.Minute, LostAfter: 10 * time.Second},
+		in: map[string]Member{}, until: map[string]Boot{}, filled: map[string][]Filled{}, table: &Table{}, effects: map[string]int{}, first: map[string]Boot{}, told: map[string]string{},
+		counts: map[string]int{}}
+	for i := range 6 {
+		s := &sidecar{name: fmt.Sprint("s", i), zone: string(rune('a' + i%3))}
+		m.all = append(m.all, s)
+		m.start(s)
+	}
+	m.after(500*time.Millisecond, m.keepers)
+	keys := 0
+	var load func()
+	load = func() {
+		m.after(m.between(5*time.Millisecond, 40*time.Millisecond), load)
+		keys++
+		key := fmt.Sprint("k", keys)
+		if keys > 20 && m.dice.Float64() < 0.5 {
+			key = fmt.Sprint("k", keys-m.dice.IntN(min(keys-1, 200)))
+		}
+		one, two := m.all[m.dice.IntN(6)], m.all[m.dice.IntN(6)]
+		m.request(one, key, func() {
+			m.after(m.between(0, 400*time.Millisecond), func() { m.request(two, key, func() {}) })
+		})
+		if m.dice.Float64() < 0.3 { // two at once
+			m.request(two, key, func() {})
+		}
+	}
+	m.after(2*time.Second, load)
+	var strike func()
+	strike = func() {
+		m.after(m.between(300*time.Millisecond, 3*time.Second), strike)
+		s := m.all[m.dice.IntN(6)]
+		long := m.between(100*time.Millisecond, 4*time.Second)
+		if s.dead || s.paused || s.cut {
+			return
+		}
+		switch m.dice.IntN(3) {
+		case 0:
+			if !m.whole() || slices.ContainsFunc(m.all, func(o *sidecar) bool { return o.dead }) {
+				return
+			}
+			m.counts["lost machines"]++
+			s.dead = true
+			m.after(long, func() { m.start(s) })
+		case 1:
+			m.pause(s, long)
+		case 2:
+			m.counts["cuts"]++
+			s.cut = true
+			m.after(long, func() { s.cut = false })
+		}
+	}
+	m.after(4*time.Second, strike)
+	for m.broken == "" && len(m.queue) > 0 && m.now < modelTime {
+		e := heap.Pop(&m.queue).(modelEvent)
+		m.now = e.at
+		e.do()
+	}
+	return m.broken, m.counts
+}
+
+// Through all seeds no effect happens twice, and what was told is told again.
+func TestModel(t *testing.T) {
+	sum := map[string]int{}
+	for seed := range *seeds {
+		if *oneSeed >= 0 && seed != *oneSeed {
+			continue
+		}
+		broken, counts := playModel(t, uint64(seed), "")
+		if broken != "" {
+			t.Errorf("seed %d: %s", seed, broken)
+		}
+		for k, n := range counts {
+			sum[k] += n
+		}
+	}
+	t.Logf("%d seeds: %v", *seeds, sum)
+	for _, kind := range []string{"yes", "was", "unclear", "told", "lost machines", "pauses", "cuts"} {
+		if sum[kind] < *seeds && *oneSeed < 0 {
+			t.Errorf("%s: only %d in %d seeds", kind, sum[kind], *seeds)
+		}
+	}
+}
+
+// Each planted bug breaks the model within some seeds.
+func TestModelCatchesPlantedBugs(t *testing.T) {
+	for _, bug := range []string{"answers before the copies", "no last look"} {
+		found := 0
+		for seed := range 12 {
+			if broken, _ := playModel(t, uint64(seed), bug); broken != "" {
+				found++
+			}
+		}
+		t.Logf("%s: found by %d of 12 seeds", bug, found)
+		if found == 0 {
+			t.Errorf("%s: not found", bug)
+		}
+	}
+}
--- /dev/null
+++ b/internal/holdings/replica.go
@@ -0,0 +1,581 @@
+package holdings
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Figures of a replica.
+const (
+	// mostQueued asks wait for one key: more than clients repeat a request in its time.
+	mostQueued = 16
+	// batchBytes of entries go to a peer at once, about, and fillEntries of a seat that is being filled: what is new does not
+	// wait behind what is old.
+	batchBytes  = 256 << 10
+	fillEntries = 64
+	// staleAfter their end backups keep entries: the primary's clock decides, and theirs may be faster.
+	staleAfter = 10 * time.Second
+	// sweepEvery is how often ended entries are looked for, a shard at a time.
+	sweepEvery = 100 * time.Millisecond
+)
+
+// Replica is one sidecar's part in the shards where it has a seat. It is to be called by one goroutine at a time.
+//
+// What must hold: a primary answers by an entry only when each seat of its shard, under the ballot of that moment, has said that it
+// has it; a seat says yes to no ballot that is older than one that it has heard of.
+type Replica struct {
+	me      Who
+	terms   Terms
+	most    int // entries of a shard
+	table   *Table
+	members map[Who]Member
+	leased  Boot // until then this sidecar may act as a primary
+	shards  [Shards]*shard
+	out     map[Who]*outbox
+	sweep   Boot
+	next    int    // the shard that is swept then
+	alone   []item // entries that wait for nobody's word
+
+	// Counts, from 0.
+	Entries, Bytes int
+	Expired        int64
+}
+
+// shard is what a sidecar has of one.
+type shard struct {
+	number int
+	Shard  // as last heard of, from the ledger or from its primary
+	held   map[Key]*held
+	count  uint64 // of revisions, under the present ballot
+	lost   uint64 // Lost as last heard of, and when: until a keep later an unknown key may have been held
+	lostAt Boot
+	left   map[Who]int // entries that seats which are not ready still lack
+}
+
+// held is an entry with what its primary does about it.
+type held struct {
+	Entry
+	since, changed Boot
+	under          uint64       // the ballot under which it was said last
+	settled        uint64       // the ballot under which all seats have it
+	waits          map[Who]bool // seats whose word is missing
+	then           []func()     // when it comes
+	queue          []op
+}
+
+// op is an ask that waits its turn.
+type op struct {
+	ask   *Ask
+	reply func(Answer)
+}
+
+// outbox is what is to be said to another sidecar.
+type outbox struct {
+	items []item
+	fill  []item
+	busy  bool
+}
+
+// item is an entry that a seat is to have.
+type item struct {
+	shard  int
+	ballot uint64 // that asks for it
+	key    Key
+	fill   bool
+}
+
+// Store is a primary's word to a seat.
+type Store struct {
+	Shard   int     `cbor:"1,keyasint"`
+	Of      Shard   `cbor:"2,keyasint"`
+	Entries []Entry `cbor:"3,keyasint"`
+
+	items []item // what it answers, those too whose entries have ended
+}
+
+// Batch is what is said to a sidecar at once.
+type Batch struct {
+	To     Who     `cbor:"2,keyasint"` // a word for a stay that is over is for nobody
+	Stores []Store `cbor:"1,keyasint"`
+}
+
+// Batched is its answer: shards of which it has heard a later ballot. All else it has.
+type Batched struct {
+	Later map[int]Shard `cbor:"1,keyasint,omitempty"`
+}
+
+// NewReplica returns one that knows nothing. most bounds its entries.
+func NewReplica(terms Terms, most int) *Replica {
+	r := &Replica{terms: terms, most: max(1, most/Shards), members: map[Who]Member{}, out: map[Who]*outbox{}}
+	for i := range r.shards {
+		r.shards[i] = &shard{number: i, held: map[Key]*held{}}
+	}
+	return r
+}
+
+// Learn takes the ledger's table and members, as a renewal brought them. me is this sidecar's present stay in the crew.
+func (r *Replica) Learn(now Boot, me Who, table *Table, members []Member) {
+	moved := me != r.me
+	r.me, r.table = me, table
+	r.members = map[Who]Member{}
+	for _, m := range members {
+		r.members[m.Who] = m
+	}
+	for who := range r.out {
+		if _, in := r.members[who]; !in {
+			delete(r.out, who)
+		}
+	}
+	for i := range table.Shards {
+		r.adopt(now, r.shards[i], table.Shards[i], moved)
+	}
+}
+
+// Lease tells until when this sidecar may act as a primary.
+func (r *Replica) Lease(until Boot) { r.leased = until }
+
+// adopt takes a shard's seats, if they are later than those known.
+func (r *Replica) adopt(now Boot, s *shard, of Shard, anew bool) {
+	if of.Lost != s.lost {
+		s.lost, s.lostAt = max(s.lost, of.Lost), now
+	}
+	if of.Ballot < s.Ballot || of.Ballot == s.Ballot && !anew {
+		return
+	}
+	s.Shard = Shard{of.Ballot, slices.Clone(of.Seats), of.Lost}
+	s.count, s.left = 0, nil
+	if !r.primary(s) {
+		r.release(s)
+		if !r.sits(s) {
+			r.forget(s)
+		}
+		return
+	}
+	s.left = map[Who]int{}
+	keys := r.sorted(s)
+	for _, seat := range s.Seats[1:] {
+		if seat.Ready {
+			continue
+		}
+		s.left[seat.Who] = len(keys)
+		for _, k := range keys {
+			r.to(seat.Who).fill = append(r.to(seat.Who).fill, item{s.number, s.Ballot, k, true})
+		}
+	}
+	for _, k := range keys { // what was on its way is said under the new ballot, to the new seats
+		if h := s.held[k]; h.waits != nil {
+			r.copy(s, h)
+		}
+	}
+}
+
+// sits tells whether this sidecar has a seat.
+func (r *Replica) sits(s *shard) bool {
+	return slices.ContainsFunc(s.Seats, func(seat Seat) bool { return seat.Who == r.me })
+}
+
+// sorted are a shard's keys, in one order with all runs.
+func (r *Replica) sorted(s *shard) []Key {
+	return slices.SortedFunc(maps.Keys(s.held), func(a, b Key) int {
+		return cmp.Or(cmp.Compare(a.Class, b.Class), cmp.Compare(a.Tenant, b.Tenant), cmp.Compare(a.Text, b.Text))
+	})
+}
+
+// release answers all that waits at a sidecar that is the primary no more.
+func (r *Replica) release(s *shard) {
+	for _, k := range r.sorted(s) {
+		h := s.held[k]
+		queue := h.queue
+		h.waits, h.then, h.queue = nil, nil, nil
+		for _, o := range queue {
+			o.reply(Answer{Kind: NotHere})
+		}
+	}
+}
+
+// forget drops what is held of a shard in which this sidecar has no seat any more.
+func (r *Replica) forget(s *shard) {
+	for _, h := range s.held {
+		r.Entries--
+		r.Bytes -= h.size()
+	}
+	clear(s.held)
+}
+
+func (r *Replica) primary(s *shard) bool { return len(s.Seats) > 0 && s.Seats[0].Who == r.me }
+
+func (r *Replica) to(who Who) *outbox {
+	if r.out[who] == nil {
+		r.out[who] = &outbox{}
+	}
+	return r.out[who]
+}
+
+// Ask answers an owner: at once, or when all seats have what the answer rests on. An owner whose ask gets no answer says it
+// again.
+func (r *Replica) Ask(now Boot, a *Ask, reply func(Answer)) {
+	s := r.shards[a.Key.Shard()]
+	// Guards, with the owner, against a table that is older than its stay: it would count as gone.
+	if _, in := r.members[a.Owner]; !in || !r.primary(s) || now >= r.leased {
+		reply(Answer{Kind: NotHere})
+		return
+	}
+	defer r.settleAlone(now)
+	h := s.held[a.Key]
+	if h != nil && h.waits != nil {
+		if len(h.queue) >= mostQueued {
+			reply(Answer{Kind: Full})
+			return
+		}
+		h.queue = append(h.queue, op{a, reply})
+		return
+	}
+	r.answer(now, s, h, op{a, reply})
+}
+
+// answer answers by what is held, when all seats have that.
+func (r *Replica) answer(now Boot, s *shard, h *held, o op) {
+	a := o.ask
+	if len(s.Seats) < r.terms.Copies {
+		o.reply(Answer{Kind: Short})
+		return
+	}
+	if h != nil && h.settled != s.Ballot {
+		// Guards against an answer by what a primary before had told to this sidecar alone.
+		h.queue = append(h.queue, o)
+		r.copy(s, h)
+		return
+	}
+	mine := h != nil && h.Owner == a.Owner && h.Claim == a.Claim
+	switch {
+	case h == nil || h.State == Free:
+		r.first(now, s, h, o)
+	case h.Print != a.Print:
+		o.reply(Answer{Kind: Other})
+	case h.State == Done && (a.Do == Open || a.Do == Again || a.Do == Finish && mine):
+		if a.Do == Finish {
+			o.reply(Answer{Kind: Yes})
+			return
+		}
+		o.reply(Answer{Kind: Was, Outcome: h.Outcome})
+	case a.Do == Open && mine && h.State == Claimed, a.Do == GiveUp && mine && h.State == Unknown, a.Do == Again && mine && h.State == Claimed:
+		o.reply(Answer{Kind: Yes, Rev: h.Rev}) // said again: its answer was lost
+	case a.Do == Open || a.Do == Again && a.Rev != h.Rev:
+		kind := Unclear
+		if r.runs(now, h) {
+			kind = Running
+		}
+		o.reply(Answer{Kind: kind, Rev: h.Rev, Age: now - h.since})
+	case a.Do == Again:
+		if r.runs(now, h) {
+			o.reply(Answer{Kind: Running})
+			return
+		}
+		r.change(now, s, h, o, func(e *Entry) { e.State, e.Owner, e.Claim, e.Lasts = Claimed, a.Owner, a.Claim, a.Lasts })
+	case !mine || h.State != Claimed:
+		// Guards against an owner that was paused, and counted out meanwhile: its key may be another's now.
+		o.reply(Answer{Kind: Fenced})
+	case a.Do == Finish:
+		r.change(now, s, h, o, func(e *Entry) { e.State, e.Outcome = Done, a.Outcome })
+	case a.Do == GiveUp:
+		r.change(now, s, h, o, func(e *Entry) { e.State = Unknown })
+	case a.Do == Drop:
+		r.change(now, s, h, o, func(e *Entry) { e.State = Free })
+	default:
+		o.reply(Answer{Kind: Fenced})
+	}
+}
+
+// runs tells whether an owner may still act on its claim: it is in the crew, and the time that it named is not over.
+func (r *Replica) runs(now Boot, h *held) bool {
+	_, in := r.members[h.Owner]
+	return in && h.State == Claimed && now < h.changed+h.Lasts+Slack
+}
+
+// first answers an ask for a key of which nothing is held.
+func (r *Replica) first(now Boot, s *shard, h *held, o op) {
+	a := o.ask
+	if a.Do != Open {
+		kind := Fenced
+		if a.Do == Drop {
+			kind = Yes
+		}
+		o.reply(Answer{Kind: kind})
+		return
+	}
+	if s.lost > 0 && now < s.lostAt+r.terms.Keep+staleAfter {
+		o.reply(Answer{Kind: Missing})
+		return
+	}
+	if h == nil {
+		if len(s.held) >= r.most {
+			o.reply(Answer{Kind: Full})
+			return
+		}
+		h = &held{Entry: Entry{Key: a.Key}}
+		s.held[a.Key] = h
+		r.Entries++
+		r.Bytes += h.size()
+	}
+	h.since = now
+	r.change(now, s, h, o, func(e *Entry) {
+		e.State, e.Owner, e.Claim, e.Lasts, e.Print, e.Outcome = Claimed, a.Owner, a.Claim, a.Lasts, a.Print, nil
+	})
+}
+
+// change changes an entry and answers yes when all seats have it so.
+func (r *Replica) change(now Boot, s *shard, h *held, o op, how func(e *Entry)) {
+	r.Bytes -= h.size()
+	how(&h.Entry)
+	r.Bytes += h.size()
+	s.count++
+	h.Rev, h.changed, h.settled = Rev{s.Ballot, s.count}, now, 0
+	rev := h.Rev
+	h.then = append(h.then, func() { o.reply(Answer{Kind: Yes, Rev: rev}) })
+	r.copy(s, h)
+}
+
+// copy has all seats told an entry.
+func (r *Replica) copy(s *shard, h *held) {
+	h.under = s.Ballot
+	h.waits = map[Who]bool{}
+	for _, seat := range s.Seats[1:] {
+		h.waits[seat.Who] = true
+		r.to(seat.Who).items = append(r.to(seat.Who).items, item{s.number, s.Ballot, h.Key, false})
+	}
+	if len(h.waits) == 0 {
+		r.alone = append(r.alone, item{s.number, s.Ballot, h.Key, false})
+	}
+}
+
+// settle books that all seats have an entry, and goes on with what waited for that.
+func (r *Replica) settle(now Boot, s *shard, h *held) {
+	then, queue := h.then, h.queue
+	h.settled, h.waits, h.then, h.queue = s.Ballot, nil, nil, nil
+	for _, f := range then {
+		f()
+	}
+	for i, o := range queue {
+		if h.waits != nil { // the one before has changed it
+			h.queue = append(h.queue, queue[i:]...)
+			return
+		}
+		r.answer(now, s, h, o)
+	}
+}
+
+// Peers are the sidecars that there is something to say to, and nothing on its way to.
+func (r *Replica) Peers() []Member {
+	var out []Member
+	for who, o := range r.out {
+		if !o.busy && len(o.items)+len(o.fill) > 0 {
+			out = append(out, r.members[who])
+		}
+	}
+	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Next is what to say to a sidecar now; nil for nothing. Its answer goes to Said before the next.
+func (r *Replica) Next(now Boot, to Who) *Batch {
+	o := r.out[to]
+	if o == nil || o.busy {
+		return nil
+	}
+	stores := map[int]*Store{}
+	var order []int
+	size := 0
+	take := func(from []item, most int) []item {
+		n := 0
+		for ; n < len(from) && n < most && size < batchBytes; n++ {
+			it := from[n]
+			s := r.shards[it.shard]
+			h := s.held[it.key]
+			if it.ballot != s.Ballot || !r.primary(s) || !it.fill && (h == nil || !h.waits[to]) {
+				continue // what asked for it has passed
+			}
+			if stores[it.shard] == nil {
+				stores[it.shard] = &Store{Shard: it.shard, Of: s.Shard}
+				order = append(order, it.shard)
+			}
+			st := stores[it.shard]
+			st.items = append(st.items, it)
+			if h == nil {
+				continue // it has ended: nothing is lacking
+			}
+			e := h.Entry
+			e.Age, e.Still = now-h.since, now-h.changed
+			st.Entries = append(st.Entries, e)
+			size += e.size()
+		}
+		return from[n:]
+	}
+	o.items = take(o.items, len(o.items))
+	o.fill = take(o.fill, fillEntries)
+	if len(order) == 0 {
+		return nil
+	}
+	b := &Batch{To: to}
+	for _, i := range order {
+		b.Stores = append(b.Stores, *stores[i])
+	}
+	o.busy = true
+	return b
+}
+
+// Said takes what came of a batch: its answer, nil for none. What was not heard is to be said again.
+func (r *Replica) Said(now Boot, to Who, b *Batch, answer *Batched) {
+	o := r.out[to]
+	if o == nil {
+		return // it is gone
+	}
+	o.busy = false
+	for i := range b.Stores {
+		st := &b.Stores[i]
+		s := r.shards[st.Shard]
+		later, fenced := Shard{}, answer == nil
+		if answer != nil {
+			if later, fenced = answer.Later[st.Shard]; fenced {
+				r.adopt(now, s, later, false)
+			}
+		}
+		if s.Ballot != st.Of.Ballot || !r.primary(s) {
+			continue // all that still counts has been put into the outbox anew
+		}
+		if fenced {
+			for _, it := range st.items {
+				o.put(it)
+			}
+			continue
+		}
+		for _, it := range st.items {
+			if it.fill {
+				s.left[to]--
+			}
+		}
+		for _, e := range st.Entries {
+			if h := s.held[e.Key]; h != nil && h.waits[to] && h.Rev == e.Rev && h.under == s.Ballot {
+				if delete(h.waits, to); len(h.waits) == 0 {
+					r.settle(now, s, h)
+				}
+			}
+		}
+	}
+	r.settleAlone(now)
+}
+
+func (o *outbox) put(it item) {
+	if it.fill {
+		o.fill = append(o.fill, it)
+		return
+	}
+	o.items = append(o.items, it)
+}
+
+// Take takes what a primary says.
+//
+// nil is no answer: the word was for another stay than the present one.
+func (r *Replica) Take(now Boot, b *Batch) *Batched {
+	if b.To != r.me {
+		return nil
+	}
+	out := &Batched{}
+	for i := range b.Stores {
+		st := &b.Stores[i]
+		if st.Shard < 0 || st.Shard >= Shards {
+			continue
+		}
+		s := r.shards[st.Shard]
+		if st.Of.Ballot < s.Ballot {
+			if out.Later == nil {
+				out.Later = map[int]Shard{}
+			}
+			out.Later[st.Shard] = s.Shard
+			continue
+		}
+		r.adopt(now, s, st.Of, false)
+		for n := range st.Entries {
+			r.keep(now, s, &st.Entries[n])
+		}
+	}
+	return out
+}
+
+// keep takes one entry. The word of a later ballot stands, and the later one of a ballot.
+func (r *Replica) keep(now Boot, s *shard, e *Entry) {
+	h := s.held[e.Key]
+	switch {
+	case h == nil:
+		h = &held{}
+		s.held[e.Key] = h
+		r.Entries++
+	case s.Ballot == h.under && e.Rev.before(h.Rev):
+		return // late word
+	default:
+		r.Bytes -= h.size()
+	}
+	since := now - e.Age
+	if h.Rev == e.Rev {
+		since = min(since, h.since) // the older of two ages: the way took time
+	}
+	h.Entry, h.under, h.settled = *e, s.Ballot, 0
+	h.since, h.changed = since, now-e.Still
+	r.Bytes += h.size()
+}
+
+// Filled are this sidecar's words on seats that lack nothing any more.
+func (r *Replica) Filled() []Filled {
+	var out []Filled
+	for _, s := range r.shards {
+		if !r.primary(s) {
+			continue
+		}
+		for _, seat := range s.Seats[1:] {
+			if left, fills := s.left[seat.Who]; fills && left == 0 {
+				out = append(out, Filled{s.number, s.Ballot, seat.Who})
+			}
+		}
+	}
+	return out
+}
+
+// Tick ends entries whose time is over, and goes on with what waits for nobody.
+func (r *Replica) Tick(now Boot) {
+	r.settleAlone(now)
+	if now < r.sweep {
+		return
+	}
+	r.sweep = now + sweepEvery
+	s := r.shards[r.next]
+	r.next = (r.next + 1) % Shards
+	for _, k := range r.sorted(s) {
+		h := s.held[k]
+		end := h.changed + r.terms.Keep
+		if !r.primary(s) {
+			end += staleAfter
+		} else if r.runs(now, h) || h.waits != nil {
+			continue // its owner ends it
+		}
+		if now >= end {
+			delete(s.held, k)
+			r.Entries--
+			r.Bytes -= h.size()
+			r.Expired++
+		}
+	}
+}
+
+// settleAlone goes on with entries for which no seat's word is missing: those of a shard with one seat. Nobody else could tell a
+// primary that was counted out that it is none any more: it looks at its lease.
+func (r *Replica) settleAlone(now Boot) {
+	for len(r.alone) > 0 && now < r.leased {
+		it := r.alone[0]
+		r.alone = r.alone[1:]
+		s := r.shards[it.shard]
+		if h := s.held[it.key]; h != nil && h.waits != nil && len(h.waits) == 0 && r.primary(s) {
+			r.settle(now, s, h)
+		}
+	}
+}
--- /dev/null
+++ b/internal/holdings/table.go
@@ -0,0 +1,228 @@
+// Package holdings is what sidecars hold for one another: claims of keyed requests and what those ended in, each copied to
+// sidecars of other zones before anybody rests on it. It is pure: no clock, no I/O, no goroutine.
+//
+// Table is what the crew's ledger says: which sidecars have a seat in which shard of the keys. Replica is one sidecar's part
+// in the shards where it has a seat. Decide is an owner's: what a repeat may do.
+package holdings
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/zeebo/xxh3"
+
+	"heathgap/internal/crew/terms"
+)
+
+// Bounds.
+const (
+	// Shards of the key space: a machine of 300 has a seat in one of a hundred of them, and the table stays some KB.
+	Shards = 64
+)
+
+// Terms are what all members of a crew must be started with alike.
+type Terms = terms.Holdings
+
+// Who is one stay of a sidecar in the crew: who was counted out and came in again is another.
+type Who struct {
+	Name string `cbor:"1,keyasint"`
+	In   uint64 `cbor:"2,keyasint"` // the epoch in which it came in
+}
+
+// Member is a sidecar that is in the crew.
+type Member struct {
+	Who
+	Token   uint64 `cbor:"5,keyasint"` // of its process
+	Zone    string `cbor:"3,keyasint,omitempty"`
+	Address string `cbor:"4,keyasint"`
+}
+
+// Seat is a sidecar's place in a shard.
+type Seat struct {
+	Who
+	Token uint64 `cbor:"4,keyasint"`           // of its process, whose memory it is
+	Ready bool   `cbor:"3,keyasint,omitempty"` // it has all that was ever told of the shard
+}
+
+// Shard is a part of the keys. Its first seat is its primary, and is ready.
+type Shard struct {
+	// Ballot rises with each change of seats: a word under an older one is refused. 0 before the first.
+	Ballot uint64 `cbor:"1,keyasint,omitempty"`
+	Seats  []Seat `cbor:"2,keyasint,omitempty"`
+	// Lost is how often all that was held here was lost, with all seats that were ready.
+	Lost uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Table is all shards.
+type Table struct {
+	Number uint64        `cbor:"1,keyasint"` // rises with each change
+	Shards [Shards]Shard `cbor:"2,keyasint"`
+}
+
+// Change is new seats of one shard, in the place of those of a ballot.
+type Change struct {
+	Shard  int    `cbor:"1,keyasint"`
+	Ballot uint64 `cbor:"2,keyasint"` // that it was decided on
+	Seats  []Seat `cbor:"3,keyasint"`
+	Lost   bool   `cbor:"4,keyasint,omitempty"`
+}
+
+// Filled is a primary's word that a seat has all that its shard holds.
+type Filled struct {
+	Shard  int    `cbor:"1,keyasint"`
+	Ballot uint64 `cbor:"2,keyasint"`
+	Seat   Who    `cbor:"3,keyasint"`
+}
+
+// ErrBallot is a change that was decided on seats that are no more.
+var ErrBallot = errors.New("the shard's ballot has passed")
+
+// Apply takes changes that were agreed on, all or none.
+func (t *Table) Apply(changes []Change) error {
+	for _, c := range changes {
+		if c.Shard < 0 || c.Shard >= Shards {
+			return fmt.Errorf("shard %d; allowed: 0 to %d", c.Shard, Shards-1)
+		}
+		if t.Shards[c.Shard].Ballot != c.Ballot {
+			return fmt.Errorf("shard %d: %w: %d, it is %d", c.Shard, ErrBallot, c.Ballot, t.Shards[c.Shard].Ballot)
+		}
+	}
+	for _, c := range changes {
+		s := &t.Shards[c.Shard]
+		s.Ballot, s.Seats = s.Ballot+1, slices.Clone(c.Seats)
+		if c.Lost {
+			s.Lost++
+		}
+	}
+	if len(changes) > 0 {
+		t.Number++
+	}
+	return nil
+}
+
+// Clone returns a table that changes by itself.
+func (t *Table) Clone() *Table {
+	c := *t
+	for i := range c.Shards {
+		c.Shards[i].Seats = slices.Clone(c.Shards[i].Seats)
+	}
+	return &c
+}
+
+// Plan returns the changes that the members' coming and going ask for, and what primaries have said of their seats. The same
+// table, members and words give the same changes. lost tells whether a shard of which no ready seat is in the crew is to be
+// given up; until then it waits for one of them to come back, as it does after a cut.
+func (t *Table) Plan(members []Member, copies int, filled []Filled, lost func(shard int) bool) []Change {
+	in, processes := map[Who]Member{}, map[uint64]Member{}
+	for _, m := range members {
+		in[m.Who], processes[m.Token] = m, m
+	}
+	said := map[Filled]bool{}
+	for _, f := range filled {
+		said[f] = true
+	}
+	var changes []Change
+	for i := range t.Shards {
+		s := &t.Shards[i]
+		c := Change{Shard: i, Ballot: s.Ballot}
+		if s.plan(&c, members, in, processes, said, copies, lost); !slices.Equal(c.Seats, s.Seats) {
+			changes = append(changes, c)
+		}
+	}
+	return changes
+}
+
+func (s *Shard) plan(c *Change, members []Member, in map[Who]Member, processes map[uint64]Member, said map[Filled]bool, copies int, lost func(int) bool) {
+	zones := map[string]bool{}
+	for _, seat := range s.Seats {
+		m, there := in[seat.Who]
+		if !there {
+			// The process may be in anew: nothing was told under this ballot without its word, so that it lacks nothing.
+			if m, there = processes[seat.Token]; !there || m.Name != seat.Name {
+				continue
+			}
+			seat.Who = m.Who
+		}
+		zone := m.Zone
+		if !seat.Ready && said[Filled{c.Shard, s.Ballot, seat.Who}] {
+			seat.Ready = true
+		}
+		zones[zone] = true
+		c.Seats = append(c.Seats, seat)
+	}
+	// Guards against a primary that lacks what was told: who is not ready comes behind all that are, in their order.
+	slices.SortStableFunc(c.Seats, func(a, b Seat) int {
+		switch {
+		case a.Ready == b.Ready:
+			return 0
+		case a.Ready:
+			return -1
+		}
+		return 1
+	})
+	if len(c.Seats) == 0 || !c.Seats[0].Ready {
+		if s.Ballot > 0 && !lost(c.Shard) {
+			c.Seats = s.Seats
+			return
+		}
+		// All seats that were ready are gone. One that was being filled has what is new, at least.
+		c.Lost = s.Ballot > 0
+		if len(c.Seats) > 0 {
+			c.Seats[0].Ready = true
+		}
+	}
+	if len(c.Seats) < copies {
+		for _, m := range ranked(c.Shard, members) {
+			if len(c.Seats) < copies && !zones[m.Zone] {
+				zones[m.Zone] = true
+				c.Seats = append(c.Seats, Seat{Who: m.Who, Token: m.Token, Ready: len(c.Seats) == 0})
+			}
+		}
+	}
+}
+
+// Dead tells whether no ready seat of a shard is in the crew.
+func (s *Shard) Dead(in func(Who, uint64) bool) bool {
+	return s.Ballot > 0 && !slices.ContainsFunc(s.Seats, func(seat Seat) bool { return seat.Ready && in(seat.Who, seat.Token) })
+}
+
+// ranked is the order in which members are taken into a shard: rendezvous hashing, so that one who comes or goes changes
+// nobody else's places.
+func ranked(shard int, members []Member) []Member {
+	type place struct {
+		m    Member
+		rank uint64
+	}
+	places := make([]place, 0, len(members))
+	for _, m := range members {
+		places = append(places, place{m, xxh3.HashStringSeed(m.Name, uint64(shard)+1)})
+	}
+	slices.SortFunc(places, func(a, b place) int {
+		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.m.Name, b.m.Name), cmp.Compare(a.m.In, b.m.In))
+	})
+	out := make([]Member, 0, len(places))
+	for _, p := range places {
+		out = append(out, p.m)
+	}
+	return out
+}
+
+// Key is a request's, of its class and tenant: the same text of two tenants is two keys.
+type Key struct {
+	Class  string `cbor:"1,keyasint"`
+	Tenant string `cbor:"2,keyasint,omitempty"`
+	Text   string `cbor:"3,keyasint"`
+}
+
+// Shard is the one that a key belongs to.
+func (k Key) Shard() int {
+	var h xxh3.Hasher
+	for _, part := range []string{k.Class, k.Tenant, k.Text} {
+		// Lengths apart the parts: no two keys write the same.
+		h.WriteString(fmt.Sprintf("%d:", len(part))) //nolint:errcheck // it does not fail
+		h.WriteString(part)                          //nolint:errcheck // it does not fail
+	}
+	return int(h.Sum64() % Shards)
+}
