--- /dev/null
+++ b/internal/crew/member/holdings.go
@@ -0,0 +1,467 @@
+package member
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"heathgap/decide"
+	"heathgap/internal/config"
+	"heathgap/internal/crew"
+	"heathgap/internal/figures"
+	"heathgap/internal/holdings"
+	"heathgap/internal/httpwire"
+	"heathgap/internal/operator"
+	"heathgap/internal/peers"
+	"heathgap/internal/pipeline"
+)
+
+// Figures of a sidecar's part in what is held.
+const (
+	tickHoldings = 20 * time.Millisecond
+	// storeTime is for one word to a copy: ages are wrong by that at most (holdings.Slack).
+	storeTime = holdings.Slack / 2
+	askTime   = 300 * time.Millisecond // for one word to a primary; it is said again
+	askPause  = 10 * time.Millisecond  // until it is said again, at first; twice as long each time
+	longPause = 80 * time.Millisecond
+	mostLines = 16 // to one sidecar, from its callers' goroutines
+	// returnAfter is what a refused caller is told: a lost primary is replaced within about a lease.
+	returnAfter = time.Second
+	// dropTime is how long a claim that may stand is tried to be ended, above the time until a lost primary is replaced, and
+	// mostDropping bounds how many are at a time.
+	dropTime     = 15 * time.Second
+	mostDropping = 1024
+)
+
+// copies is a sidecar's part in what the crew's sidecars hold for one another: its replica, and its own claims.
+type copies struct {
+	m       *Member
+	classes map[string]heldClass
+	body    int
+	claims  atomic.Uint64
+
+	mu      sync.Mutex
+	replica *holdings.Replica // guarded by mu, as all that follows
+	me      holdings.Who
+	table   *holdings.Table
+	address map[holdings.Who]string
+	ended   bool
+	lines   map[string]*lines
+
+	open, was, refused, alone, dropping atomic.Int64
+}
+
+type heldClass struct {
+	decide.Class
+	alone operator.WhenAlone
+}
+
+// lines are connections to one address.
+type lines struct {
+	free chan *peers.Line
+	made atomic.Int64
+}
+
+func newCopies(m *Member, conf *config.Config) (*copies, error) {
+	c := &copies{m: m, classes: map[string]heldClass{}, body: m.conf.Holdings.MostBody, lines: map[string]*lines{}}
+	for name, alone := range m.conf.Holdings.Classes {
+		i := slices.IndexFunc(conf.Settings.Classes, func(k decide.Class) bool { return k.Name == name })
+		if i < 0 || conf.Settings.Classes[i].Effect != decide.Keyed {
+			return nil, fmt.Errorf("holdings.class: %q; allowed: a class of the settings whose effect is by_key", name)
+		}
+		class := conf.Settings.Classes[i]
+		if keep := m.conf.Terms.Holdings.Keep; class.Window > keep {
+			return nil, fmt.Errorf("holdings.keep: %v, under the %v for which endpoints drop repeats of class %q; allowed: at least that", keep, class.Window, name)
+		}
+		c.classes[name] = heldClass{class, alone}
+	}
+	if m.conf.Terms.Holdings.Copies > 1 && conf.Settings.Zone == "" {
+		return nil, errors.New("holdings.copies: this sidecar's settings name no zone, and copies stand in different ones; set settings.az")
+	}
+	var b [8]byte
+	rand.Read(b[:]) //nolint:errcheck // it does not fail
+	c.claims.Store(binary.BigEndian.Uint64(b[:]))
+	c.replica = holdings.NewReplica(m.conf.Terms.Holdings, m.conf.Holdings.MostEntries)
+	return c, nil
+}
+
+func (c *copies) now() crew.Boot { return c.m.world.Boot() }
+
+// learn takes what a renewal brought. The member's lock is held.
+func (c *copies) learn(h *crew.Holder) {
+	me, table, roster := h.Seats()
+	ends := h.Ends()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.replica.Lease(ends)
+	if table == nil || me == (holdings.Who{}) {
+		return
+	}
+	if table != c.table || me != c.me {
+		c.me, c.table = me, table
+		c.address = map[holdings.Who]string{}
+		for _, m := range roster {
+			c.address[m.Who] = m.Address
+		}
+		c.replica.Learn(c.now(), me, table, roster)
+	}
+	c.kick()
+}
+
+func (c *copies) filled() []holdings.Filled {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.replica.Filled()
+}
+
+// run ends what is over, until stop.
+func (c *copies) run() {
+	for {
+		c.m.world.Sleep(tickHoldings)
+		c.mu.Lock()
+		if c.ended {
+			c.mu.Unlock()
+			return
+		}
+		c.replica.Tick(c.now())
+		c.kick()
+		c.mu.Unlock()
+	}
+}
+
+func (c *copies) over() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended
+}
+
+func (c *copies) stop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = true
+	for _, l := range c.lines {
+		l.close()
+	}
+}
+
+// kick has said what there is to say. The lock is held.
+func (c *copies) kick() {
+	if c.ended {
+		return
+	}
+	for _, to := range c.replica.Peers() {
+		if b := c.replica.Next(c.now(), to.Who); b != nil {
+			c.m.world.Go("copy", func() { c.say(to, b) })
+		}
+	}
+}
+
+// say says batches to one sidecar until there are none.
+func (c *copies) say(to holdings.Member, b *holdings.Batch) {
+	for b != nil {
+		var answer *holdings.Batched
+		got := holdings.Batched{}
+		err := c.call(to.Address, "hold-store", b, &got, storeTime)
+		if err == nil {
+			answer = &got
+		} else {
+			c.m.world.Sleep(askPause)
+		}
+		c.mu.Lock()
+		c.replica.Said(c.now(), to.Who, b, answer)
+		b = nil
+		if !c.ended {
+			b = c.replica.Next(c.now(), to.Who)
+		}
+		c.kick()
+		c.mu.Unlock()
+	}
+}
+
+// call says one thing on a connection of its own.
+func (c *copies) call(address, kind string, body, answer any, within time.Duration) error {
+	c.mu.Lock()
+	l := c.lines[address]
+	if l == nil {
+		l = &lines{free: make(chan *peers.Line, mostLines)}
+		c.lines[address] = l
+	}
+	c.mu.Unlock()
+	line, err := l.take(c, address, within)
+	if err != nil {
+		return err
+	}
+	err = line.Call(kind, body, answer, within)
+	l.free <- line
+	return err
+}
+
+var errBusy = errors.New("all connections to it are busy")
+
+func (l *lines) take(c *copies, address string, within time.Duration) (*peers.Line, error) {
+	select {
+	case line := <-l.free:
+		return line, nil
+	default:
+	}
+	if l.made.Add(1) <= mostLines {
+		return peers.NewLine(c.m.world, c.m.conf.Name, c.m.holder.Self.Name, address), nil
+	}
+	l.made.Add(-1)
+	timer := c.m.world.NewTimer(within)
+	defer timer.Stop()
+	select {
+	case line := <-l.free:
+		return line, nil
+	case <-timer.C():
+		return nil, errBusy
+	}
+}
+
+func (l *lines) close() {
+	for {
+		select {
+		case line := <-l.free:
+			line.Close()
+		default:
+			return
+		}
+	}
+}
+
+// handlers answer peers.
+func (c *copies) handlers() map[string]peers.Handler {
+	return map[string]peers.Handler{
+		"hold-ask": func(_ string, body []byte) (any, error) {
+			var a holdings.Ask
+			if err := peers.Decode(body, &a); err != nil {
+				return nil, fmt.Errorf("hold-ask: malformed: %w", err)
+			}
+			return c.answer(&a), nil
+		},
+		"hold-store": func(_ string, body []byte) (any, error) {
+			var b holdings.Batch
+			if err := peers.Decode(body, &b); err != nil {
+				return nil, fmt.Errorf("hold-store: malformed: %w", err)
+			}
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			answer := c.replica.Take(c.now(), &b)
+			if answer == nil {
+				return nil, errors.New("hold-store: for another stay in the crew than the present one")
+			}
+			return answer, nil
+		},
+	}
+}
+
+// answer answers an owner's ask as the primary.
+func (c *copies) answer(a *holdings.Ask) holdings.Answer {
+	got := make(chan holdings.Answer, 1)
+	c.mu.Lock()
+	c.replica.Ask(c.now(), a, func(answer holdings.Answer) { got <- answer })
+	c.kick()
+	c.mu.Unlock()
+	timer := c.m.world.NewTimer(askTime)
+	defer timer.Stop()
+	select {
+	case answer := <-got:
+		return answer
+	case <-timer.C():
+		return holdings.Answer{Kind: holdings.Away}
+	}
+}
+
+// ask says an owner's word to the primary of its key, again and again, until there is an answer that more asking does not
+// change, or the time is over: then it returns the last one. A running request is asked for until it ends.
+func (c *copies) ask(a *holdings.Ask, until time.Time) holdings.Answer {
+	pause := askPause
+	for {
+		answer := c.askOnce(a, until)
+		switch answer.Kind {
+		case holdings.NotHere, holdings.Short, holdings.Running, holdings.Away:
+		default:
+			return answer
+		}
+		if left := until.Sub(c.m.world.Now()); left <= pause || c.over() {
+			return answer
+		}
+		c.m.world.Sleep(pause)
+		pause = min(2*pause, longPause)
+	}
+}
+
+func (c *copies) askOnce(a *holdings.Ask, until time.Time) holdings.Answer {
+	c.mu.Lock()
+	primary, address, me := holdings.Who{}, "", c.me
+	if c.table != nil {
+		if seats := c.table.Shards[a.Key.Shard()].Seats; len(seats) > 0 {
+			primary = seats[0].Who
+			address = c.address[primary]
+		}
+	}
+	c.mu.Unlock()
+	if a.Do == holdings.Open && a.Owner != me { // it has come into the crew anew since: the claim is to be of this stay
+		a.Owner = me
+	}
+	switch {
+	case address == "" || a.Owner == (holdings.Who{}):
+		return holdings.Answer{Kind: holdings.NotHere}
+	case primary == me:
+		return c.answer(a)
+	}
+	var answer holdings.Answer
+	if err := c.call(address, "hold-ask", a, &answer, min(askTime, until.Sub(c.m.world.Now()))); err != nil {
+		return holdings.Answer{Kind: holdings.Away}
+	}
+	return answer
+}
+
+// Holds is pipeline.Holdings'.
+func (c *copies) Holds(class string) bool {
+	_, does := c.classes[class]
+	return does
+}
+
+// claim is one claim of a request's key.
+type claim struct {
+	c     *copies
+	class heldClass
+	ask   holdings.Ask
+}
+
+// Open is pipeline.Holdings'.
+func (c *copies) Open(message *httpwire.Request, print [16]byte, within time.Duration) pipeline.Opened {
+	class := c.classes[message.Class]
+	until := c.m.world.Now().Add(within)
+	a := holdings.Ask{
+		Do: holdings.Open, Key: holdings.Key{Class: message.Class, Tenant: message.Tenant, Text: message.Key},
+		Claim: c.claims.Add(1), Print: print, Lasts: within,
+	}
+	// What is left must be enough to send the request, and to keep its outcome.
+	answer := c.ask(&a, until.Add(-within/4))
+	var bound time.Duration
+	if answer.Kind == holdings.Unclear {
+		left := until.Sub(c.m.world.Now())
+		if !holdings.MayRepeat(&class.Class, answer.Age, left, c.m.conf.Terms.Drift) {
+			c.refused.Add(1)
+			return refuse("its outcome is not known")
+		}
+		bound = left
+		a.Do, a.Rev, a.Lasts = holdings.Again, answer.Rev, left
+		answer = c.ask(&a, until.Add(-left/4))
+	}
+	switch answer.Kind {
+	case holdings.Yes:
+		c.open.Add(1)
+		return pipeline.Opened{Hold: &claim{c, class, a}, Within: bound}
+	case holdings.Was:
+		c.was.Add(1)
+		return pipeline.Opened{Answer: kept(answer.Outcome)}
+	case holdings.Other:
+		return pipeline.Opened{Answer: &httpwire.Answer{Verdict: httpwire.Malformed, Reason: "key: it came with another request before"}}
+	case holdings.Running, holdings.Unclear, holdings.Fenced:
+		c.refused.Add(1)
+		return refuse("it is under way")
+	}
+	c.alone.Add(1)
+	if class.alone == operator.GoOn {
+		return pipeline.Opened{}
+	}
+	c.refused.Add(1)
+	if answer.Kind == holdings.Away {
+		c.dropLater(a)
+	}
+	return refuse("its copies can't be had")
+}
+
+// dropLater has a claim ended that may stand though nobody has said so. Guards against keys that stay unclear because the primary was
+// lost between the copies' word and its own: nothing of them was sent.
+func (c *copies) dropLater(a holdings.Ask) {
+	if a.Do == holdings.Again {
+		return // it was out before
+	}
+	if c.dropping.Add(1) > mostDropping {
+		c.dropping.Add(-1)
+		return
+	}
+	a.Do = holdings.Drop
+	c.m.world.Go("drop", func() {
+		defer c.dropping.Add(-1)
+		c.ask(&a, c.m.world.Now().Add(dropTime))
+	})
+}
+
+func refuse(why string) pipeline.Opened {
+	return pipeline.Opened{Answer: &httpwire.Answer{Verdict: httpwire.Refused, RetryAfter: returnAfter, Reason: why}}
+}
+
+// kept is the answer that a request had.
+func kept(o *holdings.Outcome) *httpwire.Answer {
+	if o == nil || o.Long {
+		return &httpwire.Answer{Verdict: httpwire.Failed}
+	}
+	return &httpwire.Answer{Verdict: httpwire.Served, Body: o.Body, Type: o.Type, Encoding: o.Encoding}
+}
+
+// MayWrite is pipeline.Hold's: the lease holds, and this is the stay that claimed.
+func (h *claim) MayWrite() bool {
+	if h.c.m.Acting().Cautious {
+		return false
+	}
+	h.c.mu.Lock()
+	defer h.c.mu.Unlock()
+	return h.c.me == h.ask.Owner
+}
+
+// End is pipeline.Hold's.
+func (h *claim) End(answer httpwire.Answer, ran bool, within time.Duration) httpwire.Answer {
+	a := h.ask
+	switch {
+	case answer.Verdict == httpwire.Served:
+		a.Do, a.Outcome = holdings.Finish, &holdings.Outcome{Type: answer.Type, Encoding: answer.Encoding, Body: answer.Body}
+		if answer.Rest != nil || len(answer.Body) > h.c.body {
+			a.Outcome = &holdings.Outcome{Long: true}
+		}
+	case ran:
+		a.Do = holdings.GiveUp
+	default:
+		a.Do = holdings.Drop
+	}
+	got := h.c.ask(&a, h.c.m.world.Now().Add(within))
+	if answer.Verdict != httpwire.Served || got.Kind == holdings.Yes {
+		return answer
+	}
+	h.c.alone.Add(1)
+	if h.class.alone == operator.GoOn && got.Kind != holdings.Fenced {
+		return answer
+	}
+	if answer.Rest != nil {
+		answer.Rest.Close()
+	}
+	return httpwire.Answer{Verdict: httpwire.Failed, Taken: answer.Taken}
+}
+
+// figures appends those of what is held.
+func (c *copies) figures(text []byte) []byte {
+	c.mu.Lock()
+	entries, bytes := c.replica.Entries, c.replica.Bytes
+	c.mu.Unlock()
+	for _, f := range []struct {
+		name  string
+		value int64
+		kind  byte
+	}{
+		{"held_entries", int64(entries), figures.Present}, {"held_bytes", int64(bytes), figures.Present},
+		{"held_claims", c.open.Load(), figures.Counts}, {"held_known", c.was.Load(), figures.Counts},
+		{"held_refused", c.refused.Load(), figures.Counts}, {"held_alone", c.alone.Load(), figures.Counts},
+	} {
+		text = figures.Append(text, f.name, f.value, f.kind)
+	}
+	return text
+}
--- a/internal/crew/member/member.go
+++ b/internal/crew/member/member.go
@@ -50,6 +50,8 @@
 	ended      chan struct{}
 
 	renewals, refused, lost atomic.Int64
+
+	copies *copies // nil where nothing is held
 }
 
 // acted is what is acted on until a time.
@@ -70,6 +72,11 @@
 	}
 	m.publish(world.Boot())
 	var err error
+	if table.Terms.Holdings.Copies > 0 {
+		if m.copies, err = newCopies(m, conf); err != nil {
+			return nil, err
+		}
+	}
 	if m.server, err = peers.Listen(world, table.Address, table.Name); err != nil {
 		return nil, err
 	}
@@ -93,6 +100,10 @@
 		m.lines[name] = peers.NewLine(world, table.Name, conf.Name, table.Keepers[name])
 	}
 	m.seeker = crew.NewSeeker(m.holder, slices.Sorted(maps.Keys(table.Keepers)))
+	if m.copies != nil {
+		maps.Copy(handlers, m.copies.handlers())
+		world.Go("holdings", m.copies.run)
+	}
 	m.server.Serve(world, handlers)
 	world.Go("lease", m.run)
 	// Guards against a process that sends to what was banned while it was away. Keepers that can't be heard delay a start
@@ -173,6 +184,9 @@
 // ask asks one keeper for the lease. It tells whether to ask again at once.
 func (m *Member) ask() (again bool) {
 	m.mu.Lock()
+	if m.copies != nil {
+		m.holder.Filled = m.copies.filled()
+	}
 	name, r := m.seeker.Question(m.world.Boot())
 	m.mu.Unlock()
 	var reply keeper.Renewed
@@ -196,6 +210,9 @@
 		return next.Ask
 	}
 	m.publishLocked(m.world.Boot())
+	if m.copies != nil {
+		m.copies.learn(m.holder)
+	}
 	select {
 	case <-m.heard:
 	default:
@@ -270,13 +287,27 @@
 	} {
 		text = figures.Append(text, f.name, f.value, f.kind)
 	}
+	if m.copies != nil {
+		text = m.copies.figures(text)
+	}
 	return text
 }
 
+// Holdings is lifecycle.Crew's.
+func (m *Member) Holdings() pipeline.Holdings {
+	if m.copies == nil {
+		return nil
+	}
+	return m.copies
+}
+
 // Stop says that this process ends, so that its name is free and nobody waits for its lease, and ends the keeper.
 func (m *Member) Stop() {
 	close(m.halt)
 	<-m.ended
+	if m.copies != nil {
+		m.copies.stop()
+	}
 	m.mu.Lock()
 	r, first := m.holder.Ask(), m.seeker.First()
 	m.mu.Unlock()
--- a/internal/httpwire/answer.go
+++ b/internal/httpwire/answer.go
@@ -39,6 +39,7 @@
 	RetryAfter time.Duration // a refused caller should stay away so long; 0 for no advice
 	Reason     string        // what is wrong with a malformed request
 	Last       bool          // the caller's connection ends with it
+	Ran        bool          // the request may have run at an endpoint
 	Taken      int           // of the room for answers, to be returned when it is written
 	Rest       *AnswerRest   // of a long body, Body being its beginning; nil for one that is whole
 }
--- a/internal/lab/rig/crew.go
+++ b/internal/lab/rig/crew.go
@@ -84,6 +84,7 @@
 	Replaced     []string           `json:"replaced,omitempty"`  // keepers whose folder was lost
 	LeaderMS     []float64          `json:"leader_ms,omitempty"` // from each strike on a leader until another one was heard of
 	CautiousMS   map[string]float64 `json:"cautious_ms,omitempty"`
+	Orders       *OrderRecord       `json:"orders,omitempty"`
 	RSSMB        map[string]float64 `json:"rss_mb"` // of the last start
 	CPU          map[string]float64 `json:"cpu_s"`  // of the last start
 }
@@ -98,9 +99,10 @@
 
 // crewProc is one process over all its starts.
 type crewProc struct {
-	name    string // in the run; that of a second process of a name has twinMark behind it
-	goes    string // the name that it is started with
-	older   bool   // it is to be started as an older build
+	name    string        // in the run; that of a second process of a name has twinMark behind it
+	goes    string        // the name that it is started with
+	older   bool          // it is to be started as an older build
+	other   atomic.Uint64 // 1 once it was started with other rules, without a crew
 	host    string
 	listen  string
 	address string // of its part in the crew
@@ -142,7 +144,9 @@
 	cautious map[string]time.Duration
 	asked    atomic.Int64
 	served   atomic.Int64
-	ids      sync.Map // of probes that have come to an endpoint
+	ids      sync.Map     // of probes that have come to an endpoint
+	cuts     atomic.Int64 // that have not ended
+	orders   *orders
 }
 
 // seen tells whether a probe has come before.
@@ -181,6 +185,7 @@
 			AtMost: millis(scene.ContradictAtMost)},
 	}
 	r.book.Version(0, accord.Forbids{})
+	r.orders = newOrders(r)
 	defer r.close()
 	if err := r.start(ctx); err != nil {
 		return nil, err
@@ -192,7 +197,18 @@
 		all.Go(func() { r.probe(playing, p) })
 		all.Go(func() { r.load(playing, p) })
 	}
+	ordering, enough := context.WithCancel(playing)
+	defer enough()
+	ordered := make(chan struct{})
+	go func() {
+		defer close(ordered)
+		if r.scene.Orders > 0 {
+			r.orders.run(ordering)
+		}
+	}()
 	err = r.play(ctx)
+	enough()
+	<-ordered
 	if err == nil {
 		err = r.settle(ctx)
 	}
@@ -202,6 +218,9 @@
 		return nil, err
 	}
 	r.judge()
+	if r.scene.Orders > 0 {
+		r.orders.close(&r.rec)
+	}
 	return &r.rec, nil
 }
 
@@ -316,6 +335,9 @@
 		}
 		fmt.Fprintf(&b, "[[crew.keeper]]\nname = %q\naddress = %q\n", k.name, address)
 	}
+	if r.scene.Copies > 0 {
+		fmt.Fprintf(&b, "[holdings]\ncopies = %d\nkeep = \"2m\"\nlost_after = \"10s\"\n[[holdings.class]]\nname = %q\n", r.scene.Copies, orderClass)
+	}
 	return b.String()
 }
 
@@ -332,16 +354,23 @@
 		"name": p.goes, "listen": p.listen, "discovery": p.host + ":9", "seed": fmt.Sprintf("%x", r.seed+uint64(p.starts)*7919),
 		"known": map[string]any{"index": 1, "snapshot": true, "endpoints": lines},
 		"settings": map[string]any{
-			"me": slices.Index(r.procs, p), "replicas_of_me": len(r.procs), "az": "a", "tier": 0, "stages": []string{"one"}, "tick": 2.0,
+			"me": slices.Index(r.procs, p), "replicas_of_me": len(r.procs), "az": r.zone(p), "tier": 0, "stages": []string{"one"}, "tick": 2.0,
 			"membership_mode": "subscribe", "over_share_worth": 0.1,
 			"bounds": map[string]any{"cancel": true, "max_attempts": leastAttempts, "connect_timeout": 300.0, "conn_idle": 5000.0, "most_held": 500},
 			"rules": map[string]any{"answer_slack": 50.0, "ask_every": 5000.0, "cold": 1000.0, "cold_from": 0.5, "drain_grace": 300.0,
 				"fall_multiple": 50.0, "overload_for": 5000.0},
-			"profiles": []any{class(loadClass, "repeatable"), class(probedClass, versions.EffectWords[effect])},
+			"profiles": []any{class(loadClass, "repeatable"), class(probedClass, versions.EffectWords[effect]), map[string]any{
+				"name": orderClass, "effect": "by_key", "group": "all", "window": millis(orderWindow), "aim": 300.0, "deadline": crewDeadlineMS, "worth": 1.0,
+			}},
 		},
 	})
 }
 
+// zone is where a process stands.
+func (r *crewRig) zone(p *crewProc) string {
+	return string(rune('a' + slices.Index(r.procs, p)%r.scene.Zones))
+}
+
 func (r *crewRig) startProc(ctx context.Context, p *crewProc) error {
 	return r.startAs(ctx, p, decide.Safe)
 }
@@ -422,7 +451,7 @@
 	for ; ctx.Err() == nil; time.Sleep(pollCrew) {
 		if r.opts.Separate {
 			r.mu.Lock()
-			r.book.Says(p.name, accord.Saying{At: r.now(), Active: uint64(p.starts - 1)})
+			r.book.Says(p.name, accord.Saying{At: r.now(), Active: p.other.Load()})
 			r.mu.Unlock()
 			continue
 		}
@@ -624,6 +653,9 @@
 
 // strike plays one step; what it began ends after its time.
 func (r *crewRig) strike(ctx context.Context, s scenario.CrewStep, ends *sync.WaitGroup) error {
+	if s.Do == "propose" && r.opts.Separate {
+		return nil // there is nobody to propose it to
+	}
 	if s.Do == "propose" {
 		ends.Go(func() { r.propose(ctx, s) })
 		return nil
@@ -647,6 +679,9 @@
 	}
 	p := r.byName(s.Who)
 	own := s.Do != "cut" && s.Do != "reset" && s.Do != "restart" && s.Do != "twin" // of the process itself
+	if r.scene.Copies > 0 && (own || s.Do == "cut") && !r.mayLoseOne() {
+		return nil // more at once than what is promised survives
+	}
 	if own && !p.begin() {
 		return nil
 	}
@@ -739,9 +774,11 @@
 			r.note("%s goes on", p.name)
 		})
 	case "cut":
+		r.cuts.Add(1)
 		r.cutWays(p, s.Way, true)
 		later(func() {
 			r.cutWays(p, s.Way, false)
+			r.cuts.Add(-1)
 			r.note("%s is whole again", p.name)
 		})
 	case "full": // no file of it may grow, nor be written past its first page: as on a full disk
@@ -768,6 +805,7 @@
 		r.mu.Lock()
 		r.book.Version(1, accord.Forbids{Resend: true})
 		r.mu.Unlock()
+		p.other.Store(1)
 		return r.startAs(ctx, p, decide.Unsafe)
 	}
 	return nil
@@ -1039,6 +1077,10 @@
 	e := &crewEndpoint{name: name, address: listener.Addr().String()}
 	e.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		id := q.Header.Get("X-Txn")
+		if strings.HasPrefix(q.URL.Path, "/"+orderClass) {
+			r.orders.serve(w, q)
+			return
+		}
 		process, _, _ := strings.Cut(id, ".")
 		probed := strings.HasPrefix(q.URL.Path, "/"+probedClass)
 		again := probed && r.seen(id)
--- a/internal/lab/rig/crew_test.go
+++ b/internal/lab/rig/crew_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 	"heathgap/internal/config"
 	"heathgap/internal/crew/member"
 	"heathgap/internal/env"
+	"heathgap/internal/httpwire"
 	"heathgap/internal/lab/accord"
 	"heathgap/internal/lab/scenario"
 	"heathgap/internal/lifecycle"
@@ -30,12 +32,16 @@
 
 // Bugs that are planted into a member.
 const (
-	bugNone    = "none"
-	bugGoesOn  = "goes on when its lease has ended"
-	bugForgets = "forgets bans when it is cut off"
-	bugStays   = "acts on the first rules that it was told"
-	bugSlow    = "its clock is slower than the terms allow"
-	bugSleeps  = "its clock stops with its process"
+	bugNone       = "none"
+	bugGoesOn     = "goes on when its lease has ended"
+	bugForgets    = "forgets bans when it is cut off"
+	bugStays      = "acts on the first rules that it was told"
+	bugSlow       = "its clock is slower than the terms allow"
+	bugSleeps     = "its clock stops with its process"
+	bugTellsEarly = "tells outcomes long before they are copied, and dies"
+	bugNoClaim    = "sends without a claim"
+	// No bug: it dies when an outcome is copied and its client may not have heard it.
+	diesThen = "dies when an outcome is copied"
 	// No bug: a build whose words are another version's.
 	olderBuild = "older build"
 	// No bug: clocks whose rates are off by as much as the terms allow, one fast, the next slow.
@@ -101,6 +107,59 @@
 	return c.Conn.Write(bytes.Replace(b, []byte("POST /crew/1/"), []byte("POST /crew/0/"), 1))
 }
 
+// buggyHoldings have a bug round them, at one member.
+type buggyHoldings struct {
+	pipeline.Holdings
+	bug  string
+	ends atomic.Int64
+}
+
+// deadlyEnd is the outcome with which a process dies, the first ones having shown that it serves.
+const deadlyEnd = 20
+
+// Open is pipeline.Holdings'.
+func (b *buggyHoldings) Open(m *httpwire.Request, print [16]byte, within time.Duration) pipeline.Opened {
+	if b.bug == bugNoClaim {
+		return pipeline.Opened{}
+	}
+	opened := b.Holdings.Open(m, print, within)
+	if opened.Hold != nil {
+		opened.Hold = &buggyHold{opened.Hold, b}
+	}
+	return opened
+}
+
+type buggyHold struct {
+	pipeline.Hold
+	of *buggyHoldings
+}
+
+// End is pipeline.Hold's.
+func (h *buggyHold) End(answer httpwire.Answer, ran bool, within time.Duration) httpwire.Answer {
+	n := h.of.ends.Add(1)
+	if h.of.bug == bugTellsEarly {
+		time.AfterFunc(orderWindow+time.Second, func() { h.Hold.End(answer, ran, within) })
+		if n == 2*deadlyEnd {
+			syscall.Kill(os.Getpid(), syscall.SIGKILL) //nolint:errcheck // it dies
+		}
+		return answer
+	}
+	answer = h.Hold.End(answer, ran, within)
+	if n == deadlyEnd && h.of.bug == diesThen {
+		syscall.Kill(os.Getpid(), syscall.SIGKILL) //nolint:errcheck // it dies
+	}
+	return answer
+}
+
+// Holdings is lifecycle.Crew's.
+func (b *buggyMember) Holdings() pipeline.Holdings {
+	h := b.Crew.Holdings()
+	if h == nil || b.name != "m1" {
+		return h
+	}
+	return &buggyHoldings{Holdings: h, bug: b.bug}
+}
+
 // clockOf is a member's clock.
 func clockOf(world env.Env, bug, name string, drift float64) env.Env {
 	rate := 1.0
@@ -125,6 +184,7 @@
 type buggyMember struct {
 	lifecycle.Crew
 	bug  string
+	name string
 	last atomic.Pointer[pipeline.Acting]
 }
 
@@ -155,7 +215,7 @@
 	return lifecycle.Main(lifecycle.Options{Operator: file,
 		Crew: func(conf *config.Config, world env.Env, log zerolog.Logger) (lifecycle.Crew, error) {
 			m, err := join(conf, clockOf(world, bug, conf.Name, file.Crew.Terms.Drift), log)
-			return &buggyMember{Crew: m, bug: bug}, err
+			return &buggyMember{Crew: m, bug: bug, name: conf.Name}, err
 		}})
 }
 
--- /dev/null
+++ b/internal/lab/rig/orders.go
@@ -0,0 +1,253 @@
+package rig
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"heathgap/internal/crew/keeper"
+)
+
+// Orders: keyed requests whose clients repeat them through other processes until they are served, and once more after that.
+// Endpoints count each effect. An effect that happens twice, an answer that was told and is not told again, and two answers to
+// one key break what copied holdings promise.
+
+// Figures of orders.
+const (
+	orderClass  = "order"
+	orderWindow = 3 * time.Second // in which endpoints drop repeats
+	orderWork   = 20 * time.Millisecond
+	orderTries  = 12
+	orderTime   = 2 * time.Second // for one try, its client's patience
+	mostOrders  = 256             // under way at a time
+)
+
+// The rules of orders.
+const (
+	Doubled   = "doubled"   // an effect happened twice
+	TwoWays   = "two_ways"  // one key had two answers
+	Forgotten = "forgotten" // an answer was told, and was not told again
+)
+
+// OrderRecord is what came of a run's orders.
+type OrderRecord struct {
+	Keys      int     `json:"keys"`
+	Served    int     `json:"served"` // keys that had an answer in the end
+	Tries     int     `json:"tries"`
+	Refused   int     `json:"refused"`
+	Failed    int     `json:"failed"`
+	Again     int     `json:"again"` // answers that were told again, by another process
+	Dropped   int     `json:"dropped"`
+	Doubled   int     `json:"doubled"`
+	TwoWays   int     `json:"two_ways"`
+	Forgotten int     `json:"forgotten"`
+	P50       float64 `json:"p50_ms"` // of first tries that were served
+	P99       float64 `json:"p99_ms"`
+}
+
+// orders is a run's.
+type orders struct {
+	r *crewRig
+
+	mu      sync.Mutex
+	keys    map[string]*orderAt
+	rec     OrderRecord
+	breaks  []string
+	latency []time.Duration
+}
+
+// orderAt is what the endpoints know of a key: they share that.
+type orderAt struct {
+	first time.Time
+	reply string
+	times int
+}
+
+func newOrders(r *crewRig) *orders { return &orders{r: r, keys: map[string]*orderAt{}} }
+
+// serve is an endpoint's part.
+func (o *orders) serve(w http.ResponseWriter, q *http.Request) {
+	key := q.Header.Get("Idempotency-Key")
+	io.Copy(io.Discard, q.Body) //nolint:errcheck // its client shows
+	o.mu.Lock()
+	at := o.keys[key]
+	if at == nil {
+		at = &orderAt{}
+		o.keys[key] = at
+	}
+	if now := time.Now(); at.times > 0 && now.Before(at.first.Add(orderWindow)) {
+		o.rec.Dropped++
+	} else {
+		at.first, at.times = now, at.times+1
+		at.reply = fmt.Sprintf("effect %d of %s", at.times, key)
+		if at.times > 1 {
+			o.broken(&o.rec.Doubled, Doubled, "key %s: %d effects, by %s", key, at.times, q.Header.Get("X-Txn"))
+		}
+	}
+	reply := at.reply
+	o.mu.Unlock()
+	time.Sleep(orderWork)
+	w.Write([]byte(reply)) //nolint:errcheck // its client shows
+}
+
+// broken books a break. The lock is held.
+func (o *orders) broken(count *int, rule, format string, args ...any) {
+	if *count++; len(o.breaks) < 20 {
+		o.breaks = append(o.breaks, fmt.Sprintf("%s at %.2fs: ", rule, o.r.now().Seconds())+fmt.Sprintf(format, args...))
+	}
+}
+
+// run places orders at an even pace until the context ends, and waits for those under way.
+func (o *orders) run(ctx context.Context) {
+	dice := rand.New(rand.NewPCG(o.r.seed, 0x0d5))
+	pace := time.NewTicker(time.Duration(float64(time.Second) / o.r.scene.Orders))
+	defer pace.Stop()
+	var under sync.WaitGroup
+	defer under.Wait()
+	room := make(chan struct{}, mostOrders)
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-pace.C:
+		}
+		seed := dice.Uint64()
+		select {
+		case room <- struct{}{}:
+			under.Go(func() {
+				o.place(n, rand.New(rand.NewPCG(seed, 0)))
+				<-room
+			})
+		default: // all clients wait
+		}
+	}
+}
+
+// place is one client's order, from its first try until it has heard its answer twice.
+func (o *orders) place(n int, dice *rand.Rand) {
+	client := &http.Client{Timeout: orderTime, Transport: &http.Transport{DisableKeepAlives: true}}
+	key, told := fmt.Sprintf("o%d", n), ""
+	o.mu.Lock()
+	o.rec.Keys++
+	o.mu.Unlock()
+	heard := 0
+	for try := 0; try < orderTries && heard < 2; try++ {
+		p := o.r.procs[dice.IntN(len(o.r.procs))]
+		if !p.isUp() {
+			time.Sleep(50 * time.Millisecond)
+			continue
+		}
+		began := time.Now()
+		code, body := o.try(client, p, key, try)
+		o.mu.Lock()
+		o.rec.Tries++
+		switch {
+		case code == http.StatusOK && told == "":
+			told = body
+			o.rec.Served++
+			heard++
+			if try == 0 {
+				o.latency = append(o.latency, time.Since(began))
+			}
+		case code == http.StatusOK && body != told:
+			o.broken(&o.rec.TwoWays, TwoWays, "key %s: %q, and then %q by %s", key, told, body, p.name)
+			heard++
+		case code == http.StatusOK:
+			o.rec.Again++
+			heard++
+		case code == http.StatusServiceUnavailable:
+			o.rec.Refused++
+		default:
+			o.rec.Failed++
+		}
+		o.mu.Unlock()
+		// Some come back at once, some when endpoints have forgotten the key.
+		pause := time.Duration(dice.Int64N(int64(300 * time.Millisecond)))
+		if dice.IntN(6) == 0 {
+			pause += orderWindow
+		}
+		time.Sleep(pause)
+	}
+	if told != "" && heard < 2 {
+		o.mu.Lock()
+		o.broken(&o.rec.Forgotten, Forgotten, "key %s: %q was told, and not again in %d tries", key, told, orderTries)
+		o.mu.Unlock()
+	}
+}
+
+func (o *orders) try(client *http.Client, p *crewProc, key string, try int) (code int, body string) {
+	q, err := http.NewRequest(http.MethodPost, "http://"+p.listen+"/"+orderClass+"/x", strings.NewReader("one of "+key))
+	if err != nil {
+		return 0, ""
+	}
+	q.Header.Set("X-Txn", fmt.Sprintf("%s.%d.%s.%d", p.name, p.starts, key, try))
+	q.Header.Set("X-Remaining", "0.7")
+	q.Header.Set("Idempotency-Key", key)
+	answer, err := client.Do(q)
+	if err != nil {
+		return 0, ""
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return answer.StatusCode, string(text)
+}
+
+// close books what came of the orders.
+func (o *orders) close(rec *CrewRecord) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	slices.Sort(o.latency)
+	if n := len(o.latency); n > 0 {
+		o.rec.P50, o.rec.P99 = millis(o.latency[n/2]), millis(o.latency[n*99/100])
+	}
+	rec.Orders = &o.rec
+	rec.Breaks = append(rec.Breaks, o.breaks...)
+	rec.Broken += o.rec.Doubled + o.rec.TwoWays + o.rec.Forgotten
+}
+
+// mayLoseOne tells whether a machine more may be lost within what is promised: nothing else is struck, and each shard has all
+// of its copies.
+func (r *crewRig) mayLoseOne() bool {
+	for _, p := range r.procs {
+		p.mu.Lock()
+		well := p.up && !p.busy
+		p.mu.Unlock()
+		if !well && p.starts > 0 {
+			return false
+		}
+	}
+	if r.cuts.Load() > 0 {
+		return false
+	}
+	for _, k := range r.procs[:r.scene.Keepers] {
+		var st keeper.Status
+		if k.line.Call("status", struct{}{}, &st, pollTime) != nil || st.Leader != k.name || st.Ledger == nil || st.Ledger.Table == nil {
+			continue
+		}
+		if len(slices.Collect(maps.Keys(st.Ledger.Members))) < r.scene.Keepers+r.scene.Members {
+			return false
+		}
+		for _, s := range st.Ledger.Table.Shards {
+			if len(s.Seats) < r.scene.Copies {
+				return false
+			}
+			for _, seat := range s.Seats {
+				if !seat.Ready || st.Ledger.In[seat.Name] != seat.In {
+					return false
+				}
+			}
+		}
+		return true
+	}
+	return false
+}
--- a/internal/lab/scenario/crew.go
+++ b/internal/lab/scenario/crew.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"heathgap/internal/crew/terms"
 	"heathgap/internal/tomlread"
 )
 
@@ -22,6 +23,9 @@
 	Rate             float64 // requests a second to each process
 	Random           int     // faults that are drawn from the seed
 	Proposals        int     // versions that are proposed at even times
+	Orders           float64 // keyed requests a second, in all, whose clients repeat them elsewhere; 0 for none
+	Copies           int     // of what is held of them; 0 for no holdings
+	Zones            int     // that the processes stand in, in turn
 	Steps            []CrewStep
 }
 
@@ -94,10 +98,14 @@
 		Duration:         t.Duration("duration", 10*time.Second, time.Second, mostCrewTime),
 		Rate:             t.Float("rate", 40, 1, 1000), Random: t.Int("random", 0, 0, mostCrewSteps),
 		Proposals: t.Int("proposals", 0, 0, mostCrewSteps),
+		Orders:    t.Float("orders", 0, 0, 1000), Copies: t.Int("copies", 0, 0, terms.MostCopies), Zones: t.Int("zones", 3, 1, mostCrew),
 	}
 	if c.Keepers+c.Members > mostCrew {
 		t.Fail("members", fmt.Sprintf("%d keepers and %d members", c.Keepers, c.Members), fmt.Sprintf("up to %d processes", mostCrew))
 	}
+	if c.Copies > c.Zones {
+		t.Fail("copies", fmt.Sprint(c.Copies), "as many as there are zones")
+	}
 	if c.Duration < 4*c.Lease {
 		t.Fail("duration", c.Duration.String(), "four leases or more")
 	}
--- a/internal/lifecycle/sidecar.go
+++ b/internal/lifecycle/sidecar.go
@@ -89,6 +89,8 @@
 	pipeline.Rules
 	// Figures appends those of its part, a line each.
 	Figures(text []byte) []byte
+	// Holdings are what its sidecars hold for one another; nil for nothing.
+	Holdings() pipeline.Holdings
 	// Stop leaves the crew.
 	Stop()
 }
@@ -127,6 +129,9 @@
 			return nil, err
 		}
 		engine.Heed(crew)
+		if h := crew.Holdings(); h != nil {
+			engine.Keep(h)
+		}
 		s.crew = crew
 	}
 	listener, err := s.listen(opts.Meet)
--- a/internal/operator/crew.go
+++ b/internal/operator/crew.go
@@ -18,6 +18,57 @@
 	// ContradictAtMost is how long two members may act on rules that contradict each other.
 	ContradictAtMost time.Duration
 	Keepers          map[string]string // addresses by the names of their sidecars
+	Holdings         Holdings
+}
+
+// WhenAlone says what is done with a request whose copies can't be had in time.
+type WhenAlone uint8
+
+// The ways.
+const (
+	RefuseAlone WhenAlone = iota // it is refused, with a time to return
+	GoOn                         // it goes on, and nothing is promised
+)
+
+// Holdings is the table [holdings]: what the sidecars of the crew hold for one another. Its terms stand among the crew's.
+type Holdings struct {
+	Classes     map[string]WhenAlone // whose requests are held
+	MostEntries int
+	MostBody    int // bytes of an answer that is kept
+}
+
+// Defaults and bounds of holdings.
+const (
+	defaultCopies    = 2
+	defaultKeep      = 10 * time.Minute // above the windows of most classes
+	defaultLostAfter = 30 * time.Second // above a restart, or a short cut
+	defaultEntries   = 200_000          // some 60 MB with short answers
+	leastEntries     = 1000
+	mostEntries      = 5_000_000
+	defaultBody      = 16 << 10
+	mostBody         = 64 << 10
+	mostHeld         = 64 // classes
+)
+
+// decodeHoldings reads [holdings] into a crew's table.
+func decodeHoldings(t *tomlread.Table, c *Crew) {
+	t.Need("class", "[[holdings.class]] with name and when_alone, one for each class whose requests are held")
+	c.Terms.Holdings = terms.Holdings{
+		Copies: t.Int("copies", defaultCopies, 1, terms.MostCopies), Keep: t.Duration("keep", defaultKeep, terms.LeastKeep, terms.MostKeep),
+		LostAfter: t.Duration("lost_after", defaultLostAfter, terms.LeastLost, terms.MostLostAfter),
+	}
+	c.Holdings = Holdings{
+		Classes: map[string]WhenAlone{}, MostEntries: t.Int("most_entries", defaultEntries, leastEntries, mostEntries),
+		MostBody: t.Int("most_body", defaultBody, 0, mostBody),
+	}
+	for _, k := range t.Tables("class", mostHeld) {
+		k.Need("name", "the name of a keyed class")
+		name := k.Text("name", "")
+		if _, twice := c.Holdings.Classes[name]; twice {
+			k.Fail("name", fmt.Sprintf("%q, a second time", name), "each class once")
+		}
+		c.Holdings.Classes[name] = map[string]WhenAlone{"refuse": RefuseAlone, "go_on": GoOn}[k.Word("when_alone", "refuse", "refuse", "go_on")]
+	}
 }
 
 // Defaults and bounds of the terms.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -88,10 +88,17 @@
 		}
 		f.Watch.Settings = set
 	}
-	doc.Root.Skip("crew") // a table that may stand there
+	doc.Root.Skip("crew", "holdings") // tables that may stand there
 	if doc.Root.Has("crew") {
 		f.Crew = decodeCrew(doc.Root.Table("crew"))
 	}
+	switch {
+	case !doc.Root.Has("holdings"):
+	case f.Crew == nil:
+		doc.Root.Fail("holdings", "a table, and none [crew]", "[holdings] beside [crew]: a crew's sidecars hold for one another")
+	default:
+		decodeHoldings(doc.Root.Table("holdings"), f.Crew)
+	}
 	if err := doc.Err(); err != nil {
 		return File{}, err
 	}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"github.com/rs/zerolog"
+
+	"heathgap/internal/crew/terms"
 )
 
 func load(t *testing.T, text string) (File, error) {
@@ -46,7 +48,7 @@
 		`operator.toml:2: log.level: "loud"; allowed: info, warn, error`,
 		`operator.toml:3: log.connection_ended_every: 0; allowed: a whole number from 1 to 1000000`,
 		`operator.toml:4: log.levle: unknown key; allowed: connection_ended_every, level`,
-		`operator.toml:5: tenants: unknown key; allowed: crew, log`,
+		`operator.toml:5: tenants: unknown key; allowed: crew, holdings, log`,
 	} {
 		if !strings.Contains(err.Error(), want) {
 			t.Errorf("told\n%v\nwithout\n%s", err, want)
@@ -66,13 +68,15 @@
 	}
 	shown := "[crew]\n"
 	for line := range strings.Lines(table) {
-		if bare := strings.TrimPrefix(line, "# "); strings.Contains(bare, " = ") || strings.HasPrefix(bare, "[[") {
+		if bare := strings.TrimPrefix(line, "# "); strings.Contains(bare, " = ") || strings.HasPrefix(bare, "[") {
 			shown += bare
 		}
 	}
 	f, err := load(t, shown)
 	if err != nil || f.Crew == nil || len(f.Crew.Keepers) != 1 || f.Crew.Terms.Lease != defaultLease || f.Crew.ContradictAtMost != defaultContradict ||
-		f.Crew.Terms.Slack != defaultSlack || f.Crew.Terms.Drift != defaultDrift {
+		f.Crew.Terms.Slack != defaultSlack || f.Crew.Terms.Drift != defaultDrift || len(f.Crew.Holdings.Classes) != 1 ||
+		f.Crew.Terms.Holdings != (terms.Holdings{Copies: defaultCopies, Keep: defaultKeep, LostAfter: defaultLostAfter}) ||
+		f.Crew.Holdings.MostEntries != defaultEntries || f.Crew.Holdings.MostBody != defaultBody {
 		t.Fatalf("%+v, %v of\n%s", f.Crew, err, shown)
 	}
 	const keeper = "\n[[crew.keeper]]\nname = \"k\"\naddress = \"127.0.0.1:9\"\n"
@@ -84,7 +88,11 @@
 		"drift = 0.5" + keeper:                                 ":4: crew.drift",
 		"":                                                     "crew.keeper: missing",
 		keeper + keeper:                                        "a second time",
-		"keepers = 3" + keeper:                                 ":4: crew.keepers: unknown key",
+		keeper + "[holdings]\n":                                "holdings.class: missing",
+		keeper + "[holdings]\ncopies = 9\n[[holdings.class]]\nname = \"p\"\n":                       ":9: holdings.copies: 9; allowed",
+		keeper + "[holdings]\n[[holdings.class]]\nname = \"p\"\nwhen_alone = \"wait\"\n":            ":11: holdings.class[0].when_alone",
+		keeper + "[holdings]\n[[holdings.class]]\nname = \"p\"\n[[holdings.class]]\nname = \"p\"\n": "\"p\", a second time",
+		"keepers = 3" + keeper:                               ":4: crew.keepers: unknown key",
 		"\n[[crew.keeper]]\nname = \"k\"\naddress = \"x\"\n": "crew.keeper[0].address: \"x\"",
 	} {
 		if _, err := load(t, good+more); err == nil || !strings.Contains(err.Error(), want) {
--- a/internal/pipeline/admit.go
+++ b/internal/pipeline/admit.go
@@ -17,6 +17,7 @@
 	crowded  bool // its connection is one more than there is room for
 	answer   chan httpwire.Answer
 	request  *state.Request // the owner's, once it is admitted
+	hold     Hold           // its key's claim; nil where it has none
 }
 
 func (a *arrival) handle(e *Engine) {
@@ -37,6 +38,9 @@
 	}
 	e.counters.Taken++
 	a.request = e.requests.Take(a.message, a.deadline, a.answer)
+	if a.hold != nil {
+		a.request.MayWrite = a.hold.MayWrite
+	}
 	e.tell(decide.Event{
 		Kind: decide.Arrived, Request: a.request.ID, Class: a.message.Class, Tenant: a.message.Tenant,
 		Repeat: a.message.Repeat, Work: a.message.Work, Grace: max(0, a.deadline-e.clock.Now()),
--- a/internal/pipeline/book.go
+++ b/internal/pipeline/book.go
@@ -28,6 +28,7 @@
 	if !e.requests.Settle(a) {
 		return
 	}
+	a.Ran = !outcome.NeverRan()
 	e.timeouts.Remove(a)
 	e.counters.Outcomes[outcome]++
 	r := a.Request
--- a/internal/pipeline/engine.go
+++ b/internal/pipeline/engine.go
@@ -82,7 +82,8 @@
 	stopping  bool                              // nothing is taken any more
 	actions   []decide.Action
 
-	rules    Rules // nil where the sidecar is in no crew
+	holdings Holdings // nil where nothing is held
+	rules    Rules    // nil where the sidecar is in no crew
 	acting   *Acting
 	byCrew   map[string]bool                    // endpoints that the crew's version bans; true where one by hand stands beside it
 	withheld map[string]httpwire.ListedEndpoint // lines of the list that are not taken yet, by name
--- /dev/null
+++ b/internal/pipeline/hold.go
@@ -0,0 +1,86 @@
+package pipeline
+
+import (
+	"crypto/sha256"
+	"errors"
+	"time"
+
+	"heathgap/internal/httpwire"
+	"heathgap/internal/state"
+)
+
+// Hold: a request of a class whose keys sidecars hold for one another is claimed before it is handed to the owner, and its
+// outcome is copied before its caller hears it. Both are I/O, and belong to the goroutine of the caller's connection.
+
+// Holdings are what sidecars hold for one another.
+type Holdings interface {
+	// Holds tells whether requests of a class are held.
+	Holds(class string) bool
+	// Open claims a request's key within a time, or tells what is known of it.
+	Open(message *httpwire.Request, print [16]byte, within time.Duration) Opened
+}
+
+// Opened is what came of a claim. Answer is the request's answer where nothing is to be sent.
+type Opened struct {
+	Hold   Hold // nil where nothing was promised, or nothing is to be sent
+	Answer *httpwire.Answer
+	Within time.Duration // all attempts have to have ended by then; 0 for no bound but the request's
+}
+
+// Hold is one claim.
+type Hold interface {
+	// MayWrite tells whether the claim still stands: it is looked at just before a first byte leaves. Any goroutine may ask.
+	MayWrite() bool
+	// End has it known how the request ended, within a time, and returns what its caller hears.
+	End(answer httpwire.Answer, ran bool, within time.Duration) httpwire.Answer
+}
+
+// Keep has the engine hold keys. It is called before Run.
+func (e *Engine) Keep(h Holdings) { e.holdings = h }
+
+// endTime is a held request's time that is kept for its outcome: a tenth, up to that.
+const endTime = 50 * time.Millisecond
+
+var errHeldBody = errors.New("body: over 64 KiB, in a class whose requests are held")
+
+// open claims a request's key, and takes its time from the request's. An answer is the request's.
+func (e *Engine) open(message *httpwire.Request) (Hold, *httpwire.Answer) {
+	if message.Upload != nil {
+		return nil, &httpwire.Answer{Verdict: httpwire.Malformed, Reason: errHeldBody.Error(), Last: true}
+	}
+	began := e.clock.Now()
+	opened := e.holdings.Open(message, printOf(message), message.Remaining)
+	if opened.Answer != nil {
+		return nil, opened.Answer
+	}
+	left := message.Remaining - (e.clock.Now() - began)
+	if opened.Within > 0 {
+		left = min(left, opened.Within)
+	}
+	if opened.Hold != nil {
+		left -= min(endTime, left/10)
+	}
+	message.Remaining = max(left, 0)
+	return opened.Hold, nil
+}
+
+// printOf identifies what a request asks for: not its id, which each repeat has anew, nor the time that it has.
+func printOf(m *httpwire.Request) (print [16]byte) {
+	h := sha256.New()
+	for _, part := range []string{m.Method, m.URI, m.Type, string(m.Body)} {
+		h.Write([]byte{byte(len(part)), byte(len(part) >> 8), byte(len(part) >> 16), byte(len(part) >> 24)})
+		h.Write([]byte(part))
+	}
+	copy(print[:], h.Sum(nil))
+	return print
+}
+
+// ran tells whether any attempt of a request that is over may have come to an endpoint.
+func ran(r *state.Request) bool {
+	for _, a := range r.Attempts {
+		if a.MayHaveRun() {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/pipeline/send.go
+++ b/internal/pipeline/send.go
@@ -85,6 +85,12 @@
 		done.outcome = decide.NotSent
 		return
 	}
+	// Guards against a process that was paused with a claim that another one has taken over since: its time, and its lease, are
+	// looked at where the first byte leaves.
+	if may := a.Request.MayWrite; may != nil && (e.clock.Now() >= a.Request.Deadline || !may()) {
+		done.outcome = decide.NotSent
+		return
+	}
 	if !a.Write() || upload != nil && !upload.Claim() {
 		done.outcome = decide.NotSent // its request has ended while the connection was being made
 		return
--- a/internal/pipeline/takein.go
+++ b/internal/pipeline/takein.go
@@ -78,16 +78,27 @@
 		// request, the module's timers with it, is kept until then.
 		message.Remaining = min(message.Remaining, most)
 	}
+	var hold Hold
+	if e.holdings != nil && e.holdings.Holds(message.Class) {
+		var known *httpwire.Answer
+		if hold, known = e.open(&message); known != nil {
+			return *known, false
+		}
+	}
 	in := &arrival{
 		message: &message, deadline: e.clock.Now() + message.Remaining, crowded: conn.Crowded(),
-		answer: make(chan httpwire.Answer, 1),
+		answer: make(chan httpwire.Answer, 1), hold: hold,
 	}
 	if message.Upload == nil {
 		e.board.Active.Add(1)
 		e.post(in)
 		conn.Watch(func() { e.post(callerLeft{in}) })
 		defer conn.Unwatch()
-		return e.await(in), true
+		answer = e.await(in)
+		if hold != nil {
+			answer = hold.End(answer, answer.Ran, max(endTime, in.deadline-e.clock.Now()+endTime))
+		}
+		return answer, true
 	}
 	return e.awaitUpload(in, conn)
 }
@@ -98,7 +109,7 @@
 	case answer := <-in.answer:
 		return answer
 	case <-e.stopped:
-		return httpwire.Answer{Verdict: httpwire.Failed}
+		return httpwire.Answer{Verdict: httpwire.Failed, Ran: true} // nobody knows
 	}
 }
 
--- a/internal/state/request.go
+++ b/internal/state/request.go
@@ -21,6 +21,8 @@
 	Answer   chan httpwire.Answer
 	Over     bool // the final answer is given, or nobody waits for one
 	Attempts []*Attempt
+	// MayWrite tells whether its key's claim still stands; nil where it has none. Any goroutine may ask.
+	MayWrite func() bool
 	out      int // attempts without an outcome
 }
 
@@ -33,6 +35,7 @@
 	Until    decide.Time // when it times out
 	GiveUp   context.CancelFunc
 	Settled  bool // it has its outcome
+	Ran      bool // by that it may have run
 	// Generation is that of the rules by which it was decided on; 0 where there are none beside the settings.
 	Generation uint64
 	gate       atomic.Int32
@@ -56,6 +59,15 @@
 	return a.gate.CompareAndSwap(gateOpen, gateBarred) || a.gate.Load() == gateBarred
 }
 
+// MayHaveRun tells whether it may have come to its endpoint: by its outcome, or, while it has none, because it has begun to be
+// written.
+func (a *Attempt) MayHaveRun() bool {
+	if a.Settled {
+		return a.Ran
+	}
+	return !a.Bar()
+}
+
 // Requests are those that are kept.
 type Requests struct {
 	byID map[decide.RequestID]*Request // until Release
