Seats leave clean, move to newcomers, and go around ways that are cut

A process that ends first has its seats given to others (4 s at most), so that a clean stop costs no copy. A member that came in since is given the seats that rendezvous hashing has for it, four shards at a time, each copied before the seat that it replaces goes. A primary that does not reach a seat for 1 s says so to the leader, which seats somebody else; one that reaches hardly anybody loses its own. What a request's time did not suffice for, a claim to be freed or an outcome to be copied, is said for 15 s more. [[crew.way]]: an address by which this process reaches a member.

--- a/internal/crew/granter.go
+++ b/internal/crew/granter.go
@@ -29,6 +29,9 @@
 	HasTable  uint64            `cbor:"19,keyasint,omitempty"`
 	HasRoster uint64            `cbor:"20,keyasint,omitempty"`
 	Filled    []holdings.Filled `cbor:"21,keyasint,omitempty"`
+	// Moving says that it will leave when its seats have been given to others, and Unheard are those that it does not reach.
+	Moving  bool           `cbor:"22,keyasint,omitempty"`
+	Unheard []holdings.Who `cbor:"23,keyasint,omitempty"`
 }
 
 // Word is what a member says back so that the leader knows that it hears: which leader answered, and when by its clock.
@@ -82,6 +85,8 @@
 	soonest Boot                         // no lease that was known then ends before
 	looked  stage                        // the ledger then
 	filled  map[string][]holdings.Filled // as each member said last
+	unheard map[string][]holdings.Who    // likewise
+	moving  map[string]bool              // likewise
 	seats   seating                      // for which seats were planned last
 	dead    map[int]Boot                 // since when no ready seat of a shard is in the crew
 	lacks   string                       // a member whose word the round under way waited for then
@@ -107,7 +112,7 @@
 // NewGranter returns that of a leader that has just come to lead, in a term.
 func NewGranter(conf Terms, term uint64) *Granter {
 	return &Granter{conf: conf, term: term, said: map[string]*said{}, enter: map[string]Member{}, gone: map[string]Member{}, news: true,
-		filled: map[string][]holdings.Filled{}, dead: map[int]Boot{}}
+		filled: map[string][]holdings.Filled{}, unheard: map[string][]holdings.Who{}, moving: map[string]bool{}, dead: map[int]Boot{}}
 }
 
 // of returns what is known of a member of the ledger. One that is met for the first time may have been granted a lease a
@@ -195,6 +200,9 @@
 	if len(r.Filled) > 0 && len(r.Filled) <= holdings.Shards*terms.MostCopies && !slices.Equal(g.filled[r.Name], r.Filled) {
 		g.filled[r.Name], g.news, g.seats = r.Filled, true, seating{}
 	}
+	if r.Moving != g.moving[r.Name] || len(r.Unheard) <= terms.MostMembers && !slices.Equal(g.unheard[r.Name], r.Unheard) {
+		g.moving[r.Name], g.unheard[r.Name], g.news, g.seats = r.Moving, r.Unheard, true, seating{}
+	}
 	if grant.Active.Number == r.HasActive {
 		grant.Active.Doc.Classes, grant.Active.Doc.Banned = nil, nil
 	}
@@ -248,7 +256,10 @@
 	}
 	clear(g.enter) // proposed once; who is not in then asks again
 	maps.DeleteFunc(g.gone, func(name string, m Member) bool { return l.Members[name].Token != m.Token })
-	maps.DeleteFunc(g.filled, func(name string, _ []holdings.Filled) bool { return l.Members[name].Token == 0 })
+	gone := func(name string) bool { return l.Members[name].Token == 0 }
+	maps.DeleteFunc(g.filled, func(name string, _ []holdings.Filled) bool { return gone(name) })
+	maps.DeleteFunc(g.unheard, func(name string, _ []holdings.Who) bool { return gone(name) })
+	maps.DeleteFunc(g.moving, func(name string, _ bool) bool { return gone(name) })
 	maps.DeleteFunc(g.said, func(name string, s *said) bool { return l.Members[name].Token != s.token })
 	if len(change.Gone) > 0 || len(change.Enter) > 0 {
 		return append(due, change) // the rest waits for the new epoch
@@ -292,9 +303,12 @@
 	for _, name := range slices.Sorted(maps.Keys(g.filled)) {
 		filled = append(filled, g.filled[name]...)
 	}
-	changes := table.Plan(l.Roster(), g.conf.Holdings.Copies, filled, func(shard int) bool {
-		since, dead := g.dead[shard]
-		return dead && now >= since+g.conf.Holdings.LostAfter
+	changes := table.Plan(&holdings.Crew{
+		Members: l.Roster(), Copies: g.conf.Holdings.Copies, Filled: filled, Leaving: g.leavers(l), Unheard: g.silent(l),
+		Lost: func(shard int) bool {
+			since, dead := g.dead[shard]
+			return dead && now >= since+g.conf.Holdings.LostAfter
+		},
 	})
 	if len(changes) == 0 {
 		g.seats = seating{l.Epoch, table.Number}
@@ -334,6 +348,28 @@
 	return Entry{Activate: number, Epoch: l.Epoch}, true
 }
 
+// leavers are the members that will go when their seats have been given to others.
+func (g *Granter) leavers(l *Ledger) map[holdings.Who]bool {
+	out := map[holdings.Who]bool{}
+	for name, moving := range g.moving {
+		if moving {
+			out[holdings.Who{Name: name, In: l.In[name]}] = true
+		}
+	}
+	return out
+}
+
+// silent are the pairs of members of which the first does not reach the second.
+func (g *Granter) silent(l *Ledger) map[[2]holdings.Who]bool {
+	out := map[[2]holdings.Who]bool{}
+	for name, list := range g.unheard {
+		for _, who := range list {
+			out[[2]holdings.Who{{Name: name, In: l.In[name]}, who}] = true
+		}
+	}
+	return out
+}
+
 // Until is when a member's lease has surely ended, for people.
 func (g *Granter) Until(now Boot, l *Ledger, name string) Boot {
 	return g.of(now, l.Members[name]).until
--- a/internal/crew/holder.go
+++ b/internal/crew/holder.go
@@ -40,8 +40,10 @@
 	table    *holdings.Table
 	roster   []holdings.Member
 	rosterOf uint64 // the epoch of the roster
-	// Filled are the words of this sidecar's replica, for the next renewal.
-	Filled []holdings.Filled
+	// What this sidecar's replica says, for the next renewal.
+	Filled  []holdings.Filled
+	Unheard []holdings.Who
+	Moving  bool // it wants to leave
 }
 
 // NewHolder returns that of a process that has not been told anything.
@@ -52,7 +54,8 @@
 // Ask returns the renewal to be sent now. The caller notes the time before it, for Told.
 func (h *Holder) Ask() Renewal {
 	r := Renewal{Member: h.Self, Terms: h.terms.Hash(), Epoch: h.epoch, Checked: h.checked, Refusal: h.refusal,
-		Prepared: h.prepared, HasActive: h.active.Number, Heard: h.heard, HasRoster: h.rosterOf, Filled: h.Filled}
+		Prepared: h.prepared, HasActive: h.active.Number, Heard: h.heard, HasRoster: h.rosterOf, Filled: h.Filled,
+		Unheard: h.Unheard, Moving: h.Moving}
 	if h.table != nil {
 		r.HasTable = h.table.Number
 	}
--- a/internal/crew/member/holdings.go
+++ b/internal/crew/member/holdings.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"cmp"
 	"crypto/rand"
 	"encoding/binary"
 	"errors"
@@ -31,11 +32,12 @@
 	longPause = 80 * time.Millisecond
 	mostLines = 16 // to one sidecar, from its callers' goroutines
 	// returnAfter is what a refused caller is told: a lost primary is replaced within about a lease.
-	returnAfter = time.Second
-	// dropTime is how long a claim that may stand is tried to be ended, above the time until a lost primary is replaced, and
-	// mostDropping bounds how many are at a time.
-	dropTime     = 15 * time.Second
-	mostDropping = 1024
+	returnAfter  = time.Second
+	refusalEvery = time.Second // a line in the log, of each kind
+	// laterTime is how long what a request's own time did not suffice for is asked, above the time until a lost primary is
+	// replaced, and mostLater bounds how many are at a time.
+	laterTime = 15 * time.Second
+	mostLater = 1024
 )
 
 // copies is a sidecar's part in what the crew's sidecars hold for one another: its replica, and its own claims.
@@ -53,7 +55,9 @@
 	ended   bool
 	lines   map[string]*lines
 
-	open, was, refused, alone, dropping atomic.Int64
+	told map[holdings.Kind]time.Time // when a refusal of this kind was last logged
+
+	open, was, refused, alone, asking atomic.Int64
 }
 
 type heldClass struct {
@@ -68,7 +72,7 @@
 }
 
 func newCopies(m *Member, conf *config.Config) (*copies, error) {
-	c := &copies{m: m, classes: map[string]heldClass{}, body: m.conf.Holdings.MostBody, lines: map[string]*lines{}}
+	c := &copies{m: m, classes: map[string]heldClass{}, body: m.conf.Holdings.MostBody, lines: map[string]*lines{}, told: map[holdings.Kind]time.Time{}}
 	for name, alone := range m.conf.Holdings.Classes {
 		i := slices.IndexFunc(conf.Settings.Classes, func(k decide.Class) bool { return k.Name == name })
 		if i < 0 || conf.Settings.Classes[i].Effect != decide.Keyed {
@@ -106,17 +110,33 @@
 		c.me, c.table = me, table
 		c.address = map[holdings.Who]string{}
 		for _, m := range roster {
-			c.address[m.Who] = m.Address
+			c.address[m.Who] = cmp.Or(c.m.conf.Ways[m.Name], c.m.conf.Keepers[m.Name], m.Address)
 		}
 		c.replica.Learn(c.now(), me, table, roster)
 	}
 	c.kick()
 }
 
-func (c *copies) filled() []holdings.Filled {
+// says is what the replica has to say to the leader.
+func (c *copies) says() ([]holdings.Filled, []holdings.Who) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.replica.Filled(), c.replica.Unheard(c.now())
+}
+
+// seats is in how many shards this sidecar has one.
+func (c *copies) seats() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.replica.Filled()
+	n := 0
+	if c.table != nil {
+		for _, s := range c.table.Shards {
+			if slices.ContainsFunc(s.Seats, func(seat holdings.Seat) bool { return seat.Who == c.me }) {
+				n++
+			}
+		}
+	}
+	return n
 }
 
 // run ends what is over, until stop.
@@ -156,27 +176,28 @@
 	}
 	for _, to := range c.replica.Peers() {
 		if b := c.replica.Next(c.now(), to.Who); b != nil {
-			c.m.world.Go("copy", func() { c.say(to, b) })
+			address := c.address[to.Who]
+			c.m.world.Go("copy", func() { c.say(to.Who, address, b) })
 		}
 	}
 }
 
 // say says batches to one sidecar until there are none.
-func (c *copies) say(to holdings.Member, b *holdings.Batch) {
+func (c *copies) say(to holdings.Who, address string, b *holdings.Batch) {
 	for b != nil {
 		var answer *holdings.Batched
 		got := holdings.Batched{}
-		err := c.call(to.Address, "hold-store", b, &got, storeTime)
+		err := c.call(address, "hold-store", b, &got, storeTime)
 		if err == nil {
 			answer = &got
 		} else {
 			c.m.world.Sleep(askPause)
 		}
 		c.mu.Lock()
-		c.replica.Said(c.now(), to.Who, b, answer)
+		c.replica.Said(c.now(), to, b, answer)
 		b = nil
 		if !c.ended {
-			b = c.replica.Next(c.now(), to.Who)
+			b = c.replica.Next(c.now(), to)
 		}
 		c.kick()
 		c.mu.Unlock()
@@ -349,8 +370,7 @@
 	if answer.Kind == holdings.Unclear {
 		left := until.Sub(c.m.world.Now())
 		if !holdings.MayRepeat(&class.Class, answer.Age, left, c.m.conf.Terms.Drift) {
-			c.refused.Add(1)
-			return refuse("its outcome is not known")
+			return c.refuse(&a, answer)
 		}
 		bound = left
 		a.Do, a.Rev, a.Lasts = holdings.Again, answer.Rev, left
@@ -366,39 +386,47 @@
 	case holdings.Other:
 		return pipeline.Opened{Answer: &httpwire.Answer{Verdict: httpwire.Malformed, Reason: "key: it came with another request before"}}
 	case holdings.Running, holdings.Unclear, holdings.Fenced:
-		c.refused.Add(1)
-		return refuse("it is under way")
+		return c.refuse(&a, answer)
 	}
 	c.alone.Add(1)
 	if class.alone == operator.GoOn {
 		return pipeline.Opened{}
 	}
-	c.refused.Add(1)
-	if answer.Kind == holdings.Away {
-		c.dropLater(a)
+	if answer.Kind == holdings.Away && a.Do == holdings.Open { // else it was out before
+		a.Do = holdings.Drop
+		c.later(a)
 	}
-	return refuse("its copies can't be had")
+	return c.refuse(&a, answer)
 }
 
-// dropLater has a claim ended that may stand though nobody has said so. Guards against keys that stay unclear because the primary was
-// lost between the copies' word and its own: nothing of them was sent.
-func (c *copies) dropLater(a holdings.Ask) {
-	if a.Do == holdings.Again {
-		return // it was out before
-	}
-	if c.dropping.Add(1) > mostDropping {
-		c.dropping.Add(-1)
+// later goes on asking when the request's own time is over. Guards against keys that stay unclear though their owner knows what
+// came of them, because the primary was lost at the wrong moment: a claim that nobody confirmed, an outcome that nobody copied.
+func (c *copies) later(a holdings.Ask) {
+	if c.asking.Add(1) > mostLater {
+		c.asking.Add(-1)
 		return
 	}
-	a.Do = holdings.Drop
-	c.m.world.Go("drop", func() {
-		defer c.dropping.Add(-1)
-		c.ask(&a, c.m.world.Now().Add(dropTime))
+	c.m.world.Go("later", func() {
+		defer c.asking.Add(-1)
+		c.ask(&a, c.m.world.Now().Add(laterTime))
 	})
 }
 
-func refuse(why string) pipeline.Opened {
-	return pipeline.Opened{Answer: &httpwire.Answer{Verdict: httpwire.Refused, RetryAfter: returnAfter, Reason: why}}
+// refuse refuses a request. A kind of reason is logged once a while.
+func (c *copies) refuse(a *holdings.Ask, why holdings.Answer) pipeline.Opened {
+	c.refused.Add(1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now := c.m.world.Now(); now.Sub(c.told[why.Kind]) >= refusalEvery {
+		c.told[why.Kind] = now
+		shard := a.Key.Shard()
+		ev := c.m.log.Warn().Stringer("why", why.Kind).Str("class", a.Key.Class).Int("shard", shard).Dur("age", why.Age)
+		if c.table != nil {
+			ev = ev.Uint64("ballot", c.table.Shards[shard].Ballot).Int("seats", len(c.table.Shards[shard].Seats))
+		}
+		ev.Msg("a held request is refused")
+	}
+	return pipeline.Opened{Answer: &httpwire.Answer{Verdict: httpwire.Refused, RetryAfter: returnAfter}}
 }
 
 // kept is the answer that a request had.
@@ -434,6 +462,9 @@
 		a.Do = holdings.Drop
 	}
 	got := h.c.ask(&a, h.c.m.world.Now().Add(within))
+	if got.Kind != holdings.Yes && got.Kind != holdings.Fenced {
+		h.c.later(a)
+	}
 	if answer.Verdict != httpwire.Served || got.Kind == holdings.Yes {
 		return answer
 	}
--- a/internal/crew/member/member.go
+++ b/internal/crew/member/member.go
@@ -28,6 +28,9 @@
 // Figures of a member.
 const (
 	leaveTime = 500 * time.Millisecond // for the word that this process ends
+	// moveTime is how long a process that ends waits for others to take over what it holds: platforms give 10 s or more before
+	// they kill, and its callers' answers have gone by then.
+	moveTime = 4 * time.Second
 )
 
 // Member is a sidecar's part in a crew.
@@ -185,7 +188,7 @@
 func (m *Member) ask() (again bool) {
 	m.mu.Lock()
 	if m.copies != nil {
-		m.holder.Filled = m.copies.filled()
+		m.holder.Filled, m.holder.Unheard = m.copies.says()
 	}
 	name, r := m.seeker.Question(m.world.Boot())
 	m.mu.Unlock()
@@ -301,8 +304,24 @@
 	return m.copies
 }
 
+// leaveSeats waits, not for long, until others have what this sidecar holds for them.
+func (m *Member) leaveSeats() {
+	m.mu.Lock()
+	m.holder.Moving = true
+	m.mu.Unlock()
+	for limit := m.world.Now().Add(moveTime); m.world.Now().Before(limit); m.world.Sleep(tickHoldings) {
+		if m.copies.seats() == 0 || m.Acting().Cautious {
+			return
+		}
+	}
+	m.log.Warn().Int("shards", m.copies.seats()).Dur("after", moveTime).Msg("leaves with seats that nobody else has taken yet")
+}
+
 // Stop says that this process ends, so that its name is free and nobody waits for its lease, and ends the keeper.
 func (m *Member) Stop() {
+	if m.copies != nil {
+		m.leaveSeats()
+	}
 	close(m.halt)
 	<-m.ended
 	if m.copies != nil {
--- a/internal/holdings/replica.go
+++ b/internal/holdings/replica.go
@@ -17,6 +17,10 @@
 	fillEntries = 64
 	// staleAfter their end backups keep entries: the primary's clock decides, and theirs may be faster.
 	staleAfter = 10 * time.Second
+	// unheardAfter no answer for so long others are told of it, above what a busy machine takes, and for unheardFor after the last
+	// try: a seat that is given to somebody else is not asked any more.
+	unheardAfter = time.Second
+	unheardFor   = 10 * time.Second
 	// sweepEvery is how often ended entries are looked for, a shard at a time.
 	sweepEvery = 100 * time.Millisecond
 )
@@ -76,6 +80,8 @@
 	items []item
 	fill  []item
 	busy  bool
+	// failing is since when nothing was answered, 0 while things are, and failed when that was last so.
+	failing, failed Boot
 }
 
 // item is an entry that a seat is to have.
@@ -432,6 +438,11 @@
 		return // it is gone
 	}
 	o.busy = false
+	if answer != nil {
+		o.failing = 0
+	} else if o.failed = now; o.failing == 0 {
+		o.failing = max(1, now)
+	}
 	for i := range b.Stores {
 		st := &b.Stores[i]
 		s := r.shards[st.Shard]
@@ -541,6 +552,18 @@
 	return out
 }
 
+// Unheard are the sidecars that have not answered for a while, and lately: who seats them can seat others.
+func (r *Replica) Unheard(now Boot) []Who {
+	var out []Who
+	for who, o := range r.out {
+		if o.failing > 0 && o.failed-o.failing >= unheardAfter && now-o.failed < unheardFor {
+			out = append(out, who)
+		}
+	}
+	slices.SortFunc(out, func(a, b Who) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
 // Tick ends entries whose time is over, and goes on with what waits for nobody.
 func (r *Replica) Tick(now Boot) {
 	r.settleAlone(now)
--- a/internal/holdings/table.go
+++ b/internal/holdings/table.go
@@ -111,47 +111,83 @@
 	return &c
 }
 
-// Plan returns the changes that the members' coming and going ask for, and what primaries have said of their seats. The same
-// table, members and words give the same changes. lost tells whether a shard of which no ready seat is in the crew is to be
-// given up; until then it waits for one of them to come back, as it does after a cut.
-func (t *Table) Plan(members []Member, copies int, filled []Filled, lost func(shard int) bool) []Change {
-	in, processes := map[Who]Member{}, map[uint64]Member{}
-	for _, m := range members {
-		in[m.Who], processes[m.Token] = m, m
+// mostMoves bounds the shards that are being copied to a better seat at a time: what is new goes on meanwhile, with one word more
+// for each.
+const mostMoves = 4
+
+// Crew is what seats follow from.
+type Crew struct {
+	Members []Member
+	Copies  int
+	Filled  []Filled // primaries' words
+	// Lost tells whether a shard of which no ready seat is in the crew is to be given up; until then it waits for one of them to
+	// come back, as it does after a cut.
+	Lost func(shard int) bool
+	// Leaving will go: their seats are copied to others first.
+	Leaving map[Who]bool
+	// Unheard are sidecars that others, named first, have not reached for a while though both are in the crew.
+	Unheard map[[2]Who]bool
+}
+
+// planner is a crew as a plan looks things up.
+type planner struct {
+	*Crew
+	in        map[Who]Member
+	processes map[uint64]Member
+	said      map[Filled]bool
+	deaf      map[Who]bool // who reaches hardly anybody: it is at fault itself
+	moving    int          // shards with a seat that is being filled
+}
+
+// Plan returns the changes that follow from who is in the crew, and from what primaries have said of their seats. The same
+// table and crew give the same changes.
+func (t *Table) Plan(crew *Crew) []Change {
+	p := &planner{Crew: crew, in: map[Who]Member{}, processes: map[uint64]Member{}, said: map[Filled]bool{}, deaf: map[Who]bool{}}
+	for _, m := range crew.Members {
+		p.in[m.Who], p.processes[m.Token] = m, m
+	}
+	for _, f := range crew.Filled {
+		p.said[f] = true
+	}
+	unheard := map[Who]int{}
+	for pair := range crew.Unheard {
+		unheard[pair[0]]++
 	}
-	said := map[Filled]bool{}
-	for _, f := range filled {
-		said[f] = true
+	for who, n := range unheard {
+		p.deaf[who] = 2*n >= len(crew.Members) && n > 1
+	}
+	for i := range t.Shards {
+		if slices.ContainsFunc(t.Shards[i].Seats, func(s Seat) bool { return !s.Ready }) {
+			p.moving++
+		}
 	}
 	var changes []Change
 	for i := range t.Shards {
 		s := &t.Shards[i]
 		c := Change{Shard: i, Ballot: s.Ballot}
-		if s.plan(&c, members, in, processes, said, copies, lost); !slices.Equal(c.Seats, s.Seats) {
+		if p.plan(&c, s); !slices.Equal(c.Seats, s.Seats) {
 			changes = append(changes, c)
 		}
 	}
 	return changes
 }
 
-func (s *Shard) plan(c *Change, members []Member, in map[Who]Member, processes map[uint64]Member, said map[Filled]bool, copies int, lost func(int) bool) {
-	zones := map[string]bool{}
+func (p *planner) plan(c *Change, s *Shard) {
 	for _, seat := range s.Seats {
-		m, there := in[seat.Who]
+		m, there := p.in[seat.Who]
 		if !there {
 			// The process may be in anew: nothing was told under this ballot without its word, so that it lacks nothing.
-			if m, there = processes[seat.Token]; !there || m.Name != seat.Name {
+			if m, there = p.processes[seat.Token]; !there || m.Name != seat.Name {
 				continue
 			}
 			seat.Who = m.Who
 		}
-		zone := m.Zone
-		if !seat.Ready && said[Filled{c.Shard, s.Ballot, seat.Who}] {
+		if !seat.Ready && p.said[Filled{c.Shard, s.Ballot, seat.Who}] {
 			seat.Ready = true
 		}
-		zones[zone] = true
 		c.Seats = append(c.Seats, seat)
 	}
+	p.dropUnheard(c, s)
 	// Guards against a primary that lacks what was told: who is not ready comes behind all that are, in their order.
 	slices.SortStableFunc(c.Seats, func(a, b Seat) int {
 		switch {
@@ -163,7 +199,7 @@
 		return 1
 	})
 	if len(c.Seats) == 0 || !c.Seats[0].Ready {
-		if s.Ballot > 0 && !lost(c.Shard) {
+		if s.Ballot > 0 && !p.Lost(c.Shard) {
 			c.Seats = s.Seats
 			return
 		}
@@ -173,14 +209,79 @@
 			c.Seats[0].Ready = true
 		}
 	}
-	if len(c.Seats) < copies {
-		for _, m := range ranked(c.Shard, members) {
-			if len(c.Seats) < copies && !zones[m.Zone] {
+	best := p.best(c.Shard, c.Seats)
+	ready := !slices.ContainsFunc(c.Seats, func(seat Seat) bool { return !seat.Ready })
+	ranked := ranked(c.Shard, p.Members)
+	switch {
+	case len(best) < p.Copies:
+		// Too few, leaving ones not counted: the next of the order in zones that have none.
+		zones := map[string]bool{}
+		for _, seat := range best {
+			zones[p.in[seat.Who].Zone] = true
+		}
+		for _, m := range ranked {
+			if n := len(zones); n < p.Copies && !zones[m.Zone] && p.takes(c, m) {
 				zones[m.Zone] = true
 				c.Seats = append(c.Seats, Seat{Who: m.Who, Token: m.Token, Ready: len(c.Seats) == 0})
 			}
 		}
+	case !ready:
+	case len(c.Seats) > p.Copies:
+		c.Seats = best // one that was to come in has come
+	case p.moving < mostMoves:
+		// All is well, and somebody else should sit here: who came into the crew since.
+		var want []Seat
+		for _, m := range ranked {
+			if !slices.ContainsFunc(c.Seats, func(s Seat) bool { return s.Who == m.Who }) && !p.takes(c, m) {
+				continue
+			}
+			want = append(want, Seat{Who: m.Who, Token: m.Token})
+		}
+		for _, seat := range p.best(c.Shard, want) {
+			if !slices.ContainsFunc(c.Seats, func(s Seat) bool { return s.Who == seat.Who }) {
+				c.Seats = append(c.Seats, seat)
+				p.moving++
+				break
+			}
+		}
+	}
+}
+
+// dropUnheard takes out seats that hold up a shard: those that its primary does not reach, or the primary that reaches nobody. One
+// seat that is ready stays.
+func (p *planner) dropUnheard(c *Change, s *Shard) {
+	if len(s.Seats) == 0 || len(p.Unheard) == 0 {
+		return
+	}
+	primary := s.Seats[0].Who
+	bad := func(seat Seat) bool {
+		return p.deaf[seat.Who] || !p.deaf[primary] && p.Unheard[[2]Who{primary, seat.Who}]
+	}
+	if slices.ContainsFunc(c.Seats, func(seat Seat) bool { return seat.Ready && !bad(seat) }) {
+		c.Seats = slices.DeleteFunc(c.Seats, bad)
+	}
+}
+
+// takes tells whether a member may have a new seat in a shard.
+func (p *planner) takes(c *Change, m Member) bool {
+	if p.Leaving[m.Who] || p.deaf[m.Who] || slices.ContainsFunc(c.Seats, func(s Seat) bool { return s.Who == m.Who }) {
+		return false
+	}
+	return len(c.Seats) == 0 || !p.Unheard[[2]Who{c.Seats[0].Who, m.Who}]
+}
+
+// best are the seats that should stay, by their order, one a zone: those that leave are not among them.
+func (p *planner) best(shard int, seats []Seat) (out []Seat) {
+	zones := map[string]bool{}
+	for _, m := range ranked(shard, p.Members) {
+		i := slices.IndexFunc(seats, func(s Seat) bool { return s.Who == m.Who })
+		if i < 0 || p.Leaving[m.Who] || zones[m.Zone] || len(out) >= p.Copies {
+			continue
+		}
+		zones[m.Zone] = true
+		out = append(out, seats[i])
 	}
+	return out
 }
 
 // Dead tells whether no ready seat of a shard is in the crew.
--- a/internal/operator/crew.go
+++ b/internal/operator/crew.go
@@ -18,7 +18,9 @@
 	// ContradictAtMost is how long two members may act on rules that contradict each other.
 	ContradictAtMost time.Duration
 	Keepers          map[string]string // addresses by the names of their sidecars
-	Holdings         Holdings
+	// Ways are addresses by members' names, where this process reaches one by another address than that one's own.
+	Ways     map[string]string
+	Holdings Holdings
 }
 
 // WhenAlone says what is done with a request whose copies can't be had in time.
@@ -105,6 +107,16 @@
 		t.Fail(key, fmt.Sprintf("lease, drift and slack add up to %v, contradict_at_most is %v", wait, c.ContradictAtMost),
 			"lease x (1 + drift) / (1 - drift) + slack up to contradict_at_most")
 	}
+	c.Ways = map[string]string{}
+	for _, w := range t.Tables("way", terms.MostMembers) {
+		w.Need("name", "the name of a member")
+		w.Need("address", "where this process reaches it")
+		name := w.Text("name", "")
+		if c.Ways[name] != "" {
+			w.Fail("name", fmt.Sprintf("%q, a second time", name), "each name once")
+		}
+		c.Ways[name] = addressIn(w, "address")
+	}
 	addresses := map[string]bool{}
 	for _, k := range t.Tables("keeper", terms.MostKeepers) {
 		k.Need("name", "the name of the keeper's sidecar")
