Rig: ways between all members, cuts between two, delays; orders through storms

Where something is held every process reaches each other one by a relay of its own, so that cuts part holders too. A step can name the one process that it cuts off or slows.

--- a/internal/lab/rig/crew.go
+++ b/internal/lab/rig/crew.go
@@ -263,8 +263,13 @@
 		p.line = peers.NewLine(env.Real{}, r.scene.Name, "lab", p.address)
 		r.procs = append(r.procs, p)
 	}
+	first := r.procs[:len(r.procs)-twins]
+	reached := first // by each of the others: the keepers, and all where they hold something for one another
+	if r.scene.Copies == 0 {
+		reached = first[:r.scene.Keepers]
+	}
 	for _, p := range r.procs {
-		for _, k := range r.procs[:r.scene.Keepers] {
+		for _, k := range reached {
 			if p == k {
 				continue
 			}
@@ -280,7 +285,6 @@
 		}
 	}
 	var starting sync.WaitGroup
-	first := r.procs[:len(r.procs)-twins]
 	faults := make([]error, len(first))
 	for i, p := range first {
 		starting.Go(func() { faults[i] = r.startProc(ctx, p) })
@@ -335,6 +339,11 @@
 		}
 		fmt.Fprintf(&b, "[[crew.keeper]]\nname = %q\naddress = %q\n", k.name, address)
 	}
+	for _, q := range r.procs[r.scene.Keepers:] {
+		if way := r.relays[[2]string{p.name, q.name}]; way != nil {
+			fmt.Fprintf(&b, "[[crew.way]]\nname = %q\naddress = %q\n", q.name, way.address())
+		}
+	}
 	if r.scene.Copies > 0 {
 		fmt.Fprintf(&b, "[holdings]\ncopies = %d\nkeep = \"2m\"\nlost_after = \"10s\"\n[[holdings.class]]\nname = %q\n", r.scene.Copies, orderClass)
 	}
@@ -636,7 +645,7 @@
 		who := []string{"leader", "follower", r.procs[dice.IntN(len(r.procs))].name}[dice.IntN(3)]
 		do := scenario.CrewFaults[dice.IntN(len(scenario.CrewFaults))]
 		steps = append(steps, scenario.CrewStep{
-			At: at, Do: do, Who: who, Way: scenario.CrewWays[dice.IntN(len(scenario.CrewWays))],
+			Drawn: true, At: at, Do: do, Who: who, Way: scenario.CrewWays[dice.IntN(len(scenario.CrewWays))],
 			For: r.scene.Lease/2 + time.Duration(dice.Int64N(int64(2*r.scene.Lease))),
 		})
 	}
@@ -678,8 +687,8 @@
 		return nil
 	}
 	p := r.byName(s.Who)
-	own := s.Do != "cut" && s.Do != "reset" && s.Do != "restart" && s.Do != "twin" // of the process itself
-	if r.scene.Copies > 0 && (own || s.Do == "cut") && !r.mayLoseOne() {
+	own := s.Do != "cut" && s.Do != "delay" && s.Do != "reset" && s.Do != "restart" && s.Do != "twin" // of the process itself
+	if r.scene.Copies > 0 && (own || s.Do == "cut" && s.Drawn) && !r.mayLoseOne() {
 		return nil // more at once than what is promised survives
 	}
 	if own && !p.begin() {
@@ -688,7 +697,7 @@
 	if (s.Do == "wipe" || s.Do == "setback") && strings.HasPrefix(p.name, "k") && !r.mayLose(p) {
 		s.Do = "kill" // what is promised survives the loss of one folder at a time
 	}
-	r.note("%s %s %s %v", s.Do, p.name, s.Way, s.For)
+	r.note("%s %s %s %s %v", s.Do, p.name, s.With, s.Way, s.For)
 	r.mu.Lock()
 	if p.name == r.leader && (s.Do == "kill" || s.Do == "stop" && s.For > time.Second) {
 		r.struck = r.now()
@@ -773,11 +782,17 @@
 			p.setUp(true)
 			r.note("%s goes on", p.name)
 		})
+	case "delay":
+		r.ways(p, s.With, s.Way, func(w *relay, way int) { w.slow(way, s.By) })
+		later(func() {
+			r.ways(p, s.With, s.Way, func(w *relay, way int) { w.slow(way, -s.By) })
+			r.note("%s is as fast as before", p.name)
+		})
 	case "cut":
 		r.cuts.Add(1)
-		r.cutWays(p, s.Way, true)
+		r.ways(p, s.With, s.Way, func(w *relay, way int) { w.set(way, true) })
 		later(func() {
-			r.cutWays(p, s.Way, false)
+			r.ways(p, s.With, s.Way, func(w *relay, way int) { w.set(way, false) })
 			r.cuts.Add(-1)
 			r.note("%s is whole again", p.name)
 		})
@@ -826,22 +841,25 @@
 	return true
 }
 
-// cutWays cuts the ways of a process, or opens them: what comes to it ("in"), what it says ("out"), or both.
-func (r *crewRig) cutWays(p *crewProc, way string, cut bool) {
+// ways does something with the ways of a process to another one, or to all: what comes to it ("in"), what it says ("out"), or both.
+func (r *crewRig) ways(p *crewProc, with, way string, do func(w *relay, way int)) {
 	for ways, relay := range r.relays {
-		out, in := there, back // of a way that begins at the process
+		out, in, other := there, back, ways[1] // of a way that begins at the process
 		switch p.name {
 		case ways[0]:
 		case ways[1]:
-			out, in = back, there
+			out, in, other = back, there, ways[0]
 		default:
 			continue
 		}
+		if with != "" && with != other {
+			continue
+		}
 		if way != "in" {
-			relay.set(out, cut)
+			do(relay, out)
 		}
 		if way != "out" {
-			relay.set(in, cut)
+			do(relay, in)
 		}
 	}
 }
--- a/internal/lab/rig/crew_test.go
+++ b/internal/lab/rig/crew_test.go
@@ -275,6 +275,7 @@
 // Five processes: a member is cut off, the leader killed with a version on its way, and both come back. Nobody acts on
 // rules that contradict another's for longer than is promised, and the version is not lost; with clocks as far off as they may be.
 func TestCrew(t *testing.T) {
+	t.Parallel()
 	r := playCrew(t, crewScene(t, cutAndPropose+"[[step]]\nat = \"1200ms\"\ndo = \"kill\"\nfor = \"2s\"\n"), clocksOff, CrewOptions{})
 	for _, b := range r.Breaks {
 		t.Error(b)
@@ -296,6 +297,7 @@
 // The leader is stopped for twice its lease and goes on, then hears and is not heard; all keepers die at once; a folder is
 // lost. Every version that was told comes through, in its order, and none contradicts another for too long.
 func TestCrewThroughWorse(t *testing.T) {
+	t.Parallel()
 	r := playCrew(t, crewScene(t, `
 duration = "10s"
 [[step]]
--- a/internal/lab/rig/orders.go
+++ b/internal/lab/rig/orders.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"heathgap/internal/crew/keeper"
+	"heathgap/internal/crew/member"
 )
 
 // Orders: keyed requests whose clients repeat them through other processes until they are served, and once more after that.
@@ -222,7 +223,12 @@
 		p.mu.Lock()
 		well := p.up && !p.busy
 		p.mu.Unlock()
-		if !well && p.starts > 0 {
+		if p.starts == 0 {
+			continue
+		}
+		// Who holds no lease was started a moment ago: the seats that the ledger still has for the process before are empty.
+		var a member.Acts
+		if !well || p.line.Call("acting", struct{}{}, &a, pollTime) != nil || a.Cautious {
 			return false
 		}
 	}
@@ -238,14 +244,15 @@
 			return false
 		}
 		for _, s := range st.Ledger.Table.Shards {
-			if len(s.Seats) < r.scene.Copies {
-				return false
-			}
+			ready := 0
 			for _, seat := range s.Seats {
-				if !seat.Ready || st.Ledger.In[seat.Name] != seat.In {
-					return false
+				if seat.Ready && st.Ledger.In[seat.Name] == seat.In {
+					ready++
 				}
 			}
+			if ready < r.scene.Copies {
+				return false
+			}
 		}
 		return true
 	}
--- a/internal/lab/rig/relay.go
+++ b/internal/lab/rig/relay.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"sync"
+	"time"
 )
 
 // relay carries connections from one process to another. A way that is cut holds its bytes, as a network does whose
@@ -14,7 +15,8 @@
 
 	mu     sync.Mutex
 	open   *sync.Cond
-	cut    [2]bool // there, and back
+	cut    [2]int           // cuts of the ways there and back that have not ended
+	delay  [2]time.Duration // of what goes there, and back
 	closed bool
 	conns  map[net.Conn]struct{}
 }
@@ -85,10 +87,12 @@
 	for {
 		n, err := from.Read(buffer)
 		r.mu.Lock()
-		for r.cut[way] && !r.closed {
+		for r.cut[way] > 0 && !r.closed {
 			r.open.Wait()
 		}
+		delay := r.delay[way]
 		r.mu.Unlock()
+		time.Sleep(delay)
 		if n > 0 {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				reset(from)
@@ -112,10 +116,19 @@
 func (r *relay) set(way int, cut bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.cut[way] = cut
+	if r.cut[way]--; cut {
+		r.cut[way] += 2
+	}
 	r.open.Broadcast()
 }
 
+// slow has what goes a way come so much later than before, or sooner where that is below 0.
+func (r *relay) slow(way int, by time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay[way] += by
+}
+
 // reset breaks all connections, in the middle of whatever they carry.
 func (r *relay) reset() {
 	r.mu.Lock()
--- a/internal/lab/scenario/crew.go
+++ b/internal/lab/scenario/crew.go
@@ -36,9 +36,12 @@
 	Who    string // a process (k1, m2), "leader", "follower" (a keeper that does not lead), "keepers" or "all"
 	Way    string // of a cut
 	For    time.Duration
-	Effect string // of a proposal: that of the probed class
-	Ban    string // and the endpoint that it bans; empty for none
-	Dies   bool   // its proposer is gone before it hears anything
+	Effect string        // of a proposal: that of the probed class
+	Ban    string        // and the endpoint that it bans; empty for none
+	With   string        // of a cut or a delay: the one process whose ways to it are meant; empty for all
+	By     time.Duration // of a delay
+	Dies   bool          // its proposer is gone before it hears anything
+	Drawn  bool          // from the seed
 }
 
 // CrewFaults are what can be done to a process, and CrewWays which way a cut goes: what comes to it, what it says, both.
@@ -74,11 +77,16 @@
 
 // has tells whether somebody goes by a name.
 func (c *Crew) has(who string) bool {
-	var n int
 	switch who {
 	case "leader", "follower", "keepers", "all":
 		return true
 	}
+	return c.process(who)
+}
+
+// process tells whether a process goes by a name.
+func (c *Crew) process(who string) bool {
+	var n int
 	if _, err := fmt.Sscanf(who, "k%d", &n); err == nil && who == fmt.Sprintf("k%d", n) {
 		return n >= 1 && n <= c.Keepers
 	}
@@ -110,15 +118,19 @@
 		t.Fail("duration", c.Duration.String(), "four leases or more")
 	}
 	for _, s := range t.Tables("step", mostCrewSteps) {
-		s.Need("do", "propose, kill, term, stop, cut, wipe, reset, full, setback, restart, twin, older")
+		s.Need("do", "propose, kill, term, stop, cut, wipe, reset, full, setback, restart, twin, older, delay")
 		step := CrewStep{
-			At: s.Duration("at", 0, 0, mostCrewTime), Do: s.Word("do", "propose", append([]string{"propose", "restart", "twin", "older"}, CrewFaults...)...),
+			At: s.Duration("at", 0, 0, mostCrewTime), Do: s.Word("do", "propose", append([]string{"propose", "restart", "twin", "older", "delay"}, CrewFaults...)...),
 			Who: s.Text("who", "leader"), Way: s.Word("way", "both", CrewWays...), For: s.Duration("for", time.Second, 0, mostCrewTime),
 			Effect: s.Text("effect", ""), Ban: s.Text("ban", ""), Dies: s.Bool("dies", false),
+			With: s.Text("with", ""), By: s.Duration("by", 100*time.Millisecond, 0, time.Minute),
 		}
 		if !c.has(step.Who) {
 			s.Fail("who", step.Who, fmt.Sprintf("leader, follower, keepers, all, k1 to k%d, m1 to m%d", c.Keepers, c.Members))
 		}
+		if step.With != "" && !c.process(step.With) {
+			s.Fail("with", step.With, fmt.Sprintf("k1 to k%d, m1 to m%d", c.Keepers, c.Members))
+		}
 		if (step.Do == "twin" || step.Do == "older") && (step.Who == "keepers" || step.Who == "all") {
 			s.Fail("who", step.Who, "one process")
 		}
