--- a/internal/lab/rig/orders.go
+++ b/internal/lab/rig/orders.go
@@ -35,6 +35,7 @@
 	Doubled   = "doubled"   // an effect happened twice
 	TwoWays   = "two_ways"  // one key had two answers
 	Forgotten = "forgotten" // an answer was told, and was not told again
+	NoOrder   = "no_order"  // what happened to a key fits no order of events
 )
 
 // OrderRecord is what came of a run's orders.
@@ -62,6 +63,7 @@
 	rec     OrderRecord
 	breaks  []string
 	latency []time.Duration
+	history keyHistory
 }
 
 // orderAt is what the endpoints know of a key: they share that.
@@ -88,6 +90,7 @@
 	} else {
 		at.first, at.times = now, at.times+1
 		at.reply = fmt.Sprintf("effect %d of %s", at.times, key)
+		o.history.add(keyOp{Key: key, Effect: true, Reply: at.reply}, o.r.now(), o.r.now())
 		if at.times > 1 {
 			o.broken(&o.rec.Doubled, Doubled, "key %s: %d effects, by %s", key, at.times, q.Header.Get("X-Txn"))
 		}
@@ -145,10 +148,14 @@
 			time.Sleep(50 * time.Millisecond)
 			continue
 		}
-		began := time.Now()
+		began, from := time.Now(), o.r.now()
 		code, body := o.try(client, p, key, try)
 		o.mu.Lock()
 		o.rec.Tries++
+		if code != http.StatusOK {
+			body = ""
+		}
+		o.history.add(keyOp{Key: key, Reply: body}, from, o.r.now())
 		switch {
 		case code == http.StatusOK && told == "":
 			told = body
@@ -211,6 +218,10 @@
 	if n := len(o.latency); n > 0 {
 		o.rec.P50, o.rec.P99 = millis(o.latency[n/2]), millis(o.latency[n*99/100])
 	}
+	if !o.history.fits() {
+		o.breaks = append(o.breaks, NoOrder+" at the end: the history of some key fits no order of events")
+		rec.Broken++
+	}
 	rec.Orders = &o.rec
 	rec.Breaks = append(rec.Breaks, o.breaks...)
 	rec.Broken += o.rec.Doubled + o.rec.TwoWays + o.rec.Forgotten
--- a/internal/lab/rig/orders_test.go
+++ b/internal/lab/rig/orders_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 )
 
 const (
@@ -58,3 +59,30 @@
 		})
 	}
 }
+
+// Histories that must not be, and one that may.
+func TestKeyHistories(t *testing.T) {
+	effect := func(n int) keyOp { return keyOp{Key: "k", Effect: true, Reply: []string{"one", "two"}[n]} }
+	told := func(reply string) keyOp { return keyOp{Key: "k", Reply: reply} }
+	type event struct {
+		op       keyOp
+		from, to time.Duration
+	}
+	for name, c := range map[string]struct {
+		events []event
+		fits   bool
+	}{
+		"refused, then told twice":       {[]event{{told(""), 0, 2}, {told("one"), 3, 9}, {effect(0), 5, 5}, {told("one"), 10, 11}}, true},
+		"two effects":                    {[]event{{told("one"), 0, 4}, {effect(0), 2, 2}, {effect(1), 6, 6}}, false},
+		"told before it happened":        {[]event{{told("one"), 0, 4}, {effect(0), 5, 5}}, false},
+		"another answer than the effect": {[]event{{effect(0), 1, 1}, {told("one"), 0, 2}, {told("two"), 3, 4}}, false},
+	} {
+		var h keyHistory
+		for _, e := range c.events {
+			h.add(e.op, e.from, e.to)
+		}
+		if h.fits() != c.fits {
+			t.Errorf("%s: fits %v", name, h.fits())
+		}
+	}
+}
