--- a/internal/lab/rig/crew.go
+++ b/internal/lab/rig/crew.go
@@ -84,6 +84,7 @@
 	Replaced     []string           `json:"replaced,omitempty"`  // keepers whose folder was lost
 	LeaderMS     []float64          `json:"leader_ms,omitempty"` // from each strike on a leader until another one was heard of
 	CautiousMS   map[string]float64 `json:"cautious_ms,omitempty"`
+	WholeMS      []float64          `json:"whole_ms,omitempty"` // from each lost process until all it held had its copies elsewhere
 	Orders       *OrderRecord       `json:"orders,omitempty"`
 	RSSMB        map[string]float64 `json:"rss_mb"` // of the last start
 	CPU          map[string]float64 `json:"cpu_s"`  // of the last start
@@ -731,6 +732,11 @@
 	}
 	switch s.Do {
 	case "kill", "wipe", "term", "setback":
+		if r.scene.Copies > 0 && s.Do != "term" {
+			if l := r.ledger(); l != nil {
+				ends.Go(func() { r.awaitWhole(ctx, l.Members[p.goes].Token) })
+			}
+		}
 		p.setUp(false)
 		signal := syscall.SIGKILL
 		if s.Do == "term" {
--- a/internal/lab/rig/orders.go
+++ b/internal/lab/rig/orders.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -12,6 +11,7 @@
 	"sync"
 	"time"
 
+	"heathgap/internal/crew"
 	"heathgap/internal/crew/keeper"
 	"heathgap/internal/crew/member"
 )
@@ -52,6 +52,7 @@
 	Forgotten int     `json:"forgotten"`
 	P50       float64 `json:"p50_ms"` // of first tries that were served
 	P99       float64 `json:"p99_ms"`
+	P999      float64 `json:"p99_9_ms"`
 }
 
 // orders is a run's.
@@ -216,7 +217,7 @@
 	defer o.mu.Unlock()
 	slices.Sort(o.latency)
 	if n := len(o.latency); n > 0 {
-		o.rec.P50, o.rec.P99 = millis(o.latency[n/2]), millis(o.latency[n*99/100])
+		o.rec.P50, o.rec.P99, o.rec.P999 = millis(o.latency[n/2]), millis(o.latency[n*99/100]), millis(o.latency[n*999/1000])
 	}
 	if !o.history.fits() {
 		o.breaks = append(o.breaks, NoOrder+" at the end: the history of some key fits no order of events")
@@ -227,6 +228,19 @@
 	rec.Broken += o.rec.Doubled + o.rec.TwoWays + o.rec.Forgotten
 }
 
+// awaitWhole books how long it takes from now on until all that a process held has its copies elsewhere.
+func (r *crewRig) awaitWhole(ctx context.Context, token uint64) {
+	began := r.now()
+	for ; ctx.Err() == nil && r.now() < began+leaderTime; time.Sleep(pollCrew) {
+		if r.whole(token) {
+			r.mu.Lock()
+			r.rec.WholeMS = append(r.rec.WholeMS, millis(r.now()-began))
+			r.mu.Unlock()
+			return
+		}
+	}
+}
+
 // mayLoseOne tells whether a machine more may be lost within what is promised: nothing else is struck, and each shard has all
 // of its copies.
 func (r *crewRig) mayLoseOne() bool {
@@ -243,29 +257,36 @@
 			return false
 		}
 	}
-	if r.cuts.Load() > 0 {
+	return r.cuts.Load() == 0 && r.whole(0)
+}
+
+// whole tells whether each shard has all of its copies, by the leader's word, none of them at a process that is away: a token.
+func (r *crewRig) whole(away uint64) bool {
+	st := r.ledger()
+	if st == nil || st.Table == nil || away == 0 && len(st.Members) < r.scene.Keepers+r.scene.Members {
 		return false
 	}
-	for _, k := range r.procs[:r.scene.Keepers] {
-		var st keeper.Status
-		if k.line.Call("status", struct{}{}, &st, pollTime) != nil || st.Leader != k.name || st.Ledger == nil || st.Ledger.Table == nil {
-			continue
+	for _, s := range st.Table.Shards {
+		ready := 0
+		for _, seat := range s.Seats {
+			if seat.Ready && st.In[seat.Name] == seat.In && seat.Token != away {
+				ready++
+			}
 		}
-		if len(slices.Collect(maps.Keys(st.Ledger.Members))) < r.scene.Keepers+r.scene.Members {
+		if ready < r.scene.Copies {
 			return false
 		}
-		for _, s := range st.Ledger.Table.Shards {
-			ready := 0
-			for _, seat := range s.Seats {
-				if seat.Ready && st.Ledger.In[seat.Name] == seat.In {
-					ready++
-				}
-			}
-			if ready < r.scene.Copies {
-				return false
-			}
+	}
+	return true
+}
+
+// ledger is the leader's; nil where none says that it leads.
+func (r *crewRig) ledger() *crew.Ledger {
+	for _, k := range r.procs[:r.scene.Keepers] {
+		var st keeper.Status
+		if k.line.Call("status", struct{}{}, &st, pollTime) == nil && st.Leader == k.name {
+			return st.Ledger
 		}
-		return true
 	}
-	return false
+	return nil
 }
--- a/internal/lab/rig/orders_test.go
+++ b/internal/lab/rig/orders_test.go
@@ -24,8 +24,8 @@
 	if o.Keys < 400 || float64(o.Served) < 0.98*float64(o.Keys) || o.Again < o.Served-1 {
 		t.Errorf("%+v", o)
 	}
-	if len(r.Steps) < 5 {
-		t.Errorf("two machines were to be lost: %q", r.Steps)
+	if len(r.Steps) < 5 || len(r.WholeMS) != 2 {
+		t.Errorf("two machines were to be lost, and their copies to be made anew: %q, after %v ms", r.Steps, r.WholeMS)
 	}
 }
 
