--- a/internal/crew/member/holdings.go
+++ b/internal/crew/member/holdings.go
@@ -67,8 +67,9 @@
 
 // lines are connections to one address.
 type lines struct {
-	free chan *peers.Line
-	made atomic.Int64
+	free  chan *peers.Line
+	made  atomic.Int64
+	ended atomic.Bool // nobody goes by the address any more
 }
 
 func newCopies(m *Member, conf *config.Config) (*copies, error) {
@@ -113,6 +114,7 @@
 			c.address[m.Who] = cmp.Or(c.m.conf.Ways[m.Name], c.m.conf.Keepers[m.Name], m.Address)
 		}
 		c.replica.Learn(c.now(), me, table, roster)
+		c.dropLines()
 	}
 	c.kick()
 }
@@ -154,6 +156,20 @@
 	}
 }
 
+// dropLines ends connections to addresses that no member has any more. The lock is held.
+func (c *copies) dropLines() {
+	in := map[string]bool{}
+	for _, address := range c.address {
+		in[address] = true
+	}
+	for address, l := range c.lines {
+		if !in[address] {
+			l.close()
+			delete(c.lines, address)
+		}
+	}
+}
+
 func (c *copies) over() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -218,7 +234,10 @@
 		return err
 	}
 	err = line.Call(kind, body, answer, within)
-	l.free <- line
+	l.free <- line // there is room for all that are made
+	if l.ended.Load() {
+		l.close()
+	}
 	return err
 }
 
@@ -244,7 +263,9 @@
 	}
 }
 
+// close ends those that are not at work, and has the others end when they are done.
 func (l *lines) close() {
+	l.ended.Store(true)
 	for {
 		select {
 		case line := <-l.free:
@@ -263,6 +284,9 @@
 			if err := peers.Decode(body, &a); err != nil {
 				return nil, fmt.Errorf("hold-ask: malformed: %w", err)
 			}
+			if err := a.Check(); err != nil {
+				return nil, fmt.Errorf("hold-ask: %w", err)
+			}
 			return c.answer(&a), nil
 		},
 		"hold-show": func(_ string, body []byte) (any, error) {
--- a/internal/holdings/entry.go
+++ b/internal/holdings/entry.go
@@ -1,6 +1,8 @@
 package holdings
 
 import (
+	"errors"
+	"fmt"
 	"time"
 
 	"heathgap/decide"
@@ -15,6 +17,8 @@
 	MostName = 256      // bytes of a class, a tenant or a key
 	MostBody = 64 << 10 // bytes of an answer that is kept, at most; longer ones are marked as too long
 	PrintLen = 16       // bytes of a request's fingerprint
+	// MostLasts is how long a claim may stand by its owner's word: as long as a caller may say that it waits.
+	MostLasts = time.Hour
 )
 
 // State is how far a request is.
@@ -91,6 +95,23 @@
 	Outcome *Outcome      `cbor:"7,keyasint,omitempty"`
 }
 
+// Check turns down an ask that breaks a bound. Its error begins with what is wrong.
+func (a *Ask) Check() error {
+	switch {
+	case a.Do < Open || a.Do > Drop:
+		return fmt.Errorf("do: %d; allowed: %d to %d", a.Do, Open, Drop)
+	case a.Key.Text == "" || max(len(a.Key.Text), len(a.Key.Class), len(a.Key.Tenant), len(a.Owner.Name)) > MostName:
+		return fmt.Errorf("key, class, tenant, owner: allowed: a key, and up to %d bytes each", MostName)
+	case a.Outcome != nil && len(a.Outcome.Body) > MostBody:
+		return fmt.Errorf("outcome: %d bytes; allowed: up to %d", len(a.Outcome.Body), MostBody)
+	case a.Do == Finish && a.Outcome == nil:
+		return errors.New("outcome: missing")
+	case a.Lasts < 0 || a.Lasts > MostLasts:
+		return fmt.Errorf("lasts: %v; allowed: 0s to %v", a.Lasts, MostLasts)
+	}
+	return nil
+}
+
 // Do is what an owner wants.
 type Do uint8
 
--- a/internal/holdings/replica.go
+++ b/internal/holdings/replica.go
@@ -584,8 +584,7 @@
 	r.sweep = now + sweepEvery
 	s := r.shards[r.next]
 	r.next = (r.next + 1) % Shards
-	for _, k := range r.sorted(s) {
-		h := s.held[k]
+	for k, h := range s.held { // in any order: each ends by itself
 		end := h.changed + r.terms.Keep
 		if !r.primary(s) {
 			end += staleAfter
--- a/internal/holdings/table_test.go
+++ b/internal/holdings/table_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"reflect"
 	"slices"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -112,3 +113,22 @@
 		t.Errorf("%d of 100 keys whose parts run together fall into one shard", same)
 	}
 }
+
+// An ask that breaks a bound is told what is allowed; one within them is taken.
+func TestAskBounds(t *testing.T) {
+	for want, spoil := range map[string]func(*Ask){
+		"":                       func(*Ask) {},
+		"do: 9; allowed: 1 to 5": func(a *Ask) { a.Do = 9 },
+		"up to 256 bytes":        func(a *Ask) { a.Key.Tenant = strings.Repeat("t", MostName+1) },
+		"allowed: a key":         func(a *Ask) { a.Key.Text = "" },
+		"outcome: missing":       func(a *Ask) { a.Do = Finish },
+		"outcome: 65537 bytes":   func(a *Ask) { a.Outcome = &Outcome{Body: make([]byte, MostBody+1)} },
+		"lasts: 2h0m0s":          func(a *Ask) { a.Lasts = 2 * MostLasts },
+	} {
+		a := Ask{Do: Open, Key: Key{Class: "pay", Text: "k"}}
+		spoil(&a)
+		if err := a.Check(); (err == nil) != (want == "") || err != nil && !strings.Contains(err.Error(), want) {
+			t.Errorf("%v, want %q", err, want)
+		}
+	}
+}
