TOML: an unknown key is not named as allowed for the next one

Seen when a crew's scenario was checked as an operator's file: each line allowed the unknown keys of the lines before it. What is allowed is listed once, before any unknown key is told; the test has two in one table.

--- a/internal/tomlread/tomlread.go
+++ b/internal/tomlread/tomlread.go
@@ -9,6 +9,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"os"
 	"slices"
 	"strconv"
@@ -217,15 +218,12 @@
 
 // unknown tells the keys that nobody asked for, here and below.
 func (t *Table) unknown() {
+	// Guards against an unknown key that the line of the next one names as allowed.
+	allowed := strings.Join(slices.Sorted(maps.Keys(t.used)), ", ")
 	for key := range t.values {
 		if !t.used[key] {
-			asked := make([]string, 0, len(t.used))
-			for k := range t.used {
-				asked = append(asked, k)
-			}
-			slices.Sort(asked)
 			t.used[key] = true // told once
-			t.Fail(key, "unknown key", strings.Join(asked, ", "))
+			t.Fail(key, "unknown key", allowed)
 		}
 	}
 	for _, inner := range t.inner {
--- a/internal/tomlread/tomlread_test.go
+++ b/internal/tomlread/tomlread_test.go
@@ -52,7 +52,7 @@
 func TestTellsAllAtOnceWithTheirLines(t *testing.T) {
 	bad := strings.NewReplacer(
 		`every = 3`, `every = 30`, `"250ms"`, `250`, `share = 0.5`, `share = "much"`,
-		`from = 0.9`, `fromm = 0.9`, `name = "a"`, `name = 7`).Replace(good)
+		`from = 0.9`, "fromm = 0.9\nfrmo = 0.8", `name = "a"`, `name = 7`).Replace(good)
 	d, err := Parse("f.toml", []byte(bad))
 	if err != nil {
 		t.Fatal(err)
@@ -64,6 +64,7 @@
 		`f.toml:4: log.wait: 250; allowed: a time from "0s" to "1m0s" with its unit (ms, s, m, h)`,
 		`f.toml:5: log.inline.share: "much"; allowed: a number from 0 to 1`,
 		`f.toml:15: tier[1].cold.fromm: unknown key; allowed: from`,
+		`f.toml:16: tier[1].cold.frmo: unknown key; allowed: from`,
 	}
 	if got := d.Err(); got == nil || got.Error() != strings.Join(want, "\n") {
 		t.Errorf("told\n%v\nwant\n%s", got, strings.Join(want, "\n"))
