A reset that a look ahead has met stays a reset: such an answer is no longer served as whole

Cause: the kernel tells a reader of a reset once and reads as an end from then on. pacer.more (internal/httpwire/answer.go) looks ahead with Peek, and bufio gives that error to the look and forgets it; the read after it met io.EOF, which is the proper end of an answer without a length. Ruled out: answers mixed up between requests (the bodies were beginnings of the right ones: a probe on loopback, now the test, has the same outcome).

Change: a connection's reader keeps the failure that it was told of (onceBroken).

--- a/internal/httpwire/link.go
+++ b/internal/httpwire/link.go
@@ -3,7 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"io"
 	"net"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -33,7 +36,27 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Link{conn: conn, in: bufio.NewReaderSize(conn, MaxHead)}, nil
+	return &Link{conn: conn, in: bufio.NewReaderSize(&onceBroken{Reader: conn}, MaxHead)}, nil
+}
+
+// onceBroken keeps the failure of a connection that has broken. Guards against a reset that is taken for an end: the
+// kernel tells of it once and reads as io.EOF from then on, and a look ahead (Peek) may have had that one word. A
+// deadline that has passed is no failure: the next read may go on.
+type onceBroken struct {
+	io.Reader
+	err error
+}
+
+// Read is io.Reader's.
+func (r *onceBroken) Read(b []byte) (int, error) {
+	if r.err != nil {
+		return 0, r.err
+	}
+	n, err := r.Reader.Read(b)
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		r.err = err
+	}
+	return n, err
 }
 
 // Send writes a message once, until the deadline at most. It tells whether the
--- /dev/null
+++ b/internal/httpwire/link_test.go
@@ -0,0 +1,68 @@
+package httpwire
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"heathgap/internal/env"
+)
+
+// linkPair returns a connection to an endpoint, and the endpoint's end of it.
+func linkPair(t *testing.T) (*Link, *net.TCPConn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	link, err := Dial(context.Background(), env.Real{}, listener.Addr().String(), time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(link.Close)
+	conn, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return link, conn.(*net.TCPConn)
+}
+
+// reset breaks a connection: its other side reads what has come, and then that it broke.
+func reset(t *testing.T, conn *net.TCPConn) {
+	t.Helper()
+	if err := conn.SetLinger(0); err != nil {
+		t.Fatal(err)
+	}
+	if err := conn.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a broken answer that looks whole: where only the connection's end tells
+// its end, a reset is none, whoever has been told of it before.
+func TestResetIsNoEndOfAnAnswer(t *testing.T) {
+	const open = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+	for name, text := range map[string]string{
+		"no body yet": open, "half a body": open + "half", "of HTTP/1.0": "HTTP/1.0 200 OK\r\n\r\nhalf",
+	} {
+		link, endpoint := linkPair(t)
+		if _, err := link.Send(EncodeProbe(), time.Now().Add(5*time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := bufio.NewReader(endpoint).ReadString('\n'); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(endpoint, text); err != nil {
+			t.Fatal(err)
+		}
+		reset(t, endpoint) // on loopback it has come when Close returns
+		if reply, err := link.Receive(NewRoom(1<<20), env.Real{}); err == nil {
+			t.Errorf("%s: taken for whole: %q", name, reply.Body)
+		}
+	}
+}
--- a/internal/sim/models.go
+++ b/internal/sim/models.go
@@ -259,6 +259,12 @@
 	case Hang:
 		return
 	case Half:
+		if e.s.dice(e.name, t.q.id, "open").IntN(2) == 0 { // only its connection's end would tell its end
+			_, body, _ := strings.Cut(text, "\r\n\r\n")
+			t.c.peerWrite("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body[:len(body)-3])
+			e.drop(t.c, true)
+			return
+		}
 		t.c.peerWrite(text[:len(text)-3])
 		e.drop(t.c, e.s.dice(e.name, t.q.id, "half").IntN(2) == 0)
 		return
@@ -606,7 +612,7 @@
 	case fasthttp.StatusServiceUnavailable, fasthttp.StatusTooManyRequests:
 		verdict = truth.Refused
 	}
-	if verdict == truth.Served && !strings.HasPrefix(string(m.Body()), a.ID+" ") {
+	if body := string(m.Body()); verdict == truth.Served && !(strings.HasPrefix(body, a.ID+" ") && strings.HasSuffix(body, "\n")) {
 		k.s.book.Foreign(now, a.ID)
 	} else {
 		k.s.book.Answered(now, a.ID, verdict)
--- a/internal/sim/net.go
+++ b/internal/sim/net.go
@@ -42,6 +42,7 @@
 	// The sidecar's side; w.mu guards it.
 	in           []byte
 	eof, reset   bool
+	resetTold    bool // the kernel tells a reader of a reset once, and of an end from then on
 	closed       bool
 	readBy       time.Time
 	writeBy      time.Time
@@ -200,7 +201,8 @@
 		return 0, net.ErrClosed
 	case past(c.readBy, time.Now()):
 		return 0, os.ErrDeadlineExceeded
-	case c.reset:
+	case c.reset && !c.resetTold:
+		c.resetTold = true
 		return 0, errReset
 	case len(c.in) > 0:
 		n := copy(b, c.in)
