A watch that fell silent or broke is followed at once by a fresh call for what it missed

Cause: in internal/pipeline/discover.go a watch's answer was waited for until 2 s after its wait, the very moment at which what it missed counts as told; then came the module's pause (1 to 2 s, doubled with each failure), a dial and a call.

Change: an answer is overdue 0.8 s after its wait, its rest 2 s after its first byte, a fetch after 3.5 s. What broke or fell silent is followed by up to two fresh calls (watch of 1 ms on a new connection), 0 to 0.1 s later, with 1 s each: news are there 3.05 s after the wait at the latest. 503 and faulty lists are not asked for at once: a discovery with too many callers gets no more calls. Versions that go back have the whole list asked for. Where lists are pushed, the pause after a failure begins at 0.25 to 0.5 s in place of 1 to 2 s and grows to 1 to 2 s: what discovery has at its return counts as told at once.

TestSilentDiscovery: the reason in the log is now silent, where it was broken. With no fresh calls TestWhatALostWatchMissedIsAskedForAtOnce says 'nobody came to' for each of its seven losses.

--- a/internal/httpwire/reason.go
+++ b/internal/httpwire/reason.go
@@ -28,6 +28,7 @@
 	ReasonBroken     Reason = "broken"      // it broke, or what came was no answer
 	ReasonGivenUp    Reason = "given_up"    // its attempt was given up
 	ReasonPeerClose  Reason = "peer_close"  // the answer said Connection: close
+	ReasonSilent     Reason = "silent"      // discovery's answer was overdue
 	ReasonMoved      Reason = "moved"       // a reload names another discovery
 	ReasonHandedOver Reason = "handed_over" // another process goes on with its long answer
 	ReasonBanned     Reason = "banned"      // its endpoint was banned by hand
--- a/internal/pipeline/discover.go
+++ b/internal/pipeline/discover.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
+	"net"
+	"os"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -17,11 +21,13 @@
 
 // callTimes are the times of calls to discovery.
 type callTimes struct {
-	dial   time.Duration // for a connection
-	fetch  time.Duration // for the whole list, asked for while there is none
-	wait   time.Duration // a watch waits so long for news, at least
-	spread time.Duration // and up to so much longer: discovery serves all sidecars in turn
-	beyond time.Duration // what a watch may take after its wait: then its news count as told
+	dial    time.Duration // for a connection
+	fetch   time.Duration // for the first byte of the whole list, asked for while there is none
+	wait    time.Duration // a watch waits so long for news, at least
+	spread  time.Duration // and up to so much longer: discovery serves all sidecars in turn
+	overdue time.Duration // an answer's first byte may come so long after the wait: then the call has fallen silent
+	fresh   time.Duration // the same where a fresh call asks what one that broke or fell silent has missed
+	rest    time.Duration // for what follows an answer's first byte
 }
 
 // Figures of a watch. An answer may be lost on its way, and nothing tells: until its
@@ -31,16 +37,41 @@
 	waitEach  = time.Second // for each instance of the tier
 	waitLeast = 4 * time.Second
 	waitMost  = 16 * time.Second
+
+	// What a silent watch has missed counts as told 2 s after its wait (protocol: Figures), and then the grace for
+	// drains runs (1 s where it is shortest). Two fresh calls, the second for a first that is lost as well, are answered
+	// or over by 3.05 s after the wait: 0.8 s, and twice 0.1 s of freshSpread and 1 s.
+	overdueTime = 800 * time.Millisecond
+	freshTime   = time.Second
+	freshDial   = 500 * time.Millisecond // of that
+	freshCalls  = 2                      // in a row; then the module, or a pause, says when to go on
+	freshSpread = 100 * time.Millisecond // ahead of each: sidecars whose watches break together do not call together
+
+	// freshWait is what a fresh call waits for news: it asks whether there are any, and whether discovery is there.
+	freshWait = time.Millisecond
+
+	// A fetch is overdue past the longest time for which a discovery is known to keep calls in turn (3 s); what it
+	// misses counts as told 6 s after it fell silent, and 4 s after a new configuration that made it.
+	fetchTime = 3500 * time.Millisecond
+	restTime  = 2 * time.Second
 )
 
 // usualTimes are those of a sidecar with so many peers, itself included.
 func usualTimes(peers int) callTimes {
 	wait := min(max(time.Duration(peers)*waitEach, waitLeast), waitMost)
-	return callTimes{dial: 2 * time.Second, fetch: 6 * time.Second, wait: wait, spread: wait / 2, beyond: 2 * time.Second}
+	return callTimes{
+		dial: 2 * time.Second, fetch: fetchTime, wait: wait, spread: wait / 2,
+		overdue: overdueTime, fresh: freshTime, rest: restTime,
+	}
 }
 
-// rewatchPause is the least pause after a failure where the module does not ask.
-const rewatchPause = time.Second
+// Pauses after a failure where the module does not ask: lists are pushed, and what discovery has counts as told
+// whether or not anybody listens. The first is short, since it is nobody's turn while discovery is away; they grow,
+// since a discovery with too many callers is not helped by more calls.
+const (
+	rewatchPause     = 250 * time.Millisecond
+	rewatchPauseMost = time.Second
+)
 
 // stalePause comes before the next watch when one has told nothing new: a
 // discovery that does not wait must not keep a sidecar busy. A watch goes on if
@@ -116,41 +147,79 @@
 	e.world.Go("discovery", func() { e.runWatch(w) })
 }
 
-// runWatch watches until a call fails or the watch is ended.
+// runWatch watches until calls fail or the watch is ended. A call that broke or fell silent is followed at once by a
+// fresh one, which asks what was missed: what discovery had to tell meanwhile counts as told, whether or not it came.
 func (e *Engine) runWatch(w *watch) {
-	for {
+	for fresh := 0; ; {
 		before, known := w.index, w.known
-		list, keep, err := w.call(e.world)
+		list, keep, err := w.call(e.world, fresh > 0)
 		if err != nil {
-			e.endWatch(w, httpwire.ReasonBroken, err)
+			stood := w.link != nil // else there is nobody, and no fresh call finds one
+			e.endWatch(w, callReason(err), err)
+			if fresh++; stood && lost(err) && fresh <= freshCalls && w.pause(e.world, e.world.Chance(freshSpread)) {
+				continue
+			}
 			e.post(listFailed{w})
 			return
 		}
+		fresh = 0
 		if !keep {
 			e.endWatch(w, httpwire.ReasonPeerClose, nil)
 		}
 		e.post(listCame{w, list})
 		if known && list.Index == before {
-			pause := e.world.NewTimer(stalePause)
-			select {
-			case <-pause.C():
-			case <-w.ended.Done():
-				pause.Stop()
-			}
+			w.pause(e.world, stalePause)
 		}
 	}
 }
 
+// pause waits, and tells whether the watch goes on.
+func (w *watch) pause(world env.Env, d time.Duration) bool {
+	timer := world.NewTimer(d)
+	select {
+	case <-timer.C():
+	case <-w.ended.Done():
+		timer.Stop()
+	}
+	return w.ended.Err() == nil
+}
+
+// errSilent is the failure of a call whose answer is overdue, or stands still.
+var errSilent = errors.New("silent")
+
+// errBack is the fault of changes to a version before the one that is known: discovery has begun anew.
+var errBack = errors.New("changes of an earlier version")
+
+// lost tells whether a call has ended with no answer, or with one that builds on what this sidecar does not have: a
+// fresh call may have what it missed. What was answered with a fault would be so again.
+func lost(err error) bool {
+	var broken *net.OpError
+	return errors.Is(err, errSilent) || errors.Is(err, errBack) || errors.Is(err, io.EOF) ||
+		errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &broken)
+}
+
+func callReason(err error) httpwire.Reason {
+	if errors.Is(err, errSilent) {
+		return httpwire.ReasonSilent
+	}
+	return httpwire.ReasonBroken
+}
+
 // call makes one call to discovery: it fetches the whole list while there is
-// none, and else waits for what is newer.
-func (w *watch) call(world env.Env) (list *httpwire.List, keep bool, err error) {
-	message, limit := httpwire.EncodeFetch(), w.times.fetch
+// none, and else waits for what is newer; a fresh one hardly waits.
+func (w *watch) call(world env.Env, fresh bool) (list *httpwire.List, keep bool, err error) {
+	dial, message, limit := w.times.dial, httpwire.EncodeFetch(), w.times.fetch
 	if w.known {
 		wait := w.times.wait + world.Chance(w.times.spread)
-		message, limit = httpwire.EncodeWatch(w.index, wait), wait+w.times.beyond
+		limit = wait + w.times.overdue
+		if fresh {
+			dial, wait, limit = freshDial, freshWait, w.times.fresh
+		}
+		message = httpwire.EncodeWatch(w.index, wait)
 	}
+	limits := world.Now().Add(limit)
 	if w.link == nil {
-		link, err := httpwire.Dial(w.ended, world, w.address, w.times.dial)
+		link, err := httpwire.Dial(w.ended, world, w.address, dial)
 		if err != nil {
 			return nil, false, err
 		}
@@ -158,17 +227,37 @@
 	}
 	stop := context.AfterFunc(w.ended, w.link.Close)
 	defer stop()
-	if _, err := w.link.Send(message, world.Now().Add(limit)); err != nil {
-		return nil, false, fmt.Errorf("writing: %w", err)
+	if _, err := w.link.Send(message, limits); err != nil {
+		return nil, false, fmt.Errorf("writing: %w", overdue(err))
+	}
+	// Guards against a silence that is taken for a wait: the answer is due when its wait is over, not when it would
+	// count as told, and its rest soon after its first byte.
+	if _, err := w.link.Reader().Peek(1); err != nil {
+		return nil, false, fmt.Errorf("answer: %w", overdue(err))
+	}
+	if err := w.link.Await(world.Now().Add(w.times.rest)); err != nil {
+		return nil, false, fmt.Errorf("answer: %w", err)
 	}
 	answer, keep, err := httpwire.DecodeListReply(w.link.Reader())
 	if err != nil {
-		return nil, false, fmt.Errorf("answer: %w", err)
+		return nil, false, fmt.Errorf("answer: %w", overdue(err))
+	}
+	if w.known && !answer.Whole && answer.Index < w.index {
+		w.known = false // the whole list is asked for
+		return nil, false, fmt.Errorf("answer: %w: %d after %d", errBack, answer.Index, w.index)
 	}
 	w.index, w.known = answer.Index, true
 	return &answer, keep, nil
 }
 
+// overdue marks a failure to hear of the other side in time.
+func overdue(err error) error {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return fmt.Errorf("%w: %w", errSilent, err)
+	}
+	return err
+}
+
 // endWatch ends the connection to discovery with its log line; err is the
 // failure that ended it, if one did.
 func (e *Engine) endWatch(w *watch, why httpwire.Reason, err error) {
@@ -202,6 +291,7 @@
 		return
 	}
 	e.counters.Lists++
+	e.rewatchIn = 0
 	e.index = c.list.Index
 	kind := decide.ListChanged
 	if c.list.Whole {
@@ -250,7 +340,8 @@
 		e.tell(decide.Event{Kind: decide.ListFailed})
 		return
 	}
-	pause := rewatchPause + e.world.Chance(rewatchPause)
+	e.rewatchIn = min(max(rewatchPause, 2*e.rewatchIn), rewatchPauseMost)
+	pause := e.rewatchIn + e.world.Chance(e.rewatchIn)
 	e.world.AfterFunc(pause, func() { e.post(rewatch{}) })
 }
 
--- a/internal/pipeline/discover_test.go
+++ b/internal/pipeline/discover_test.go
@@ -26,14 +26,14 @@
 		e := testEngine(t)
 		e.ends = zerolog.New(&log)
 		e.watch = newWatch(listener.Addr().String(),
-			callTimes{dial: 10 * time.Second, fetch: short, wait: short, spread: short, beyond: short})
+			callTimes{dial: 10 * time.Second, fetch: short, wait: short, spread: short, overdue: short, fresh: short, rest: short})
 		e.watch.known = known
 		go e.runWatch(e.watch)
 		(<-e.events).handle(e)
 		if e.counters.ListFails != 1 || e.watch.link != nil || e.watch.running {
 			t.Errorf("known %v: %d failed calls, watch %+v", known, e.counters.ListFails, e.watch)
 		}
-		if !strings.Contains(log.String(), `"reason":"broken"`) {
+		if !strings.Contains(log.String(), `"reason":"silent"`) {
 			t.Errorf("known %v: log %s", known, &log)
 		}
 	}
--- a/internal/pipeline/engine.go
+++ b/internal/pipeline/engine.go
@@ -70,10 +70,11 @@
 	room      *httpwire.Room // for bodies of answers
 	timeouts  state.Timeouts
 	counters  state.Counters
-	watch     *watch      // of the present discovery
-	index     int64       // the list's version
-	legacy    *Legacy     // of a predecessor; nil without one
-	moduleDue decide.Time // when the module wants to be woken; 0 when it does not
+	watch     *watch        // of the present discovery
+	rewatchIn time.Duration // the pause after the newest failed call, where the module does not ask; 0 after an answer
+	index     int64         // the list's version
+	legacy    *Legacy       // of a predecessor; nil without one
+	moduleDue decide.Time   // when the module wants to be woken; 0 when it does not
 	sweepAt   decide.Time
 	pending   []decide.Event // for the module, behind the one it is being told
 	telling   bool
--- /dev/null
+++ b/internal/pipeline/watch_test.go
@@ -0,0 +1,164 @@
+package pipeline
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"heathgap/internal/httpwire"
+	"heathgap/internal/lab/scripted"
+)
+
+// What crosses a watch of the list: the discovery here is the test itself, a step at a time.
+
+// quick are times of calls that make a silence short to wait for, and nothing else short.
+var quick = callTimes{
+	dial: 10 * time.Second, fetch: 100 * time.Millisecond, wait: 100 * time.Millisecond, spread: time.Nanosecond,
+	overdue: 50 * time.Millisecond, fresh: 100 * time.Millisecond, rest: 100 * time.Millisecond,
+}
+
+// watchAt returns an engine that has begun to watch at a door, with version 7 known, and its first call there.
+func watchAt(t *testing.T, times callTimes) (*Engine, *scripted.Door, *scripted.Peer) {
+	t.Helper()
+	door := scripted.OpenDoor(t)
+	e := testEngine(t)
+	e.watch = newWatch(door.Address, times)
+	e.watch.known, e.watch.index = true, 7
+	t.Cleanup(func() {
+		e.watch.end()
+		close(e.stopped)
+	})
+	e.startWatch()
+	first := door.Next()
+	if asked := first.Request().URL.RawQuery; !strings.HasPrefix(asked, "after=7&") {
+		t.Fatalf("asked %q", asked)
+	}
+	return e, door, first
+}
+
+// next handles the next event of a watch.
+func next(t *testing.T, e *Engine) {
+	t.Helper()
+	select {
+	case ev := <-e.events:
+		ev.handle(e)
+	case <-time.After(10 * time.Second):
+		t.Fatal("the watch tells nothing")
+	}
+}
+
+const drained = `{"index":8,"snapshot":false,"endpoints":[
+	{"name":"s", "address":"127.0.0.1:1", "zone":"z", "type":"k", "group":1, "status":"DRAINING", "weight":1.0, "since_ms":0}
+]}`
+
+// Guards against requests to endpoints that drain: what a watch missed as it fell silent, broke or stood still counts as
+// told soon after, so a fresh call asks for it at once, on a connection of its own, and hardly waits.
+func TestWhatALostWatchMissedIsAskedForAtOnce(t *testing.T) {
+	half := scripted.OK(drained)
+	for name, lose := range map[string]func(*scripted.Peer){
+		"silent":             func(*scripted.Peer) {},
+		"half a head":        func(p *scripted.Peer) { p.Say(half[:12]) },
+		"half a list":        func(p *scripted.Peer) { p.Say(half[:len(half)-20]) },
+		"reset":              func(p *scripted.Peer) { p.Reset() },
+		"ended":              func(p *scripted.Peer) { p.Close() },
+		"reset in a list":    func(p *scripted.Peer) { p.Say(half[:len(half)-20]); p.Reset() },
+		"an earlier version": func(p *scripted.Peer) { p.Say(scripted.OK(`{"index":3,"snapshot":false,"endpoints":[]}`)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			e, door, first := watchAt(t, quick)
+			lose(first)
+			fresh := door.Next()
+			want := "after=7&wait_ms=1"
+			if name == "an earlier version" {
+				want = "" // the whole list: versions have begun anew
+			}
+			if asked := fresh.Request().URL.RawQuery; asked != want {
+				t.Errorf("asked %q, want %q", asked, want)
+			}
+			fresh.Say(scripted.OK(drained))
+			next(t, e)
+			if e.counters.Lists != 1 || e.counters.ListFails != 0 || e.index != 8 {
+				t.Errorf("%d lists, %d failures, version %d", e.counters.Lists, e.counters.ListFails, e.index)
+			}
+			if asked := fresh.Request().URL.RawQuery; asked != "after=8&wait_ms=100" {
+				t.Errorf("after it came %q, want the watch to go on", asked)
+			}
+		})
+	}
+}
+
+// Guards against calls without end at a discovery that says nothing, or has too many callers: after two fresh calls
+// the module says when to go on. What is answered with a fault, or by nobody, is not asked for at once.
+func TestFreshCallsAreBounded(t *testing.T) {
+	e, door, _ := watchAt(t, quick)
+	for range freshCalls {
+		door.Next().Request()
+	}
+	next(t, e)
+	if e.counters.ListFails != 1 || e.watch.running || door.Came() {
+		t.Errorf("silent: %d failures, running %v, one more call %v", e.counters.ListFails, e.watch.running, door.Came())
+	}
+	for name, answer := range map[string]string{
+		"overrun": "HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n", "broken": scripted.OK(`{"index":`),
+	} {
+		e, door, first := watchAt(t, quick)
+		first.Say(answer)
+		next(t, e)
+		if e.counters.ListFails != 1 || door.Came() {
+			t.Errorf("%s: %d failures, one more call %v", name, e.counters.ListFails, door.Came())
+		}
+	}
+}
+
+// Guards against figures that add up to news that come too late: the second fresh call's answer is there, or is given
+// up, before the shortest grace after what was missed counts as told has passed.
+func TestFreshCallsEndInTime(t *testing.T) {
+	const told, grace, slack = 2 * time.Second, time.Second, 50 * time.Millisecond // protocol: Figures, Rules
+	times := usualTimes(1)
+	if last := times.overdue + freshCalls*(freshSpread+times.fresh); last > told+grace+slack {
+		t.Errorf("news may come %v after the wait, and %v are left", last, told+grace+slack)
+	}
+	if times.fresh < freshDial {
+		t.Errorf("%v for a connection, of %v", freshDial, times.fresh)
+	}
+}
+
+// Guards against a reload that is lost while the former discovery's call is out and silent: the new one is asked for
+// the whole list at once, and what the old one says then is nothing.
+func TestNewDiscoveryWhileACallIsOut(t *testing.T) {
+	e, _, first := watchAt(t, quick)
+	second := scripted.OpenDoor(t)
+	moved{second.Address}.handle(e)
+	call := second.Next()
+	if asked := call.Request().URL.RawQuery; asked != "" {
+		t.Errorf("asked %q, want the whole list", asked)
+	}
+	if text, err := first.End(); text != "" || err != nil && !strings.Contains(err.Error(), "reset") {
+		t.Errorf("the former call goes on: %q, %v", text, err)
+	}
+	call.Say(scripted.OK(`{"index":3,"snapshot":true,"endpoints":[]}`))
+	for e.counters.Lists == 0 {
+		next(t, e)
+	}
+	if e.index != 3 || e.counters.ListFails != 0 {
+		t.Errorf("version %d, %d failures", e.index, e.counters.ListFails)
+	}
+}
+
+// Guards against a sidecar that is told by pushes and calls nobody for long: what discovery has at its return counts as
+// told at once.
+func TestPushedListsAreAskedForSoonAfterAnOutage(t *testing.T) {
+	e := testEngine(t)
+	e.watch = newWatch(freeAddress(t), usualTimes(1))
+	for _, most := range []time.Duration{rewatchPause, 2 * rewatchPause, rewatchPauseMost, rewatchPauseMost} {
+		e.watch.running = true
+		listFailed{e.watch}.handle(e)
+		if e.rewatchIn != most {
+			t.Errorf("%v, want %v", e.rewatchIn, most)
+		}
+	}
+	listCame{e.watch, &httpwire.List{Index: 1}}.handle(e)
+	if e.rewatchIn != 0 {
+		t.Errorf("after an answer still %v", e.rewatchIn)
+	}
+}
