Closes read out what crosses them, callers are seen to leave behind what they wrote

Found by reading the paths of callers' connections; each forced on sockets before it was mended:

- Watch stopped looking at the first byte behind a request (internal/httpwire/caller.go): a caller that wrote ahead, or junk, and left was not seen, and its request was sent on later.
It now reads on, keeps 8 KiB, ends the connection with the request at hand beyond that, and takes who pours on beyond 1 MiB for gone.
Test without the mend: 'never came: all are seen to have left', 'nobody has seen it'.
- A close over unread bytes was a reset, which may destroy the answer before it, and a request that crossed the end of a resting connection met one.
The sending side is ended first, and what still comes is read and dropped for 0.5 s at most (64 at once; not for connections that make room).
Without: 'read: connection reset by peer', 'a request that crosses meets write: broken pipe'.
- Callers in the kernel's queue were reset when the listener closed.
Accept takes them first, for 0.1 s at most.
Without: 'caller 0: "", read: connection reset by peer'.
- A connection that another process goes on with is left alone (found by TestLongAnswersOverAnUpgrade while this was made).

No mend was needed for, and tests now force: a connection that is broken or ended between the look at it and the write, what comes on a resting connection, requests behind the last answer and half requests at a stop, SIGTERM twice, during the start and during a reload, readiness with discovery silent, away or cut off, floods beside usual callers.

--- a/internal/httpwire/caller.go
+++ b/internal/httpwire/caller.go
@@ -1,6 +1,7 @@
 package httpwire
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"net"
@@ -8,8 +9,11 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"heathgap/internal/env"
 )
 
@@ -20,10 +24,13 @@
 	most  atomic.Int64
 	ended func(c *CallerConn, why Reason)
 
-	paused atomic.Bool
-	resume chan struct{} // one that is stale only has Accept look again
+	paused  atomic.Bool
+	resume  chan struct{} // one that is stale only has Accept look again
+	closing atomic.Bool
+	emptied chan struct{} // closed by Accept: nobody stands in the queue of a listener that closes
 
-	held atomic.Int64 // connections with a whole request on them
+	held    atomic.Int64 // connections with a whole request on them
+	parting atomic.Int64 // connections that have ended on this side, and are read out
 
 	mu      sync.Mutex
 	conns   map[*CallerConn]struct{} // until Close
@@ -33,7 +40,7 @@
 // NewCallers wraps a listener. Beyond so many connections, those that have been
 // idle longest make room. ended is called once for each that ends.
 func NewCallers(l net.Listener, world env.Env, most int, ended func(c *CallerConn, why Reason)) *Callers {
-	c := &Callers{Listener: l, world: world, ended: ended, conns: map[*CallerConn]struct{}{}, resume: make(chan struct{}, 1)}
+	c := &Callers{Listener: l, world: world, ended: ended, conns: map[*CallerConn]struct{}{}, resume: make(chan struct{}, 1), emptied: make(chan struct{})}
 	c.Bound(most)
 	return c
 }
@@ -41,18 +48,21 @@
 // Bound sets how many connections there may be. It binds when the next one comes.
 func (l *Callers) Bound(most int) { l.most.Store(int64(most)) }
 
+// deadliner is a listener whose Accept can be made to end.
+type deadliner interface{ SetDeadline(time.Time) error }
+
 // Pause keeps Accept from accepting until Resume: another process does meanwhile, on
 // the same descriptor. What has been accepted is not touched.
 func (l *Callers) Pause() {
 	l.paused.Store(true)
-	if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
+	if d, ok := l.Listener.(deadliner); ok {
 		d.SetDeadline(aPast)
 	}
 }
 
 // Resume ends a pause.
 func (l *Callers) Resume() {
-	if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
+	if d, ok := l.Listener.(deadliner); ok {
 		d.SetDeadline(time.Time{})
 	}
 	if l.paused.Swap(false) {
@@ -63,8 +73,24 @@
 	}
 }
 
-// Close ends accepting.
+// Close ends accepting. Who stands in the kernel's queue by then is accepted: a listener that closes resets them, and
+// they may have asked something already.
 func (l *Callers) Close() error {
+	if d, ok := l.Listener.(deadliner); ok && !l.paused.Load() {
+		timer := l.world.NewTimer(lastAccepts)
+		l.closing.Store(true)
+		d.SetDeadline(aPast) // Accept looks up
+		select {
+		case <-l.emptied:
+		case <-timer.C():
+		}
+		timer.Stop()
+	}
+	return l.CloseNow()
+}
+
+// CloseNow ends accepting; who stands in the kernel's queue is reset.
+func (l *Callers) CloseNow() error {
 	err := l.Listener.Close()
 	l.Resume()
 	return err
@@ -76,6 +102,8 @@
 	roomPause   = 50 * time.Millisecond  // between looks for connections that can make room
 	settleTime  = 200 * time.Millisecond // a connection stands idle so long before it may be ended
 	stallTime   = time.Second            // a request may take so long to come whole while room is short
+	lastAccept  = 20 * time.Millisecond  // for who stands in the queue of a listener that closes
+	lastAccepts = 100 * time.Millisecond // it closes by then in any case: somebody may always come
 )
 
 // Accept waits for the next connection. It fails only when the listener is
@@ -87,6 +115,14 @@
 		switch {
 		case errors.Is(err, net.ErrClosed):
 			return nil, err
+		case l.closing.Load() && errors.Is(err, os.ErrDeadlineExceeded):
+			if l.someoneWaits() { // a deadline that has passed has Accept not look at all
+				l.Listener.(deadliner).SetDeadline(l.world.Now().Add(lastAccept))
+				break
+			}
+			err := l.Listener.Close() // in the same breath: nobody comes in between
+			close(l.emptied)
+			return nil, cmp.Or(err, net.ErrClosed)
 		case l.paused.Load():
 			<-l.resume
 		case errors.Is(err, os.ErrDeadlineExceeded): // a pause that has ended since
@@ -108,6 +144,24 @@
 	return c, nil
 }
 
+// someoneWaits tells whether somebody stands in the kernel's queue.
+func (l *Callers) someoneWaits() bool {
+	raw, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	waits := false
+	err = control.Control(func(fd uintptr) {
+		n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+		waits = n > 0 && err == nil
+	})
+	return waits && err == nil
+}
+
 // makeRoom ends idle connections until there are no more than there should be.
 func (l *Callers) makeRoom() {
 	l.mu.Lock()
@@ -201,9 +255,12 @@
 	body     *bodyPace     // while a body is read; nil else
 	cut      bool          // no more of a body is wanted
 	detached bool          // another process goes on with the answer at hand
+	given    bool          // that process has the connection
 	unsent   []byte        // of it, what was not written here: a piece at most
 	unread   bool          // a body has not come to its end: what still comes must be read before a close
-	early    []byte        // what came while Watch looked; the next Read returns it
+	early    []byte        // what came while Watch looked; the next Reads return it
+	behind   int           // how much that was in all, behind the request at hand
+	ended    bool          // its caller has ended it, or it has broken: no more comes
 	watching chan struct{} // closed when the watch has ended; nil while there is none
 	closed   bool
 }
@@ -250,6 +307,7 @@
 		return n, err
 	}
 	if err != nil && !c.cut {
+		c.ended = c.ended || !errors.Is(err, os.ErrDeadlineExceeded)
 		c.note(c.readReason(err))
 		if !c.busy && errors.Is(err, os.ErrDeadlineExceeded) {
 			err = io.EOF
@@ -402,6 +460,13 @@
 	c.Conn.SetWriteDeadline(aPast)
 }
 
+// givenAway marks that another process has the connection: what this one does to it, that one would meet.
+func (c *CallerConn) givenAway() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.given = true
+}
+
 // unsentBytes returns what was written and only noted.
 func (c *CallerConn) unsentBytes() []byte {
 	c.mu.Lock()
@@ -499,25 +564,66 @@
 	c.watching = done
 	c.mu.Lock()
 	c.hold()
+	c.behind = len(c.early)
 	c.Conn.SetReadDeadline(time.Time{})
 	c.mu.Unlock()
 	c.owner.world.Go("watch", func() {
 		defer close(done)
-		var b [1]byte
-		n, err := c.Conn.Read(b[:])
-		if n > 0 {
-			c.mu.Lock()
-			c.early = append(c.early, b[0])
-			c.mu.Unlock()
-			return
-		}
-		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		if c.look() {
 			c.Note(ReasonCallerLeft)
 			left()
 		}
 	})
 }
 
+// look reads until the watch is to end or the caller has gone, and tells whether it has. It does not stop at what comes
+// behind the request: guards against callers that send much at once and go, whose end stands behind all that.
+func (c *CallerConn) look() (gone bool) {
+	var first [1]byte
+	buf := first[:]
+	for {
+		n, err := c.Conn.Read(buf)
+		c.mu.Lock()
+		flooded := c.keep(buf[:n])
+		c.mu.Unlock()
+		switch {
+		case flooded:
+			return true
+		case err == nil && len(buf) == len(first):
+			piece := pieces.Get().(*[pieceSize]byte)
+			defer pieces.Put(piece)
+			buf = piece[:]
+		case err != nil && errors.Is(err, os.ErrDeadlineExceeded):
+			return false
+		case err != nil:
+			c.mu.Lock()
+			c.ended = true
+			c.mu.Unlock()
+			return true
+		}
+	}
+}
+
+// What may come behind a request before it is answered, in bytes. Callers ask one thing at a time; those that write the
+// next ahead are served as long as it is kept. Who pours on and on waits for no answer.
+const (
+	mostEarly  = MaxHead
+	mostBehind = 1 << 20
+)
+
+// keep keeps what came behind a request, and tells whether it was more than anybody waits behind; c.mu is held. Beyond
+// mostEarly nothing is kept: the connection ends with the request at hand, since what follows can't be read any more.
+func (c *CallerConn) keep(b []byte) (flooded bool) {
+	c.behind += len(b)
+	if c.behind > mostEarly {
+		c.early, c.retired = nil, true
+	} else {
+		c.early = append(c.early, b...)
+	}
+	c.ended = c.ended || c.behind > mostBehind // it gets no answer that a close could destroy
+	return c.behind > mostBehind
+}
+
 // Unwatch ends the watch; the server may read again.
 func (c *CallerConn) Unwatch() {
 	c.Conn.SetReadDeadline(aPast)
@@ -534,10 +640,10 @@
 	c.letGo()
 	c.wasWritten()
 	c.note(ReasonAskedClose)
-	why, linger := c.why, c.unread
+	why, linger := c.why, c.lingers()
 	c.mu.Unlock()
-	if first && linger {
-		c.linger()
+	if first {
+		c.linger(linger)
 	}
 	if first {
 		l := c.owner
@@ -549,18 +655,38 @@
 	return c.Conn.Close()
 }
 
-// What a caller may still send of a body that nobody wants, in time: longer than most
-// bodies take.
-const lingerTime = 5 * time.Second
+// How a connection ends from this side. A close over unread bytes is a reset, which may take the answer with it that is
+// on its way, and bytes may come at any moment: so it is ended one way, and what still comes is read and dropped.
+const (
+	lingerTime = 5 * time.Second        // a body that nobody wants, or a flood: longer than most bodies take
+	partTime   = 500 * time.Millisecond // else: callers end their side when they see the end of this one
+	mostParts  = 64                     // connections at once that end so: a flood must not keep descriptors
+)
 
-// linger reads what still comes of a body before the connection is closed. Guards
-// against a reset, which would take the answer with it.
-func (c *CallerConn) linger() {
+// lingers is how long is read on before the connection is closed; c.mu is held.
+func (c *CallerConn) lingers() time.Duration {
+	switch {
+	case c.given, c.ended: // another process writes to it; nobody is there
+		return 0
+	case c.unread:
+		return lingerTime
+	case c.why == ReasonRoom && !c.busy: // it has been idle for long: nothing is on its way, and its place is needed
+		return 0
+	}
+	return partTime
+}
+
+// linger ends the sending side and reads what still comes until the caller ends too, for a time at most.
+func (c *CallerConn) linger(most time.Duration) {
 	half, ok := c.Conn.(interface{ CloseWrite() error })
-	if !ok || half.CloseWrite() != nil {
+	if most == 0 || !ok {
+		return
+	}
+	defer c.owner.parting.Add(-1)
+	if c.owner.parting.Add(1) > mostParts && most == partTime || half.CloseWrite() != nil {
 		return
 	}
-	c.Conn.SetReadDeadline(c.owner.world.Now().Add(lingerTime))
+	c.Conn.SetReadDeadline(c.owner.world.Now().Add(most))
 	buf := pieces.Get().(*[pieceSize]byte)
 	defer pieces.Put(buf)
 	for left := MaxBody; left > 0; {
--- /dev/null
+++ b/internal/httpwire/crossing_test.go
@@ -0,0 +1,213 @@
+package httpwire
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"heathgap/internal/env"
+	"heathgap/internal/lab/scripted"
+)
+
+// accepted returns a caller's connection and the caller, of a listener that the test accepts from.
+func accepted(t *testing.T) (*CallerConn, *scripted.Peer) {
+	t.Helper()
+	callers, _ := testCallers(t)
+	peer := scripted.Connect(t, callers.Addr().String())
+	conn, err := callers.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return conn.(*CallerConn), peer
+}
+
+// Guards against a caller's leaving that is not seen because of what stands in front of it: the next requests, written
+// ahead, or junk. It is seen however it goes.
+func TestLeavingIsSeenBehindWhatCameAhead(t *testing.T) {
+	ends := map[string]func(*scripted.Peer){
+		"ended":      func(p *scripted.Peer) { p.Close() },
+		"half-ended": func(p *scripted.Peer) { p.CloseWrite() },
+		"reset":      func(p *scripted.Peer) { p.Reset() },
+	}
+	for name, end := range ends {
+		for _, ahead := range []int{0, 1, 300, mostEarly, mostEarly + 1, 100 << 10} {
+			t.Run(fmt.Sprintf("%s behind %d", name, ahead), func(t *testing.T) {
+				c, peer := accepted(t)
+				left := make(chan struct{})
+				c.Watch(func() { close(left) })
+				peer.Say(strings.Repeat("x", ahead))
+				end(peer)
+				select {
+				case <-left:
+				case <-time.After(10 * time.Second):
+					t.Fatal("nobody has seen it")
+				}
+				c.Unwatch()
+			})
+		}
+	}
+}
+
+// Guards against a caller that pours on and on behind its request: it is taken for gone, and no memory is kept for it.
+func TestFloodBehindARequest(t *testing.T) {
+	c, peer := accepted(t)
+	left := make(chan struct{})
+	c.Watch(func() { close(left) })
+	peer.Say(strings.Repeat("x", mostBehind+1))
+	<-left
+	c.Unwatch()
+	if len(c.early) > mostEarly || !c.Retired() {
+		t.Errorf("%d bytes kept, retired %v", len(c.early), c.Retired())
+	}
+}
+
+// What a caller writes ahead is read in its order, as long as it is kept.
+func TestWrittenAheadIsReadInOrder(t *testing.T) {
+	c, peer := accepted(t)
+	var want strings.Builder
+	for i := range 500 {
+		fmt.Fprintf(&want, "%d,", i)
+	}
+	c.Watch(func() { t.Error("it has not left") })
+	peer.Say(want.String())
+	for kept := 0; kept < want.Len(); time.Sleep(time.Millisecond) {
+		c.mu.Lock()
+		kept = len(c.early)
+		c.mu.Unlock()
+	}
+	c.Unwatch()
+	got := make([]byte, want.Len())
+	if _, err := io.ReadFull(c, got); err != nil || string(got) != want.String() {
+		t.Errorf("read %q, %v", got, err)
+	}
+}
+
+// Guards against a close that destroys the answer before it: what the caller wrote crosses the close unread, in any
+// amount. The caller reads the answer and an end, never a reset, and can still write meanwhile.
+func TestCloseOverUnreadBytes(t *testing.T) {
+	for _, unread := range []int{1, 5000} {
+		c, peer := accepted(t)
+		c.Hold()
+		peer.Say(strings.Repeat("x", unread))
+		if _, err := io.WriteString(c, "answer"); err != nil {
+			t.Fatal(err)
+		}
+		c.Answered(nil)
+		closed := make(chan struct{})
+		go func() {
+			c.Close()
+			close(closed)
+		}()
+		if text, err := peer.End(); text != "answer" || err != nil {
+			t.Errorf("%d unread: %q, %v", unread, text, err)
+		}
+		peer.Say("crossing") // it has read the end: the sidecar has ended its side, and reads on
+		select {
+		case <-closed:
+			t.Errorf("%d unread: closed before its caller", unread)
+		default:
+		}
+		if _, err := peer.Write([]byte("more")); err != nil {
+			t.Errorf("%d unread: writing meets %v", unread, err)
+		}
+		peer.Close()
+		<-closed
+	}
+}
+
+// Guards against a flood of closes that keep their descriptors: beyond so many at once, and for those that make room, a
+// connection is closed at once.
+func TestClosesDoNotPileUp(t *testing.T) {
+	c, peer := accepted(t)
+	c.owner.parting.Store(mostParts)
+	c.Close()
+	if _, err := peer.End(); err != nil {
+		t.Errorf("it ended with %v", err)
+	}
+	if c.owner.parting.Load() != mostParts {
+		t.Errorf("%d are counted", c.owner.parting.Load())
+	}
+	c, peer = accepted(t)
+	c.Note(ReasonRoom)
+	begin := time.Now()
+	c.Close()
+	if took := time.Since(begin); took >= partTime {
+		t.Errorf("making room took %v", took)
+	}
+}
+
+// heldListener gives its second connection when the test says so; others stand in the kernel's queue meanwhile.
+type heldListener struct {
+	*net.TCPListener
+	accepts atomic.Int32
+	second  chan struct{}
+}
+
+// Accept is net.Listener's.
+func (l *heldListener) Accept() (net.Conn, error) {
+	if l.accepts.Add(1) == 2 {
+		<-l.second
+	}
+	return l.TCPListener.Accept()
+}
+
+// Guards against callers that are reset because they stood in the kernel's queue when the listener closed.
+func TestWhoStandsInTheQueueIsAccepted(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	held := &heldListener{TCPListener: listener.(*net.TCPListener), second: make(chan struct{})}
+	callers := NewCallers(held, env.Real{}, 10, func(*CallerConn, Reason) {})
+	const waiting = 4
+	var peers []*scripted.Peer
+	for range 1 + waiting {
+		peers = append(peers, scripted.Connect(t, callers.Addr().String()))
+	}
+	served := make(chan error, 1)
+	go func() { // as the server does
+		for {
+			conn, err := callers.Accept()
+			if err != nil {
+				served <- err
+				return
+			}
+			if _, err := io.WriteString(conn, "hello"); err != nil {
+				t.Error(err)
+			}
+			go conn.Close()
+		}
+	}()
+	closed := make(chan struct{})
+	go func() {
+		callers.Close()
+		close(closed)
+	}()
+	for begun := false; !begun && !callers.closing.Load(); time.Sleep(time.Millisecond) {
+		select {
+		case <-closed:
+			begun = true
+		default:
+		}
+	}
+	close(held.second)
+	for i, peer := range peers {
+		if text, err := peer.End(); text != "hello" || err != nil {
+			t.Errorf("caller %d: %q, %v", i, text, err)
+		}
+		peer.Close()
+	}
+	<-closed
+	if err := <-served; err == nil {
+		t.Error("it accepts on")
+	}
+	if conn, err := net.DialTimeout("tcp", callers.Addr().String(), time.Second); err == nil {
+		conn.Close()
+		t.Error("it still listens")
+	}
+}
--- a/internal/httpwire/stream.go
+++ b/internal/httpwire/stream.go
@@ -290,7 +290,11 @@
 	state, err := json.Marshal(over)
 	caller, ok := to.Conn.(syscall.Conn)
 	endpoint, ok2 := a.link.conn.(syscall.Conn)
-	return err == nil && ok && ok2 && give(state, caller, endpoint) == nil
+	if err != nil || !ok || !ok2 || give(state, caller, endpoint) != nil {
+		return false
+	}
+	to.givenAway()
+	return true
 }
 
 // GoOn passes on what another process has begun to: it writes to the caller what is
--- /dev/null
+++ b/internal/lifecycle/crossing_test.go
@@ -0,0 +1,360 @@
+package lifecycle
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"heathgap/decide"
+	"heathgap/internal/env"
+	"heathgap/internal/lab/scripted"
+	"heathgap/internal/operator"
+)
+
+// What crosses in a whole sidecar, on real sockets. Each step here is taken when the one before has been seen.
+
+// asked is a request as a caller writes it.
+func asked(path, more string) string {
+	method := "GET"
+	if more != "" {
+		method = "POST"
+	}
+	return method + " " + path + " HTTP/1.1\r\nHost: x\r\nX-Txn: " + newID() + "\r\nX-Remaining: 1.9\r\n" + more + "\r\n"
+}
+
+// Guards against requests that are sent on though nobody waits for them any more: their callers left while they were
+// held for an endpoint, each in its own way, many in one burst. None is sent when there is one.
+func TestCallersThatLeaveWhileTheyWait(t *testing.T) {
+	ways := []func(p *scripted.Peer){
+		func(p *scripted.Peer) { p.Close() },
+		func(p *scripted.Peer) { p.Reset() },
+		func(p *scripted.Peer) { p.CloseWrite() },
+		func(p *scripted.Peer) { p.Say(asked("/look/ahead", "")); p.Close() },
+		func(p *scripted.Peer) { p.Say(strings.Repeat("x", 40<<10)); p.Close() },
+		func(p *scripted.Peer) { p.Say(strings.Repeat(asked("/look/ahead", ""), 3)); p.Reset() },
+	}
+	e := scripted.StartEndpoint(t, "e1", nil)
+	d := scripted.StartDiscovery(t)
+	s := start(t, testConfig(d))
+	const burst = 120
+	var peers []*scripted.Peer
+	for range burst {
+		p := scripted.Connect(t, s.Address())
+		p.Say(asked("/look", ""))
+		peers = append(peers, p)
+	}
+	eventually(t, "all are held", func() bool { return s.Counters().Held == burst })
+	for i, p := range peers {
+		ways[i%len(ways)](p)
+	}
+	eventually(t, "all are seen to have left", func() bool { return s.Counters().Left == burst })
+	d.Publish(t, 2, e.Line())
+	if status, _ := get(t, s.Address(), "/look"); status != 200 {
+		t.Errorf("one that stays: %d", status)
+	}
+	if n := e.Count(); n != 1 {
+		t.Errorf("%d requests were sent on, want the one whose caller is there", n)
+	}
+}
+
+// Guards against a request that crosses the end of a resting connection and is sent on though its caller can't have the
+// answer, and against a reset in its place: the caller reads an end in order, and asks elsewhere.
+func TestRequestThatCrossesTheEndOfAConnection(t *testing.T) {
+	e := scripted.StartEndpoint(t, "e1", nil)
+	s := start(t, testConfig(scripted.StartDiscovery(t), e.Line()))
+	p := scripted.Connect(t, s.Address())
+	p.Say(asked("/look", ""))
+	if status, _ := p.Answer(); status != 200 {
+		t.Fatalf("status %d", status)
+	}
+	stopped := make(chan struct{})
+	s.stopped = true
+	go func() { s.Stop(); close(stopped) }()
+	if text, err := p.End(); text != "" || err != nil { // the sidecar has ended its side
+		t.Fatalf("the end: %q, %v", text, err)
+	}
+	for range 3 { // a connection that is closed would answer the first with a reset, which the next would meet
+		if _, err := io.WriteString(p, asked("/look", "")); err != nil {
+			t.Errorf("a request that crosses meets %v", err)
+		}
+	}
+	p.Close()
+	<-stopped
+	if n := e.Count(); n != 1 {
+		t.Errorf("%d requests were sent on, want the first alone", n)
+	}
+}
+
+// What comes as a sidecar stops: requests written ahead behind the last answer, half a request whose rest trickles, a new
+// connection, a second SIGTERM's worth of nothing. The last answers are whole and end in order.
+func TestStopCrossedByRequests(t *testing.T) {
+	door := scripted.OpenDoor(t)
+	d := scripted.StartDiscovery(t)
+	s := start(t, testConfig(d, scripted.Line("e1", door.Address)))
+	first := scripted.Connect(t, s.Address())
+	first.Say(asked("/look", ""))
+	out := door.Next()
+	out.Request()
+	half := scripted.Connect(t, s.Address())
+	half.Say("GET /look HTTP/1.1\r\nHost")
+	s.stopped = true
+	s.stayFor = 10 * time.Millisecond
+	stopped := make(chan struct{})
+	begin := time.Now()
+	go func() { s.Stop(); close(stopped) }()
+	eventually(t, "it listens no more", func() bool {
+		conn, err := net.Dial("tcp", s.Address())
+		if err == nil {
+			conn.Close()
+		}
+		return err != nil
+	})
+	first.Say(asked("/look", "") + asked("/look", "")) // behind the last answer
+	half.Say(":")                                      // one byte, and never the end
+	out.Say(scripted.OK("one"))
+	if status, body := first.Answer(); status != 200 || body != "one" {
+		t.Errorf("the last answer: %d %q", status, body)
+	}
+	if text, err := first.End(); text != "" || err != nil {
+		t.Errorf("behind it: %q, %v", text, err)
+	}
+	first.Close()
+	<-stopped
+	if took := time.Since(begin); took > killAfter+time.Second { // the machine may be slow
+		t.Errorf("stopping took %v", took)
+	}
+	if c := s.Counters(); c.Taken != 1 || c.Served != 1 || door.Came() {
+		t.Errorf("%+v, one more connection to the endpoint: %v", c, door.Came())
+	}
+}
+
+// held is a world whose connections to endpoints stand still before they write, until told.
+type held struct {
+	env.Real
+	hold    sync.Map // addresses
+	stands  chan string
+	goOn    chan struct{}
+	skipped int // writes of each connection that are let through
+}
+
+type heldConn struct {
+	*net.TCPConn
+	w      *held
+	writes int
+}
+
+// Dial is env.Env's.
+func (w *held) Dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+	conn, err := w.Real.Dial(ctx, address, timeout)
+	if _, holds := w.hold.Load(address); err != nil || !holds {
+		return conn, err
+	}
+	return &heldConn{TCPConn: conn.(*net.TCPConn), w: w}, nil
+}
+
+// Write is net.Conn's.
+func (c *heldConn) Write(b []byte) (int, error) {
+	if c.writes++; c.writes > c.w.skipped {
+		c.w.stands <- c.RemoteAddr().String()
+		<-c.w.goOn
+	}
+	return c.TCPConn.Write(b)
+}
+
+// An endpoint's connection that ends between the look at it and the write: broken before the last byte is written, the
+// request has never run and goes elsewhere, whatever its class. Ended in order, the bytes still go, and it may have run: what is unsafe to repeat
+// is not sent again, what is safe is.
+func TestConnectionThatEndsAsARequestIsWritten(t *testing.T) {
+	for name, c := range map[string]struct {
+		path   string
+		more   string
+		end    func(*scripted.Peer)
+		status int
+	}{
+		"unsafe, broken before": {"/burn", "Content-Length: 0\r\n", (*scripted.Peer).Reset, 200},
+		"safe, broken before":   {"/look", "", (*scripted.Peer).Reset, 200},
+		"unsafe, ended":         {"/burn", "Content-Length: 0\r\n", func(p *scripted.Peer) { p.Close() }, 502},
+		"safe, ended":           {"/look", "", func(p *scripted.Peer) { p.Close() }, 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			door := scripted.OpenDoor(t)
+			world := &held{stands: make(chan string, 1), goOn: make(chan struct{}), skipped: 1}
+			world.hold.Store(door.Address, true)
+			d := scripted.StartDiscovery(t)
+			s := startWith(t, testConfig(d, scripted.Line("e1", door.Address)), Options{Operator: operator.Default(), World: world})
+			p := scripted.Connect(t, s.Address())
+			p.Say(asked("/look", ""))
+			e := door.Next()
+			e.Request()
+			e.Say(scripted.OK("first"))
+			if status, _ := p.Answer(); status != 200 {
+				t.Fatalf("the first: %d", status)
+			}
+			p.Say(asked(c.path, c.more))
+			<-world.stands // the connection was looked at, and is taken
+			c.end(e)
+			second := scripted.StartEndpoint(t, "e2", nil)
+			d.Publish(t, 2, scripted.Line("e1", scripted.FreeAddress(t)), second.Line())
+			eventually(t, "the second is listed", func() bool { return s.Counters().Endpoints == 2 })
+			close(world.goOn)
+			if status, _ := p.Answer(); status != c.status {
+				t.Errorf("answered %d, want %d; %+v", status, c.status, s.Counters().Outcomes)
+			}
+			outcome := decide.Reset
+			if strings.Contains(name, "before") {
+				outcome = decide.ConnectFailed
+			}
+			if s.Counters().Outcomes[outcome] < 1 {
+				t.Errorf("outcomes %v", s.Counters().Outcomes)
+			}
+		})
+	}
+}
+
+// What an endpoint says on a connection that rests, half a line or a whole second answer, is never taken for the answer
+// to the next request.
+func TestWhatComesOnARestingConnection(t *testing.T) {
+	for name, text := range map[string]string{
+		"half a line": "HTTP/1.", "a second answer": scripted.OK("another's"), "100": "HTTP/1.1 100 Continue\r\n\r\n",
+	} {
+		door := scripted.OpenDoor(t)
+		s := start(t, testConfig(scripted.StartDiscovery(t), scripted.Line("e1", door.Address)))
+		p := scripted.Connect(t, s.Address())
+		p.Say(asked("/look", ""))
+		e := door.Next()
+		e.Request()
+		e.Say(scripted.OK("first"))
+		if _, body := p.Answer(); body != "first" {
+			t.Fatalf("%s: %q", name, body)
+		}
+		e.Say(text) // on loopback it has come when it is written
+		p.Say(asked("/look", ""))
+		next := door.Next()
+		next.Request()
+		next.Say(scripted.OK("second"))
+		if status, body := p.Answer(); status != 200 || body != "second" {
+			t.Errorf("%s: answered %d %q", name, status, body)
+		}
+	}
+}
+
+// A process is told to stop in any moment of its life: while it starts, twice, during a reload while discovery is down,
+// with discovery silent. It ends by itself, in order.
+func TestSIGTERMInAnyMoment(t *testing.T) {
+	silent := scripted.OpenDoor(t)
+	term := func(p *process) { p.Process.Signal(syscall.SIGTERM) } //nolint:errcheck // it may have ended
+	for name, crossing := range map[string]func(p *process){
+		"while it starts": func(p *process) {
+			// Signals are heeded from the first instruction of Main on; before that the platform has no READY either.
+			eventually(t, "its own first line", func() bool { return strings.Contains(p.log.String(), `"sidecar":"t0"`) })
+			term(p)
+		},
+		"twice": func(p *process) {
+			eventually(t, "ready", func() bool { return strings.Contains(p.log.String(), `"ready"`) })
+			term(p)
+			eventually(t, "stopping", func() bool { return strings.Contains(p.log.String(), `"stopping"`) })
+			term(p)
+		},
+		"during a reload": func(p *process) {
+			eventually(t, "ready", func() bool { return strings.Contains(p.log.String(), `"ready"`) })
+			p.Process.Signal(syscall.SIGHUP) //nolint:errcheck // it lives
+			term(p)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			conf := testConfig(&scripted.Discovery{Address: silent.Address}, scripted.Line("e1", scripted.FreeAddress(t)))
+			address := scripted.FreeAddress(t)
+			conf["listen"] = address
+			setDeadlines(conf, 300)
+			p := launch(t, conf)
+			crossing(p)
+			if err := p.Wait(); err != nil || !strings.Contains(p.log.String(), `"stopped"`) {
+				t.Errorf("it ended with %v:\n%s", err, p.log)
+			}
+		})
+	}
+}
+
+// Guards against a restart that waits for discovery: with it silent, slow or away, a process with a known list serves.
+func TestReadyWithoutDiscovery(t *testing.T) {
+	e := scripted.StartEndpoint(t, "e1", nil)
+	for name, address := range map[string]string{
+		"silent": scripted.OpenDoor(t).Address, "away": scripted.FreeAddress(t), "cut off": scripted.DeafAddress(t),
+	} {
+		begin := time.Now()
+		s := start(t, testConfig(&scripted.Discovery{Address: address}, e.Line()))
+		if status, _ := get(t, s.Address(), "/up"); status != 200 {
+			t.Errorf("%s: /up answers %d", name, status)
+		}
+		if status, _ := get(t, s.Address(), "/look"); status != 200 {
+			t.Errorf("%s: answered %d", name, status)
+		}
+		if took := time.Since(begin); took > 5*time.Second {
+			t.Errorf("%s: it took %v", name, took)
+		}
+	}
+}
+
+// Floods from every side at once: connections that say nothing, heads without end, bodies that trickle, junk. A usual
+// caller keeps its share meanwhile, and connections keep their bound.
+func TestUsualCallersUnderAFlood(t *testing.T) {
+	e := scripted.StartEndpoint(t, "e1", nil)
+	conf := testConfig(scripted.StartDiscovery(t), e.Line())
+	conf["limits"].(map[string]any)["sockets"] = 200
+	s := start(t, conf)
+	texts := []string{
+		"", "GET /look HTTP/1.1\r\nX-Pad: " + strings.Repeat("x", 4000),
+		"POST /burn HTTP/1.1\r\nHost: x\r\nX-Txn: f1\r\nX-Remaining: 1\r\nContent-Length: 90000\r\n\r\nx",
+		strings.Repeat("\x00\x01junk", 2000), strings.Repeat("GET / HTTP/9.9\r\n", 600),
+	}
+	ended := make(chan struct{})
+	var wait sync.WaitGroup
+	for i := range 40 {
+		wait.Go(func() {
+			for {
+				select {
+				case <-ended:
+					return
+				default:
+				}
+				conn, err := net.Dial("tcp", s.Address())
+				if err != nil {
+					continue
+				}
+				io.WriteString(conn, texts[i%len(texts)]) //nolint:errcheck // it may be turned down
+				conn.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+				io.Copy(io.Discard, conn) //nolint:errcheck // a flood does not listen
+				conn.Close()
+			}
+		})
+	}
+	const usual = 150
+	bad := map[string]int{}
+	client := &http.Client{Timeout: patience}
+	for range usual {
+		answer, err := client.Do(request(t, s.Address(), http.MethodGet, "/look", ""))
+		switch {
+		case err != nil:
+			bad[errors.Unwrap(err).Error()]++
+		default:
+			if _, err := io.Copy(io.Discard, answer.Body); err != nil || answer.StatusCode != 200 {
+				bad[fmt.Sprint(answer.StatusCode, err)]++
+			}
+			answer.Body.Close()
+		}
+	}
+	close(ended)
+	wait.Wait()
+	if n := len(bad); n > 0 || e.Count() != usual {
+		t.Errorf("%v of %d usual requests failed, %d came to the endpoint", bad, usual, e.Count())
+	}
+	eventually(t, "the flood's connections end", func() bool { return s.callers.Open() <= 2 })
+}
--- a/internal/lifecycle/sidecar.go
+++ b/internal/lifecycle/sidecar.go
@@ -243,7 +243,7 @@
 // simulated world calls it when it has cut the sidecar's connections.
 func (s *Sidecar) Abandon() {
 	s.cancel()
-	s.callers.Close()
+	s.callers.CloseNow()
 }
 
 // Move goes on with the list of another discovery.
