What a predecessor leaves is taken over only as far as it is this installation's

Cause (by reading): Legacy handed on a list with its version and bans, whoever's discovery had told it: a successor with another discovery in its file watched that from a version of the former one (internal/pipeline/discover.go, startList), and one with another customer's settings at the same name and address began with that customer's endpoints and bans.

Change: what is left names its discovery and its classes. From another discovery the whole list is asked for, and the successor begins with its own list, endpoints that both know as the predecessor knew them (drains stay known). With no class in common nothing is taken over, and the log says so.

Test: TestWhatAPredecessorLeavesToAnother.

--- a/internal/pipeline/discover.go
+++ b/internal/pipeline/discover.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -117,13 +118,15 @@
 // startList takes over the list as last known, and watches where the module
 // expects changes to come by themselves.
 func (e *Engine) startList() {
-	known := e.conf.Known
+	known, from := e.conf.Known, e.watch.address
 	if e.legacy != nil {
-		known = &e.legacy.List
+		known, from = e.legacy.list(known, from), e.legacy.From
 	}
 	if known != nil {
-		e.index = known.Index
-		e.watch.index, e.watch.known = known.Index, true
+		if from == e.watch.address {
+			e.index = known.Index
+			e.watch.index, e.watch.known = known.Index, true
+		}
 		restored := *known
 		restored.Whole = true
 		e.takeList(&restored, decide.ListRestored)
@@ -137,6 +140,25 @@
 	}
 }
 
+// list is what a successor begins with: the predecessor's list, or, where another discovery has told that, its own with
+// what the predecessor knows of the same endpoints. Guards against a list that belongs to another installation, and
+// against drains that are forgotten because discovery has moved.
+func (l *Legacy) list(own *httpwire.List, address string) *httpwire.List {
+	if l.From == address || l.From == "" || own == nil {
+		return &l.List
+	}
+	merged := *own
+	merged.Endpoints = slices.Clone(own.Endpoints)
+	for i, line := range merged.Endpoints {
+		for _, known := range l.List.Endpoints {
+			if known.Name == line.Name && known.Address == line.Address && known.Since >= line.Since {
+				merged.Endpoints[i] = known
+			}
+		}
+	}
+	return &merged
+}
+
 // startWatch begins a watch unless one goes on.
 func (e *Engine) startWatch() {
 	if e.watch.running {
--- /dev/null
+++ b/internal/pipeline/legacy_test.go
@@ -0,0 +1,93 @@
+package pipeline
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"heathgap/decide"
+	"heathgap/internal/httpwire"
+	"heathgap/internal/lab/scripted"
+)
+
+// successor returns an engine whose discovery is at a door, that begins with what a predecessor left.
+func successor(t *testing.T, left Legacy) (*Engine, *scripted.Door, *strings.Builder) {
+	t.Helper()
+	door := scripted.OpenDoor(t)
+	e := testEngine(t)
+	var log strings.Builder
+	e.log = zerolog.New(&log)
+	e.conf.Classes = map[string]decide.Class{"look": {}}
+	e.conf.Known = listOf("own", "127.0.0.1:1", decide.Active)
+	e.conf.Known.Endpoints = append(e.conf.Known.Endpoints, listOf("both", "127.0.0.1:2", decide.Active).Endpoints...)
+	e.conf.Known.Index = 5
+	e.watch = newWatch(door.Address, quick)
+	if left.From == "here" {
+		left.From = door.Address
+	}
+	text, err := json.Marshal(left)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := e.Inherit(text); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		e.watch.end()
+		close(e.stopped)
+	})
+	e.startList()
+	return e, door, &log
+}
+
+// Guards against what one installation leaves to another: versions that are another discovery's own, a list of endpoints
+// that are not there, bans of names that mean something else. Drains of endpoints that both know stay known.
+func TestWhatAPredecessorLeavesToAnother(t *testing.T) {
+	list := httpwire.List{Index: 40, Endpoints: []httpwire.ListedEndpoint{
+		{Name: "both", Address: "127.0.0.1:2", State: decide.Draining}, {Name: "theirs", Address: "127.0.0.1:3"},
+	}}
+	for name, c := range map[string]struct {
+		left      Legacy
+		asked     string
+		endpoints []string
+		draining  bool
+		banned    int
+	}{
+		"the same discovery": {
+			Legacy{List: list, From: "here", Of: []string{"look"}, Seen: []uint64{1}, Banned: []string{"theirs"}},
+			"after=40&wait_ms=100", []string{"both", "theirs"}, true, 1},
+		"another discovery": {
+			Legacy{List: list, From: "127.0.0.1:9", Of: []string{"look"}, Banned: []string{"both"}},
+			"", []string{"both", "own"}, true, 1},
+		"other classes": {
+			Legacy{List: list, From: "127.0.0.1:9", Of: []string{"pay", "burn"}, Banned: []string{"both"}},
+			"after=5&wait_ms=100", []string{"both", "own"}, false, 0},
+		"an older build": {
+			Legacy{List: list}, "", []string{"both", "theirs"}, true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e, door, log := successor(t, c.left)
+			if asked := door.Next().Request().URL.RawQuery; asked != c.asked {
+				t.Errorf("asked %q, want %q", asked, c.asked)
+			}
+			var names []string
+			draining := false
+			for _, line := range e.endpoints.Lines() {
+				names = append(names, line.Name)
+				draining = draining || line.State == decide.Draining
+			}
+			if !slices.Equal(names, c.endpoints) || draining != c.draining {
+				t.Errorf("begins with %q, draining %v; want %q, %v", names, draining, c.endpoints, c.draining)
+			}
+			if got := len(e.endpoints.Banned()); got != c.banned {
+				t.Errorf("%d bans, want %d", got, c.banned)
+			}
+			if said := strings.Contains(log.String(), "other classes"); said != (name == "other classes") {
+				t.Errorf("log: %s", log)
+			}
+		})
+	}
+}
--- a/internal/pipeline/operate.go
+++ b/internal/pipeline/operate.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 
 	"heathgap/decide"
@@ -88,6 +89,8 @@
 // Legacy is what a process leaves to the one that takes its place.
 type Legacy struct {
 	List   httpwire.List // as last known
+	From   string        // the discovery that told it: versions are each discovery's own
+	Of     []string      // the classes that the settings name
 	Seen   []uint64      // hashes of names that have been listed
 	Banned []string
 	Lifted []string // whose bans have ended lately: they may still be cold
@@ -119,6 +122,7 @@
 	})
 	w.reply <- Legacy{
 		List: httpwire.List{Index: e.index, Whole: true, Endpoints: t.Lines()}, Seen: t.Seen(), Banned: byHand,
+		From: e.watch.address, Of: slices.Sorted(maps.Keys(e.conf.Classes)),
 		Lifted: t.Lifted(e.clock.Now() - e.conf.Settings.Rules.ColdTime),
 	}
 }
@@ -129,10 +133,26 @@
 	if err := json.Unmarshal(text, &l); err != nil {
 		return fmt.Errorf("what the predecessor left: %w", err)
 	}
+	if e.foreign(l.Of) {
+		e.log.Warn().Strs("its_classes", l.Of).Msg("the predecessor served other classes, nothing that it knew is taken over")
+		return nil
+	}
 	e.legacy = &l
 	return nil
 }
 
+// foreign tells whether settings that name these classes are another installation's: they share none with this one's.
+// Guards against a list, bans and an index that outlive the customer whose they were, where a name and an address are
+// used again.
+func (e *Engine) foreign(classes []string) bool {
+	for _, name := range classes {
+		if _, ours := e.conf.Classes[name]; ours {
+			return false
+		}
+	}
+	return len(classes) > 0
+}
+
 // takeLegacy takes over a predecessor's list and bans.
 func (e *Engine) takeLegacy(l *Legacy) {
 	for _, hash := range l.Seen {
