A resend is not written once its key's window has ended while its connection came up

Change: an attempt carries the end of its request's window, counted from the first attempt that may have run and by the crew's ruling where there is one, and is a failed connection from then on (internal/pipeline/send.go): nothing has run, and the module ends the request.

Test: TestWindowThatEndsWhileTheConnectionComesUp, the dial held until the window is over; without the look 'may have run: ran true, outcomes [1 0 0 0 0 1 0 0]'.

--- a/internal/pipeline/crossing_test.go
+++ b/internal/pipeline/crossing_test.go
@@ -81,6 +81,61 @@
 	}
 }
 
+// Guards against an effect that comes twice: the window of a key ends while the connection for its resend comes up. What
+// the first attempt's outcome says about having run decides whether there is a window at all.
+func TestWindowThatEndsWhileTheConnectionComesUp(t *testing.T) {
+	const window = 50 * time.Millisecond
+	for name, c := range map[string]struct {
+		effect  decide.Effect
+		first   decide.Outcome
+		ruled   *decide.Ruling
+		written bool
+	}{
+		"may have run":          {decide.Keyed, decide.Reset, nil, false},
+		"never ran":             {decide.Keyed, decide.ConnectFailed, nil, true},
+		"safe":                  {decide.Safe, decide.Reset, nil, true},
+		"a longer window ruled": {decide.Keyed, decide.Reset, &decide.Ruling{Classes: map[string]decide.ClassRule{"look": {Effect: decide.Keyed, Window: time.Hour}}}, true},
+		"ruled to be keyed":     {decide.Safe, decide.Reset, &decide.Ruling{Classes: map[string]decide.ClassRule{"look": {Effect: decide.Keyed, Window: window}}}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			door := scripted.OpenDoor(t)
+			e := testEngine(t)
+			world := &barrier{begun: make(chan struct{}, 1), goOn: make(chan struct{})}
+			e.world = world
+			e.room = httpwire.NewRoom(1 << 20)
+			e.conf.Classes = map[string]decide.Class{"look": {Name: "look", Effect: c.effect, Window: window}}
+			if c.ruled != nil {
+				e.acting = &Acting{Ruling: c.ruled}
+			}
+			id := e.update(listOf("s", door.Address, decide.Active))[0].ID
+			until := e.clock.Now() + 10*time.Second
+			r := e.requests.Take(&httpwire.Request{Method: "GET", URI: "/look", Class: "look"}, until, make(chan httpwire.Answer, 1))
+			first := e.requests.Begin(r, nil, e.clock.Now(), until)
+			first.GiveUp = func() {}
+			e.settle(first, c.first, nil)
+			e.send(r, decide.Action{Kind: decide.Send, Request: r.ID, Endpoint: id})
+			<-world.begun
+			for e.clock.Now() < first.Sent+window { // the window ends
+				time.Sleep(time.Millisecond)
+			}
+			close(world.goOn)
+			peer := door.Next()
+			if c.written {
+				peer.Request()
+			}
+			peer.Say(scripted.OK("x"))
+			next(t, e)
+			want := decide.ConnectFailed
+			if c.written {
+				want = decide.Served
+			}
+			if got := r.Attempts[1]; !got.Settled || got.Ran != c.written || e.counters.Outcomes[want] < 1 {
+				t.Errorf("ran %v, outcomes %v", got.Ran, e.counters.Outcomes)
+			}
+		})
+	}
+}
+
 // watchful is a world that tells when a goroutine of a name has ended.
 type watchful struct {
 	env.Real
--- a/internal/pipeline/send.go
+++ b/internal/pipeline/send.go
@@ -23,7 +23,9 @@
 		until = min(until, now+a.After)
 	}
 	to := e.endpoints.Get(a.Endpoint)
+	notAfter := e.windowEnd(r)
 	attempt := e.requests.Begin(r, to, now, until)
+	attempt.NotAfter = notAfter
 	if e.rules != nil {
 		attempt.Generation = e.acting.Generation
 	}
@@ -52,6 +54,21 @@
 	e.world.Go("exchange", func() { e.exchange(ctx, attempt, link, address) })
 }
 
+// windowEnd is when the window of a keyed request ends, once an attempt of it may have run; 0 for no window.
+func (e *Engine) windowEnd(r *state.Request) decide.Time {
+	class := e.conf.Classes[r.Message.Class]
+	rule := decide.ClassRule{Effect: class.Effect, Window: class.Window}
+	if e.acting != nil && e.acting.Ruling != nil {
+		if ruled, ok := e.acting.Ruling.Classes[r.Message.Class]; ok && ruled.Effect != decide.EffectUnset {
+			rule = ruled
+		}
+	}
+	if rule.Effect != decide.Keyed {
+		return 0
+	}
+	return r.WindowEnd(rule.Window)
+}
+
 // exchanged is how an exchange has ended: its connection, and its outcome.
 type exchanged struct {
 	attempt *state.Attempt
@@ -97,6 +114,12 @@
 		done.outcome = decide.ConnectFailed
 		return
 	}
+	// Guards against an effect that comes twice: this attempt was allowed while its key's window was open, and the
+	// endpoints have forgotten the key by the time when its connection is up.
+	if a.NotAfter > 0 && e.clock.Now() >= a.NotAfter {
+		done.outcome = decide.ConnectFailed
+		return
+	}
 	if !a.Write() || upload != nil && !upload.Claim() {
 		done.outcome = decide.NotSent // its request has ended while the connection was being made
 		return
--- a/internal/state/request.go
+++ b/internal/state/request.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"sync/atomic"
+	"time"
 
 	"heathgap/decide"
 	"heathgap/internal/httpwire"
@@ -33,6 +34,7 @@
 	Endpoint *Endpoint
 	Sent     decide.Time
 	Until    decide.Time // when it times out
+	NotAfter decide.Time // nothing of it is written from then on; 0 for no such bound
 	GiveUp   context.CancelFunc
 	Settled  bool // it has its outcome
 	Ran      bool // by that it may have run
@@ -59,6 +61,17 @@
 	return a.gate.CompareAndSwap(gateOpen, gateBarred) || a.gate.Load() == gateBarred
 }
 
+// WindowEnd is when the window ends in which a repeat of a keyed request may be written: so long after the first of its
+// attempts that may have run was sent. It is 0 before one may have.
+func (r *Request) WindowEnd(window time.Duration) decide.Time {
+	for _, a := range r.Attempts {
+		if !a.Settled || a.Ran {
+			return a.Sent + window
+		}
+	}
+	return 0
+}
+
 // MayHaveRun tells whether it may have come to its endpoint: by its outcome, or, while it has none, because it has begun to be
 // written.
 func (a *Attempt) MayHaveRun() bool {
