--- a/internal/sim/bugs_test.go
+++ b/internal/sim/bugs_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"iter"
+	"maps"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -74,28 +75,48 @@
 	})
 }
 
-// unlooked makes deciders whose network code does not look at drains where the first byte leaves: that look alone keeps
-// rule 3 when the module does not, and hides what the module does wrong.
+// unlooked makes deciders whose network code looks neither at drains nor at windows where the first byte leaves: that
+// look alone keeps rules 2 and 3 when the module does not, and hides what the module does wrong.
 func unlooked(inner lifecycle.Decider) lifecycle.Decider {
 	return func(conf *config.Config) (pipeline.Decider, error) {
 		d, err := inner(conf)
 		conf.Settings.Rules.DrainGrace = 0
+		conf.Classes = maps.Clone(conf.Classes)
+		for name, class := range conf.Classes {
+			class.Window = time.Hour
+			conf.Classes[name] = class
+		}
 		return d, err
 	}
 }
 
+var ignoresWindows = round(func(conf *config.Config, _ *buggy) {
+	for i := range conf.Settings.Classes {
+		conf.Settings.Classes[i].Window = time.Hour
+	}
+})
+
 var ignoresDrains = lines(func(l *decide.Endpoint) {
 	if l.State == decide.Draining {
 		l.State = decide.Active
 	}
 })
 
-// Rule 3 is looked at twice: where the module chooses, and where the first byte leaves. The second look alone keeps it.
-func TestDrainsAreLookedAtWhereTheFirstByteLeaves(t *testing.T) {
-	const enough = 20 // the planted bug "ignores drains", without that look, is found by the first
-	for seed := range uint64(enough) {
-		if f := play(t, Draw(seed), Options{Decider: ignoresDrains}).Failure; f != nil {
-			t.Errorf("seed %d: %v", seed, f)
+// Drains and windows are looked at twice: where the module decides, and where the first byte leaves. The second look
+// alone keeps the rules: the seeds that find these bugs without it pass with it.
+func TestSecondLookKeepsTheRules(t *testing.T) {
+	for name, c := range map[string]struct {
+		module lifecycle.Decider
+		seed   uint64
+	}{"drains": {ignoresDrains, 0}, "windows": {ignoresWindows, 905}} {
+		if f := play(t, Draw(c.seed), Options{Decider: unlooked(c.module)}).Failure; f == nil {
+			t.Errorf("%s: seed %d passes without the second look", name, c.seed)
+		}
+		const more = 10
+		for seed := range uint64(more) {
+			if f := play(t, Draw(c.seed+seed), Options{Decider: c.module}).Failure; f != nil {
+				t.Errorf("%s: seed %d: %v", name, c.seed+seed, f)
+			}
 		}
 	}
 }
@@ -109,11 +130,7 @@
 	"sends again by itself when a used connection breaks": {
 		Options{Bug: func(p *Proc) { p.resend = true }}, []string{string(truth.Doubled), string(truth.SentAfter)}, 141},
 	"does not look at the window": {
-		Options{Decider: round(func(conf *config.Config, _ *buggy) {
-			for i := range conf.Settings.Classes {
-				conf.Settings.Classes[i].Window = time.Hour
-			}
-		})}, []string{string(truth.Doubled)}, 905},
+		Options{Decider: unlooked(ignoresWindows)}, []string{string(truth.Doubled)}, 905},
 	"takes what is unsafe for safe": {
 		Options{Decider: round(func(conf *config.Config, _ *buggy) {
 			for i := range conf.Settings.Classes {
--- a/internal/sim/models.go
+++ b/internal/sim/models.go
@@ -110,8 +110,11 @@
 	next    *event
 	trouble Kind
 	cutOff  bool
-	dead    bool
-	number  int // of the next event of its own
+
+	slowToConnect bool // beside whatever else troubles it
+
+	dead   bool
+	number int // of the next event of its own
 }
 
 // task is a request at work.
@@ -125,6 +128,16 @@
 
 func (e *endpoint) silent() bool { return e.cutOff }
 
+// lateConnect is how late connections come up, of those that do: within the connect time-out.
+const lateConnect = 250 * time.Millisecond
+
+func (e *endpoint) late() time.Duration {
+	if !e.slowToConnect {
+		return 0
+	}
+	return lateConnect
+}
+
 func (e *endpoint) opened(c *conn) {
 	if e.dead {
 		c.peerClose(true)
--- a/internal/sim/proc.go
+++ b/internal/sim/proc.go
@@ -147,12 +147,17 @@
 	other := p.route(address)
 	c := p.w.newConn(p, id, other, p.seed)
 	up, down := false, false
-	switch d, silent := other.(dialed); {
+	d, told := other.(dialed)
+	late := time.Duration(0)
+	if told {
+		late = d.late()
+	}
+	switch {
 	case other == nil:
 		p.w.after(id+"/rst", c.latency(), func() { down = true })
-	case silent && d.silent():
+	case told && d.silent():
 	default:
-		p.w.after(id+"/syn", c.latency()+c.latency(), func() {
+		p.w.after(id+"/syn", c.latency()+c.latency()+late, func() {
 			up = !c.closed
 			down = c.closed
 			if up {
@@ -207,8 +212,11 @@
 	}})
 }
 
-// dialed is a peer whose machine may be cut off: connections do not come up then.
-type dialed interface{ silent() bool }
+// dialed is a peer whose machine may be cut off: connections do not come up then. They may also come up late.
+type dialed interface {
+	silent() bool
+	late() time.Duration
+}
 
 // kill ends the process: its connections break, and whatever its goroutines still do
 // has no effect.
--- a/internal/sim/run.go
+++ b/internal/sim/run.go
@@ -380,6 +380,9 @@
 	case CutOff:
 		e.cutMachine(true)
 		later(func() { e.cutMachine(false) })
+	case Late:
+		e.slowToConnect = true
+		later(func() { e.slowToConnect = false })
 	default:
 		e.trouble = f.Kind
 		later(func() { e.trouble = "" })
--- a/internal/sim/script.go
+++ b/internal/sim/script.go
@@ -22,6 +22,7 @@
 	Half     Kind = "half"     // an endpoint breaks off within answers
 	Garbage  Kind = "garbage"  // an endpoint answers with nonsense
 	CutOff   Kind = "cut_off"  // a machine is silent
+	Late     Kind = "late"     // connections to an endpoint come up late
 	Kill     Kind = "kill"     // a sidecar is killed, and starts again from nothing
 	Stop     Kind = "stop"     // a sidecar gets SIGTERM, and starts again when it has ended
 	ListDown Kind = "listdown" // discovery is down
@@ -75,6 +76,7 @@
 	mostFaults    = 10
 	stormEvery    = 4 // one script in so many has all four kinds of trouble at once
 	cutDrainEvery = 6 // one script in so many has an endpoint drain whose machine is cut off
+	lateEvery     = 4 // one script in so many has connections to all endpoints come up late, from some time on
 	scriptTime    = 6 * time.Second
 	grid          = time.Millisecond // requests and faults begin on it, so that some meet in an instant
 	lightWork     = 15 * time.Millisecond
@@ -146,6 +148,12 @@
 		drain := Fault{Kind: Drain, Target: cut.Target, At: cut.At + drawTime(r, longestFault/2), For: longestFault}
 		s.Faults = append(s.Faults, cut, drain)
 	}
+	// From a source of its own, so that the rest of a seed's script stays as it was.
+	if own := rand.New(rand.NewPCG(seed, 13)); own.IntN(lateEvery) == 0 {
+		for target := range s.Endpoints {
+			s.Faults = append(s.Faults, Fault{Kind: Late, Target: target, At: drawTime(own, s.Duration/2), For: s.Duration})
+		}
+	}
 	slices.SortStableFunc(s.Faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return s
 }
