Closes that read out are bounded by a share of all connections, and hold little memory

64 at once was a figure of no deployment's; a quarter of the connections that there may be, 16 at least. A reload ends the growing pause that the former discovery's failures brought about.

--- a/internal/httpwire/caller.go
+++ b/internal/httpwire/caller.go
@@ -660,7 +660,8 @@
 const (
 	lingerTime = 5 * time.Second        // a body that nobody wants, or a flood: longer than most bodies take
 	partTime   = 500 * time.Millisecond // else: callers end their side when they see the end of this one
-	mostParts  = 64                     // connections at once that end so: a flood must not keep descriptors
+	partShare  = 4                      // so large a part of all connections may end so at once: a flood must not keep descriptors
+	leastParts = 16                     // but so many always
 )
 
 // lingers is how long is read on before the connection is closed; c.mu is held.
@@ -683,14 +684,19 @@
 		return
 	}
 	defer c.owner.parting.Add(-1)
+	mostParts := max(c.owner.most.Load()/partShare, leastParts)
 	if c.owner.parting.Add(1) > mostParts && most == partTime || half.CloseWrite() != nil {
 		return
 	}
 	c.Conn.SetReadDeadline(c.owner.world.Now().Add(most))
-	buf := pieces.Get().(*[pieceSize]byte)
-	defer pieces.Put(buf)
+	buf := make([]byte, firstBody) // little comes, most often nothing
+	if most == lingerTime {
+		piece := pieces.Get().(*[pieceSize]byte)
+		defer pieces.Put(piece)
+		buf = piece[:]
+	}
 	for left := MaxBody; left > 0; {
-		n, err := c.Conn.Read(buf[:])
+		n, err := c.Conn.Read(buf)
 		if err != nil {
 			return
 		}
--- a/internal/httpwire/crossing_test.go
+++ b/internal/httpwire/crossing_test.go
@@ -124,12 +124,12 @@
 // connection is closed at once.
 func TestClosesDoNotPileUp(t *testing.T) {
 	c, peer := accepted(t)
-	c.owner.parting.Store(mostParts)
+	c.owner.parting.Store(leastParts)
 	c.Close()
 	if _, err := peer.End(); err != nil {
 		t.Errorf("it ended with %v", err)
 	}
-	if c.owner.parting.Load() != mostParts {
+	if c.owner.parting.Load() != leastParts {
 		t.Errorf("%d are counted", c.owner.parting.Load())
 	}
 	c, peer = accepted(t)
--- a/internal/pipeline/discover.go
+++ b/internal/pipeline/discover.go
@@ -113,6 +113,7 @@
 		return
 	}
 	e.watch.end()
+	e.rewatchIn = 0 // the former one's failures are not this one's
 	e.watch = newWatch(m.address, e.watch.times)
 	e.startWatch()
 }
