Rename: closing, read-ahead, backlog and lingering in callers' connections

Behaviour unchanged. RetireIdle and Retired are CloseIdle and Closing, early is readAhead, what waits in the kernel is the backlog, a close that reads out lingers.

--- a/internal/httpwire/caller.go
+++ b/internal/httpwire/caller.go
@@ -24,13 +24,13 @@
 	most  atomic.Int64
 	ended func(c *CallerConn, why Reason)
 
-	paused  atomic.Bool
-	resume  chan struct{} // one that is stale only has Accept look again
-	closing atomic.Bool
-	emptied chan struct{} // closed by Accept: nobody stands in the queue of a listener that closes
+	paused       atomic.Bool
+	resume       chan struct{} // one that is stale only has Accept look again
+	closing      atomic.Bool
+	backlogEmpty chan struct{} // closed by Accept: nobody stands in the queue of a listener that closes
 
-	held    atomic.Int64 // connections with a whole request on them
-	parting atomic.Int64 // connections that have ended on this side, and are read out
+	held      atomic.Int64 // connections with a whole request on them
+	lingering atomic.Int64 // connections that have ended on this side, and are read out
 
 	mu      sync.Mutex
 	conns   map[*CallerConn]struct{} // until Close
@@ -40,7 +40,7 @@
 // NewCallers wraps a listener. Beyond so many connections, those that have been
 // idle longest make room. ended is called once for each that ends.
 func NewCallers(l net.Listener, world env.Env, most int, ended func(c *CallerConn, why Reason)) *Callers {
-	c := &Callers{Listener: l, world: world, ended: ended, conns: map[*CallerConn]struct{}{}, resume: make(chan struct{}, 1), emptied: make(chan struct{})}
+	c := &Callers{Listener: l, world: world, ended: ended, conns: map[*CallerConn]struct{}{}, resume: make(chan struct{}, 1), backlogEmpty: make(chan struct{})}
 	c.Bound(most)
 	return c
 }
@@ -77,11 +77,11 @@
 // they may have asked something already.
 func (l *Callers) Close() error {
 	if d, ok := l.Listener.(deadliner); ok && !l.paused.Load() {
-		timer := l.world.NewTimer(lastAccepts)
+		timer := l.world.NewTimer(backlogTime)
 		l.closing.Store(true)
 		d.SetDeadline(aPast) // Accept looks up
 		select {
-		case <-l.emptied:
+		case <-l.backlogEmpty:
 		case <-timer.C():
 		}
 		timer.Stop()
@@ -98,12 +98,12 @@
 
 // Pauses of the callers' side.
 const (
-	acceptPause = 5 * time.Millisecond   // after a failed accept: descriptors may run out for a moment
-	roomPause   = 50 * time.Millisecond  // between looks for connections that can make room
-	settleTime  = 200 * time.Millisecond // a connection stands idle so long before it may be ended
-	stallTime   = time.Second            // a request may take so long to come whole while room is short
-	lastAccept  = 20 * time.Millisecond  // for who stands in the queue of a listener that closes
-	lastAccepts = 100 * time.Millisecond // it closes by then in any case: somebody may always come
+	acceptPause  = 5 * time.Millisecond   // after a failed accept: descriptors may run out for a moment
+	roomPause    = 50 * time.Millisecond  // between looks for connections that can make room
+	settleTime   = 200 * time.Millisecond // a connection stands idle so long before it may be ended
+	stallTime    = time.Second            // a request may take so long to come whole while room is short
+	backlogPause = 20 * time.Millisecond  // for who stands in the queue of a listener that closes
+	backlogTime  = 100 * time.Millisecond // it closes by then in any case: somebody may always come
 )
 
 // Accept waits for the next connection. It fails only when the listener is
@@ -116,18 +116,18 @@
 		case errors.Is(err, net.ErrClosed):
 			return nil, err
 		case l.closing.Load() && errors.Is(err, os.ErrDeadlineExceeded):
-			if l.someoneWaits() { // a deadline that has passed has Accept not look at all
-				l.Listener.(deadliner).SetDeadline(l.world.Now().Add(lastAccept))
+			if l.backlogged() { // a deadline that has passed has Accept not look at all
+				l.Listener.(deadliner).SetDeadline(l.world.Now().Add(backlogPause))
 				break
 			}
 			err := l.Listener.Close() // in the same breath: nobody comes in between
-			close(l.emptied)
+			close(l.backlogEmpty)
 			return nil, cmp.Or(err, net.ErrClosed)
 		case l.paused.Load():
 			<-l.resume
 		case errors.Is(err, os.ErrDeadlineExceeded): // a pause that has ended since
 		default:
-			l.retireOldest(1)
+			l.closeOldest(1)
 			l.world.Sleep(acceptPause)
 		}
 		conn, err = l.Listener.Accept()
@@ -144,8 +144,8 @@
 	return c, nil
 }
 
-// someoneWaits tells whether somebody stands in the kernel's queue.
-func (l *Callers) someoneWaits() bool {
+// backlogged tells whether somebody stands in the kernel's queue.
+func (l *Callers) backlogged() bool {
 	raw, ok := l.Listener.(syscall.Conn)
 	if !ok {
 		return false
@@ -169,7 +169,7 @@
 	l.looking = over > 0
 	l.mu.Unlock()
 	if over > 0 {
-		l.retireOldest(over)
+		l.closeOldest(over)
 		l.world.AfterFunc(roomPause, l.makeRoom)
 	}
 }
@@ -181,17 +181,17 @@
 	return len(l.conns)
 }
 
-// RetireIdle ends all connections on which no request stands.
-func (l *Callers) RetireIdle(why Reason) {
+// CloseIdle ends all connections on which no request stands.
+func (l *Callers) CloseIdle(why Reason) {
 	for _, c := range l.all() {
-		c.retire(why)
+		c.closeIdle(why)
 	}
 }
 
-// retireOldest ends connections that are idle, and then those that hold half a
+// closeOldest ends connections that are idle, and then those that hold half a
 // request: first those that never brought a good one, then the oldest. Guards against
 // floods of callers that say nothing and take the place of usual ones.
-func (l *Callers) retireOldest(n int) {
+func (l *Callers) closeOldest(n int) {
 	all := l.all()
 	age := make(map[*CallerConn]connAge, len(all))
 	for _, c := range all {
@@ -199,7 +199,7 @@
 	}
 	slices.SortFunc(all, func(a, b *CallerConn) int { return age[a].compare(age[b]) })
 	for _, end := range []func(*CallerConn) bool{
-		func(c *CallerConn) bool { return c.retire(ReasonRoom) },
+		func(c *CallerConn) bool { return c.closeIdle(ReasonRoom) },
 		(*CallerConn).cutShort,
 	} {
 		for _, c := range all {
@@ -242,27 +242,27 @@
 	net.Conn
 	owner *Callers
 
-	mu       sync.Mutex
-	why      Reason    // the first that was found; empty while none is
-	busy     bool      // a request is being read, held or answered
-	held     bool      // a request has come whole
-	proven   bool      // a good one has come
-	answered bool      // the handler has its answer; the server's next read is for another request
-	written  func()    // to be called when that answer is written, or never will be; nil otherwise
-	retired  bool      // no further request is to be read
-	changed  time.Time // when it last became idle, or busy
-	requests int
-	body     *bodyPace     // while a body is read; nil else
-	cut      bool          // no more of a body is wanted
-	detached bool          // another process goes on with the answer at hand
-	given    bool          // that process has the connection
-	unsent   []byte        // of it, what was not written here: a piece at most
-	unread   bool          // a body has not come to its end: what still comes must be read before a close
-	early    []byte        // what came while Watch looked; the next Reads return it
-	behind   int           // how much that was in all, behind the request at hand
-	ended    bool          // its caller has ended it, or it has broken: no more comes
-	watching chan struct{} // closed when the watch has ended; nil while there is none
-	closed   bool
+	mu        sync.Mutex
+	why       Reason    // the first that was found; empty while none is
+	busy      bool      // a request is being read, held or answered
+	held      bool      // a request has come whole
+	proven    bool      // a good one has come
+	answered  bool      // the handler has its answer; the server's next read is for another request
+	written   func()    // to be called when that answer is written, or never will be; nil otherwise
+	closing   bool      // no further request is to be read
+	changed   time.Time // when it last became idle, or busy
+	requests  int
+	body      *bodyPace     // while a body is read; nil else
+	cut       bool          // no more of a body is wanted
+	detached  bool          // another process goes on with the answer at hand
+	given     bool          // that process has the connection
+	unsent    []byte        // of it, what was not written here: a piece at most
+	unread    bool          // a body has not come to its end: what still comes must be read before a close
+	readAhead []byte        // what came while Watch looked; the next Reads return it
+	behind    int           // how much that was in all, behind the request at hand
+	ended     bool          // its caller has ended it, or it has broken: no more comes
+	watching  chan struct{} // closed when the watch has ended; nil while there is none
+	closed    bool
 }
 
 // aPast is a deadline that has passed: it ends a pending read at once.
@@ -277,9 +277,9 @@
 func (c *CallerConn) Read(b []byte) (int, error) {
 	c.mu.Lock()
 	c.settle()
-	if len(c.early) > 0 {
-		n := copy(b, c.early)
-		c.early = c.early[n:]
+	if len(c.readAhead) > 0 {
+		n := copy(b, c.readAhead)
+		c.readAhead = c.readAhead[n:]
 		c.begin()
 		c.mu.Unlock()
 		return n, nil
@@ -446,7 +446,7 @@
 func (c *CallerConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.retired && !c.busy {
+	if c.closing && !c.busy {
 		t = aPast
 	}
 	return c.Conn.SetReadDeadline(t)
@@ -525,36 +525,36 @@
 func (c *CallerConn) cutShort() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.busy || c.held || c.retired || c.owner.world.Now().Sub(c.changed) < stallTime {
+	if !c.busy || c.held || c.closing || c.owner.world.Now().Sub(c.changed) < stallTime {
 		return false
 	}
-	c.retired = true
+	c.closing = true
 	c.note(ReasonRoom)
 	c.Conn.SetReadDeadline(aPast)
 	return true
 }
 
-// retire ends a connection that has been idle for a while, and tells whether it
+// closeIdle ends a connection that has been idle for a while, and tells whether it
 // does. A request whose first byte has come is still served: only the pending
 // read is ended, never what it has brought. On a new connection the first
 // request is about to come.
-func (c *CallerConn) retire(why Reason) bool {
+func (c *CallerConn) closeIdle(why Reason) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.retired || c.busy || c.owner.world.Now().Sub(c.changed) < settleTime {
+	if c.closing || c.busy || c.owner.world.Now().Sub(c.changed) < settleTime {
 		return false
 	}
-	c.retired = true
+	c.closing = true
 	c.note(why)
 	c.Conn.SetReadDeadline(aPast)
 	return true
 }
 
-// Retired tells whether the connection is to end with the request at hand.
-func (c *CallerConn) Retired() bool {
+// Closing tells whether the connection is to end with the request at hand.
+func (c *CallerConn) Closing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.retired
+	return c.closing
 }
 
 // Watch calls left once if the caller goes before Unwatch is called. It begins
@@ -564,7 +564,7 @@
 	c.watching = done
 	c.mu.Lock()
 	c.hold()
-	c.behind = len(c.early)
+	c.behind = len(c.readAhead)
 	c.Conn.SetReadDeadline(time.Time{})
 	c.mu.Unlock()
 	c.owner.world.Go("watch", func() {
@@ -607,18 +607,18 @@
 // What may come behind a request before it is answered, in bytes. Callers ask one thing at a time; those that write the
 // next ahead are served as long as it is kept. Who pours on and on waits for no answer.
 const (
-	mostEarly  = MaxHead
-	mostBehind = 1 << 20
+	mostReadAhead = MaxHead
+	mostBehind    = 1 << 20
 )
 
 // keep keeps what came behind a request, and tells whether it was more than anybody waits behind; c.mu is held. Beyond
-// mostEarly nothing is kept: the connection ends with the request at hand, since what follows can't be read any more.
+// mostReadAhead nothing is kept: the connection ends with the request at hand, since what follows can't be read any more.
 func (c *CallerConn) keep(b []byte) (flooded bool) {
 	c.behind += len(b)
-	if c.behind > mostEarly {
-		c.early, c.retired = nil, true
+	if c.behind > mostReadAhead {
+		c.readAhead, c.closing = nil, true
 	} else {
-		c.early = append(c.early, b...)
+		c.readAhead = append(c.readAhead, b...)
 	}
 	c.ended = c.ended || c.behind > mostBehind // it gets no answer that a close could destroy
 	return c.behind > mostBehind
@@ -658,10 +658,10 @@
 // How a connection ends from this side. A close over unread bytes is a reset, which may take the answer with it that is
 // on its way, and bytes may come at any moment: so it is ended one way, and what still comes is read and dropped.
 const (
-	lingerTime = 5 * time.Second        // a body that nobody wants, or a flood: longer than most bodies take
-	partTime   = 500 * time.Millisecond // else: callers end their side when they see the end of this one
-	partShare  = 4                      // so large a part of all connections may end so at once: a flood must not keep descriptors
-	leastParts = 16                     // but so many always
+	longLinger     = 5 * time.Second        // a body that nobody wants, or a flood: longer than most bodies take
+	shortLinger    = 500 * time.Millisecond // else: callers end their side when they see the end of this one
+	lingerShare    = 4                      // so large a part of all connections may end so at once: a flood must not keep descriptors
+	leastLingering = 16                     // but so many always
 )
 
 // lingers is how long is read on before the connection is closed; c.mu is held.
@@ -670,11 +670,11 @@
 	case c.given, c.ended: // another process writes to it; nobody is there
 		return 0
 	case c.unread:
-		return lingerTime
+		return longLinger
 	case c.why == ReasonRoom && !c.busy: // it has been idle for long: nothing is on its way, and its place is needed
 		return 0
 	}
-	return partTime
+	return shortLinger
 }
 
 // linger ends the sending side and reads what still comes until the caller ends too, for a time at most.
@@ -683,14 +683,14 @@
 	if most == 0 || !ok {
 		return
 	}
-	defer c.owner.parting.Add(-1)
-	mostParts := max(c.owner.most.Load()/partShare, leastParts)
-	if c.owner.parting.Add(1) > mostParts && most == partTime || half.CloseWrite() != nil {
+	defer c.owner.lingering.Add(-1)
+	mostLingering := max(c.owner.most.Load()/lingerShare, leastLingering)
+	if c.owner.lingering.Add(1) > mostLingering && most == shortLinger || half.CloseWrite() != nil {
 		return
 	}
 	c.Conn.SetReadDeadline(c.owner.world.Now().Add(most))
 	buf := make([]byte, firstBody) // little comes, most often nothing
-	if most == lingerTime {
+	if most == longLinger {
 		piece := pieces.Get().(*[pieceSize]byte)
 		defer pieces.Put(piece)
 		buf = piece[:]
--- a/internal/httpwire/caller_test.go
+++ b/internal/httpwire/caller_test.go
@@ -65,17 +65,17 @@
 	proven.settle()
 	proven.changed = proven.changed.Add(-2 * time.Hour)
 	proven.mu.Unlock()
-	callers.retireOldest(2)
-	callers.retireOldest(1)
+	callers.closeOldest(2)
+	callers.closeOldest(1)
 	for i, c := range silent {
-		if !c.Retired() {
+		if !c.Closing() {
 			t.Errorf("silent connection %d stands", i)
 		}
 	}
-	if proven.Retired() {
+	if proven.Closing() {
 		t.Error("the usual caller's connection ended before them")
 	}
-	if callers.retireOldest(1); !proven.Retired() {
+	if callers.closeOldest(1); !proven.Closing() {
 		t.Error("nothing else was left to end")
 	}
 	if n := callers.held.Load(); n != 0 {
@@ -84,9 +84,9 @@
 }
 
 // Guards against a request that stands unread in a connection which is ended.
-func TestRetiredConnectionStillGivesWhatHasCome(t *testing.T) {
+func TestClosingConnectionStillGivesWhatHasCome(t *testing.T) {
 	for name, end := range map[string]func(*CallerConn){
-		"made room":  func(c *CallerConn) { c.retire(ReasonRoom) },
+		"made room":  func(c *CallerConn) { c.closeIdle(ReasonRoom) },
 		"idle limit": func(c *CallerConn) { c.SetReadDeadline(aPast) },
 	} {
 		c, client, _ := callerPair(t)
@@ -107,10 +107,10 @@
 
 // An idle connection ends in silence: it reads as closed, and an answer that its
 // caller could take for one to its next request is never made.
-func TestRetiredConnectionReadsAsClosed(t *testing.T) {
+func TestClosingConnectionReadsAsClosed(t *testing.T) {
 	c, _, ended := callerPair(t)
-	if !c.retire(ReasonShutdown) || c.retire(ReasonRoom) {
-		t.Error("an idle connection is retired once")
+	if !c.closeIdle(ReasonShutdown) || c.closeIdle(ReasonRoom) {
+		t.Error("an idle connection is closed once")
 	}
 	c.SetReadDeadline(time.Now().Add(time.Minute)) // the server's, before it reads
 	if n, err := c.Read(make([]byte, 1)); n != 0 || err != io.EOF {
@@ -125,19 +125,19 @@
 
 // A connection is not taken for idle between its accept and its first request,
 // nor while a request comes or is held.
-func TestBusyConnectionIsNotRetired(t *testing.T) {
+func TestBusyConnectionIsNotClosed(t *testing.T) {
 	c, client, _ := callerPair(t)
 	c.changed = time.Now()
-	if c.retire(ReasonRoom) {
-		t.Error("retired when new")
+	if c.closeIdle(ReasonRoom) {
+		t.Error("closed when new")
 	}
 	client.Write([]byte("G"))
 	if _, err := c.Read(make([]byte, 1)); err != nil {
 		t.Fatal(err)
 	}
 	c.changed = c.changed.Add(-time.Hour)
-	if c.retire(ReasonRoom) {
-		t.Error("retired while a request comes")
+	if c.closeIdle(ReasonRoom) {
+		t.Error("closed while a request comes")
 	}
 	c.Watch(func() {})
 	if c.cutShort() {
--- a/internal/httpwire/crossing_test.go
+++ b/internal/httpwire/crossing_test.go
@@ -35,7 +35,7 @@
 		"reset":      func(p *scripted.Peer) { p.Reset() },
 	}
 	for name, end := range ends {
-		for _, ahead := range []int{0, 1, 300, mostEarly, mostEarly + 1, 100 << 10} {
+		for _, ahead := range []int{0, 1, 300, mostReadAhead, mostReadAhead + 1, 100 << 10} {
 			t.Run(fmt.Sprintf("%s behind %d", name, ahead), func(t *testing.T) {
 				c, peer := accepted(t)
 				left := make(chan struct{})
@@ -61,8 +61,8 @@
 	peer.Say(strings.Repeat("x", mostBehind+1))
 	<-left
 	c.Unwatch()
-	if len(c.early) > mostEarly || !c.Retired() {
-		t.Errorf("%d bytes kept, retired %v", len(c.early), c.Retired())
+	if len(c.readAhead) > mostReadAhead || !c.Closing() {
+		t.Errorf("%d bytes kept, closing %v", len(c.readAhead), c.Closing())
 	}
 }
 
@@ -77,7 +77,7 @@
 	peer.Say(want.String())
 	for kept := 0; kept < want.Len(); time.Sleep(time.Millisecond) {
 		c.mu.Lock()
-		kept = len(c.early)
+		kept = len(c.readAhead)
 		c.mu.Unlock()
 	}
 	c.Unwatch()
@@ -124,19 +124,19 @@
 // connection is closed at once.
 func TestClosesDoNotPileUp(t *testing.T) {
 	c, peer := accepted(t)
-	c.owner.parting.Store(leastParts)
+	c.owner.lingering.Store(leastLingering)
 	c.Close()
 	if _, err := peer.End(); err != nil {
 		t.Errorf("it ended with %v", err)
 	}
-	if c.owner.parting.Load() != leastParts {
-		t.Errorf("%d are counted", c.owner.parting.Load())
+	if c.owner.lingering.Load() != leastLingering {
+		t.Errorf("%d are counted", c.owner.lingering.Load())
 	}
 	c, peer = accepted(t)
 	c.Note(ReasonRoom)
 	begin := time.Now()
 	c.Close()
-	if took := time.Since(begin); took >= partTime {
+	if took := time.Since(begin); took >= shortLinger {
 		t.Errorf("making room took %v", took)
 	}
 }
--- a/internal/lifecycle/sidecar.go
+++ b/internal/lifecycle/sidecar.go
@@ -255,7 +255,7 @@
 // emptyOut waits until all callers have their answers, until a time at most.
 func (s *Sidecar) emptyOut(until time.Time) {
 	for (s.callers.Open() > 0 || s.engine.GoingOn()) && s.world.Now().Before(until) {
-		s.callers.RetireIdle(httpwire.ReasonShutdown)
+		s.callers.CloseIdle(httpwire.ReasonShutdown)
 		s.world.Sleep(pollEvery)
 	}
 }
--- a/internal/pipeline/takein.go
+++ b/internal/pipeline/takein.go
@@ -42,7 +42,7 @@
 			ctx.SetConnectionClose()
 		}
 	}
-	if e.draining.Load() || conn.Retired() {
+	if e.draining.Load() || conn.Closing() {
 		ctx.SetConnectionClose()
 	}
 	conn.Answered(func() {
