A reload with another installation's configuration is turned down whole

Cause (by reading): a SIGHUP took discovery's address from whatever file stood there, and logged that name and settings want a restart: with another customer's file requests went on to that customer's endpoints under this one's settings, half applied. A file with no class in common is now an error in the log, and nothing changes.

Test: TestReload; without the check 'never came: another customer's file is turned down'.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,9 +6,11 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
 	"reflect"
+	"slices"
 	"strconv"
 	"time"
 
@@ -169,6 +171,20 @@
 	return keys
 }
 
+// Foreign tells whether settings that name these classes are another installation's: there are some, and none of them is
+// one of c's. Guards against what belongs to one customer and is met where another's is expected.
+func (c *Config) Foreign(classes []string) bool {
+	for _, name := range classes {
+		if _, ours := c.Classes[name]; ours {
+			return false
+		}
+	}
+	return len(classes) > 0
+}
+
+// ClassNames are the names of the classes, in their order by name.
+func (c *Config) ClassNames() []string { return slices.Sorted(maps.Keys(c.Classes)) }
+
 func (c *Config) checkAddresses() error {
 	if c.Name == "" {
 		return errors.New("name: missing")
--- a/internal/lifecycle/process.go
+++ b/internal/lifecycle/process.go
@@ -108,6 +108,11 @@
 		s.log.Error().Err(err).Msg("bad configuration, the old one stays")
 		return
 	}
+	if classes := next.ClassNames(); s.conf.Foreign(classes) {
+		// Guards against another installation's file in this one's place: its discovery's endpoints are not ours.
+		s.log.Error().Strs("classes", classes).Msg("another installation's configuration, the old one stays")
+		return
+	}
 	if keys := s.conf.NeedRestart(next); len(keys) > 0 {
 		s.log.Warn().Strs("keys", keys).Msg("changed keys need a restart")
 	}
--- a/internal/lifecycle/process_test.go
+++ b/internal/lifecycle/process_test.go
@@ -134,6 +134,19 @@
 	}
 	reload([]byte(`{"name":"t0","listen":7}`))
 	eventually(t, "the faulty key is logged", logged("listen: want a string"))
+	another := testConfig(second, e2.Line())
+	for _, class := range another["settings"].(map[string]any)["profiles"].([]any) {
+		class.(map[string]any)["name"] = "their-" + class.(map[string]any)["name"].(string)
+	}
+	theirs, err := json.Marshal(another)
+	if err != nil {
+		t.Fatal(err)
+	}
+	reload(theirs)
+	eventually(t, "another customer's file is turned down", logged("another installation's configuration"))
+	if second.Called() > 0 || logged(`"message":"reloaded"`)() {
+		t.Errorf("it has moved to another customer's discovery: %d calls", second.Called())
+	}
 	conf["discovery"], conf["limits"] = second.Address, map[string]any{"memory_mb": 100}
 	text, err := json.Marshal(conf)
 	if err != nil {
--- a/internal/pipeline/operate.go
+++ b/internal/pipeline/operate.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"maps"
 	"slices"
 
 	"heathgap/decide"
@@ -122,7 +121,7 @@
 	})
 	w.reply <- Legacy{
 		List: httpwire.List{Index: e.index, Whole: true, Endpoints: t.Lines()}, Seen: t.Seen(), Banned: byHand,
-		From: e.watch.address, Of: slices.Sorted(maps.Keys(e.conf.Classes)),
+		From: e.watch.address, Of: e.conf.ClassNames(),
 		Lifted: t.Lifted(e.clock.Now() - e.conf.Settings.Rules.ColdTime),
 	}
 }
@@ -133,7 +132,9 @@
 	if err := json.Unmarshal(text, &l); err != nil {
 		return fmt.Errorf("what the predecessor left: %w", err)
 	}
-	if e.foreign(l.Of) {
+	// Guards against a list, bans and a version that outlive the customer whose they were, where a name and an address
+	// are used again.
+	if e.conf.Foreign(l.Of) {
 		e.log.Warn().Strs("its_classes", l.Of).Msg("the predecessor served other classes, nothing that it knew is taken over")
 		return nil
 	}
@@ -141,18 +142,6 @@
 	return nil
 }
 
-// foreign tells whether settings that name these classes are another installation's: they share none with this one's.
-// Guards against a list, bans and an index that outlive the customer whose they were, where a name and an address are
-// used again.
-func (e *Engine) foreign(classes []string) bool {
-	for _, name := range classes {
-		if _, ours := e.conf.Classes[name]; ours {
-			return false
-		}
-	}
-	return len(classes) > 0
-}
-
 // takeLegacy takes over a predecessor's list and bans.
 func (e *Engine) takeLegacy(l *Legacy) {
 	for _, hash := range l.Seen {
