A successor takes the place of a predecessor that dies before it yields

Cause (by reading): where the predecessor died between its state and the word that asks it to yield, that word met a broken pipe, Take gave that back as an error and the start ended (internal/takeover/takeover.go, Take): neither process served.

Change: Take waits for the news that the predecessor has ended, as it does where that dies later.

Test: TestPredecessorThatDiesInEachStep, each step by count, on a real socket, 200 times under -race; without the mend 'step 2: the successor does not take the place of who has died: ... broken pipe'.

--- a/internal/takeover/takeover.go
+++ b/internal/takeover/takeover.go
@@ -7,6 +7,7 @@
 package takeover
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -294,16 +295,16 @@
 // Take has the predecessor stop accepting, and returns when it has, or has ended. On
 // an error it may still accept. Run must be at work.
 func (p *Peer) Take() error {
-	if err := p.say(message{Take: true}); err != nil {
-		return err
-	}
+	// Guards against a predecessor that dies between its state and this word: that can't be said any more, and need not
+	// be. Run notices that it has ended.
+	err := p.say(message{Take: true})
 	timer := time.NewTimer(takeTime)
 	defer timer.Stop()
 	select {
 	case <-p.taken:
 	case <-p.gone:
 	case <-timer.C:
-		return errors.New("the predecessor goes on accepting")
+		return cmp.Or(err, errors.New("the predecessor goes on accepting"))
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/takeover/takeover_test.go
@@ -0,0 +1,117 @@
+package takeover
+
+import (
+	"encoding/json"
+	"net"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// quiet hears what the other process says and does nothing.
+type quiet struct{ gone chan bool }
+
+func (quiet) Adopt(string, bool)              {}
+func (quiet) GoOn([]byte, net.Conn, net.Conn) {}
+func (quiet) Yield()                          {}
+func (q quiet) Gone(yielded bool)             { q.gone <- yielded }
+
+// Guards against a successor that ends because its predecessor has: whatever step the predecessor dies in, the successor
+// either knows that it has none, or has the listener and takes its place.
+func TestPredecessorThatDiesInEachStep(t *testing.T) {
+	const (
+		atTheDoor = iota
+		withoutState
+		withState
+		askedToYield
+		yielded
+		steps
+	)
+	for step := range steps {
+		path := filepath.Join(t.TempDir(), "way-in.sock")
+		door, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		served, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		died := make(chan struct{})
+		go func() { // the predecessor, up to the step
+			defer close(died)
+			conn, err := door.AcceptUnix()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer conn.Close()
+			if step == atTheDoor {
+				return
+			}
+			if err := give(conn, served.(*net.TCPListener)); err != nil {
+				t.Error(err)
+			}
+			if step == withoutState {
+				return
+			}
+			if err := json.NewEncoder(conn).Encode(message{Version: version, State: []byte(`{}`)}); err != nil {
+				t.Error(err)
+			}
+			if step == withState {
+				return
+			}
+			var m message
+			if err := json.NewDecoder(conn).Decode(&m); err != nil || !m.Take {
+				t.Errorf("step %d: told %+v, %v", step, m, err)
+			}
+			if step == yielded {
+				if err := json.NewEncoder(conn).Encode(message{Taken: true}); err != nil {
+					t.Error(err)
+				}
+			}
+		}()
+		peer, listener, _, err := Find(path)
+		if step < withState {
+			if err == nil || peer != nil || listener != nil {
+				t.Errorf("step %d: found %v, %v", step, peer, err)
+			}
+		} else {
+			if err != nil {
+				t.Fatalf("step %d: %v", step, err)
+			}
+			if step == withState {
+				<-died // before the word can be said
+			}
+			gone := make(chan bool, 1)
+			go peer.Run(quiet{gone})
+			if err := peer.Take(); err != nil {
+				t.Errorf("step %d: the successor does not take the place of who has died: %v", step, err)
+			}
+			if <-gone {
+				t.Errorf("step %d: it has yielded, as if it were the predecessor", step)
+			}
+			served.Close()
+			accepts(t, listener)
+			listener.Close()
+		}
+		<-died
+		served.Close()
+		door.Close()
+	}
+}
+
+// accepts fails the test unless a caller comes in at the listener.
+func accepts(t *testing.T, listener net.Listener) {
+	t.Helper()
+	caller, err := net.DialTimeout("tcp", listener.Addr().String(), 10*time.Second)
+	if err != nil {
+		t.Fatalf("nobody listens: %v", err)
+	}
+	defer caller.Close()
+	conn, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn.Close()
+}
