--- a/internal/lifecycle/crossing_test.go
+++ b/internal/lifecycle/crossing_test.go
@@ -358,3 +358,42 @@
 	}
 	eventually(t, "the flood's connections end", func() bool { return s.callers.Open() <= 2 })
 }
+
+// Guards against an answer without end that keeps its connections after its caller has gone, or all memory before that.
+func TestAnswerThatNeverEnds(t *testing.T) {
+	for name, head := range map[string]string{
+		"in chunks": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "to its connection's end": "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			door := scripted.OpenDoor(t)
+			s := start(t, testConfig(scripted.StartDiscovery(t), scripted.Line("e1", door.Address)))
+			p := scripted.Connect(t, s.Address())
+			p.Say(asked("/look", ""))
+			e := door.Next()
+			e.Request()
+			ended := make(chan error, 1)
+			go func() {
+				_, err := io.WriteString(e, head)
+				for piece := strings.Repeat("x", 0x1000); err == nil; {
+					if name == "in chunks" {
+						_, err = io.WriteString(e, "1000\r\n"+piece+"\r\n")
+					} else {
+						_, err = io.WriteString(e, piece)
+					}
+				}
+				ended <- err
+			}()
+			if _, err := io.ReadFull(p, make([]byte, 1<<20)); err != nil {
+				t.Fatalf("it does not pass on: %v", err)
+			}
+			p.Reset() // its caller has had enough
+			if err := <-ended; err == nil {
+				t.Error("it goes on for nobody")
+			}
+			eventually(t, "it is booked", func() bool {
+				c := s.Counters()
+				return c.Passing == 0 && c.Held == 0 && c.Left == 1 && c.Links == 0
+			})
+		})
+	}
+}
--- a/internal/pipeline/discover.go
+++ b/internal/pipeline/discover.go
@@ -179,7 +179,7 @@
 		before, known := w.index, w.known
 		list, keep, err := w.call(e.world, fresh > 0)
 		if err != nil {
-			stood := w.link != nil // else there is nobody, and no fresh call finds one
+			stood := w.link != nil || fresh > 0 // else there is nobody, and no fresh call finds one
 			e.endWatch(w, callReason(err), err)
 			if fresh++; stood && lost(err) && fresh <= freshCalls && w.pause(e.world, e.world.Chance(freshSpread)) {
 				continue
@@ -242,7 +242,7 @@
 		}
 		message = httpwire.EncodeWatch(w.index, wait)
 	}
-	limits := world.Now().Add(limit)
+	until := world.Now().Add(limit)
 	if w.link == nil {
 		link, err := httpwire.Dial(w.ended, world, w.address, dial)
 		if err != nil {
@@ -252,7 +252,10 @@
 	}
 	stop := context.AfterFunc(w.ended, w.link.Close)
 	defer stop()
-	if _, err := w.link.Send(message, limits); err != nil {
+	if w.known && !fresh {
+		until = world.Now().Add(limit) // discovery's wait begins when it has the call
+	}
+	if _, err := w.link.Send(message, until); err != nil {
 		return nil, false, fmt.Errorf("writing: %w", overdue(err))
 	}
 	// Guards against a silence that is taken for a wait: the answer is due when its wait is over, not when it would
--- a/internal/pipeline/watch_test.go
+++ b/internal/pipeline/watch_test.go
@@ -1,10 +1,14 @@
 package pipeline
 
 import (
+	"context"
+	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
+	"heathgap/internal/env"
 	"heathgap/internal/httpwire"
 	"heathgap/internal/lab/scripted"
 )
@@ -87,6 +91,45 @@
 	}
 }
 
+// Guards against a fresh call that is given up because its connection does not come up: there is one more.
+func TestFreshCallWhoseConnectionDoesNotComeUp(t *testing.T) {
+	door := scripted.OpenDoor(t)
+	e := testEngine(t)
+	e.watch = newWatch(door.Address, quick)
+	e.watch.known, e.watch.index = true, 7
+	dials := 0
+	e.world = dialing{refuse: func() bool { dials++; return dials == 2 }}
+	defer func() {
+		e.watch.end()
+		close(e.stopped)
+	}()
+	e.startWatch()
+	first := door.Next()
+	first.Request() // it stands: a reset before that is a dial that fails
+	first.Reset()
+	fresh := door.Next()
+	fresh.Request()
+	fresh.Say(scripted.OK(drained))
+	next(t, e)
+	if e.counters.Lists != 1 || e.counters.ListFails != 0 || dials != 3 {
+		t.Errorf("%d lists, %d failures after %d connections", e.counters.Lists, e.counters.ListFails, dials)
+	}
+}
+
+// dialing is a world in which some connections are refused.
+type dialing struct {
+	env.Real
+	refuse func() bool
+}
+
+// Dial is env.Env's.
+func (d dialing) Dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+	if d.refuse() {
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
+	}
+	return d.Real.Dial(ctx, address, timeout)
+}
+
 // Guards against calls without end at a discovery that says nothing, or has too many callers: after two fresh calls
 // the module says when to go on. What is answered with a fault, or by nobody, is not asked for at once.
 func TestFreshCallsAreBounded(t *testing.T) {
