--- a/internal/pipeline/crossing_test.go
+++ b/internal/pipeline/crossing_test.go
@@ -28,6 +28,15 @@
 	return b.Real.Dial(ctx, address, timeout)
 }
 
+// lateEngine is an engine whose connections come up at a barrier, and an endpoint's address.
+func lateEngine(t *testing.T) (*Engine, *barrier, *scripted.Door) {
+	t.Helper()
+	e := testEngine(t)
+	world := &barrier{begun: make(chan struct{}, 1), goOn: make(chan struct{})}
+	e.world, e.room = world, httpwire.NewRoom(1<<20)
+	return e, world, scripted.OpenDoor(t)
+}
+
 func listOf(name, address string, state decide.EndpointState) *httpwire.List {
 	return &httpwire.List{Endpoints: []httpwire.ListedEndpoint{{Name: name, Address: address, State: state}}}
 }
@@ -46,11 +55,7 @@
 		"serves on":           {decide.Active, 1, decide.Served},
 	} {
 		t.Run(name, func(t *testing.T) {
-			door := scripted.OpenDoor(t)
-			e := testEngine(t)
-			world := &barrier{begun: make(chan struct{}, 1), goOn: make(chan struct{})}
-			e.world = world
-			e.room = httpwire.NewRoom(1 << 20)
+			e, world, door := lateEngine(t)
 			e.endpoints.SetGrace(c.grace)
 			e.takeList(listOf("s", door.Address, decide.Active), decide.ListReplaced)
 			to := e.endpoints.Lines()[0]
@@ -98,11 +103,7 @@
 		"ruled to be keyed":     {decide.Safe, decide.Reset, &decide.Ruling{Classes: map[string]decide.ClassRule{"look": {Effect: decide.Keyed, Window: window}}}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			door := scripted.OpenDoor(t)
-			e := testEngine(t)
-			world := &barrier{begun: make(chan struct{}, 1), goOn: make(chan struct{})}
-			e.world = world
-			e.room = httpwire.NewRoom(1 << 20)
+			e, world, door := lateEngine(t)
 			e.conf.Classes = map[string]decide.Class{"look": {Name: "look", Effect: c.effect, Window: window}}
 			if c.ruled != nil {
 				e.acting = &Acting{Ruling: c.ruled}
