On reading the whole change: one last look, smaller reads ahead, stops spare what lingers

Cause and change, each found by reading: - a stop closed what lingered for another reason: closeIdle did not look at closed (internal/httpwire/caller.go).

--- a/internal/httpwire/caller.go
+++ b/internal/httpwire/caller.go
@@ -541,7 +541,9 @@
 func (c *CallerConn) closeIdle(why Reason) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing || c.busy || c.owner.world.Now().Sub(c.changed) < settleTime {
+	// Guards against a stop that cuts short what lingers already; where room is wanted it may be cut short.
+	lingers := c.closed && why != ReasonRoom
+	if c.closing || c.busy || lingers || c.owner.world.Now().Sub(c.changed) < settleTime {
 		return false
 	}
 	c.closing = true
@@ -590,9 +592,7 @@
 		case flooded:
 			return true
 		case err == nil && len(buf) == len(first):
-			piece := pieces.Get().(*[pieceSize]byte)
-			defer pieces.Put(piece)
-			buf = piece[:]
+			buf = make([]byte, firstBody) // one for each caller that writes ahead: a flood of them must stay small
 		case err != nil && errors.Is(err, os.ErrDeadlineExceeded):
 			return false
 		case err != nil:
--- a/internal/httpwire/crossing_test.go
+++ b/internal/httpwire/crossing_test.go
@@ -120,6 +120,33 @@
 	}
 }
 
+// Guards against a stop that cuts short the reading out of a connection that has ended for another reason.
+func TestStopLeavesWhatLingers(t *testing.T) {
+	c, peer := accepted(t)
+	c.changed = c.changed.Add(-time.Hour) // idle for long
+	closed := make(chan struct{})
+	go func() {
+		c.Close()
+		close(closed)
+	}()
+	if text, err := peer.End(); text != "" || err != nil {
+		t.Fatalf("%q, %v", text, err)
+	}
+	c.owner.CloseIdle(ReasonShutdown)
+	for range 2 {
+		if _, err := io.WriteString(peer, "crossing"); err != nil {
+			t.Errorf("writing meets %v", err)
+		}
+	}
+	select {
+	case <-closed:
+		t.Error("closed before its caller")
+	default:
+	}
+	peer.Close()
+	<-closed
+}
+
 // Guards against a flood of closes that keep their descriptors: beyond so many at once, and for those that make room, a
 // connection is closed at once.
 func TestClosesDoNotPileUp(t *testing.T) {
--- a/internal/lifecycle/crossing_test.go
+++ b/internal/lifecycle/crossing_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -246,17 +248,40 @@
 	}
 }
 
-// A process is told to stop in any moment of its life: while it starts, twice, during a reload while discovery is down,
+// Guards against a SIGTERM that comes while a process starts and is lost, or ends it out of order. Its configuration is a
+// pipe: who opens that to write knows that the process reads it, and heeds signals since before.
+func TestSIGTERMWhileItStarts(t *testing.T) {
+	conf := testConfig(&scripted.Discovery{Address: scripted.FreeAddress(t)}, scripted.Line("e1", scripted.FreeAddress(t)))
+	setDeadlines(conf, 300)
+	text, err := os.ReadFile(writeConfig(t, conf))
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "pipe.json")
+	if err := syscall.Mkfifo(path, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p := launchAt(t, conf, path)
+	pipe, err := os.OpenFile(path, os.O_WRONLY, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Process.Signal(syscall.SIGTERM) //nolint:errcheck // it lives: it reads the pipe
+	if _, err := pipe.Write(text); err != nil {
+		t.Fatal(err)
+	}
+	pipe.Close()
+	if err := p.Wait(); err != nil || !strings.Contains(p.log.String(), `"stopped"`) {
+		t.Errorf("it ended with %v:\n%s", err, p.log)
+	}
+}
+
+// A process is told to stop in any moment of its life: twice, during a reload while discovery is down,
 // with discovery silent. It ends by itself, in order.
 func TestSIGTERMInAnyMoment(t *testing.T) {
 	silent := scripted.OpenDoor(t)
 	term := func(p *process) { p.Process.Signal(syscall.SIGTERM) } //nolint:errcheck // it may have ended
 	for name, crossing := range map[string]func(p *process){
-		"while it starts": func(p *process) {
-			// Signals are heeded from the first instruction of Main on; before that the platform has no READY either.
-			eventually(t, "its own first line", func() bool { return strings.Contains(p.log.String(), `"sidecar":"t0"`) })
-			term(p)
-		},
 		"twice": func(p *process) {
 			eventually(t, "ready", func() bool { return strings.Contains(p.log.String(), `"ready"`) })
 			term(p)
--- a/internal/lifecycle/process_test.go
+++ b/internal/lifecycle/process_test.go
@@ -42,7 +42,13 @@
 
 func launch(t *testing.T, conf map[string]any) *process {
 	t.Helper()
-	p := &process{Cmd: exec.Command(os.Args[0]), log: &lines{}, path: writeConfig(t, conf)}
+	return launchAt(t, conf, writeConfig(t, conf))
+}
+
+// launchAt is launch where the configuration's file stands already.
+func launchAt(t *testing.T, conf map[string]any, path string) *process {
+	t.Helper()
+	p := &process{Cmd: exec.Command(os.Args[0]), log: &lines{}, path: path}
 	p.Env = append(os.Environ(), asSidecar+"=1", config.EnvFile+"="+p.path,
 		"BALANCER_DISCOVERY="+conf["discovery"].(string))
 	p.Stderr = p.log
--- a/internal/pipeline/discover.go
+++ b/internal/pipeline/discover.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net"
-	"os"
 	"slices"
 	"time"
 
@@ -150,13 +149,15 @@
 	if l.From == address || l.From == "" || own == nil {
 		return &l.List
 	}
+	theirs := make(map[string]httpwire.ListedEndpoint, len(l.List.Endpoints))
+	for _, line := range l.List.Endpoints {
+		theirs[line.Name] = line
+	}
 	merged := *own
 	merged.Endpoints = slices.Clone(own.Endpoints)
 	for i, line := range merged.Endpoints {
-		for _, known := range l.List.Endpoints {
-			if known.Name == line.Name && known.Address == line.Address && known.Since >= line.Since {
-				merged.Endpoints[i] = known
-			}
+		if known, ok := theirs[line.Name]; ok && known.Address == line.Address && known.Since >= line.Since {
+			merged.Endpoints[i] = known
 		}
 	}
 	return &merged
@@ -280,7 +281,8 @@
 
 // overdue marks a failure to hear of the other side in time.
 func overdue(err error) error {
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	var late net.Error // the codec has one of its own beside os.ErrDeadlineExceeded
+	if errors.As(err, &late) && late.Timeout() {
 		return fmt.Errorf("%w: %w", errSilent, err)
 	}
 	return err
--- a/internal/pipeline/send.go
+++ b/internal/pipeline/send.go
@@ -56,6 +56,9 @@
 
 // windowEnd is when the window of a keyed request ends, once an attempt of it may have run; 0 for no window.
 func (e *Engine) windowEnd(r *state.Request) decide.Time {
+	if len(r.Attempts) == 0 {
+		return 0
+	}
 	class := e.conf.Classes[r.Message.Class]
 	rule := decide.ClassRule{Effect: class.Effect, Window: class.Window}
 	if e.acting != nil && e.acting.Ruling != nil {
@@ -98,26 +101,8 @@
 		return
 	}
 	upload := a.Request.Message.Upload
-	if e.rules != nil && !e.mayWrite(a) {
-		done.outcome = decide.NotSent
-		return
-	}
-	// Guards against a process that was paused with a claim that another one has taken over since: its time, and its lease, are
-	// looked at where the first byte leaves.
-	if may := a.Request.MayWrite; may != nil && (e.clock.Now() >= a.Request.Deadline || !may()) {
-		done.outcome = decide.NotSent
-		return
-	}
-	// Guards against a connection that comes up late: the endpoint may have begun to drain since it was chosen, and
-	// nothing new goes to it after the grace (rule 3 counts from the first byte). Nothing has run there.
-	if a.Endpoint.Shut(e.clock.Now()) {
-		done.outcome = decide.ConnectFailed
-		return
-	}
-	// Guards against an effect that comes twice: this attempt was allowed while its key's window was open, and the
-	// endpoints have forgotten the key by the time when its connection is up.
-	if a.NotAfter > 0 && e.clock.Now() >= a.NotAfter {
-		done.outcome = decide.ConnectFailed
+	var may bool
+	if done.outcome, may = e.lastLook(a); !may {
 		return
 	}
 	if !a.Write() || upload != nil && !upload.Claim() {
@@ -142,6 +127,31 @@
 	}
 }
 
+// lastLook tells whether what allowed an attempt still holds where its first byte is about to leave, and its outcome if
+// not: nothing has run then.
+func (e *Engine) lastLook(a *state.Attempt) (outcome decide.Outcome, may bool) {
+	if e.rules != nil && !e.mayWrite(a) {
+		return decide.NotSent, false
+	}
+	now := e.clock.Now()
+	// Guards against a process that was paused with a claim that another one has taken over since: its time, and its lease, are
+	// looked at where the first byte leaves.
+	if claimed := a.Request.MayWrite; claimed != nil && (now >= a.Request.Deadline || !claimed()) {
+		return decide.NotSent, false
+	}
+	// Guards against a connection that comes up late: the endpoint may have begun to drain since it was chosen, and
+	// nothing new goes to it after the grace (rule 3 counts from the first byte).
+	if a.Endpoint.Shut(now) {
+		return decide.ConnectFailed, false
+	}
+	// Guards against an effect that comes twice: this attempt was allowed while its key's window was open, and the
+	// endpoints have forgotten the key by the time when its connection is up.
+	if a.NotAfter > 0 && now >= a.NotAfter {
+		return decide.ConnectFailed, false
+	}
+	return 0, true
+}
+
 // write writes an attempt. On an error its last byte is not written: it has never run.
 func (e *Engine) write(a *state.Attempt, link *httpwire.Link, upload *httpwire.Upload) error {
 	wait := a.Until - e.clock.Now()
