--- a/internal/httpwire/crossing_test.go
+++ b/internal/httpwire/crossing_test.go
@@ -132,16 +132,14 @@
 	if text, err := peer.End(); text != "" || err != nil {
 		t.Fatalf("%q, %v", text, err)
 	}
-	c.owner.CloseIdle(ReasonShutdown)
-	for range 2 {
-		if _, err := io.WriteString(peer, "crossing"); err != nil {
-			t.Errorf("writing meets %v", err)
-		}
+	if c.closeIdle(ReasonShutdown) {
+		t.Error("a stop cuts it short")
+	}
+	if _, err := io.WriteString(peer, "crossing"); err != nil {
+		t.Errorf("writing meets %v", err)
 	}
-	select {
-	case <-closed:
-		t.Error("closed before its caller")
-	default:
+	if !c.closeIdle(ReasonRoom) {
+		t.Error("it can't make room")
 	}
 	peer.Close()
 	<-closed
