--- a/internal/crew/granter.go
+++ b/internal/crew/granter.go
@@ -5,8 +5,8 @@
 	"maps"
 	"slices"
 
-	"heathgap/internal/crew/terms"
 	"heathgap/internal/holdings"
+	"heathgap/internal/terms"
 )
 
 // Renewal is what a member asks the leader for: a lease, again and again.
--- a/internal/crew/ledger.go
+++ b/internal/crew/ledger.go
@@ -13,8 +13,8 @@
 	"slices"
 	"time"
 
-	"heathgap/internal/crew/terms"
 	"heathgap/internal/holdings"
+	"heathgap/internal/terms"
 	"heathgap/internal/versions"
 )
 
--- a/internal/crew/member/holdings_test.go
+++ b/internal/crew/member/holdings_test.go
@@ -7,8 +7,8 @@
 
 	"heathgap/decide"
 	"heathgap/internal/config"
-	"heathgap/internal/crew/terms"
 	"heathgap/internal/operator"
+	"heathgap/internal/terms"
 )
 
 // What a sidecar's own settings do not bear is told with the key at fault, before anything is held.
--- a/internal/holdings/table.go
+++ b/internal/holdings/table.go
@@ -14,7 +14,7 @@
 
 	"github.com/zeebo/xxh3"
 
-	"heathgap/internal/crew/terms"
+	"heathgap/internal/terms"
 )
 
 // Bounds.
--- a/internal/lab/scenario/crew.go
+++ b/internal/lab/scenario/crew.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"heathgap/internal/crew/terms"
+	"heathgap/internal/terms"
 	"heathgap/internal/tomlread"
 )
 
--- a/internal/operator/crew.go
+++ b/internal/operator/crew.go
@@ -5,7 +5,7 @@
 	"net"
 	"time"
 
-	"heathgap/internal/crew/terms"
+	"heathgap/internal/terms"
 	"heathgap/internal/tomlread"
 )
 
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/rs/zerolog"
 
-	"heathgap/internal/crew/terms"
+	"heathgap/internal/terms"
 )
 
 func load(t *testing.T, text string) (File, error) {
--- a/internal/crew/terms/terms.go
+++ b/internal/terms/terms.go
@@ -1,4 +1,4 @@
-// Package terms holds what all processes of a crew must be started with alike. It stands apart from package crew so that
+// Package terms holds what all processes of a crew must be started with alike. It stands below all that uses it, so that
 // reading an operator's file links none of the agreement's libraries.
 package terms
 
