What discovery has is in force 5.6 s after it could be had, whatever call failed before

Cause: a change counts as told 6 s after discovery had it and could be reached. A call that went out just before could take a dial of 2 s or a fetch of 3.5 s, then a pause of up to 2 s (8 s where the module asks: decide.go, askPauseMost), and the next call has to wait its turn for up to 3 s.

Change: the time to the next call counts from when the failed one went out, with a short random pause at least behind its end; the module's longest is 2 s in place of 8, and its event ListFailed tells how long the call took. A dial has 1.5 s, the rest of an answer 1.2 s, and an answer that stands still has used up one fresh call's time. A fetch with no answer after 2.2 s is hedged by a second one beside it, two at a time; the first answer counts, so that a discovery that is slow is still heard.

Not kept: a discovery that refuses only after 3 s in turn and then keeps the next call for 3 s as well (6.25 s); no client can be in time there without asking twice.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -36,8 +36,8 @@
 	rateTime       = 3 * time.Second       // averaging time of the served rate
 	coldTrickle    = 1.0                   // sends a second to a cold endpoint, over all peers, at least
 	firstAskSpread = 1 * time.Second       // the first call for the list comes within this
-	askPause       = 1 * time.Second       // shortest pause before asking again after a failed call
-	askPauseMost   = 4 * time.Second       // and longest
+	askPause       = time.Second / 2       // shortest time from a failed call to the next, as much by chance
+	askPauseMost   = 1 * time.Second       // longest, as much by chance: all is told 6 s after it can be had
 	absentTime     = time.Minute           // an endpoint told gone that no longer binds is kept so long
 
 	streamMix = 0x9e3779b97f4a7c15 // sets the second half of the random state apart from the seed
@@ -152,7 +152,7 @@
 	case ListChanged, ListReplaced, ListRestored:
 		b.listCame(e)
 	case ListFailed:
-		b.listFailed()
+		b.listFailed(e)
 	case ProbeFinished:
 		b.scoutBack(e)
 	case StreamBroke:
@@ -1053,9 +1053,9 @@
 	return time.Duration(b.rng.Float64() * float64(d))
 }
 
-// listFailed asks again after a random pause that grows with each failure.
-func (b *Balancer) listFailed() {
-	b.timers.set(b.now+b.askNext+b.jitter(b.askNext), timerList, 0)
+// listFailed asks again: a time that grows with each failure after that call went out, or soon after its end.
+func (b *Balancer) listFailed(e *Event) {
+	b.timers.set(b.now+max(b.jitter(askPause/2), b.askNext+b.jitter(b.askNext)-e.Latency), timerList, 0)
 	b.askNext = min(askPauseMost, 2*b.askNext)
 }
 
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -583,6 +583,51 @@
 	s.want(s.after(firstAskSpread).tick())
 }
 
+// Guards against a pause that, with the call before it and the turn of the next, takes longer than the 6 s after which a
+// change counts as told, and against calls that come ever faster or all together.
+func TestNextCallForTheListIsInTime(t *testing.T) {
+	const turn = 3 * time.Second // the longest that discovery keeps a call in turn
+	set := testSettings()
+	set.MustAsk = true
+	for _, took := range []time.Duration{0, 1500 * ms, 2200 * ms} {
+		var firsts []time.Duration
+		for seed := range uint64(200) {
+			b, err := New(set, seed)
+			if err != nil {
+				t.Fatal(err)
+			}
+			now := time.Minute
+			b.Handle(now, &Event{Kind: Start}, nil)
+			b.Handle(now+firstAskSpread, &Event{Kind: TimerDue}, nil)
+			now += firstAskSpread
+			for failure := range 6 {
+				b.timers.heap, b.timers.armed = nil, 0
+				got := b.Handle(now, &Event{Kind: ListFailed, Latency: took}, nil)
+				if len(got) != 1 || got[0].Kind != SetTimer {
+					t.Fatalf("got %+v, want a timer", got)
+				}
+				pause := got[0].After
+				if took+pause+turn > 5600*ms {
+					t.Errorf("a call that took %v, a pause of %v and a turn of %v", took, pause, turn)
+				}
+				if least := min(askPauseMost, askPause<<failure); took+pause < least {
+					t.Errorf("failure %d: calls are %v apart, want %v at least", failure, took+pause, least)
+				}
+				if failure == 0 {
+					firsts = append(firsts, pause)
+				}
+				now += pause
+				b.Handle(now, &Event{Kind: TimerDue}, nil)
+				now += took
+			}
+		}
+		slices.Sort(firsts)
+		if spread := firsts[len(firsts)-1] - firsts[0]; spread < askPause/4 {
+			t.Errorf("took %v: the next calls of all come within %v", took, spread)
+		}
+	}
+}
+
 // fill sends requests until the hold acts and returns the next free id.
 func (s *script) fill(class string) RequestID {
 	s.t.Helper()
--- a/internal/pipeline/discover.go
+++ b/internal/pipeline/discover.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -23,6 +24,7 @@
 type callTimes struct {
 	dial    time.Duration // for a connection
 	fetch   time.Duration // for the first byte of the whole list, asked for while there is none
+	hedge   time.Duration // after which it is asked for a second time, beside a fetch that has had no answer; 0 for never
 	wait    time.Duration // a watch waits so long for news, at least
 	spread  time.Duration // and up to so much longer: discovery serves all sidecars in turn
 	overdue time.Duration // an answer's first byte may come so long after the wait: then the call has fallen silent
@@ -50,10 +52,17 @@
 	// freshWait is what a fresh call waits for news: it asks whether there are any, and whether discovery is there.
 	freshWait = time.Millisecond
 
-	// A fetch is overdue past the longest time for which a discovery is known to keep calls in turn (3 s); what it
-	// misses counts as told 6 s after it fell silent, and 4 s after a new configuration that made it.
-	fetchTime = 3500 * time.Millisecond
-	restTime  = 2 * time.Second
+	// Whatever a failed call allows, a change counts as told 6 s after discovery had it and could be reached, and discovery
+	// is known to keep calls in turn for up to 3 s. So what is left of a call that can't be answered any more, and the pause
+	// behind it, take 2.6 s at most: then the next call is out (TestChangeIsInForceInTime).
+
+	// A fetch is overdue past the longest time in turn. That is too late to ask anew, so it is hedged: a second one goes
+	// out beside it and the first answer counts. A discovery that is only slow is not asked from the back of its turn.
+	fetchTime  = 3500 * time.Millisecond
+	hedgeAfter = 2200 * time.Millisecond
+
+	dialTime = 1500 * time.Millisecond // a lost SYN is sent again after a second
+	restTime = 1200 * time.Millisecond // an answer is written at once, unless its way has broken
 )
 
 // usualTimes are those of a sidecar with so many peers, itself included, where sends to a draining endpoint end within
@@ -62,17 +71,18 @@
 	wait := min(max(time.Duration(peers)*waitEach, waitLeast), waitMost)
 	fresh := (toldTime+grace-overdueTime)/freshCalls - freshSpread
 	return callTimes{
-		dial: 2 * time.Second, fetch: fetchTime, wait: wait, spread: wait / 2,
+		dial: dialTime, fetch: fetchTime, hedge: hedgeAfter, wait: wait, spread: wait / 2,
 		overdue: overdueTime, fresh: min(max(fresh, freshLeast), freshMost), rest: restTime,
 	}
 }
 
 // Pauses after a failure where the module does not ask: lists are pushed, and what discovery has counts as told
 // whether or not anybody listens. The first is short, since it is nobody's turn while discovery is away; they grow,
-// since a discovery with too many callers is not helped by more calls.
+// since a discovery with too many callers is not helped by more calls. They count from when the failed call went out (see
+// listFailed.took), with a random part of the shortest at least behind its end.
 const (
 	rewatchPause     = 250 * time.Millisecond
-	rewatchPauseMost = time.Second
+	rewatchPauseMost = time.Second // as much by chance again; what a change may take in all is said at fetchTime
 )
 
 // stalePause comes before the next watch when one has told nothing new: a
@@ -90,7 +100,12 @@
 	end     context.CancelFunc
 	index   int64
 	known   bool // there is a list that index names
+	heard   bool // the newest call's answer has begun
 	link    *httpwire.Link
+
+	fetches  int64        // of the whole list
+	fetching atomic.Int64 // the number of the one that is out; 0 while none is
+	older    *watch       // the owner's: one of the same discovery whose fetch is out too; nil without one
 }
 
 func newWatch(address string, times callTimes) *watch {
@@ -99,6 +114,14 @@
 	return w
 }
 
+// endAll ends a watch and the older one beside it.
+func (w *watch) endAll() {
+	w.end()
+	if w.older != nil {
+		w.older.end()
+	}
+}
+
 // Move goes on with the list of another discovery.
 func (e *Engine) Move(address string) { e.post(moved{address}) }
 
@@ -111,7 +134,7 @@
 	if m.address == e.watch.address {
 		return
 	}
-	e.watch.end()
+	e.watch.endAll()
 	e.rewatchIn = 0 // the former one's failures are not this one's
 	e.watch = newWatch(m.address, e.watch.times)
 	e.startWatch()
@@ -177,15 +200,30 @@
 // fresh one, which asks what was missed: what discovery had to tell meanwhile counts as told, whether or not it came.
 func (e *Engine) runWatch(w *watch) {
 	for fresh := 0; ; {
-		before, known := w.index, w.known
+		before, known, begun := w.index, w.known, e.world.Now()
+		if !known {
+			w.fetches++
+			number := w.fetches
+			w.fetching.Store(number)
+			if w.times.hedge > 0 {
+				e.world.AfterFunc(w.times.hedge, func() { e.post(fetchWaits{w, number}) })
+			}
+		}
 		list, keep, err := w.call(e.world, fresh > 0)
+		w.fetching.Store(0)
 		if err != nil {
 			stood := w.link != nil || fresh > 0 // else there is nobody, and no fresh call finds one
 			e.endWatch(w, callReason(err), err)
+			switch silent := errors.Is(err, errSilent); {
+			case silent && w.heard:
+				fresh++ // an answer that stands still has taken the time of one
+			case silent && !known && w.times.hedge > 0:
+				fresh = freshCalls // another fetch is out
+			}
 			if fresh++; stood && lost(err) && fresh <= freshCalls && w.pause(e.world, e.world.Chance(freshSpread)) {
 				continue
 			}
-			e.post(listFailed{w})
+			e.post(listFailed{w, e.world.Now().Sub(begun)})
 			return
 		}
 		fresh = 0
@@ -234,6 +272,7 @@
 // call makes one call to discovery: it fetches the whole list while there is
 // none, and else waits for what is newer; a fresh one hardly waits.
 func (w *watch) call(world env.Env, fresh bool) (list *httpwire.List, keep bool, err error) {
+	w.heard = false
 	dial, message, limit := w.times.dial, httpwire.EncodeFetch(), w.times.fetch
 	if w.known {
 		wait := w.times.wait + world.Chance(w.times.spread)
@@ -264,6 +303,7 @@
 	if _, err := w.link.Reader().Peek(1); err != nil {
 		return nil, false, fmt.Errorf("answer: %w", overdue(err))
 	}
+	w.heard = true
 	if err := w.link.Await(world.Now().Add(w.times.rest)); err != nil {
 		return nil, false, fmt.Errorf("answer: %w", err)
 	}
@@ -317,8 +357,15 @@
 }
 
 func (c listCame) handle(e *Engine) {
-	if c.from != e.watch { // the new discovery tells the whole list
+	switch older := e.watch.older; {
+	case older != nil && c.from == older: // the fetch that has waited longer is answered first
+		e.watch.end()
+		e.watch = older
+	case c.from != e.watch: // the new discovery tells the whole list
 		return
+	case older != nil:
+		older.end()
+		e.watch.older = nil
 	}
 	e.counters.Lists++
 	e.rewatchIn = 0
@@ -357,22 +404,59 @@
 	}
 }
 
+// fetchWaits is a fetch of the whole list that may still be without an answer.
+type fetchWaits struct {
+	from   *watch
+	number int64
+}
+
+// handle asks for the list beside a fetch with no answer yet, on a watch of its own. Guards against a list that comes too
+// late because one call was lost, and against one that never comes because a slow discovery is asked from the back of its
+// turn again and again: a call every hedgeAfter, two at a time.
+func (f fetchWaits) handle(e *Engine) {
+	if f.from != e.watch || f.from.fetching.Load() != f.number {
+		return
+	}
+	if f.from.older != nil {
+		f.from.older.end()
+		f.from.older = nil
+	}
+	e.watch = newWatch(f.from.address, f.from.times)
+	e.watch.older = f.from
+	e.startWatch()
+}
+
 // listFailed is a call to discovery that has failed.
-type listFailed struct{ from *watch }
+type listFailed struct {
+	from *watch
+	took time.Duration // since it went out, connection and all
+}
 
 func (f listFailed) handle(e *Engine) {
+	if f.from == e.watch.older { // the other one goes on
+		e.counters.ListFails++
+		e.watch.older = nil
+	}
 	if f.from != e.watch { // it was ended, and another goes on
 		return
 	}
 	e.counters.ListFails++
 	e.watch.running = false
+	took := f.took
+	if took > fetchTime {
+		took = 0 // it was a watch, whose wait is no discovery that can't be reached
+	}
 	if e.conf.Settings.MustAsk {
-		e.tell(decide.Event{Kind: decide.ListFailed})
+		e.tell(decide.Event{Kind: decide.ListFailed, Latency: took})
 		return
 	}
 	e.rewatchIn = min(max(rewatchPause, 2*e.rewatchIn), rewatchPauseMost)
-	pause := e.rewatchIn + e.world.Chance(e.rewatchIn)
-	e.world.AfterFunc(pause, func() { e.post(rewatch{}) })
+	e.world.AfterFunc(e.pauseAfter(took), func() { e.post(rewatch{}) })
+}
+
+// pauseAfter is the pause behind a failed call that took so long.
+func (e *Engine) pauseAfter(took time.Duration) time.Duration {
+	return max(e.world.Chance(rewatchPause), e.rewatchIn+e.world.Chance(e.rewatchIn)-took)
 }
 
 // rewatch begins a new watch after a pause.
--- a/internal/pipeline/discover_test.go
+++ b/internal/pipeline/discover_test.go
@@ -89,7 +89,7 @@
 		t.Fatalf("former ended: %v, the next %+v", former.ended.Err(), e.watch)
 	}
 	listCame{former, &httpwire.List{Endpoints: []httpwire.ListedEndpoint{{Name: "s"}}}}.handle(e)
-	listFailed{former}.handle(e)
+	listFailed{from: former}.handle(e)
 	if e.endpoints.Len() != 0 || e.counters.ListFails != 0 || !e.watch.running {
 		t.Errorf("%d endpoints, %d failures, running %v", e.endpoints.Len(), e.counters.ListFails, e.watch.running)
 	}
--- a/internal/pipeline/engine.go
+++ b/internal/pipeline/engine.go
@@ -140,7 +140,7 @@
 		case ev := <-e.urgent:
 			ev.handle(e)
 		case <-ctx.Done():
-			e.watch.end()
+			e.watch.endAll()
 			return
 		case <-timer.C():
 		case ev := <-e.events:
--- a/internal/pipeline/watch_test.go
+++ b/internal/pipeline/watch_test.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"net"
+	"reflect"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
+	"heathgap/decide"
 	"heathgap/internal/env"
 	"heathgap/internal/httpwire"
 	"heathgap/internal/lab/scripted"
@@ -153,6 +157,52 @@
 	}
 }
 
+// Guards against a list that is put in force by half: whatever is wrong with an answer, the one before stays whole, and one
+// line of the log says why.
+func TestBrokenListLeavesTheOneBefore(t *testing.T) {
+	line := func(with string) string {
+		return scripted.OK(`{"index":8,"snapshot":true,"endpoints":[{"name":"new","address":"127.0.0.1:2","status":"SERVING"},{` + with + `}]}`)
+	}
+	for name, answer := range map[string]string{
+		"no JSON":          scripted.OK("<html>"),
+		"half a text":      scripted.OK(`{"index":8,"snapshot":true,"endpoints":[{"name":"new","address":"127.0.0.1:2","status":"SERVING"},`),
+		"no object":        scripted.OK(`[]`),
+		"nothing":          scripted.OK(""),
+		"no version":       scripted.OK(`{"snapshot":true,"endpoints":[]}`),
+		"a version apart":  scripted.OK(`{"index":"8","snapshot":true,"endpoints":[]}`),
+		"no endpoints":     scripted.OK(`{"index":8,"snapshot":true}`),
+		"endpoints apart":  scripted.OK(`{"index":8,"snapshot":true,"endpoints":{"name":"new"}}`),
+		"a line apart":     scripted.OK(`{"index":8,"snapshot":true,"endpoints":["new"]}`),
+		"no name":          line(`"address":"127.0.0.1:3","status":"SERVING"`),
+		"no address":       line(`"name":"s","status":"SERVING"`),
+		"no status":        line(`"name":"s","address":"127.0.0.1:3"`),
+		"an unknown state": line(`"name":"s","address":"127.0.0.1:3","status":"ASLEEP"`),
+		"a weight apart":   line(`"name":"s","address":"127.0.0.1:3","status":"DRAINING","weight":"1"`),
+		"over the bound":   "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n{",
+		"no HTTP":          "+OK list follows\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			e, door, first := watchAt(t, quick)
+			var log strings.Builder
+			e.ends = zerolog.New(&log)
+			e.takeList(listOf("s", "127.0.0.1:1", decide.Active), decide.ListReplaced)
+			before := e.endpoints.Lines()
+			first.Say(answer)
+			next(t, e)
+			if now := e.endpoints.Lines(); !reflect.DeepEqual(now, before) || e.counters.Lists != 0 || e.counters.ListFails != 1 {
+				t.Errorf("%+v in force, want %+v; %d lists, %d failures", now, before, e.counters.Lists, e.counters.ListFails)
+			}
+			if lines := strings.Count(log.String(), "\n"); lines != 1 || !strings.Contains(log.String(), `"level":"warn"`) ||
+				!strings.Contains(log.String(), `"reason":"broken"`) || !strings.Contains(log.String(), `"error":"answer: `) {
+				t.Errorf("the log has %d lines: %s", lines, &log)
+			}
+			if e.watch.known != true || e.watch.index != 7 || door.Came() {
+				t.Errorf("version %d is asked for next, known %v; called again at once: %v", e.watch.index, e.watch.known, door.Came())
+			}
+		})
+	}
+}
+
 // Guards against figures that add up to news that come too late: the second fresh call's answer is there, or is given
 // up, before the grace has passed after what was missed counts as told.
 func TestFreshCallsEndInTime(t *testing.T) {
@@ -194,7 +244,7 @@
 	e.watch = newWatch(freeAddress(t), usualTimes(1, time.Second))
 	for _, most := range []time.Duration{rewatchPause, 2 * rewatchPause, rewatchPauseMost, rewatchPauseMost} {
 		e.watch.running = true
-		listFailed{e.watch}.handle(e)
+		listFailed{from: e.watch}.handle(e)
 		if e.rewatchIn != most {
 			t.Errorf("%v, want %v", e.rewatchIn, most)
 		}
