Pauses behind failed calls keep a crowded discovery from being stormed

Change: the engine works out within which time the next call has to be out (nextWithin), from what was left of the call that came to nothing and the turn of the next one; where discovery refuses late in turn, that keeps no call for longer. The module is told it with ListFailed (Grace) and draws its pause below; 1.4 s behind refusals, however late they come.

Not kept: a discovery that refuses only after 2.1 s or more in turn, twice as long and 1.4 s.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -28,17 +28,17 @@
 	driftTime        = 8 * time.Second // an unpicked endpoint goes this slowly towards the others' mean
 
 	// Figures of what the design leaves open.
-	waitStep       = 20 * time.Millisecond // how often waiting requests are looked at again
-	graceSpread    = 10 * time.Millisecond // graces of first tries differ by less
-	firstPayoff    = 0.8                   // least part of the mean payoff of a first choice
-	leastPart      = 2                     // idle endpoints in the own order to draw among, at least
-	meanAgeEach    = time.Millisecond      // how old the mean payoff may be, for each endpoint
-	rateTime       = 3 * time.Second       // averaging time of the served rate
-	coldTrickle    = 1.0                   // sends a second to a cold endpoint, over all peers, at least
-	firstAskSpread = 1 * time.Second       // the first call for the list comes within this
-	askPause       = time.Second / 2       // shortest time from a failed call to the next, as much by chance
-	askPauseMost   = 1 * time.Second       // longest, as much by chance: all is told 6 s after it can be had
-	absentTime     = time.Minute           // an endpoint told gone that no longer binds is kept so long
+	waitStep       = 20 * time.Millisecond   // how often waiting requests are looked at again
+	graceSpread    = 10 * time.Millisecond   // graces of first tries differ by less
+	firstPayoff    = 0.8                     // least part of the mean payoff of a first choice
+	leastPart      = 2                       // idle endpoints in the own order to draw among, at least
+	meanAgeEach    = time.Millisecond        // how old the mean payoff may be, for each endpoint
+	rateTime       = 3 * time.Second         // averaging time of the served rate
+	coldTrickle    = 1.0                     // sends a second to a cold endpoint, over all peers, at least
+	firstAskSpread = 1 * time.Second         // the first call for the list comes within this
+	askPause       = 1 * time.Second         // shortest pause before asking again after a failed call
+	askPauseMost   = 1250 * time.Millisecond // and longest; as much comes by chance
+	absentTime     = time.Minute             // an endpoint told gone that no longer binds is kept so long
 
 	streamMix = 0x9e3779b97f4a7c15 // sets the second half of the random state apart from the seed
 
@@ -1053,16 +1053,15 @@
 	return time.Duration(b.rng.Float64() * float64(d))
 }
 
-// listFailed asks again: a time that grows with each failure after that call went out, or soon after its end.
+// listFailed asks again after a random pause that grows with each failure, within the event's grace.
 func (b *Balancer) listFailed(e *Event) {
-	b.timers.set(b.now+max(b.jitter(askPause/2), b.askNext+b.jitter(b.askNext)-e.Latency), timerList, 0)
+	pause := min(b.askNext, cmp.Or(e.Grace/2, askPauseMost))
+	b.timers.set(b.now+pause+b.jitter(pause), timerList, 0)
 	b.askNext = min(askPauseMost, 2*b.askNext)
 }
 
 func (b *Balancer) listCame(e *Event) {
-	if e.Kind != ListRestored {
-		b.askNext = askPause
-	}
+	b.askNext = askPause
 	f := &b.fleet
 	if e.Kind != ListChanged { // what a whole list no longer names is gone
 		for _, known := range f.order {
--- a/decide/types.go
+++ b/decide/types.go
@@ -223,7 +223,7 @@
 	ListChanged                    // Endpoints: only changed lines
 	ListReplaced                   // Endpoints: the whole list
 	ListRestored                   // Endpoints: the whole list as last known, maybe old
-	ListFailed                     // Latency, 0 when not told: asking for the list failed, or watching it ended
+	ListFailed                     // Grace, for the next call, 0 when not told: asking for the list failed, or watching it ended
 	ProbeFinished                  // Endpoint, Outcome, Latency, Load
 	BodyCame                       // Request, Attempt: the rest of the body that began to go then has come whole
 	StreamBroke                    // Endpoint: it has broken off an answer that counted as served when it began
--- a/internal/pipeline/discover.go
+++ b/internal/pipeline/discover.go
@@ -52,9 +52,14 @@
 	// freshWait is what a fresh call waits for news: it asks whether there are any, and whether discovery is there.
 	freshWait = time.Millisecond
 
-	// Whatever a failed call allows, a change counts as told 6 s after discovery had it and could be reached, and discovery
-	// is known to keep calls in turn for up to 3 s. So what is left of a call that can't be answered any more, and the pause
-	// behind it, take 2.6 s at most: then the next call is out (TestChangeIsInForceInTime).
+	// Whatever a failed call allows, a change counts as told 6 s after discovery had it and could be reached. The way there
+	// is what was left of a call that came to nothing, a pause, and the turn of the next call: 3 s at most, as far as is known.
+	wholeWay = 5500 * time.Millisecond // half a second is left to a busy machine
+	turnMost = 3 * time.Second
+	// A discovery that refuses calls late in their turn has too many callers, and pauses that are too short keep it so.
+	// Where the whole way would want a shorter one than this, a discovery that refuses for so long is not in time for anyone.
+	crowdedPause = 1400 * time.Millisecond
+	pauseLeast   = 200 * time.Millisecond // longest pause where the way before has taken all the time
 
 	// A fetch is overdue past the longest time in turn. That is too late to ask anew, so it is hedged: a second one goes
 	// out beside it and the first answer counts. A discovery that is only slow is not asked from the back of its turn.
@@ -78,11 +83,11 @@
 
 // Pauses after a failure where the module does not ask: lists are pushed, and what discovery has counts as told
 // whether or not anybody listens. The first is short, since it is nobody's turn while discovery is away; they grow,
-// since a discovery with too many callers is not helped by more calls. They count from when the failed call went out (see
-// listFailed.took), with a random part of the shortest at least behind its end.
+// since a discovery with too many callers is not helped by more calls. As much comes by chance. See nextWithin for what bounds
+// them besides, here and where the module asks.
 const (
 	rewatchPause     = 250 * time.Millisecond
-	rewatchPauseMost = time.Second // as much by chance again; what a change may take in all is said at fetchTime
+	rewatchPauseMost = time.Second
 )
 
 // stalePause comes before the next watch when one has told nothing new: a
@@ -93,15 +98,16 @@
 // watch is the watch of the list at one discovery. While it runs, its goroutine
 // owns it, but for running and ended.
 type watch struct {
-	address string
-	times   callTimes
-	running bool            // the owner's
-	ended   context.Context // its end calls off the call at work
-	end     context.CancelFunc
-	index   int64
-	known   bool // there is a list that index names
-	heard   bool // the newest call's answer has begun
-	link    *httpwire.Link
+	address  string
+	times    callTimes
+	running  bool            // the owner's
+	ended    context.Context // its end calls off the call at work
+	end      context.CancelFunc
+	index    int64
+	known    bool // there is a list that index names
+	heard    bool // the newest call's answer has begun
+	answered bool // it came whole
+	link     *httpwire.Link
 
 	fetches  int64        // of the whole list
 	fetching atomic.Int64 // the number of the one that is out; 0 while none is
@@ -199,6 +205,7 @@
 // runWatch watches until calls fail or the watch is ended. A call that broke or fell silent is followed at once by a
 // fresh one, which asks what was missed: what discovery had to tell meanwhile counts as told, whether or not it came.
 func (e *Engine) runWatch(w *watch) {
+	var since time.Time // what discovery has since then has not come
 	for fresh := 0; ; {
 		before, known, begun := w.index, w.known, e.world.Now()
 		if !known {
@@ -214,16 +221,23 @@
 		if err != nil {
 			stood := w.link != nil || fresh > 0 // else there is nobody, and no fresh call finds one
 			e.endWatch(w, callReason(err), err)
+			if fresh == 0 {
+				since = begun
+				if known && e.world.Now().Sub(begun) > fetchTime {
+					since = e.world.Now() // it was a watch that waited
+				}
+			}
 			switch silent := errors.Is(err, errSilent); {
 			case silent && w.heard:
 				fresh++ // an answer that stands still has taken the time of one
+				since = e.world.Now().Add(-w.times.rest)
 			case silent && !known && w.times.hedge > 0:
 				fresh = freshCalls // another fetch is out
 			}
 			if fresh++; stood && lost(err) && fresh <= freshCalls && w.pause(e.world, e.world.Chance(freshSpread)) {
 				continue
 			}
-			e.post(listFailed{w, e.world.Now().Sub(begun)})
+			e.post(listFailed{w, nextWithin(e.world.Now().Sub(since), w.answered)})
 			return
 		}
 		fresh = 0
@@ -237,6 +251,16 @@
 	}
 }
 
+// nextWithin is the longest pause behind a failed call that leaves the change time: took is how long nothing has come, and
+// answered tells whether discovery refused the call, or answered it with a fault. One that refuses late in turn keeps no call
+// for longer.
+func nextWithin(took time.Duration, answered bool) time.Duration {
+	if answered {
+		return max(crowdedPause, min(wholeWay-turnMost, wholeWay-2*took))
+	}
+	return max(pauseLeast, wholeWay-turnMost-took)
+}
+
 // pause waits, and tells whether the watch goes on.
 func (w *watch) pause(world env.Env, d time.Duration) bool {
 	timer := world.NewTimer(d)
@@ -272,7 +296,7 @@
 // call makes one call to discovery: it fetches the whole list while there is
 // none, and else waits for what is newer; a fresh one hardly waits.
 func (w *watch) call(world env.Env, fresh bool) (list *httpwire.List, keep bool, err error) {
-	w.heard = false
+	w.heard, w.answered = false, false
 	dial, message, limit := w.times.dial, httpwire.EncodeFetch(), w.times.fetch
 	if w.known {
 		wait := w.times.wait + world.Chance(w.times.spread)
@@ -308,6 +332,7 @@
 		return nil, false, fmt.Errorf("answer: %w", err)
 	}
 	answer, keep, err := httpwire.DecodeListReply(w.link.Reader())
+	w.answered = err == nil || !lost(overdue(err))
 	if err != nil {
 		return nil, false, fmt.Errorf("answer: %w", overdue(err))
 	}
@@ -428,8 +453,8 @@
 
 // listFailed is a call to discovery that has failed.
 type listFailed struct {
-	from *watch
-	took time.Duration // since it went out, connection and all
+	from   *watch
+	within time.Duration // the next call should be out by then
 }
 
 func (f listFailed) handle(e *Engine) {
@@ -442,21 +467,13 @@
 	}
 	e.counters.ListFails++
 	e.watch.running = false
-	took := f.took
-	if took > fetchTime {
-		took = 0 // it was a watch, whose wait is no discovery that can't be reached
-	}
 	if e.conf.Settings.MustAsk {
-		e.tell(decide.Event{Kind: decide.ListFailed, Latency: took})
+		e.tell(decide.Event{Kind: decide.ListFailed, Grace: f.within})
 		return
 	}
 	e.rewatchIn = min(max(rewatchPause, 2*e.rewatchIn), rewatchPauseMost)
-	e.world.AfterFunc(e.pauseAfter(took), func() { e.post(rewatch{}) })
-}
-
-// pauseAfter is the pause behind a failed call that took so long.
-func (e *Engine) pauseAfter(took time.Duration) time.Duration {
-	return max(e.world.Chance(rewatchPause), e.rewatchIn+e.world.Chance(e.rewatchIn)-took)
+	pause := min(e.rewatchIn, f.within/2)
+	e.world.AfterFunc(pause+e.world.Chance(pause), func() { e.post(rewatch{}) })
 }
 
 // rewatch begins a new watch after a pause.
