--- a/decide/decide.go
+++ b/decide/decide.go
@@ -36,8 +36,8 @@
 	rateTime       = 3 * time.Second         // averaging time of the served rate
 	coldTrickle    = 1.0                     // sends a second to a cold endpoint, over all peers, at least
 	firstAskSpread = 1 * time.Second         // the first call for the list comes within this
-	askPause       = 1 * time.Second         // shortest pause before asking again after a failed call
-	askPauseMost   = 1250 * time.Millisecond // and longest; as much comes by chance
+	askBackoff     = 1 * time.Second         // shortest pause before asking again after a failed call
+	askBackoffMost = 1250 * time.Millisecond // and longest; as much comes by chance
 	absentTime     = time.Minute             // an endpoint told gone that no longer binds is kept so long
 
 	streamMix = 0x9e3779b97f4a7c15 // sets the second half of the random state apart from the seed
@@ -87,12 +87,12 @@
 	classes map[string]*class
 	unknown class // what a request of an unknown class is handled as
 	requests
-	bucket    bucket
-	hold      hold
-	tenants   map[string]*bucket // requests inside each customer's share, of this instance's part of it
-	fleet     fleet
-	mostWorth float64       // of a class
-	askNext   time.Duration // pause after the next failed call for the list
+	bucket         bucket
+	hold           hold
+	tenants        map[string]*bucket // requests inside each customer's share, of this instance's part of it
+	fleet          fleet
+	mostWorth      float64       // of a class
+	askBackoffNext time.Duration // pause after the next failed call for the list
 }
 
 // class is a request class with what its requests share.
@@ -128,7 +128,7 @@
 		b.tenants[t.Name] = &bucket{floor: rate, burst: max(1, rate*tenantBurst.Seconds())}
 	}
 	b.mostWorth, b.fleet.byID = max(most, math.SmallestNonzeroFloat64), map[EndpointID]*endpoint{}
-	b.fleet.banned, b.askNext = map[EndpointID]bool{}, askPause
+	b.fleet.banned, b.askBackoffNext = map[EndpointID]bool{}, askBackoff
 	b.hold.each = holdStart * b.tierShare()
 	return b, nil
 }
@@ -1055,13 +1055,13 @@
 
 // listFailed asks again after a random pause that grows with each failure, within the event's grace.
 func (b *Balancer) listFailed(e *Event) {
-	pause := min(b.askNext, cmp.Or(e.Grace/2, askPauseMost))
+	pause := min(b.askBackoffNext, cmp.Or(e.Grace/2, askBackoffMost))
 	b.timers.set(b.now+pause+b.jitter(pause), timerList, 0)
-	b.askNext = min(askPauseMost, 2*b.askNext)
+	b.askBackoffNext = min(askBackoffMost, 2*b.askBackoffNext)
 }
 
 func (b *Balancer) listCame(e *Event) {
-	b.askNext = askPause
+	b.askBackoffNext = askBackoff
 	f := &b.fleet
 	if e.Kind != ListChanged { // what a whole list no longer names is gone
 		for _, known := range f.order {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -577,7 +577,7 @@
 	s.want(asked, WatchList)
 	for range 4 {
 		s.want(s.event(Event{Kind: ListFailed}))
-		s.want(s.after(2*askPauseMost).tick(), WatchList)
+		s.want(s.after(2*askBackoffMost).tick(), WatchList)
 	}
 	set.MustAsk = false
 	s = start(t, set, two()...)
@@ -589,7 +589,7 @@
 	set := testSettings()
 	set.MustAsk = true
 	for grace, least := range map[time.Duration]time.Duration{
-		0: askPause, 2500 * ms: askPause, 1400 * ms: 700 * ms, 200 * ms: 100 * ms,
+		0: askBackoff, 2500 * ms: askBackoff, 1400 * ms: 700 * ms, 200 * ms: 100 * ms,
 	} {
 		most := cmp.Or(grace, 2500*ms)
 		var firsts []time.Duration
--- a/internal/pipeline/discover.go
+++ b/internal/pipeline/discover.go
@@ -59,7 +59,7 @@
 	// A discovery that refuses calls late in their turn has too many callers, and pauses that are too short keep it so.
 	// Where the whole way would want a shorter one than this, a discovery that refuses for so long is not in time for anyone.
 	crowdedPause = 1400 * time.Millisecond
-	pauseLeast   = 200 * time.Millisecond // longest pause where the way before has taken all the time
+	hurriedPause = 200 * time.Millisecond // longest pause where the way before has taken all the time
 
 	// A fetch is overdue past the longest time in turn. That is too late to ask anew, so it is hedged: a second one goes
 	// out beside it and the first answer counts. A discovery that is only slow is not asked from the back of its turn.
@@ -86,8 +86,8 @@
 // since a discovery with too many callers is not helped by more calls. As much comes by chance. See nextWithin for what bounds
 // them besides, here and where the module asks.
 const (
-	rewatchPause     = 250 * time.Millisecond
-	rewatchPauseMost = time.Second
+	backoffLeast = 250 * time.Millisecond
+	backoffMost  = time.Second
 )
 
 // stalePause comes before the next watch when one has told nothing new: a
@@ -141,7 +141,7 @@
 		return
 	}
 	e.watch.endAll()
-	e.rewatchIn = 0 // the former one's failures are not this one's
+	e.backoff = 0 // the former one's failures are not this one's
 	e.watch = newWatch(m.address, e.watch.times)
 	e.startWatch()
 }
@@ -258,7 +258,7 @@
 	if answered {
 		return max(crowdedPause, min(wholeWay-turnMost, wholeWay-2*took))
 	}
-	return max(pauseLeast, wholeWay-turnMost-took)
+	return max(hurriedPause, wholeWay-turnMost-took)
 }
 
 // pause waits, and tells whether the watch goes on.
@@ -393,7 +393,7 @@
 		e.watch.older = nil
 	}
 	e.counters.Lists++
-	e.rewatchIn = 0
+	e.backoff = 0
 	e.index = c.list.Index
 	kind := decide.ListChanged
 	if c.list.Whole {
@@ -471,8 +471,8 @@
 		e.tell(decide.Event{Kind: decide.ListFailed, Grace: f.within})
 		return
 	}
-	e.rewatchIn = min(max(rewatchPause, 2*e.rewatchIn), rewatchPauseMost)
-	pause := min(e.rewatchIn, f.within/2)
+	e.backoff = min(max(backoffLeast, 2*e.backoff), backoffMost)
+	pause := min(e.backoff, f.within/2)
 	e.world.AfterFunc(pause+e.world.Chance(pause), func() { e.post(rewatch{}) })
 }
 
--- a/internal/pipeline/engine.go
+++ b/internal/pipeline/engine.go
@@ -72,7 +72,7 @@
 	timeouts  state.Timeouts
 	counters  state.Counters
 	watch     *watch        // of the present discovery
-	rewatchIn time.Duration // the pause after the newest failed call, where the module does not ask; 0 after an answer
+	backoff   time.Duration // the pause after the newest failed call, where the module does not ask; 0 after an answer
 	index     int64         // the list's version
 	legacy    *Legacy       // of a predecessor; nil without one
 	moduleDue decide.Time   // when the module wants to be woken; 0 when it does not
--- a/internal/pipeline/watch_test.go
+++ b/internal/pipeline/watch_test.go
@@ -242,15 +242,15 @@
 func TestPushedListsAreAskedForSoonAfterAnOutage(t *testing.T) {
 	e := testEngine(t)
 	e.watch = newWatch(freeAddress(t), usualTimes(1, time.Second))
-	for _, most := range []time.Duration{rewatchPause, 2 * rewatchPause, rewatchPauseMost, rewatchPauseMost} {
+	for _, most := range []time.Duration{backoffLeast, 2 * backoffLeast, backoffMost, backoffMost} {
 		e.watch.running = true
 		listFailed{e.watch, time.Minute}.handle(e)
-		if e.rewatchIn != most {
-			t.Errorf("%v, want %v", e.rewatchIn, most)
+		if e.backoff != most {
+			t.Errorf("%v, want %v", e.backoff, most)
 		}
 	}
 	listCame{e.watch, &httpwire.List{Index: 1}}.handle(e)
-	if e.rewatchIn != 0 {
-		t.Errorf("after an answer still %v", e.rewatchIn)
+	if e.backoff != 0 {
+		t.Errorf("after an answer still %v", e.backoff)
 	}
 }
