A refusal within a second or so leaves the next call its whole turn of 3 s

Cause, found on reading the change again: the time behind a refused call was worked out with a next turn as short as the refusal; a discovery that is down and refuses after 1 s may well keep the next call for 3 s at its return: 6.5 s (TestChangeIsInForceInTime, "503 after 1 s"). Change: nextWithin takes what the call took off the whole way, as for calls that were not answered, and goes no lower than 1.4 s.

--- a/internal/pipeline/discover.go
+++ b/internal/pipeline/discover.go
@@ -56,8 +56,9 @@
 	// is what was left of a call that came to nothing, a pause, and the turn of the next call: 3 s at most, as far as is known.
 	wholeWay = 5500 * time.Millisecond // half a second is left to a busy machine
 	turnMost = 3 * time.Second
-	// A discovery that refuses calls late in their turn has too many callers, and pauses that are too short keep it so.
-	// Where the whole way would want a shorter one than this, a discovery that refuses for so long is not in time for anyone.
+	// A discovery that refuses calls late in their turn has too many callers, and pauses that are too short keep it so. One
+	// that refuses them after 2 s keeps none for longer, which leaves as much time; one that does after 2.3 s or more, and
+	// keeps the next call as long, is not in time.
 	crowdedPause = 1400 * time.Millisecond
 	hurriedPause = 200 * time.Millisecond // longest pause where the way before has taken all the time
 
@@ -252,13 +253,13 @@
 }
 
 // nextWithin is the longest pause behind a failed call that leaves the change time: took is how long nothing has come, and
-// answered tells whether discovery refused the call, or answered it with a fault. One that refuses late in turn keeps no call
-// for longer.
+// answered tells whether discovery refused the call, or answered it with a fault.
 func nextWithin(took time.Duration, answered bool) time.Duration {
+	least := hurriedPause
 	if answered {
-		return max(crowdedPause, min(wholeWay-turnMost, wholeWay-2*took))
+		least = crowdedPause
 	}
-	return max(hurriedPause, wholeWay-turnMost-took)
+	return max(least, wholeWay-turnMost-took)
 }
 
 // pause waits, and tells whether the watch goes on.
--- a/internal/pipeline/told_test.go
+++ b/internal/pipeline/told_test.go
@@ -37,6 +37,7 @@
 	deaf                // its connection never comes up
 	silent              // it is read, and nothing comes
 	overrun             // it is answered 503 at once
+	soon503             // it is answered 503 after 1 s
 	late503             // it is answered 503 after 2 s in turn
 	broken              // it is answered with half a list
 	stalled             // half an answer comes
@@ -146,10 +147,8 @@
 	switch d.fate {
 	case silent:
 		r.ReadByte() //nolint:errcheck // until it is given up
-	case overrun, late503:
-		if d.fate == late503 {
-			time.Sleep(patience)
-		}
+	case overrun, soon503, late503:
+		time.Sleep(map[fate]time.Duration{soon503: time.Second, late503: patience}[d.fate])
 		conn.Write([]byte("HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n")) //nolint:errcheck // a call may be given up
 	case broken:
 		conn.Write([]byte(scripted.OK(`{"index":`))) //nolint:errcheck // the same
@@ -259,7 +258,7 @@
 		moves bool
 	}{
 		{"refused dial", refused, true, false}, {"dial that hangs", deaf, true, false},
-		{"503 at once", overrun, true, false}, {"503 after 2 s in turn", late503, true, false},
+		{"503 at once", overrun, true, false}, {"503 after 1 s", soon503, true, false}, {"503 after 2 s in turn", late503, true, false},
 		{"broken list", broken, true, false}, {"lost watch", reset, true, false},
 		{"watch that stands still in its answer", stalled, true, false},
 		{"fetch, refused dial", refused, false, false}, {"fetch, dial that hangs", deaf, false, false},
