--- a/decide/decide.go
+++ b/decide/decide.go
@@ -28,17 +28,17 @@
 	driftTime        = 8 * time.Second // an unpicked endpoint goes this slowly towards the others' mean
 
 	// Figures of what the design leaves open.
-	waitStep       = 20 * time.Millisecond // how often waiting requests are looked at again
-	graceSpread    = 10 * time.Millisecond // graces of first tries differ by less
-	firstPayoff    = 0.8                   // least part of the mean payoff of a first choice
-	leastPart      = 2                     // idle endpoints in the own order to draw among, at least
-	meanAgeEach    = time.Millisecond      // how old the mean payoff may be, for each endpoint
-	rateTime       = 3 * time.Second       // averaging time of the served rate
-	coldTrickle    = 1.0                   // sends a second to a cold endpoint, over all peers, at least
-	firstAskSpread = 1 * time.Second       // the first call for the list comes within this
-	askPause       = 1 * time.Second       // shortest pause before asking again after a failed call
-	askPauseMost   = 4 * time.Second       // and longest
-	absentTime     = time.Minute           // an endpoint told gone that no longer binds is kept so long
+	waitStep       = 20 * time.Millisecond   // how often waiting requests are looked at again
+	graceSpread    = 10 * time.Millisecond   // graces of first tries differ by less
+	firstPayoff    = 0.8                     // least part of the mean payoff of a first choice
+	leastPart      = 2                       // idle endpoints in the own order to draw among, at least
+	meanAgeEach    = time.Millisecond        // how old the mean payoff may be, for each endpoint
+	rateTime       = 3 * time.Second         // averaging time of the served rate
+	coldTrickle    = 1.0                     // sends a second to a cold endpoint, over all peers, at least
+	firstAskSpread = 1 * time.Second         // the first call for the list comes within this
+	askBackoff     = 1 * time.Second         // shortest pause before asking again after a failed call
+	askBackoffMost = 1250 * time.Millisecond // and longest; as much comes by chance
+	absentTime     = time.Minute             // an endpoint told gone that no longer binds is kept so long
 
 	streamMix = 0x9e3779b97f4a7c15 // sets the second half of the random state apart from the seed
 
@@ -87,12 +87,12 @@
 	classes map[string]*class
 	unknown class // what a request of an unknown class is handled as
 	requests
-	bucket    bucket
-	hold      hold
-	tenants   map[string]*bucket // requests inside each customer's share, of this instance's part of it
-	fleet     fleet
-	mostWorth float64       // of a class
-	askNext   time.Duration // pause after the next failed call for the list
+	bucket         bucket
+	hold           hold
+	tenants        map[string]*bucket // requests inside each customer's share, of this instance's part of it
+	fleet          fleet
+	mostWorth      float64       // of a class
+	askBackoffNext time.Duration // pause after the next failed call for the list
 }
 
 // class is a request class with what its requests share.
@@ -128,7 +128,7 @@
 		b.tenants[t.Name] = &bucket{floor: rate, burst: max(1, rate*tenantBurst.Seconds())}
 	}
 	b.mostWorth, b.fleet.byID = max(most, math.SmallestNonzeroFloat64), map[EndpointID]*endpoint{}
-	b.fleet.banned, b.askNext = map[EndpointID]bool{}, askPause
+	b.fleet.banned, b.askBackoffNext = map[EndpointID]bool{}, askBackoff
 	b.hold.each = holdStart * b.tierShare()
 	return b, nil
 }
@@ -152,7 +152,7 @@
 	case ListChanged, ListReplaced, ListRestored:
 		b.listCame(e)
 	case ListFailed:
-		b.listFailed()
+		b.listFailed(e)
 	case ProbeFinished:
 		b.scoutBack(e)
 	case StreamBroke:
@@ -1053,16 +1053,15 @@
 	return time.Duration(b.rng.Float64() * float64(d))
 }
 
-// listFailed asks again after a random pause that grows with each failure.
-func (b *Balancer) listFailed() {
-	b.timers.set(b.now+b.askNext+b.jitter(b.askNext), timerList, 0)
-	b.askNext = min(askPauseMost, 2*b.askNext)
+// listFailed asks again after a random pause that grows with each failure, within the event's grace.
+func (b *Balancer) listFailed(e *Event) {
+	pause := min(b.askBackoffNext, cmp.Or(e.Grace/2, askBackoffMost))
+	b.timers.set(b.now+pause+b.jitter(pause), timerList, 0)
+	b.askBackoffNext = min(askBackoffMost, 2*b.askBackoffNext)
 }
 
 func (b *Balancer) listCame(e *Event) {
-	if e.Kind != ListRestored {
-		b.askNext = askPause
-	}
+	b.askBackoffNext = askBackoff
 	f := &b.fleet
 	if e.Kind != ListChanged { // what a whole list no longer names is gone
 		for _, known := range f.order {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"strings"
@@ -576,13 +577,55 @@
 	s.want(asked, WatchList)
 	for range 4 {
 		s.want(s.event(Event{Kind: ListFailed}))
-		s.want(s.after(2*askPauseMost).tick(), WatchList)
+		s.want(s.after(2*askBackoffMost).tick(), WatchList)
 	}
 	set.MustAsk = false
 	s = start(t, set, two()...)
 	s.want(s.after(firstAskSpread).tick())
 }
 
+// Guards against a call that comes after its grace, and against calls that come ever faster or all together.
+func TestNextCallForTheListIsInTime(t *testing.T) {
+	set := testSettings()
+	set.MustAsk = true
+	for grace, least := range map[time.Duration]time.Duration{
+		0: askBackoff, 2500 * ms: askBackoff, 1400 * ms: 700 * ms, 200 * ms: 100 * ms,
+	} {
+		most := cmp.Or(grace, 2500*ms)
+		var firsts []time.Duration
+		for seed := range uint64(200) {
+			b, err := New(set, seed)
+			if err != nil {
+				t.Fatal(err)
+			}
+			now := time.Minute
+			b.Handle(now, &Event{Kind: Start}, nil)
+			now += firstAskSpread
+			b.Handle(now, &Event{Kind: TimerDue}, nil)
+			for failure := range 6 {
+				got := b.Handle(now, &Event{Kind: ListFailed, Grace: grace}, nil)
+				if len(got) != 1 || got[0].Kind != SetTimer {
+					t.Fatalf("got %+v, want a timer", got)
+				}
+				if pause := got[0].After; pause < least || pause > most {
+					t.Errorf("grace %v, failure %d: the next call comes after %v, want %v to %v", grace, failure, pause, least, most)
+				}
+				if failure == 0 {
+					firsts = append(firsts, got[0].After)
+				}
+				now += got[0].After
+				if got = b.Handle(now, &Event{Kind: TimerDue}, nil); len(got) != 1 || got[0].Kind != WatchList {
+					t.Fatalf("got %+v, want the list to be asked for", got)
+				}
+			}
+		}
+		slices.Sort(firsts)
+		if spread := firsts[len(firsts)-1] - firsts[0]; spread < least*8/10 {
+			t.Errorf("grace %v: the next calls of all come within %v", grace, spread)
+		}
+	}
+}
+
 // fill sends requests until the hold acts and returns the next free id.
 func (s *script) fill(class string) RequestID {
 	s.t.Helper()
