Callers never take the descriptors that discovery, endpoints and the console need

Cause: callers' connections beyond their bound were accepted and ended later, so a crowd of idle ones that came again filled all descriptors up to RLIMIT_NOFILE; each that was freed went to the next of them. Dials to discovery, to endpoints and accepts at the console then failed. Nor was RLIMIT_NOFILE looked at, and with less than 270 sockets the tenth that was kept was less than what is needed.

Change: Callers.acceptOne waits for room at the bound; who comes stands in the kernel's queue. A sixteenth of the bound is for callers that are turned away and for room that is being made. When all places are taken and others wait, half of those that never brought a request end after 50 ms, half requests and what is only read out as before or after 200 ms. A caller that has brought a good request stands while others can make room soon. Config keeps 12 descriptors, 28 with a console (half of the limit at most), and a process that may hold fewer than limits.sockets keeps to those.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -40,7 +40,16 @@
 	answerShare   = 0.25 // of the heap, for bodies of answers
 	heapShare     = 0.6  // of the memory: stacks, buffers and the program need the rest
 	callerShare   = 0.6  // of the sockets, for callers
-	endpointShare = 0.3  // for endpoints; the rest is kept for the listener, discovery and bursts
+	endpointShare = 0.3  // for endpoints; the rest is kept
+	keptShare     = 0.5  // of the sockets, so many may be kept at most: both sides need some as well
+
+	// Descriptors that are kept for what callers and endpoints do not count: standard input, output and error, the poller's
+	// two, the listener, discovery's connection and the next one's beside it, a configuration that is read, the one that a
+	// caller takes before it is counted, and two that the runtime may open.
+	keptSockets = 12
+	// With a console also: its listener, the calls that it serves at a time and two that still read the answer; of an
+	// upgrade the way in, the other process, the listener twice while it is handed over, and one that is turned away.
+	keptForConsole = 1 + 8 + 2 + 5
 
 	idleShare          = 0.75 // of the time after which endpoints end idle connections
 	defaultIdle        = 10 * time.Second
@@ -61,7 +70,8 @@
 
 	HeapBytes      int64         // the collector's limit
 	AnswerBytes    int64         // of it, what bodies of answers may take together
-	CallerConns    int           // connections of callers
+	Sockets        int           // descriptors, as configured
+	CallerConns    int           // of them, or of fewer that the process may hold, connections of callers
 	EndpointConns  int           // connections to endpoints
 	ConnectTimeout time.Duration // for a connection to an endpoint
 	IdleFor        time.Duration // a connection to an endpoint may stand idle for so long
@@ -160,8 +170,7 @@
 		{"name", c.Name == next.Name},
 		{"listen", c.Listen == next.Listen},
 		{"console", c.Console == next.Console},
-		{"limits", c.HeapBytes == next.HeapBytes && c.CallerConns == next.CallerConns &&
-			c.EndpointConns == next.EndpointConns},
+		{"limits", c.HeapBytes == next.HeapBytes && c.Sockets == next.Sockets},
 		{"settings", c.Transport == next.Transport && reflect.DeepEqual(c.Settings, next.Settings)},
 	} {
 		if !k.same {
@@ -219,11 +228,32 @@
 	}
 	c.HeapBytes = int64(memoryMB * heapShare * (1 << 20))
 	c.AnswerBytes = int64(float64(c.HeapBytes) * answerShare)
-	c.CallerConns = int(float64(sockets) * callerShare)
-	c.EndpointConns = int(float64(sockets) * endpointShare)
+	c.Sockets = sockets
+	c.partSockets(sockets)
 	return nil
 }
 
+// partSockets parts descriptors among their uses. What is kept comes first: guards against callers or endpoints that take
+// the last descriptor, without which nothing is heard of discovery and no operator is.
+func (c *Config) partSockets(sockets int) {
+	kept := keptSockets
+	if c.Console != "" {
+		kept += keptForConsole
+	}
+	kept = min(kept, int(float64(sockets)*keptShare))
+	c.EndpointConns = min(int(float64(sockets)*endpointShare), int(float64(sockets-kept)*endpointShare/(callerShare+endpointShare)))
+	c.CallerConns = min(int(float64(sockets)*callerShare), sockets-kept-c.EndpointConns)
+}
+
+// Within keeps to fewer descriptors than are configured, where the process may hold no more, and tells whether it may not.
+func (c *Config) Within(descriptors uint64) bool {
+	if descriptors >= uint64(c.Sockets) {
+		return false
+	}
+	c.partSockets(max(int(descriptors), leastSockets))
+	return true
+}
+
 func (c *Config) readKnown(v *fastjson.Value) error {
 	if v == nil || v.Type() == fastjson.TypeNull {
 		return nil
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -168,3 +168,29 @@
 		}
 	}
 }
+
+// Guards against descriptors of which callers and endpoints may take the last, whatever the limit is: what discovery, the
+// console and an upgrade need is kept, or half of few.
+func TestDescriptorsAreKept(t *testing.T) {
+	for sockets := leastSockets; sockets <= 4096; sockets++ {
+		for _, c := range []Config{{}, {Console: "127.0.0.1:1"}} {
+			need := keptSockets
+			if c.Console != "" {
+				need += keptForConsole
+			}
+			if err := c.setLimits(0, sockets); err != nil {
+				t.Fatal(err)
+			}
+			if kept := sockets - c.CallerConns - c.EndpointConns; kept < min(need, sockets/2) {
+				t.Errorf("%d sockets: %d are kept, and %d are needed", sockets, kept, need)
+			}
+			if c.CallerConns < 2 || c.EndpointConns < 2 || c.CallerConns > sockets*6/10 || c.EndpointConns > sockets*3/10 {
+				t.Errorf("%d sockets: %d callers, %d endpoints", sockets, c.CallerConns, c.EndpointConns)
+			}
+		}
+	}
+	few := Config{Sockets: 1024}
+	if few.Within(1024) || !few.Within(64) || few.CallerConns+few.EndpointConns+keptSockets > 64 || few.Sockets != 1024 {
+		t.Errorf("within 64: %+v", few)
+	}
+}
--- a/internal/httpwire/caller.go
+++ b/internal/httpwire/caller.go
@@ -21,13 +21,16 @@
 type Callers struct {
 	net.Listener
 	world env.Env
-	most  atomic.Int64
+	limit atomic.Int64 // connections that there may be at all
+	most  atomic.Int64 // of them, those that may stay; the rest is for callers that are turned away, and for room that is being made
 	ended func(c *CallerConn, why Reason)
 
 	paused       atomic.Bool
 	resume       chan struct{} // one that is stale only has Accept look again
 	closing      atomic.Bool
+	closed       atomic.Bool
 	backlogEmpty chan struct{} // closed by Accept: nobody stands in the queue of a listener that closes
+	freed        chan struct{} // one that is stale only has Accept look again
 
 	held      atomic.Int64 // connections with a whole request on them
 	lingering atomic.Int64 // connections that have ended on this side, and are read out
@@ -37,16 +40,38 @@
 	looking bool                     // makeRoom is at work, or will be
 }
 
-// NewCallers wraps a listener. Beyond so many connections, those that have been
-// idle longest make room. ended is called once for each that ends.
-func NewCallers(l net.Listener, world env.Env, most int, ended func(c *CallerConn, why Reason)) *Callers {
-	c := &Callers{Listener: l, world: world, ended: ended, conns: map[*CallerConn]struct{}{}, resume: make(chan struct{}, 1), backlogEmpty: make(chan struct{})}
-	c.Bound(most)
+// NewCallers wraps a listener. There are never more connections than the limit: close to it, those that have been idle
+// longest make room, and who comes at the limit waits in the kernel's queue for that. ended is called once for each that ends.
+func NewCallers(l net.Listener, world env.Env, limit int, ended func(c *CallerConn, why Reason)) *Callers {
+	c := &Callers{
+		Listener: l, world: world, ended: ended, conns: map[*CallerConn]struct{}{},
+		resume: make(chan struct{}, 1), backlogEmpty: make(chan struct{}), freed: make(chan struct{}, 1),
+	}
+	c.Bound(limit)
 	return c
 }
 
-// Bound sets how many connections there may be. It binds when the next one comes.
-func (l *Callers) Bound(most int) { l.most.Store(int64(most)) }
+// spareShare is so large a part of the connections as is kept free of those that stay.
+const spareShare = 16
+
+// Bound sets how many connections there may be. What is idle beyond that ends; what is in use goes on.
+func (l *Callers) Bound(limit int) {
+	l.limit.Store(int64(limit))
+	l.most.Store(int64(max(1, limit-max(1, limit/spareShare))))
+	l.mu.Lock()
+	look := l.crowded() && !l.looking
+	l.looking = l.looking || look
+	l.mu.Unlock()
+	if look {
+		l.makeRoom()
+	}
+}
+
+// crowded tells whether room is to be made; l.mu is held.
+func (l *Callers) crowded() bool {
+	n := int64(len(l.conns))
+	return n > l.most.Load() || n >= l.limit.Load()
+}
 
 // deadliner is a listener whose Accept can be made to end.
 type deadliner interface{ SetDeadline(time.Time) error }
@@ -91,8 +116,10 @@
 
 // CloseNow ends accepting; who stands in the kernel's queue is reset.
 func (l *Callers) CloseNow() error {
+	l.closed.Store(true)
 	err := l.Listener.Close()
 	l.Resume()
+	l.tellFreed()
 	return err
 }
 
@@ -101,6 +128,8 @@
 	acceptPause  = 5 * time.Millisecond   // after a failed accept: descriptors may run out for a moment
 	roomPause    = 50 * time.Millisecond  // between looks for connections that can make room
 	settleTime   = 200 * time.Millisecond // a connection stands idle so long before it may be ended
+	silentTime   = 50 * time.Millisecond  // or so long, if it has brought nothing, all places are taken and others wait for one
+	crowdShare   = 2                      // so large a part of all connections makes room at once while others wait for it
 	stallTime    = time.Second            // a request may take so long to come whole while room is short
 	backlogPause = 20 * time.Millisecond  // for who stands in the queue of a listener that closes
 	backlogTime  = 100 * time.Millisecond // it closes by then in any case: somebody may always come
@@ -110,7 +139,7 @@
 // closed: the server would end on any other error, and what waits to be accepted
 // must not be lost for want of a descriptor.
 func (l *Callers) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
+	conn, err := l.acceptOne()
 	for err != nil {
 		switch {
 		case errors.Is(err, net.ErrClosed):
@@ -130,12 +159,12 @@
 			l.closeOldest(1)
 			l.world.Sleep(acceptPause)
 		}
-		conn, err = l.Listener.Accept()
+		conn, err = l.acceptOne()
 	}
 	c := &CallerConn{Conn: conn, owner: l, changed: l.world.Now()}
 	l.mu.Lock()
 	l.conns[c] = struct{}{}
-	look := int64(len(l.conns)) > l.most.Load() && !l.looking
+	look := l.crowded() && !l.looking
 	l.looking = l.looking || look
 	l.mu.Unlock()
 	if look {
@@ -144,6 +173,28 @@
 	return c, nil
 }
 
+// acceptOne accepts once there is room. Guards against callers that take the descriptors without which no endpoint,
+// discovery or console is reached: what is kept for these is not to be had, however many callers come.
+func (l *Callers) acceptOne() (net.Conn, error) {
+	for int64(l.Open()) >= l.limit.Load() && !l.closed.Load() && !l.paused.Load() {
+		timer := l.world.NewTimer(roomPause) // the limit may have been raised
+		select {
+		case <-l.freed:
+		case <-timer.C():
+		}
+		timer.Stop()
+	}
+	return l.Listener.Accept()
+}
+
+// tellFreed has Accept look for room again.
+func (l *Callers) tellFreed() {
+	select {
+	case l.freed <- struct{}{}:
+	default:
+	}
+}
+
 // backlogged tells whether somebody stands in the kernel's queue.
 func (l *Callers) backlogged() bool {
 	raw, ok := l.Listener.(syscall.Conn)
@@ -162,16 +213,29 @@
 	return waits && err == nil
 }
 
-// makeRoom ends idle connections until there are no more than there should be.
+// makeRoom ends connections until there are no more than may stay.
 func (l *Callers) makeRoom() {
+	all := l.all()
 	l.mu.Lock()
 	over := len(l.conns) - int(l.most.Load())
-	l.looking = over > 0
+	full := len(l.conns) >= int(l.limit.Load())
+	look := l.crowded()
+	l.looking = look
 	l.mu.Unlock()
-	if over > 0 {
-		l.closeOldest(over)
-		l.world.AfterFunc(roomPause, l.makeRoom)
+	if !look {
+		return
+	}
+	over = max(over, 1)
+	for _, c := range all {
+		if c.leaving() {
+			over--
+		}
 	}
+	l.closeOldest(over)
+	if full && l.backlogged() { // a few at a time would keep usual callers behind a crowd for long
+		l.closeSilent(int(l.limit.Load()) / crowdShare)
+	}
+	l.world.AfterFunc(roomPause, l.makeRoom)
 }
 
 // Open is how many connections there are.
@@ -188,20 +252,18 @@
 	}
 }
 
-// closeOldest ends connections that are idle, and then those that hold half a
-// request: first those that never brought a good one, then the oldest. Guards against
-// floods of callers that say nothing and take the place of usual ones.
+// closeOldest ends connections that are idle, then those that are only read out, and then those that hold half a
+// request: first those that never brought a good one, then the oldest. Guards against floods of callers that say nothing
+// and take the place of usual ones: one that has brought a good request stands as long as others are about to be idle for
+// long enough.
 func (l *Callers) closeOldest(n int) {
-	all := l.all()
-	age := make(map[*CallerConn]connAge, len(all))
+	all, age := l.byAge()
 	for _, c := range all {
-		age[c] = c.age()
+		if n > 0 && (c.closeIdle(ReasonRoom) || age[c].young && !age[c].proven) {
+			n--
+		}
 	}
-	slices.SortFunc(all, func(a, b *CallerConn) int { return age[a].compare(age[b]) })
-	for _, end := range []func(*CallerConn) bool{
-		func(c *CallerConn) bool { return c.closeIdle(ReasonRoom) },
-		(*CallerConn).cutShort,
-	} {
+	for _, end := range []func(*CallerConn) bool{(*CallerConn).cutLinger, (*CallerConn).cutShort} {
 		for _, c := range all {
 			if n > 0 && end(c) {
 				n--
@@ -210,9 +272,31 @@
 	}
 }
 
+// closeSilent ends n of those that never brought a good request: idle, half a one, or only read out.
+func (l *Callers) closeSilent(n int) {
+	all, age := l.byAge()
+	for _, c := range all {
+		if n > 0 && !age[c].proven && (c.closeIdleFor(silentTime, ReasonRoom) || c.cutLinger() || c.cutShort()) {
+			n--
+		}
+	}
+}
+
+// byAge returns all connections, those that end first first.
+func (l *Callers) byAge() ([]*CallerConn, map[*CallerConn]connAge) {
+	all := l.all()
+	age := make(map[*CallerConn]connAge, len(all))
+	for _, c := range all {
+		age[c] = c.age()
+	}
+	slices.SortFunc(all, func(a, b *CallerConn) int { return age[a].compare(age[b]) })
+	return all, age
+}
+
 // connAge is what decides which connection ends first.
 type connAge struct {
 	proven  bool // it has brought a good request
+	young   bool // it is idle, and may be ended soon
 	changed time.Time
 }
 
@@ -263,6 +347,8 @@
 	ended     bool          // its caller has ended it, or it has broken: no more comes
 	watching  chan struct{} // closed when the watch has ended; nil while there is none
 	closed    bool
+	closedAt  time.Time
+	cutOff    bool // it is read out no further
 }
 
 // aPast is a deadline that has passed: it ends a pending read at once.
@@ -516,7 +602,34 @@
 func (c *CallerConn) age() connAge {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return connAge{proven: c.proven, changed: c.changed}
+	now := c.owner.world.Now()
+	return connAge{
+		proven: c.proven, changed: c.changed,
+		young: !c.busy && !c.closing && !c.closed && now.Sub(c.changed) < settleTime,
+	}
+}
+
+// leaving tells whether it is about to end by itself.
+func (c *CallerConn) leaving() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return c.cutOff || c.owner.world.Now().Sub(c.closedAt) < settleTime
+	}
+	return c.closing && !c.held
+}
+
+// cutLinger ends the reading out of a connection that has ended on this side, and tells whether it does. Guards against
+// callers that keep descriptors so: for as long as room is short it takes settleTime.
+func (c *CallerConn) cutLinger() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closed || c.cutOff || c.owner.world.Now().Sub(c.closedAt) < settleTime {
+		return false
+	}
+	c.cutOff = true
+	c.Conn.SetReadDeadline(aPast)
+	return true
 }
 
 // cutShort ends the reading of a request that does not come whole, and tells
@@ -538,12 +651,15 @@
 // does. A request whose first byte has come is still served: only the pending
 // read is ended, never what it has brought. On a new connection the first
 // request is about to come.
-func (c *CallerConn) closeIdle(why Reason) bool {
+func (c *CallerConn) closeIdle(why Reason) bool { return c.closeIdleFor(settleTime, why) }
+
+// closeIdleFor does that to one that has been idle for so long.
+func (c *CallerConn) closeIdleFor(least time.Duration, why Reason) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	// Guards against a stop that cuts short what lingers already; where room is wanted it may be cut short.
 	lingers := c.closed && why != ReasonRoom
-	if c.closing || c.busy || lingers || c.owner.world.Now().Sub(c.changed) < settleTime {
+	if c.closing || c.busy || lingers || c.owner.world.Now().Sub(c.changed) < least {
 		return false
 	}
 	c.closing = true
@@ -636,7 +752,9 @@
 func (c *CallerConn) Close() error {
 	c.mu.Lock()
 	first := !c.closed
-	c.closed = true
+	if first {
+		c.closed, c.closedAt = true, c.owner.world.Now()
+	}
 	c.letGo()
 	c.wasWritten()
 	c.note(ReasonAskedClose)
@@ -645,14 +763,16 @@
 	if first {
 		c.linger(linger)
 	}
-	if first {
+	err := c.Conn.Close()
+	if first { // only now: its descriptor counts until it is free
 		l := c.owner
 		l.mu.Lock()
 		delete(l.conns, c)
 		l.mu.Unlock()
+		l.tellFreed()
 		l.ended(c, why)
 	}
-	return c.Conn.Close()
+	return err
 }
 
 // How a connection ends from this side. A close over unread bytes is a reset, which may take the answer with it that is
@@ -684,11 +804,15 @@
 		return
 	}
 	defer c.owner.lingering.Add(-1)
-	mostLingering := max(c.owner.most.Load()/lingerShare, leastLingering)
+	mostLingering := max(c.owner.limit.Load()/lingerShare, leastLingering)
 	if c.owner.lingering.Add(1) > mostLingering && most == shortLinger || half.CloseWrite() != nil {
 		return
 	}
-	c.Conn.SetReadDeadline(c.owner.world.Now().Add(most))
+	c.mu.Lock()
+	if !c.cutOff {
+		c.Conn.SetReadDeadline(c.owner.world.Now().Add(most))
+	}
+	c.mu.Unlock()
 	buf := make([]byte, firstBody) // little comes, most often nothing
 	if most == longLinger {
 		piece := pieces.Get().(*[pieceSize]byte)
--- a/internal/httpwire/caller_test.go
+++ b/internal/httpwire/caller_test.go
@@ -145,3 +145,53 @@
 	}
 	c.Unwatch()
 }
+
+// Guards against callers that take more descriptors than there are for them, were it for a moment: who comes at the limit
+// waits for a place, and gets one.
+func TestNeverMoreThanTheLimit(t *testing.T) {
+	const come = 30
+	callers, _ := testCallers(t)
+	limit := int(callers.limit.Load())
+	for range come {
+		client, err := net.Dial("tcp", callers.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer client.Close()
+	}
+	for n := range come {
+		conn, err := callers.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if open := callers.Open(); open > limit {
+			t.Errorf("%d connections after %d, and there may be %d", open, n, limit)
+		}
+		go func() { // as the server does
+			io.Copy(io.Discard, conn)
+			conn.Close()
+		}()
+	}
+}
+
+// Guards against a crowd that has a usual caller's connection ended: one that has brought a good request stands, however
+// long it has been idle, while others will have been idle for long enough soon.
+func TestUsualCallerStandsInACrowd(t *testing.T) {
+	callers, _ := testCallers(t)
+	proven, _ := connect(t, callers)
+	proven.Watch(func() {})
+	proven.Unwatch()
+	proven.Answered(nil)
+	proven.mu.Lock()
+	proven.settle()
+	proven.changed = proven.changed.Add(-time.Hour)
+	proven.mu.Unlock()
+	silent, _ := connect(t, callers)
+	silent.changed = silent.changed.Add(2 * time.Hour) // it has only just come
+	if callers.closeOldest(1); proven.Closing() || silent.Closing() {
+		t.Errorf("the usual caller's ended: %v; the one that has just come: %v", proven.Closing(), silent.Closing())
+	}
+	if callers.closeOldest(2); !proven.Closing() {
+		t.Error("no room where both are needed")
+	}
+}
--- a/internal/httpwire/crossing_test.go
+++ b/internal/httpwire/crossing_test.go
@@ -236,3 +236,30 @@
 		t.Error("it still listens")
 	}
 }
+
+// Guards against connections that have ended on this side and keep their descriptors for as long as a body nobody wants
+// goes on, while others wait for a place.
+func TestReadingOutMakesRoom(t *testing.T) {
+	c, peer := accepted(t)
+	c.Hold()
+	c.bodyBegins()
+	c.bodyEnded(false)
+	closed := make(chan struct{})
+	go func() {
+		c.Close()
+		close(closed)
+	}()
+	if _, err := peer.End(); err != nil { // it is being read out
+		t.Fatal(err)
+	}
+	for begin := time.Now(); !c.cutLinger(); time.Sleep(time.Millisecond) {
+		if time.Since(begin) > longLinger {
+			t.Fatal("it can't make room")
+		}
+	}
+	begin := time.Now()
+	<-closed
+	if took := time.Since(begin); took > longLinger/2 {
+		t.Errorf("making room took %v", took)
+	}
+}
--- a/internal/lab/scripted/scripted.go
+++ b/internal/lab/scripted/scripted.go
@@ -148,11 +148,14 @@
 // StartDiscovery starts one that has nothing to tell yet.
 func StartDiscovery(t testing.TB) *Discovery {
 	t.Helper()
-	d := &Discovery{news: make(chan struct{})}
+	d := NewDiscovery()
 	d.Address = serve(t, &http.Server{Handler: d})
 	return d
 }
 
+// NewDiscovery is one that the test serves itself.
+func NewDiscovery() *Discovery { return &Discovery{news: make(chan struct{})} }
+
 // set changes what it says, and ends the watches that wait.
 func (d *Discovery) set(change func()) {
 	d.mu.Lock()
--- /dev/null
+++ b/internal/lifecycle/descriptors_test.go
@@ -0,0 +1,185 @@
+package lifecycle
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"heathgap/internal/lab/scripted"
+)
+
+// descriptorsOf is how many descriptors a process holds.
+func descriptorsOf(t *testing.T, pid int) int {
+	t.Helper()
+	held, err := os.ReadDir("/proc/" + strconv.Itoa(pid) + "/fd")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(held)
+}
+
+// crowd connects so many callers that say nothing, and come again as soon as they are ended, until the test ends.
+func crowd(t *testing.T, address string, callers int) {
+	ended := make(chan struct{})
+	var wait sync.WaitGroup
+	t.Cleanup(func() { close(ended); wait.Wait() })
+	for range callers {
+		wait.Go(func() {
+			for {
+				conn, err := net.Dial("tcp", address)
+				if err == nil {
+					gone := make(chan struct{})
+					go func() {
+						select {
+						case <-ended:
+							conn.Close()
+						case <-gone:
+						}
+					}()
+					io.Copy(io.Discard, conn) //nolint:errcheck // it may be reset
+					close(gone)
+					conn.Close()
+				}
+				select {
+				case <-ended:
+					return
+				default:
+				}
+			}
+		})
+	}
+}
+
+// Guards against idle callers that take the descriptors without which discovery, endpoints and the console are not to be
+// reached: they fill all that they can have while discovery is down, and come again as soon as they are ended. When it is
+// back its list is in force within 6 s, and usual callers are served, those that were there and those that come; the
+// console answers meanwhile. The process may hold as many descriptors as the configuration says, or far fewer.
+func TestDescriptorsAreKeptFromCallers(t *testing.T) {
+	const (
+		descriptors = 96
+		idle        = 250
+		inForce     = 6 * time.Second
+	)
+	for name, sockets := range map[string]int{"as configured": descriptors, "fewer than configured": 1024} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			older, newer := scripted.StartEndpoint(t, "older", nil), scripted.StartEndpoint(t, "newer", nil)
+			address, console := scripted.FreeAddress(t), scripted.FreeAddress(t)
+			d := &scripted.Discovery{Address: scripted.FreeAddress(t)} // nobody is there
+			conf := testConfig(d, older.Line())
+			conf["listen"], conf["console"] = address, console
+			conf["limits"].(map[string]any)["sockets"] = sockets
+			conf["settings"].(map[string]any)["membership_mode"] = "automatic"
+			p := launchWithin(t, conf, descriptors)
+			eventually(t, "READY", func() bool { return isYes(console) })
+			before := scripted.Connect(t, address)
+			served := func(by *scripted.Peer) string {
+				by.Say(asked("/look", ""))
+				if status, body := by.Answer(); status == 200 {
+					return body
+				}
+				return "nobody"
+			}
+			if got := served(before); got != "older" {
+				t.Fatalf("before: answered by %s", got)
+			}
+			quiet := descriptorsOf(t, p.Process.Pid)
+			crowd(t, address, idle)
+			eventually(t, "callers have all that they can have", func() bool {
+				return descriptorsOf(t, p.Process.Pid) >= quiet+descriptors*2/5
+			})
+			for range 20 { // discovery is asked again and again meanwhile, and operators call
+				if got := served(before); got != "older" {
+					t.Fatalf("in the crowd: answered by %s", got)
+				}
+				if got := ask(t, console, "READY"); got != "200 ready\n" {
+					t.Errorf("READY in the crowd: %q", got)
+				}
+			}
+			list := scripted.NewDiscovery()
+			list.Publish(t, 7, newer.Line())
+			listener, err := net.Listen("tcp", d.Address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			server := &http.Server{Handler: list}
+			t.Cleanup(func() { server.Close() })
+			begin := time.Now()
+			go server.Serve(listener) //nolint:errcheck // it ends with Close
+			for got := ""; got != "newer"; got = served(before) {
+				if time.Since(begin) > inForce {
+					t.Fatalf("the list of discovery that is back is not in force after %v:\n%s", inForce, lastLines(p.log))
+				}
+			}
+			if got := served(scripted.Connect(t, address)); got != "newer" {
+				t.Errorf("one that comes in the crowd: answered by %s", got)
+			}
+			if got := ask(t, console, "READY"); got != "200 ready\n" {
+				t.Errorf("READY afterwards: %q", got)
+			}
+			if n := descriptorsOf(t, p.Process.Pid); n >= descriptors {
+				t.Errorf("it holds %d descriptors of %d", n, descriptors)
+			}
+			if log := p.log.String(); strings.Contains(log, "too many open files") {
+				t.Errorf("descriptors have run out:\n%s", lastLines(p.log))
+			}
+		})
+	}
+}
+
+// lastLines are the last lines of a log.
+func lastLines(l *lines) string {
+	const most = 2000
+	text := l.String()
+	return text[max(0, len(text)-most):]
+}
+
+// Guards against bad input that is passed on, or answered with anything but 400, because its callers come when idle ones
+// hold all places: each gets 400 and a close, or a close alone.
+func TestBadInputInACrowd(t *testing.T) {
+	e := scripted.StartEndpoint(t, "e1", nil)
+	conf := testConfig(scripted.StartDiscovery(t), e.Line())
+	conf["limits"].(map[string]any)["sockets"] = 64
+	s := start(t, conf)
+	crowd(t, s.Address(), 100)
+	eventually(t, "all places are taken", func() bool { return s.callers.Open() >= s.conf.CallerConns })
+	const head = "Host: x\r\nX-Txn: 1\r\nX-Remaining: 1\r\n"
+	var wait sync.WaitGroup
+	for _, text := range []string{
+		"nonsense\r\n\r\n", "GET /nothing HTTP/1.1\r\n" + head + "Connection: close\r\n\r\n", "GET /look HTTP/1.1\r\nX-Txn: ",
+		"POST /pay HTTP/1.1\r\n" + head + "Idempotency-Key: k\r\nContent-Length: 70\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" +
+			"GET /look/hidden HTTP/1.1\r\n" + head + "\r\n",
+		"POST /burn HTTP/1.1\r\n" + head + "Content-Length: 90000\r\n\r\nx", strings.Repeat("\x00\x01junk", 2000),
+	} {
+		for range 4 {
+			wait.Go(func() {
+				conn, err := net.Dial("tcp", s.Address())
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer conn.Close()
+				conn.SetDeadline(time.Now().Add(patience))
+				io.WriteString(conn, text) //nolint:errcheck // it may be shut already
+				answer, err := io.ReadAll(conn)
+				if len(answer) > 0 && !strings.HasPrefix(string(answer), "HTTP/1.1 400 ") {
+					t.Errorf("%.40q is answered %q", text, answer)
+				}
+				if errors.Is(err, os.ErrDeadlineExceeded) {
+					t.Errorf("%.40q: no close", text)
+				}
+			})
+		}
+	}
+	wait.Wait()
+	if n := e.Count(); n != 0 {
+		t.Errorf("%d of them were sent on", n)
+	}
+}
--- a/internal/lifecycle/process.go
+++ b/internal/lifecycle/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"os"
 	"os/signal"
 	"runtime"
@@ -12,6 +13,7 @@
 
 	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
+	"golang.org/x/sys/unix"
 
 	"heathgap/internal/config"
 	"heathgap/internal/operator"
@@ -51,6 +53,9 @@
 		return 1
 	}
 	log = log.With().Str("sidecar", conf.Name).Logger()
+	if most := descriptors(); conf.Within(most) {
+		log.Warn().Int("sockets", conf.Sockets).Uint64("descriptors", most).Msg("the process may hold fewer descriptors than limits.sockets")
+	}
 	debug.SetMemoryLimit(conf.HeapBytes)
 	if conf.Console != "" { // READY is how the platform learns that a successor serves
 		opts.Meet = takeover.Path(os.TempDir(), conf.Name, conf.Listen)
@@ -67,6 +72,15 @@
 	return code
 }
 
+// descriptors is how many the process may hold.
+func descriptors() uint64 {
+	var limit unix.Rlimit
+	if unix.Getrlimit(unix.RLIMIT_NOFILE, &limit) != nil {
+		return math.MaxUint64
+	}
+	return limit.Cur
+}
+
 // signals are those that a sidecar heeds, a channel each: one that repeats must
 // not take another's place.
 type signals struct{ stop, reload, report chan os.Signal }
--- a/internal/lifecycle/process_test.go
+++ b/internal/lifecycle/process_test.go
@@ -26,7 +26,15 @@
 // asSidecar in the environment makes the test's own program a sidecar.
 const asSidecar = "HEATHGAP_TEST_AS_SIDECAR"
 
+// withinDescriptors in the environment is how many descriptors that sidecar may hold.
+const withinDescriptors = "HEATHGAP_TEST_DESCRIPTORS"
+
 func TestMain(m *testing.M) {
+	if most, err := strconv.ParseUint(os.Getenv(withinDescriptors), 10, 64); err == nil {
+		if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: most, Max: most}); err != nil {
+			panic(err)
+		}
+	}
 	if os.Getenv(asSidecar) != "" {
 		os.Exit(Main(Options{Operator: operator.Default()}))
 	}
@@ -45,12 +53,18 @@
 	return launchAt(t, conf, writeConfig(t, conf))
 }
 
-// launchAt is launch where the configuration's file stands already.
-func launchAt(t *testing.T, conf map[string]any, path string) *process {
+// launchWithin is launch of a process that may hold so many descriptors.
+func launchWithin(t *testing.T, conf map[string]any, descriptors int) *process {
+	t.Helper()
+	return launchAt(t, conf, writeConfig(t, conf), withinDescriptors+"="+strconv.Itoa(descriptors))
+}
+
+// launchAt is launch where the configuration's file stands already, with more in its environment.
+func launchAt(t *testing.T, conf map[string]any, path string, more ...string) *process {
 	t.Helper()
 	p := &process{Cmd: exec.Command(os.Args[0]), log: &lines{}, path: path}
-	p.Env = append(os.Environ(), asSidecar+"=1", config.EnvFile+"="+p.path,
-		"BALANCER_DISCOVERY="+conf["discovery"].(string))
+	p.Env = append(append(os.Environ(), asSidecar+"=1", config.EnvFile+"="+p.path,
+		"BALANCER_DISCOVERY="+conf["discovery"].(string)), more...)
 	p.Stderr = p.log
 	if err := p.Start(); err != nil {
 		t.Fatal(err)
