A successor serves beside a predecessor that hangs when asked to stop accepting

Cause: Peer.Take fails after 1 s without the predecessor's word, and Start then ended the new process: with a predecessor that hangs nobody served.

Change: Sidecar.succeed writes a warning and goes on; the word stands in the socket, and the predecessor stops accepting when it goes on.

--- a/internal/lifecycle/sidecar.go
+++ b/internal/lifecycle/sidecar.go
@@ -155,9 +155,7 @@
 		defer close(s.ran)
 		engine.Run(ctx)
 	})
-	if err := s.succeed(); err != nil {
-		return nil, fmt.Errorf("taking over: %w", err)
-	}
+	s.succeed()
 	world.Go("server", func() { s.served <- s.server.Serve(s.callers) })
 	engine.Serve(true)
 	s.offer(opts.Meet, listener)
--- a/internal/lifecycle/upgrade.go
+++ b/internal/lifecycle/upgrade.go
@@ -85,15 +85,18 @@
 }
 
 // succeed takes the predecessor's place, if there is one: when it returns, that has
-// stopped accepting. On an error it has not, and goes on.
-func (s *Sidecar) succeed() error {
+// stopped accepting, or does not answer. Guards against a predecessor that hangs, for
+// which nobody would serve: it stops when it goes on, and until then both accept.
+func (s *Sidecar) succeed() {
 	peer := s.upgrade.before
 	if peer == nil {
-		return nil
+		return
 	}
 	s.share(processes)
 	go peer.Run(successor{s, peer})
-	return peer.Take()
+	if err := peer.Take(); err != nil {
+		s.log.Warn().Err(err).Msg("the predecessor does not answer, serving beside it")
+	}
 }
 
 // successor is what this process does for its predecessor.
