A hand-over whose other side hangs or breaks no longer panics

Cause: rights.Read handed on the -1 that ReadMsgUnix returns with an error; the JSON decoder slices by it. A predecessor that gives its descriptor and then hangs ended the new process 2 s later, and a connection that is reset between the two ended the process that read it, also one that serves.

Change: no bytes with an error. TestOtherProcessThatHangsOrBreaks and TestPeerThatBreaks panic without it.

--- /dev/null
+++ b/internal/takeover/hang_test.go
@@ -0,0 +1,86 @@
+package takeover
+
+import (
+	"errors"
+	"net"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// Guards against a process that ends because the other hangs or breaks the connection: a read that fails is a failure of
+// the hand-over, whatever the step.
+func TestOtherProcessThatHangsOrBreaks(t *testing.T) {
+	for name, broken := range map[string]bool{"hangs": false, "breaks": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			path := filepath.Join(t.TempDir(), "way-in.sock")
+			door, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer door.Close()
+			served, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer served.Close()
+			found := make(chan struct{})
+			ended := make(chan struct{})
+			go func() { // the predecessor, which never tells its state
+				defer close(ended)
+				conn, err := door.AcceptUnix()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer conn.Close()
+				if err := give(conn, served.(*net.TCPListener)); err != nil {
+					t.Error(err)
+				}
+				if !broken {
+					<-found
+				}
+			}()
+			begin := time.Now()
+			peer, listener, _, err := Find(path)
+			close(found)
+			<-ended
+			if peer != nil || listener != nil || err == nil || !broken && !errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Errorf("found %v, %v, %v", peer, listener, err)
+			}
+			if took := time.Since(begin); took > 2*findTime {
+				t.Errorf("it took %v", took)
+			}
+		})
+	}
+}
+
+// The same of a peer that has been heard: its end over unread bytes is a reset, and the other goes on alone.
+func TestPeerThatBreaks(t *testing.T) {
+	fds, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var conns [2]*net.UnixConn
+	for i, fd := range fds {
+		file := os.NewFile(uintptr(fd), "pair")
+		conn, err := net.FileConn(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		file.Close()
+		conns[i] = conn.(*net.UnixConn)
+		defer conn.Close()
+	}
+	peer := newPeer(conns[0])
+	if err := peer.say(message{Take: true}); err != nil {
+		t.Fatal(err)
+	}
+	conns[1].Close() // over what was said
+	gone := make(chan bool, 1)
+	peer.Run(quiet{gone})
+	<-gone
+}
--- a/internal/takeover/takeover.go
+++ b/internal/takeover/takeover.go
@@ -62,7 +62,10 @@
 func (r *rights) Read(b []byte) (int, error) {
 	oob := make([]byte, unix.CmsgSpace(4*mostRights))
 	n, oobn, _, _, err := r.conn.ReadMsgUnix(b, oob)
-	if err == nil && n == 0 && len(b) > 0 {
+	if err != nil {
+		return 0, err // n is -1 then, which no reader expects
+	}
+	if n == 0 && len(b) > 0 {
 		err = io.EOF
 	}
 	parts, _ := unix.ParseSocketControlMessage(oob[:oobn])
