A panic in the main goroutine is written to standard error

Cause: the log's writer closes what it writes to, and its deferred Close ran before the runtime wrote the panic: a process that panicked while it started, or in Stop, ended with exit code 2 and no word.

Change: the writer gets standard error without its Close. TestPanicIsWritten sees nothing without it.

--- a/internal/lifecycle/process.go
+++ b/internal/lifecycle/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"math"
 	"os"
 	"os/signal"
@@ -43,7 +44,8 @@
 	runtime.GOMAXPROCS(1) // it has one core at most, and shares that
 	zerolog.TimeFieldFormat = time.RFC3339Nano
 	var dropped atomic.Int64
-	out := diode.NewWriter(os.Stderr, logLines, 0, func(missed int) { dropped.Add(int64(missed)) })
+	// Guards against a panic that nobody reads: the log's end must not close what a panic is written to.
+	out := diode.NewWriter(struct{ io.Writer }{os.Stderr}, logLines, 0, func(missed int) { dropped.Add(int64(missed)) })
 	defer out.Close() // writes what is left
 	log := zerolog.New(out).With().Timestamp().Logger()
 	sig := heedSignals()
--- a/internal/lifecycle/process_test.go
+++ b/internal/lifecycle/process_test.go
@@ -21,11 +21,15 @@
 	"heathgap/internal/config"
 	"heathgap/internal/lab/scripted"
 	"heathgap/internal/operator"
+	"heathgap/internal/pipeline"
 )
 
 // asSidecar in the environment makes the test's own program a sidecar.
 const asSidecar = "HEATHGAP_TEST_AS_SIDECAR"
 
+// panics, as its value, has that sidecar panic as it starts.
+const panics = "panics"
+
 // withinDescriptors in the environment is how many descriptors that sidecar may hold.
 const withinDescriptors = "HEATHGAP_TEST_DESCRIPTORS"
 
@@ -35,7 +39,11 @@
 			panic(err)
 		}
 	}
-	if os.Getenv(asSidecar) != "" {
+	switch os.Getenv(asSidecar) {
+	case "":
+	case panics:
+		os.Exit(Main(Options{Decider: func(*config.Config) (pipeline.Decider, error) { panic("the decider") }}))
+	default:
 		os.Exit(Main(Options{Operator: operator.Default()}))
 	}
 	os.Exit(m.Run())
@@ -212,6 +220,15 @@
 	}
 }
 
+// Guards against a panic that ends a process without a word.
+func TestPanicIsWritten(t *testing.T) {
+	conf := testConfig(scripted.StartDiscovery(t))
+	p := launchAt(t, conf, writeConfig(t, conf), asSidecar+"="+panics)
+	if err := p.Wait(); err == nil || !strings.Contains(p.log.String(), "panic: the decider") {
+		t.Errorf("ended with %v and %q", err, p.log)
+	}
+}
+
 // An address that is taken ends the start as well.
 func TestTakenAddressEndsTheStart(t *testing.T) {
 	taken, err := net.Listen("tcp", "127.0.0.1:0")
