--- a/internal/lab/scripted/scripted.go
+++ b/internal/lab/scripted/scripted.go
@@ -219,7 +219,14 @@
 // FreeAddress is an address of loopback that nothing listens on.
 func FreeAddress(t testing.TB) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	return FreeAddressAt(t, "127.0.0.1")
+}
+
+// FreeAddressAt is one of a host of loopback. Where it is not 127.0.0.1 no connection that is made takes it, as the port of
+// its own side, before somebody listens there.
+func FreeAddressAt(t testing.TB, host string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", host+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/lifecycle/ready_test.go
@@ -0,0 +1,226 @@
+package lifecycle
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"runtime"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"heathgap/internal/lab/scripted"
+	"heathgap/internal/pipeline"
+	"heathgap/internal/takeover"
+)
+
+// readyTime is when nine in ten restarted processes have to be ready; here, all are.
+const readyTime = 10 * time.Second
+
+// discoveries are those that are of no use, each in its way, by name; a restarted process has to serve without them.
+func discoveries(t *testing.T) map[string]string {
+	crowded, broken, slow := scripted.StartDiscovery(t), scripted.StartDiscovery(t), scripted.OpenDoor(t)
+	crowded.Down(true)
+	broken.Broken("{")
+	ended := make(chan struct{})
+	var wait sync.WaitGroup
+	t.Cleanup(func() { close(ended); wait.Wait() })
+	wait.Go(func() { // the beginning of an answer, bit by bit, and never the end
+		tick := time.NewTicker(100 * time.Millisecond)
+		defer tick.Stop()
+		var conns []*scripted.Peer
+		for {
+			select {
+			case <-ended:
+				return
+			case <-tick.C:
+			}
+			for slow.Came() {
+				c := slow.Next()
+				io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n{") //nolint:errcheck // it may be given up
+				conns = append(conns, c)
+			}
+			for _, c := range conns {
+				io.WriteString(c, " ") //nolint:errcheck // as above
+			}
+		}
+	})
+	return map[string]string{
+		"silent": scripted.OpenDoor(t).Address, "slow": slow.Address, "crowded": crowded.Address, "faulty": broken.Address,
+		"away": scripted.FreeAddress(t), "cut off": scripted.DeafAddress(t),
+	}
+}
+
+// awaitReady waits until a process says READY.
+func (p *process) awaitReady(t *testing.T, conf map[string]any) {
+	t.Helper()
+	for end := time.Now().Add(patience); !isYes(conf["console"].(string)); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			p.Process.Signal(syscall.SIGQUIT) //nolint:errcheck // for its goroutines
+			p.Wait()                          //nolint:errcheck // it ends by that
+			t.Fatalf("never READY, %v:\n%s", p.ProcessState, p.log)
+		}
+	}
+}
+
+// Guards against restarted processes that are not ready in time: thirty are killed at once and started anew at once,
+// while discovery is silent, slow, crowded, faulty, away or cut off. Each says READY and serves.
+func TestThirtyProcessesRestartedAtOnce(t *testing.T) {
+	const each = 5
+	e := scripted.StartEndpoint(t, "e1", nil)
+	t.Setenv("TMPDIR", t.TempDir())
+	type restarted struct {
+		discovery string
+		conf      map[string]any
+		process   *process
+	}
+	var all []*restarted
+	for name, address := range discoveries(t) {
+		for range each {
+			conf := testConfig(&scripted.Discovery{Address: address}, e.Line())
+			// Addresses from which nothing is dialed: an ephemeral port may take a free one at any moment.
+			host := fmt.Sprintf("127.0.2.%d", len(all)+1)
+			conf["listen"], conf["console"] = scripted.FreeAddressAt(t, host), scripted.FreeAddressAt(t, host)
+			all = append(all, &restarted{discovery: name, conf: conf})
+		}
+	}
+	for round := range 2 { // the second time they come back
+		begin := time.Now()
+		for _, r := range all {
+			r.process = launch(t, r.conf)
+		}
+		for _, r := range all {
+			r.process.awaitReady(t, r.conf)
+			if took := time.Since(begin); took > readyTime {
+				t.Errorf("round %d, %s: ready after %v", round, r.discovery, took)
+			}
+		}
+		t.Logf("round %d: all %d are ready after %v", round, len(all), time.Since(begin))
+		for _, r := range all {
+			if status, body := get(t, r.conf["listen"].(string), "/look"); status != 200 || body != "e1" {
+				t.Errorf("round %d, %s: answered %d %q", round, r.discovery, status, body)
+			}
+		}
+		for _, r := range all {
+			r.process.Process.Kill() //nolint:errcheck // it lives
+		}
+		for _, r := range all {
+			r.process.Wait() //nolint:errcheck // it was killed
+		}
+	}
+}
+
+// The same on one core: thirty sidecars of one process start at once.
+func TestThirtyStartsOnOneCore(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	const each = 5
+	e := scripted.StartEndpoint(t, "e1", nil)
+	begin := time.Now()
+	var all []*tested
+	var which []string
+	for name, address := range discoveries(t) {
+		for range each {
+			all = append(all, start(t, testConfig(&scripted.Discovery{Address: address}, e.Line())))
+			which = append(which, name)
+		}
+	}
+	for i, s := range all {
+		eventually(t, which[i]+": ready", s.Ready)
+	}
+	if took := time.Since(begin); took > readyTime {
+		t.Errorf("%d are ready after %v", len(all), took)
+	}
+	for i, s := range all {
+		if status, body := get(t, s.Address(), "/look"); status != 200 || body != "e1" {
+			t.Errorf("%s: answered %d %q", which[i], status, body)
+		}
+	}
+}
+
+// Guards against a predecessor that lingers and costs its successor the start: it hangs in each step of the hand-over,
+// with its connections up, and the successor is ready in time and serves.
+func TestPredecessorThatHangsInEachStep(t *testing.T) {
+	e := scripted.StartEndpoint(t, "e1", nil)
+	d := scripted.StartDiscovery(t)
+	for step, name := range []string{"in the queue", "at the door", "without its state", "asked to stop accepting"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			conf := testConfig(d, e.Line())
+			address := scripted.FreeAddress(t)
+			conf["listen"], conf["console"] = address, scripted.FreeAddress(t)
+			temp, err := os.MkdirTemp("", "") // a socket's path has to be short
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer os.RemoveAll(temp)
+			served, err := takeover.Listen(address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			path := takeover.Path(temp, "t0", address)
+			door, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			hanging := make(chan struct{})
+			var wait sync.WaitGroup
+			wait.Go(func() { // the predecessor, up to the step
+				defer door.Close()
+				if step > 0 {
+					conn, err := door.AcceptUnix()
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					defer conn.Close()
+					hang(t, conn, served, step)
+				}
+				<-hanging
+			})
+			defer func() { close(hanging); wait.Wait(); served.Close() }()
+			begin := time.Now()
+			p := launchAt(t, conf, writeConfig(t, conf), "TMPDIR="+temp)
+			p.awaitReady(t, conf)
+			if took := time.Since(begin); took > readyTime {
+				t.Errorf("ready after %v", took)
+			}
+			if step < 3 {
+				served.Close() // what the kernel deals out to who hangs is not the successor's to serve
+			}
+			if status, body := get(t, address, "/look"); status != 200 || body != "e1" {
+				t.Errorf("answered %d %q:\n%s", status, body, p.log)
+			}
+		})
+	}
+}
+
+// hang does what a predecessor does before a step in which it hangs.
+func hang(t *testing.T, conn *net.UnixConn, served net.Listener, step int) {
+	if step < 2 {
+		return
+	}
+	file, err := served.(*net.TCPListener).File()
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	defer file.Close()
+	if _, _, err := conn.WriteMsgUnix([]byte{'L'}, unix.UnixRights(int(file.Fd())), nil); err != nil {
+		t.Error(err)
+	}
+	if step < 3 {
+		return
+	}
+	if err := json.NewEncoder(conn).Encode(map[string]any{"version": 1, "state": pipeline.Legacy{From: "127.0.0.1:1"}}); err != nil {
+		t.Error(err)
+	}
+	var word map[string]any
+	if err := json.NewDecoder(conn).Decode(&word); err != nil || word["take"] != true {
+		t.Errorf("told %v, %v", word, err)
+	}
+}
