What has come is read at the end of an idle connection, also on a busy machine

Cause: the last look is a read with a deadline 1 ms ahead; where the machine is so busy that it passes before the read begins, bytes that stand there are not looked at, and a close over them is a reset.

Change: a look without any deadline behind it (readNow). TestLastLookOnABusyMachine reads nothing without it.

--- a/internal/httpwire/caller.go
+++ b/internal/httpwire/caller.go
@@ -128,7 +128,6 @@
 	acceptPause  = 5 * time.Millisecond   // after a failed accept: descriptors may run out for a moment
 	roomPause    = 50 * time.Millisecond  // between looks for connections that can make room
 	settleTime   = 200 * time.Millisecond // a connection stands idle so long before it may be ended
-	silentTime   = 50 * time.Millisecond  // or so long, if it has brought nothing, all places are taken and others wait for one
 	crowdShare   = 2                      // so large a part of all connections makes room at once while others wait for it
 	stallTime    = time.Second            // a request may take so long to come whole while room is short
 	backlogPause = 20 * time.Millisecond  // for who stands in the queue of a listener that closes
@@ -276,7 +275,7 @@
 func (l *Callers) closeSilent(n int) {
 	all, age := l.byAge()
 	for _, c := range all {
-		if n > 0 && !age[c].proven && (c.closeIdleFor(silentTime, ReasonRoom) || c.cutLinger() || c.cutShort()) {
+		if n > 0 && !age[c].proven && (c.closeIdle(ReasonRoom) || c.cutLinger() || c.cutShort()) {
 			n--
 		}
 	}
@@ -408,12 +407,39 @@
 func (c *CallerConn) lookAgain(b []byte) (int, error) {
 	c.Conn.SetReadDeadline(c.owner.world.Now().Add(lastLook))
 	n, err := c.Conn.Read(b)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		// Guards against a machine so busy that the deadline passes before the read begins.
+		if came := c.readNow(b); came > 0 {
+			n, err = came, nil
+		}
+	}
 	if n > 0 {
 		c.Conn.SetReadDeadline(c.owner.world.Now().Add(stallTime))
 	}
 	return n, err
 }
 
+// readNow reads what stands there, whatever deadline has passed, and returns how much that is.
+func (c *CallerConn) readNow(b []byte) (n int) {
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	err = control.Control(func(fd uintptr) {
+		if got, _, err := unix.Recvfrom(int(fd), b, unix.MSG_DONTWAIT); err == nil {
+			n = got
+		}
+	})
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 // bodyBegins marks that a body is read from here on.
 func (c *CallerConn) bodyBegins() {
 	c.mu.Lock()
@@ -651,15 +677,12 @@
 // does. A request whose first byte has come is still served: only the pending
 // read is ended, never what it has brought. On a new connection the first
 // request is about to come.
-func (c *CallerConn) closeIdle(why Reason) bool { return c.closeIdleFor(settleTime, why) }
-
-// closeIdleFor does that to one that has been idle for so long.
-func (c *CallerConn) closeIdleFor(least time.Duration, why Reason) bool {
+func (c *CallerConn) closeIdle(why Reason) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	// Guards against a stop that cuts short what lingers already; where room is wanted it may be cut short.
 	lingers := c.closed && why != ReasonRoom
-	if c.closing || c.busy || lingers || c.owner.world.Now().Sub(c.changed) < least {
+	if c.closing || c.busy || lingers || c.owner.world.Now().Sub(c.changed) < settleTime {
 		return false
 	}
 	c.closing = true
--- a/internal/httpwire/caller_test.go
+++ b/internal/httpwire/caller_test.go
@@ -1,11 +1,14 @@
 package httpwire
 
 import (
+	"errors"
 	"io"
 	"net"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"heathgap/internal/env"
 )
 
@@ -195,3 +198,44 @@
 		t.Error("no room where both are needed")
 	}
 }
+
+// lateConn is a connection on a machine so busy that a deadline in the near future passes before the read begins.
+type lateConn struct{ *net.TCPConn }
+
+// SetReadDeadline is net.Conn's.
+func (c lateConn) SetReadDeadline(t time.Time) error {
+	if !t.IsZero() && time.Until(t) <= lastLook {
+		t = aPast
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// Guards against a request that stands unread in a connection which is ended while the machine is busy.
+func TestLastLookOnABusyMachine(t *testing.T) {
+	c, client, _ := callerPair(t)
+	if _, err := client.Write([]byte("GET")); err != nil {
+		t.Fatal(err)
+	}
+	tcp := c.Conn.(*net.TCPConn)
+	c.Conn = lateConn{tcp}
+	for n := 0; n == 0; { // until its bytes have come
+		if err := readable(tcp, &n); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c.closeIdle(ReasonRoom)
+	if n, err := c.Read(make([]byte, 3)); n != 3 || err != nil {
+		t.Errorf("%d bytes, %v; want those that have come", n, err)
+	}
+}
+
+// readable sets how many bytes stand there to be read.
+func readable(c *net.TCPConn, n *int) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var failed error
+	err = raw.Control(func(fd uintptr) { *n, failed = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
+	return errors.Join(err, failed)
+}
