--- a/internal/lifecycle/sidecar.go
+++ b/internal/lifecycle/sidecar.go
@@ -37,8 +37,8 @@
 
 	// A request's head must have come by then, the first so long after its connection:
 	// who sends nothing, or never the end, is owed a word or a close within 3 s.
-	readTime = 2500 * time.Millisecond
-	idleTime = 15 * time.Second // callers keep connections; what is forgotten ends at last
+	readTimeout = 2500 * time.Millisecond
+	idleTimeout = 15 * time.Second // callers keep connections; what is forgotten ends at last
 
 	spareWorkers = 256 // above the callers' connections: fasthttp must never refuse by itself
 )
@@ -173,8 +173,8 @@
 		ReadBufferSize:               httpwire.MaxHead,
 		StreamRequestBody:            true,
 		MaxRequestBodySize:           httpwire.MaxBody,
-		ReadTimeout:                  readTime,
-		IdleTimeout:                  idleTime,
+		ReadTimeout:                  readTimeout,
+		IdleTimeout:                  idleTimeout,
 		NoDefaultServerHeader:        true,
 		NoDefaultDate:                true,
 		NoDefaultContentType:         true,
--- a/internal/takeover/hang_test.go
+++ b/internal/takeover/hang_test.go
@@ -51,7 +51,7 @@
 			if peer != nil || listener != nil || err == nil || !broken && !errors.Is(err, os.ErrDeadlineExceeded) {
 				t.Errorf("found %v, %v, %v", peer, listener, err)
 			}
-			if took := time.Since(begin); took > 2*findTime {
+			if took := time.Since(begin); took > 2*findTimeout {
 				t.Errorf("it took %v", took)
 			}
 		})
--- a/internal/takeover/takeover.go
+++ b/internal/takeover/takeover.go
@@ -31,9 +31,9 @@
 // Times of the exchange: a new process has seconds to say that it serves, and a
 // predecessor that hangs must not cost it those.
 const (
-	findTime = 2 * time.Second        // for the descriptor and the state
-	takeTime = time.Second            // for the old one's word that it has stopped accepting
-	tellTime = 400 * time.Millisecond // for the other's word on an operator's call, who waits 1 s at most
+	findTimeout = 2 * time.Second        // for the descriptor and the state
+	takeTimeout = time.Second            // for the old one's word that it has stopped accepting
+	tellTimeout = 400 * time.Millisecond // for the other's word on an operator's call, who waits 1 s at most
 )
 
 // message is one thing that is said. Exactly one field beside Seq and On is set.
@@ -155,7 +155,7 @@
 	if _, err := os.Lstat(path); errors.Is(err, fs.ErrNotExist) {
 		return nil, nil, nil, ErrNone
 	}
-	conn, err := (&net.Dialer{Timeout: findTime}).Dial("unix", path)
+	conn, err := (&net.Dialer{Timeout: findTimeout}).Dial("unix", path)
 	if err != nil {
 		return nil, nil, nil, fmt.Errorf("%s is stale: %w", path, err)
 	}
@@ -165,7 +165,7 @@
 			uc.Close()
 		}
 	}()
-	uc.SetDeadline(time.Now().Add(findTime))
+	uc.SetDeadline(time.Now().Add(findTimeout))
 	if err := sameUser(uc); err != nil {
 		return nil, nil, nil, err
 	}
@@ -291,7 +291,7 @@
 func (p *Peer) say(m message) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.conn.SetWriteDeadline(time.Now().Add(tellTime))
+	p.conn.SetWriteDeadline(time.Now().Add(tellTimeout))
 	return p.out.Encode(m)
 }
 
@@ -301,7 +301,7 @@
 	// Guards against a predecessor that dies between its state and this word: that can't be said any more, and need not
 	// be. Run notices that it has ended.
 	err := p.say(message{Take: true})
-	timer := time.NewTimer(takeTime)
+	timer := time.NewTimer(takeTimeout)
 	defer timer.Stop()
 	select {
 	case <-p.taken:
@@ -329,7 +329,7 @@
 	if err := p.say(message{Ban: name, On: on, Seq: seq}); err != nil {
 		return nil // it has ended
 	}
-	timer := time.NewTimer(tellTime)
+	timer := time.NewTimer(tellTimeout)
 	defer timer.Stop()
 	select {
 	case <-done:
@@ -348,7 +348,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.conn.SetWriteDeadline(time.Now().Add(tellTime))
+	p.conn.SetWriteDeadline(time.Now().Add(tellTimeout))
 	n := 0
 	err = withFD(caller, func(a int) error {
 		return withFD(endpoint, func(b int) (err error) {
@@ -415,7 +415,7 @@
 			return
 		}
 		if err != nil {
-			time.Sleep(findTime / 100) // descriptors may run out for a moment
+			time.Sleep(findTimeout / 100) // descriptors may run out for a moment
 			continue
 		}
 		d.mu.Lock()
@@ -449,7 +449,7 @@
 	p.mu.Lock()
 	state, h, err := enter(p)
 	if err == nil {
-		conn.SetWriteDeadline(time.Now().Add(findTime))
+		conn.SetWriteDeadline(time.Now().Add(findTimeout))
 		if err = give(conn, listener); err == nil {
 			err = p.out.Encode(message{Version: version, State: state})
 		}
