--- a/internal/httpwire/caller_test.go
+++ b/internal/httpwire/caller_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -152,9 +153,15 @@
 // Guards against callers that take more descriptors than there are for them, were it for a moment: who comes at the limit
 // waits for a place, and gets one.
 func TestNeverMoreThanTheLimit(t *testing.T) {
-	const come = 30
-	callers, _ := testCallers(t)
-	limit := int(callers.limit.Load())
+	const come, limit = 30, 10
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	callers := NewCallers(listener, env.Real{}, limit, func(*CallerConn, Reason) {})
+	var wait sync.WaitGroup
+	defer wait.Wait()
 	for range come {
 		client, err := net.Dial("tcp", callers.Addr().String())
 		if err != nil {
@@ -170,10 +177,10 @@
 		if open := callers.Open(); open > limit {
 			t.Errorf("%d connections after %d, and there may be %d", open, n, limit)
 		}
-		go func() { // as the server does
-			io.Copy(io.Discard, conn)
+		wait.Go(func() { // as the server does
+			io.Copy(io.Discard, conn) //nolint:errcheck // it ends in silence
 			conn.Close()
-		}()
+		})
 	}
 }
 
