--- a/internal/httpwire/caller_test.go
+++ b/internal/httpwire/caller_test.go
@@ -1,11 +1,15 @@
 package httpwire
 
 import (
+	"errors"
 	"io"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"heathgap/internal/env"
 )
 
@@ -145,3 +149,100 @@
 	}
 	c.Unwatch()
 }
+
+// Guards against callers that take more descriptors than there are for them, were it for a moment: who comes at the limit
+// waits for a place, and gets one.
+func TestNeverMoreThanTheLimit(t *testing.T) {
+	const come, limit = 30, 10
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	callers := NewCallers(listener, env.Real{}, limit, func(*CallerConn, Reason) {})
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	for range come {
+		client, err := net.Dial("tcp", callers.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer client.Close()
+	}
+	for n := range come {
+		conn, err := callers.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if open := callers.Open(); open > limit {
+			t.Errorf("%d connections after %d, and there may be %d", open, n, limit)
+		}
+		wait.Go(func() { // as the server does
+			io.Copy(io.Discard, conn) //nolint:errcheck // it ends in silence
+			conn.Close()
+		})
+	}
+}
+
+// Guards against a crowd that has a usual caller's connection ended: one that has brought a good request stands, however
+// long it has been idle, while others will have been idle for long enough soon.
+func TestUsualCallerStandsInACrowd(t *testing.T) {
+	callers, _ := testCallers(t)
+	proven, _ := connect(t, callers)
+	proven.Watch(func() {})
+	proven.Unwatch()
+	proven.Answered(nil)
+	proven.mu.Lock()
+	proven.settle()
+	proven.changed = proven.changed.Add(-time.Hour)
+	proven.mu.Unlock()
+	silent, _ := connect(t, callers)
+	silent.changed = silent.changed.Add(2 * time.Hour) // it has only just come
+	if callers.closeOldest(1); proven.Closing() || silent.Closing() {
+		t.Errorf("the usual caller's ended: %v; the one that has just come: %v", proven.Closing(), silent.Closing())
+	}
+	if callers.closeOldest(2); !proven.Closing() {
+		t.Error("no room where both are needed")
+	}
+}
+
+// lateConn is a connection on a machine so busy that a deadline in the near future passes before the read begins.
+type lateConn struct{ *net.TCPConn }
+
+// SetReadDeadline is net.Conn's.
+func (c lateConn) SetReadDeadline(t time.Time) error {
+	if !t.IsZero() && time.Until(t) <= lastLook {
+		t = aPast
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// Guards against a request that stands unread in a connection which is ended while the machine is busy.
+func TestLastLookOnABusyMachine(t *testing.T) {
+	c, client, _ := callerPair(t)
+	if _, err := client.Write([]byte("GET")); err != nil {
+		t.Fatal(err)
+	}
+	tcp := c.Conn.(*net.TCPConn)
+	c.Conn = lateConn{tcp}
+	for n := 0; n == 0; { // until its bytes have come
+		if err := readable(tcp, &n); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c.closeIdle(ReasonRoom)
+	if n, err := c.Read(make([]byte, 3)); n != 3 || err != nil {
+		t.Errorf("%d bytes, %v; want those that have come", n, err)
+	}
+}
+
+// readable sets how many bytes stand there to be read.
+func readable(c *net.TCPConn, n *int) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var failed error
+	err = raw.Control(func(fd uintptr) { *n, failed = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
+	return errors.Join(err, failed)
+}
--- a/internal/lifecycle/process.go
+++ b/internal/lifecycle/process.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"math"
 	"os"
 	"os/signal"
 	"runtime"
@@ -12,6 +14,7 @@
 
 	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
+	"golang.org/x/sys/unix"
 
 	"heathgap/internal/config"
 	"heathgap/internal/operator"
@@ -41,7 +44,8 @@
 	runtime.GOMAXPROCS(1) // it has one core at most, and shares that
 	zerolog.TimeFieldFormat = time.RFC3339Nano
 	var dropped atomic.Int64
-	out := diode.NewWriter(os.Stderr, logLines, 0, func(missed int) { dropped.Add(int64(missed)) })
+	// Guards against a panic that nobody reads: the log's end must not close what a panic is written to.
+	out := diode.NewWriter(struct{ io.Writer }{os.Stderr}, logLines, 0, func(missed int) { dropped.Add(int64(missed)) })
 	defer out.Close() // writes what is left
 	log := zerolog.New(out).With().Timestamp().Logger()
 	sig := heedSignals()
@@ -51,6 +55,9 @@
 		return 1
 	}
 	log = log.With().Str("sidecar", conf.Name).Logger()
+	if most := descriptors(); conf.Within(most) {
+		log.Warn().Int("sockets", conf.Sockets).Uint64("descriptors", most).Msg("the process may hold fewer descriptors than limits.sockets")
+	}
 	debug.SetMemoryLimit(conf.HeapBytes)
 	if conf.Console != "" { // READY is how the platform learns that a successor serves
 		opts.Meet = takeover.Path(os.TempDir(), conf.Name, conf.Listen)
@@ -67,6 +74,15 @@
 	return code
 }
 
+// descriptors is how many the process may hold.
+func descriptors() uint64 {
+	var limit unix.Rlimit
+	if unix.Getrlimit(unix.RLIMIT_NOFILE, &limit) != nil {
+		return math.MaxUint64
+	}
+	return limit.Cur
+}
+
 // signals are those that a sidecar heeds, a channel each: one that repeats must
 // not take another's place.
 type signals struct{ stop, reload, report chan os.Signal }
--- a/internal/lifecycle/process_test.go
+++ b/internal/lifecycle/process_test.go
@@ -21,13 +21,29 @@
 	"heathgap/internal/config"
 	"heathgap/internal/lab/scripted"
 	"heathgap/internal/operator"
+	"heathgap/internal/pipeline"
 )
 
 // asSidecar in the environment makes the test's own program a sidecar.
 const asSidecar = "HEATHGAP_TEST_AS_SIDECAR"
 
+// panics, as its value, has that sidecar panic as it starts.
+const panics = "panics"
+
+// withinDescriptors in the environment is how many descriptors that sidecar may hold.
+const withinDescriptors = "HEATHGAP_TEST_DESCRIPTORS"
+
 func TestMain(m *testing.M) {
-	if os.Getenv(asSidecar) != "" {
+	if most, err := strconv.ParseUint(os.Getenv(withinDescriptors), 10, 64); err == nil {
+		if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: most, Max: most}); err != nil {
+			panic(err)
+		}
+	}
+	switch os.Getenv(asSidecar) {
+	case "":
+	case panics:
+		os.Exit(Main(Options{Decider: func(*config.Config) (pipeline.Decider, error) { panic("the decider") }}))
+	default:
 		os.Exit(Main(Options{Operator: operator.Default()}))
 	}
 	os.Exit(m.Run())
@@ -45,12 +61,18 @@
 	return launchAt(t, conf, writeConfig(t, conf))
 }
 
-// launchAt is launch where the configuration's file stands already.
-func launchAt(t *testing.T, conf map[string]any, path string) *process {
+// launchWithin is launch of a process that may hold so many descriptors.
+func launchWithin(t *testing.T, conf map[string]any, descriptors int) *process {
+	t.Helper()
+	return launchAt(t, conf, writeConfig(t, conf), withinDescriptors+"="+strconv.Itoa(descriptors))
+}
+
+// launchAt is launch where the configuration's file stands already, with more in its environment.
+func launchAt(t *testing.T, conf map[string]any, path string, more ...string) *process {
 	t.Helper()
 	p := &process{Cmd: exec.Command(os.Args[0]), log: &lines{}, path: path}
-	p.Env = append(os.Environ(), asSidecar+"=1", config.EnvFile+"="+p.path,
-		"BALANCER_DISCOVERY="+conf["discovery"].(string))
+	p.Env = append(append(os.Environ(), asSidecar+"=1", config.EnvFile+"="+p.path,
+		"BALANCER_DISCOVERY="+conf["discovery"].(string)), more...)
 	p.Stderr = p.log
 	if err := p.Start(); err != nil {
 		t.Fatal(err)
@@ -198,6 +220,15 @@
 	}
 }
 
+// Guards against a panic that ends a process without a word.
+func TestPanicIsWritten(t *testing.T) {
+	conf := testConfig(scripted.StartDiscovery(t))
+	p := launchAt(t, conf, writeConfig(t, conf), asSidecar+"="+panics)
+	if err := p.Wait(); err == nil || !strings.Contains(p.log.String(), "panic: the decider") {
+		t.Errorf("ended with %v and %q", err, p.log)
+	}
+}
+
 // An address that is taken ends the start as well.
 func TestTakenAddressEndsTheStart(t *testing.T) {
 	taken, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/lifecycle/sidecar.go
+++ b/internal/lifecycle/sidecar.go
@@ -37,8 +37,8 @@
 
 	// A request's head must have come by then, the first so long after its connection:
 	// who sends nothing, or never the end, is owed a word or a close within 3 s.
-	readTime = 2500 * time.Millisecond
-	idleTime = 15 * time.Second // callers keep connections; what is forgotten ends at last
+	readTimeout = 2500 * time.Millisecond
+	idleTimeout = 15 * time.Second // callers keep connections; what is forgotten ends at last
 
 	spareWorkers = 256 // above the callers' connections: fasthttp must never refuse by itself
 )
@@ -155,9 +155,7 @@
 		defer close(s.ran)
 		engine.Run(ctx)
 	})
-	if err := s.succeed(); err != nil {
-		return nil, fmt.Errorf("taking over: %w", err)
-	}
+	s.succeed()
 	world.Go("server", func() { s.served <- s.server.Serve(s.callers) })
 	engine.Serve(true)
 	s.offer(opts.Meet, listener)
@@ -175,8 +173,8 @@
 		ReadBufferSize:               httpwire.MaxHead,
 		StreamRequestBody:            true,
 		MaxRequestBodySize:           httpwire.MaxBody,
-		ReadTimeout:                  readTime,
-		IdleTimeout:                  idleTime,
+		ReadTimeout:                  readTimeout,
+		IdleTimeout:                  idleTimeout,
 		NoDefaultServerHeader:        true,
 		NoDefaultDate:                true,
 		NoDefaultContentType:         true,
