--- a/internal/lab/load/client.go
+++ b/internal/lab/load/client.go
@@ -55,6 +55,8 @@
 	front Front
 	grace time.Duration // waited past a request's time for its answer
 
+	ServedBy func(endpoint string) // is told of each served answer, if it is there; set before the first Send
+
 	mu   sync.Mutex
 	idle []*conn
 }
@@ -191,6 +193,11 @@
 		result.RetryAfter = time.Duration(s * float64(time.Second))
 	}
 	foreign := result.Verdict == truth.Served && !strings.HasPrefix(string(answer.Body()), a.ID+" ")
+	if c.ServedBy != nil && result.Verdict == truth.Served && !foreign {
+		_, by, _ := strings.Cut(string(answer.Body()), " ")
+		by, _, _ = strings.Cut(by, "\n")
+		c.ServedBy(by)
+	}
 	surplus := conn.in.Buffered() > 0
 	c.book.Do(func(b *truth.Book) {
 		if foreign {
--- /dev/null
+++ b/internal/lab/rig/chain.go
@@ -0,0 +1,377 @@
+package rig
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"heathgap/decide"
+	"heathgap/internal/lab/load"
+	"heathgap/internal/lab/scenario"
+	"heathgap/internal/lab/standin"
+	"heathgap/internal/lab/truth"
+)
+
+// MostDeep bounds a chain: a tier is a sidecar's process and its stand-ins.
+const MostDeep = 32
+
+// ChainConf is a chain of services, each of which calls the next through a sidecar.
+type ChainConf struct {
+	Deep      int // tiers of services, and sidecars before them
+	Endpoints int // of each tier
+	Rate      float64
+	For       time.Duration
+	Deadline  time.Duration // that requests have at the front
+	Peers     int           // that each sidecar is told of
+	Own       bool          // the settings say that each caller has a sidecar of its own (family mesh)
+	Straight  bool          // every other request goes along a chain without sidecars
+	Trouble   standin.Trouble
+	Share     float64 // of the last tier's requests that Errors strikes
+	Seed      uint64
+}
+
+// Chain is what was seen of one.
+type Chain struct {
+	Front    [2]Way // straight, and through the sidecars
+	Tiers    []ChainTier
+	Lag      float64 // ms, the load's own at the 99th percentile
+	Seconds  float64 // how long the sidecars stood under load
+	Breaks   int     // of the four rules
+	Balanced error   // what of the book does not add up
+}
+
+// Way is one way along the chain.
+type Way struct {
+	Requests, Served int
+	P50, P99         float64 // ms of what was served, from when a request was due
+}
+
+// ChainTier is one tier: its sidecar and the services behind it.
+type ChainTier struct {
+	Asked    int // requests asked of its sidecar
+	Attempts int // that came to its services
+	Served   int // answers that its sidecar gave
+	Refused  int
+	Failed   int
+	Left     int            // its caller went, or had no answer in its time
+	Outcomes map[string]int // of attempts, as the sidecar counts them
+	Budget   Budget         // of its sidecar's retries
+	P50, P99 float64        // ms of calls that were served, as the caller before it saw them; of tier 1 as Front
+	LeftP50  float64        // ms of the deadline left as it was asked
+	LeftMin  float64
+	CPU      float64 // microseconds of its sidecar's processor for a request that it was asked
+	RSSMB    float64
+	FDs      int
+}
+
+// Retries are attempts beyond the first of each request that was sent. What was refused unsent hides some of them.
+func (t ChainTier) Retries() int { return max(0, t.Attempts-t.Asked) }
+
+// chainScene is one tier; a chain has so many alike.
+const chainScene = `
+name = "chain"
+duration = "1h"
+margin = "300ms"
+[limits]
+sockets = 4096
+most_held = 10000
+[[class]]
+name = "look"
+work = "50us"
+aim = "1s"
+deadline = "2s"
+[[tier]]
+name = "tier"
+endpoints = 2
+cores = 16
+slots = 10000
+[load]
+rate = 1
+`
+
+func (c *ChainConf) scene() (*scenario.Scenario, error) {
+	s, err := scenario.Parse("chain", []byte(chainScene))
+	if err != nil {
+		return nil, err
+	}
+	s.Load.Rate, s.Duration = c.Rate, c.For
+	s.Classes[0].Deadline, s.Classes[0].Aim = c.Deadline, min(s.Classes[0].Aim, c.Deadline)
+	one := s.Tiers[0]
+	one.Endpoints, one.Calls = c.Endpoints, 0
+	s.Tiers = nil
+	for n := range c.Deep {
+		one.Name = fmt.Sprintf("t%d", n+1)
+		s.Tiers = append(s.Tiers, one)
+	}
+	return s, nil
+}
+
+// chain is a chain at work.
+type chain struct {
+	*rig
+	conf  ChainConf
+	links []*link // one a tier
+	calls atomic.Int64
+}
+
+// link is a tier, and the ways to it.
+type link struct {
+	list      *standin.Discovery
+	sidecar   *sidecar
+	through   *load.Client
+	straight  *load.Client // nil without a straight way
+	direct    *front
+	endpoints []*standin.Endpoint // those of the way through sidecars first
+
+	mu         sync.Mutex
+	took, used *hdrhistogram.Histogram // of calls, and of the deadline when they were made
+}
+
+// MeasureChain plays one chain.
+func MeasureChain(ctx context.Context, conf ChainConf, opts Options) (*Chain, error) {
+	scene, err := conf.scene()
+	if err != nil {
+		return nil, err
+	}
+	dir, err := os.MkdirTemp("", "heathlab-")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	c := &chain{rig: newRig(scene, conf.Seed, opts, dir), conf: conf}
+	c.share(truth.NewService(nil, 0))
+	defer c.end()
+	if err := c.start(ctx); err != nil {
+		return nil, err
+	}
+	return c.play(ctx)
+}
+
+// start starts the last tier first: those before it call it.
+func (c *chain) start(ctx context.Context) error {
+	for range c.scene.Tiers {
+		c.lists = append(c.lists, standin.NewDiscovery(c.book))
+	}
+	c.links = make([]*link, c.conf.Deep)
+	for n := c.conf.Deep - 1; n >= 0; n-- {
+		l := &link{list: c.lists[n], direct: &front{}, took: newLatencies(), used: newLatencies()}
+		c.links[n] = l
+		if err := c.startServices(n, l); err != nil {
+			return err
+		}
+		l.sidecar = &sidecar{
+			rig: c.rig, name: fmt.Sprintf("s%d", n+1), tier: n, peers: c.conf.Peers, own: c.conf.Own, zone: "a",
+		}
+		if err := l.sidecar.settle(); err != nil {
+			return err
+		}
+		c.addSidecar(l.sidecar)
+		target, err := l.sidecar.start(ctx)
+		if err != nil {
+			return err
+		}
+		only := &load.Only{}
+		only.Set(target)
+		l.through = load.NewClient(c.book, only, c.grace())
+		if c.conf.Straight {
+			l.straight = load.NewClient(c.book, l.direct, c.grace())
+		}
+	}
+	return nil
+}
+
+// startServices starts a tier's stand-ins: those that its sidecar sends to, and as many of the straight way.
+func (c *chain) startServices(n int, l *link) error {
+	ways := 1
+	if c.conf.Straight {
+		ways = 2
+	}
+	for i := range ways * c.conf.Endpoints {
+		straight := i >= c.conf.Endpoints
+		host, err := c.hosts.take()
+		if err != nil {
+			return err
+		}
+		t := c.scene.Tiers[n]
+		conf := standin.EndpointConf{
+			Name: fmt.Sprintf("%s-%d", t.Name, i), Address: host + ":0", Station: t.Station,
+			IdleFor: c.scene.Limits.ConnIdle, BodyBytes: t.Body, Seed: c.conf.Seed<<16 + uint64(n<<8+i),
+			Classes: map[string]standin.ClassConf{"look": {Effect: decide.Safe, Work: c.scene.Classes[0].Work}},
+		}
+		if n+1 < c.conf.Deep {
+			next := c.links[n+1]
+			client := next.through
+			if straight {
+				client = next.straight
+			}
+			conf.Calls = 1
+			conf.Call = func(ctx context.Context, until time.Duration, _ string) bool {
+				return c.call(ctx, next, client, until)
+			}
+		}
+		e, err := standin.StartEndpoint(conf, c.book)
+		if err != nil {
+			return err
+		}
+		l.endpoints = append(l.endpoints, e)
+		if straight {
+			l.direct.add(&load.Target{Name: "straight-" + t.Name, Address: e.Address()})
+			continue
+		}
+		l.list.Set(standin.Line{
+			Name: e.Name(), Address: e.Address(), Zone: "a", Type: "lab", Group: 1, Status: standin.Serving, Weight: 1,
+		})
+	}
+	return nil
+}
+
+// call makes a service's call of the next tier, with what is left of its own request's time, and fails when it fails.
+func (c *chain) call(ctx context.Context, to *link, client *load.Client, until time.Duration) bool {
+	began := c.book.Now()
+	result := client.Send(ctx, load.Ask{
+		ID: fmt.Sprintf("c%x", c.calls.Add(1)), Class: "look", Tier: 1, Effect: decide.Safe, Until: until,
+	})
+	served := result.How == load.Answered && result.Verdict == truth.Served
+	if client == to.through {
+		to.mu.Lock()
+		defer to.mu.Unlock()
+		observe(to.used, c.conf.Deadline-(until-began))
+		if served {
+			observe(to.took, c.book.Now()-began)
+		}
+	}
+	return served
+}
+
+// end ends whatever stands.
+func (c *chain) end() {
+	for _, l := range c.links {
+		if l == nil {
+			continue
+		}
+		for _, client := range [2]*load.Client{l.through, l.straight} {
+			if client != nil {
+				client.Close()
+			}
+		}
+		for _, e := range l.endpoints {
+			e.Kill()
+		}
+	}
+	c.endAll()
+}
+
+// play sends the load, with the trouble in place from the start, and takes the figures.
+func (c *chain) play(ctx context.Context) (*Chain, error) {
+	last := c.links[c.conf.Deep-1]
+	for _, e := range last.endpoints {
+		e.Misbehave(c.conf.Trouble, c.conf.Share)
+	}
+	before := make([]time.Duration, c.conf.Deep)
+	for n, l := range c.links {
+		var err error
+		if before[n], err = l.sidecar.proc.ran(); err != nil {
+			return nil, err
+		}
+	}
+	ways := []*load.Client{c.links[0].through}
+	if c.conf.Straight {
+		ways = append(ways, c.links[0].straight)
+	}
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	out := &Chain{}
+	took, lag := [2]*hdrhistogram.Histogram{newLatencies(), newLatencies()}, newLatencies()
+	side, stopSide := context.WithCancel(ctx)
+	wait.Go(func() { c.look(side) })
+	var sending sync.WaitGroup
+	base := c.book.Now()
+	for src := c.scene.Plan().Arrivals(c.conf.Seed); ctx.Err() == nil; {
+		a, ok := src.Next()
+		if !ok {
+			break
+		}
+		c.waitUntil(ctx, base+a.At)
+		sending.Go(func() {
+			late := c.book.Now() - base - a.At
+			client := ways[a.Number%len(ways)]
+			way := 1
+			if client != c.links[0].through {
+				way = 0
+			}
+			result := client.Send(ctx, load.Ask{
+				ID: fmt.Sprintf("f%d", a.Number), Class: "look", Effect: decide.Safe, Until: base + a.At + c.conf.Deadline,
+			})
+			end := c.book.Now() - base - a.At
+			mu.Lock()
+			defer mu.Unlock()
+			observe(lag, late)
+			out.Front[way].Requests++
+			if result.How == load.Answered && result.Verdict == truth.Served {
+				out.Front[way].Served++
+				observe(took[way], end)
+			}
+		})
+	}
+	sending.Wait()
+	out.Seconds = (c.book.Now() - base).Seconds()
+	stopSide()
+	wait.Wait()
+	time.Sleep(settleTime)
+	out.Lag = quantile(lag, 99)
+	for way := range took {
+		out.Front[way].P50, out.Front[way].P99 = quantile(took[way], 50), quantile(took[way], 99)
+	}
+	return out, c.take(ctx, out, before, took[1])
+}
+
+// take takes each tier's figures.
+func (c *chain) take(ctx context.Context, out *Chain, before []time.Duration, front *hdrhistogram.Histogram) error {
+	if ctx.Err() != nil {
+		return fmt.Errorf("interrupted: %w", ctx.Err())
+	}
+	ran := make([]time.Duration, c.conf.Deep)
+	for n, l := range c.links {
+		after, err := l.sidecar.proc.ran()
+		if err != nil {
+			return err
+		}
+		ran[n] = after - before[n]
+	}
+	var account truth.Account
+	for n, l := range c.links {
+		said := l.sidecar.close(true)
+		if n == 0 {
+			observe(l.used, 0)
+			l.took = front
+		}
+		l.mu.Lock()
+		t := ChainTier{
+			P50: quantile(l.took, 50), P99: quantile(l.took, 99), LeftP50: millis(c.conf.Deadline) - quantile(l.used, 50),
+			LeftMin: millis(c.conf.Deadline) - quantile(l.used, 100), RSSMB: said.RSSMB, FDs: said.FDs,
+		}
+		l.mu.Unlock()
+		if said.Counters != nil {
+			t.Outcomes = said.Counters.Attempts
+		}
+		out.Tiers = append(out.Tiers, t)
+	}
+	c.book.Do(func(b *truth.Book) { account = b.Close() })
+	out.Breaks, out.Balanced = account.Broken(), account.Balance()
+	for n := range out.Tiers {
+		t, tally := &out.Tiers[n], account.Sidecars[c.links[n].sidecar.name]
+		if tally == nil { // nothing was asked of it
+			tally = &truth.Tally{}
+		}
+		t.Asked, t.Attempts, t.Left = tally.Asked, tally.Arrivals, tally.Left+tally.Cut
+		t.Served, t.Refused, t.Failed = tally.Answers[truth.Served], tally.Answers[truth.Refused], tally.Answers[truth.Failed]
+		t.CPU = ratio(int(ran[n].Microseconds()), t.Asked)
+		t.Budget = NewBudget(c.conf.Own, c.conf.Peers, t.Outcomes["served"], out.Seconds)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/rig/lists.go
@@ -0,0 +1,549 @@
+package rig
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"heathgap/internal/httpwire"
+	"heathgap/internal/lab/scenario"
+	"heathgap/internal/lab/standin"
+	"heathgap/internal/lab/truth"
+)
+
+// ListsConf is what is measured of a list's changes.
+type ListsConf struct {
+	Endpoints int           // listed; nobody stands at them, since nothing is sent
+	AtOnce    int           // lines that change in one version
+	Apart     bool          // in a version each, one after the other at once
+	Changes   int           // how often that happens
+	Sidecars  int           // real ones that watch
+	Hollow    int           // watchers beside them that speak the protocol and keep nothing but the version
+	Peers     int           // that sidecars are told of: their waits are longer the more there are
+	Idle      time.Duration // looked at without changes; 0 for not
+}
+
+// Lists is what was seen.
+type Lists struct {
+	Real, Hollow Wire          // while changes came, of one watcher
+	Idle         Wire          // of one sidecar, while none came
+	IdleFor      time.Duration // that it was looked at
+	Whole        Wire          // of one call for the whole list
+	CPU          float64       // microseconds of a sidecar's processor for a change
+	IdleCPU      float64       // of a second without any
+	LabCPU       float64       // microseconds of the lab's for a change and watcher: the agent's, the hollow watchers' and the counting
+	ToldP50      float64       // ms from a change until the last watcher has it
+	ToldMax      float64
+}
+
+// Wire is what went over the wire, in what TCP carries.
+type Wire struct {
+	Calls, Answers  float64 // messages of the sidecar, and of the agent
+	Asked, Told     float64 // their bytes
+	LinesOfAnAnswer float64
+	Wholes          float64 // of the answers, those that were whole lists
+}
+
+// counts are a watcher's, since it began.
+type counts struct {
+	calls, answers, asked, told, lines, wholes, index atomic.Int64
+}
+
+// snapshot is what counts were at a moment.
+type snapshot [6]int64
+
+func (c *counts) now() snapshot {
+	return snapshot{c.calls.Load(), c.answers.Load(), c.asked.Load(), c.told.Load(), c.lines.Load(), c.wholes.Load()}
+}
+
+// since is the wire between two moments of some watchers, for one of them and one of so many things.
+func since(before, after []snapshot, things int) Wire {
+	var d [6]float64
+	for i := range before {
+		for k := range d {
+			d[k] += float64(after[i][k]-before[i][k]) / float64(len(before)*max(1, things))
+		}
+	}
+	w := Wire{Calls: d[0], Answers: d[1], Asked: d[2], Told: d[3], Wholes: d[5]}
+	if d[1] > 0 {
+		w.LinesOfAnAnswer = d[4] / d[1]
+	}
+	return w
+}
+
+func snapshots(all []*counts) []snapshot {
+	out := make([]snapshot, len(all))
+	for i, c := range all {
+		out[i] = c.now()
+	}
+	return out
+}
+
+// listsScene has nothing that is called.
+const listsScene = `
+name = "lists"
+duration = "1h"
+[[class]]
+name = "look"
+work = "200us"
+[[tier]]
+name = "front"
+endpoints = 1
+[load]
+rate = 1
+`
+
+// Times of the measurement.
+const (
+	watchWait  = 10 * time.Second // of hollow watchers, at the agent
+	tellTime   = 10 * time.Second // until all watchers have a change
+	listPause  = time.Millisecond // between looks whether they have
+	afterStart = 9 * time.Second  // the first watch is asked for within a second; after a failed call 1 to 8 s later
+	settledFor = 300 * time.Millisecond
+)
+
+// lists is the measurement at work.
+type lists struct {
+	*rig
+	conf    ListsConf
+	list    *standin.Discovery
+	version int64
+	real    []*counts
+	hollow  []*counts
+	taps    []*tap
+	flip    bool // lines of the next change are gone, or back
+}
+
+// MeasureLists changes a list and looks what its watchers get.
+func MeasureLists(ctx context.Context, conf ListsConf, opts Options) (*Lists, error) {
+	scene, err := scenario.Parse("lists", []byte(listsScene))
+	if err != nil {
+		return nil, err
+	}
+	dir, err := os.MkdirTemp("", "heathlab-")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	l := &lists{rig: newRig(scene, 1, opts, dir), conf: conf}
+	l.share(truth.NewService(nil, 0))
+	var watchers sync.WaitGroup
+	watching, stop := context.WithCancel(ctx)
+	defer watchers.Wait()
+	defer l.end()
+	defer stop()
+	if err := l.start(watching, &watchers); err != nil {
+		return nil, err
+	}
+	return l.measure(ctx)
+}
+
+// line is one of the list; the same endpoint is gone and back.
+func line(n int, status string) standin.Line {
+	return standin.Line{
+		Name: fmt.Sprintf("svc-%d.example.internal", n), Address: fmt.Sprintf("127.15.%d.%d:8080", n/250, 1+n%250), Zone: "zone-a", Type: "lab",
+		Group: 1, Status: status, Weight: 1, Since: 1_764_633_600_000 + int64(n),
+	}
+}
+
+func (l *lists) start(ctx context.Context, watchers *sync.WaitGroup) error {
+	l.list = standin.NewDiscovery(l.book)
+	l.lists = []*standin.Discovery{l.list}
+	all := make([]standin.Line, l.conf.Endpoints)
+	for n := range all {
+		all[n] = line(n, standin.Serving)
+	}
+	l.set(all...)
+	for n := range l.conf.Sidecars {
+		s := &sidecar{rig: l.rig, name: fmt.Sprintf("s%d", n), number: n % l.conf.Peers, peers: l.conf.Peers, zone: "zone-a"}
+		if err := s.settle(); err != nil {
+			return err
+		}
+		c := &counts{}
+		t, err := newTap(s.host, s.list, c)
+		if err != nil {
+			return err
+		}
+		l.taps, l.real = append(l.taps, t), append(l.real, c)
+		s.list = t.listener.Addr().String()
+		l.addSidecar(s)
+		if _, err := s.start(ctx); err != nil {
+			return err
+		}
+	}
+	for n := range l.conf.Hollow {
+		host, err := l.hosts.take()
+		if err != nil {
+			return err
+		}
+		address, err := l.list.For(fmt.Sprintf("h%d", n), host)
+		if err != nil {
+			return err
+		}
+		c := &counts{}
+		l.hollow = append(l.hollow, c)
+		watchers.Go(func() { hollowWatch(ctx, address, c) })
+	}
+	return l.await(ctx, afterStart)
+}
+
+func (l *lists) end() {
+	for _, t := range l.taps {
+		t.close()
+	}
+	l.endAll()
+}
+
+// set makes one version.
+func (l *lists) set(lines ...standin.Line) {
+	l.list.Set(lines...)
+	l.version++
+}
+
+// await waits until all watchers have asked for what follows the newest version: then they have had it.
+func (l *lists) await(ctx context.Context, most time.Duration) error {
+	all := append(append([]*counts{}, l.real...), l.hollow...)
+	for end := time.Now().Add(most); ; {
+		behind := 0
+		for _, c := range all {
+			if c.index.Load() < l.version {
+				behind++
+			}
+		}
+		if behind == 0 {
+			return nil
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("%d of %d watchers have not asked for what follows version %d within %v", behind, len(all), l.version, most)
+		}
+		select {
+		case <-time.After(listPause):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// change has lines go, or those that went come back.
+func (l *lists) change() {
+	l.flip = !l.flip
+	status := standin.Serving
+	if l.flip {
+		status = standin.Deleted
+	}
+	lines := make([]standin.Line, l.conf.AtOnce)
+	for n := range lines {
+		lines[n] = line(n, status)
+	}
+	if !l.conf.Apart {
+		l.set(lines...)
+		return
+	}
+	for _, one := range lines {
+		l.set(one)
+	}
+}
+
+func (l *lists) measure(ctx context.Context) (*Lists, error) {
+	out := &Lists{IdleFor: l.conf.Idle}
+	var err error
+	if out.Whole, err = l.fetchWhole(ctx); err != nil {
+		return nil, err
+	}
+	before, hollow := snapshots(l.real), snapshots(l.hollow)
+	cpu, err := l.ran()
+	if err != nil {
+		return nil, err
+	}
+	lab := labRan()
+	told := newLatencies()
+	for range l.conf.Changes {
+		began := time.Now()
+		l.change()
+		if err := l.await(ctx, tellTime); err != nil {
+			return nil, err
+		}
+		observe(told, time.Since(began))
+	}
+	labAfter := labRan()
+	select { // what the last change still costs
+	case <-time.After(settledFor):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	after, err := l.ran()
+	if err != nil {
+		return nil, err
+	}
+	changes := float64(l.conf.Changes)
+	out.Real, out.Hollow = since(before, snapshots(l.real), l.conf.Changes), since(hollow, snapshots(l.hollow), l.conf.Changes)
+	out.CPU = float64((after - cpu).Microseconds()) / changes / float64(max(1, l.conf.Sidecars))
+	out.LabCPU = float64((labAfter - lab).Microseconds()) / changes / float64(l.conf.Sidecars+l.conf.Hollow)
+	out.ToldP50, out.ToldMax = quantile(told, 50), quantile(told, 100)
+	if l.conf.Idle <= 0 {
+		return out, nil
+	}
+	before, cpu = snapshots(l.real), after
+	select {
+	case <-time.After(l.conf.Idle):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if after, err = l.ran(); err != nil {
+		return nil, err
+	}
+	out.Idle = since(before, snapshots(l.real), 1)
+	out.IdleCPU = float64((after - cpu).Microseconds()) / l.conf.Idle.Seconds() / float64(max(1, l.conf.Sidecars))
+	return out, nil
+}
+
+// ran is the processor time of all sidecars.
+func (l *lists) ran() (time.Duration, error) {
+	sum := time.Duration(0)
+	for _, s := range l.all() {
+		ran, err := s.proc.ran()
+		if err != nil {
+			return 0, err
+		}
+		sum += ran
+	}
+	return sum, nil
+}
+
+// labRan is the processor time of this process.
+func labRan() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// fetchWhole asks for the whole list once, as a sidecar does that has none.
+func (l *lists) fetchWhole(ctx context.Context) (Wire, error) {
+	host, err := l.hosts.take()
+	if err != nil {
+		return Wire{}, err
+	}
+	address, err := l.list.For("whole", host)
+	if err != nil {
+		return Wire{}, err
+	}
+	c := &counts{}
+	w, err := dialWatch(ctx, address, c)
+	if err != nil {
+		return Wire{}, err
+	}
+	defer w.Close()
+	if _, err := w.call(httpwire.EncodeFetch()); err != nil {
+		return Wire{}, err
+	}
+	return since([]snapshot{{}}, []snapshot{c.now()}, 1), nil
+}
+
+// watchConn is a hollow watcher's connection: what it writes and reads is counted.
+type watchConn struct {
+	net.Conn
+	in *bufio.Reader
+	c  *counts
+}
+
+// Read counts what comes.
+func (w *watchConn) Read(b []byte) (int, error) {
+	n, err := w.Conn.Read(b)
+	w.c.told.Add(int64(n))
+	return n, err
+}
+
+func dialWatch(ctx context.Context, address string, c *counts) (*watchConn, error) {
+	dialer := net.Dialer{Timeout: watchWait}
+	plain, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	w := &watchConn{Conn: plain, c: c}
+	w.in = bufio.NewReader(w)
+	return w, nil
+}
+
+// call makes one call.
+func (w *watchConn) call(message []byte) (httpwire.List, error) {
+	w.SetDeadline(time.Now().Add(2 * watchWait)) //nolint:errcheck // the write tells
+	w.c.calls.Add(1)
+	w.c.asked.Add(int64(len(message)))
+	if _, err := w.Write(message); err != nil {
+		return httpwire.List{}, err
+	}
+	list, _, err := httpwire.DecodeListReply(w.in)
+	if err != nil {
+		return list, err
+	}
+	w.c.answers.Add(1)
+	w.c.lines.Add(int64(len(list.Endpoints)))
+	if list.Whole {
+		w.c.wholes.Add(1)
+	}
+	return list, nil
+}
+
+// hollowWatch watches as a sidecar does, until its context ends or a call fails: the measurement then says who is behind.
+func hollowWatch(ctx context.Context, address string, c *counts) {
+	w, err := dialWatch(ctx, address, c)
+	if err != nil {
+		return
+	}
+	defer w.Close()
+	stop := context.AfterFunc(ctx, func() { w.Close() })
+	defer stop()
+	message := httpwire.EncodeFetch()
+	for ctx.Err() == nil {
+		list, err := w.call(message)
+		if err != nil {
+			return
+		}
+		c.index.Store(list.Index)
+		message = httpwire.EncodeWatch(list.Index, watchWait)
+	}
+}
+
+// tap stands between a sidecar and its discovery, and counts what it passes on.
+type tap struct {
+	listener net.Listener
+	to       string
+	c        *counts
+
+	mu     sync.Mutex
+	conns  map[net.Conn]struct{}
+	closed bool
+}
+
+func newTap(host, to string, c *counts) (*tap, error) {
+	listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+	if err != nil {
+		return nil, err
+	}
+	t := &tap{listener: listener, to: to, c: c, conns: map[net.Conn]struct{}{}}
+	go t.accept()
+	return t, nil
+}
+
+func (t *tap) accept() {
+	for {
+		conn, err := t.listener.Accept()
+		if err != nil {
+			return
+		}
+		go t.carry(conn)
+	}
+}
+
+// keep has the connection end with the tap.
+func (t *tap) keep(conn net.Conn) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.closed {
+		t.conns[conn] = struct{}{}
+	}
+	return !t.closed
+}
+
+func (t *tap) close() {
+	t.listener.Close()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.closed = true
+	for conn := range t.conns {
+		conn.Close()
+	}
+}
+
+// carry passes one connection on, a message at a time: a watch has one call out.
+func (t *tap) carry(from net.Conn) {
+	defer from.Close()
+	to, err := net.DialTimeout("tcp", t.to, watchWait)
+	if err != nil {
+		return
+	}
+	defer to.Close()
+	if !t.keep(from) || !t.keep(to) {
+		return
+	}
+	defer func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.conns, from)
+		delete(t.conns, to)
+	}()
+	var both sync.WaitGroup
+	both.Go(func() { t.pass(to, from, t.asked) })
+	told, done := t.told()
+	t.pass(from, to, told)
+	done()
+	both.Wait()
+}
+
+// pass copies one way until either end is gone.
+func (t *tap) pass(to, from net.Conn, saw func([]byte)) {
+	defer to.Close()
+	b := make([]byte, 64<<10)
+	for {
+		from.SetReadDeadline(time.Now().Add(time.Hour)) //nolint:errcheck // it ends with the tap at the latest
+		n, err := from.Read(b)
+		if n > 0 {
+			saw(b[:n])
+			to.SetWriteDeadline(time.Now().Add(watchWait)) //nolint:errcheck // the write tells
+			if _, err := to.Write(b[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// asked counts a call: the sidecar writes each at once, and it fits a read. Its version is what the sidecar has.
+func (t *tap) asked(b []byte) {
+	t.c.asked.Add(int64(len(b)))
+	t.c.calls.Add(1)
+	if after, ok := afterOf(b); ok {
+		t.c.index.Store(after)
+	}
+}
+
+// told counts what the agent sends; a copy of it is decoded beside, for the lines of each answer, until it is done.
+func (t *tap) told() (saw func([]byte), done func()) {
+	read, write := net.Pipe()
+	go func() {
+		defer read.Close()
+		in := bufio.NewReader(read)
+		for {
+			list, _, err := httpwire.DecodeListReply(in)
+			if err != nil {
+				return
+			}
+			t.c.answers.Add(1)
+			t.c.lines.Add(int64(len(list.Endpoints)))
+			if list.Whole {
+				t.c.wholes.Add(1)
+			}
+		}
+	}()
+	return func(b []byte) {
+		t.c.told.Add(int64(len(b)))
+		write.Write(b) //nolint:errcheck // an answer that is none ends the counting of lines
+	}, func() { write.Close() }
+}
+
+// afterOf is the version that a call names.
+func afterOf(b []byte) (int64, bool) {
+	var after, wait int64
+	n, _ := fmt.Sscanf(string(b), "GET /discovery/hosts?after=%d&wait_ms=%d", &after, &wait)
+	return after, n == 2
+}
--- a/internal/lab/rig/overhead.go
+++ b/internal/lab/rig/overhead.go
@@ -4,32 +4,61 @@
 	"context"
 	"fmt"
 	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"golang.org/x/sys/unix"
 
 	"heathgap/decide"
 	"heathgap/internal/lab/load"
+	"heathgap/internal/lab/record"
 	"heathgap/internal/lab/scenario"
+	"heathgap/internal/lab/standin"
 	"heathgap/internal/lab/truth"
 )
 
-// Overhead is what a sidecar adds to a request.
-type Overhead struct {
+// CallConf is what a call is measured with.
+type CallConf struct {
+	Rate      float64 // requests a second by each of the two ways
+	For       time.Duration
+	Endpoints int    // listed, each a stand-in that takes calls
+	Peers     int    // instances that the sidecar is told of: the more there are, the fewer of the endpoints it uses
+	Classes   int    // in the settings; requests are of all in turn
+	Stages    int    // tiers that the settings name; the sidecar sends to the first
+	Own       bool   // the settings say that each caller has a sidecar of its own (family mesh)
+	Seed      uint64 // of the arrivals
+}
+
+// Call is what a sidecar adds to a request, and takes for it.
+type Call struct {
 	Requests   int     // by each way
 	DirectP50  float64 // ms, from when a request was due
 	DirectP99  float64
 	SidecarP50 float64
 	SidecarP99 float64
-	CPU        float64 // microseconds of the sidecar's processor for a request
+	CPU        float64 // microseconds of the sidecar's processor for a request, with what it takes while idle
+	RSSMB      float64 // most that the sidecar's process held
+	FDs        int     // descriptors of the sidecar's process at the end
+	Used       int     // endpoints that the sidecar's requests came to
 	Lag        float64 // ms, the load's own at the 99th percentile
 }
 
-// overheadScene is a fleet in which nothing waits: what is measured is the way.
-const overheadScene = `
-name = "overhead"
+// AddedP50 and AddedP99 are differences of quantiles, in ms.
+func (c Call) AddedP50() float64 { return c.SidecarP50 - c.DirectP50 }
+
+// AddedP99 is that of the 99th.
+func (c Call) AddedP99() float64 { return c.SidecarP99 - c.DirectP99 }
+
+// callScene is a fleet in which nothing waits: what is measured is the way.
+const callScene = `
+name = "call"
 duration = "1h"
+[limits]
+sockets = 4096
 [[class]]
 name = "look"
 work = "200us"
@@ -44,24 +73,44 @@
 rate = 1
 `
 
-// MeasureOverhead sends every other request straight to an endpoint and the rest
-// through one sidecar, at so many a second in all.
-func MeasureOverhead(ctx context.Context, rate float64, long time.Duration, opts Options) (Overhead, error) {
-	scene, err := scenario.Parse("overhead", []byte(overheadScene))
+// scene is the scenario of a conf, beyond the bounds of files: there is one tier of plain stand-ins.
+func (c *CallConf) scene() (*scenario.Scenario, error) {
+	s, err := scenario.Parse("call", []byte(callScene))
 	if err != nil {
-		return Overhead{}, err
+		return nil, err
+	}
+	s.Load.Rate, s.Duration = 2*c.Rate, c.For
+	s.Tiers[0].Endpoints = c.Endpoints
+	first := s.Classes[0]
+	for n := 1; n < c.Classes; n++ {
+		more := first
+		more.Name = fmt.Sprintf("%s%d", first.Name, n)
+		s.Classes = append(s.Classes, more)
+	}
+	for n := 1; n < c.Stages; n++ {
+		deeper := s.Tiers[0]
+		deeper.Name = fmt.Sprintf("deeper%d", n)
+		s.Tiers = append(s.Tiers, deeper)
+	}
+	return s, nil
+}
+
+// MeasureCall sends every other request straight to an endpoint and the rest through one sidecar.
+func MeasureCall(ctx context.Context, conf CallConf, opts Options) (Call, error) {
+	scene, err := conf.scene()
+	if err != nil {
+		return Call{}, err
 	}
-	scene.Load.Rate, scene.Duration = rate, long
 	dir, err := os.MkdirTemp("", "heathlab-")
 	if err != nil {
-		return Overhead{}, err
+		return Call{}, err
 	}
 	defer os.RemoveAll(dir)
 	r := newRig(scene, 1, opts, dir)
 	r.share(truth.NewService(nil, 0))
 	defer r.endAll()
-	if err := r.startAll(ctx); err != nil {
-		return Overhead{}, err
+	if err := r.startCall(ctx, &conf); err != nil {
+		return Call{}, err
 	}
 	direct := &front{}
 	for _, s := range r.tiers[0].slots {
@@ -70,53 +119,155 @@
 	clients := [2]*load.Client{
 		load.NewClient(r.book, direct, r.grace()), load.NewClient(r.book, r.front, r.grace()),
 	}
-	took, lag := [2]*hdrhistogram.Histogram{newLatencies(), newLatencies()}, newLatencies()
-	before, err := r.first[0].proc.usage()
+	defer clients[0].Close()
+	defer clients[1].Close()
+	proc := r.first[0].proc
+	before, err := proc.ran()
+	if err != nil {
+		return Call{}, err
+	}
+	var mu sync.Mutex
+	used := map[string]bool{}
+	clients[1].ServedBy = func(endpoint string) {
+		mu.Lock()
+		defer mu.Unlock()
+		used[endpoint] = true
+	}
+	m := r.send(ctx, &conf, clients)
+	after, err := proc.ran()
+	if err != nil {
+		return Call{}, err
+	}
+	n := int(m.took[1].TotalCount())
+	if m.failed > 0 || n == 0 {
+		return Call{}, fmt.Errorf("%d requests failed and %d were served: nothing to measure", m.failed, n)
+	}
+	u, err := proc.usage()
 	if err != nil {
-		return Overhead{}, err
+		return Call{}, err
+	}
+	if counters := proc.count(); counters != nil && counters.Sent < n {
+		return Call{}, fmt.Errorf("the sidecar sent %d attempts for %d requests: some did not go through it", counters.Sent, n)
+	}
+	return Call{
+		Requests: n, DirectP50: quantile(m.took[0], 50), DirectP99: quantile(m.took[0], 99),
+		SidecarP50: quantile(m.took[1], 50), SidecarP99: quantile(m.took[1], 99),
+		CPU: float64((after - before).Microseconds()) / float64(n), RSSMB: u.rssMB, FDs: u.fds, Used: len(used),
+		Lag: quantile(m.lag, 99),
+	}, nil
+}
+
+// startCall starts the endpoints and the sidecar; tiers that settings only name have none.
+func (r *rig) startCall(ctx context.Context, conf *CallConf) error {
+	r.lists = []*standin.Discovery{standin.NewDiscovery(r.book)}
+	r.tiers = []*tier{newTier(r, 0)}
+	r.tiers[0].conf.Calls = 0
+	if err := r.tiers[0].start(ctx); err != nil {
+		return err
 	}
+	s := &sidecar{rig: r, name: "s0", peers: conf.Peers, own: conf.Own, zone: "a"}
+	if err := s.settle(); err != nil {
+		return err
+	}
+	r.first = append(r.first, s)
+	r.addSidecar(s)
+	return r.join(ctx, s)
+}
+
+// sent is what came of a measurement's requests.
+type sent struct {
+	took   [2]*hdrhistogram.Histogram // straight, and through the sidecar; ns from when a request was due
+	lag    *hdrhistogram.Histogram
+	failed int
+}
+
+// send sends them as they are due.
+func (r *rig) send(ctx context.Context, conf *CallConf, clients [2]*load.Client) *sent {
+	m := &sent{took: [2]*hdrhistogram.Histogram{newLatencies(), newLatencies()}, lag: newLatencies()}
 	var mu sync.Mutex
 	var wait sync.WaitGroup
-	failed := 0
 	base := r.book.Now()
-	for src := scene.Plan().Arrivals(1); ctx.Err() == nil; {
+	for src := r.scene.Plan().Arrivals(conf.Seed); ctx.Err() == nil; {
 		a, ok := src.Next()
 		if !ok {
 			break
 		}
-		time.Sleep(base + a.At - r.book.Now())
+		r.waitUntil(ctx, base+a.At)
+		class := r.scene.Classes[a.Number/len(clients)%len(r.scene.Classes)].Name
 		wait.Go(func() {
 			late := r.book.Now() - base - a.At
 			way := a.Number % len(clients)
 			result := clients[way].Send(ctx, load.Ask{
-				ID: fmt.Sprintf("o%d", a.Number), Class: "look", Effect: decide.Safe, Until: base + a.At + 2*time.Second,
+				ID: fmt.Sprintf("o%d", a.Number), Class: class, Effect: decide.Safe, Until: base + a.At + r.scene.Classes[0].Deadline,
 			})
 			end := r.book.Now() - base - a.At
 			mu.Lock()
 			defer mu.Unlock()
-			lag.RecordValue(max(1, int64(late))) //nolint:errcheck // it is within bounds
+			observe(m.lag, late)
 			if result.How != load.Answered || result.Verdict != truth.Served {
-				failed++
+				m.failed++
 				return
 			}
-			took[way].RecordValue(int64(end)) //nolint:errcheck // it is within bounds
+			observe(m.took[way], end)
 		})
 	}
 	wait.Wait()
-	after, err := r.first[0].proc.usage()
-	if err != nil {
-		return Overhead{}, err
+	return m
+}
+
+// Here is the machine that figures are taken on.
+func Here() record.Machine { return thisMachine() }
+
+// timerSlack is by how much the runtime's timers may be late: where the process waits in epoll meanwhile, that counts
+// whole milliseconds. The load of scenarios waits in the same way.
+const timerSlack = 2 * time.Millisecond
+
+// waitUntil waits for a time on the book's clock, the rest of it in the kernel.
+func (r *rig) waitUntil(ctx context.Context, at time.Duration) {
+	if pause := at - r.book.Now() - timerSlack; pause > 0 {
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+			return
+		}
 	}
-	n := int(took[1].TotalCount())
-	if failed > 0 || n == 0 {
-		return Overhead{}, fmt.Errorf("%d requests failed and %d were served: nothing to measure", failed, n)
+	if rest := at - r.book.Now(); rest > 0 {
+		nap := unix.NsecToTimespec(int64(rest))
+		unix.Nanosleep(&nap, nil) //nolint:errcheck // woken early, the request is some microseconds early
 	}
-	at := func(h *hdrhistogram.Histogram, q float64) float64 { return millis(time.Duration(h.ValueAtQuantile(q))) }
-	return Overhead{
-		Requests: n, DirectP50: at(took[0], 50), DirectP99: at(took[0], 99),
-		SidecarP50: at(took[1], 50), SidecarP99: at(took[1], 99),
-		CPU: (after.cpu - before.cpu) * 1e6 / float64(n), Lag: at(lag, 99),
-	}, nil
 }
 
 func newLatencies() *hdrhistogram.Histogram { return hdrhistogram.New(1, int64(time.Minute), 3) }
+
+// observe books a time within the histogram's bounds.
+func observe(h *hdrhistogram.Histogram, d time.Duration) {
+	h.RecordValue(min(max(1, int64(d)), int64(time.Minute))) //nolint:errcheck // it is within bounds
+}
+
+// quantile (0 to 100) of a histogram, in ms.
+func quantile(h *hdrhistogram.Histogram, q float64) float64 {
+	return millis(time.Duration(h.ValueAtQuantile(q)))
+}
+
+// ran is the processor time that a process has had, to the nanosecond: the ticks of usage are 10 ms, a hundred requests.
+// What a thread ran that has ended is missing; the runtime keeps its threads.
+func (p *process) ran() (time.Duration, error) {
+	paths, err := filepath.Glob(filepath.Join("/proc", strconv.Itoa(p.cmd.Process.Pid), "task", "*", "schedstat"))
+	if err != nil || len(paths) == 0 {
+		return 0, fmt.Errorf("process %s: no schedstat under /proc: %w", p.name, os.ErrNotExist)
+	}
+	sum := time.Duration(0)
+	for _, path := range paths {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return 0, err
+		}
+		ran, _, _ := strings.Cut(string(text), " ")
+		ns, err := strconv.ParseInt(ran, 10, 64)
+		if err != nil {
+			return 0, fmt.Errorf("%s: %w", path, err)
+		}
+		sum += time.Duration(ns)
+	}
+	return sum, nil
+}
--- a/internal/lab/rig/sidecar.go
+++ b/internal/lab/rig/sidecar.go
@@ -31,6 +31,7 @@
 	tier   int // it sends to
 	number int // among its peers
 	peers  int
+	own    bool // the settings say that each caller has one of its own
 	zone   string
 	host   string
 	list   string // address of its discovery
@@ -257,9 +258,13 @@
 			parties = append(parties, map[string]any{"name": t.Name, "allowance_per_s": t.Allowed, "portion": t.Portion})
 		}
 	}
+	family := ""
+	if s.own {
+		family = "mesh"
+	}
 	l, r := scene.Limits, scene.Rules
 	return map[string]any{
-		"me": s.number, "replicas_of_me": s.peers, "az": s.zone, "tier": s.tier, "stages": stages, "tick": 2.0,
+		"family": family, "me": s.number, "replicas_of_me": s.peers, "az": s.zone, "tier": s.tier, "stages": stages, "tick": 2.0,
 		"membership_mode": scene.Tiers[s.tier].ListBy, "weights": "silent", "worth_by": "request",
 		"over_share_worth": 0.1,
 		"bounds": map[string]any{
--- /dev/null
+++ b/internal/lab/rig/slopes_test.go
@@ -0,0 +1,156 @@
+package rig
+
+import (
+	"context"
+	"math"
+	"testing"
+	"time"
+
+	"heathgap/internal/lab/policy"
+	"heathgap/internal/lab/standin"
+)
+
+func TestBudget(t *testing.T) {
+	tests := []struct {
+		name          string
+		own           bool
+		peers, served int
+		seconds       float64
+		want          Budget
+	}{
+		{"a pool", false, 13, 1000, 10, Budget{Start: 30, Floor: 30, Served: 100}},
+		{"one of its own", true, 1, 0, 10, Budget{Start: 300, Floor: 300}},
+		{"ten share the whole floor of ten", true, 10, 100, 10, Budget{Start: 30, Floor: 30, Served: 10}},
+		{"many: three tokens at least", true, 580, 0, 58, Budget{Start: 3, Floor: 3}},
+		{"no peers told", true, 0, 0, 1, Budget{Start: 300, Floor: 30}},
+	}
+	for _, c := range tests {
+		got := NewBudget(c.own, c.peers, c.served, c.seconds)
+		if math.Abs(got.Start-c.want.Start)+math.Abs(got.Floor-c.want.Floor)+math.Abs(got.Served-c.want.Served) > 1e-9 {
+			t.Errorf("%s: %+v; want %+v", c.name, got, c.want)
+		}
+	}
+	b := Budget{Start: 3, Floor: 4, Served: 10}
+	if b.Total() != 17 || b.FromFloors(8) != 0 || b.FromFloors(12) != 2 {
+		t.Errorf("%+v: in all %v; of 8 retries %v from floors, of 12 %v; want 17, 0, 2", b, b.Total(), b.FromFloors(8), b.FromFloors(12))
+	}
+	for tier, want := range map[int]float64{0: 1, 1: 1.1, 2: 1.21, 21: 7.400249944258169} {
+		if got := Amplified(tier); math.Abs(got-want) > 1e-9 {
+			t.Errorf("tier %d: %v; want %v", tier, got, want)
+		}
+	}
+}
+
+func TestAfterOf(t *testing.T) {
+	tests := []struct {
+		text  string
+		after int64
+		ok    bool
+	}{
+		{"GET /discovery/hosts?after=17&wait_ms=4000 HTTP/1.1\r\nHost: x\r\n\r\n", 17, true},
+		{"GET /discovery/hosts HTTP/1.1\r\n\r\n", 0, false},
+		{"GET /discovery/hosts?after=&wait_ms=1 HTTP/1.1", 0, false},
+		{"", 0, false},
+	}
+	for _, c := range tests {
+		if after, ok := afterOf([]byte(c.text)); ok != c.ok || ok && after != c.after {
+			t.Errorf("%q: %d, %v; want %d, %v", c.text, after, ok, c.after, c.ok)
+		}
+	}
+}
+
+// A chain of three with about 20 requests: all go through all tiers, once while it is well. Where the last tier fails all,
+// each tier's attempts fail as the next tier's answers do, and no more are sent than the budgets fund.
+func TestChain(t *testing.T) {
+	conf := ChainConf{Deep: 3, Endpoints: 2, Rate: 20, For: time.Second, Deadline: 10 * time.Second, Peers: 10, Own: true, Seed: 1}
+	opts := Options{Sidecar: sidecarOf(policy.Module)}
+	t.Run("well", func(t *testing.T) {
+		t.Parallel()
+		conf := conf
+		conf.Straight, conf.Rate = true, 40
+		m, err := MeasureChain(context.Background(), conf, opts)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if m.Breaks > 0 || m.Balanced != nil {
+			t.Errorf("rules broken %d; the book: %v", m.Breaks, m.Balanced)
+		}
+		for way, w := range m.Front {
+			if w.Requests < 10 || w.Served != w.Requests {
+				t.Errorf("way %d: %d of %d requests served", way, w.Served, w.Requests)
+			}
+		}
+		for n, tier := range m.Tiers {
+			if n > 0 && (tier.Asked != m.Tiers[n-1].Attempts || tier.LeftP50 >= m.Tiers[n-1].LeftP50 || tier.LeftP50 <= 0) {
+				t.Errorf("tier %d: asked %d after %d attempts, %v ms left after %v; want one call an attempt, with less time",
+					n+1, tier.Asked, m.Tiers[n-1].Attempts, tier.LeftP50, m.Tiers[n-1].LeftP50)
+			}
+			// A copy of what a busy machine delays may be sent and called off.
+			if tier.Asked < m.Front[1].Requests || tier.Served == 0 || tier.Attempts < tier.Asked || tier.CPU <= 0 {
+				t.Errorf("tier %d: %+v for %d requests", n+1, tier, m.Front[1].Requests)
+			}
+		}
+	})
+	t.Run("last tier fails", func(t *testing.T) {
+		t.Parallel()
+		conf := conf
+		conf.Trouble, conf.Share = standin.Errors, 1
+		m, err := MeasureChain(context.Background(), conf, opts)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if m.Breaks > 0 || m.Balanced != nil || m.Front[1].Served > 0 {
+			t.Errorf("rules broken %d; the book: %v; served %d", m.Breaks, m.Balanced, m.Front[1].Served)
+		}
+		for n, tier := range m.Tiers {
+			if tier.Attempts == 0 || tier.Outcomes["server_error"] == 0 || tier.Served > 0 {
+				t.Errorf("tier %d: %+v; want attempts that fail, and nothing served", n+1, tier)
+			}
+			if most := tier.Budget.Total(); float64(tier.Retries()) > most {
+				t.Errorf("tier %d: %d retries; its budget funds %v", n+1, tier.Retries(), most)
+			}
+		}
+	})
+}
+
+// Two tiny sizes of what is measured of a call, one of them with several classes.
+func TestCall(t *testing.T) {
+	opts := Options{Sidecar: sidecarOf(policy.Module)}
+	for _, conf := range []CallConf{
+		{Endpoints: 2, Peers: 1, Classes: 1, Stages: 1},
+		{Endpoints: 6, Peers: 6, Classes: 3, Stages: 3, Own: true},
+	} {
+		conf.Rate, conf.For, conf.Seed = 30, time.Second, 1
+		m, err := MeasureCall(context.Background(), conf, opts)
+		if err != nil {
+			t.Fatalf("%+v: %v", conf, err)
+		}
+		if m.Requests < 10 || m.Used < 1 || m.Used > conf.Endpoints || m.CPU <= 0 || m.RSSMB <= 0 || m.FDs <= 0 || m.DirectP50 <= 0 || m.SidecarP50 <= 0 {
+			t.Errorf("%+v: %+v", conf, m)
+		}
+	}
+}
+
+// What a change costs is counted at the wire: each watcher is told the lines that changed, once, and no whole list.
+func TestLists(t *testing.T) {
+	for _, conf := range []ListsConf{
+		{Endpoints: 20, AtOnce: 1, Changes: 6},
+		{Endpoints: 20, AtOnce: 7, Changes: 4},
+		{Endpoints: 20, AtOnce: 7, Changes: 4, Apart: true},
+	} {
+		conf.Sidecars, conf.Hollow, conf.Peers = 2, 3, 13
+		m, err := MeasureLists(context.Background(), conf, Options{Sidecar: sidecarOf(policy.Module)})
+		if err != nil {
+			t.Fatalf("%+v: %v", conf, err)
+		}
+		for who, w := range map[string]Wire{"sidecars": m.Real, "hollow watchers": m.Hollow} {
+			lines := w.LinesOfAnAnswer * w.Answers
+			if w.Wholes != 0 || w.Answers < 1 || w.Told <= 0 || w.Asked <= 0 || math.Abs(lines-float64(conf.AtOnce)) > 1e-6 {
+				t.Errorf("%+v: %s: %+v: %v lines a change; want %d, and no whole list", conf, who, w, lines, conf.AtOnce)
+			}
+		}
+		if m.Whole.Wholes != 1 || m.Whole.LinesOfAnAnswer != float64(conf.Endpoints) || m.Whole.Told < m.Hollow.Told/m.Hollow.Answers {
+			t.Errorf("%+v: the whole list: %+v", conf, m.Whole)
+		}
+	}
+}
--- a/internal/labcommand/heathlab.go
+++ b/internal/labcommand/heathlab.go
@@ -35,6 +35,9 @@
 	Compare  labCompare  `cmd:"" help:"Compare records, paired by seed."`
 	Crew     labCrew     `cmd:"" help:"Play a crew of processes that agree, with faults between them."`
 	Overhead labOverhead `cmd:"" help:"Measure what a sidecar adds to a request, beside the straight way."`
+	Call     labCall     `cmd:"" help:"Measure what a sidecar adds to a request and takes for it, over sizes, with a fit."`
+	Chain    labChain    `cmd:"" help:"Measure a chain of services, a sidecar before each, well and with a last tier that fails."`
+	Lists    labLists    `cmd:"" help:"Measure what a change of the list costs its watchers and discovery."`
 	List     labList     `cmd:"" help:"List scenarios and policies."`
 	Check    labCheck    `cmd:"" help:"Tell all that is wrong with scenarios, and start nothing."`
 	Sidecar  labSidecar  `cmd:"" hidden:"" help:"Be one sidecar in which a policy decides."`
@@ -276,22 +279,22 @@
 	if c.Rate <= 0 || c.Rate > scenario.MostRate {
 		return fmt.Errorf("--rate: %v; allowed: above 0, up to %d", c.Rate, scenario.MostRate)
 	}
-	program, err := c.program()
+	opts, err := c.measuring()
 	if err != nil {
 		return err
 	}
-	debug.SetGCPercent(labGC)
 	ctx, stop := interruptible()
 	defer stop()
-	m, err := rig.MeasureOverhead(ctx, c.Rate, c.For, rig.Options{Sidecar: func() *exec.Cmd { return exec.Command(program) }})
+	m, err := rig.MeasureCall(ctx, rig.CallConf{
+		Rate: c.Rate / 2, For: c.For, Endpoints: 4, Peers: 1, Classes: 1, Stages: 1, Seed: 1,
+	}, opts)
 	if err != nil {
 		return err
 	}
 	fmt.Fprintf(o, "%d requests by each way, %.0f a second in all; the load's own lag %.2f ms at the 99th percentile\n", m.Requests, c.Rate, m.Lag)
 	fmt.Fprintf(o, "straight          p50 %.3f ms  p99 %.3f ms\n", m.DirectP50, m.DirectP99)
 	fmt.Fprintf(o, "through a sidecar p50 %.3f ms  p99 %.3f ms\n", m.SidecarP50, m.SidecarP99)
-	fmt.Fprintf(o, "added             p50 %.3f ms  p99 %.3f ms, and %.0f us of its processor a request\n",
-		m.SidecarP50-m.DirectP50, m.SidecarP99-m.DirectP99, m.CPU)
+	fmt.Fprintf(o, "added             p50 %.3f ms  p99 %.3f ms, and %.0f us of its processor a request\n", m.AddedP50(), m.AddedP99(), m.CPU)
 	return nil
 }
 
--- /dev/null
+++ b/internal/labcommand/slopes.go
@@ -0,0 +1,515 @@
+package labcommand
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"runtime/debug"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"heathgap/internal/command"
+	"heathgap/internal/lab/fit"
+	"heathgap/internal/lab/rig"
+	"heathgap/internal/lab/scenario"
+	"heathgap/internal/lab/standin"
+)
+
+// Bounds of what is measured: what one machine's descriptors, ports and patience hold.
+const (
+	mostListed   = 1000 // endpoints
+	mostClasses  = 1000
+	mostStages   = 64
+	mostPeers    = 100_000
+	mostOfATier  = 16 // stand-ins of a chain's tier
+	mostRuns     = 100
+	mostWatchers = 2000
+	mostReal     = 64 // sidecars that watch
+	mostChanges  = 100_000
+	longest      = time.Hour
+	mostDeadline = time.Minute
+)
+
+// measuring has sidecars started for a measurement.
+func (g *ground) measuring() (rig.Options, error) {
+	program, err := g.program()
+	if err != nil {
+		return rig.Options{}, err
+	}
+	if g.Logs != "" {
+		if err := os.MkdirAll(g.Logs, 0o755); err != nil {
+			return rig.Options{}, err
+		}
+	}
+	debug.SetGCPercent(labGC)
+	return rig.Options{LogDir: g.Logs, Sidecar: func() *exec.Cmd { return exec.Command(program) }}, nil
+}
+
+// within checks the values of a flag.
+func within[T int | float64 | time.Duration](flag string, least, most T, values ...T) error {
+	for _, v := range values {
+		if !(v >= least && v <= most) {
+			return fmt.Errorf("--%s: %v; allowed: %v to %v", flag, v, least, most)
+		}
+	}
+	if len(values) == 0 {
+		return fmt.Errorf("--%s: nothing; allowed: one value or more", flag)
+	}
+	return nil
+}
+
+// rates checks values of --rate.
+func rates(most float64, values ...float64) error {
+	for _, v := range values {
+		if !(v > 0 && v <= most) {
+			return fmt.Errorf("--rate: %v; allowed: above 0, up to %v", v, most)
+		}
+	}
+	if len(values) == 0 {
+		return errors.New("--rate: nothing; allowed: one value or more")
+	}
+	return nil
+}
+
+// repeated is how often a measurement is made, and for how long.
+type repeated struct {
+	For  time.Duration `default:"5s" help:"How long a run."`
+	Runs int           `default:"3" help:"So many runs of each size; figures are their least, median and most."`
+}
+
+func (r *repeated) check() error {
+	return cmp.Or(within("for", time.Second, longest, r.For), within("runs", 1, mostRuns, r.Runs))
+}
+
+// here begins a report: a figure counts for nothing without its machine.
+func here(o *command.Out, format string, args ...any) {
+	m := rig.Here()
+	fmt.Fprintf(o, format+"\n", args...)
+	fmt.Fprintf(o, "machine: %d cores, %d MB, %s; load average %s\n", m.Cores, m.MemoryMB, m.Go, loadAverage())
+}
+
+// loadAverage is the machine's, over 1, 5 and 15 minutes: others may use it too.
+func loadAverage() string {
+	text, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return "unknown"
+	}
+	return strings.Join(strings.Fields(string(text))[:3], " ")
+}
+
+// spread is the least, median and most of some runs.
+type spread struct{ least, median, most float64 }
+
+func spreadOf(runs []float64) spread {
+	s := slices.Sorted(slices.Values(runs))
+	n := len(s)
+	return spread{least: s[0], median: (s[(n-1)/2] + s[n/2]) / 2, most: s[n-1]}
+}
+
+func (s spread) String() string { return fmt.Sprintf("%.4g/%.4g/%.4g", s.least, s.median, s.most) }
+
+// figure is one that is measured at each size, with its runs there.
+type figure struct {
+	name string
+	runs [][]float64 // by size
+	fits bool        // a line is drawn through it
+}
+
+// printFigures prints each figure at each size, least/median/most of its runs, and what a line through all sizes but the largest says of that.
+func printFigures(o *command.Out, x string, sizes []float64, figures []*figure) {
+	fmt.Fprintf(o, "least/median/most of runs; load average %s\n", loadAverage())
+	for _, f := range figures {
+		fmt.Fprintf(o, "%s:", f.name)
+		medians := make([]float64, len(sizes))
+		for i, size := range sizes {
+			s := spreadOf(f.runs[i])
+			medians[i] = s.median
+			fmt.Fprintf(o, "  [%s %v] %v", x, size, s)
+		}
+		fmt.Fprintln(o)
+		if f.fits {
+			fmt.Fprintf(o, "    %s\n", foretold(sizes, medians))
+		}
+	}
+}
+
+// foretold draws a line through the medians of all sizes but the largest, and holds the largest against it.
+func foretold(sizes, medians []float64) string {
+	largest := 0
+	for i := range sizes {
+		if sizes[i] > sizes[largest] {
+			largest = i
+		}
+	}
+	var x, y []float64
+	for i := range sizes {
+		if sizes[i] != sizes[largest] {
+			x, y = append(x, sizes[i]), append(y, medians[i])
+		}
+	}
+	line, err := fit.Linear(x, y)
+	if err != nil {
+		return "no line: " + err.Error() + " beside the largest"
+	}
+	at := sizes[largest]
+	return fmt.Sprintf("line without the largest: %v; at %v it says %.4g, the run %.4g (%+.1f %%)",
+		line, at, line.Predict(at), medians[largest], 100*line.Miss(at, medians[largest]))
+}
+
+type labCall struct {
+	ground
+	repeated
+	Rate      []float64 `default:"379" help:"Requests a second by each of the two ways."`
+	Endpoints []int     `default:"13" help:"Endpoints of the list; each takes calls."`
+	Peers     []int     `default:"0" help:"Instances that the sidecar is told of, itself included: the more, the fewer of the endpoints it uses. 0 for as many as endpoints."`
+	Classes   []int     `default:"1" help:"Classes in the settings; requests are of all in turn."`
+	Stages    []int     `default:"1" help:"Tiers that the settings name."`
+	Own       bool      `default:"true" negatable:"" help:"The settings say that each caller has a sidecar of its own."`
+}
+
+// sizes is the flag that has several values, and a conf for each.
+func (c *labCall) sizes() (flag string, sizes []float64, confs []rig.CallConf, err error) {
+	if err := cmp.Or(
+		c.check(), rates(scenario.MostRate/2, c.Rate...), within("endpoints", 1, mostListed, c.Endpoints...),
+		within("peers", 0, mostPeers, c.Peers...), within("classes", 1, mostClasses, c.Classes...),
+		within("stages", 1, mostStages, c.Stages...),
+	); err != nil {
+		return "", nil, nil, err
+	}
+	base := rig.CallConf{
+		Rate: c.Rate[0], For: c.For, Endpoints: c.Endpoints[0], Peers: c.Peers[0], Classes: c.Classes[0], Stages: c.Stages[0], Own: c.Own,
+	}
+	flags := []struct {
+		name string
+		n    int
+		set  func(conf *rig.CallConf, i int) float64
+	}{
+		{"rate", len(c.Rate), func(f *rig.CallConf, i int) float64 { f.Rate = c.Rate[i]; return f.Rate }},
+		{"endpoints", len(c.Endpoints), func(f *rig.CallConf, i int) float64 { f.Endpoints = c.Endpoints[i]; return float64(f.Endpoints) }},
+		{"peers", len(c.Peers), func(f *rig.CallConf, i int) float64 { f.Peers = c.Peers[i]; return float64(f.Peers) }},
+		{"classes", len(c.Classes), func(f *rig.CallConf, i int) float64 { f.Classes = c.Classes[i]; return float64(f.Classes) }},
+		{"stages", len(c.Stages), func(f *rig.CallConf, i int) float64 { f.Stages = c.Stages[i]; return float64(f.Stages) }},
+	}
+	chosen := flags[0]
+	for _, f := range flags {
+		if f.n > 1 && chosen.n > 1 && f.name != chosen.name {
+			return "", nil, nil, fmt.Errorf("--%s and --%s: several values of both; allowed: of one flag", chosen.name, f.name)
+		}
+		if f.n > 1 {
+			chosen = f
+		}
+	}
+	for i := range chosen.n {
+		conf := base
+		sizes = append(sizes, chosen.set(&conf, i))
+		if conf.Peers == 0 {
+			conf.Peers = conf.Endpoints
+		}
+		confs = append(confs, conf)
+	}
+	return chosen.name, sizes, confs, nil
+}
+
+// Run measures each size, run by run in turn, so that a slow moment of the machine strikes all sizes alike.
+func (c *labCall) Run(o *command.Out) error {
+	flag, sizes, confs, err := c.sizes()
+	if err != nil {
+		return err
+	}
+	opts, err := c.measuring()
+	if err != nil {
+		return err
+	}
+	ctx, stop := interruptible()
+	defer stop()
+	here(o, "call: rate %v, endpoints %v, peers %v, classes %v, stages %v, own %v; %d runs of %v",
+		c.Rate, c.Endpoints, c.Peers, c.Classes, c.Stages, c.Own, c.Runs, c.For)
+	names := []string{
+		"us of the sidecar's processor a request", "percent of a core", "added p50, ms", "added p99, ms", "straight p50, ms", "straight p99, ms",
+		"memory (VmHWM), MB", "descriptors", "endpoints used", "requests by each way", "the load's own lag p99, ms",
+	}
+	figures := make([]*figure, len(names))
+	for i, name := range names {
+		figures[i] = &figure{name: name, runs: make([][]float64, len(sizes)), fits: i < 4 || i == 6 || i == 7}
+	}
+	for run := range c.Runs {
+		for i, conf := range confs {
+			conf.Seed = uint64(run + 1)
+			m, err := rig.MeasureCall(ctx, conf, opts)
+			if err != nil {
+				return err
+			}
+			for k, v := range []float64{
+				m.CPU, m.CPU * float64(m.Requests) / c.For.Seconds() / 1e4, m.AddedP50(), m.AddedP99(), m.DirectP50, m.DirectP99, m.RSSMB,
+				float64(m.FDs), float64(m.Used), float64(m.Requests), m.Lag,
+			} {
+				figures[k].runs[i] = append(figures[k].runs[i], v)
+			}
+			if !c.Quiet {
+				fmt.Fprintf(o, "run %d, %s %v: %.0f us a request, added p50 %.3f p99 %.3f ms, %.1f MB; load average %s\n",
+					run+1, flag, sizes[i], m.CPU, m.AddedP50(), m.AddedP99(), m.RSSMB, loadAverage())
+			}
+		}
+	}
+	printFigures(o, flag, sizes, figures)
+	return nil
+}
+
+type labChain struct {
+	ground
+	repeated
+	Deep      []int         `default:"1,3,7,13,21" help:"Tiers of services, each with a sidecar before it."`
+	Rate      float64       `default:"20" help:"Requests a second at the front, by each way."`
+	Endpoints int           `default:"2" help:"Stand-ins of each tier."`
+	Deadline  time.Duration `default:"2s" help:"That a request has at the front."`
+	Peers     int           `default:"1" help:"Instances of each tier that a sidecar is told of, itself included."`
+	Own       bool          `default:"true" negatable:"" help:"The settings say that each caller has a sidecar of its own."`
+	Fail      []string      `default:"none" help:"What the last tier does, in turn: none, hang, refuses, silent, half, garbage, errors:SHARE."`
+}
+
+// failure is what the last tier does.
+type failure struct {
+	name    string
+	trouble standin.Trouble
+	share   float64
+}
+
+// failureOf reads a value of --fail.
+func failureOf(word string) (failure, error) {
+	name, text, shared := strings.Cut(word, ":")
+	f := failure{name: word, share: 1}
+	switch trouble := standin.Trouble(name); trouble {
+	case standin.Hang, standin.Refuses, standin.Silent, standin.Half, standin.Garbage:
+		f.trouble = trouble
+	case standin.Errors:
+		f.trouble = trouble
+		if !shared {
+			return f, nil
+		}
+		var err error
+		if f.share, err = strconv.ParseFloat(text, 64); err != nil || !(f.share > 0 && f.share <= 1) {
+			return f, fmt.Errorf("--fail: %q; allowed: errors: and a share above 0, up to 1", word)
+		}
+		return f, nil
+	default:
+		if name != "none" {
+			return f, fmt.Errorf("--fail: %q; allowed: none, hang, refuses, silent, half, garbage, errors:SHARE", word)
+		}
+	}
+	if shared {
+		return f, fmt.Errorf("--fail: %q; allowed: a share with errors only", word)
+	}
+	return f, nil
+}
+
+func (c *labChain) failures() ([]failure, error) {
+	if err := cmp.Or(
+		c.check(), within("deep", 1, rig.MostDeep, c.Deep...), rates(scenario.MostRate, c.Rate),
+		within("endpoints", 1, mostOfATier, c.Endpoints), within("deadline", 10*time.Millisecond, mostDeadline, c.Deadline),
+		within("peers", 1, mostPeers, c.Peers),
+	); err != nil {
+		return nil, err
+	}
+	if len(c.Fail) == 0 {
+		return nil, errors.New("--fail: nothing; allowed: one value or more")
+	}
+	all := make([]failure, len(c.Fail))
+	for i, word := range c.Fail {
+		var err error
+		if all[i], err = failureOf(word); err != nil {
+			return nil, err
+		}
+	}
+	return all, nil
+}
+
+// Run plays each depth with each failure.
+func (c *labChain) Run(o *command.Out) error {
+	failures, err := c.failures()
+	if err != nil {
+		return err
+	}
+	opts, err := c.measuring()
+	if err != nil {
+		return err
+	}
+	ctx, stop := interruptible()
+	defer stop()
+	here(o, "chain: deep %v, %v a second, %d stand-ins a tier, deadline %v, peers %d, own %v; %d runs of %v",
+		c.Deep, c.Rate, c.Endpoints, c.Deadline, c.Peers, c.Own, c.Runs, c.For)
+	for _, f := range failures {
+		if err := c.play(ctx, o, f, opts); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// play plays all depths with one failure.
+func (c *labChain) play(ctx context.Context, o *command.Out, f failure, opts rig.Options) error {
+	sizes := make([]float64, len(c.Deep))
+	names := []string{
+		"added p50, ms", "added p99, ms", "through p50, ms", "through p99, ms", "straight p50, ms", "straight p99, ms", "served of a hundred",
+		"attempts at the last tier for a request at the front", "us of all sidecars' processors for a request at the front",
+		"ms of the deadline that the last tier's sidecar was told, p50", "the load's own lag p99, ms",
+	}
+	well := f.trouble == standin.Well
+	figures := make([]*figure, len(names))
+	for i, name := range names {
+		figures[i] = &figure{name: name, runs: make([][]float64, len(sizes)), fits: well && (i < 2 || i == 8 || i == 9)}
+	}
+	fmt.Fprintf(o, "\nlast tier: %s\n", f.name)
+	for run := range c.Runs {
+		for i, deep := range c.Deep {
+			sizes[i] = float64(deep)
+			conf := rig.ChainConf{
+				Deep: deep, Endpoints: c.Endpoints, Rate: c.Rate, For: c.For, Deadline: c.Deadline, Peers: c.Peers, Own: c.Own, Straight: well,
+				Trouble: f.trouble, Share: f.share, Seed: uint64(run + 1),
+			}
+			if well {
+				conf.Rate = 2 * c.Rate
+			}
+			m, err := rig.MeasureChain(ctx, conf, opts)
+			if err != nil {
+				return err
+			}
+			front, last := m.Front[1], m.Tiers[deep-1]
+			cpu := 0.0
+			for _, t := range m.Tiers {
+				cpu += t.CPU * float64(t.Asked)
+			}
+			requests := float64(max(1, front.Requests))
+			for k, v := range []float64{
+				front.P50 - m.Front[0].P50, front.P99 - m.Front[0].P99, front.P50, front.P99, m.Front[0].P50, m.Front[0].P99,
+				100 * float64(front.Served) / requests, float64(last.Attempts) / requests, cpu / requests, last.LeftP50, m.Lag,
+			} {
+				figures[k].runs[i] = append(figures[k].runs[i], v)
+			}
+			fmt.Fprintf(o, "run %d, deep %d: %d requests, %d served, rules broken %d, load average %s\n",
+				run+1, deep, front.Requests, front.Served, m.Breaks, loadAverage())
+			if m.Balanced != nil {
+				fmt.Fprintf(o, "  the book does not add up: %v\n", m.Balanced)
+			}
+			if run == c.Runs-1 && !c.Quiet {
+				printTiers(o, m)
+			}
+		}
+	}
+	if !well {
+		figures = append(figures[2:4], figures[6:]...)
+	}
+	printFigures(o, "deep", sizes, figures)
+	return nil
+}
+
+// printTiers prints what each tier was asked, and what came of it.
+func printTiers(o *command.Out, m *rig.Chain) {
+	requests := float64(max(1, m.Front[1].Requests))
+	fmt.Fprintln(o, "  tier  asked  attempts  per-ask  per-front  1.1^n  served refused failed left  retries  floors-paid>=  budget(start+floor+tenth)"+
+		"  p50   p99  left-p50 left-min  us/ask  MB fds  outcomes")
+	for n, t := range m.Tiers {
+		fmt.Fprintf(o, "  %4d %6d %9d %8.3f %10.3f %6.2f %7d %7d %6d %4d %8d %14.0f  %8.0f+%.0f+%.0f  %8.2f %.2f %9.1f %8.1f %7.0f %4.0f %3d  %s\n",
+			n+1, t.Asked, t.Attempts, float64(t.Attempts)/float64(max(1, t.Asked)), float64(t.Attempts)/requests, rig.Amplified(n+1),
+			t.Served, t.Refused, t.Failed, t.Left, t.Retries(), t.Budget.FromFloors(t.Retries()), t.Budget.Start, t.Budget.Floor, t.Budget.Served,
+			t.P50, t.P99, t.LeftP50, t.LeftMin, t.CPU, t.RSSMB, t.FDs, outcomes(t.Outcomes))
+	}
+}
+
+// outcomes are those that there were, by name.
+func outcomes(all map[string]int) string {
+	var parts []string
+	for name, n := range all {
+		if n > 0 {
+			parts = append(parts, fmt.Sprintf("%s:%d", name, n))
+		}
+	}
+	slices.Sort(parts)
+	return strings.Join(parts, " ")
+}
+
+type labLists struct {
+	ground
+	Runs      int           `default:"3" help:"So many runs of each size; figures are their least, median and most."`
+	Endpoints []int         `default:"13,60,145,290,580" help:"Endpoints of the list."`
+	AtOnce    int           `default:"1" help:"Lines that change at once; lists with fewer endpoints are left out."`
+	Apart     bool          `help:"Each of them in a version of its own."`
+	Changes   int           `default:"100" help:"How often that happens in a run."`
+	Sidecars  int           `default:"2" help:"Real sidecars that watch."`
+	Hollow    int           `default:"50" help:"Watchers beside them that only speak the protocol."`
+	Peers     int           `default:"13" help:"Instances that sidecars are told of: their waits are longer the more there are."`
+	Idle      time.Duration `default:"0s" help:"Look so long at watches without changes, too."`
+}
+
+// sizes are the lists that have enough endpoints.
+func (c *labLists) sizes() ([]int, error) {
+	if err := cmp.Or(
+		within("runs", 1, mostRuns, c.Runs), within("endpoints", 1, mostListed, c.Endpoints...), within("at-once", 1, mostListed, c.AtOnce),
+		within("changes", 1, mostChanges, c.Changes), within("sidecars", 1, mostReal, c.Sidecars), within("hollow", 0, mostWatchers, c.Hollow),
+		within("peers", 1, mostPeers, c.Peers), within("idle", 0, longest, c.Idle),
+	); err != nil {
+		return nil, err
+	}
+	sizes := slices.DeleteFunc(slices.Clone(c.Endpoints), func(n int) bool { return n < c.AtOnce })
+	if len(sizes) == 0 {
+		return nil, fmt.Errorf("--at-once: %d; allowed: up to the largest of --endpoints, %d", c.AtOnce, slices.Max(c.Endpoints))
+	}
+	return sizes, nil
+}
+
+// Run measures each size, run by run in turn.
+func (c *labLists) Run(o *command.Out) error {
+	endpoints, err := c.sizes()
+	if err != nil {
+		return err
+	}
+	opts, err := c.measuring()
+	if err != nil {
+		return err
+	}
+	ctx, stop := interruptible()
+	defer stop()
+	here(o, "lists: endpoints %v, %d at once, apart %v, %d changes, %d sidecars and %d hollow watchers, peers %d, idle %v; %d runs",
+		endpoints, c.AtOnce, c.Apart, c.Changes, c.Sidecars, c.Hollow, c.Peers, c.Idle, c.Runs)
+	names := []string{
+		"us of a sidecar's processor a change", "calls of a sidecar a change", "answers of the agent a change and sidecar", "bytes asked a change and sidecar",
+		"bytes told a change and sidecar", "lines of an answer", "whole lists told a change and sidecar", "bytes told a change and hollow watcher",
+		"us of the lab's processor a change and watcher", "bytes of the whole list", "ms until the last has it, p50", "ms until the last has it, most",
+		"calls of an idle sidecar a second", "bytes of an idle sidecar a second, both ways", "us of an idle sidecar's processor a second",
+	}
+	if c.Idle == 0 {
+		names = names[:12]
+	}
+	figures := make([]*figure, len(names))
+	sizes := make([]float64, len(endpoints))
+	for i, name := range names {
+		figures[i] = &figure{name: name, runs: make([][]float64, len(sizes)), fits: i == 0 || i == 4 || i == 8 || i == 9}
+	}
+	for run := range c.Runs {
+		for i, n := range endpoints {
+			sizes[i] = float64(n)
+			m, err := rig.MeasureLists(ctx, rig.ListsConf{
+				Endpoints: n, AtOnce: c.AtOnce, Apart: c.Apart, Changes: c.Changes, Sidecars: c.Sidecars, Hollow: c.Hollow, Peers: c.Peers, Idle: c.Idle,
+			}, opts)
+			if err != nil {
+				return err
+			}
+			idle := max(1e-9, c.Idle.Seconds())
+			for k, v := range []float64{
+				m.CPU, m.Real.Calls, m.Real.Answers, m.Real.Asked, m.Real.Told, m.Real.LinesOfAnAnswer, m.Real.Wholes, m.Hollow.Told, m.LabCPU,
+				m.Whole.Told, m.ToldP50, m.ToldMax, m.Idle.Calls / idle, (m.Idle.Asked + m.Idle.Told) / idle, m.IdleCPU,
+			}[:len(names)] {
+				figures[k].runs[i] = append(figures[k].runs[i], v)
+			}
+			if !c.Quiet {
+				fmt.Fprintf(o, "run %d, endpoints %d: %.0f us a change, %.0f bytes told; load average %s\n", run+1, n, m.CPU, m.Real.Told, loadAverage())
+			}
+		}
+	}
+	printFigures(o, "endpoints", sizes, figures)
+	return nil
+}
--- /dev/null
+++ b/internal/labcommand/slopes_test.go
@@ -0,0 +1,116 @@
+package labcommand
+
+import (
+	"bytes"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// Bad input gets one line that names the flag and what is allowed, and an exit code that is not 0; nothing is started.
+func TestSlopesTurnDown(t *testing.T) {
+	tests := []struct {
+		args string
+		says string
+	}{
+		{"call --rate 0", "--rate: 0; allowed: above 0"},
+		{"call --rate 3001", "--rate: 3001"},
+		{"call --rate NaN", "--rate: NaN"},
+		{"call --rate 50,100 --endpoints 1,2", "--rate and --endpoints: several values of both"},
+		{"call --endpoints 0", "--endpoints: 0; allowed: 1 to 1000"},
+		{"call --peers=-1", "--peers: -1"},
+		{"call --classes 0", "--classes: 0"},
+		{"call --stages 65", "--stages: 65; allowed: 1 to 64"},
+		{"call --runs 0", "--runs: 0"},
+		{"call --for 1ms", "--for: 1ms; allowed: 1s to 1h0m0s"},
+		{"call --for soon", "--for"},
+		{"chain --deep 0", "--deep: 0; allowed: 1 to 32"},
+		{"chain --deep 1,33", "--deep: 33"},
+		{"chain --rate=-2", "--rate: -2"},
+		{"chain --endpoints 17", "--endpoints: 17"},
+		{"chain --deadline 1ms", "--deadline: 1ms"},
+		{"chain --peers 0", "--peers: 0"},
+		{"chain --fail fire", `--fail: "fire"; allowed: none`},
+		{"chain --fail errors:2", `--fail: "errors:2"; allowed: errors: and a share`},
+		{"chain --fail errors:NaN", `--fail: "errors:NaN"`},
+		{"chain --fail hang:0.5", `--fail: "hang:0.5"; allowed: a share with errors only`},
+		{"lists --endpoints 13 --at-once 40", "--at-once: 40; allowed: up to the largest of --endpoints, 13"},
+		{"lists --sidecars 0", "--sidecars: 0"},
+		{"lists --hollow=-1", "--hollow: -1"},
+		{"lists --changes 0", "--changes: 0"},
+		{"lists --idle=-1s", "--idle: -1s"},
+		{"lists --endpoints x", "--endpoints"},
+	}
+	for _, c := range tests {
+		var stdout, stderr bytes.Buffer
+		code := Heathlab(append(strings.Fields(c.args), "--sidecar", "/nonexistent"), &stdout, &stderr)
+		lines := strings.Split(strings.TrimSpace(stderr.String()), "\n")
+		if code == 0 || len(lines) != 1 || !strings.Contains(lines[0], c.says) {
+			t.Errorf("%s: exit code %d: %q; want one line with %q", c.args, code, stderr.String(), c.says)
+		}
+	}
+}
+
+func TestSpread(t *testing.T) {
+	tests := []struct {
+		runs []float64
+		want spread
+	}{
+		{[]float64{3}, spread{3, 3, 3}},
+		{[]float64{3, 1, 2}, spread{1, 2, 3}},
+		{[]float64{4, 1, 3, 2}, spread{1, 2.5, 4}},
+	}
+	for _, c := range tests {
+		before := slices.Clone(c.runs)
+		if got := spreadOf(c.runs); got != c.want || !slices.Equal(c.runs, before) {
+			t.Errorf("%v: %v; want %v, and the runs as they were", before, got, c.want)
+		}
+	}
+}
+
+// The largest size is predicted by the others, wherever it stands, and never part of what predicts it.
+func TestForetold(t *testing.T) {
+	tests := []struct {
+		sizes, medians []float64
+		says           string
+	}{
+		{[]float64{1, 2, 3, 4}, []float64{2, 4, 6, 10}, "at 4 it says 8, the run 10 (+25.0 %)"},
+		{[]float64{4, 1, 2, 3}, []float64{10, 2, 4, 6}, "at 4 it says 8, the run 10 (+25.0 %)"},
+		{[]float64{1, 2}, []float64{2, 4}, "no line: 1 different x"},
+		{[]float64{1}, []float64{2}, "no line: 0 different x"},
+	}
+	for _, c := range tests {
+		if got := foretold(c.sizes, c.medians); !strings.Contains(got, c.says) {
+			t.Errorf("%v %v: %q; want %q", c.sizes, c.medians, got, c.says)
+		}
+	}
+}
+
+// The three commands as they are built, each over two tiny sizes.
+func TestSlopes(t *testing.T) {
+	bin := build(t)
+	for _, c := range []struct {
+		args string
+		says []string
+	}{
+		{"call --rate 20 --endpoints 2,4 --for 1s --runs 1", []string{"[endpoints 2]", "[endpoints 4]", "machine:", "load average"}},
+		{"chain --deep 1,2 --rate 10 --for 1s --runs 1 --fail none,errors:1", []string{"last tier: errors:1", "[deep 2]", "server_error:"}},
+		{"lists --endpoints 3,5 --changes 3 --sidecars 1 --hollow 1 --runs 1", []string{"[endpoints 5]", "bytes of the whole list"}},
+	} {
+		name, _, _ := strings.Cut(c.args, " ")
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			text, err := exec.Command(filepath.Join(bin, "heathlab"), strings.Fields(c.args)...).CombinedOutput()
+			if err != nil {
+				t.Fatalf("%v: %s", err, text)
+			}
+			for _, says := range c.says {
+				if !strings.Contains(string(text), says) {
+					t.Errorf("does not say %q: %s", says, text)
+				}
+			}
+		})
+	}
+}
