A measured run whose load lags is void, and made again

In trials beside other work single runs had a load 90 to 590 ms late at the 99th percentile, and their latencies told of the lab: p99 added of 0.4 ms and of 786 ms stood side by side.

--- a/internal/labcommand/slopes.go
+++ b/internal/labcommand/slopes.go
@@ -78,12 +78,33 @@
 
 // repeated is how often a measurement is made, and for how long.
 type repeated struct {
-	For  time.Duration `default:"5s" help:"How long a run."`
-	Runs int           `default:"3" help:"So many runs of each size; figures are their least, median and most."`
+	For     time.Duration `default:"5s" help:"How long a run."`
+	Runs    int           `default:"3" help:"So many runs of each size; figures are their least, median and most."`
+	MostLag time.Duration `default:"10ms" help:"A run whose own load is later than this at the 99th percentile is void, and made again."`
 }
 
 func (r *repeated) check() error {
-	return cmp.Or(within("for", time.Second, longest, r.For), within("runs", 1, mostRuns, r.Runs))
+	return cmp.Or(
+		within("for", time.Second, longest, r.For), within("runs", 1, mostRuns, r.Runs),
+		within("most-lag", time.Microsecond, longest, r.MostLag),
+	)
+}
+
+// voidRuns is how often one run is made again before the machine counts as too busy.
+const voidRuns = 10
+
+// valid measures until the load's own lag is small: a run whose load lags tells of the lab and not of the sidecar. Each
+// void run is told.
+func valid[T any](o *command.Out, most time.Duration, what string, measure func() (T, error), lag func(T) float64) (T, error) {
+	for range voidRuns {
+		m, err := measure()
+		if err != nil || lag(m) <= float64(most)/float64(time.Millisecond) {
+			return m, err
+		}
+		fmt.Fprintf(o, "%s: VOID: the load lagged by %.1f ms at the 99th percentile; load average %s\n", what, lag(m), loadAverage())
+	}
+	var none T
+	return none, fmt.Errorf("%s: void %d times: the machine is too busy, or --most-lag %v too little", what, voidRuns, most)
 }
 
 // here begins a report: a figure counts for nothing without its machine.
@@ -240,7 +261,8 @@
 	for run := range c.Runs {
 		for i, conf := range confs {
 			conf.Seed = uint64(run + 1)
-			m, err := rig.MeasureCall(ctx, conf, opts)
+			m, err := valid(o, c.MostLag, fmt.Sprintf("run %d, %s %v", run+1, flag, sizes[i]),
+				func() (rig.Call, error) { return rig.MeasureCall(ctx, conf, opts) }, func(m rig.Call) float64 { return m.Lag })
 			if err != nil {
 				return err
 			}
@@ -374,7 +396,8 @@
 			if well {
 				conf.Rate = 2 * c.Rate
 			}
-			m, err := rig.MeasureChain(ctx, conf, opts)
+			m, err := valid(o, c.MostLag, fmt.Sprintf("run %d, deep %d", run+1, deep),
+				func() (*rig.Chain, error) { return rig.MeasureChain(ctx, conf, opts) }, func(m *rig.Chain) float64 { return m.Lag })
 			if err != nil {
 				return err
 			}
--- a/internal/labcommand/slopes_test.go
+++ b/internal/labcommand/slopes_test.go
@@ -7,6 +7,9 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
+
+	"heathgap/internal/command"
 )
 
 // Bad input gets one line that names the flag and what is allowed, and an exit code that is not 0; nothing is started.
@@ -24,6 +27,7 @@
 		{"call --classes 0", "--classes: 0"},
 		{"call --stages 65", "--stages: 65; allowed: 1 to 64"},
 		{"call --runs 0", "--runs: 0"},
+		{"call --most-lag 0s", "--most-lag: 0s"},
 		{"call --for 1ms", "--for: 1ms; allowed: 1s to 1h0m0s"},
 		{"call --for soon", "--for"},
 		{"chain --deep 0", "--deep: 0; allowed: 1 to 32"},
@@ -70,6 +74,33 @@
 	}
 }
 
+// A run whose load lags never counts; one that does not counts at once; without end it isn't made again.
+func TestVoidRunsDoNotCount(t *testing.T) {
+	for _, c := range []struct {
+		lags  []float64 // ms
+		want  float64
+		calls int
+	}{
+		{[]float64{3}, 3, 1},
+		{[]float64{10}, 10, 1},
+		{[]float64{10.1, 400, 2, 1}, 2, 3},
+		{slices.Repeat([]float64{11}, 2*voidRuns), -1, voidRuns},
+	} {
+		var out bytes.Buffer
+		calls := 0
+		got, err := valid(&command.Out{Writer: &out}, 10*time.Millisecond, "run", func() (float64, error) {
+			calls++
+			return c.lags[calls-1], nil
+		}, func(lag float64) float64 { return lag })
+		if calls != c.calls || (err != nil) != (c.want < 0) || err == nil && got != c.want {
+			t.Errorf("%v: %v, %v after %d runs; want %v after %d", c.lags, got, err, calls, c.want, c.calls)
+		}
+		if told := strings.Count(out.String(), "VOID"); err == nil && told != calls-1 {
+			t.Errorf("%v: %d void runs told of %d", c.lags, told, calls-1)
+		}
+	}
+}
+
 // The largest size is predicted by the others, wherever it stands, and never part of what predicts it.
 func TestForetold(t *testing.T) {
 	tests := []struct {
@@ -95,8 +126,8 @@
 		args string
 		says []string
 	}{
-		{"call --rate 20 --endpoints 2,4 --for 1s --runs 1", []string{"[endpoints 2]", "[endpoints 4]", "machine:", "load average"}},
-		{"chain --deep 1,2 --rate 10 --for 1s --runs 1 --fail none,errors:1", []string{"last tier: errors:1", "[deep 2]", "server_error:"}},
+		{"call --rate 20 --endpoints 2,4 --for 1s --runs 1 --most-lag 1m", []string{"[endpoints 2]", "[endpoints 4]", "machine:", "load average"}},
+		{"chain --deep 1,2 --rate 10 --for 1s --runs 1 --most-lag 1m --fail none,errors:1", []string{"last tier: errors:1", "[deep 2]", "server_error:"}},
 		{"lists --endpoints 3,5 --changes 3 --sidecars 1 --hollow 1 --runs 1", []string{"[endpoints 5]", "bytes of the whole list"}},
 	} {
 		name, _, _ := strings.Cut(c.args, " ")
