--- a/internal/lab/rig/chain.go
+++ b/internal/lab/rig/chain.go
@@ -39,10 +39,11 @@
 type Chain struct {
 	Front    [2]Way // straight, and through the sidecars
 	Tiers    []ChainTier
-	Lag      float64 // ms, the load's own at the 99th percentile
-	Seconds  float64 // how long the sidecars stood under load
-	Breaks   int     // of the four rules
-	Balanced error   // what of the book does not add up
+	Lag      float64       // ms, the load's own at the 99th percentile
+	Seconds  float64       // how long the sidecars stood under load
+	Breaks   int           // of the four rules
+	Said     []truth.Break // the first of them
+	Balanced error         // what of the book does not add up
 }
 
 // Way is one way along the chain.
@@ -362,7 +363,7 @@
 		out.Tiers = append(out.Tiers, t)
 	}
 	c.book.Do(func(b *truth.Book) { account = b.Close() })
-	out.Breaks, out.Balanced = account.Broken(), account.Balance()
+	out.Breaks, out.Said, out.Balanced = account.Broken(), account.Breaks, account.Balance()
 	for n := range out.Tiers {
 		t, tally := &out.Tiers[n], account.Sidecars[c.links[n].sidecar.name]
 		if tally == nil { // nothing was asked of it
--- a/internal/labcommand/slopes.go
+++ b/internal/labcommand/slopes.go
@@ -415,6 +415,9 @@
 			}
 			fmt.Fprintf(o, "run %d, deep %d: %d requests, %d served, rules broken %d, load average %s\n",
 				run+1, deep, front.Requests, front.Served, m.Breaks, loadAverage())
+			for _, b := range m.Said {
+				fmt.Fprintf(o, "  broken: %s at %v: %s\n", b.Rule, b.At.Round(time.Millisecond), b.What)
+			}
 			if m.Balanced != nil {
 				fmt.Fprintf(o, "  the book does not add up: %v\n", m.Balanced)
 			}
