Hollow members of a crew, many in one process, led by lines of JSON

'heathlab hollow' (hidden) is such a process. member.Acts is what a member tells of itself, without its bans' names, for who looks often.

--- a/internal/crew/member/member.go
+++ b/internal/crew/member/member.go
@@ -256,13 +256,27 @@
 }
 
 func (m *Member) tellActing(string, []byte) (any, error) {
+	a := m.current()
+	acts := m.acts(a)
+	acts.Banned = slices.Sorted(maps.Keys(a.Banned))
+	return acts, nil
+}
+
+// Acts tells what it acts on at this moment, but for the names that are banned: who looks often is spared their list.
+func (m *Member) Acts() Acts { return m.acts(m.current()) }
+
+// current is what is acted on at this moment.
+func (m *Member) current() *acted {
 	m.Acting()
-	a := m.acting.Load()
+	return m.acting.Load()
+}
+
+func (m *Member) acts(a *acted) Acts {
 	return Acts{
 		Name: m.holder.Self.Name, Cautious: a.Cautious, Active: a.stance.Active, Next: a.stance.Next, Epoch: a.stance.Epoch,
-		LeaseMS: int((a.until - m.world.Boot()).Milliseconds()), Banned: slices.Sorted(maps.Keys(a.Banned)),
+		LeaseMS:  int((a.until - m.world.Boot()).Milliseconds()),
 		Renewals: m.renewals.Load(), Refused: m.refused.Load(), Lost: m.lost.Load(),
-	}, nil
+	}
 }
 
 // Figures is lifecycle.Crew's.
--- /dev/null
+++ b/internal/lab/hollow/start.go
@@ -0,0 +1,182 @@
+package hollow
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"net"
+	"slices"
+	"time"
+
+	"heathgap/internal/config"
+	"heathgap/internal/crew"
+	"heathgap/internal/operator"
+	"heathgap/internal/terms"
+)
+
+// The classes of a hollow member's settings, as those of the crew's rig. Versions may name them, but for the fixed ones.
+const (
+	LookClass  = "look"  // repeatable
+	PayClass   = "pay"   // repeatable, unless a version says otherwise
+	OrderClass = "order" // by key; held where there are holdings
+)
+
+// Figures of a hollow member's settings.
+const (
+	maxAttempts   = 2
+	classDeadline = 800 * time.Millisecond
+	orderWindow   = 3 * time.Second
+	mostEntries   = 200_000  // as in an operator's file that names none
+	mostBody      = 16 << 10 // likewise
+	longestDelay  = 10 * time.Second
+	mostRate      = 1000.0 // orders a second and member: above what one connection of theirs brings
+	longestOrder  = time.Minute
+)
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// Settings are the settings of a sidecar of such a crew, as they stand in its configuration: of hollow members, and for real
+// ones beside them.
+func Settings(zone string) map[string]any {
+	class := func(name, effect string) map[string]any {
+		return map[string]any{"name": name, "effect": effect, "group": "all", "aim": 300.0, "deadline": millis(classDeadline), "worth": 1.0}
+	}
+	order := class(OrderClass, "by_key")
+	order["window"] = millis(orderWindow)
+	return map[string]any{
+		"me": 0, "replicas_of_me": 1, "az": zone, "tier": 0, "stages": []string{"one"}, "tick": 2.0,
+		"membership_mode": "subscribe", "over_share_worth": 0.1,
+		"bounds": map[string]any{"cancel": true, "max_attempts": maxAttempts, "connect_timeout": 300.0, "conn_idle": 5000.0, "most_held": 500},
+		"rules": map[string]any{"answer_slack": 50.0, "ask_every": 5000.0, "cold": 1000.0, "cold_from": 0.5, "drain_grace": 300.0,
+			"fall_multiple": 50.0, "overload_for": 5000.0},
+		"profiles": []any{class(LookClass, "repeatable"), class(PayClass, "repeatable"), order},
+	}
+}
+
+// conf is the configuration of a member: what a real sidecar reads from its file. Nothing listens for callers, and there is no
+// discovery.
+func conf(p Place) (*config.Config, error) {
+	text, err := json.Marshal(map[string]any{
+		"name": p.Name, "listen": "127.0.0.1:9", "discovery": "127.0.0.1:9", "seed": "1", "settings": Settings(p.Zone),
+	})
+	if err != nil {
+		return nil, err
+	}
+	return config.Parse(text, func(string) string { return "" })
+}
+
+// table is the [crew] of a member.
+func (s *Start) table(p Place) operator.Crew {
+	t := operator.Crew{
+		Name: s.Crew, Address: p.Address, Terms: s.terms(), ContradictAtMost: s.ContradictAtMost, Keepers: map[string]string{}, Ways: map[string]string{},
+	}
+	for _, k := range s.Keepers {
+		t.Keepers[k.Name] = k.Address
+	}
+	if s.Copies > 0 {
+		t.Holdings = operator.Holdings{
+			Classes: map[string]operator.WhenAlone{OrderClass: operator.RefuseAlone}, MostEntries: mostEntries, MostBody: mostBody,
+		}
+	}
+	return t
+}
+
+func (s *Start) terms() crew.Terms {
+	t := crew.Terms{Lease: s.Lease, Drift: s.Drift, Slack: s.Slack, FixedClasses: s.FixedClasses}
+	if s.Copies > 0 {
+		t.Holdings = terms.Holdings{Copies: s.Copies, Keep: s.Keep, LostAfter: s.LostAfter}
+	}
+	return t
+}
+
+// regionOf is where an address stands; empty where nobody says.
+func (s *Start) region(p Place) string { return cmp.Or(s.Regions[p.Address], p.Region) }
+
+// regions are those of all addresses that are known.
+func (s *Start) regions() map[string]string {
+	all := maps.Clone(s.Regions)
+	if all == nil {
+		all = map[string]string{}
+	}
+	for _, p := range slices.Concat(s.Keepers, s.Members) {
+		all[p.Address] = s.region(p)
+	}
+	return all
+}
+
+// check tells the first thing that is wrong, by its name in the line of JSON.
+func (s *Start) check() error {
+	t := s.terms()
+	switch {
+	case s.Crew == "":
+		return errors.New("crew: missing; allowed: the crew's name")
+	case s.Lease < terms.LeastLease || s.Lease > terms.MostLease:
+		return fmt.Errorf("lease_ns: %v; allowed: %v to %v", s.Lease, terms.LeastLease, terms.MostLease)
+	case s.Drift < 0 || s.Drift > terms.MostDrift:
+		return fmt.Errorf("drift: %v; allowed: 0 to %v", s.Drift, terms.MostDrift)
+	case s.Slack < 0:
+		return fmt.Errorf("slack_ns: %v; allowed: 0 and more", s.Slack)
+	case t.Wait() > s.ContradictAtMost:
+		return fmt.Errorf("contradict_at_most_ns: %v; allowed: %v and more, which lease, drift and slack add up to", s.ContradictAtMost, t.Wait())
+	case s.Copies < 0 || s.Copies > terms.MostCopies:
+		return fmt.Errorf("copies: %d; allowed: 0 to %d", s.Copies, terms.MostCopies)
+	case s.Copies > 0 && (s.Keep < max(terms.LeastKeep, orderWindow) || s.Keep > terms.MostKeep):
+		return fmt.Errorf("keep_ns: %v; allowed: %v to %v", s.Keep, max(terms.LeastKeep, orderWindow), terms.MostKeep)
+	case s.Copies > 0 && (s.LostAfter < terms.LeastLost || s.LostAfter > terms.MostLostAfter):
+		return fmt.Errorf("lost_after_ns: %v; allowed: %v to %v", s.LostAfter, terms.LeastLost, terms.MostLostAfter)
+	case s.RegionDelay < 0 || s.RegionDelay > longestDelay:
+		return fmt.Errorf("region_delay_ns: %v; allowed: 0 to %v", s.RegionDelay, longestDelay)
+	case s.OrderTakes < 0 || s.OrderTakes > longestOrder:
+		return fmt.Errorf("order_takes_ns: %v; allowed: 0 to %v", s.OrderTakes, longestOrder)
+	case len(s.Keepers) == 0 || len(s.Keepers) > terms.MostKeepers:
+		return fmt.Errorf("keepers: %d; allowed: 1 to %d", len(s.Keepers), terms.MostKeepers)
+	case len(s.Members) == 0 || len(s.Members) > terms.MostMembers:
+		return fmt.Errorf("members: %d; allowed: 1 to %d", len(s.Members), terms.MostMembers)
+	}
+	if err := s.checkRate(s.Orders); err != nil {
+		return err
+	}
+	names, addresses := map[string]bool{}, map[string]bool{}
+	for i, p := range slices.Concat(s.Keepers, s.Members) {
+		where := fmt.Sprintf("keepers[%d]", i)
+		if i >= len(s.Keepers) {
+			where = fmt.Sprintf("members[%d]", i-len(s.Keepers))
+		}
+		_, port, err := net.SplitHostPort(p.Address)
+		switch {
+		case p.Name == "":
+			return fmt.Errorf("%s.name: missing", where)
+		case err != nil || port == "" || port == "0":
+			return fmt.Errorf("%s.address: %q, of %s; allowed: an address with a port", where, p.Address, p.Name)
+		case names[p.Name] || addresses[p.Address]:
+			return fmt.Errorf("%s: %s at %s, a second time; allowed: each name and address once", where, p.Name, p.Address)
+		case s.Copies > 1 && p.Zone == "" && i >= len(s.Keepers):
+			return fmt.Errorf("%s.zone: missing, of %s; copies stand in different ones", where, p.Name)
+		}
+		names[p.Name], addresses[p.Address] = true, true
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.Planted)) {
+		fault := s.Planted[name]
+		switch {
+		case fault != Unheeding && fault != Hasty && fault != Forgetful:
+			return fmt.Errorf("planted.%s: %q; allowed: %s, %s, %s", name, fault, Unheeding, Hasty, Forgetful)
+		case !slices.ContainsFunc(s.Members, func(p Place) bool { return p.Name == name }):
+			return fmt.Errorf("planted.%s: no member of this process", name)
+		case fault == Forgetful && s.Copies == 0:
+			return fmt.Errorf("planted.%s: %s; allowed: with copies, for without there is no table", name, fault)
+		}
+	}
+	return nil
+}
+
+func (s *Start) checkRate(orders float64) error {
+	switch {
+	case !(orders >= 0 && orders <= mostRate):
+		return fmt.Errorf("orders: %v; allowed: 0 to %v", orders, mostRate)
+	case orders > 0 && s.Copies == 0:
+		return fmt.Errorf("orders: %v; allowed: with copies, for nothing is held without", orders)
+	}
+	return nil
+}
--- a/internal/labcommand/heathlab.go
+++ b/internal/labcommand/heathlab.go
@@ -38,6 +38,7 @@
 	List     labList     `cmd:"" help:"List scenarios and policies."`
 	Check    labCheck    `cmd:"" help:"Tell all that is wrong with scenarios, and start nothing."`
 	Sidecar  labSidecar  `cmd:"" hidden:"" help:"Be one sidecar in which a policy decides."`
+	Hollow   labHollow   `cmd:"" hidden:"" help:"Be a process of hollow members of a crew."`
 }
 
 // Heathlab runs the command line of bin/heathlab and returns the exit code.
