Tests of hollow members: their ends, ways, orders, bytes and planted faults

Real keepers in the test's process with hollow members beside them; a server that counts by itself for bytes and last words; worlds by themselves for what goes between regions.

--- a/internal/lab/hollow/hollow_test.go
+++ b/internal/lab/hollow/hollow_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"os"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -264,6 +267,32 @@
 	return nil
 }
 
+// awaitWhole waits until all shards have all copies, nothing has been copied elsewhere for a while, and nobody has come or gone.
+func (c *theCrew) awaitWhole() *crew.Ledger {
+	c.t.Helper()
+	since, epoch, table := time.Now(), uint64(0), uint64(0)
+	return c.awaitLedger("all shards are whole", func(l *crew.Ledger) bool {
+		if l.Table == nil {
+			return false
+		}
+		if l.Epoch != epoch || l.Table.Number != table {
+			since, epoch, table = time.Now(), l.Epoch, l.Table.Number
+		}
+		for i := range l.Table.Shards {
+			ready := 0
+			for _, seat := range l.Table.Shards[i].Seats {
+				if seat.Ready {
+					ready++
+				}
+			}
+			if ready < c.start.Copies {
+				return false
+			}
+		}
+		return time.Since(since) > testLease/2
+	})
+}
+
 // propose has a version proposed.
 func (c *theCrew) propose(doc versions.Document) uint64 {
 	c.t.Helper()
@@ -281,21 +310,435 @@
 	return 0
 }
 
+// listens tells whether somebody does at an address.
+func listens(address string) bool {
+	conn, err := net.DialTimeout("tcp", address, time.Second)
+	if err == nil {
+		conn.Close()
+	}
+	return err == nil
+}
 
-// All get leases, and a version is acted on by all, as each event tells.
+// All get leases, and a version is acted on by all, as each event tells: first beside the one before, then alone.
 func TestAllActOnAVersion(t *testing.T) {
-	c := form(t, 3, 20, 0)
+	const members = 20
+	c := form(t, 3, members, 0)
 	p := run(t, c.start)
+	p.awaitAll("leases", members, func(s Stance) bool { return !s.Cautious })
 	p.await("ready", func() bool { return p.ready })
-	p.awaitAll("leases", 20, func(s Stance) bool { return !s.Cautious })
 	number := c.propose(versions.Document{MaxAttempts: 1})
-	p.awaitAll("the version", 20, func(s Stance) bool { return s.Active == number && s.Next == 0 && !s.Cautious })
+	p.awaitAll("the version", members, func(s Stance) bool { return s.Active == number && s.Next == 0 && !s.Cautious })
+	p.mu.Lock()
+	both, before := map[string]bool{}, map[string]Stance{}
+	for _, e := range p.events {
+		if e.Active == 0 && e.Next == number {
+			both[e.Member] = true
+		}
+		b, had := before[e.Member]
+		if before[e.Member] = e; had && (b.At > e.At || b.Active == e.Active && b.Next == e.Next && b.Cautious == e.Cautious) {
+			t.Errorf("%+v after %+v", e, b)
+		}
+	}
+	p.mu.Unlock()
+	if len(both) != members {
+		t.Errorf("%d of %d members have told that they act on both", len(both), members)
+	}
 	s := p.sample()
-	if s.CPU <= 0 || s.RSSBytes <= 0 || s.Goroutines <= 20 || s.Descriptors <= 20 {
+	if s.CPU <= 0 || s.RSSBytes < 1<<20 || s.Goroutines < 2*members || s.Descriptors < 2*members || s.At <= 0 {
+		t.Errorf("%+v", s)
+	}
+	for name, m := range s.Members {
+		if m.Renewals == 0 || m.Conns == 0 || m.ToKeeper == 0 || m.OfKeeper == 0 || m.In < m.OfKeeper || m.Out < m.ToKeeper || m.Stance.Active != number {
+			t.Errorf("%s: %+v", name, m)
+		}
+	}
+	p.good(Command{Do: End})
+	if err := <-p.ended; err != nil {
+		t.Error(err)
+	}
+	if listens(c.start.Members[0].Address) {
+		t.Error("a member still listens after the end")
+	}
+}
+
+// A member that is killed is gone at once and has said nothing: the keepers wait for its lease. It begins as another process of
+// its name at its address.
+func TestKillAndBegin(t *testing.T) {
+	t.Parallel()
+	c := form(t, 3, 6, 0)
+	p := run(t, c.start)
+	p.awaitAll("leases", 6, func(s Stance) bool { return !s.Cautious })
+	before := c.ledger().Members["m1"]
+	renewals := p.sample().Members["m1"].Renewals
+	struck := time.Now()
+	p.good(Command{Do: Kill, Members: []string{"m1"}})
+	if listens(before.Address) {
+		t.Error("it still listens")
+	}
+	p.await("its end", func() bool { return p.last()["m1"].Gone })
+	if s := p.sample().Members["m1"]; s.Conns != 0 || !s.Stance.Gone || s.Renewals < renewals {
 		t.Errorf("%+v", s)
 	}
+	c.awaitLedger("it is counted out", func(l *crew.Ledger) bool { return l.Members["m1"].Token == 0 })
+	// Its last word was at most a beat, or one that was late by as much, before: a word that it leaves would end it at once.
+	if after := time.Since(struck); after < testLease/2 {
+		t.Errorf("counted out %v after its end, before its lease's", after)
+	}
+	if l := p.say(Command{Do: Kill, Members: []string{"m1"}}); !strings.Contains(l.Error, "m1: it is gone") {
+		t.Errorf("%+v", l)
+	}
+	p.good(Command{Do: Begin, Members: []string{"m1"}})
+	p.awaitAll("its lease", 6, func(s Stance) bool { return !s.Cautious && !s.Gone })
+	if now := c.ledger().Members["m1"]; now.Token == before.Token || now.Address != before.Address {
+		t.Errorf("%+v after %+v", now, before)
+	}
+	if l := p.say(Command{Do: Begin, Members: []string{"m1"}}); !strings.Contains(l.Error, "m1: it runs already") {
+		t.Errorf("%+v", l)
+	}
+}
+
+// Members of a region that is cut off lose their leases, the others don't; what is mended goes again.
+func TestCutAndMend(t *testing.T) {
+	t.Parallel()
+	c := form(t, 3, 6, 0)
+	c.start.RegionDelay = 5 * time.Millisecond
+	c.start.Regions = map[string]string{}
+	for _, k := range c.start.Keepers {
+		c.start.Regions[k.Address] = "north"
+	}
+	for i, m := range c.start.Members {
+		c.start.Regions[m.Address] = []string{"north", "south"}[i%2]
+	}
+	p := run(t, c.start)
+	p.awaitAll("leases", 6, func(s Stance) bool { return !s.Cautious })
+	p.good(Command{Do: Cut, Regions: [2]string{"south", "north"}})
+	south := func(name string) bool { return name == "m2" || name == "m4" || name == "m6" }
+	p.await("the south is cautious", func() bool {
+		n := 0
+		for name, s := range p.last() {
+			if south(name) && s.Cautious {
+				n++
+			}
+		}
+		return n == 3
+	})
+	l := c.awaitLedger("the south is counted out", func(l *crew.Ledger) bool { return len(l.Members) == 6 })
+	for name := range l.Members {
+		if south(name) {
+			t.Errorf("%s is in", name)
+		}
+	}
+	p.good(Command{Do: Mend, Regions: [2]string{"north", "south"}})
+	p.awaitAll("leases again", 6, func(s Stance) bool { return !s.Cautious })
+	c.awaitLedger("all are in", func(l *crew.Ledger) bool { return len(l.Members) == 9 })
+	for _, bad := range []Command{
+		{Do: Cut, Regions: [2]string{"north", "west"}}, {Do: Cut}, {Do: Mend, Regions: [2]string{"north", "north"}}, {Do: Sample, Members: []string{"m9"}},
+		{Do: Order, Orders: 1}, {Do: Order, Orders: -1},
+	} {
+		if l := p.say(bad); l.Error == "" || strings.Contains(l.Error, "\n") {
+			t.Errorf("%+v: %+v", bad, l)
+		}
+	}
+}
+
+// Bytes are those of the messages, as the server that takes them counts, with their heads. Who leaves says so, and who is killed
+// does not.
+func TestBytesAndLastWords(t *testing.T) {
+	s, err := peers.Listen(env.Real{}, free(t), "hollow")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	var asked, leaving atomic.Int64
+	s.Serve(env.Real{}, map[string]peers.Handler{"renew": func(from string, body []byte) (any, error) {
+		var r crew.Renewal
+		if err := peers.Decode(body, &r); err != nil || r.Name != from || r.Leaving && !r.Moving {
+			t.Errorf("%+v of %s, %v", r, from, err)
+		}
+		asked.Add(1)
+		if r.Leaving {
+			leaving.Add(1)
+		}
+		return keeper.Renewed{}, nil // neither a lease nor who leads
+	}})
+	start := Start{Crew: "hollow", Lease: 400 * time.Millisecond, ContradictAtMost: time.Second, Copies: 2, Keep: time.Minute, LostAfter: time.Second,
+		Keepers: []Place{{Name: "k1", Address: s.Address()}}}
+	const members = 5
+	for i := range members {
+		start.Members = append(start.Members, Place{Name: fmt.Sprintf("m%d", i), Zone: zone(i), Address: free(t)})
+	}
+	p := run(t, start)
+	p.await("ready", func() bool { return p.ready })
+	for limit := time.Now().Add(testWait); asked.Load() < 100 && time.Now().Before(limit); time.Sleep(testPause) {
+	}
+	p.good(Command{Do: Leave}) // the last word of each is answered
+	n, sum := asked.Load(), Spent{}
+	for _, m := range p.sample().Members {
+		sum.In, sum.Out, sum.ToKeeper, sum.OfKeeper = sum.In+m.In, sum.Out+m.Out, sum.ToKeeper+m.ToKeeper, sum.OfKeeper+m.OfKeeper
+		sum.Unheard += m.Unheard
+	}
+	if size := s.BytesIn.Load() / max(1, n); n < 100 || size < 10 || size > 90 {
+		t.Fatalf("%d messages of %d bytes; the heads counted on here have a length of two digits", n, size)
+	}
+	request := int64(len("POST /crew/1/renew HTTP/1.1\r\nHost: " + s.Address() + "\r\nContent-Length: 12\r\n\r\n"))
+	answer := int64(len("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n"))
+	if want := s.BytesIn.Load() + n*request; sum.ToKeeper != want || sum.Out != want {
+		t.Errorf("%d bytes out, %d to keepers, want %d", sum.Out, sum.ToKeeper, want)
+	}
+	if want := s.BytesOut.Load() + n*answer; sum.OfKeeper != want || sum.In != want {
+		t.Errorf("%d bytes in, %d of keepers, want %d", sum.In, sum.OfKeeper, want)
+	}
+	if sum.Unheard == 0 {
+		t.Error("nobody led, and no member has counted it")
+	}
+	if leaving.Load() != members {
+		t.Errorf("%d of %d members have said that they leave", leaving.Load(), members)
+	}
+	p.good(Command{Do: Begin})
+	p.awaitAll("they are back", members, func(s Stance) bool { return !s.Gone })
+	p.good(Command{Do: Kill})
 	p.good(Command{Do: End})
+	<-p.ended // what was left of them has ended
+	if leaving.Load() != members {
+		t.Error("a member that was killed has said that it leaves")
+	}
+}
+
+// seatsOf is in how many shards a member has one.
+func seatsOf(l *crew.Ledger, name string) (n int) {
+	for _, shard := range l.Table.Shards {
+		for _, seat := range shard.Seats {
+			if seat.Who.Name == name {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Keyed requests are claimed and end, at their rate, and stop. A member that leaves ends those under way, and others have what it
+// held.
+func TestOrdersAndLeave(t *testing.T) {
+	t.Parallel()
+	const members = 9
+	c := form(t, 3, members, 2)
+	c.start.OrderTakes = 10 * time.Millisecond
+	p := run(t, c.start)
+	p.awaitAll("leases", members, func(s Stance) bool { return !s.Cautious })
+	if seatsOf(c.awaitWhole(), "m1") == 0 {
+		t.Fatal("m1 has no seats, and this test shows nothing")
+	}
+	idle := p.sample().Members
+	if idle["m1"].Asked != 0 {
+		t.Errorf("%+v", idle["m1"])
+	}
+	p.good(Command{Do: Order, Orders: 20})
+	for limit := time.Now().Add(testWait); ; time.Sleep(testPause) {
+		least := int64(1 << 60)
+		for _, m := range p.sample().Members {
+			least = min(least, m.Asked-m.Denied)
+		}
+		if least >= 10 { // some are refused on a machine that is busy beyond their time
+			break
+		}
+		if time.Now().After(limit) {
+			t.Fatalf("of a member's orders only %d were carried out", least)
+		}
+	}
+	p.good(Command{Do: Order, Orders: 0})
+	p.good(Command{Do: Leave, Members: []string{"m1"}})
+	l := c.awaitLedger("it has left", func(l *crew.Ledger) bool { return l.Members["m1"].Token == 0 && seatsOf(l, "m1") == 0 })
+	for i, shard := range l.Table.Shards {
+		if shard.Lost > 0 {
+			t.Errorf("shard %d was lost", i)
+		}
+	}
+	p.await("its end", func() bool { return p.last()["m1"].Gone })
+	if listens(c.start.Members[0].Address) {
+		t.Error("it still listens")
+	}
+	now := p.sample().Members
+	asked, carried, out, in := now["m1"].Asked, int64(0), int64(0), int64(0)
+	for name, m := range now {
+		carried += m.Asked - m.Denied
+		out += m.Out - m.ToKeeper - idle[name].Out + idle[name].ToKeeper
+		in += m.In - m.OfKeeper - idle[name].In + idle[name].OfKeeper
+	}
+	// A claim and an outcome go to a primary and from there to a copy, each of some 100 bytes and its head; most of them are
+	// members, not keepers.
+	if least := carried * 100; out < least || in < least {
+		t.Errorf("%d bytes out and %d in, of %d orders: they have not gone to others", out, in, carried)
+	}
+	if p.good(Command{Do: Begin, Members: []string{"m1"}}); p.sample().Members["m1"].Asked != asked {
+		t.Error("it has begun with orders, that were to end")
+	}
+	p.awaitAll("its lease", members, func(s Stance) bool { return !s.Cautious && !s.Gone })
+}
+
+// Each planted fault shows.
+func TestPlantedFaults(t *testing.T) {
+	t.Parallel()
+	const members = 8
+	c := form(t, 3, members, 2)
+	c.start.Planted = map[string]Fault{"m1": Unheeding, "m2": Hasty, "m3": Forgetful}
+	p := run(t, c.start)
+	p.awaitAll("leases", members, func(s Stance) bool { return !s.Cautious })
+	number := c.propose(versions.Document{MaxAttempts: 1})
+	c.awaitLedger("the version is active", func(l *crew.Ledger) bool { return l.Active.Number == number })
+	p.await("all others act on it", func() bool {
+		n := 0
+		for _, s := range p.last() {
+			if s.Active == number {
+				n++
+			}
+		}
+		return n == members-1
+	})
+	p.mu.Lock()
+	for _, e := range p.events {
+		if e.Member == "m1" && (e.Active != 0 || e.Next != 0) {
+			t.Errorf("the unheeding member heeds: %+v", e)
+		}
+	}
+	p.mu.Unlock()
+	var says member.Acts
+	line := peers.NewLine(env.Real{}, "hollow", "test", c.start.Members[0].Address)
+	defer line.Close()
+	if err := line.Call("acting", struct{}{}, &says, testWait); err != nil || says.Active != number {
+		t.Errorf("it says %+v, %v", says, err)
+	}
+	c.awaitWhole()
+	// Over so many renewals, or over the next so many where seats were still on their way meanwhile: then all are told tables.
+	const beats = 24
+	first, limit := p.sample().Members, time.Now().Add(testWait)
+	for {
+		now := p.sample().Members
+		since := func(name string) (renewals, heard float64) {
+			return float64(now[name].Renewals - first[name].Renewals), float64(now[name].OfKeeper - first[name].OfKeeper)
+		}
+		honest, told := since("m4")
+		if honest < beats {
+			time.Sleep(testPause)
+			continue
+		}
+		hasty, _ := since("m2")
+		forgetful, whole := since("m3")
+		fast, long := hasty > 1.6*honest && hasty < 2.4*honest, whole/forgetful > 10*told/honest
+		if fast && long {
+			return
+		}
+		if time.Now().After(limit) {
+			t.Fatalf("another member asks %v times and is told %.0f bytes a time; the hasty one asks %v times, the forgetful one is told %.0f",
+				honest, told/honest, hasty, whole/forgetful)
+		}
+		first = now
+	}
+}
+
+// What is told wrongly is one line and an error, and nothing has started.
+func TestBadStart(t *testing.T) {
+	good := func() Start {
+		return Start{
+			Crew: "hollow", Lease: time.Second, ContradictAtMost: 2 * time.Second, Keepers: []Place{{Name: "k1", Address: "127.0.0.1:9"}},
+			Members: []Place{{Name: "m1", Zone: "a", Address: free(t)}, {Name: "m2", Zone: "b", Address: free(t)}},
+		}
+	}
+	for want, spoil := range map[string]func(*Start){
+		"keepers: 0":                   func(s *Start) { s.Keepers = nil },
+		"members: 0":                   func(s *Start) { s.Members = nil },
+		"members[1].address: \"\", of": func(s *Start) { s.Members[1].Address = "" },
+		"members[0].name: missing":     func(s *Start) { s.Members[0].Name = "" },
+		"members[1]: m1 at":            func(s *Start) { s.Members[1].Name = "m1" },
+		"members[0]: k1 at":            func(s *Start) { s.Members[0].Name = "k1" },
+		"planted.m1: \"sleepy\"":       func(s *Start) { s.Planted = map[string]Fault{"m1": "sleepy"} },
+		"planted.m7: no member":        func(s *Start) { s.Planted = map[string]Fault{"m7": Hasty} },
+		"planted.m1: forgetful":        func(s *Start) { s.Planted = map[string]Fault{"m1": Forgetful} },
+		"lease_ns: 1ns":                func(s *Start) { s.Lease = 1 },
+		"contradict_at_most_ns: 1s":    func(s *Start) { s.ContradictAtMost, s.Slack = time.Second, time.Millisecond },
+		"copies: 9":                    func(s *Start) { s.Copies = 9 },
+		"keep_ns: 0s":                  func(s *Start) { s.Copies = 2 },
+		"lost_after_ns: 0s":            func(s *Start) { s.Copies, s.Keep = 2, time.Minute },
+		"orders: 1; allowed: with":     func(s *Start) { s.Orders = 1 },
+		"orders: -1":                   func(s *Start) { s.Orders = -1 },
+		"members[1].zone: missing":     func(s *Start) { s.Copies, s.Keep, s.LostAfter, s.Members[1].Zone = 2, time.Minute, time.Second, "" },
+		"crew: missing":                func(s *Start) { s.Crew = "" },
+		"region_delay_ns: -1ns":        func(s *Start) { s.RegionDelay = -1 },
+		"order_takes_ns: -1ns":         func(s *Start) { s.OrderTakes = -1 },
+		"drift: 1;":                    func(s *Start) { s.Drift = 1 },
+		"slack_ns: -1ns":               func(s *Start) { s.Slack = -1 },
+		"m2: crew.address: listen tcp": func(s *Start) { s.Members[1].Address = "192.0.2.1:9" }, // not this machine's
+	} {
+		s := good()
+		spoil(&s)
+		p := run(t, s)
+		err := <-p.ended
+		if err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%v, want %q", err, want)
+			continue
+		}
+		p.await("the line", func() bool { return p.failed == err.Error() })
+		if p.mu.Lock(); p.ready || len(p.events) > 0 && !strings.Contains(want, "listen") {
+			t.Errorf("%s: %+v", want, p.events)
+		}
+		p.mu.Unlock()
+		if len(s.Members) > 0 && listens(s.Members[0].Address) {
+			t.Errorf("%s: m1 listens", want)
+		}
+	}
+	for want, text := range map[string]string{
+		"start: missing":                 "",
+		"start: json: unknown field":     `{"crew":"hollow","sleep":1}`,
+		"start: invalid character":       "hello",
+		"start: json: cannot unmarshal":  "[]",
+		"start: crew: missing; allowed:": "{}",
+	} {
+		var out bytes.Buffer
+		err := Run(strings.NewReader(text+"\n"), &out, zerolog.Nop())
+		if text == "" {
+			out.Reset()
+			err = Run(strings.NewReader(""), &out, zerolog.Nop())
+		}
+		if err == nil || !strings.HasPrefix(err.Error(), want) || strings.Count(out.String(), "\n") != 1 {
+			t.Errorf("%v, want %q; said %q", err, want, out.String())
+		}
+	}
+}
+
+// A command that is not known ends the process, and all members with it.
+func TestUnknownCommand(t *testing.T) {
+	for want, command := range map[string]any{
+		`command 1: do: "sleep"; allowed: kill, `: Command{ID: 1, Do: "sleep"},
+		"command: json: unknown field":            map[string]any{"id": 1, "do": "kill", "who": "m1"},
+	} {
+		s := Start{Crew: "hollow", Lease: 200 * time.Millisecond, ContradictAtMost: time.Second, Keepers: []Place{{Name: "k1", Address: "127.0.0.1:9"}},
+			Members: []Place{{Name: "m1", Address: free(t)}}}
+		p := run(t, s)
+		p.await("ready", func() bool { return p.ready })
+		if err := p.in.Encode(command); err != nil {
+			t.Fatal(err)
+		}
+		if err := <-p.ended; err == nil || !strings.HasPrefix(err.Error(), want) {
+			t.Errorf("%v, want %q", err, want)
+		}
+		p.await("the line", func() bool { return strings.HasPrefix(p.failed, want) })
+		if listens(s.Members[0].Address) {
+			t.Error("m1 listens")
+		}
+	}
+}
+
+// The end of standard input is the members' end, and no fault.
+func TestEndOfInput(t *testing.T) {
+	s := Start{Crew: "hollow", Lease: 200 * time.Millisecond, ContradictAtMost: time.Second, Keepers: []Place{{Name: "k1", Address: "127.0.0.1:9"}},
+		Members: []Place{{Name: "m1", Address: free(t)}}}
+	p := run(t, s)
+	p.await("ready", func() bool { return p.ready })
+	p.close()
 	if err := <-p.ended; err != nil {
 		t.Error(err)
 	}
+	p.await("its end", func() bool { return p.last()["m1"].Gone })
+	if listens(s.Members[0].Address) {
+		t.Error("m1 listens")
+	}
 }
--- /dev/null
+++ b/internal/lab/hollow/world_test.go
@@ -0,0 +1,281 @@
+package hollow
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"runtime"
+	"testing"
+	"time"
+
+	"heathgap/internal/env"
+	"heathgap/internal/httpwire"
+)
+
+const testDelay = 30 * time.Millisecond
+
+// twoRegions returns a world in the north, an address in the south, what it accepts there, and the way between.
+func twoRegions(t *testing.T, delay time.Duration) (w *world, address string, accepted chan net.Conn, way *way) {
+	t.Helper()
+	l, err := net.Listen("tcp", free(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	accepted = make(chan net.Conn, 100)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- c
+		}
+	}()
+	address = l.Addr().String()
+	ways := newWays(map[string]string{address: "south"}, delay)
+	w = newWorld(ways, "north", map[string]bool{address: true}, &traffic{}, "", 0)
+	t.Cleanup(w.end)
+	return w, address, accepted, ways.between("south", "north")
+}
+
+func dial(t *testing.T, w *world, address string) net.Conn {
+	t.Helper()
+	c, err := w.Dial(context.Background(), address, testWait)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// What goes between regions comes late, each way, in order and whole; a long message is late once, not once a piece.
+func TestFarIsLate(t *testing.T) {
+	w, address, accepted, _ := twoRegions(t, testDelay)
+	began := time.Now()
+	c := dial(t, w, address)
+	if took := time.Since(began); took < 2*testDelay {
+		t.Errorf("dialed after %v", took)
+	}
+	there := <-accepted
+	began = time.Now()
+	text := bytes.Repeat([]byte("0123456789abcdef"), 40*pieceSize/16)
+	go func() {
+		for i := range 40 {
+			c.Write(text[i*pieceSize : (i+1)*pieceSize]) //nolint:errcheck // what comes tells
+		}
+	}()
+	got := make([]byte, len(text))
+	if _, err := io.ReadFull(there, got[:1]); err != nil || time.Since(began) < testDelay {
+		t.Errorf("%v after %v", err, time.Since(began))
+	}
+	if _, err := io.ReadFull(there, got[1:]); err != nil || !bytes.Equal(got, text) {
+		t.Errorf("%v, or other bytes", err)
+	}
+	began = time.Now()
+	go there.Write(text) //nolint:errcheck // likewise
+	clear(got)
+	if _, err := io.ReadFull(c, got[:1]); err != nil || time.Since(began) < testDelay {
+		t.Errorf("%v after %v", err, time.Since(began))
+	}
+	if _, err := io.ReadFull(c, got[1:]); err != nil || !bytes.Equal(got, text) {
+		t.Errorf("%v, or other bytes", err)
+	}
+	if took := time.Since(began); took > 20*testDelay {
+		t.Errorf("40 pieces took %v: each was late by itself", took)
+	}
+	if in, out := w.spent.ofKeeper.Load(), w.spent.toKeeper.Load(); in != int64(len(text)) || out != int64(len(text)) {
+		t.Errorf("counted %d in, %d out, of %d", in, out, len(text))
+	}
+}
+
+// A cut holds bytes and dials; they come when it is mended, and a dial whose time is over has failed.
+func TestCutHolds(t *testing.T) {
+	w, address, accepted, way := twoRegions(t, time.Millisecond)
+	c := dial(t, w, address)
+	there := <-accepted
+	way.set(true)
+	if _, err := c.Write([]byte("held")); err != nil {
+		t.Error(err)
+	}
+	if _, err := there.Write([]byte("back")); err != nil {
+		t.Error(err)
+	}
+	got := make([]byte, 4)
+	there.SetReadDeadline(time.Now().Add(testDelay))
+	if n, err := there.Read(got); n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("%q, %v across a cut", got[:n], err)
+	}
+	c.SetReadDeadline(time.Now().Add(testDelay))
+	if n, err := c.Read(got); n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("%q, %v across a cut", got[:n], err)
+	}
+	began := time.Now()
+	_, err := w.Dial(context.Background(), address, testDelay)
+	var timed net.Error
+	if took := time.Since(began); !errors.As(err, &timed) || !timed.Timeout() || took < testDelay {
+		t.Errorf("%v after %v", err, took)
+	}
+	dialed := make(chan error, 1)
+	go func() {
+		c, err := w.Dial(context.Background(), address, testWait)
+		if err == nil {
+			c.Close()
+		}
+		dialed <- err
+	}()
+	way.set(true) // again: one mend ends it all the same
+	way.set(false)
+	there.SetReadDeadline(time.Now().Add(testWait))
+	if _, err := io.ReadFull(there, got); err != nil || string(got) != "held" {
+		t.Errorf("%q, %v", got, err)
+	}
+	c.SetReadDeadline(time.Now().Add(testWait))
+	if _, err := io.ReadFull(c, got); err != nil || string(got) != "back" {
+		t.Errorf("%q, %v", got, err)
+	}
+	if err := <-dialed; err != nil {
+		t.Error(err)
+	}
+}
+
+// What a member has written before it closed a connection, or was killed, is on its way all the same.
+func TestCloseIsBehindWhatWasWritten(t *testing.T) {
+	for name, end := range map[string]func(*world, net.Conn){
+		"closed": func(_ *world, c net.Conn) { c.Close() }, "killed": func(w *world, _ net.Conn) { w.end() },
+	} {
+		w, address, accepted, way := twoRegions(t, time.Millisecond)
+		c := dial(t, w, address)
+		there := <-accepted
+		way.set(true)
+		if _, err := c.Write([]byte("last")); err != nil {
+			t.Error(name, err)
+		}
+		end(w, c)
+		if _, err := c.Write([]byte("more")); err == nil {
+			t.Error(name, "it still writes")
+		}
+		if _, err := c.Read(make([]byte, 1)); !errors.Is(err, net.ErrClosed) {
+			t.Error(name, err)
+		}
+		way.set(false)
+		there.SetReadDeadline(time.Now().Add(testWait))
+		if got, err := io.ReadAll(there); err != nil || string(got) != "last" {
+			t.Errorf("%s: %q, %v", name, got, err)
+		}
+		if n := w.open(); n != 0 {
+			t.Errorf("%s: %d connections are open", name, n)
+		}
+	}
+}
+
+// httpwire asks of an idle connection whether it still stands, near and far.
+func TestFreshNearAndFar(t *testing.T) {
+	w, address, accepted, _ := twoRegions(t, time.Millisecond)
+	near := newWorld(w.ways, "south", nil, &traffic{}, "", 0)
+	for name, world := range map[string]*world{"far": w, "near": near} {
+		for what, end := range map[string]func(net.Conn){
+			"it was closed": func(c net.Conn) { c.Close() },
+			"something came": func(c net.Conn) {
+				c.Write([]byte("x")) //nolint:errcheck // what comes tells
+			},
+		} {
+			l, err := httpwire.Dial(context.Background(), world, address, testWait)
+			if err != nil {
+				t.Fatal(err)
+			}
+			there := <-accepted
+			if !l.Fresh() {
+				t.Errorf("%s: not fresh", name)
+			}
+			end(there)
+			for limit := time.Now().Add(testWait); l.Fresh(); time.Sleep(testPause) {
+				if time.Now().After(limit) {
+					t.Fatalf("%s: fresh though %s", name, what)
+				}
+			}
+			l.Close()
+			there.Close()
+		}
+	}
+}
+
+// A connection inside a region costs no goroutine; both goroutines of one between regions end with it.
+func TestGoroutinesOfConnections(t *testing.T) {
+	w, address, accepted, _ := twoRegions(t, time.Millisecond)
+	near := newWorld(w.ways, "south", nil, &traffic{}, "", 0)
+	const conns = 50
+	count := func(w *world) (before, with, after int) {
+		before = runtime.NumGoroutine()
+		var all []net.Conn
+		for range conns {
+			all = append(all, dial(t, w, address), <-accepted)
+		}
+		with = runtime.NumGoroutine()
+		for _, c := range all {
+			c.Close()
+		}
+		for limit := time.Now().Add(testWait); time.Now().Before(limit); time.Sleep(testPause) {
+			if after = runtime.NumGoroutine(); after <= before+5 {
+				break
+			}
+		}
+		return before, with, after
+	}
+	if before, with, _ := count(near); with > before+5 {
+		t.Errorf("near: %d goroutines, %d with %d connections", before, with, conns)
+	}
+	if before, with, after := count(w); with < before+2*conns-5 || after > before+5 {
+		t.Errorf("far: %d goroutines, %d with %d connections, %d afterwards", before, with, conns, after)
+	}
+}
+
+// A world that is over: nobody reaches it, it reaches nobody, and no lease holds there.
+func TestWorldEnds(t *testing.T) {
+	w, address, accepted, _ := twoRegions(t, 0)
+	near := newWorld(w.ways, "south", nil, &traffic{}, "", 0)
+	l, err := near.Listen(free(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	<-near.listening
+	out, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	in, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := dial(t, near, address)
+	there := <-accepted
+	if near.open() != 2 {
+		t.Errorf("%d connections", near.open())
+	}
+	near.end()
+	for _, peer := range []net.Conn{out, there} {
+		peer.SetReadDeadline(time.Now().Add(testWait))
+		if n, err := peer.Read(make([]byte, 1)); n > 0 || errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("%d, %v", n, err)
+		}
+	}
+	for _, mine := range []net.Conn{in, c} {
+		if _, err := mine.Write([]byte("x")); !errors.Is(err, net.ErrClosed) {
+			t.Error(err)
+		}
+	}
+	if _, err := l.Accept(); !errors.Is(err, net.ErrClosed) {
+		t.Error(err)
+	}
+	if _, err := near.Dial(context.Background(), address, testWait); !errors.Is(err, errOver) {
+		t.Error(err)
+	}
+	if _, err := near.Listen(free(t)); !errors.Is(err, errOver) {
+		t.Error(err)
+	}
+	if near.Boot() < (env.Real{}).Boot()+afterlife/2 {
+		t.Error("a lease may still hold")
+	}
+}
