--- a/internal/lab/hollow/world_test.go
+++ b/internal/lab/hollow/world_test.go
@@ -74,6 +74,9 @@
 	if _, err := io.ReadFull(there, got[1:]); err != nil || !bytes.Equal(got, text) {
 		t.Errorf("%v, or other bytes", err)
 	}
+	if took := time.Since(began); took > 20*testDelay {
+		t.Errorf("40 pieces took %v: each was late by itself", took)
+	}
 	began = time.Now()
 	go there.Write(text) //nolint:errcheck // likewise
 	clear(got)
