Rig: a crew's files, hosts, processes and relays can be used by other labs

The files of a crew's processes are written by exported types now, which the rig uses itself; hosts, processes and relays have exported faces. Judge, plan and scenario of the lab of sizes, pure, come with it; nothing uses them yet.

--- a/internal/lab/rig/crew.go
+++ b/internal/lab/rig/crew.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"maps"
@@ -50,6 +49,8 @@
 	twinMark       = "'"
 	hangUpAfter    = time.Millisecond // a proposer that dies: its word is out, and no answer can have come
 	crewDeadlineMS = 800.0
+	crewKeep       = 2 * time.Minute
+	crewLostAfter  = 10 * time.Second
 )
 
 // CrewOptions are those of a run.
@@ -334,51 +335,35 @@
 
 // operatorFile is what a process is told of the crew.
 func (r *crewRig) operatorFile(p *crewProc) string {
-	var b strings.Builder
-	fmt.Fprintf(&b, "[crew]\nname = %q\naddress = %q\ndata = %q\nlease = %q\ndrift = %v\nslack = %q\ncontradict_at_most = %q\n",
-		r.scene.Name, p.address, filepath.Join(p.dir, "data"), r.scene.Lease, r.scene.Drift, r.scene.Slack, r.scene.ContradictAtMost)
-	fmt.Fprintf(&b, "fixed_classes = [%q]\n", loadClass)
+	f := CrewFile{
+		Name: r.scene.Name, Address: p.address, Data: filepath.Join(p.dir, "data"), Lease: r.scene.Lease, Drift: r.scene.Drift, Slack: r.scene.Slack,
+		ContradictAtMost: r.scene.ContradictAtMost, Copies: r.scene.Copies, Keep: crewKeep, LostAfter: crewLostAfter,
+	}
 	for _, k := range r.procs[:r.scene.Keepers] {
 		address := k.address
 		if way := r.relays[[2]string{p.name, k.name}]; way != nil {
 			address = way.address()
 		}
-		fmt.Fprintf(&b, "[[crew.keeper]]\nname = %q\naddress = %q\n", k.name, address)
+		f.Keepers = append(f.Keepers, NamedAddress{k.name, address})
 	}
 	for _, q := range r.procs[r.scene.Keepers:] {
 		if way := r.relays[[2]string{p.name, q.name}]; way != nil {
-			fmt.Fprintf(&b, "[[crew.way]]\nname = %q\naddress = %q\n", q.name, way.address())
+			f.Ways = append(f.Ways, NamedAddress{q.name, way.address()})
 		}
 	}
-	if r.scene.Copies > 0 {
-		fmt.Fprintf(&b, "[holdings]\ncopies = %d\nkeep = \"2m\"\nlost_after = \"10s\"\n[[holdings.class]]\nname = %q\n", r.scene.Copies, orderClass)
-	}
-	return b.String()
+	return f.Text()
 }
 
 // config is a process's configuration. effect is that of the probed class.
 func (r *crewRig) config(p *crewProc, effect decide.Effect) ([]byte, error) {
-	lines := []any{}
-	for i, e := range r.ends {
-		lines = append(lines, map[string]any{"name": e.name, "address": e.address, "zone": "a", "group": i, "status": "SERVING"})
-	}
-	class := func(name, effect string) any {
-		return map[string]any{"name": name, "effect": effect, "group": "all", "aim": 300.0, "deadline": crewDeadlineMS, "worth": 1.0}
-	}
-	return json.Marshal(map[string]any{
-		"name": p.goes, "listen": p.listen, "discovery": p.host + ":9", "seed": fmt.Sprintf("%x", r.seed+uint64(p.starts)*7919),
-		"known": map[string]any{"index": 1, "snapshot": true, "endpoints": lines},
-		"settings": map[string]any{
-			"me": slices.Index(r.procs, p), "replicas_of_me": len(r.procs), "az": r.zone(p), "tier": 0, "stages": []string{"one"}, "tick": 2.0,
-			"membership_mode": "subscribe", "over_share_worth": 0.1,
-			"bounds": map[string]any{"cancel": true, "max_attempts": leastAttempts, "connect_timeout": 300.0, "conn_idle": 5000.0, "most_held": 500},
-			"rules": map[string]any{"answer_slack": 50.0, "ask_every": 5000.0, "cold": 1000.0, "cold_from": 0.5, "drain_grace": 300.0,
-				"fall_multiple": 50.0, "overload_for": 5000.0},
-			"profiles": []any{class(loadClass, "repeatable"), class(probedClass, versions.EffectWords[effect]), map[string]any{
-				"name": orderClass, "effect": "by_key", "group": "all", "window": millis(orderWindow), "aim": 300.0, "deadline": crewDeadlineMS, "worth": 1.0,
-			}},
-		},
-	})
+	f := SidecarFile{
+		Name: p.goes, Listen: p.listen, Host: p.host, Seed: r.seed + uint64(p.starts)*7919, Me: slices.Index(r.procs, p), Replicas: len(r.procs),
+		Zone: r.zone(p), Effect: effect,
+	}
+	for _, e := range r.ends {
+		f.Endpoints = append(f.Endpoints, NamedAddress{e.name, e.address})
+	}
+	return f.JSON()
 }
 
 // zone is where a process stands.
--- /dev/null
+++ b/internal/lab/rig/parts.go
@@ -0,0 +1,101 @@
+package rig
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"time"
+)
+
+// What other labs take of this one: hosts, processes and relays.
+
+// Hosts deals out hosts and addresses of the loopback net.
+type Hosts struct{ hosts *hosts }
+
+// NewHosts returns a run's.
+func NewHosts() *Hosts { return &Hosts{newHosts()} }
+
+// Take returns a host that no other run has.
+func (h *Hosts) Take() (string, error) { return h.hosts.take() }
+
+// Address returns an address of a host that was taken, which was not dealt out before.
+func (h *Hosts) Address(host string) (string, error) { return h.hosts.address(host) }
+
+// Close gives all hosts back.
+func (h *Hosts) Close() { h.hosts.close() }
+
+// Process is one start of a sidecar's program.
+type Process struct{ process *process }
+
+// StartProcess starts a sidecar's program with its configuration. Its log goes on to a file where there is one, and each of its
+// lines to watch.
+func StartProcess(cmd *exec.Cmd, name, config, logPath string, watch func(line string)) (*Process, error) {
+	p, err := startWatched(cmd, name, config, logPath, watch)
+	if err != nil {
+		return nil, err
+	}
+	return &Process{p}, nil
+}
+
+// WaitUp waits until it answers at an address.
+func (p *Process) WaitUp(ctx context.Context, address string) error {
+	return waitUp(ctx, address, p.process)
+}
+
+// Pid is its number.
+func (p *Process) Pid() int { return p.process.cmd.Process.Pid }
+
+// End tells it to end with a signal.
+func (p *Process) End(s os.Signal) { p.process.end(s) }
+
+// Wait waits until it is gone; false after the time.
+func (p *Process) Wait(most time.Duration) bool { return p.process.wait(most) }
+
+// Crashed tells whether it has ended without having been told to.
+func (p *Process) Crashed() bool { return p.process.crashed() }
+
+// LastLine is the last one of its log.
+func (p *Process) LastLine() string {
+	p.process.mu.Lock()
+	defer p.process.mu.Unlock()
+	return p.process.lastLine
+}
+
+// Usage is what it takes of the machine so far: most memory in MB, seconds of processor time, descriptors.
+func (p *Process) Usage() (rssMB, cpu float64, descriptors int, err error) {
+	u, err := p.process.usage()
+	return u.rssMB, u.cpu, u.fds, err
+}
+
+// Relay carries connections to an address.
+type Relay struct{ relay *relay }
+
+// NewRelay listens at a free port of a host.
+func NewRelay(host, target string) (*Relay, error) {
+	r, err := newRelay(host, target)
+	if err != nil {
+		return nil, err
+	}
+	return &Relay{r}, nil
+}
+
+// Address is where it listens.
+func (r *Relay) Address() string { return r.relay.address() }
+
+// Cut has nothing pass either way, or pass again.
+func (r *Relay) Cut(cut bool) {
+	r.relay.set(there, cut)
+	r.relay.set(back, cut)
+}
+
+// Delay has what goes each way come so much later than before, or sooner where that is below 0.
+func (r *Relay) Delay(by time.Duration) {
+	r.relay.slow(there, by)
+	r.relay.slow(back, by)
+}
+
+// DelayAnswers is Delay of what comes back.
+func (r *Relay) DelayAnswers(by time.Duration) { r.relay.slow(back, by) }
+
+// Close ends it with its connections.
+func (r *Relay) Close() { r.relay.close() }
--- a/internal/lab/rig/process.go
+++ b/internal/lab/rig/process.go
@@ -32,7 +32,8 @@
 	cmd      *exec.Cmd
 	name     string
 	counters chan *record.Counters
-	exited   chan struct{} // closed when it has ended
+	watch    func(line string) // is told each line of its log; nil for nobody
+	exited   chan struct{}     // closed when it has ended
 
 	mu       sync.Mutex
 	asked    bool // the lab has ended it
@@ -42,7 +43,11 @@
 // startProcess starts a sidecar's program with its configuration; its log goes on
 // to a file where there is one.
 func startProcess(cmd *exec.Cmd, name, config, logPath string) (*process, error) {
-	p := &process{cmd: cmd, name: name, counters: make(chan *record.Counters, 8), exited: make(chan struct{})}
+	return startWatched(cmd, name, config, logPath, nil)
+}
+
+func startWatched(cmd *exec.Cmd, name, config, logPath string, watch func(line string)) (*process, error) {
+	p := &process{cmd: cmd, name: name, counters: make(chan *record.Counters, 8), watch: watch, exited: make(chan struct{})}
 	if cmd.Env == nil {
 		cmd.Env = os.Environ()
 	}
@@ -80,6 +85,9 @@
 		p.mu.Lock()
 		p.lastLine = line
 		p.mu.Unlock()
+		if p.watch != nil {
+			p.watch(line)
+		}
 		if strings.Contains(line, `"message":"counters"`) {
 			p.takeCounters(line)
 		}
--- /dev/null
+++ b/internal/lab/scale/judge.go
@@ -0,0 +1,819 @@
+package scale
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"heathgap/internal/crew"
+	"heathgap/internal/lab/hollow"
+)
+
+// Observed is what was seen of a run: all that Judge rests on. Times are of CLOCK_BOOTTIME.
+type Observed struct {
+	Plan         *Plan
+	Began, Ended time.Duration              // of what counts: all held a lease before
+	Stances      map[string][]hollow.Stance // by member, in the order of their times
+	Downs        map[string][]Span          // by member: it did not run
+	Cuts         []CutSpan
+	Versions     []Told
+	Leaders      []Led
+	Samples      map[string][]hollow.Sampled // by hollow process, in the order of their times
+	Usage        map[string][]Usage          // by keeper, real sidecar and plain one, likewise
+	Late         map[string]time.Duration    // by how much the run's own load was late, at most
+	Broken       []string                    // what must not be, such as a process that ended by itself
+	Partial      bool                        // it was interrupted
+}
+
+// Span is from a time up to another one.
+type Span struct{ From, To time.Duration }
+
+func (s Span) has(t time.Duration) bool { return t >= s.From && t < s.To }
+
+// CutSpan is a cut between two regions.
+type CutSpan struct {
+	Span
+	Between [2]string
+}
+
+// Told is a version.
+type Told struct {
+	Number  uint64
+	Due     time.Duration // somebody wanted it
+	Told    time.Duration // the leader said that it is proposed
+	Refused string        // why it was; empty if not
+}
+
+// Led is a keeper that has come to lead, or none ("").
+type Led struct {
+	At   time.Duration
+	Name string
+	Term uint64
+}
+
+// Usage is what a process has cost since its start.
+type Usage struct {
+	At          time.Duration
+	Start       int // number of the start
+	CPU         time.Duration
+	MB          float64 // most resident so far
+	Read, Write int64   // bytes by read and write calls: sockets, files and log
+	DiskRead    int64   // bytes that came from the disk, and went to it
+	DiskWrite   int64
+	Descriptors int
+}
+
+// window is the "worst 10 s" of all figures.
+const window = 10 * time.Second
+
+// Record is what a run came to.
+type Record struct {
+	Version  int      `json:"version"` // of this format
+	Scenario string   `json:"scenario"`
+	About    string   `json:"about,omitempty"`
+	Seed     uint64   `json:"seed"`
+	Size     int      `json:"sidecars"`
+	Keepers  int      `json:"keepers"`
+	Real     int      `json:"real"`
+	Hollow   int      `json:"hollow"`
+	Seconds  float64  `json:"seconds"`
+	Machine  Machine  `json:"machine"`
+	Void     []string `json:"void,omitempty"` // why it counts for nothing
+	Partial  bool     `json:"partial,omitempty"`
+	Broken   []string `json:"broken,omitempty"`
+	Figures  []Figure `json:"figures"`
+
+	Versions []VersionRecord `json:"versions,omitempty"`
+	Leaders  []LeaderRecord  `json:"leaders,omitempty"`
+	Costs    []Cost          `json:"costs,omitempty"` // of each real process
+	Steps    []string        `json:"steps,omitempty"` // as they were played
+	Series   []Second        `json:"series,omitempty"`
+	Boundary []string        `json:"late,omitempty"` // how late the run's own load was
+}
+
+// Machine is where it ran.
+type Machine struct {
+	Cores      int    `json:"cores"`
+	MemoryMB   int    `json:"memory_mb"`
+	Go         string `json:"go"`
+	LoadBefore string `json:"load_average_before"` // 1, 5 and 15 minutes
+	LoadAfter  string `json:"load_average_after"`
+}
+
+// Figure is one measured value beside its limit.
+type Figure struct {
+	Key   string  `json:"key"`
+	What  string  `json:"what"`
+	Unit  string  `json:"unit,omitempty"`
+	Value float64 `json:"value"`
+	// Limit is nil where none is set; Least says that the value must not be below it.
+	Limit  *float64 `json:"limit,omitempty"`
+	Least  bool     `json:"least,omitempty"`
+	Passed bool     `json:"limit_passed,omitempty"` // it is beyond its limit, or was not measured
+	Not    bool     `json:"not_measured,omitempty"`
+	Who    string   `json:"who,omitempty"` // the one that it was worst at
+}
+
+// VersionRecord is how one version went.
+type VersionRecord struct {
+	Number    uint64   `json:"number"`
+	At        float64  `json:"at_s"`            // told, from the run's begin
+	WaitedMS  float64  `json:"waited_ms"`       // from when it was wanted until it was told
+	InForceMS float64  `json:"in_force_ms"`     // from when it was told until the last that can be reached acted on it
+	Last      string   `json:"last,omitempty"`  // which that was
+	Never     []string `json:"never,omitempty"` // could be reached, and did not act on it
+	Refused   string   `json:"refused,omitempty"`
+}
+
+// LeaderRecord is who led from a time on.
+type LeaderRecord struct {
+	At   float64 `json:"at_s"`
+	Name string  `json:"name"` // empty for nobody
+	Term uint64  `json:"term,omitempty"`
+}
+
+// Cost is what one real process took.
+type Cost struct {
+	Name        string  `json:"name"`
+	CPUMean     float64 `json:"cpu_percent_mean"`
+	CPUWorst    float64 `json:"cpu_percent_worst_10s"`
+	MB          float64 `json:"mb"`
+	ReadKBs     float64 `json:"read_kb_s"`
+	WriteKBs    float64 `json:"write_kb_s"`
+	DiskKBs     float64 `json:"disk_write_kb_s"`
+	Descriptors int     `json:"descriptors"`
+}
+
+// Second is one of the run's.
+type Second struct {
+	Cautious  int     `json:"cautious"` // members that can be reached
+	CutOff    int     `json:"cut_off"`
+	Down      int     `json:"down"`
+	Behind    int     `json:"behind"` // members that can be reached and act on an older version than another one does
+	LeaderCPU float64 `json:"leader_cpu_percent"`
+}
+
+// Good tells whether the run counts and held to its limits.
+func (r *Record) Good() bool {
+	return len(r.Void) == 0 && !r.Partial && len(r.Broken) == 0 && !slices.ContainsFunc(r.Figures, func(f Figure) bool { return f.Passed })
+}
+
+// Figure returns one by its key; one that was not measured where there is none.
+func (r *Record) Figure(key string) Figure {
+	for _, f := range r.Figures {
+		if f.Key == key {
+			return f
+		}
+	}
+	return Figure{Key: key, Not: true}
+}
+
+// Judge makes the record of what was seen. It is pure.
+func Judge(o *Observed) *Record {
+	s := o.Plan.Scene
+	j := &judge{o: o, s: s, lives: map[string][]piece{}, rec: &Record{
+		Version: 1, Scenario: s.Name, About: s.About, Seed: o.Plan.Seed, Size: s.Size(), Keepers: s.Keepers, Real: s.Real, Hollow: s.Hollow,
+		Seconds: (o.Ended - o.Began).Seconds(), Broken: slices.Clone(o.Broken), Partial: o.Partial,
+	}}
+	for name := range o.Plan.Places {
+		j.lives[name] = j.pieces(name)
+	}
+	j.void()
+	j.versions()
+	j.contradictions()
+	j.cautious()
+	j.members()
+	j.keepers()
+	j.leaders()
+	j.series()
+	return j.rec
+}
+
+type judge struct {
+	o     *Observed
+	s     *Scenario
+	rec   *Record
+	lives map[string][]piece // of all members of the crew
+}
+
+// piece is a time in which nothing changes for a member.
+type piece struct {
+	Span
+	down, cut bool
+	cautious  bool
+	active    uint64
+	next      uint64
+}
+
+func (p *piece) reached() bool { return !p.down && !p.cut }
+
+// acts tells whether it acts on a version or a later one.
+func (p *piece) acts(number uint64) bool { return p.reached() && !p.cautious && p.active >= number }
+
+// older tells whether it acts on what was before a version.
+func (p *piece) older(number uint64) bool { return !p.down && !p.cautious && p.active < number }
+
+// pieces is a member's run.
+func (j *judge) pieces(name string) []piece {
+	o := j.o
+	region := o.Plan.Places[name].Region
+	times := []time.Duration{o.Began, o.Ended}
+	for _, s := range o.Stances[name] {
+		times = append(times, s.At)
+	}
+	for _, d := range o.Downs[name] {
+		times = append(times, d.From, d.To)
+	}
+	for _, c := range o.Cuts {
+		times = append(times, c.From, c.To)
+	}
+	slices.Sort(times)
+	times = slices.Compact(times)
+	var out []piece
+	next := 0
+	last := hollow.Stance{Cautious: true}
+	for i, from := range times {
+		for ; next < len(o.Stances[name]) && o.Stances[name][next].At <= from; next++ {
+			last = o.Stances[name][next]
+		}
+		for _, d := range o.Downs[name] {
+			if d.To == from && last.At < from { // a new process has no lease
+				last = hollow.Stance{At: from, Cautious: true, Active: last.Active}
+			}
+		}
+		if from < o.Began || from >= o.Ended || i+1 == len(times) {
+			continue
+		}
+		p := piece{Span: Span{from, times[i+1]}, cautious: last.Cautious, active: last.Active, next: last.Next, cut: j.cutOff(region, from)}
+		p.down = last.Gone || slices.ContainsFunc(o.Downs[name], func(d Span) bool { return d.has(from) })
+		out = append(out, p)
+	}
+	return out
+}
+
+// cutOff tells whether who stands in a region reaches no majority of the keepers.
+func (j *judge) cutOff(region string, at time.Duration) bool {
+	severed := map[string]bool{}
+	for _, c := range j.o.Cuts {
+		switch {
+		case !c.has(at):
+		case c.Between[0] == region:
+			severed[c.Between[1]] = true
+		case c.Between[1] == region:
+			severed[c.Between[0]] = true
+		}
+	}
+	if len(severed) == 0 {
+		return false
+	}
+	reached := 0
+	for _, k := range j.s.keeperNames() {
+		if !severed[j.o.Plan.Places[k].Region] {
+			reached++
+		}
+	}
+	return reached <= j.s.Keepers/2
+}
+
+func (j *judge) since(t time.Duration) float64 { return (t - j.o.Began).Seconds() }
+
+// add books a figure; a limit of 0 is none.
+func (j *judge) add(key, what, unit string, value, limit float64, who string) {
+	j.book(Figure{Key: key, What: what, Unit: unit, Value: value, Who: who}, limit)
+}
+
+// least books a figure that must not be below its limit.
+func (j *judge) least(key, what, unit string, value, limit float64, who string) {
+	j.book(Figure{Key: key, What: what, Unit: unit, Value: value, Least: true, Who: who}, limit)
+}
+
+func (j *judge) book(f Figure, limit float64) {
+	if f.Not = math.IsNaN(f.Value) || math.IsInf(f.Value, 0); f.Not {
+		f.Value = 0
+	}
+	if limit > 0 {
+		f.Limit = &limit
+		f.Passed = f.Not || f.Value > limit && !f.Least || f.Value < limit && f.Least
+	}
+	j.rec.Figures = append(j.rec.Figures, f)
+}
+
+// none books a count that must be 0.
+func (j *judge) none(key, what string, value int, who string) {
+	zero := 0.0
+	j.rec.Figures = append(j.rec.Figures, Figure{Key: key, What: what, Value: float64(value), Limit: &zero, Passed: value > 0, Who: who})
+}
+
+func (j *judge) void() {
+	for _, whose := range slices.Sorted(maps.Keys(j.o.Late)) {
+		late := j.o.Late[whose]
+		j.rec.Boundary = append(j.rec.Boundary, fmt.Sprintf("%s: %v", whose, late.Round(time.Millisecond/10)))
+		if late > j.s.MostLag {
+			j.rec.Void = append(j.rec.Void, fmt.Sprintf("%s was late by %v; allowed: %v (most_lag). The machine is too busy, or the run too large for it",
+				whose, late.Round(time.Millisecond), j.s.MostLag))
+		}
+	}
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// versions judges how soon each was in force.
+func (j *judge) versions() {
+	var took, waited []float64
+	never, refused, worst := 0, 0, VersionRecord{}
+	neverWho, refusedWhy := "", ""
+	older, cautious, cutOff := time.Duration(0), time.Duration(0), ""
+	for _, v := range j.o.Versions {
+		r := VersionRecord{Number: v.Number, At: j.since(v.Told), WaitedMS: millis(v.Told - v.Due), Refused: v.Refused}
+		waited = append(waited, r.WaitedMS)
+		if v.Refused != "" {
+			refused++
+			refusedWhy = v.Refused
+			j.rec.Versions = append(j.rec.Versions, r)
+			continue
+		}
+		for _, name := range slices.Sorted(maps.Keys(j.lives)) {
+			at, owed, does := j.inForce(name, v)
+			switch {
+			case owed && !does:
+				r.Never = append(r.Never, name)
+			case owed && millis(at-v.Told) >= r.InForceMS:
+				r.InForceMS, r.Last = millis(at-v.Told), name
+			}
+			for i := range j.lives[name] {
+				p := &j.lives[name][i]
+				if !p.cut || p.down || p.To <= v.Told {
+					continue
+				}
+				if d := p.To - max(p.From, v.Told); p.older(v.Number) && d > older {
+					older, cutOff = d, name
+				}
+			}
+		}
+		if never += len(r.Never); len(r.Never) > 0 {
+			neverWho = r.Never[0]
+		}
+		took = append(took, r.InForceMS)
+		if r.InForceMS > worst.InForceMS {
+			worst = r
+		}
+		j.rec.Versions = append(j.rec.Versions, r)
+	}
+	j.add("versions", "versions told", "", float64(len(j.o.Versions)), 0, "")
+	if len(j.o.Versions) == 0 {
+		return
+	}
+	limit := millis(j.s.Limits.InForce)
+	j.add("in_force_p50", "a version is in force everywhere that can be reached, after", "ms", quantile(took, 0.5), 0, "")
+	j.add("in_force_p99", "  99th percentile", "ms", quantile(took, 0.99), limit, "")
+	j.add("in_force_most", "  at most", "ms", quantile(took, 1), limit, worst.Last)
+	j.none("in_force_never", "members that could be reached and did not act on a version (times versions)", never, neverWho)
+	j.none("versions_refused", "versions refused", refused, refusedWhy)
+	j.add("waited_most", "a version waits until the one before has ended, at most", "ms", quantile(waited, 1), 0, "")
+	if len(j.o.Cuts) > 0 {
+		for name, pieces := range j.lives {
+			if longest, _ := longestOf(pieces, func(p *piece) bool { return p.cut && !p.down && p.cautious }); longest > cautious {
+				cautious = longest
+				if cutOff == "" {
+					cutOff = name
+				}
+			}
+		}
+		j.add("cut_off_older", "cut off: acts on an older version after a newer was told, at most", "ms", millis(older), 0, cutOff)
+		j.add("cut_off_cautious", "cut off: cautious without a break, at most", "ms", millis(cautious), 0, "")
+	}
+}
+
+// inForce tells when a member came to act on a version, whether it is one that the version's time counts to, and whether it
+// did in the end. Those count that could be reached and held a lease when the version was told, and those that came (back) later
+// and acted on an older version still. Who is lost or cut off before it acts on it does not count.
+func (j *judge) inForce(name string, v Told) (at time.Duration, owed, does bool) {
+	at = v.Told
+	open, done := false, false // of the present life: it counts, and it acts on the version
+	pieces := j.lives[name]
+	for i := range pieces {
+		p := &pieces[i]
+		if p.To <= v.Told {
+			continue
+		}
+		if !p.reached() {
+			open, done = false, false
+			continue
+		}
+		there := p.From <= v.Told && !p.cautious
+		if there || p.older(v.Number) {
+			open = true
+		}
+		if p.acts(v.Number) && !done {
+			done = true
+			if open {
+				owed, at = true, max(at, p.From)
+			}
+		}
+	}
+	if open && !done {
+		return at, true, false
+	}
+	return at, owed, true
+}
+
+// contradictions judges how long a member acted on a version alone after another one had come to act on the next alone.
+func (j *judge) contradictions() {
+	longest, who := time.Duration(0), ""
+	for _, v := range j.o.Versions {
+		if v.Refused != "" {
+			continue
+		}
+		first := time.Duration(math.MaxInt64)
+		for _, pieces := range j.lives {
+			for i := range pieces {
+				if p := &pieces[i]; !p.down && !p.cautious && p.active >= v.Number {
+					first = min(first, p.From)
+					break
+				}
+			}
+		}
+		for name, pieces := range j.lives {
+			for i := range pieces {
+				p := &pieces[i]
+				if p.To <= first || !p.older(v.Number) || p.next >= v.Number {
+					continue
+				}
+				if d := p.To - first; d > longest {
+					longest, who = d, name
+				}
+			}
+		}
+	}
+	if len(j.o.Versions) > 0 {
+		j.add("contradicted", "a member acts on an older version after another acts on the newer alone, at most", "ms",
+			millis(longest), millis(j.s.ContradictAtMost), who)
+	}
+}
+
+// longestOf is the longest time without a break of which something holds, and the sum of all.
+func longestOf(pieces []piece, holds func(p *piece) bool) (longest, sum time.Duration) {
+	run := time.Duration(0)
+	for i := range pieces {
+		if holds(&pieces[i]) {
+			d := pieces[i].To - pieces[i].From
+			run += d
+			sum += d
+			longest = max(longest, run)
+		} else {
+			run = 0
+		}
+	}
+	return longest, sum
+}
+
+func (j *judge) cautious() {
+	var most, all, cutAll time.Duration
+	who, members := "", 0
+	for _, name := range slices.Sorted(maps.Keys(j.lives)) {
+		longest, sum := longestOf(j.lives[name], func(p *piece) bool { return p.reached() && p.cautious })
+		_, cut := longestOf(j.lives[name], func(p *piece) bool { return p.cut && !p.down && p.cautious })
+		all, cutAll = all+sum, cutAll+cut
+		if sum > 0 {
+			members++
+		}
+		if longest > most {
+			most, who = longest, name
+		}
+	}
+	j.add("cautious_most", "a member that can be reached is cautious without a break, at most", "ms", millis(most), millis(j.s.Limits.Cautious), who)
+	j.add("cautious_sum", "  in sum, of all members", "s", all.Seconds(), 0, "")
+	j.add("cautious_members", "  members that were so at any time", "", float64(members), 0, "")
+	if len(j.o.Cuts) > 0 {
+		j.add("cut_off_cautious_sum", "cut off: cautious, in sum of all", "s", cutAll.Seconds(), 0, "")
+	}
+}
+
+// point is a count that rises, at a time.
+type point struct {
+	at    time.Duration
+	value float64
+}
+
+// worst is the highest rate a second of any 10 s, and the mean of all. A run shorter than that is one window.
+func worst(points []point) (most, mean float64) {
+	if len(points) < 2 {
+		return math.NaN(), math.NaN()
+	}
+	rate := func(a, b point) float64 { return (b.value - a.value) / (b.at - a.at).Seconds() }
+	mean = rate(points[0], points[len(points)-1])
+	most = math.Inf(-1)
+	for i, k := 0, 0; i < len(points); i++ {
+		for k < len(points) && points[k].at-points[i].at < window {
+			k++
+		}
+		if k == len(points) {
+			break
+		}
+		most = max(most, rate(points[i], points[k]))
+	}
+	if math.IsInf(most, -1) {
+		most = mean
+	}
+	return most, mean
+}
+
+// rising makes one count of one that begins anew with each start.
+func rising(n int, at func(i int) time.Duration, value func(i int) float64, anew func(i int) bool) []point {
+	out := make([]point, n)
+	sum := 0.0
+	for i := range n {
+		switch {
+		case i == 0: // what was before the first is not part of the run
+		case anew(i) || value(i) < value(i-1):
+			sum += value(i)
+		default:
+			sum += value(i) - value(i-1)
+		}
+		out[i] = point{at(i), sum}
+	}
+	return out
+}
+
+// members judges what hollow members cost, and what real ones cost above plain ones.
+func (j *judge) members() {
+	l := j.s.Limits
+	count := map[string]int{}
+	for _, p := range j.o.Plan.Processes {
+		count[p.Name] = len(p.Members)
+	}
+	cpu, cpuWorst, mb, bytes, bytesWorst, renewals, refused, asked, denied := 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0
+	mostRenewals, members, descriptors, goroutines, up := 0.0, 0, 0, 0, 0.0
+	cpuWho, mbWho, bytesWho, renewalsWho := "", "", "", ""
+	for _, process := range slices.Sorted(maps.Keys(j.o.Samples)) {
+		samples := j.within(j.o.Samples[process])
+		if len(samples) < 2 {
+			continue
+		}
+		at := func(i int) time.Duration { return samples[i].At }
+		same := func(int) bool { return false }
+		n := float64(count[process])
+		most, mean := worst(rising(len(samples), at, func(i int) float64 { return samples[i].CPU.Seconds() * 100 / n }, same))
+		cpu += mean * n
+		if most > cpuWorst {
+			cpuWorst, cpuWho = most, process
+		}
+		for _, one := range samples {
+			if here := float64(one.RSSBytes) / (1 << 20) / n; here > mb {
+				mb, mbWho = here, process
+			}
+			descriptors, goroutines = max(descriptors, one.Descriptors), max(goroutines, one.Goroutines)
+		}
+		for name := range samples[len(samples)-1].Members {
+			of := func(read func(hollow.Spent) int64) func(i int) float64 {
+				return func(i int) float64 { return float64(read(samples[i].Members[name])) }
+			}
+			points := rising(len(samples), at, of(func(s hollow.Spent) int64 { return s.In + s.Out }), same)
+			most, mean := worst(points)
+			members++
+			bytes += mean
+			if most > bytesWorst {
+				bytesWorst, bytesWho = most, name
+			}
+			last := func(read func(hollow.Spent) int64) float64 {
+				p := rising(len(samples), at, of(read), same)
+				return p[len(p)-1].value
+			}
+			made := last(func(s hollow.Spent) int64 { return s.Renewals })
+			refused += last(func(s hollow.Spent) int64 { return s.Refused })
+			asked += last(func(s hollow.Spent) int64 { return s.Asked })
+			denied += last(func(s hollow.Spent) int64 { return s.Denied })
+			ran := j.upFor(name, samples[0].At, samples[len(samples)-1].At).Seconds()
+			renewals, up = renewals+made, up+ran
+			if one := made / ran * (j.s.Lease / crew.Beats).Seconds(); ran > j.s.Lease.Seconds() && one > mostRenewals {
+				mostRenewals, renewalsWho = one, name
+			}
+		}
+	}
+	if members > 0 {
+		n := float64(members)
+		j.add("member_cpu_mean", "a hollow member's share of a core, mean", "%", cpu/n, l.MemberCPU, "")
+		j.add("member_cpu_worst", "  worst 10 s of a process of them", "%", cpuWorst, l.MemberCPU, cpuWho)
+		j.add("member_mb", "its memory: a process's by its members, at most", "MB", mb, l.MemberMB, mbWho)
+		j.add("member_bytes_mean", "its bytes in and out, mean", "bytes/s", bytes/n, l.MemberBytes, "")
+		j.add("member_bytes_worst", "  worst 10 s of any", "bytes/s", bytesWorst, l.MemberBytes, bytesWho)
+		j.least("renewals_mean", "its renewals, as parts of one a beat of the lease, mean", "", renewals/up*(j.s.Lease/crew.Beats).Seconds(), l.LeastRenewals, "")
+		j.add("renewals_most", "  of any", "", mostRenewals, l.MostRenewals, renewalsWho)
+		j.add("renewals_refused", "renewals that were refused (each start has a few)", "", refused, 0, "")
+		j.add("hollow_descriptors", "descriptors of a hollow process, at most", "", float64(descriptors), 0, "")
+		j.add("hollow_goroutines", "goroutines of a hollow process, at most", "", float64(goroutines), 0, "")
+		if asked > 0 {
+			j.add("refusals", "keyed requests refused", "%", 100*denied/asked, l.Refusals, "")
+			j.add("orders", "keyed requests", "", asked, 0, "")
+		}
+	}
+	j.real()
+}
+
+// upFor is how long a member ran between two times.
+func (j *judge) upFor(name string, from, to time.Duration) (sum time.Duration) {
+	for _, p := range j.lives[name] {
+		if !p.down {
+			sum += max(0, min(p.To, to)-max(p.From, from))
+		}
+	}
+	return sum
+}
+
+func (j *judge) within(all []hollow.Sampled) (out []hollow.Sampled) {
+	for _, s := range all {
+		if s.At >= j.o.Began && s.At <= j.o.Ended {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// cost is what a real process took.
+func (j *judge) cost(name string) (c Cost, there bool) {
+	var u []Usage
+	for _, one := range j.o.Usage[name] {
+		if one.At >= j.o.Began && one.At <= j.o.Ended {
+			u = append(u, one)
+		}
+	}
+	if len(u) < 2 {
+		return c, false
+	}
+	of := func(read func(Usage) float64) (most, mean float64) {
+		return worst(rising(len(u), func(i int) time.Duration { return u[i].At }, func(i int) float64 { return read(u[i]) },
+			func(i int) bool { return u[i].Start != u[i-1].Start }))
+	}
+	c.Name = name
+	c.CPUWorst, c.CPUMean = of(func(u Usage) float64 { return 100 * u.CPU.Seconds() })
+	_, c.ReadKBs = of(func(u Usage) float64 { return float64(u.Read) / 1024 })
+	_, c.WriteKBs = of(func(u Usage) float64 { return float64(u.Write) / 1024 })
+	_, c.DiskKBs = of(func(u Usage) float64 { return float64(u.DiskWrite) / 1024 })
+	for _, one := range u {
+		c.MB, c.Descriptors = max(c.MB, one.MB), max(c.Descriptors, one.Descriptors)
+	}
+	return c, true
+}
+
+// real judges what a crew costs a real sidecar: what it costs above one without a crew under the same load.
+func (j *judge) real() {
+	mean := func(names []string) (sum Cost, n float64) {
+		for _, name := range names {
+			if c, there := j.cost(name); there {
+				n++
+				sum.CPUMean += c.CPUMean
+				sum.MB += c.MB
+				sum.ReadKBs += c.ReadKBs
+				sum.WriteKBs += c.WriteKBs
+				sum.CPUWorst = max(sum.CPUWorst, c.CPUWorst)
+				j.rec.Costs = append(j.rec.Costs, c)
+			}
+		}
+		sum.CPUMean, sum.MB, sum.ReadKBs, sum.WriteKBs = sum.CPUMean/n, sum.MB/n, sum.ReadKBs/n, sum.WriteKBs/n
+		return sum, n
+	}
+	with, n := mean(j.s.realNames())
+	if n == 0 {
+		return
+	}
+	j.add("real_cpu_mean", "a real sidecar's share of a core, its load with it, mean", "%", with.CPUMean, 0, "")
+	j.add("real_cpu_worst", "  worst 10 s of any", "%", with.CPUWorst, 0, "")
+	j.add("real_mb", "its memory, mean", "MB", with.MB, 0, "")
+	without, n := mean(j.s.plainNames())
+	if n == 0 {
+		return
+	}
+	l := j.s.Limits
+	j.add("control_cpu_mean", "  above one without a crew: share of a core, mean", "%", with.CPUMean-without.CPUMean, l.MemberCPU, "")
+	j.add("control_cpu_worst", "  worst 10 s of any, above the mean of those", "%", with.CPUWorst-without.CPUMean, l.MemberCPU, "")
+	j.add("control_mb", "  memory, mean", "MB", with.MB-without.MB, l.MemberMB, "")
+	j.add("control_bytes_mean", "  bytes read and written (log too), mean", "bytes/s",
+		1024*(with.ReadKBs+with.WriteKBs-without.ReadKBs-without.WriteKBs), l.MemberBytes, "")
+}
+
+// leads tells who led at a time.
+func (j *judge) leads(at time.Duration) (name string) {
+	for _, l := range j.o.Leaders {
+		if l.At <= at {
+			name = l.Name
+		}
+	}
+	return name
+}
+
+func (j *judge) keepers() {
+	l := j.s.Limits
+	most, mb := Cost{CPUWorst: math.NaN()}, Cost{MB: math.NaN()}
+	for _, name := range j.s.keeperNames() {
+		c, there := j.cost(name)
+		if !there {
+			continue
+		}
+		j.rec.Costs = append(j.rec.Costs, c)
+		if !(c.CPUWorst <= most.CPUWorst) {
+			most = c
+		}
+		if !(c.MB <= mb.MB) {
+			mb = c
+		}
+	}
+	j.add("keeper_cpu_worst", "a keeper's share of a core, worst 10 s of any", "%", most.CPUWorst, l.KeeperCPU, most.Name)
+	j.add("keeper_mb", "its memory, at most", "MB", mb.MB, l.KeeperMB, mb.Name)
+	// The leader's mean, over all times in which it led: what grows with the number of members.
+	var cpu, out time.Duration
+	written := int64(0)
+	for _, name := range j.s.keeperNames() {
+		u := j.o.Usage[name]
+		for i := 1; i < len(u); i++ {
+			a, b := u[i-1], u[i]
+			if a.Start == b.Start && a.At >= j.o.Began && b.At <= j.o.Ended && j.leads(a.At) == name && j.leads(b.At) == name {
+				cpu, out, written = cpu+b.CPU-a.CPU, out+b.At-a.At, written+b.Write-a.Write
+			}
+		}
+	}
+	if out > 0 {
+		j.add("leader_cpu_mean", "the leader's share of a core, mean while it leads", "%", 100*cpu.Seconds()/out.Seconds(), 0, "")
+		j.add("leader_out_mean", "its bytes written (sockets, folder and log), mean while it leads", "bytes/s", float64(written)/out.Seconds(), 0, "")
+	}
+}
+
+func (j *judge) leaders() {
+	changes, before := 0, ""
+	for _, l := range j.o.Leaders {
+		if l.At > j.o.Ended {
+			break
+		}
+		if l.At > j.o.Began {
+			j.rec.Leaders = append(j.rec.Leaders, LeaderRecord{j.since(l.At), l.Name, l.Term})
+			if l.Name != "" && l.Name != before {
+				changes++
+			}
+		}
+		if l.Name != "" {
+			before = l.Name
+		}
+	}
+	if first := j.leads(j.o.Began); first != "" {
+		j.rec.Leaders = slices.Insert(j.rec.Leaders, 0, LeaderRecord{0, first, 0})
+	}
+	j.add("leader_changes", "changes of leader", "", float64(changes), 0, "")
+}
+
+// series tells each second's state.
+func (j *judge) series() {
+	n := int((j.o.Ended - j.o.Began) / time.Second)
+	out := make([]Second, max(0, n))
+	newest := make([]uint64, len(out))
+	states := func(do func(i int, p *piece)) {
+		for _, pieces := range j.lives {
+			k := 0
+			for i := range out {
+				at := j.o.Began + time.Duration(i)*time.Second
+				for k < len(pieces) && pieces[k].To <= at {
+					k++
+				}
+				if k < len(pieces) {
+					do(i, &pieces[k])
+				}
+			}
+		}
+	}
+	states(func(i int, p *piece) {
+		if !p.down && !p.cautious {
+			newest[i] = max(newest[i], p.active)
+		}
+	})
+	states(func(i int, p *piece) {
+		switch {
+		case p.down:
+			out[i].Down++
+		case p.cut:
+			out[i].CutOff++
+		case p.cautious:
+			out[i].Cautious++
+		case p.active < newest[i]:
+			out[i].Behind++
+		}
+	})
+	for i := range out {
+		at := j.o.Began + time.Duration(i)*time.Second
+		u := j.o.Usage[j.leads(at)]
+		for k := 1; k < len(u); k++ {
+			if a, b := u[k-1], u[k]; a.At <= at && at < b.At && a.Start == b.Start {
+				out[i].LeaderCPU = 100 * (b.CPU - a.CPU).Seconds() / (b.At - a.At).Seconds()
+			}
+		}
+	}
+	j.rec.Series = out
+}
+
+// quantile is the nearest rank's value; NaN of none.
+func quantile(values []float64, q float64) float64 {
+	if len(values) == 0 {
+		return math.NaN()
+	}
+	values = slices.Sorted(slices.Values(values))
+	return values[max(0, int(math.Ceil(q*float64(len(values))))-1)]
+}
