--- /dev/null
+++ b/internal/lab/scale/fleet.go
@@ -0,0 +1,333 @@
+package scale
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"heathgap/decide"
+	"heathgap/internal/env"
+	"heathgap/internal/lab/hollow"
+	"heathgap/internal/lab/rig"
+	"heathgap/internal/peers"
+)
+
+// Times of processes.
+const (
+	killTime     = 5 * time.Second  // for a killed process to be gone
+	leaveTime    = 12 * time.Second // for one that ends in order: what it holds moves before
+	readyTime    = time.Minute      // for a hollow process's members to listen
+	commandTime  = 20 * time.Second // for a command's answer, above what a member that leaves takes
+	sampleTime   = 10 * time.Second
+	mostJSONLine = 64 << 20
+)
+
+func boot() time.Duration { return env.Real{}.Boot() }
+
+// sidecar is a real process, over all its starts: a keeper, a member under load, or one without a crew.
+type sidecar struct {
+	run     *run
+	name    string
+	kind    string
+	host    string
+	listen  string
+	address string // of its part in the crew
+	dir     string
+	relays  map[string]*rig.Relay // to keepers, by name
+	line    *peers.Line           // to a keeper
+
+	mu     sync.Mutex // guards what follows
+	proc   *rig.Process
+	starts int
+	up     bool // it runs, and nobody has begun to end it
+}
+
+func (c *sidecar) isUp() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.up
+}
+
+// take marks it as being ended; false where it is so already.
+func (c *sidecar) take() (*rig.Process, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	was := c.up
+	c.up = false
+	return c.proc, was
+}
+
+// start starts it and waits until it answers.
+func (c *sidecar) start(ctx context.Context) error {
+	c.mu.Lock()
+	c.starts++
+	number := c.starts
+	c.mu.Unlock()
+	data := filepath.Join(c.dir, "data")
+	if err := os.MkdirAll(data, 0o700); err != nil {
+		return err
+	}
+	s, r := c.run.s, c.run
+	conf := rig.SidecarFile{Name: c.name, Listen: c.listen, Host: c.host, Seed: r.plan.Seed + uint64(number)*7919, Replicas: max(1, s.Size()),
+		Zone: r.plan.Places[c.name].Zone, Effect: decide.Safe, Endpoints: r.endpoints}
+	if conf.Zone == "" {
+		conf.Zone = s.zones()[0]
+	}
+	text, err := conf.JSON()
+	if err != nil {
+		return err
+	}
+	confPath, operatorPath := filepath.Join(c.dir, "sidecar.json"), filepath.Join(c.dir, "operator.toml")
+	if err := os.WriteFile(confPath, text, 0o600); err != nil {
+		return err
+	}
+	cmd := r.opts.Plain
+	if c.kind != PlainProcess {
+		cmd = r.opts.Member
+		if err := os.WriteFile(operatorPath, []byte(c.operatorFile(data)), 0o600); err != nil {
+			return err
+		}
+	}
+	one := cmd()
+	if one.Env == nil {
+		one.Env = os.Environ()
+	}
+	if c.kind != PlainProcess {
+		one.Env = append(one.Env, "HEATHGAP_OPERATOR="+operatorPath)
+	}
+	proc, err := rig.StartProcess(one, c.name, confPath, r.logPath(c.name), func(line string) { r.heard(c, line) })
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	c.proc = proc
+	c.mu.Unlock()
+	if err := proc.WaitUp(ctx, c.listen); err != nil {
+		proc.End(syscall.SIGKILL)
+		proc.Wait(killTime)
+		return fmt.Errorf("%s: %w: %s", c.name, err, proc.LastLine())
+	}
+	c.mu.Lock()
+	c.up = true
+	c.mu.Unlock()
+	return nil
+}
+
+func (c *sidecar) operatorFile(data string) string {
+	s := c.run.s
+	f := rig.CrewFile{Name: s.Name, Address: c.address, Data: data, Lease: s.Lease, Drift: s.Drift, Slack: s.Slack,
+		ContradictAtMost: s.ContradictAtMost, Copies: s.Copies, Keep: s.Keep, LostAfter: s.LostAfter}
+	for _, k := range c.run.keepers {
+		address := k.address
+		if way := c.relays[k.name]; way != nil {
+			address = way.Address()
+		}
+		f.Keepers = append(f.Keepers, rig.NamedAddress{Name: k.name, Address: address})
+	}
+	return f.Text()
+}
+
+// usage is what it has cost since its start.
+func (c *sidecar) usage() (Usage, error) {
+	c.mu.Lock()
+	proc, u := c.proc, Usage{At: boot(), Start: c.starts}
+	up := c.up
+	c.mu.Unlock()
+	if proc == nil || !up {
+		return u, errors.New("it does not run")
+	}
+	mb, cpu, descriptors, err := proc.Usage()
+	if err != nil {
+		return u, err
+	}
+	u.MB, u.CPU, u.Descriptors = mb, time.Duration(cpu*float64(time.Second)), descriptors
+	text, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(proc.Pid()), "io"))
+	if err != nil {
+		return u, err
+	}
+	for line := range strings.SplitSeq(string(text), "\n") {
+		key, value, _ := strings.Cut(line, ": ")
+		into := map[string]*int64{"rchar": &u.Read, "wchar": &u.Write, "read_bytes": &u.DiskRead, "write_bytes": &u.DiskWrite}[key]
+		if into == nil {
+			continue
+		}
+		if *into, err = strconv.ParseInt(value, 10, 64); err != nil {
+			return u, fmt.Errorf("/proc: io: %w", err)
+		}
+	}
+	return u, nil
+}
+
+// close ends it, whatever it does.
+func (c *sidecar) close() {
+	c.mu.Lock()
+	proc := c.proc
+	c.up = false
+	c.mu.Unlock()
+	if proc != nil {
+		proc.End(syscall.SIGKILL)
+		proc.Wait(killTime)
+	}
+	if c.line != nil {
+		c.line.Close()
+	}
+	for _, way := range c.relays {
+		way.Close()
+	}
+}
+
+// herd is a process of hollow members.
+type herd struct {
+	run     *run
+	name    string
+	members []hollow.Place
+	cmd     *exec.Cmd
+	in      io.WriteCloser
+	ready   chan struct{} // closed when all members listen
+	exited  chan struct{}
+
+	writing sync.Mutex // guards in
+	mu      sync.Mutex // guards what follows
+	next    int
+	waiting map[int]chan hollow.Line
+	fault   string // what it said is wrong with it
+	ended   bool   // it was told to end
+}
+
+// startHerd starts a process and tells it what to start.
+func (r *run) startHerd(name string, start hollow.Start) (*herd, error) {
+	h := &herd{run: r, name: name, members: start.Members, cmd: r.opts.Hollow(), ready: make(chan struct{}), exited: make(chan struct{}),
+		waiting: map[int]chan hollow.Line{}}
+	// As a sidecar of the rig: an interrupt from a terminal is the lab's, and if the lab itself is killed, it dies with it.
+	h.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	var err error
+	if h.in, err = h.cmd.StdinPipe(); err != nil {
+		return nil, err
+	}
+	out, err := h.cmd.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	var log *os.File
+	if path := r.logPath(name); path != "" {
+		if log, err = os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644); err != nil {
+			return nil, err
+		}
+		h.cmd.Stderr = log
+	}
+	if err := h.cmd.Start(); err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	go h.follow(out, log)
+	if err := json.NewEncoder(h.in).Encode(start); err != nil {
+		h.close()
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	return h, nil
+}
+
+// follow reads what it says to its end.
+func (h *herd) follow(out io.Reader, log *os.File) {
+	defer close(h.exited)
+	lines := bufio.NewScanner(out)
+	lines.Buffer(make([]byte, 0, 64<<10), mostJSONLine)
+	for lines.Scan() {
+		var l hollow.Line
+		if err := json.Unmarshal(lines.Bytes(), &l); err != nil {
+			h.fail(fmt.Sprintf("malformed: %v", err))
+			continue
+		}
+		switch {
+		case l.Event != nil:
+			h.run.stance(*l.Event)
+		case l.Ready:
+			close(h.ready)
+		case l.ID > 0:
+			h.mu.Lock()
+			answer := h.waiting[l.ID]
+			delete(h.waiting, l.ID)
+			h.mu.Unlock()
+			if answer != nil {
+				answer <- l
+			}
+		case l.Error != "":
+			h.fail(l.Error)
+		}
+	}
+	io.Copy(io.Discard, out) //nolint:errcheck // a line that is too long must not block it
+	h.cmd.Wait()             //nolint:errcheck // that it has ended is what matters
+	if log != nil {
+		log.Close()
+	}
+	h.mu.Lock()
+	ended := h.ended
+	fault := h.fault
+	h.mu.Unlock()
+	if !ended {
+		h.run.broken("the process %s has ended by itself: %s", h.name, fault)
+	}
+}
+
+func (h *herd) fail(why string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.fault = why
+}
+
+// do has it do a command, and waits for the answer.
+func (h *herd) do(c hollow.Command, within time.Duration) (hollow.Line, error) {
+	answer := make(chan hollow.Line, 1)
+	h.mu.Lock()
+	h.next++
+	c.ID = h.next
+	h.waiting[c.ID] = answer
+	h.mu.Unlock()
+	h.writing.Lock()
+	err := json.NewEncoder(h.in).Encode(c)
+	h.writing.Unlock()
+	if err != nil {
+		return hollow.Line{}, fmt.Errorf("%s: %s: %w", h.name, c.Do, err)
+	}
+	timer := time.NewTimer(within)
+	defer timer.Stop()
+	select {
+	case l := <-answer:
+		if l.Error != "" {
+			return l, fmt.Errorf("%s: %s", h.name, l.Error)
+		}
+		return l, nil
+	case <-h.exited:
+		return hollow.Line{}, fmt.Errorf("%s: it has ended", h.name)
+	case <-timer.C:
+		h.mu.Lock()
+		delete(h.waiting, c.ID)
+		h.mu.Unlock()
+		return hollow.Line{}, fmt.Errorf("%s: %s: no answer after %v", h.name, c.Do, within)
+	}
+}
+
+// close ends it: in order, or by a kill.
+func (h *herd) close() {
+	h.mu.Lock()
+	h.ended = true
+	h.mu.Unlock()
+	h.in.Close() // whoever it runs is gone then, and it ends
+	select {
+	case <-h.exited:
+		return
+	case <-time.After(killTime):
+	}
+	h.cmd.Process.Kill() //nolint:errcheck // it may have ended by itself
+	<-h.exited
+}
--- /dev/null
+++ b/internal/lab/scale/report.go
@@ -0,0 +1,206 @@
+package scale
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"heathgap/internal/lab/report"
+)
+
+// Text writes a record for people: each figure beside its limit.
+func (r *Record) Text(o io.Writer) {
+	fmt.Fprintf(o, "%s, seed %d: %d sidecars (%d keepers, %d real, %d hollow), %.1f s, on %d cores with %d MB (%s), load average %s before and %s after\n",
+		r.Scenario, r.Seed, r.Size, r.Keepers, r.Real, r.Hollow, r.Seconds, r.Machine.Cores, r.Machine.MemoryMB, r.Machine.Go,
+		r.Machine.LoadBefore, r.Machine.LoadAfter)
+	for _, f := range r.Figures {
+		fmt.Fprintln(o, f.line())
+	}
+	if len(r.Leaders) > 0 {
+		fmt.Fprint(o, "leaders:")
+		for _, l := range r.Leaders {
+			fmt.Fprintf(o, " %s from %.2f s", or(l.Name, "nobody"), l.At)
+		}
+		fmt.Fprintln(o)
+	}
+	if len(r.Costs) > 0 {
+		fmt.Fprintf(o, "%-6s %8s %10s %8s %10s %10s %10s %6s   (read and written: bytes of read and write calls, at sockets, folder and log)\n",
+			"", "CPU %", "worst 10 s", "MB", "read KB/s", "wrote KB/s", "disk KB/s", "files")
+		for _, c := range r.Costs {
+			fmt.Fprintf(o, "%-6s %8.2f %10.2f %8.1f %10.1f %10.1f %10.1f %6d\n", c.Name, c.CPUMean, c.CPUWorst, c.MB, c.ReadKBs, c.WriteKBs, c.DiskKBs, c.Descriptors)
+		}
+	}
+	if len(r.Boundary) > 0 {
+		fmt.Fprintln(o, "the run's own load was late by at most:", strings.Join(r.Boundary, ", "))
+	}
+	for _, v := range r.Versions {
+		if len(v.Never) > 0 || v.Refused != "" {
+			fmt.Fprintf(o, "version %d, told at %.2f s: refused %q, not acted on by %s\n", v.Number, v.At, v.Refused, brief(v.Never))
+		}
+	}
+	for _, b := range r.Broken {
+		fmt.Fprintln(o, "broken:", b)
+	}
+	for _, v := range r.Void {
+		fmt.Fprintln(o, "VOID:", v)
+	}
+	if r.Partial {
+		fmt.Fprintln(o, "PARTIAL: it was interrupted")
+	}
+	switch {
+	case r.Good():
+		fmt.Fprintln(o, "all limits hold")
+	case len(r.Void) == 0 && !r.Partial:
+		fmt.Fprintln(o, "NOT GOOD: limits that are passed are marked with !")
+	}
+}
+
+func or(text, other string) string {
+	if text == "" {
+		return other
+	}
+	return text
+}
+
+// brief names a few.
+func brief(names []string) string {
+	const few = 5
+	if len(names) <= few {
+		return strings.Join(names, ", ")
+	}
+	return fmt.Sprintf("%s and %d more", strings.Join(names[:few], ", "), len(names)-few)
+}
+
+func (f *Figure) line() string {
+	mark, limit, value := " ", "", number(f.Value)
+	if f.Not {
+		value = "not measured"
+	}
+	if f.Passed {
+		mark = "!"
+	}
+	if f.Limit != nil {
+		word := "at most"
+		if f.Least {
+			word = "at least"
+		}
+		limit = fmt.Sprintf("  (%s %s)", word, number(*f.Limit))
+	}
+	who := ""
+	if f.Who != "" {
+		who = "  " + f.Who
+	}
+	return fmt.Sprintf("%s %-80s %12s %-8s%s%s", mark, f.What, value, f.Unit, limit, who)
+}
+
+// number is short, and as exact as matters.
+func number(v float64) string {
+	switch a := math.Abs(v); {
+	case v == math.Trunc(v) || a >= 1000:
+		return fmt.Sprintf("%.0f", v)
+	case a >= 10:
+		return fmt.Sprintf("%.1f", v)
+	}
+	return fmt.Sprintf("%.3f", v)
+}
+
+// Write puts record.json and the plots into a folder.
+func (r *Record) Write(dir string) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	text, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(dir, "record.json"), text, 0o644); err != nil {
+		return err
+	}
+	for name, p := range r.plots() {
+		svg, err := p.SVG()
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(filepath.Join(dir, name+".svg"), svg, 0o644); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Record) plots() map[string]*report.Plot {
+	of := func(name string, read func(s Second) float64) report.Curve {
+		c := report.Curve{Name: name}
+		for i, s := range r.Series {
+			c.X, c.Y = append(c.X, float64(i)), append(c.Y, read(s))
+		}
+		return c
+	}
+	inForce := report.Curve{Name: "in force after"}
+	for _, v := range r.Versions {
+		inForce.X, inForce.Y = append(inForce.X, v.At), append(inForce.Y, v.InForceMS/1000)
+	}
+	return map[string]*report.Plot{
+		"members": {Title: "Members", Unit: "members", Curves: []report.Curve{
+			of("cautious, could be reached", func(s Second) float64 { return float64(s.Cautious) }),
+			of("down or cut off", func(s Second) float64 { return float64(s.Down + s.CutOff) }),
+			of("act on an older version than others", func(s Second) float64 { return float64(s.Behind) }),
+		}},
+		"versions": {Title: "Versions, at the time they were told", Unit: "seconds", Curves: []report.Curve{inForce}},
+		"leader": {Title: "The leader's share of a core", Unit: "%", Curves: []report.Curve{
+			of("leader", func(s Second) float64 { return s.LeaderCPU }),
+		}},
+	}
+}
+
+// Spread writes the minimum, median and maximum of each figure over several runs.
+func Spread(o io.Writer, runs []*Record) {
+	fmt.Fprintf(o, "%d runs: minimum, median, maximum\n", len(runs))
+	for _, first := range runs[0].Figures {
+		var values []float64
+		passed, not := 0, 0
+		for _, r := range runs {
+			f := r.Figure(first.Key)
+			if f.Passed {
+				passed++
+			}
+			if f.Not {
+				not++
+				continue
+			}
+			values = append(values, f.Value)
+		}
+		line := "not measured"
+		if len(values) > 0 {
+			line = fmt.Sprintf("%12s %12s %12s %s", number(quantile(values, 0)), number(quantile(values, 0.5)), number(quantile(values, 1)), first.Unit)
+		}
+		fmt.Fprintf(o, "  %-80s %s", first.What, line)
+		if first.Limit != nil {
+			fmt.Fprintf(o, "  (limit %s, passed in %d)", number(*first.Limit), passed)
+		}
+		if not > 0 {
+			fmt.Fprintf(o, "  (not measured in %d)", not)
+		}
+		fmt.Fprintln(o)
+	}
+}
+
+// TextOf writes how figures grow.
+func TextOf(o io.Writer, grown []Growth) {
+	for _, g := range grown {
+		fmt.Fprintf(o, "%s (%s)\n", strings.TrimSpace(g.What), g.Unit)
+		for i, n := range g.Sizes {
+			fmt.Fprintf(o, "  at %4.0f sidecars %12s\n", n, number(g.Values[i]))
+		}
+		fmt.Fprintf(o, "  %.4g + %.4g n, off by %.3g (root mean square); %.4g + %.4g n + %.4g n^2, off by %.3g\n",
+			g.Line.A, g.Line.B, g.Line.Error, g.Square.A, g.Square.B, g.Square.C, g.Square.Error)
+		if g.At > 0 {
+			fmt.Fprintf(o, "  predicted at %.0f: %s by the line (%+.1f %%), %s by the square (%+.1f %%); measured %s\n",
+				g.At, number(g.ByLine), g.OffLine, number(g.BySquare), g.OffSquare, number(g.Measured))
+		}
+	}
+}
--- a/internal/labcommand/heathlab.go
+++ b/internal/labcommand/heathlab.go
@@ -34,6 +34,7 @@
 	Sweep    labSweep    `cmd:"" help:"Play a scenario with one key set to several values, seed by seed, and compare them."`
 	Compare  labCompare  `cmd:"" help:"Compare records, paired by seed."`
 	Crew     labCrew     `cmd:"" help:"Play a crew of processes that agree, with faults between them."`
+	Scale    labScale    `cmd:"" help:"Play a crew at the size that is expected, and tell which limits hold."`
 	Overhead labOverhead `cmd:"" help:"Measure what a sidecar adds to a request, beside the straight way."`
 	List     labList     `cmd:"" help:"List scenarios and policies."`
 	Check    labCheck    `cmd:"" help:"Tell all that is wrong with scenarios, and start nothing."`
--- /dev/null
+++ b/internal/labcommand/scale.go
@@ -0,0 +1,150 @@
+package labcommand
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime/debug"
+
+	"heathgap/internal/command"
+	"heathgap/internal/lab/scale"
+)
+
+// labScale plays a crew at the size that is expected, beside its limits.
+type labScale struct {
+	File    string  `arg:"" help:"The scenario; those that come with heathgap stand in lab/scale."`
+	Seed    *uint64 `help:"In place of the scenario's."`
+	Runs    int     `default:"1" help:"So many runs, of that seed and the next ones; tells their spread."`
+	Sizes   []int   `placeholder:"N,N,..." help:"Play it at each number of sidecars, without limits, and tell how figures grow with that."`
+	Predict int     `placeholder:"N" help:"With --sizes: play this number too, and tell beside it what the smaller ones predict of it."`
+	Out     string  `placeholder:"DIR" help:"Write record.json and plots there; of several runs each in a folder of its own."`
+	Logs    string  `placeholder:"DIR" help:"Keep the processes' logs there."`
+	Program string  `placeholder:"PATH" help:"A member's program; heathgap-crew beside this one if not given."`
+	JSON    bool    `name:"json" help:"Print records, one a line."`
+	Quiet   bool    `help:"Print no progress on standard error."`
+}
+
+// Run plays; its exit code tells whether the runs count and their limits hold.
+func (c *labScale) Run(o *command.Out) error {
+	s, err := scale.Load(c.File)
+	if err != nil {
+		return err
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	beside := func(name string) string { return filepath.Join(filepath.Dir(self), name) }
+	if c.Program == "" {
+		c.Program = beside("heathgap-crew")
+	}
+	opts := scale.Options{
+		Member: func() *exec.Cmd { return exec.Command(c.Program) },
+		Plain:  func() *exec.Cmd { return exec.Command(beside("heathgap")) },
+		Hollow: func() *exec.Cmd { return exec.Command(self, "hollow") },
+		LogDir: c.Logs,
+	}
+	if !c.Quiet {
+		opts.Progress = func(line string) { fmt.Fprintln(os.Stderr, line) }
+	}
+	debug.SetGCPercent(labGC)
+	if len(c.Sizes) > 0 {
+		return c.grow(o, s, opts)
+	}
+	if c.Predict > 0 {
+		return errors.New("--predict: without --sizes there is nothing to predict from")
+	}
+	var runs []*scale.Record
+	good := true
+	for i := range max(1, c.Runs) {
+		r, err := c.play(o, s, uint64(i), opts, fmt.Sprintf("%d", i+1))
+		if err != nil {
+			return err
+		}
+		runs, good = append(runs, r), good && r.Good()
+		if r.Partial {
+			break
+		}
+	}
+	if len(runs) > 1 && !c.JSON {
+		scale.Spread(o, runs)
+	}
+	if !good {
+		return errNotGood
+	}
+	return nil
+}
+
+// play plays once, with the next seed but so many, and tells what came of it.
+func (c *labScale) play(o *command.Out, s *scale.Scenario, further uint64, opts scale.Options, folder string) (*scale.Record, error) {
+	ctx, stop := interruptible()
+	defer stop()
+	seed := s.Seed
+	if c.Seed != nil {
+		seed = *c.Seed
+	}
+	if opts.LogDir != "" {
+		opts.LogDir = filepath.Join(opts.LogDir, folder)
+		if err := os.MkdirAll(opts.LogDir, 0o755); err != nil {
+			return nil, err
+		}
+	}
+	r, err := scale.Run(ctx, s, seed+further, opts)
+	if err != nil {
+		return nil, err
+	}
+	if c.Out != "" {
+		dir := c.Out
+		if c.Runs > 1 || len(c.Sizes) > 0 {
+			dir = filepath.Join(dir, folder)
+		}
+		if err := r.Write(dir); err != nil {
+			return nil, err
+		}
+	}
+	if c.JSON {
+		return r, json.NewEncoder(o).Encode(r)
+	}
+	r.Text(o)
+	return r, nil
+}
+
+// grow plays the scenario at several sizes. Runs that are void, partial or broken count for no curve.
+func (c *labScale) grow(o *command.Out, s *scale.Scenario, opts scale.Options) error {
+	var runs []*scale.Record
+	var predicted *scale.Record
+	sizes := c.Sizes
+	if c.Predict > 0 {
+		sizes = append(sizes[:len(sizes):len(sizes)], c.Predict)
+	}
+	for i, size := range sizes {
+		sized, err := s.Sized(size)
+		if err != nil {
+			return fmt.Errorf("--sizes: %w", err)
+		}
+		r, err := c.play(o, sized, 0, opts, fmt.Sprint(size))
+		if err != nil {
+			return err
+		}
+		switch {
+		case r.Partial || len(r.Void) > 0 || len(r.Broken) > 0:
+			return errNotGood
+		case i >= len(c.Sizes):
+			predicted = r
+		default:
+			runs = append(runs, r)
+		}
+	}
+	grown, err := scale.Grow(runs, predicted)
+	if err != nil {
+		return fmt.Errorf("--sizes: %w; three different ones at least", err)
+	}
+	if c.JSON {
+		return json.NewEncoder(o).Encode(map[string]any{"growth": grown})
+	}
+	scale.TextOf(o, grown)
+	return nil
+}
