--- a/internal/lab/scale/fit.go
+++ b/internal/lab/scale/fit.go
@@ -10,8 +10,10 @@
 	A float64 `json:"a"`
 	B float64 `json:"b"`
 	C float64 `json:"c,omitempty"`
-	// Error is the root of the mean square of what the points lie off it.
+	// Error is the root of the mean square of what the points lie off it. Of a curve through as many points as it has parts it is 0,
+	// and says nothing: Exact.
 	Error float64 `json:"error"`
+	Exact bool    `json:"exact,omitempty"`
 }
 
 // At is its value.
@@ -59,7 +61,7 @@
 		}
 		parts[i] = sum / rows[i][i]
 	}
-	c := Curve{A: parts[0], B: parts[1] / fitUnit, C: parts[2] / fitUnit / fitUnit}
+	c := Curve{Exact: len(different) == size, A: parts[0], B: parts[1] / fitUnit, C: parts[2] / fitUnit / fitUnit}
 	for k, x := range n {
 		c.Error += (c.At(x) - value[k]) * (c.At(x) - value[k])
 	}
--- a/internal/lab/scale/fit_test.go
+++ b/internal/lab/scale/fit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"testing"
 )
 
@@ -23,6 +24,12 @@
 	if c, err = Fit(n, square, 2); err != nil || !near(c.A, 2) || !near(c.B, 0.1) || !near(c.C, 0.003) || !near(c.At(580), 2+58+0.003*580*580) {
 		t.Errorf("a square: %+v %v", c, err)
 	}
+	if c.Exact {
+		t.Error("four points, and three parts: that is no curve through all of any points")
+	}
+	if c, err = Fit(n[:3], square[:3], 2); err != nil || !c.Exact {
+		t.Errorf("three points and three parts: %+v %v", c, err)
+	}
 	// A line through a square is off, and says so.
 	if c, err = Fit(n, square, 1); err != nil || c.Error < 5 || c.At(580) > 0.8*(2+58+0.003*580*580) {
 		t.Errorf("a line through a square: %+v, at 580 %v %v", c, c.At(580), err)
@@ -49,6 +56,11 @@
 	if math.Abs(g.ByLine-59) > 1e-6 || math.Abs(g.OffLine+50) > 1e-6 || g.Measured != 118 || g.At != 580 {
 		t.Errorf("%+v", g)
 	}
+	var text strings.Builder
+	if TextOf(&text, grown); !strings.Contains(text.String(), "predicted at 580: 59") || !strings.Contains(text.String(), "(-50.0 %)") ||
+		!strings.Contains(text.String(), "measured 118") || !strings.Contains(text.String(), "through all points") {
+		t.Error(text.String())
+	}
 	if _, err := Grow([]*Record{at(60, 7), at(120, 13)}, nil); err == nil {
 		t.Error("a square through two sizes")
 	}
--- a/internal/lab/scale/plan.go
+++ b/internal/lab/scale/plan.go
@@ -60,7 +60,7 @@
 const (
 	processMB         = 40.0 // a real sidecar, a keeper, or a hollow process before its members
 	hollowMemberMB    = 6.0
-	keeperMemberMB    = 0.1 // of a keeper, for each member of the crew
+	keeperMemberMB    = 0.2 // of a keeper, for each member of the crew
 	processFiles      = 64
 	mostProcesses     = 300
 	mostPlannedMB     = 12 << 10
