--- a/internal/lab/scale/judge_test.go
+++ b/internal/lab/scale/judge_test.go
@@ -387,6 +387,15 @@
 	}
 }
 
+func TestBetween(t *testing.T) {
+	p := []point{{2 * time.Second, 10}, {4 * time.Second, 30}}
+	for at, want := range map[time.Duration]float64{time.Second: 10, 2 * time.Second: 10, 3 * time.Second: 20, 4 * time.Second: 30, 5 * time.Second: 30} {
+		if got := between(p, at); got != want {
+			t.Errorf("at %v: %v, not %v", at, got, want)
+		}
+	}
+}
+
 func TestSpread(t *testing.T) {
 	a, b := wellGone(t).judge(), wellGone(t)
 	b.cpu["k1"] = 600 * time.Millisecond
