--- a/internal/lab/scale/acts.go
+++ b/internal/lab/scale/acts.go
@@ -36,6 +36,9 @@
 	switch a.Do {
 	case Propose, Burst:
 		for range a.Count {
+			r.mu.Lock()
+			r.obs.Left++
+			r.mu.Unlock()
 			r.proposals <- due // there is room for all of a run
 		}
 	case Restart:
@@ -313,5 +316,6 @@
 func (r *run) told(number uint64, due time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.obs.Left--
 	r.obs.Versions = append(r.obs.Versions, Told{Number: number, Due: due, Told: boot()})
 }
--- a/internal/lab/scale/judge.go
+++ b/internal/lab/scale/judge.go
@@ -20,6 +20,7 @@
 	Downs        map[string][]Span          // by member: it did not run
 	Cuts         []CutSpan
 	Versions     []Told
+	Left         int // versions that were to be proposed, and were not by the end
 	Leaders      []Led
 	Samples      map[string][]hollow.Sampled // by hollow process, in the order of their times
 	Usage        map[string][]Usage          // by keeper, real sidecar and plain one, likewise
@@ -365,6 +366,9 @@
 		j.rec.Versions = append(j.rec.Versions, r)
 	}
 	j.add("versions", "versions told", "", float64(len(j.o.Versions)), 0, "")
+	if len(j.o.Versions) > 0 || j.o.Left > 0 {
+		j.none("versions_left", "versions that could not be proposed by the end", j.o.Left, "")
+	}
 	if len(j.o.Versions) == 0 {
 		return
 	}
--- a/internal/lab/scale/judge_test.go
+++ b/internal/lab/scale/judge_test.go
@@ -196,6 +196,7 @@
 				o.becomes(m, 15.6, hollow.Stance{Active: 1})
 			}
 		}, []string{"versions_refused"}, "h1: looser than its own"},
+		"a version that nobody could propose": {func(o *seen) { o.Left = 1 }, []string{"versions_left"}, ""},
 		"memory": {func(o *seen) {
 			o.Samples["hollow1"] = []hollow.Sampled{{At: at(0), RSSBytes: 100 << 20}}
 		}, []string{"member_mb"}, "hollow1"},
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -39,7 +39,8 @@
 	steadyLeases = 1 // without a change of members and seats, before anything counts
 	steadyTime   = 2 * time.Minute
 	lookEvery    = time.Second / 4  // at the leader's state, until it is steady
-	lastVersion  = 15 * time.Second // for the last version to end, after the play
+	lastVersion  = 15 * time.Second // for what is to be proposed still, after the play
+	leastSettle  = 2 * time.Second  // for the last version to be acted on
 	progressEach = 5 * time.Second
 	mostAtOnce   = 64 // requests of one sidecar's load under way
 	loadDeadline = 800 * time.Millisecond
@@ -609,7 +610,9 @@
 	r.playing.Store(true)
 	all.Go(func() { r.watch(watching) })
 	all.Go(func() { r.ownLag(watching) })
-	all.Go(func() { r.propose(watching) })
+	proposing, enough := context.WithCancel(watching)
+	defer enough()
+	all.Go(func() { r.propose(proposing) })
 	for _, name := range slices.Concat(r.s.realNames(), r.s.plainNames()) {
 		all.Go(func() { r.load(watching, r.sidecars[name]) })
 	}
@@ -625,7 +628,7 @@
 	}
 	if sleep(ctx, time.Until(begin.Add(r.s.Duration))) == nil {
 		r.clearing.Wait()
-		r.lastVersion(ctx)
+		r.lastVersion(ctx, enough)
 	}
 	r.clearing.Wait()
 	r.playing.Store(false)
@@ -634,38 +637,39 @@
 	}
 }
 
-// lastVersion waits until the last version has ended and is acted on, so that it can be judged.
-func (r *run) lastVersion(ctx context.Context) {
-	ended := func() (number uint64, over bool) {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		if n := len(r.obs.Versions); n > 0 {
-			number = r.obs.Versions[n-1].Number
+// lastVersion waits until what was to be proposed has been, not for ever, has no more proposed, and waits until the last version is
+// acted on, so that it can be judged.
+func (r *run) lastVersion(ctx context.Context, enough func()) {
+	until := func(most time.Duration, there func() bool) {
+		limit := time.Now().Add(most)
+		for ctx.Err() == nil && time.Now().Before(limit) && !there() {
+			sleep(ctx, pollPause) //nolint:errcheck // the loop looks
 		}
-		return number, (r.active >= number || r.refused[number] != "") && len(r.proposals) == 0
 	}
-	limit := time.Now().Add(lastVersion)
-	for ctx.Err() == nil && time.Now().Before(limit) {
-		if _, over := ended(); over {
-			break
-		}
-		sleep(ctx, pollPause) //nolint:errcheck // the loop looks
-	}
-	number, _ := ended()
-	limit = time.Now().Add(r.s.Limits.InForce + 2*r.s.Lease)
-	up := func() (names []string) {
+	until(lastVersion, func() bool {
 		r.mu.Lock()
 		defer r.mu.Unlock()
+		return r.obs.Left == 0
+	})
+	enough()
+	r.mu.Lock()
+	number := uint64(0)
+	if n := len(r.obs.Versions); n > 0 {
+		number = r.obs.Versions[n-1].Number
+	}
+	r.mu.Unlock()
+	until(max(r.s.Limits.InForce, leastSettle)+2*r.s.Lease, func() bool {
+		r.mu.Lock()
+		refused := r.refused[number] != ""
+		var up []string
 		for name, s := range r.last {
 			if c := r.sidecars[name]; !s.Gone && (c == nil || c.isUp()) {
-				names = append(names, name)
+				up = append(up, name)
 			}
 		}
-		return names
-	}
-	for ctx.Err() == nil && time.Now().Before(limit) && len(r.without(up(), number)) > 0 {
-		sleep(ctx, pollPause) //nolint:errcheck // the loop looks
-	}
+		r.mu.Unlock()
+		return refused || len(r.without(up, number)) == 0
+	})
 	sleep(ctx, r.s.Lease/2) //nolint:errcheck // for events that are on their way
 }
 
