--- a/internal/lab/scale/judge.go
+++ b/internal/lab/scale/judge.go
@@ -804,7 +804,8 @@
 	}
 	if out > 0 {
 		j.add("leader_cpu_mean", "the leader's share of a core, mean while it leads", "%", 100*cpu.Seconds()/out.Seconds(), 0, "")
-		j.add("leader_out_mean", "its bytes written (sockets, folder and log), mean while it leads", "bytes/s", float64(written)/out.Seconds(), 0, "")
+		j.add("leader_out_mean", "its bytes written (sockets, folder and log), mean while it leads", "bytes/s",
+			float64(written)/out.Seconds(), 0, "")
 	}
 }
 
--- a/internal/lab/scale/judge_test.go
+++ b/internal/lab/scale/judge_test.go
@@ -86,7 +86,8 @@
 	for second := 0; second <= 30; second++ {
 		for _, p := range o.Plan.Processes {
 			if p.Kind != HollowProcess {
-				u := Usage{At: at(float64(second)), Start: 1, CPU: time.Duration(second) * o.cpu[p.Name], MB: 30, Read: int64(second) * 9000, Write: int64(second) * 9000}
+				u := Usage{At: at(float64(second)), Start: 1, CPU: time.Duration(second) * o.cpu[p.Name], MB: 30,
+					Read: int64(second) * 9000, Write: int64(second) * 9000}
 				if p.Kind == PlainProcess {
 					u.MB, u.Read, u.Write = 12, u.Read/3, u.Write/3
 				}
@@ -122,7 +123,8 @@
 	for key, want := range map[string]float64{
 		"in_force_p50": 1000, "in_force_most": 1000, "waited_most": 100, "contradicted": 0, "cautious_most": 0, "cautious_members": 0,
 		"member_cpu_mean": 0.3, "member_cpu_worst": 0.3, "member_mb": 10, "member_bytes_mean": 7000, "member_bytes_worst": 7000,
-		"renewals_mean": 1, "renewals_most": 1, "renewals_above": 1, "renewal_bytes": 700, "orders": 180, "refusals": 0, "keeper_cpu_worst": 20, "leader_cpu_mean": 20,
+		"renewals_mean": 1, "renewals_most": 1, "renewals_above": 1, "renewal_bytes": 700, "orders": 180, "refusals": 0,
+		"keeper_cpu_worst": 20, "leader_cpu_mean": 20,
 		"control_cpu_mean": 0.4, "control_mb": 18, "control_bytes_mean": 12000, "leader_changes": 0, "leader_out_mean": 9000,
 	} {
 		if f := r.Figure(key); f.Not || f.Value < want*0.999-0.001 || f.Value > want*1.001+0.001 {
@@ -176,8 +178,10 @@
 		"all cost too much": {func(o *seen) {
 			o.cpu["hollow1"], o.cpu["hollow2"] = 60*time.Millisecond, 60*time.Millisecond
 		}, []string{"member_cpu_mean", "member_cpu_worst"}, ""},
-		"a real sidecar that costs too much": {func(o *seen) { o.cpu["m1"] = 30 * time.Millisecond }, []string{"control_cpu_mean", "control_cpu_worst"}, ""},
-		"a leader that costs too much":       {func(o *seen) { o.cpu["k1"] = 600 * time.Millisecond }, []string{"keeper_cpu_worst"}, "k1"},
+		"a real sidecar that costs too much": {func(o *seen) {
+			o.cpu["m1"] = 30 * time.Millisecond
+		}, []string{"control_cpu_mean", "control_cpu_worst"}, ""},
+		"a leader that costs too much": {func(o *seen) { o.cpu["k1"] = 600 * time.Millisecond }, []string{"keeper_cpu_worst"}, "k1"},
 		"requests that are refused": {func(o *seen) {
 			one := o.spent["h1"]
 			one.Denied = 1
@@ -305,7 +309,9 @@
 	if !r.Good() {
 		t.Errorf("%v", violated(r))
 	}
-	for key, want := range map[string]float64{"in_force_most": 1000, "cut_off_older": 500, "cut_off_cautious": 8500, "cautious_most": 400, "contradicted": 0} {
+	for key, want := range map[string]float64{
+		"in_force_most": 1000, "cut_off_older": 500, "cut_off_cautious": 8500, "cautious_most": 400, "contradicted": 0,
+	} {
 		if f := r.Figure(key); f.Not || f.Value < want-1 || f.Value > want+1 {
 			t.Errorf("%s: %v, not %v", key, f, want)
 		}
@@ -382,7 +388,8 @@
 	}
 	// A count that begins anew has not gone back.
 	values := []float64{100, 110, 5, 15}
-	r := rising(4, func(i int) time.Duration { return time.Duration(i) * time.Second }, func(i int) float64 { return values[i] }, func(int) bool { return false })
+	second := func(i int) time.Duration { return time.Duration(i) * time.Second }
+	r := rising(4, second, func(i int) float64 { return values[i] }, func(int) bool { return false })
 	if fmt.Sprint(r[3].value) != "25" {
 		t.Errorf("%v", r)
 	}
@@ -390,7 +397,8 @@
 
 func TestBetween(t *testing.T) {
 	p := []point{{2 * time.Second, 10}, {4 * time.Second, 30}}
-	for at, want := range map[time.Duration]float64{time.Second: 10, 2 * time.Second: 10, 3 * time.Second: 20, 4 * time.Second: 30, 5 * time.Second: 30} {
+	for seconds, want := range []float64{10, 10, 10, 20, 30, 30} {
+		at := time.Duration(seconds) * time.Second
 		if got := between(p, at); got != want {
 			t.Errorf("at %v: %v, not %v", at, got, want)
 		}
--- a/internal/lab/scale/report.go
+++ b/internal/lab/scale/report.go
@@ -14,7 +14,8 @@
 
 // Text writes a record for people: each figure beside its limit.
 func (r *Record) Text(o io.Writer) {
-	fmt.Fprintf(o, "%s, seed %d: %d sidecars (%d keepers, %d real, %d hollow), %.1f s, on %d cores with %d MB (%s), load average %s before and %s after\n",
+	fmt.Fprintf(o, "%s, seed %d: %d sidecars (%d keepers, %d real, %d hollow), %.1f s, "+
+		"on %d cores with %d MB (%s), load average %s before and %s after\n",
 		r.Scenario, r.Seed, r.Size, r.Keepers, r.Real, r.Hollow, r.Seconds, r.Machine.Cores, r.Machine.MemoryMB, r.Machine.Go,
 		r.Machine.LoadBefore, r.Machine.LoadAfter)
 	for _, f := range r.Figures {
@@ -31,7 +32,8 @@
 		fmt.Fprintf(o, "%-6s %8s %10s %8s %10s %10s %10s %6s   (read and written: bytes of read and write calls, at sockets, folder and log)\n",
 			"", "CPU %", "worst 10 s", "MB", "read KB/s", "wrote KB/s", "disk KB/s", "files")
 		for _, c := range r.Costs {
-			fmt.Fprintf(o, "%-6s %8.2f %10.2f %8.1f %10.1f %10.1f %10.1f %6d\n", c.Name, c.CPUMean, c.CPUWorst, c.MB, c.ReadKBs, c.WriteKBs, c.DiskKBs, c.Descriptors)
+			fmt.Fprintf(o, "%-6s %8.2f %10.2f %8.1f %10.1f %10.1f %10.1f %6d\n",
+				c.Name, c.CPUMean, c.CPUWorst, c.MB, c.ReadKBs, c.WriteKBs, c.DiskKBs, c.Descriptors)
 		}
 	}
 	if len(r.Boundary) > 0 {
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -695,7 +695,8 @@
 				}
 				newest = max(newest, s.Active)
 			}
-			line := fmt.Sprintf("%6.2fs version %d, leader %s, %d cautious, load average %s", (boot() - r.began).Seconds(), newest, r.leader, cautious, loadAverage())
+			line := fmt.Sprintf("%6.2fs version %d, leader %s, %d cautious, load average %s",
+				(boot() - r.began).Seconds(), newest, r.leader, cautious, loadAverage())
 			r.mu.Unlock()
 			r.progress("%s", line)
 		}
