--- a/internal/labcommand/heathlab.go
+++ b/internal/labcommand/heathlab.go
@@ -34,6 +34,7 @@
 	Sweep    labSweep    `cmd:"" help:"Play a scenario with one key set to several values, seed by seed, and compare them."`
 	Compare  labCompare  `cmd:"" help:"Compare records, paired by seed."`
 	Crew     labCrew     `cmd:"" help:"Play a crew of processes that agree, with faults between them."`
+	Scale    labScale    `cmd:"" help:"Play a crew at the size that is expected, and tell which limits hold."`
 	Overhead labOverhead `cmd:"" help:"Measure what a sidecar adds to a request, beside the straight way."`
 	Call     labCall     `cmd:"" help:"Measure what a sidecar adds to a request and takes for it, over sizes, with a fit."`
 	Chain    labChain    `cmd:"" help:"Measure a chain of services, a sidecar before each, well and with a last tier that fails."`
