--- a/internal/command/holdings.go
+++ b/internal/command/holdings.go
@@ -20,7 +20,7 @@
 	Show   holdingsShow   `cmd:"" help:"Tell what each copy has of one key."`
 }
 
-// heldStatus is what there is to tell of a table of seats.
+// heldStatus is what there is to tell of a placement of replicas.
 type heldStatus struct {
 	Copies  int            `json:"copies"`
 	Shards  int            `json:"shards"`
@@ -37,16 +37,16 @@
 	for name := range s.Ledger.Members {
 		out.Seats[name] = 0
 	}
-	for _, shard := range s.Ledger.Table.Shards {
+	for _, shard := range s.Ledger.Placement.Shards {
 		ready, filling := 0, false
-		for _, seat := range shard.Seats {
-			if m, in := s.Ledger.Members[seat.Name]; in && m.Token == seat.Token {
-				out.Seats[seat.Name]++
-				if seat.Ready {
+		for _, replica := range shard.Replicas {
+			if m, in := s.Ledger.Members[replica.Name]; in && m.Token == replica.Token {
+				out.Seats[replica.Name]++
+				if replica.Ready {
 					ready++
 				}
 			}
-			filling = filling || !seat.Ready
+			filling = filling || !replica.Ready
 		}
 		switch out.Lost += shard.Lost; {
 		case ready >= copies:
@@ -68,14 +68,14 @@
 // errNothingHeld is the answer where there is no [holdings].
 var errNothingHeld = fmt.Errorf("no table [holdings]: this crew's sidecars hold nothing for one another")
 
-// held asks for the present table of seats.
+// held asks for the present placement of replicas.
 func (a *crewAt) held() (*crewTalk, keeper.Status, error) {
 	t, s, err := a.led()
 	switch {
 	case err != nil:
 	case t.table.Terms.Holdings.Copies == 0:
 		err = fmt.Errorf("%s: %w", a.Operator, errNothingHeld)
-	case s.Ledger.Table == nil:
+	case s.Ledger.Placement == nil:
 		err = fmt.Errorf("no seats are given yet: are there members in %d zones?", t.table.Terms.Holdings.Copies)
 	}
 	return t, s, err
@@ -108,7 +108,7 @@
 	Tenant string `help:"Its tenant, where it has one."`
 }
 
-// heldCopy is one seat's word on a key.
+// heldCopy is one replica's word on a key.
 type heldCopy struct {
 	Name  string        `json:"name"`
 	Zone  string        `json:"zone"`
@@ -120,18 +120,18 @@
 	Error string        `json:"error,omitempty"`
 }
 
-// Run asks each seat of the key's shard, its primary first.
+// Run asks each replica of the key's shard, its primary first.
 func (c *holdingsShow) Run(o *Out) error {
 	t, s, err := c.held()
 	if err != nil {
 		return err
 	}
 	key := holdings.Key{Class: c.Class, Tenant: c.Tenant, Text: c.Key}
-	shard := s.Ledger.Table.Shards[key.Shard()]
+	shard := s.Ledger.Placement.Shards[key.Shard()]
 	var all []heldCopy
-	for _, seat := range shard.Seats {
-		m := s.Ledger.Members[seat.Name]
-		one := heldCopy{Name: seat.Name, Zone: m.Zone, Ready: seat.Ready}
+	for _, replica := range shard.Replicas {
+		m := s.Ledger.Members[replica.Name]
+		one := heldCopy{Name: replica.Name, Zone: m.Zone, Ready: replica.Ready}
 		line := peers.NewLine(env.Real{}, t.table.Name, "cli", m.Address)
 		var shown member.Shown
 		switch err := line.Call("hold-show", key, &shown, crewCall); {
@@ -149,9 +149,9 @@
 		all = append(all, one)
 	}
 	if c.JSON {
-		return writeJSON(o, map[string]any{"shard": key.Shard(), "ballot": shard.Ballot, "lost": shard.Lost, "copies": all})
+		return writeJSON(o, map[string]any{"shard": key.Shard(), "ballot": shard.Config, "lost": shard.Lost, "copies": all})
 	}
-	fmt.Fprintf(o, "shard %d, ballot %d, lost %d\n", key.Shard(), shard.Ballot, shard.Lost)
+	fmt.Fprintf(o, "shard %d, ballot %d, lost %d\n", key.Shard(), shard.Config, shard.Lost)
 	w := tabwriter.NewWriter(o, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "NAME\tZONE\tREADY\tSTATE\tOWNER\tAGE\tBYTES")
 	for _, h := range all {
--- a/internal/crew/bench_test.go
+++ b/internal/crew/bench_test.go
@@ -20,7 +20,7 @@
 				g := NewGranter(terms, 1)
 				now := Boot(time.Second)
 				heard := Word{Term: 1, At: now}
-				gap := terms.Lease / Beats / time.Duration(members)
+				gap := terms.Lease / Heartbeats / time.Duration(members)
 				for i := 0; b.Loop(); i++ {
 					n := i % members
 					r := Renewal{Member: Member{Name: fmt.Sprint("m", n), Token: uint64(n + 1)}, Terms: terms.Hash(), Epoch: l.Epoch, Heard: heard}
--- a/internal/crew/crew_test.go
+++ b/internal/crew/crew_test.go
@@ -351,12 +351,12 @@
 	g := NewGranter(terms, 5)
 	r := Renewal{Member: Member{Name: "a", Token: 1}, Terms: terms.Hash(), Epoch: 1}
 	now, last := Boot(time.Second), Boot(0)
-	for ; len(g.Due(now, l)) == 0 && now < 5*time.Second; now += terms.Lease / Beats {
+	for ; len(g.Due(now, l)) == 0 && now < 5*time.Second; now += terms.Lease / Heartbeats {
 		if got := g.Renew(now, l, &r); got.Granted {
 			last = now
 		}
 	}
-	if last == 0 || now-last > terms.Wait()+terms.Lease/Beats {
+	if last == 0 || now-last > terms.Wait()+terms.Lease/Heartbeats {
 		t.Fatalf("granted last at %v, counted out at %v", last, now)
 	}
 	l.Apply(&g.Due(now, l)[0])
--- a/internal/crew/granter.go
+++ b/internal/crew/granter.go
@@ -24,12 +24,12 @@
 	HasNext   uint64 `cbor:"16,keyasint,omitempty"`
 	Leaving   bool   `cbor:"17,keyasint,omitempty"` // the process ends: its name is free
 	Heard     Word   `cbor:"18,keyasint"`           // of the newest answer that came
-	// HasTable is the number of the table of seats that it has, and HasRoster the epoch of the members that it knows. Filled are
-	// its words on seats that lack nothing any more.
-	HasTable  uint64            `cbor:"19,keyasint,omitempty"`
-	HasRoster uint64            `cbor:"20,keyasint,omitempty"`
-	Filled    []holdings.Filled `cbor:"21,keyasint,omitempty"`
-	// Moving says that it will leave when its seats have been given to others, and Unheard are those that it does not reach.
+	// HasPlacement is the number of the placement that it has, and HasMembership the epoch of the members that it knows. Filled
+	// are its words on replicas that lack nothing any more.
+	HasPlacement  uint64            `cbor:"19,keyasint,omitempty"`
+	HasMembership uint64            `cbor:"20,keyasint,omitempty"`
+	Filled        []holdings.Filled `cbor:"21,keyasint,omitempty"`
+	// Moving says that it will leave when its replicas have been given to others, and Unheard are those that it does not reach.
 	Moving  bool           `cbor:"22,keyasint,omitempty"`
 	Unheard []holdings.Who `cbor:"23,keyasint,omitempty"`
 }
@@ -52,9 +52,9 @@
 	Active Round  `cbor:"5,keyasint"`
 	Next   *Round `cbor:"6,keyasint,omitempty"`
 	Word   Word   `cbor:"7,keyasint"` // to be said back
-	// Table and Roster are told where the member has others.
-	Table  *holdings.Table   `cbor:"8,keyasint,omitempty"`
-	Roster []holdings.Member `cbor:"9,keyasint,omitempty"`
+	// Placement and Membership are told where the member has others.
+	Placement  *holdings.Placement `cbor:"8,keyasint,omitempty"`
+	Membership []holdings.Member   `cbor:"9,keyasint,omitempty"`
 }
 
 // said is what a granter knows of a member, in memory alone.
@@ -87,13 +87,13 @@
 	filled  map[string][]holdings.Filled // as each member said last
 	unheard map[string][]holdings.Who    // likewise
 	moving  map[string]bool              // likewise
-	seats   seating                      // for which seats were planned last
-	dead    map[int]Boot                 // since when no ready seat of a shard is in the crew
+	planned basis                        // for which replicas were planned last
+	dead    map[int]Boot                 // since when no ready replica of a shard is in the crew
 	lacks   string                       // a member whose word the round under way waited for then
 }
 
-// seating is what seats follow from.
-type seating struct{ epoch, table uint64 }
+// basis is what replicas follow from.
+type basis struct{ epoch, placement uint64 }
 
 // stage is how far a ledger is, of what makes entries due.
 type stage struct {
@@ -194,14 +194,14 @@
 	}
 	s.until = max(s.until, now+g.conf.Wait())
 	grant.Granted = true
-	if l.Table != nil && (r.HasTable != l.Table.Number || r.HasRoster != l.Epoch) {
-		grant.Table, grant.Roster = l.Table.Clone(), l.Roster()
+	if l.Placement != nil && (r.HasPlacement != l.Placement.Number || r.HasMembership != l.Epoch) {
+		grant.Placement, grant.Membership = l.Placement.Clone(), l.Membership()
 	}
 	if len(r.Filled) > 0 && len(r.Filled) <= holdings.Shards*terms.MostCopies && !slices.Equal(g.filled[r.Name], r.Filled) {
-		g.filled[r.Name], g.news, g.seats = r.Filled, true, seating{}
+		g.filled[r.Name], g.news, g.planned = r.Filled, true, basis{}
 	}
 	if r.Moving != g.moving[r.Name] || len(r.Unheard) <= terms.MostMembers && !slices.Equal(g.unheard[r.Name], r.Unheard) {
-		g.moving[r.Name], g.unheard[r.Name], g.news, g.seats = r.Moving, r.Unheard, true, seating{}
+		g.moving[r.Name], g.unheard[r.Name], g.news, g.planned = r.Moving, r.Unheard, true, basis{}
 	}
 	if grant.Active.Number == r.HasActive {
 		grant.Active.Doc.Classes, grant.Active.Doc.Banned = nil, nil
@@ -267,24 +267,24 @@
 	if e, ok := g.round(now, l); ok {
 		due = append(due, e)
 	}
-	if e, ok := g.seat(now, l); ok {
+	if e, ok := g.place(now, l); ok {
 		due = append(due, e)
 	}
 	return due
 }
 
-// seat tells which seats follow from who is in the crew, and from what primaries have said.
-func (g *Granter) seat(now Boot, l *Ledger) (Entry, bool) {
+// place tells which replicas follow from who is in the crew, and from what primaries have said.
+func (g *Granter) place(now Boot, l *Ledger) (Entry, bool) {
 	if g.conf.Holdings.Copies == 0 {
 		return Entry{}, false
 	}
-	table := l.Table
-	if table == nil {
-		table = &holdings.Table{}
+	placement := l.Placement
+	if placement == nil {
+		placement = &holdings.Placement{}
 	}
 	late := false // a shard has waited for long enough
-	for i := range table.Shards {
-		if !table.Shards[i].Dead(func(w holdings.Who, token uint64) bool { return l.Members[w.Name].Token == token }) {
+	for i := range placement.Shards {
+		if !placement.Shards[i].Dead(func(w holdings.Who, token uint64) bool { return l.Members[w.Name].Token == token }) {
 			delete(g.dead, i)
 			continue
 		}
@@ -296,25 +296,25 @@
 			g.soonest = min(g.soonest, end)
 		}
 	}
-	if at := (seating{l.Epoch, table.Number}); at == g.seats && !late {
+	if at := (basis{l.Epoch, placement.Number}); at == g.planned && !late {
 		return Entry{}, false
 	}
 	var filled []holdings.Filled
 	for _, name := range slices.Sorted(maps.Keys(g.filled)) {
 		filled = append(filled, g.filled[name]...)
 	}
-	changes := table.Plan(&holdings.Crew{
-		Members: l.Roster(), Copies: g.conf.Holdings.Copies, Filled: filled, Leaving: g.leavers(l), Unheard: g.silent(l),
+	changes := placement.Plan(&holdings.Crew{
+		Members: l.Membership(), Copies: g.conf.Holdings.Copies, Filled: filled, Leaving: g.leavers(l), Unheard: g.silent(l),
 		Lost: func(shard int) bool {
 			since, dead := g.dead[shard]
 			return dead && now >= since+g.conf.Holdings.LostAfter
 		},
 	})
 	if len(changes) == 0 {
-		g.seats = seating{l.Epoch, table.Number}
+		g.planned = basis{l.Epoch, placement.Number}
 		return Entry{}, false
 	}
-	return Entry{Seats: changes, Epoch: l.Epoch}, true
+	return Entry{Replicas: changes, Epoch: l.Epoch}, true
 }
 
 // round tells whether the proposal under way may go on: when each member has said so, in
@@ -348,7 +348,7 @@
 	return Entry{Activate: number, Epoch: l.Epoch}, true
 }
 
-// leavers are the members that will go when their seats have been given to others.
+// leavers are the members that will go when their replicas have been given to others.
 func (g *Granter) leavers(l *Ledger) map[holdings.Who]bool {
 	out := map[holdings.Who]bool{}
 	for name, moving := range g.moving {
--- a/internal/crew/holder.go
+++ b/internal/crew/holder.go
@@ -26,21 +26,21 @@
 	// connect is the time that a connection to an endpoint may take: windows are judged less that.
 	connect decide.Time
 
-	ends     Boot // of the lease; 0 before the first
-	asked    Boot // when the newest word was asked for that was taken
-	heard    Word // of the newest answer
-	epoch    uint64
-	active   Round
-	next     *Round
-	checked  uint64
-	refusal  string
-	prepared uint64
-	rules    versions.Rules // of the lease
-	cautious versions.Rules
-	table    *holdings.Table
-	roster   []holdings.Member
-	rosterOf uint64 // the epoch of the roster
-	// What this sidecar's replica says, for the next renewal.
+	ends         Boot // of the lease; 0 before the first
+	asked        Boot // when the newest word was asked for that was taken
+	heard        Word // of the newest answer
+	epoch        uint64
+	active       Round
+	next         *Round
+	checked      uint64
+	refusal      string
+	prepared     uint64
+	rules        versions.Rules // of the lease
+	cautious     versions.Rules
+	placement    *holdings.Placement
+	membership   []holdings.Member
+	membershipOf uint64 // the epoch of the membership
+	// What this sidecar's store says, for the next renewal.
 	Filled  []holdings.Filled
 	Unheard []holdings.Who
 	Moving  bool // it wants to leave
@@ -54,10 +54,10 @@
 // Ask returns the renewal to be sent now. The caller notes the time before it, for Told.
 func (h *Holder) Ask() Renewal {
 	r := Renewal{Member: h.Self, Terms: h.terms.Hash(), Epoch: h.epoch, Checked: h.checked, Refusal: h.refusal,
-		Prepared: h.prepared, HasActive: h.active.Number, Heard: h.heard, HasRoster: h.rosterOf, Filled: h.Filled,
+		Prepared: h.prepared, HasActive: h.active.Number, Heard: h.heard, HasMembership: h.membershipOf, Filled: h.Filled,
 		Unheard: h.Unheard, Moving: h.Moving}
-	if h.table != nil {
-		r.HasTable = h.table.Number
+	if h.placement != nil {
+		r.HasPlacement = h.placement.Number
 	}
 	if h.next != nil {
 		r.HasNext = h.next.Number
@@ -93,8 +93,8 @@
 	h.active, h.next, h.epoch = *active, next, g.Epoch
 	if g.Granted {
 		h.ends = max(h.ends, asked+h.terms.Lease)
-		if g.Table != nil {
-			h.table, h.roster, h.rosterOf = g.Table, g.Roster, g.Epoch
+		if g.Placement != nil {
+			h.placement, h.membership, h.membershipOf = g.Placement, g.Membership, g.Epoch
 		}
 	}
 	h.look()
@@ -168,15 +168,15 @@
 	return s
 }
 
-// Seats are what it was told last of holdings: this process's stay in the crew, the table, and the members. The table is nil
-// before the first, or where nothing is held. What is told here is never changed afterwards.
-func (h *Holder) Seats() (me holdings.Who, table *holdings.Table, roster []holdings.Member) {
-	for _, m := range h.roster {
+// Placement is what it was told last of holdings: this process's incarnation in the crew, the placement, and the members. The
+// placement is nil before the first, or where nothing is held. What is told here is never changed afterwards.
+func (h *Holder) Placement() (me holdings.Who, placement *holdings.Placement, membership []holdings.Member) {
+	for _, m := range h.membership {
 		if m.Token == h.Self.Token && m.Name == h.Self.Name {
 			me = m.Who
 		}
 	}
-	return me, h.table, h.roster
+	return me, h.placement, h.membership
 }
 
 // Ends is when the lease ends; 0 before the first.
--- a/internal/crew/keeper/core.go
+++ b/internal/crew/keeper/core.go
@@ -378,14 +378,14 @@
 		ev.Uint64("version", e.Prepare).Msg("a version is prepared")
 	case e.Activate > 0:
 		ev.Uint64("version", e.Activate).Msg("a version is active")
-	case len(e.Seats) > 0:
+	case len(e.Replicas) > 0:
 		lost := 0
-		for _, c := range e.Seats {
+		for _, c := range e.Replicas {
 			if c.Lost {
 				lost++
 			}
 		}
-		ev.Int("shards", len(e.Seats)).Int("lost", lost).Msg("seats have changed")
+		ev.Int("shards", len(e.Replicas)).Int("lost", lost).Msg("seats have changed")
 	case e.End != nil:
 		ev.Uint64("version", e.End.Number).Str("why", e.End.Why).Msg("a version is refused")
 	}
--- a/internal/crew/ledger.go
+++ b/internal/crew/ledger.go
@@ -84,10 +84,10 @@
 	// Turned are ids of proposals that were turned down, the newest last. Guards against one whose author was told no, and
 	// of which an earlier word, held up on its way, comes when it would count.
 	Turned []uint64 `cbor:"9,keyasint,omitempty"`
-	// In are the epochs in which members came in, by name: who was counted out and came in again is another stay.
+	// In are the epochs in which members came in, by name: who was counted out and came in again is another incarnation.
 	In map[string]uint64 `cbor:"10,keyasint,omitempty"`
-	// Table are the seats in the shards of what sidecars hold for one another; nil where they hold nothing.
-	Table *holdings.Table `cbor:"11,keyasint,omitempty"`
+	// Placement are the replicas in the shards of what sidecars hold for one another; nil where they hold nothing.
+	Placement *holdings.Placement `cbor:"11,keyasint,omitempty"`
 }
 
 // NewLedger returns that of a crew without members and versions.
@@ -101,7 +101,7 @@
 	Prepare  uint64            `cbor:"4,keyasint,omitempty"` // number
 	Activate uint64            `cbor:"5,keyasint,omitempty"`
 	End      *End              `cbor:"6,keyasint,omitempty"`
-	Seats    []holdings.Change `cbor:"8,keyasint,omitempty"`
+	Replicas []holdings.Change `cbor:"8,keyasint,omitempty"`
 	// Epoch under which the leader came to the conclusion; 0 where it rests on no members.
 	Epoch uint64 `cbor:"7,keyasint,omitempty"`
 }
@@ -132,11 +132,11 @@
 	case e.Epoch != l.Epoch:
 		// Guards against a conclusion about members that have changed since it was drawn.
 		return fmt.Errorf("epoch %d has passed, it is %d", e.Epoch, l.Epoch)
-	case len(e.Seats) > 0:
-		if l.Table == nil {
-			l.Table = &holdings.Table{}
+	case len(e.Replicas) > 0:
+		if l.Placement == nil {
+			l.Placement = &holdings.Placement{}
 		}
-		return l.Table.Apply(e.Seats)
+		return l.Placement.Apply(e.Replicas)
 	case e.Prepare > 0:
 		return l.advance(e.Prepare, Checking, Prepared)
 	case e.Activate > 0:
@@ -260,8 +260,8 @@
 	return nil
 }
 
-// Roster are the members as holdings know them, in one order.
-func (l *Ledger) Roster() []holdings.Member {
+// Membership are the members as holdings know them, in one order.
+func (l *Ledger) Membership() []holdings.Member {
 	out := make([]holdings.Member, 0, len(l.Members))
 	for _, name := range slices.Sorted(maps.Keys(l.Members)) {
 		m := l.Members[name]
@@ -275,8 +275,8 @@
 	c := *l
 	c.Members, c.History, c.Keepers = maps.Clone(l.Members), slices.Clone(l.History), maps.Clone(l.Keepers)
 	c.Former, c.Turned, c.In = slices.Clone(l.Former), slices.Clone(l.Turned), maps.Clone(l.In)
-	if l.Table != nil {
-		c.Table = l.Table.Clone()
+	if l.Placement != nil {
+		c.Placement = l.Placement.Clone()
 	}
 	if l.Next != nil {
 		next := *l.Next
--- a/internal/crew/member/holdings.go
+++ b/internal/crew/member/holdings.go
@@ -40,20 +40,20 @@
 	mostLater = 1024
 )
 
-// copies is a sidecar's part in what the crew's sidecars hold for one another: its replica, and its own claims.
+// copies is a sidecar's part in what the crew's sidecars hold for one another: its store, and its own claims.
 type copies struct {
 	m       *Member
 	classes map[string]heldClass
 	body    int
 	claims  atomic.Uint64
 
-	mu      sync.Mutex
-	replica *holdings.Replica // guarded by mu, as all that follows
-	me      holdings.Who
-	table   *holdings.Table
-	address map[holdings.Who]string
-	ended   bool
-	lines   map[string]*lines
+	mu        sync.Mutex
+	store     *holdings.Store // guarded by mu, as all that follows
+	me        holdings.Who
+	placement *holdings.Placement
+	address   map[holdings.Who]string
+	ended     bool
+	lines     map[string]*lines
 
 	told map[holdings.Kind]time.Time // when a refusal of this kind was last logged
 
@@ -91,7 +91,7 @@
 	var b [8]byte
 	rand.Read(b[:]) //nolint:errcheck // it does not fail
 	c.claims.Store(binary.BigEndian.Uint64(b[:]))
-	c.replica = holdings.NewReplica(m.conf.Terms.Holdings, m.conf.Holdings.MostEntries)
+	c.store = holdings.NewStore(m.conf.Terms.Holdings, m.conf.Holdings.MostEntries)
 	return c, nil
 }
 
@@ -99,41 +99,41 @@
 
 // learn takes what a renewal brought. The member's lock is held.
 func (c *copies) learn(h *crew.Holder) {
-	me, table, roster := h.Seats()
+	me, placement, membership := h.Placement()
 	ends := h.Ends()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.replica.Lease(ends)
-	if table == nil || me == (holdings.Who{}) {
+	c.store.Lease(ends)
+	if placement == nil || me == (holdings.Who{}) {
 		return
 	}
-	if table != c.table || me != c.me {
-		c.me, c.table = me, table
+	if placement != c.placement || me != c.me {
+		c.me, c.placement = me, placement
 		c.address = map[holdings.Who]string{}
-		for _, m := range roster {
+		for _, m := range membership {
 			c.address[m.Who] = cmp.Or(c.m.conf.Ways[m.Name], c.m.conf.Keepers[m.Name], m.Address)
 		}
-		c.replica.Learn(c.now(), me, table, roster)
+		c.store.Learn(c.now(), me, placement, membership)
 		c.dropLines()
 	}
 	c.kick()
 }
 
-// says is what the replica has to say to the leader.
+// says is what the store has to say to the leader.
 func (c *copies) says() ([]holdings.Filled, []holdings.Who) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.replica.Filled(), c.replica.Unheard(c.now())
+	return c.store.Filled(), c.store.Unheard(c.now())
 }
 
-// seats is in how many shards this sidecar has one.
-func (c *copies) seats() int {
+// replicas is in how many shards this sidecar has one.
+func (c *copies) replicas() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n := 0
-	if c.table != nil {
-		for _, s := range c.table.Shards {
-			if slices.ContainsFunc(s.Seats, func(seat holdings.Seat) bool { return seat.Who == c.me }) {
+	if c.placement != nil {
+		for _, s := range c.placement.Shards {
+			if slices.ContainsFunc(s.Replicas, func(replica holdings.Replica) bool { return replica.Who == c.me }) {
 				n++
 			}
 		}
@@ -150,7 +150,7 @@
 			c.mu.Unlock()
 			return
 		}
-		c.replica.Tick(c.now())
+		c.store.Tick(c.now())
 		c.kick()
 		c.mu.Unlock()
 	}
@@ -190,8 +190,8 @@
 	if c.ended {
 		return
 	}
-	for _, to := range c.replica.Peers() {
-		if b := c.replica.Next(c.now(), to.Who); b != nil {
+	for _, to := range c.store.Peers() {
+		if b := c.store.Next(c.now(), to.Who); b != nil {
 			address := c.address[to.Who]
 			c.m.world.Go("copy", func() { c.say(to.Who, address, b) })
 		}
@@ -210,10 +210,10 @@
 			c.m.world.Sleep(askPause)
 		}
 		c.mu.Lock()
-		c.replica.Said(c.now(), to, b, answer)
+		c.store.Said(c.now(), to, b, answer)
 		b = nil
 		if !c.ended {
-			b = c.replica.Next(c.now(), to)
+			b = c.store.Next(c.now(), to)
 		}
 		c.kick()
 		c.mu.Unlock()
@@ -297,7 +297,7 @@
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			var s Shown
-			s.Entry, s.Has = c.replica.Peek(c.now(), key)
+			s.Entry, s.Has = c.store.Peek(c.now(), key)
 			return s, nil
 		},
 		"hold-store": func(_ string, body []byte) (any, error) {
@@ -307,9 +307,9 @@
 			}
 			c.mu.Lock()
 			defer c.mu.Unlock()
-			answer := c.replica.Take(c.now(), &b)
+			answer := c.store.Take(c.now(), &b)
 			if answer == nil {
-				return nil, errors.New("hold-store: for another stay in the crew than the present one")
+				return nil, errors.New("hold-store: for another incarnation than the present one")
 			}
 			return answer, nil
 		},
@@ -326,7 +326,7 @@
 func (c *copies) answer(a *holdings.Ask) holdings.Answer {
 	got := make(chan holdings.Answer, 1)
 	c.mu.Lock()
-	c.replica.Ask(c.now(), a, func(answer holdings.Answer) { got <- answer })
+	c.store.Ask(c.now(), a, func(answer holdings.Answer) { got <- answer })
 	c.kick()
 	c.mu.Unlock()
 	timer := c.m.world.NewTimer(askTime)
@@ -361,14 +361,14 @@
 func (c *copies) askOnce(a *holdings.Ask, until time.Time) holdings.Answer {
 	c.mu.Lock()
 	primary, address, me := holdings.Who{}, "", c.me
-	if c.table != nil {
-		if seats := c.table.Shards[a.Key.Shard()].Seats; len(seats) > 0 {
-			primary = seats[0].Who
+	if c.placement != nil {
+		if replicas := c.placement.Shards[a.Key.Shard()].Replicas; len(replicas) > 0 {
+			primary = replicas[0].Who
 			address = c.address[primary]
 		}
 	}
 	c.mu.Unlock()
-	if a.Do == holdings.Open && a.Owner != me { // it has come into the crew anew since: the claim is to be of this stay
+	if a.Do == holdings.Open && a.Owner != me { // it has come into the crew anew since: the claim is to be of this incarnation
 		a.Owner = me
 	}
 	switch {
@@ -462,8 +462,8 @@
 		c.told[why.Kind] = now
 		shard := a.Key.Shard()
 		ev := c.m.log.Warn().Stringer("why", why.Kind).Str("class", a.Key.Class).Int("shard", shard).Dur("age", why.Age)
-		if c.table != nil {
-			ev = ev.Uint64("ballot", c.table.Shards[shard].Ballot).Int("seats", len(c.table.Shards[shard].Seats))
+		if c.placement != nil {
+			ev = ev.Uint64("ballot", c.placement.Shards[shard].Config).Int("seats", len(c.placement.Shards[shard].Replicas))
 		}
 		ev.Msg("a held request is refused")
 	}
@@ -478,7 +478,7 @@
 	return &httpwire.Answer{Verdict: httpwire.Served, Body: o.Body, Type: o.Type, Encoding: o.Encoding}
 }
 
-// MayWrite is pipeline.Hold's: the lease holds, and this is the stay that claimed.
+// MayWrite is pipeline.Hold's: the lease holds, and this is the incarnation that claimed.
 func (h *claim) MayWrite() bool {
 	if h.c.m.Acting().Cautious {
 		return false
@@ -522,7 +522,7 @@
 // figures appends those of what is held.
 func (c *copies) figures(text []byte) []byte {
 	c.mu.Lock()
-	entries, bytes := c.replica.Entries, c.replica.Bytes
+	entries, bytes := c.store.Entries, c.store.Bytes
 	c.mu.Unlock()
 	for _, f := range []struct {
 		name  string
--- a/internal/crew/member/member.go
+++ b/internal/crew/member/member.go
@@ -165,7 +165,7 @@
 // run keeps the lease until Stop.
 func (m *Member) run() {
 	defer close(m.ended)
-	beat := m.conf.Terms.Lease / crew.Beats
+	heartbeat := m.conf.Terms.Lease / crew.Heartbeats
 	timer := m.world.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -175,12 +175,12 @@
 		case <-timer.C():
 		}
 		m.mu.Lock()
-		m.seeker.Beat()
+		m.seeker.Heartbeat()
 		m.mu.Unlock()
 		for m.ask() {
 		}
 		m.Acting() // an end of the lease is told when it comes, not with the next request
-		timer.Reset(beat)
+		timer.Reset(heartbeat)
 	}
 }
 
@@ -233,7 +233,7 @@
 	return next.Ask
 }
 
-// warn writes a line, but not the same one with each beat.
+// warn writes a line, but not the same one with each heartbeat.
 func (m *Member) warn(what, why string) {
 	if key, _, _ := strings.Cut(why, "whose lease"); key != m.warned {
 		m.warned = key
@@ -311,21 +311,21 @@
 	m.holder.Moving = m.copies != nil
 }
 
-// leaveSeats waits, not for long, until others have what this sidecar holds for them.
-func (m *Member) leaveSeats() {
+// leaveReplicas waits, not for long, until others have what this sidecar holds for them.
+func (m *Member) leaveReplicas() {
 	m.Leaving()
 	for limit := m.world.Now().Add(moveTime); m.world.Now().Before(limit); m.world.Sleep(tickHoldings) {
-		if m.copies.seats() == 0 || m.Acting().Cautious {
+		if m.copies.replicas() == 0 || m.Acting().Cautious {
 			return
 		}
 	}
-	m.log.Warn().Int("shards", m.copies.seats()).Dur("after", moveTime).Msg("leaves with seats that nobody else has taken yet")
+	m.log.Warn().Int("shards", m.copies.replicas()).Dur("after", moveTime).Msg("leaves with seats that nobody else has taken yet")
 }
 
 // Stop says that this process ends, so that its name is free and nobody waits for its lease, and ends the keeper.
 func (m *Member) Stop() {
 	if m.copies != nil {
-		m.leaveSeats()
+		m.leaveReplicas()
 	}
 	close(m.halt)
 	<-m.ended
--- a/internal/crew/seeker.go
+++ b/internal/crew/seeker.go
@@ -7,25 +7,25 @@
 
 // Figures of a member's questions.
 const (
-	// Beats of a lease: a member asks so often, so that several answers may be lost before it is cut off.
-	Beats = 8
+	// Heartbeats of a lease: a member asks so often, so that several answers may be lost before it is cut off.
+	Heartbeats = 8
 	// CallPart of a lease is how long one question may take: two keepers can be tried before it ends.
 	CallPart  = 3
-	mostAgain = 4 // rounds of questions in a beat: the leader wants more said, or there is more to say
+	mostAgain = 4 // rounds of questions in a heartbeat: the leader wants more said, or there is more to say
 )
 
 // ErrNoLeader is that no keeper leads, or none that can be reached.
 var ErrNoLeader = errors.New("no keeper leads that can be reached")
 
-// Seeker keeps a member's lease: it finds the leader among the keepers and asks it, one question at a time. With each beat
-// its driver calls Beat; then it asks what Question says and hands over what came of that, for as long as Answer says so.
+// Seeker keeps a member's lease: it finds the leader among the keepers and asks it, one question at a time. With each heartbeat
+// its driver calls Heartbeat; then it asks what Question says and hands over what came of that, for as long as Answer says so.
 type Seeker struct {
 	holder *Holder
 	order  []string // keepers' names, the one to be asked first in front
 	asked  Boot     // the present question
 	limit  Boot     // of the present round
 	tries  int      // in it
-	rounds int      // in this beat
+	rounds int      // in this heartbeat
 	said   Renewal
 }
 
@@ -37,8 +37,8 @@
 // First is the keeper that is asked first.
 func (s *Seeker) First() string { return s.order[0] }
 
-// Beat begins anew.
-func (s *Seeker) Beat() { s.tries, s.rounds = 0, 0 }
+// Heartbeat begins anew.
+func (s *Seeker) Heartbeat() { s.tries, s.rounds = 0, 0 }
 
 // Question is what to ask now, and whom.
 func (s *Seeker) Question(now Boot) (keeper string, r Renewal) {
@@ -51,7 +51,7 @@
 
 // Next is what comes of an answer.
 type Next struct {
-	Ask  bool  // the next question is to be asked at once, when Acting has been put in force; else with the next beat
+	Ask  bool  // the next question is to be asked at once, when Acting has been put in force; else with the next heartbeat
 	Over bool  // a round has ended: with Err, a refusal, or a lease
 	Err  error // ErrNoLeader, or a word that can't be true
 	Why  string
@@ -85,7 +85,7 @@
 		}
 		return n
 	}
-	// What is new to the leader it hears now, not with the next beat: a version comes through that much sooner. What was
+	// What is new to the leader it hears now, not with the next heartbeat: a version comes through that much sooner. What was
 	// said under an older epoch was not taken.
 	after := s.holder.Ask()
 	news := after.Checked != s.said.Checked || after.Prepared != s.said.Prepared || grant.Next != nil && after.Epoch != s.said.Epoch
--- a/internal/crew/seeker_test.go
+++ b/internal/crew/seeker_test.go
@@ -20,7 +20,7 @@
 			t.Fatalf("asks %s, want %s", got, want)
 		}
 	}
-	s.Beat()
+	s.Heartbeat()
 	ask("a")
 	if n := s.Answer(1, nil, "c"); !n.Ask || n.Over {
 		t.Fatalf("%+v", n)
@@ -29,24 +29,24 @@
 	if n := s.Answer(2, &Grant{Granted: true}, ""); n.Ask || !n.Over || n.Err != nil {
 		t.Fatalf("%+v", n)
 	}
-	s.Beat()
+	s.Heartbeat()
 	for i, keeper := range []string{"c", "a", "b", "c", "a"} { // each in turn; a and b know nobody, or themselves no more
 		ask(keeper)
 		if n := s.Answer(3, nil, ""); n.Ask != (i < 4) || errors.Is(n.Err, ErrNoLeader) != (i == 4) {
 			t.Fatalf("%d: %+v", i, n)
 		}
 	}
-	s.Beat()
+	s.Heartbeat()
 	ask("b")
 	if n := s.Answer(terms.Lease, nil, ""); n.Ask || !errors.Is(n.Err, ErrNoLeader) {
 		t.Errorf("past a lease's time: %+v", n)
 	}
 }
 
-// A leader that asks for more without end is heeded a few times a beat.
+// A leader that asks for more without end is heeded a few times a heartbeat.
 func TestSeekerEndsItsRounds(t *testing.T) {
 	s := NewSeeker(NewHolder(Member{Name: "m", Token: 1}, Terms{Lease: time.Second}, versions.Own(&decide.Settings{}), 0), []string{"a"})
-	s.Beat()
+	s.Heartbeat()
 	rounds := 0
 	for again := true; again && rounds < 100; rounds++ {
 		s.Question(0)
--- a/internal/holdings/entry.go
+++ b/internal/holdings/entry.go
@@ -37,14 +37,14 @@
 	return [...]string{"none", "claimed", "unknown", "done", "free"}[min(int(s), 4)]
 }
 
-// Rev orders what was said of a key: the later ballot's word stands, and the later one of a ballot.
+// Rev orders what was said of a key: the later configuration's word stands, and the later one of a configuration.
 type Rev struct {
-	Ballot uint64 `cbor:"1,keyasint"`
+	Config uint64 `cbor:"1,keyasint"`
 	Count  uint64 `cbor:"2,keyasint"`
 }
 
 func (r Rev) before(other Rev) bool {
-	return r.Ballot < other.Ballot || r.Ballot == other.Ballot && r.Count < other.Count
+	return r.Config < other.Config || r.Config == other.Config && r.Count < other.Count
 }
 
 // Print identifies what a request asks for: the same key with another print is another request's.
@@ -127,7 +127,7 @@
 // Kind is what a primary answers.
 type Kind uint8
 
-// The answers. Only the first three rest on the word of all seats.
+// The answers. Only the first three rest on the word of all replicas.
 const (
 	Yes     Kind = iota + 1 // done as asked, and copied
 	Was                     // it has an outcome already: Outcome
@@ -135,10 +135,10 @@
 	Running                 // another owner has it, who is in the crew
 	Other                   // the key came with another request before
 	Missing                 // what this shard held was lost, and nobody knows of this key
-	Short                   // there are not as many seats as copies are wanted
+	Short                   // there are not as many replicas as copies are wanted
 	Full                    // no room for another entry
 	Fenced                  // the claim is another's now
-	NotHere                 // the shard's primary is another one, or not known: ask again with a newer table
+	NotHere                 // the shard's primary is another one, or not known: ask again with a newer placement
 	Away                    // no answer came
 )
 
--- a/internal/holdings/model_test.go
+++ b/internal/holdings/model_test.go
@@ -17,7 +17,7 @@
 	oneSeed = flag.Int("holdings.seed", -1, "only this one")
 )
 
-// The model: sidecars with their replicas, a ledger that is always right (the keepers'), owners that claim keys and finish
+// The model: sidecars with their stores, a ledger that is always right (the keepers'), owners that claim keys and finish
 // them, ways that delay, lose and double, machines that die with what they held, and processes that stand still. An effect that
 // happens twice, or an outcome that was told and is not there, breaks it.
 const (
@@ -34,8 +34,8 @@
 	bugNoLook  = "an owner sends without a last look at time and lease"
 	bugFence   = "late word counts as the newest"
 	bugZones   = "copies stand in one zone"
-	bugFilled  = "a seat counts as ready before it is filled"
-	bugPrimary = "a seat that is not ready becomes the primary"
+	bugFilled  = "a replica counts as ready before it is filled"
+	bugPrimary = "a replica that is not ready becomes the primary"
 )
 
 // orders is the class of what is claimed: endpoints drop its repeats for so long.
@@ -68,37 +68,37 @@
 	dead       bool
 	paused     bool
 	cut        bool // from the keepers
-	moving     bool // it leaves when its seats are others'
+	moving     bool // it leaves when its replicas are others'
 	inbox      []func()
-	replica    *Replica
+	store      *Store
 	me         Who
 	leased     Boot
 }
 
 type model struct {
-	t       *testing.T
-	dice    *rand.Rand
-	now     Boot
-	queue   modelQueue
-	n       int
-	bug     string
-	terms   Terms
-	all     []*sidecar
-	epoch   uint64
-	in      map[string]Member
-	until   map[string]Boot
-	filled  map[string][]Filled
-	unheard map[string][]Who
-	ways    map[[2]string]bool // that are cut
-	table   *Table
-	dead    [Shards]Boot
-	calm    bool // machines are lost and leave, and nothing else happens: often enough within what is promised
-	effects map[string]int
-	first   map[string]Boot // when each key came to an endpoint
-	told    map[string]string
-	claims  uint64
-	broken  string
-	counts  map[string]int
+	t         *testing.T
+	dice      *rand.Rand
+	now       Boot
+	queue     modelQueue
+	n         int
+	bug       string
+	terms     Terms
+	all       []*sidecar
+	epoch     uint64
+	in        map[string]Member
+	until     map[string]Boot
+	filled    map[string][]Filled
+	unheard   map[string][]Who
+	ways      map[[2]string]bool // that are cut
+	placement *Placement
+	dead      [Shards]Boot
+	calm      bool // machines are lost and leave, and nothing else happens: often enough within what is promised
+	effects   map[string]int
+	first     map[string]Boot // when each key came to an endpoint
+	told      map[string]string
+	claims    uint64
+	broken    string
+	counts    map[string]int
 }
 
 func (m *model) after(d time.Duration, do func()) {
@@ -131,8 +131,8 @@
 	m.claims++
 	s.token, s.dead, s.paused, s.me, s.leased, s.inbox = m.claims, false, false, Who{}, 0, nil
 	s.moving = false
-	s.replica = NewReplica(m.terms, 1<<16)
-	m.beat(s, s.token)
+	s.store = NewStore(m.terms, 1<<16)
+	m.heartbeat(s, s.token)
 	m.tick(s, s.token)
 }
 
@@ -140,16 +140,16 @@
 	if s.dead || s.token != token {
 		return
 	}
-	s.on(func() { s.replica.Tick(m.now); m.say(s) })
+	s.on(func() { s.store.Tick(m.now); m.say(s) })
 	m.after(20*time.Millisecond, func() { m.tick(s, token) })
 }
 
-// beat renews a lease; the ledger is the keepers', and never wrong.
-func (m *model) beat(s *sidecar, token uint64) {
+// heartbeat renews a lease; the ledger is the keepers', and never wrong.
+func (m *model) heartbeat(s *sidecar, token uint64) {
 	if s.dead || s.token != token {
 		return
 	}
-	m.after(m.between(100*time.Millisecond, 150*time.Millisecond), func() { m.beat(s, token) })
+	m.after(m.between(100*time.Millisecond, 150*time.Millisecond), func() { m.heartbeat(s, token) })
 	if s.paused || s.cut {
 		return
 	}
@@ -172,17 +172,17 @@
 			if s.token != token {
 				return
 			}
-			m.filled[s.name], m.unheard[s.name] = s.replica.Filled(), s.replica.Unheard(m.now)
+			m.filled[s.name], m.unheard[s.name] = s.store.Filled(), s.store.Unheard(m.now)
 		})
-		table, members := m.table.Clone(), m.members()
+		placement, members := m.placement.Clone(), m.members()
 		m.after(m.between(time.Millisecond, 30*time.Millisecond), func() {
 			s.on(func() {
 				if s.token != token || asked+modelLease < s.leased {
 					return
 				}
 				s.me, s.leased = in.Who, asked+modelLease
-				s.replica.Learn(m.now, in.Who, table, members)
-				s.replica.Lease(s.leased)
+				s.store.Learn(m.now, in.Who, placement, members)
+				s.store.Lease(s.leased)
 				m.say(s)
 			})
 		})
@@ -199,9 +199,9 @@
 	return out
 }
 
-// keepers counts out whose lease has surely ended, and plans seats.
+// keepers counts out whose lease has surely ended, and plans replicas.
 func (m *model) keepers() {
-	m.after(m.between(30*time.Millisecond, 300*time.Millisecond), m.keepers) // members hear of each other before seats follow
+	m.after(m.between(30*time.Millisecond, 300*time.Millisecond), m.keepers) // members hear of each other before replicas follow
 	for _, s := range m.all {
 		if _, there := m.in[s.name]; there && m.now >= m.until[s.name] {
 			delete(m.in, s.name)
@@ -215,18 +215,18 @@
 		}
 	}
 	var filled []Filled
-	for i, s := range m.table.Shards {
-		for _, seat := range s.Seats {
-			if m.bug == bugFilled && !seat.Ready {
-				filled = append(filled, Filled{i, s.Ballot, seat.Who})
+	for i, s := range m.placement.Shards {
+		for _, replica := range s.Replicas {
+			if m.bug == bugFilled && !replica.Ready {
+				filled = append(filled, Filled{i, s.Config, replica.Who})
 			}
 		}
 	}
 	for _, s := range m.all {
 		filled = append(filled, m.filled[s.name]...)
 	}
-	for i := range m.table.Shards {
-		if !m.table.Shards[i].Dead(func(w Who, token uint64) bool {
+	for i := range m.placement.Shards {
+		if !m.placement.Shards[i].Dead(func(w Who, token uint64) bool {
 			in, there := m.in[w.Name]
 			return there && (in.Who == w || in.Token == token)
 		}) {
@@ -237,8 +237,8 @@
 	}
 	leaving, unheard := map[Who]bool{}, map[[2]Who]bool{}
 	for _, s := range m.all {
-		if leaving[m.in[s.name].Who] = s.moving; s.moving && !s.dead && !slices.ContainsFunc(m.table.Shards[:], func(sh Shard) bool {
-			return slices.ContainsFunc(sh.Seats, func(seat Seat) bool { return seat.Who == m.in[s.name].Who })
+		if leaving[m.in[s.name].Who] = s.moving; s.moving && !s.dead && !slices.ContainsFunc(m.placement.Shards[:], func(sh Shard) bool {
+			return slices.ContainsFunc(sh.Replicas, func(replica Replica) bool { return replica.Who == m.in[s.name].Who })
 		}) {
 			m.counts["left"]++
 			s.dead = true
@@ -248,23 +248,23 @@
 			unheard[[2]Who{m.in[s.name].Who, who}] = true
 		}
 	}
-	changes := m.table.Plan(&Crew{Members: members, Copies: m.terms.Copies, Filled: filled, Leaving: leaving, Unheard: unheard,
+	changes := m.placement.Plan(&Crew{Members: members, Copies: m.terms.Copies, Filled: filled, Leaving: leaving, Unheard: unheard,
 		Lost: func(i int) bool { return m.dead[i] > 0 && m.now > m.dead[i]+m.terms.LostAfter }})
 	for _, c := range changes {
-		if n := len(c.Seats); m.bug == bugPrimary && n > 1 && !c.Seats[n-1].Ready {
-			c.Seats[0], c.Seats[n-1] = c.Seats[n-1], c.Seats[0]
-			c.Seats[0].Ready = true
+		if n := len(c.Replicas); m.bug == bugPrimary && n > 1 && !c.Replicas[n-1].Ready {
+			c.Replicas[0], c.Replicas[n-1] = c.Replicas[n-1], c.Replicas[0]
+			c.Replicas[0].Ready = true
 		}
 	}
-	if err := m.table.Apply(changes); err != nil {
+	if err := m.placement.Apply(changes); err != nil {
 		m.breaks("plan: %v", err)
 	}
 }
 
 // say sends what is to be said.
 func (m *model) say(s *sidecar) {
-	for _, to := range s.replica.Peers() {
-		b := s.replica.Next(m.now, to.Who)
+	for _, to := range s.store.Peers() {
+		b := s.store.Next(m.now, to.Who)
 		if b == nil {
 			continue
 		}
@@ -273,7 +273,7 @@
 			s.on(func() {
 				if !over && s.token == token {
 					over = true
-					s.replica.Said(m.now, to.Who, b, a)
+					s.store.Said(m.now, to.Who, b, a)
 					m.say(s)
 				}
 			})
@@ -283,7 +283,7 @@
 		arrive := func() {
 			m.after(m.delay(), func() {
 				other.on(func() {
-					if a := other.replica.Take(m.now, m.late(other, b)); a != nil {
+					if a := other.store.Take(m.now, m.late(other, b)); a != nil {
 						m.after(m.delay(), func() { end(a) })
 					}
 				})
@@ -309,14 +309,14 @@
 		return b
 	}
 	out := &Batch{To: b.To}
-	for _, st := range b.Stores {
-		ballot := at.replica.shards[st.Shard].Ballot
-		st.Of.Ballot = max(st.Of.Ballot, ballot)
+	for _, st := range b.Updates {
+		config := at.store.shards[st.Shard].Config
+		st.Of.Config = max(st.Of.Config, config)
 		st.Entries = slices.Clone(st.Entries)
 		for n := range st.Entries {
-			st.Entries[n].Rev = Rev{st.Of.Ballot, 1 << 40}
+			st.Entries[n].Rev = Rev{st.Of.Config, 1 << 40}
 		}
-		out.Stores = append(out.Stores, st)
+		out.Updates = append(out.Updates, st)
 	}
 	return out
 }
@@ -344,11 +344,11 @@
 			})
 		})
 	}
-	if s.replica.table == nil || len(s.replica.table.Shards[a.Key.Shard()].Seats) == 0 {
+	if s.store.placement == nil || len(s.store.placement.Shards[a.Key.Shard()].Replicas) == 0 {
 		again(Answer{Kind: NotHere})
 		return
 	}
-	to := s.replica.table.Shards[a.Key.Shard()].Seats[0].Who
+	to := s.store.placement.Shards[a.Key.Shard()].Replicas[0].Who
 	over := false
 	end := func(got Answer) {
 		s.on(func() {
@@ -368,7 +368,7 @@
 	other := m.all[slices.IndexFunc(m.all, func(o *sidecar) bool { return o.name == to.Name })]
 	m.after(m.delay(), func() {
 		other.on(func() {
-			other.replica.Ask(m.now, a, func(got Answer) { m.after(m.delay(), func() { end(got) }) })
+			other.store.Ask(m.now, a, func(got Answer) { m.after(m.delay(), func() { end(got) }) })
 			m.say(other)
 		})
 	})
@@ -477,11 +477,11 @@
 			return false
 		}
 	}
-	for i := range m.table.Shards {
-		s := &m.table.Shards[i]
+	for i := range m.placement.Shards {
+		s := &m.placement.Shards[i]
 		ready := 0
-		for _, seat := range s.Seats {
-			if seat.Ready && m.in[seat.Name].Who == seat.Who {
+		for _, replica := range s.Replicas {
+			if replica.Ready && m.in[replica.Name].Who == replica.Who {
 				ready++
 			}
 		}
@@ -494,7 +494,7 @@
 
 func playModel(t *testing.T, seed uint64, bug string) (string, map[string]int) {
 	m := &model{t: t, dice: rand.New(rand.NewPCG(seed, 0x401d)), bug: bug, terms: Terms{Copies: 2, Keep: time.Minute, LostAfter: 2 * modelTime},
-		in: map[string]Member{}, until: map[string]Boot{}, filled: map[string][]Filled{}, unheard: map[string][]Who{}, ways: map[[2]string]bool{}, table: &Table{}, effects: map[string]int{}, first: map[string]Boot{}, told: map[string]string{},
+		in: map[string]Member{}, until: map[string]Boot{}, filled: map[string][]Filled{}, unheard: map[string][]Who{}, ways: map[[2]string]bool{}, placement: &Placement{}, effects: map[string]int{}, first: map[string]Boot{}, told: map[string]string{},
 		counts: map[string]int{}, calm: seed%2 == 1}
 	if m.calm {
 		m.terms.LostAfter = 3 * time.Second
--- a/internal/holdings/table_test.go
+++ b/internal/holdings/placement_test.go
@@ -10,12 +10,12 @@
 	"pgregory.net/rapid"
 )
 
-// Members come, go, leave, and do not reach one another; primaries say what is filled. After each plan: a shard's first seat is
+// Members come, go, leave, and do not reach one another; primaries say what is filled. After each plan: a shard's first replica is
 // ready, no member sits twice, and who is in the crew and had all of a shard goes only when as many others as copies have it.
 func TestPlan(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		copies := rapid.IntRange(1, 3).Draw(t, "copies")
-		table, epoch := &Table{}, uint64(0)
+		placement, epoch := &Placement{}, uint64(0)
 		crew := &Crew{Copies: copies, Lost: func(int) bool { return false }}
 		for range rapid.IntRange(5, 25).Draw(t, "steps") {
 			crew.Leaving, crew.Unheard, crew.Filled = map[Who]bool{}, map[[2]Who]bool{}, nil
@@ -43,52 +43,52 @@
 				}
 			}
 			fills := rapid.IntRange(0, 2).Draw(t, "fills") // none, some, all
-			for i, s := range table.Shards {
-				for _, seat := range s.Seats {
-					if !seat.Ready && (fills == 2 || fills == 1 && i%2 == 0) {
-						crew.Filled = append(crew.Filled, Filled{i, s.Ballot, seat.Who})
+			for i, s := range placement.Shards {
+				for _, replica := range s.Replicas {
+					if !replica.Ready && (fills == 2 || fills == 1 && i%2 == 0) {
+						crew.Filled = append(crew.Filled, Filled{i, s.Config, replica.Who})
 					}
 				}
 			}
-			before := table.Clone()
-			changes := table.Plan(crew)
-			if again := table.Plan(crew); !reflect.DeepEqual(changes, again) {
+			before := placement.Clone()
+			changes := placement.Plan(crew)
+			if again := placement.Plan(crew); !reflect.DeepEqual(changes, again) {
 				t.Fatalf("%v, and then %v", changes, again)
 			}
-			if err := table.Apply(changes); err != nil {
+			if err := placement.Apply(changes); err != nil {
 				t.Fatal(err)
 			}
-			for i := range table.Shards {
-				checkSeats(t, crew, i, &before.Shards[i], &table.Shards[i])
+			for i := range placement.Shards {
+				checkReplicas(t, crew, i, &before.Shards[i], &placement.Shards[i])
 			}
 		}
 	})
 }
 
-func checkSeats(t *rapid.T, crew *Crew, number int, before, after *Shard) {
-	in := func(seat Seat) bool {
-		return slices.ContainsFunc(crew.Members, func(m Member) bool { return m.Token == seat.Token })
+func checkReplicas(t *rapid.T, crew *Crew, number int, before, after *Shard) {
+	in := func(replica Replica) bool {
+		return slices.ContainsFunc(crew.Members, func(m Member) bool { return m.Token == replica.Token })
 	}
 	ready := 0
-	for n, seat := range after.Seats {
-		if slices.ContainsFunc(after.Seats[:n], func(other Seat) bool { return other.Name == seat.Name }) {
-			t.Fatalf("shard %d: %s sits twice: %v", number, seat.Name, after.Seats)
+	for n, replica := range after.Replicas {
+		if slices.ContainsFunc(after.Replicas[:n], func(other Replica) bool { return other.Name == replica.Name }) {
+			t.Fatalf("shard %d: %s sits twice: %v", number, replica.Name, after.Replicas)
 		}
-		if in(seat) && seat.Ready {
+		if in(replica) && replica.Ready {
 			ready++
 		}
 	}
-	if len(after.Seats) > 0 && !after.Seats[0].Ready {
-		t.Fatalf("shard %d: its first seat is not ready: %v", number, after.Seats)
+	if len(after.Replicas) > 0 && !after.Replicas[0].Ready {
+		t.Fatalf("shard %d: its first replica is not ready: %v", number, after.Replicas)
 	}
-	if !slices.Equal(before.Seats, after.Seats) && after.Ballot == before.Ballot {
-		t.Fatalf("shard %d: other seats under ballot %d", number, after.Ballot)
+	if !slices.Equal(before.Replicas, after.Replicas) && after.Config == before.Config {
+		t.Fatalf("shard %d: other replicas under configuration %d", number, after.Config)
 	}
-	dropped := slices.ContainsFunc(before.Seats, func(seat Seat) bool {
-		return seat.Ready && in(seat) && !slices.ContainsFunc(after.Seats, func(s Seat) bool { return s.Token == seat.Token })
+	dropped := slices.ContainsFunc(before.Replicas, func(replica Replica) bool {
+		return replica.Ready && in(replica) && !slices.ContainsFunc(after.Replicas, func(s Replica) bool { return s.Token == replica.Token })
 	})
 	if dropped && ready < crew.Copies {
-		t.Fatalf("shard %d: a seat that was ready is gone, and only %d others are: %v, %v", number, ready, before.Seats, after.Seats)
+		t.Fatalf("shard %d: a replica that was ready is gone, and only %d others are: %v, %v", number, ready, before.Replicas, after.Replicas)
 	}
 }
 
--- a/internal/holdings/replica.go
+++ b/internal/holdings/store.go
@@ -7,40 +7,40 @@
 	"time"
 )
 
-// Figures of a replica.
+// Figures of a store.
 const (
 	// mostQueued asks wait for one key: more than clients repeat a request in its time.
 	mostQueued = 16
-	// batchBytes of entries go to a peer at once, about, and fillEntries of a seat that is being filled: what is new does not
+	// batchBytes of entries go to a peer at once, about, and fillEntries of a replica that is being filled: what is new does not
 	// wait behind what is old.
 	batchBytes  = 256 << 10
 	fillEntries = 64
 	// staleAfter their end backups keep entries: the primary's clock decides, and theirs may be faster.
 	staleAfter = 10 * time.Second
 	// unheardAfter no answer for so long others are told of it, above what a busy machine takes, and for unheardFor after the last
-	// try: a seat that is given to somebody else is not asked any more.
+	// try: a replica that is given to somebody else is not asked any more.
 	unheardAfter = time.Second
 	unheardFor   = 10 * time.Second
 	// sweepEvery is how often ended entries are looked for, a shard at a time.
 	sweepEvery = 100 * time.Millisecond
 )
 
-// Replica is one sidecar's part in the shards where it has a seat. It is to be called by one goroutine at a time.
+// Store is one sidecar's part in the shards where it has a replica. It is to be called by one goroutine at a time.
 //
-// What must hold: a primary answers by an entry only when each seat of its shard, under the ballot of that moment, has said that it
-// has it; a seat says yes to no ballot that is older than one that it has heard of.
-type Replica struct {
-	me      Who
-	terms   Terms
-	most    int // entries of a shard
-	table   *Table
-	members map[Who]Member
-	leased  Boot // until then this sidecar may act as a primary
-	shards  [Shards]*shard
-	out     map[Who]*outbox
-	sweep   Boot
-	next    int    // the shard that is swept then
-	alone   []item // entries that wait for nobody's word
+// What must hold: a primary answers by an entry only when each replica of its shard, under the configuration of that moment, has said that it
+// has it; a replica says yes to no configuration that is older than one that it has heard of.
+type Store struct {
+	me        Who
+	terms     Terms
+	most      int // entries of a shard
+	placement *Placement
+	members   map[Who]Member
+	leased    Boot // until then this sidecar may act as a primary
+	shards    [Shards]*shard
+	out       map[Who]*outbox
+	sweep     Boot
+	next      int    // the shard that is swept then
+	alone     []item // entries that wait for nobody's word
 
 	// Counts, from 0.
 	Entries, Bytes int
@@ -51,19 +51,19 @@
 	number int
 	Shard  // as last heard of, from the ledger or from its primary
 	held   map[Key]*held
-	count  uint64 // of revisions, under the present ballot
+	count  uint64 // of revisions, under the present configuration
 	lost   uint64 // Lost as last heard of, and when: until a keep later an unknown key may have been held
 	lostAt Boot
-	left   map[Who]int // entries that seats which are not ready still lack
+	left   map[Who]int // entries that replicas which are not ready still lack
 }
 
 // held is an entry with what its primary does about it.
 type held struct {
 	Entry
 	since, changed Boot
-	under          uint64       // the ballot under which it was said last
-	settled        uint64       // the ballot under which all seats have it
-	waits          map[Who]bool // seats whose word is missing
+	under          uint64       // the configuration under which it was said last
+	settled        uint64       // the configuration under which all replicas have it
+	waits          map[Who]bool // replicas whose word is missing
 	then           []func()     // when it comes
 	queue          []op
 }
@@ -83,16 +83,16 @@
 	failing, failed Boot
 }
 
-// item is an entry that a seat is to have.
+// item is an entry that a replica is to have.
 type item struct {
 	shard  int
-	ballot uint64 // that asks for it
+	config uint64 // that asks for it
 	key    Key
 	fill   bool
 }
 
-// Store is a primary's word to a seat.
-type Store struct {
+// Update is a primary's word to a replica.
+type Update struct {
 	Shard   int     `cbor:"1,keyasint"`
 	Of      Shard   `cbor:"2,keyasint"`
 	Entries []Entry `cbor:"3,keyasint"`
@@ -102,28 +102,28 @@
 
 // Batch is what is said to a sidecar at once.
 type Batch struct {
-	To     Who     `cbor:"2,keyasint"` // a word for a stay that is over is for nobody
-	Stores []Store `cbor:"1,keyasint"`
+	To      Who      `cbor:"2,keyasint"` // a word for an incarnation that is over is for nobody
+	Updates []Update `cbor:"1,keyasint"`
 }
 
-// Batched is its answer: shards of which it has heard a later ballot. All else it has.
+// Batched is its answer: shards of which it has heard a later configuration. All else it has.
 type Batched struct {
 	Later map[int]Shard `cbor:"1,keyasint,omitempty"`
 }
 
-// NewReplica returns one that knows nothing. most bounds its entries.
-func NewReplica(terms Terms, most int) *Replica {
-	r := &Replica{terms: terms, most: max(1, most/Shards), members: map[Who]Member{}, out: map[Who]*outbox{}}
+// NewStore returns one that knows nothing. most bounds its entries.
+func NewStore(terms Terms, most int) *Store {
+	r := &Store{terms: terms, most: max(1, most/Shards), members: map[Who]Member{}, out: map[Who]*outbox{}}
 	for i := range r.shards {
 		r.shards[i] = &shard{number: i, held: map[Key]*held{}}
 	}
 	return r
 }
 
-// Learn takes the ledger's table and members, as a renewal brought them. me is this sidecar's present stay in the crew.
-func (r *Replica) Learn(now Boot, me Who, table *Table, members []Member) {
+// Learn takes the ledger's placement and members, as a renewal brought them. me is this sidecar's present incarnation in the crew.
+func (r *Store) Learn(now Boot, me Who, placement *Placement, members []Member) {
 	moved := me != r.me
-	r.me, r.table = me, table
+	r.me, r.placement = me, placement
 	r.members = map[Who]Member{}
 	for _, m := range members {
 		r.members[m.Who] = m
@@ -133,23 +133,23 @@
 			delete(r.out, who)
 		}
 	}
-	for i := range table.Shards {
-		r.adopt(now, r.shards[i], table.Shards[i], moved)
+	for i := range placement.Shards {
+		r.adopt(now, r.shards[i], placement.Shards[i], moved)
 	}
 }
 
 // Lease tells until when this sidecar may act as a primary.
-func (r *Replica) Lease(until Boot) { r.leased = until }
+func (r *Store) Lease(until Boot) { r.leased = until }
 
-// adopt takes a shard's seats, if they are later than those known.
-func (r *Replica) adopt(now Boot, s *shard, of Shard, anew bool) {
+// adopt takes a shard's replicas, if they are later than those known.
+func (r *Store) adopt(now Boot, s *shard, of Shard, anew bool) {
 	if of.Lost > s.lost {
 		s.lost, s.lostAt = of.Lost, now
 	}
-	if of.Ballot < s.Ballot || of.Ballot == s.Ballot && !anew {
+	if of.Config < s.Config || of.Config == s.Config && !anew {
 		return
 	}
-	s.Shard = Shard{of.Ballot, slices.Clone(of.Seats), of.Lost}
+	s.Shard = Shard{of.Config, slices.Clone(of.Replicas), of.Lost}
 	s.count, s.left = 0, nil
 	if !r.primary(s) {
 		r.release(s)
@@ -160,37 +160,37 @@
 	}
 	s.left = map[Who]int{}
 	keys := r.sorted(s)
-	for _, seat := range s.Seats[1:] {
-		if seat.Ready {
+	for _, replica := range s.Replicas[1:] {
+		if replica.Ready {
 			continue
 		}
-		s.left[seat.Who] = len(keys)
+		s.left[replica.Who] = len(keys)
 		for _, k := range keys {
-			r.to(seat.Who).fill = append(r.to(seat.Who).fill, item{s.number, s.Ballot, k, true})
+			r.to(replica.Who).fill = append(r.to(replica.Who).fill, item{s.number, s.Config, k, true})
 		}
 	}
-	for _, k := range keys { // what was on its way is said under the new ballot, to the new seats
+	for _, k := range keys { // what was on its way is said under the new configuration, to the new replicas
 		if h := s.held[k]; h.waits != nil {
 			r.copy(s, h)
 		}
 	}
 }
 
-// sits tells whether this process has a seat, be it of an earlier stay. Guards against one that comes into the crew anew, hears a table
-// from before its seats follow, and drops what it held: it is seated again as one that has all (seed 22 of the model).
-func (r *Replica) sits(s *shard) bool {
-	return slices.ContainsFunc(s.Seats, func(seat Seat) bool { return seat.Who == r.me || seat.Token == r.members[r.me].Token })
+// sits tells whether this process has a replica, be it of an earlier incarnation. Guards against one that comes into the crew anew, hears a placement
+// from before its replicas follow, and drops what it held: it is placed again as one that has all (seed 22 of the model).
+func (r *Store) sits(s *shard) bool {
+	return slices.ContainsFunc(s.Replicas, func(replica Replica) bool { return replica.Who == r.me || replica.Token == r.members[r.me].Token })
 }
 
 // sorted are a shard's keys, in one order with all runs.
-func (r *Replica) sorted(s *shard) []Key {
+func (r *Store) sorted(s *shard) []Key {
 	return slices.SortedFunc(maps.Keys(s.held), func(a, b Key) int {
 		return cmp.Or(cmp.Compare(a.Class, b.Class), cmp.Compare(a.Tenant, b.Tenant), cmp.Compare(a.Text, b.Text))
 	})
 }
 
 // release answers all that waits at a sidecar that is the primary no more.
-func (r *Replica) release(s *shard) {
+func (r *Store) release(s *shard) {
 	for _, k := range r.sorted(s) {
 		h := s.held[k]
 		queue := h.queue
@@ -201,8 +201,8 @@
 	}
 }
 
-// forget drops what is held of a shard in which this sidecar has no seat any more.
-func (r *Replica) forget(s *shard) {
+// forget drops what is held of a shard in which this sidecar has no replica any more.
+func (r *Store) forget(s *shard) {
 	for _, h := range s.held {
 		r.Entries--
 		r.Bytes -= h.size()
@@ -210,20 +210,20 @@
 	clear(s.held)
 }
 
-func (r *Replica) primary(s *shard) bool { return len(s.Seats) > 0 && s.Seats[0].Who == r.me }
+func (r *Store) primary(s *shard) bool { return len(s.Replicas) > 0 && s.Replicas[0].Who == r.me }
 
-func (r *Replica) to(who Who) *outbox {
+func (r *Store) to(who Who) *outbox {
 	if r.out[who] == nil {
 		r.out[who] = &outbox{}
 	}
 	return r.out[who]
 }
 
-// Ask answers an owner: at once, or when all seats have what the answer rests on. An owner whose ask gets no answer says it
+// Ask answers an owner: at once, or when all replicas have what the answer rests on. An owner whose ask gets no answer says it
 // again.
-func (r *Replica) Ask(now Boot, a *Ask, reply func(Answer)) {
+func (r *Store) Ask(now Boot, a *Ask, reply func(Answer)) {
 	s := r.shards[a.Key.Shard()]
-	// Guards, with the owner, against a table that is older than its stay: it would count as gone.
+	// Guards, with the owner, against a placement that is older than its incarnation: it would count as gone.
 	if _, in := r.members[a.Owner]; !in || !r.primary(s) || now >= r.leased {
 		reply(Answer{Kind: NotHere})
 		return
@@ -241,14 +241,14 @@
 	r.answer(now, s, h, op{a, reply})
 }
 
-// answer answers by what is held, when all seats have that.
-func (r *Replica) answer(now Boot, s *shard, h *held, o op) {
+// answer answers by what is held, when all replicas have that.
+func (r *Store) answer(now Boot, s *shard, h *held, o op) {
 	a := o.ask
-	if len(s.Seats) < r.terms.Copies {
+	if len(s.Replicas) < r.terms.Copies {
 		o.reply(Answer{Kind: Short})
 		return
 	}
-	if h != nil && h.settled != s.Ballot {
+	if h != nil && h.settled != s.Config {
 		// Guards against an answer by what a primary before had told to this sidecar alone.
 		h.queue = append(h.queue, o)
 		r.copy(s, h)
@@ -295,13 +295,13 @@
 }
 
 // runs tells whether an owner may still act on its claim: it is in the crew, and the time that it named is not over.
-func (r *Replica) runs(now Boot, h *held) bool {
+func (r *Store) runs(now Boot, h *held) bool {
 	_, in := r.members[h.Owner]
 	return in && h.State == Claimed && now < h.changed+h.Lasts+Slack
 }
 
 // first answers an ask for a key of which nothing is held.
-func (r *Replica) first(now Boot, s *shard, h *held, o op) {
+func (r *Store) first(now Boot, s *shard, h *held, o op) {
 	a := o.ask
 	if a.Do != Open {
 		kind := Fenced
@@ -331,35 +331,35 @@
 	})
 }
 
-// change changes an entry and answers yes when all seats have it so.
-func (r *Replica) change(now Boot, s *shard, h *held, o op, how func(e *Entry)) {
+// change changes an entry and answers yes when all replicas have it so.
+func (r *Store) change(now Boot, s *shard, h *held, o op, how func(e *Entry)) {
 	r.Bytes -= h.size()
 	how(&h.Entry)
 	r.Bytes += h.size()
 	s.count++
-	h.Rev, h.changed, h.settled = Rev{s.Ballot, s.count}, now, 0
+	h.Rev, h.changed, h.settled = Rev{s.Config, s.count}, now, 0
 	rev := h.Rev
 	h.then = append(h.then, func() { o.reply(Answer{Kind: Yes, Rev: rev}) })
 	r.copy(s, h)
 }
 
-// copy has all seats told an entry.
-func (r *Replica) copy(s *shard, h *held) {
-	h.under = s.Ballot
+// copy has all replicas told an entry.
+func (r *Store) copy(s *shard, h *held) {
+	h.under = s.Config
 	h.waits = map[Who]bool{}
-	for _, seat := range s.Seats[1:] {
-		h.waits[seat.Who] = true
-		r.to(seat.Who).items = append(r.to(seat.Who).items, item{s.number, s.Ballot, h.Key, false})
+	for _, replica := range s.Replicas[1:] {
+		h.waits[replica.Who] = true
+		r.to(replica.Who).items = append(r.to(replica.Who).items, item{s.number, s.Config, h.Key, false})
 	}
 	if len(h.waits) == 0 {
-		r.alone = append(r.alone, item{s.number, s.Ballot, h.Key, false})
+		r.alone = append(r.alone, item{s.number, s.Config, h.Key, false})
 	}
 }
 
-// settle books that all seats have an entry, and goes on with what waited for that.
-func (r *Replica) settle(now Boot, s *shard, h *held) {
+// settle books that all replicas have an entry, and goes on with what waited for that.
+func (r *Store) settle(now Boot, s *shard, h *held) {
 	then, queue := h.then, h.queue
-	h.settled, h.waits, h.then, h.queue = s.Ballot, nil, nil, nil
+	h.settled, h.waits, h.then, h.queue = s.Config, nil, nil, nil
 	for _, f := range then {
 		f()
 	}
@@ -373,7 +373,7 @@
 }
 
 // Peers are the sidecars that there is something to say to, and nothing on its way to.
-func (r *Replica) Peers() []Member {
+func (r *Store) Peers() []Member {
 	var out []Member
 	for who, o := range r.out {
 		if !o.busy && len(o.items)+len(o.fill) > 0 {
@@ -385,12 +385,12 @@
 }
 
 // Next is what to say to a sidecar now; nil for nothing. Its answer goes to Said before the next.
-func (r *Replica) Next(now Boot, to Who) *Batch {
+func (r *Store) Next(now Boot, to Who) *Batch {
 	o := r.out[to]
 	if o == nil || o.busy {
 		return nil
 	}
-	stores := map[int]*Store{}
+	updates := map[int]*Update{}
 	var order []int
 	size := 0
 	take := func(from []item, most int) []item {
@@ -399,14 +399,14 @@
 			it := from[n]
 			s := r.shards[it.shard]
 			h := s.held[it.key]
-			if it.ballot != s.Ballot || !r.primary(s) || !it.fill && (h == nil || !h.waits[to]) {
+			if it.config != s.Config || !r.primary(s) || !it.fill && (h == nil || !h.waits[to]) {
 				continue // what asked for it has passed
 			}
-			if stores[it.shard] == nil {
-				stores[it.shard] = &Store{Shard: it.shard, Of: s.Shard}
+			if updates[it.shard] == nil {
+				updates[it.shard] = &Update{Shard: it.shard, Of: s.Shard}
 				order = append(order, it.shard)
 			}
-			st := stores[it.shard]
+			st := updates[it.shard]
 			st.items = append(st.items, it)
 			taken++
 			if h == nil {
@@ -426,14 +426,14 @@
 	}
 	b := &Batch{To: to}
 	for _, i := range order {
-		b.Stores = append(b.Stores, *stores[i])
+		b.Updates = append(b.Updates, *updates[i])
 	}
 	o.busy = true
 	return b
 }
 
 // Said takes what came of a batch: its answer, nil for none. What was not heard is to be said again.
-func (r *Replica) Said(now Boot, to Who, b *Batch, answer *Batched) {
+func (r *Store) Said(now Boot, to Who, b *Batch, answer *Batched) {
 	o := r.out[to]
 	if o == nil {
 		return // it is gone
@@ -444,8 +444,8 @@
 	} else if o.failed = now; o.failing == 0 {
 		o.failing = max(1, now)
 	}
-	for i := range b.Stores {
-		st := &b.Stores[i]
+	for i := range b.Updates {
+		st := &b.Updates[i]
 		s := r.shards[st.Shard]
 		later, fenced := Shard{}, answer == nil
 		if answer != nil {
@@ -453,7 +453,7 @@
 				r.adopt(now, s, later, false)
 			}
 		}
-		if s.Ballot != st.Of.Ballot || !r.primary(s) {
+		if s.Config != st.Of.Config || !r.primary(s) {
 			continue // all that still counts has been put into the outbox anew
 		}
 		if fenced {
@@ -468,7 +468,7 @@
 			}
 		}
 		for _, e := range st.Entries {
-			if h := s.held[e.Key]; h != nil && h.waits[to] && h.Rev == e.Rev && h.under == s.Ballot {
+			if h := s.held[e.Key]; h != nil && h.waits[to] && h.Rev == e.Rev && h.under == s.Config {
 				if delete(h.waits, to); len(h.waits) == 0 {
 					r.settle(now, s, h)
 				}
@@ -488,19 +488,19 @@
 
 // Take takes what a primary says.
 //
-// nil is no answer: the word was for another stay than the present one.
-func (r *Replica) Take(now Boot, b *Batch) *Batched {
+// nil is no answer: the word was for another incarnation than the present one.
+func (r *Store) Take(now Boot, b *Batch) *Batched {
 	if b.To != r.me {
 		return nil
 	}
 	out := &Batched{}
-	for i := range b.Stores {
-		st := &b.Stores[i]
+	for i := range b.Updates {
+		st := &b.Updates[i]
 		if st.Shard < 0 || st.Shard >= Shards {
 			continue
 		}
 		s := r.shards[st.Shard]
-		if st.Of.Ballot < s.Ballot {
+		if st.Of.Config < s.Config {
 			if out.Later == nil {
 				out.Later = map[int]Shard{}
 			}
@@ -515,15 +515,15 @@
 	return out
 }
 
-// keep takes one entry. The word of a later ballot stands, and the later one of a ballot.
-func (r *Replica) keep(now Boot, s *shard, e *Entry) {
+// keep takes one entry. The word of a later configuration stands, and the later one of a configuration.
+func (r *Store) keep(now Boot, s *shard, e *Entry) {
 	h := s.held[e.Key]
 	switch {
 	case h == nil:
 		h = &held{}
 		s.held[e.Key] = h
 		r.Entries++
-	case s.Ballot == h.under && e.Rev.before(h.Rev):
+	case s.Config == h.under && e.Rev.before(h.Rev):
 		return // late word
 	default:
 		r.Bytes -= h.size()
@@ -532,29 +532,29 @@
 	if h.Rev == e.Rev {
 		since = min(since, h.since) // the older of two ages: the way took time
 	}
-	h.Entry, h.under, h.settled = *e, s.Ballot, 0
+	h.Entry, h.under, h.settled = *e, s.Config, 0
 	h.since, h.changed = since, now-e.Still
 	r.Bytes += h.size()
 }
 
-// Filled are this sidecar's words on seats that lack nothing any more.
-func (r *Replica) Filled() []Filled {
+// Filled are this sidecar's words on replicas that lack nothing any more.
+func (r *Store) Filled() []Filled {
 	var out []Filled
 	for _, s := range r.shards {
 		if !r.primary(s) {
 			continue
 		}
-		for _, seat := range s.Seats[1:] {
-			if left, fills := s.left[seat.Who]; fills && left == 0 {
-				out = append(out, Filled{s.number, s.Ballot, seat.Who})
+		for _, replica := range s.Replicas[1:] {
+			if left, fills := s.left[replica.Who]; fills && left == 0 {
+				out = append(out, Filled{s.number, s.Config, replica.Who})
 			}
 		}
 	}
 	return out
 }
 
-// Peek is what this sidecar has of a key, whatever seat it has: for people, nothing may rest on it.
-func (r *Replica) Peek(now Boot, key Key) (e Entry, has bool) {
+// Peek is what this sidecar has of a key, whatever replica it has: for people, nothing may rest on it.
+func (r *Store) Peek(now Boot, key Key) (e Entry, has bool) {
 	h := r.shards[key.Shard()].held[key]
 	if h == nil {
 		return e, false
@@ -564,8 +564,8 @@
 	return e, true
 }
 
-// Unheard are the sidecars that have not answered for a while, and lately: who seats them can seat others.
-func (r *Replica) Unheard(now Boot) []Who {
+// Unheard are the sidecars that have not answered for a while, and lately: who gives them replicas can give those to others.
+func (r *Store) Unheard(now Boot) []Who {
 	var out []Who
 	for who, o := range r.out {
 		if o.failing > 0 && o.failed-o.failing >= unheardAfter && now-o.failed < unheardFor {
@@ -577,7 +577,7 @@
 }
 
 // Tick ends entries whose time is over, and goes on with what waits for nobody.
-func (r *Replica) Tick(now Boot) {
+func (r *Store) Tick(now Boot) {
 	r.settleAlone(now)
 	if now < r.sweep {
 		return
@@ -600,9 +600,9 @@
 	}
 }
 
-// settleAlone goes on with entries for which no seat's word is missing: those of a shard with one seat. Nobody else could tell a
+// settleAlone goes on with entries for which no replica's word is missing: those of a shard with one replica. Nobody else could tell a
 // primary that was counted out that it is none any more: it looks at its lease.
-func (r *Replica) settleAlone(now Boot) {
+func (r *Store) settleAlone(now Boot) {
 	for len(r.alone) > 0 && now < r.leased {
 		it := r.alone[0]
 		r.alone = r.alone[1:]
--- a/internal/lab/rig/crew_test.go
+++ b/internal/lab/rig/crew_test.go
@@ -67,7 +67,7 @@
 	last, lost time.Duration
 }
 
-// sleepGap without a look at the clock is taken for a stop: a member that runs looks with each beat, and by stayAwake.
+// sleepGap without a look at the clock is taken for a stop: a member that runs looks with each heartbeat, and by stayAwake.
 const sleepGap = 300 * time.Millisecond
 
 // Boot is env.Env's.
--- a/internal/lab/rig/orders.go
+++ b/internal/lab/rig/orders.go
@@ -251,7 +251,7 @@
 		if p.starts == 0 {
 			continue
 		}
-		// Who holds no lease was started a moment ago: the seats that the ledger still has for the process before are empty.
+		// Who holds no lease was started a moment ago: the replicas that the ledger still has for the process before are empty.
 		var a member.Acts
 		if !well || p.line.Call("acting", struct{}{}, &a, pollTime) != nil || a.Cautious {
 			return false
@@ -263,13 +263,13 @@
 // whole tells whether each shard has all of its copies, by the leader's word, none of them at a process that is away: a token.
 func (r *crewRig) whole(away uint64) bool {
 	st := r.ledger()
-	if st == nil || st.Table == nil || away == 0 && len(st.Members) < r.scene.Keepers+r.scene.Members {
+	if st == nil || st.Placement == nil || away == 0 && len(st.Members) < r.scene.Keepers+r.scene.Members {
 		return false
 	}
-	for _, s := range st.Table.Shards {
+	for _, s := range st.Placement.Shards {
 		ready := 0
-		for _, seat := range s.Seats {
-			if seat.Ready && st.In[seat.Name] == seat.In && seat.Token != away {
+		for _, replica := range s.Replicas {
+			if replica.Ready && st.In[replica.Name] == replica.In && replica.Token != away {
 				ready++
 			}
 		}
--- a/internal/sim/crewsim/faults.go
+++ b/internal/sim/crewsim/faults.go
@@ -304,7 +304,7 @@
 		p.holder.Self = first.holder.Self
 	}
 	r.twins = append(r.twins, p)
-	p.beat()
+	p.heartbeat()
 	r.w.after(r.w.between(500*time.Millisecond, 4*time.Second), "twin ends", p.id, p.kill)
 }
 
--- a/internal/sim/crewsim/process.go
+++ b/internal/sim/crewsim/process.go
@@ -262,10 +262,10 @@
 	})
 }
 
-// beat asks for the lease, and again with the next beat.
-func (p *process) beat() {
+// heartbeat asks for the lease, and again with the next heartbeat.
+func (p *process) heartbeat() {
 	if !p.leaving {
-		p.seeker.Beat()
+		p.seeker.Heartbeat()
 		p.ask()
 	}
 }
@@ -295,7 +295,7 @@
 			p.ask()
 			return
 		}
-		p.later(p.r.conf.Terms.Lease/crew.Beats, "beat", p.beat)
+		p.later(p.r.conf.Terms.Lease/crew.Heartbeats, "heartbeat", p.heartbeat)
 	}
 	call(p, to, "renew", r, p.r.conf.Terms.Lease/crew.CallPart, func(q *process, r crew.Renewal, reply func(keeper.Renewed)) {
 		q.keep(func(c *keeper.Core) {
--- a/internal/sim/crewsim/run.go
+++ b/internal/sim/crewsim/run.go
@@ -229,7 +229,7 @@
 	if p.disk = r.disks[name]; p.disk != nil {
 		p.open()
 	}
-	p.beat()
+	p.heartbeat()
 }
 
 func (r *run) newProcess(name string) *process {
