--- a/internal/crew/bench_test.go
+++ b/internal/crew/bench_test.go
@@ -4,6 +4,9 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"heathgap/internal/holdings"
+	"heathgap/internal/terms"
 )
 
 // BenchmarkRenewal is what one renewal costs a leader of a crew of so many, without the network: the answer, and the look whether
@@ -12,18 +15,18 @@
 	for _, members := range []int{30, 300, 3000} {
 		for _, looks := range []string{"when due", "each time"} {
 			b.Run(fmt.Sprintf("%d members, %s", members, looks), func(b *testing.B) {
-				terms := Terms{Lease: time.Second, Drift: 0.01}
+				conf := Terms{Lease: time.Second, Drift: 0.01}
 				l := NewLedger()
 				for i := range members {
 					l.Apply(&Entry{Enter: []Member{{Name: fmt.Sprint("m", i), Token: uint64(i + 1)}}})
 				}
-				g := NewGranter(terms, 1)
+				g := NewGranter(conf, 1)
 				now := Boot(time.Second)
 				heard := Word{Term: 1, At: now}
-				gap := terms.Lease / Heartbeats / time.Duration(members)
+				gap := conf.Lease / Heartbeats / time.Duration(members)
 				for i := 0; b.Loop(); i++ {
 					n := i % members
-					r := Renewal{Member: Member{Name: fmt.Sprint("m", n), Token: uint64(n + 1)}, Terms: terms.Hash(), Epoch: l.Epoch, Heard: heard}
+					r := Renewal{Member: Member{Name: fmt.Sprint("m", n), Token: uint64(n + 1)}, Terms: conf.Hash(), Epoch: l.Epoch, Heard: heard}
 					grant := g.Renew(now, l, &r)
 					if !grant.Granted {
 						b.Fatal(grant.Why)
@@ -38,3 +41,44 @@
 		}
 	}
 }
+
+// BenchmarkParts is what the parts of one change cost a leader of a crew of so many that holds: the list of members, a copy of the
+// placement, the plan that follows, a copy of the ledger as a status tells it, and the hash of the terms with each renewal.
+func BenchmarkParts(b *testing.B) {
+	for _, members := range []int{60, 120, 240, 580} {
+		conf := Terms{Lease: time.Second, Drift: 0.01, Holdings: terms.Holdings{Copies: 2, Keep: time.Minute, LostAfter: time.Minute}}
+		l := NewLedger()
+		for i := range members {
+			l.Apply(&Entry{Enter: []Member{{Name: fmt.Sprint("m", i), Token: uint64(i + 1), Zone: fmt.Sprint(i % 5), Address: fmt.Sprint("10.0.0.1:", i)}}})
+		}
+		plan := func() []holdings.Change {
+			placement := l.Placement
+			if placement == nil {
+				placement = &holdings.Placement{}
+			}
+			return placement.Plan(&holdings.Crew{Members: l.Membership(), Copies: 2, Lost: func(int) bool { return false }})
+		}
+		l.Apply(&Entry{Replicas: plan(), Epoch: l.Epoch})
+		for _, part := range []struct {
+			name string
+			do   func()
+		}{
+			{"membership", func() { l.Membership() }},
+			{"placement's copy", func() { l.Placement.Clone() }},
+			{"plan", func() { plan() }},
+			{"ledger's copy", func() { l.Clone() }},
+			{"hash of the terms", func() { conf.Hash() }},
+			{"look", func() {
+				g := NewGranter(conf, 1)
+				g.planned = basis{l.Epoch, l.Placement.Number}
+				g.look(time.Second, l)
+			}},
+		} {
+			b.Run(fmt.Sprintf("%d members, %s", members, part.name), func(b *testing.B) {
+				for b.Loop() {
+					part.do()
+				}
+			})
+		}
+	}
+}
