Members are told what changed since the epoch and placement that they name, the whole only who has none

A member says that it takes changes (field 24) and is told a holdings.Delta (field 10): members that came or changed, names that are gone, shards that changed, a checksum of the state that it leads to. What did not change is not told; the whole is told where the member names nothing, where the history does not reach back, or where it is no longer. One text for each state that members start from, encoded once, is shared. A result that differs leaves the member as it was: it names nothing and is told the whole, and if that differs too, in the way of builds that take no changes, until another leader leads. Older builds are told the whole as before.

--- a/internal/crew/fleet_test.go
+++ b/internal/crew/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"reflect"
 	"runtime"
 	"slices"
 	"strconv"
@@ -44,23 +45,26 @@
 	leader, member time.Duration // processor time
 	planning       time.Duration // of the leader's, what is due
 	entries        int
-	last           crew.Boot // when the last entry was applied
+	term           uint64
+	spoil          func(m *fellow, d *holdings.Delta) // where set: what befalls a delta on its way
+	oldLeader      bool                               // the leader's build tells no changes
+	last           crew.Boot                          // when the last entry was applied
 }
 
 // fellow is a member of a fleet.
 type fellow struct {
-	i          int
-	self       crew.Member
-	holder     *crew.Holder
-	seeker     *crew.Seeker
-	store      *holdings.Store
-	me         holdings.Who
-	placement  *holdings.Placement
-	told       int       // bytes of answers
-	leaveBy    crew.Boot // it wants to leave, and does so by then; 0 for not
-	down       bool
-	comes      crew.Boot // again, when it is down
-	heldBefore bool
+	i         int
+	self      crew.Member
+	holder    *crew.Holder
+	seeker    *crew.Seeker
+	store     *holdings.Store
+	me        holdings.Who
+	placement *holdings.Placement
+	told      int       // bytes of answers
+	leaveBy   crew.Boot // it wants to leave, and does so by then; 0 for not
+	down      bool
+	comes     crew.Boot // again, when it is down
+	old       bool      // its build takes no changes
 }
 
 const (
@@ -82,7 +86,7 @@
 func newFleet(t testing.TB, members int) *fleet {
 	f := &fleet{t: t, now: time.Second, ledger: crew.NewLedger(), terms: crew.Terms{Lease: time.Second, Drift: 0.01, Slack: 200 * time.Millisecond,
 		Holdings: terms.Holdings{Copies: 2, Keep: time.Minute, LostAfter: 30 * time.Second}}}
-	f.granter = crew.NewGranter(f.terms, 1)
+	f.lead()
 	for i := range members {
 		m := &fellow{i: i}
 		f.all = append(f.all, m)
@@ -92,6 +96,26 @@
 	return f
 }
 
+// lead brings another leader, which began from a snapshot a moment ago.
+func (f *fleet) lead() {
+	f.term++
+	f.ledger, f.pending = f.ledger.Clone(), nil
+	f.granter = crew.NewGranter(f.terms, f.term)
+}
+
+// check tells whether all members that are up know the ledger's members and placement.
+func (f *fleet) check() {
+	f.t.Helper()
+	want := f.ledger.View()
+	for _, m := range f.all {
+		got := m.holder.View()
+		if !m.down && (got.Epoch != want.Epoch || !slices.Equal(got.Members, want.Members) || !reflect.DeepEqual(got.Placement, want.Placement)) {
+			f.t.Fatalf("%s knows %d members of epoch %d and another placement than the ledger, whose epoch is %d with %d members", m.self.Name,
+				len(got.Members), got.Epoch, want.Epoch, len(want.Members))
+		}
+	}
+}
+
 // start starts a member's process.
 func (f *fleet) start(m *fellow) {
 	f.tokens++
@@ -184,6 +208,9 @@
 
 // renew has the leader answer, over the wire.
 func (f *fleet) renew(m *fellow, r *crew.Renewal) *crew.Grant {
+	if m.old {
+		r.Takes = 0
+	}
 	body, err := cbor.Marshal(r)
 	if err != nil {
 		f.t.Fatal(err)
@@ -202,6 +229,9 @@
 	if err := peers.Decode(message.Body, &heard); err != nil {
 		f.t.Fatal(err)
 	}
+	if f.oldLeader {
+		heard.Takes = 0
+	}
 	grant := f.granter.Renew(f.now, f.ledger, &heard)
 	answer, err := cbor.Marshal(keeper.Renewed{Grant: &grant})
 	if err != nil {
@@ -219,6 +249,16 @@
 		f.t.Fatal(err)
 	}
 	f.member += processor() - began
+	if f.spoil != nil && len(renewed.Grant.Delta) > 0 {
+		var d holdings.Delta
+		if err := cbor.Unmarshal(renewed.Grant.Delta, &d); err != nil {
+			f.t.Fatal(err)
+		}
+		f.spoil(m, &d)
+		if renewed.Grant.Delta, err = cbor.Marshal(d); err != nil {
+			f.t.Fatal(err)
+		}
+	}
 	return renewed.Grant
 }
 
@@ -230,6 +270,15 @@
 	}
 }
 
+// holder is a member that holds something, or one that does not.
+func (f *fleet) holder(holds bool) int {
+	return slices.IndexFunc(f.all, func(m *fellow) bool {
+		return holds == slices.ContainsFunc(f.ledger.Placement.Shards[:], func(s holdings.Shard) bool {
+			return slices.ContainsFunc(s.Replicas, func(r holdings.Replica) bool { return r.Name == m.self.Name })
+		})
+	})
+}
+
 // restart has a member leave in order and come back.
 func (f *fleet) restart(i int) { f.all[i].leaveBy = f.now + fleetMove }
 
@@ -269,11 +318,7 @@
 
 		// A member that holds nothing, and one that does.
 		for _, holds := range []bool{false, true} {
-			i := slices.IndexFunc(f.all, func(m *fellow) bool {
-				return holds == slices.ContainsFunc(f.ledger.Placement.Shards[:], func(s holdings.Shard) bool {
-					return slices.ContainsFunc(s.Replicas, func(r holdings.Replica) bool { return r.Name == m.self.Name })
-				})
-			})
+			i := f.holder(holds)
 			if i < 0 {
 				continue // all do
 			}
@@ -290,8 +335,21 @@
 			})
 		}
 
+		// A fifth of them is lost at once, and comes back at once.
+		f.clear()
+		began := f.now
+		for i, m := range f.all {
+			if i%fleetZones == 0 {
+				m.down, m.comes = true, f.now+5*time.Second
+			}
+		}
+		f.run(5 * time.Second)
+		f.settle(30 * time.Second)
+		say("a zone goes and comes back", (f.now - began).Seconds(), func() string { return fmt.Sprintf("; %d entries", f.entries) })
+		f.check()
+
 		f.clear()
-		began, entries := f.now, f.entries
+		began = f.now
 		for n := range *fleetRelease {
 			f.restart(n * 7 % members)
 			f.run(time.Second)
@@ -299,7 +357,7 @@
 		seconds := (f.now - began).Seconds()
 		say("a restart a second", seconds, func() string {
 			_, median, _ := f.spreadOf()
-			return fmt.Sprintf("; %d entries; %.2f of 22 KB/s", f.entries-entries, kb(median)/seconds/22)
+			return fmt.Sprintf("; %d entries; %.2f of 22 KB/s", f.entries, kb(median)/seconds/22)
 		})
 	}
 }
--- a/internal/crew/granter.go
+++ b/internal/crew/granter.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"heathgap/internal/holdings"
 	"heathgap/internal/terms"
 )
@@ -32,8 +34,14 @@
 	// Moving says that it will leave when its replicas have been given to others, and Unheard are those that it does not reach.
 	Moving  bool           `cbor:"22,keyasint,omitempty"`
 	Unheard []holdings.Who `cbor:"23,keyasint,omitempty"`
+	// Takes is the form in which it takes changes, formDelta; 0 for none, as a build says that is older than they are.
+	Takes uint64 `cbor:"24,keyasint,omitempty"`
 }
 
+// formDelta is the form of changes that this build says and takes: what is in a Delta, and what its checksum goes over. Another
+// number is another form, and who takes that is told the whole.
+const formDelta = 1
+
 // Word is what a member says back so that the leader knows that it hears: which leader answered, and when by its clock.
 type Word struct {
 	Term uint64 `cbor:"1,keyasint,omitempty"`
@@ -52,9 +60,11 @@
 	Active Round  `cbor:"5,keyasint"`
 	Next   *Round `cbor:"6,keyasint,omitempty"`
 	Word   Word   `cbor:"7,keyasint"` // to be said back
-	// Placement and Membership are told where the member has others.
-	Placement  *holdings.Placement `cbor:"8,keyasint,omitempty"`
-	Membership []holdings.Member   `cbor:"9,keyasint,omitempty"`
+	// Placement (holdings.Placement) and Membership (a list of holdings.Member) are told whole, where the member has others and
+	// takes no changes; Delta (holdings.Delta) where it does. They stand here as encoded: many are told the same.
+	Placement  cbor.RawMessage `cbor:"8,keyasint,omitempty"`
+	Membership cbor.RawMessage `cbor:"9,keyasint,omitempty"`
+	Delta      cbor.RawMessage `cbor:"10,keyasint,omitempty"`
 }
 
 // said is what a granter knows of a member, in memory alone.
@@ -89,6 +99,7 @@
 	moving  map[string]bool              // likewise
 	planned basis                        // for which replicas were planned last
 	dead    map[int]Boot                 // since when no ready replica of a shard is in the crew
+	texts   texts                        // what members are told of the ledger's present state
 	lacks   string                       // a member whose word the round under way waited for then
 }
 
@@ -195,7 +206,7 @@
 	s.until = max(s.until, now+g.conf.Wait())
 	grant.Granted = true
 	if l.Placement != nil && (r.HasPlacement != l.Placement.Number || r.HasMembership != l.Epoch) {
-		grant.Placement, grant.Membership = l.Placement.Clone(), l.Membership()
+		g.tell(&grant, l, r)
 	}
 	if len(r.Filled) > 0 && len(r.Filled) <= holdings.Shards*terms.MostCopies && !slices.Equal(g.filled[r.Name], r.Filled) {
 		g.filled[r.Name], g.news, g.planned = r.Filled, true, basis{}
@@ -217,6 +228,53 @@
 	return r.Heard.Term == g.term && now-r.Heard.At <= g.conf.Lease
 }
 
+// mostBases bounds the states that changes are kept for: members lag by one or two of them, and after a cut by some more. What
+// is not kept is encoded for each.
+const mostBases = 16
+
+// texts are what members are told of one state of a ledger, encoded once for all of them.
+type texts struct {
+	at                    basis
+	view                  holdings.View
+	sum                   uint64                    // of it
+	membership, placement cbor.RawMessage           // whole, for those that take no changes; nil until one asks
+	deltas                map[basis]cbor.RawMessage // by what they start from
+}
+
+// tell tells a member what it lacks of members and placement.
+func (g *Granter) tell(grant *Grant, l *Ledger, r *Renewal) {
+	if at := (basis{l.Epoch, l.Placement.Number}); g.texts.at != at {
+		g.texts = texts{at: at, view: l.View(), deltas: map[basis]cbor.RawMessage{}}
+		g.texts.sum = g.texts.view.Sum()
+	}
+	t := &g.texts
+	if r.Takes != formDelta {
+		if t.membership == nil {
+			t.membership, t.placement = encoded(t.view.Members), encoded(t.view.Placement)
+		}
+		grant.Membership, grant.Placement = t.membership, t.placement
+		return
+	}
+	from := basis{r.HasMembership, r.HasPlacement}
+	text, kept := t.deltas[from]
+	if !kept {
+		text = encoded(l.history.Delta(from.epoch, from.placement, &t.view, t.sum))
+		if len(t.deltas) < mostBases {
+			t.deltas[from] = text
+		}
+	}
+	grant.Delta = text
+}
+
+// encoded encodes a value of the program's own types.
+func encoded(value any) cbor.RawMessage {
+	text, err := cbor.Marshal(value)
+	if err != nil {
+		panic(err) // it has nothing that can't be encoded
+	}
+	return text
+}
+
 // Told counts a lease from the moment after its answer went: now is read then. (The holder counts from before it
 // asked, so that counting from Renew on would do; an answer's time on its way is a margin more.)
 func (g *Granter) Told(now Boot, r *Renewal) {
--- a/internal/crew/holder.go
+++ b/internal/crew/holder.go
@@ -3,11 +3,18 @@
 import (
 	"fmt"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"heathgap/decide"
 	"heathgap/internal/holdings"
+	"heathgap/internal/terms"
 	"heathgap/internal/versions"
 )
 
+// decoding bounds what may be told of members and placement before memory is taken: of the widest part, members, twice as many as a
+// crew has may come and go at once.
+var decoding, _ = cbor.DecOptions{MaxArrayElements: 2 * terms.MostMembers, MaxMapPairs: 1 << 10, MaxNestedLevels: 16}.DecMode()
+
 // Stance is what a member acts on.
 type Stance struct {
 	Rules    versions.Rules
@@ -26,20 +33,20 @@
 	// connect is the time that a connection to an endpoint may take: windows are judged less that.
 	connect decide.Time
 
-	ends         Boot // of the lease; 0 before the first
-	asked        Boot // when the newest word was asked for that was taken
-	heard        Word // of the newest answer
-	epoch        uint64
-	active       Round
-	next         *Round
-	checked      uint64
-	refusal      string
-	prepared     uint64
-	rules        versions.Rules // of the lease
-	cautious     versions.Rules
-	placement    *holdings.Placement
-	membership   []holdings.Member
-	membershipOf uint64 // the epoch of the membership
+	ends     Boot // of the lease; 0 before the first
+	asked    Boot // when the newest word was asked for that was taken
+	heard    Word // of the newest answer
+	epoch    uint64
+	active   Round
+	next     *Round
+	checked  uint64
+	refusal  string
+	prepared uint64
+	rules    versions.Rules // of the lease
+	cautious versions.Rules
+	view     holdings.View
+	differs  int   // deltas in a row that could not be taken, of this leader; 1: the whole is asked for
+	differed error // the last one's
 	// What this sidecar's store says, for the next renewal.
 	Filled  []holdings.Filled
 	Unheard []holdings.Who
@@ -54,10 +61,12 @@
 // Ask returns the renewal to be sent now. The caller notes the time before it, for Told.
 func (h *Holder) Ask() Renewal {
 	r := Renewal{Member: h.Self, Terms: h.terms.Hash(), Epoch: h.epoch, Checked: h.checked, Refusal: h.refusal,
-		Prepared: h.prepared, HasActive: h.active.Number, Heard: h.heard, HasMembership: h.membershipOf, Filled: h.Filled,
-		Unheard: h.Unheard, Moving: h.Moving}
-	if h.placement != nil {
-		r.HasPlacement = h.placement.Number
+		Prepared: h.prepared, HasActive: h.active.Number, Heard: h.heard, Filled: h.Filled, Unheard: h.Unheard, Moving: h.Moving, Takes: formDelta}
+	if h.view.Placement != nil && h.differs != 1 {
+		r.HasMembership, r.HasPlacement = h.view.Epoch, h.view.Placement.Number
+	}
+	if h.differs >= mostDiffers {
+		r.Takes = 0
 	}
 	if h.next != nil {
 		r.HasNext = h.next.Number
@@ -72,6 +81,9 @@
 	if asked < h.asked {
 		return false, nil // late word: what was asked for after it says more
 	}
+	if g.Word.Term != h.heard.Term {
+		h.differs = 0 // another leader, maybe of another build
+	}
 	h.asked, h.heard = asked, g.Word
 	if g.Epoch < h.epoch {
 		return false, fmt.Errorf("epoch %d after %d: late word, or a crew that was formed anew (then restart this process)", g.Epoch, h.epoch)
@@ -93,9 +105,7 @@
 	h.active, h.next, h.epoch = *active, next, g.Epoch
 	if g.Granted {
 		h.ends = max(h.ends, asked+h.terms.Lease)
-		if g.Placement != nil {
-			h.placement, h.membership, h.membershipOf = g.Placement, g.Membership, g.Epoch
-		}
+		h.learn(g)
 	}
 	h.look()
 	return h.stamp() != before, nil
@@ -168,15 +178,58 @@
 	return s
 }
 
-// Placement is what it was told last of holdings: this process's incarnation in the crew, the placement, and the members. The
-// placement is nil before the first, or where nothing is held. What is told here is never changed afterwards.
+// mostDiffers deltas in a row that can't be taken, the last of them whole, have a member ask for the whole as builds do that take no
+// changes, without a checksum, for as long as this leader leads.
+const mostDiffers = 2
+
+// learn takes what is told of members and placement, or leaves both as they were.
+func (h *Holder) learn(g *Grant) {
+	switch {
+	case len(g.Delta) > 0:
+		var d holdings.Delta
+		err := decoding.Unmarshal(g.Delta, &d)
+		if err == nil && d.Epoch != g.Epoch {
+			err = fmt.Errorf("%w: to epoch %d, in one of %d", holdings.ErrDelta, d.Epoch, g.Epoch)
+		}
+		next := h.view
+		if err == nil {
+			next, err = h.view.Take(&d)
+		}
+		if err != nil {
+			h.differs, h.differed = h.differs+1, err
+			return
+		}
+		h.view, h.differs = next, 0
+	case len(g.Placement) > 0:
+		var members []holdings.Member
+		var placement holdings.Placement
+		err := decoding.Unmarshal(g.Membership, &members)
+		if err == nil {
+			err = decoding.Unmarshal(g.Placement, &placement)
+		}
+		if err != nil {
+			h.differed = err
+			return
+		}
+		h.view = holdings.NewView(g.Epoch, members, &placement)
+	}
+}
+
+// Differed is why what the leader told of members and placement could not be taken the last time; nil while it always could.
+func (h *Holder) Differed() error { return h.differed }
+
+// View is what it was told last of members and placement; zero before the first, or where nothing is held. What is told here is never
+// changed afterwards.
+func (h *Holder) View() holdings.View { return h.view }
+
+// Placement is that, with this process's incarnation in the crew. The placement is nil before the first.
 func (h *Holder) Placement() (me holdings.Who, placement *holdings.Placement, membership []holdings.Member) {
-	for _, m := range h.membership {
+	for _, m := range h.view.Members {
 		if m.Token == h.Self.Token && m.Name == h.Self.Name {
 			me = m.Who
 		}
 	}
-	return me, h.placement, h.membership
+	return me, h.view.Placement, h.view.Members
 }
 
 // Ends is when the lease ends; 0 before the first.
--- a/internal/crew/ledger.go
+++ b/internal/crew/ledger.go
@@ -88,6 +88,10 @@
 	In map[string]uint64 `cbor:"10,keyasint,omitempty"`
 	// Placement are the replicas in the shards of what sidecars hold for one another; nil where they hold nothing.
 	Placement *holdings.Placement `cbor:"11,keyasint,omitempty"`
+
+	// history is what Apply has changed lately, so that members can be told changes. It is each keeper's own: no part of what is
+	// agreed on, nor of what is encoded.
+	history holdings.History
 }
 
 // NewLedger returns that of a crew without members and versions.
@@ -136,7 +140,10 @@
 		if l.Placement == nil {
 			l.Placement = &holdings.Placement{}
 		}
-		return l.Placement.Apply(e.Replicas)
+		before := l.Placement.Number
+		err := l.Placement.Apply(e.Replicas)
+		l.history.NoteChanges(before, l.Placement.Number, e.Replicas)
+		return err
 	case e.Prepare > 0:
 		return l.advance(e.Prepare, Checking, Prepared)
 	case e.Activate > 0:
@@ -160,6 +167,10 @@
 
 func (l *Ledger) change(enter, gone []Member) error {
 	changed := false
+	names := make([]string, 0, len(enter)+len(gone))
+	for _, m := range slices.Concat(gone, enter) {
+		names = append(names, m.Name)
+	}
 	for _, m := range gone {
 		if in, there := l.Members[m.Name]; there && in.Token == m.Token {
 			delete(l.Members, m.Name)
@@ -183,6 +194,7 @@
 	}
 	if changed {
 		l.Epoch++
+		l.history.NoteMembers(l.Epoch-1, l.Epoch, names)
 	}
 	return nil
 }
@@ -270,9 +282,15 @@
 	return out
 }
 
-// Clone returns a ledger that changes by itself. Documents are never changed, and shared.
+// View is what members are told of it. It shares the placement, which Apply changes: encode it before that.
+func (l *Ledger) View() holdings.View {
+	return holdings.View{Epoch: l.Epoch, Members: l.Membership(), Placement: l.Placement}
+}
+
+// Clone returns a ledger that changes by itself, and knows of no change before. Documents are never changed, and shared.
 func (l *Ledger) Clone() *Ledger {
 	c := *l
+	c.history = holdings.History{}
 	c.Members, c.History, c.Keepers = maps.Clone(l.Members), slices.Clone(l.History), maps.Clone(l.Keepers)
 	c.Former, c.Turned, c.In = slices.Clone(l.Former), slices.Clone(l.Turned), maps.Clone(l.In)
 	if l.Placement != nil {
--- a/internal/crew/member/member.go
+++ b/internal/crew/member/member.go
@@ -47,6 +47,7 @@
 	seeker     *crew.Seeker
 	generation uint64
 	warned     string // the last reason that was logged; guarded by mu
+	differed   bool   // it was logged that changes of members and placement could not be taken; guarded by mu
 	acting     atomic.Pointer[acted]
 	heard      chan struct{} // closed by the first word of a leader
 	halt       chan struct{}
@@ -216,6 +217,10 @@
 	if m.copies != nil {
 		m.copies.learn(m.holder)
 	}
+	if err := m.holder.Differed(); err != nil && !m.differed {
+		m.differed = true // once for a process: what can't be taken is asked for whole
+		m.log.Warn().Err(err).Msg("changes of the crew can't be taken; asking for the whole")
+	}
 	select {
 	case <-m.heard:
 	default:
