The simulation and the model of holdings play changes; members and placement change apart from each other

Cause: what members are told as changes was played by no schedule with keepers, faults and late words. And since the placement is not told again when only members changed, a sidecar that compared placements alone would have gone on with the addresses that it had.

Change: crewsim plays a crew that holds (TestSeedsHeld; crewsim.held, 16 seeds): each member's view is compared with what the ledger had after each answer, in the end all have the leader's. Four planted faults (a change left out, one applied again, a wrong base, a history that was cut) are found by that with their checksums made right, and do nothing as they are (TestPlantedDeltas). The model of holdings learns by deltas.

--- a/internal/crew/delta_test.go
+++ b/internal/crew/delta_test.go
@@ -117,10 +117,11 @@
 		before := one.holder.View()
 		spoils, whole = c.spoils, 0
 		f.restart(f.holder(true))
-		for spoils == c.spoils {
-			f.tick()
+		for limit := f.now + 10*time.Second; spoils == c.spoils; f.tick() {
+			if f.now > limit {
+				t.Fatal("it was told no delta in 10 s")
+			}
 		}
-		f.tick()
 		if after := one.holder.View(); after.Epoch != before.Epoch || after.Placement != before.Placement || !errors.Is(one.holder.Differed(), holdings.ErrSum) {
 			t.Errorf("what it knows is of epoch %d after %d, because of %v", after.Epoch, before.Epoch, one.holder.Differed())
 		}
--- a/internal/crew/fleet_test.go
+++ b/internal/crew/fleet_test.go
@@ -53,18 +53,18 @@
 
 // fellow is a member of a fleet.
 type fellow struct {
-	i         int
-	self      crew.Member
-	holder    *crew.Holder
-	seeker    *crew.Seeker
-	store     *holdings.Store
-	me        holdings.Who
-	placement *holdings.Placement
-	told      int       // bytes of answers
-	leaveBy   crew.Boot // it wants to leave, and does so by then; 0 for not
-	down      bool
-	comes     crew.Boot // again, when it is down
-	old       bool      // its build takes no changes
+	i       int
+	self    crew.Member
+	holder  *crew.Holder
+	seeker  *crew.Seeker
+	store   *holdings.Store
+	me      holdings.Who
+	view    holdings.View // as its store has learnt it
+	told    int           // bytes of answers
+	leaveBy crew.Boot     // it wants to leave, and does so by then; 0 for not
+	down    bool
+	comes   crew.Boot // again, when it is down
+	old     bool      // its build takes no changes
 }
 
 const (
@@ -125,7 +125,7 @@
 	m.holder = crew.NewHolder(m.self, f.terms, versions.Own(&decide.Settings{}), 0)
 	m.seeker = crew.NewSeeker(m.holder, []string{"k1"})
 	m.store = holdings.NewStore(f.terms.Holdings, 1<<16)
-	m.placement, m.me, m.leaveBy, m.down = nil, holdings.Who{}, 0, false
+	m.view, m.me, m.leaveBy, m.down = holdings.View{}, holdings.Who{}, 0, false
 }
 
 // settle lets a fleet go on until nothing has been due for a second.
@@ -174,7 +174,7 @@
 	}
 	if m.leaveBy > 0 {
 		m.holder.Moving = true
-		held := m.placement != nil && slices.ContainsFunc(m.placement.Shards[:], func(s holdings.Shard) bool {
+		held := m.view.Placement != nil && slices.ContainsFunc(m.view.Placement.Shards[:], func(s holdings.Shard) bool {
 			return slices.ContainsFunc(s.Replicas, func(r holdings.Replica) bool { return r.Who == m.me })
 		})
 		if !held || f.now > m.leaveBy {
@@ -195,9 +195,9 @@
 		if next.Err != nil {
 			f.t.Fatal(next.Err)
 		}
-		if me, placement, members := m.holder.Placement(); placement != nil && me != (holdings.Who{}) && (me != m.me || placement != m.placement) {
-			m.me, m.placement = me, placement
-			m.store.Learn(f.now, me, placement, members)
+		if me, view := m.holder.Me(), m.holder.View(); view.Placement != nil && me != (holdings.Who{}) && (me != m.me || !view.Is(&m.view)) {
+			m.me, m.view = me, view
+			m.store.Learn(f.now, me, view.Placement, view.Members)
 		}
 		f.member += processor() - began
 		if !next.Ask {
--- a/internal/crew/holder.go
+++ b/internal/crew/holder.go
@@ -222,14 +222,14 @@
 // changed afterwards.
 func (h *Holder) View() holdings.View { return h.view }
 
-// Placement is that, with this process's incarnation in the crew. The placement is nil before the first.
-func (h *Holder) Placement() (me holdings.Who, placement *holdings.Placement, membership []holdings.Member) {
+// Me is this process's incarnation in the crew, by that view; zero where it is not in.
+func (h *Holder) Me() holdings.Who {
 	for _, m := range h.view.Members {
 		if m.Token == h.Self.Token && m.Name == h.Self.Name {
-			me = m.Who
+			return m.Who
 		}
 	}
-	return me, h.view.Placement, h.view.Members
+	return holdings.Who{}
 }
 
 // Ends is when the lease ends; 0 before the first.
--- a/internal/crew/member/holdings.go
+++ b/internal/crew/member/holdings.go
@@ -47,13 +47,13 @@
 	body    int
 	claims  atomic.Uint64
 
-	mu        sync.Mutex
-	store     *holdings.Store // guarded by mu, as all that follows
-	me        holdings.Who
-	placement *holdings.Placement
-	address   map[holdings.Who]string
-	ended     bool
-	lines     map[string]*lines
+	mu      sync.Mutex
+	store   *holdings.Store // guarded by mu, as all that follows
+	me      holdings.Who
+	view    holdings.View // as the store has learnt it
+	address map[holdings.Who]string
+	ended   bool
+	lines   map[string]*lines
 
 	told map[holdings.Kind]time.Time // when a refusal of this kind was last logged
 
@@ -99,21 +99,21 @@
 
 // learn takes what a renewal brought. The member's lock is held.
 func (c *copies) learn(h *crew.Holder) {
-	me, placement, membership := h.Placement()
+	me, view := h.Me(), h.View()
 	ends := h.Ends()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.store.Lease(ends)
-	if placement == nil || me == (holdings.Who{}) {
+	if view.Placement == nil || me == (holdings.Who{}) {
 		return
 	}
-	if placement != c.placement || me != c.me {
-		c.me, c.placement = me, placement
+	if !view.Is(&c.view) || me != c.me {
+		c.me, c.view = me, view
 		c.address = map[holdings.Who]string{}
-		for _, m := range membership {
+		for _, m := range view.Members {
 			c.address[m.Who] = cmp.Or(c.m.conf.Ways[m.Name], c.m.conf.Keepers[m.Name], m.Address)
 		}
-		c.store.Learn(c.now(), me, placement, membership)
+		c.store.Learn(c.now(), me, view.Placement, view.Members)
 		c.dropLines()
 	}
 	c.kick()
@@ -131,8 +131,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n := 0
-	if c.placement != nil {
-		for _, s := range c.placement.Shards {
+	if c.view.Placement != nil {
+		for _, s := range c.view.Placement.Shards {
 			if slices.ContainsFunc(s.Replicas, func(replica holdings.Replica) bool { return replica.Who == c.me }) {
 				n++
 			}
@@ -361,8 +361,8 @@
 func (c *copies) askOnce(a *holdings.Ask, until time.Time) holdings.Answer {
 	c.mu.Lock()
 	primary, address, me := holdings.Who{}, "", c.me
-	if c.placement != nil {
-		if replicas := c.placement.Shards[a.Key.Shard()].Replicas; len(replicas) > 0 {
+	if c.view.Placement != nil {
+		if replicas := c.view.Placement.Shards[a.Key.Shard()].Replicas; len(replicas) > 0 {
 			primary = replicas[0].Who
 			address = c.address[primary]
 		}
@@ -462,8 +462,8 @@
 		c.told[why.Kind] = now
 		shard := a.Key.Shard()
 		ev := c.m.log.Warn().Stringer("why", why.Kind).Str("class", a.Key.Class).Int("shard", shard).Dur("age", why.Age)
-		if c.placement != nil {
-			ev = ev.Uint64("ballot", c.placement.Shards[shard].Config).Int("seats", len(c.placement.Shards[shard].Replicas))
+		if c.view.Placement != nil {
+			ev = ev.Uint64("ballot", c.view.Placement.Shards[shard].Config).Int("seats", len(c.view.Placement.Shards[shard].Replicas))
 		}
 		ev.Msg("a held request is refused")
 	}
--- a/internal/crew/member/holdings_test.go
+++ b/internal/crew/member/holdings_test.go
@@ -1,14 +1,19 @@
 package member
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
 
 	"heathgap/decide"
 	"heathgap/internal/config"
+	"heathgap/internal/crew"
+	"heathgap/internal/env"
+	"heathgap/internal/holdings"
 	"heathgap/internal/operator"
 	"heathgap/internal/terms"
+	"heathgap/internal/versions"
 )
 
 // What a sidecar's own settings do not bear is told with the key at fault, before anything is held.
@@ -40,3 +45,52 @@
 		}
 	}
 }
+
+// Guards against a sidecar that is told of a newcomer, or of one that is gone, while the placement stays, and goes on with the
+// addresses that it had: members and placement are told apart from each other.
+func TestMembersChangeWhileThePlacementStays(t *testing.T) {
+	conf := terms.Terms{Lease: time.Second, Holdings: terms.Holdings{Copies: 1, Keep: time.Minute, LostAfter: time.Minute}}
+	l, g := crew.NewLedger(), crew.NewGranter(conf, 1)
+	of := func(i int) crew.Member {
+		return crew.Member{Name: fmt.Sprint("m", i), Token: uint64(i), Zone: "a", Address: fmt.Sprint("127.0.0.1:", i)}
+	}
+	enter := func(i int) {
+		if err := l.Apply(&crew.Entry{Enter: []crew.Member{of(i)}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	enter(1)
+	var changes []holdings.Change
+	for i := range holdings.Shards {
+		changes = append(changes, holdings.Change{Shard: i, Replicas: []holdings.Replica{{Who: holdings.Who{Name: "m1", In: 1}, Token: 1, Ready: true}}})
+	}
+	if err := l.Apply(&crew.Entry{Replicas: changes, Epoch: l.Epoch}); err != nil {
+		t.Fatal(err)
+	}
+	h := crew.NewHolder(of(1), conf, versions.Own(&decide.Settings{}), 0)
+	c := &copies{m: &Member{world: env.Real{}, holder: h}, store: holdings.NewStore(conf.Holdings, 1000), lines: map[string]*lines{}}
+	at := time.Second
+	renew := func() {
+		at += time.Millisecond
+		r := h.Ask()
+		grant := g.Renew(at, l, &r)
+		if _, err := h.Told(at, &grant); err != nil || !grant.Granted {
+			t.Fatal(err, grant.Why)
+		}
+		c.learn(h)
+	}
+	renew()
+	before := c.view.Placement
+	enter(2)
+	renew()
+	if who := (holdings.Who{Name: "m2", In: 2}); c.address[who] != "127.0.0.1:2" || c.view.Placement != before {
+		t.Errorf("addresses %v after %+v came in", c.address, who)
+	}
+	if err := l.Apply(&crew.Entry{Gone: []crew.Member{of(2)}}); err != nil {
+		t.Fatal(err)
+	}
+	renew()
+	if len(c.address) != 1 {
+		t.Errorf("addresses %v after m2 has gone", c.address)
+	}
+}
--- a/internal/holdings/delta.go
+++ b/internal/holdings/delta.go
@@ -179,6 +179,9 @@
 	return View{epoch, members, placement}
 }
 
+// Is tells whether another view is this one. Members may change while the placement stays.
+func (v *View) Is(other *View) bool { return v.Epoch == other.Epoch && v.Placement == other.Placement }
+
 func byName(a, b Member) int { return cmp.Compare(a.Name, b.Name) }
 
 func (v *View) number() uint64 {
--- a/internal/holdings/model_test.go
+++ b/internal/holdings/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"errors"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -73,6 +74,8 @@
 	store      *Store
 	me         Who
 	leased     Boot
+	view       View // what it was told of members and placement
+	distrusts  bool // a delta could not be taken: it names nothing
 }
 
 type model struct {
@@ -91,6 +94,7 @@
 	unheard   map[string][]Who
 	ways      map[[2]string]bool // that are cut
 	placement *Placement
+	history   History
 	dead      [Shards]Boot
 	calm      bool // machines are lost and leave, and nothing else happens: often enough within what is promised
 	effects   map[string]int
@@ -130,7 +134,7 @@
 func (m *model) start(s *sidecar) {
 	m.claims++
 	s.token, s.dead, s.paused, s.me, s.leased, s.inbox = m.claims, false, false, Who{}, 0, nil
-	s.moving = false
+	s.moving, s.view, s.distrusts = false, View{}, false
 	s.store = NewStore(m.terms, 1<<16)
 	m.heartbeat(s, s.token)
 	m.tick(s, s.token)
@@ -153,7 +157,10 @@
 	if s.paused || s.cut {
 		return
 	}
-	asked := m.now
+	asked, known := m.now, s.view
+	if s.distrusts {
+		known = View{}
+	}
 	m.after(m.between(time.Millisecond, 30*time.Millisecond), func() {
 		if s.token != token {
 			return
@@ -162,6 +169,7 @@
 		if !there || in.Token != token {
 			if !there {
 				m.epoch++
+				m.history.NoteMembers(m.epoch-1, m.epoch, []string{s.name})
 				m.in[s.name] = Member{Who: Who{s.name, m.epoch}, Token: token, Zone: s.zone}
 				m.until[s.name] = m.now + modelWait
 			}
@@ -174,14 +182,21 @@
 			}
 			m.filled[s.name], m.unheard[s.name] = s.store.Filled(), s.store.Unheard(m.now)
 		})
-		placement, members := m.placement.Clone(), m.members()
+		now := View{m.epoch, m.members(), m.placement.Clone()}
+		var delta *Delta
+		if now.number() > 0 && (known.Epoch != now.Epoch || known.number() != now.number()) {
+			delta = m.history.Delta(known.Epoch, known.number(), &now, now.Sum())
+		}
 		m.after(m.between(time.Millisecond, 30*time.Millisecond), func() {
 			s.on(func() {
 				if s.token != token || asked+modelLease < s.leased {
 					return
 				}
 				s.me, s.leased = in.Who, asked+modelLease
-				s.store.Learn(m.now, in.Who, placement, members)
+				m.learn(s, &now, delta)
+				if s.view.Placement != nil {
+					s.store.Learn(m.now, in.Who, s.view.Placement, s.view.Members)
+				}
 				s.store.Lease(s.leased)
 				m.say(s)
 			})
@@ -189,6 +204,27 @@
 	})
 }
 
+// learn has a sidecar take what it is told, as a delta from what it had when it asked.
+func (m *model) learn(s *sidecar, now *View, delta *Delta) {
+	if delta == nil {
+		return
+	}
+	next, err := s.view.Take(delta)
+	switch {
+	case errors.Is(err, ErrBase): // two answers came at once, after a pause: the second starts from before the first
+		m.counts["other base"]++
+	case err != nil:
+		m.breaks("%s takes no delta: %v", s.name, err)
+	case !same(&next, now):
+		m.breaks("%s has %+v, and the ledger %+v", s.name, next, *now)
+	case delta.SinceEpoch == 0 || delta.SinceNumber == 0:
+		m.counts["whole"]++
+	default:
+		m.counts["delta"]++
+	}
+	s.view, s.distrusts = next, err != nil
+}
+
 func (m *model) members() []Member {
 	var out []Member
 	for _, s := range m.all {
@@ -206,6 +242,7 @@
 		if _, there := m.in[s.name]; there && m.now >= m.until[s.name] {
 			delete(m.in, s.name)
 			m.epoch++
+			m.history.NoteMembers(m.epoch-1, m.epoch, []string{s.name})
 		}
 	}
 	members := m.members()
@@ -256,9 +293,11 @@
 			c.Replicas[0].Ready = true
 		}
 	}
+	before := m.placement.Number
 	if err := m.placement.Apply(changes); err != nil {
 		m.breaks("plan: %v", err)
 	}
+	m.history.NoteChanges(before, m.placement.Number, changes)
 }
 
 // say sends what is to be said.
@@ -592,7 +631,7 @@
 		}
 	}
 	t.Logf("%d seeds: %v", *seeds, sum)
-	for _, kind := range []string{"yes", "was", "unclear", "told", "lost machines", "pauses", "cuts", "ways", "left"} {
+	for _, kind := range []string{"yes", "was", "unclear", "told", "lost machines", "pauses", "cuts", "ways", "left", "delta"} {
 		if sum[kind] < *seeds/2 && *oneSeed < 0 {
 			t.Errorf("%s: only %d in %d seeds", kind, sum[kind], *seeds)
 		}
--- a/internal/sim/crewsim/bugs_test.go
+++ b/internal/sim/crewsim/bugs_test.go
@@ -44,6 +44,32 @@
 	{FallsSilent, Stuck, 0},
 }
 
+// Each fault of what members are told as changes is found by what they know where its checksum is made right, and does
+// nothing where it is not: it is met, and the whole mends it.
+func TestPlantedDeltas(t *testing.T) {
+	for _, bug := range []Bug{LeavesOut, AppliesAgain, WrongBase, ShortHistory} {
+		found, differed := false, 0
+		for seed := uint64(0); seed < uint64(*bugSeeds); seed++ {
+			if !found {
+				r := Play(seed, Held(), Options{Bug: bug, Only: Views, Forged: true})
+				if found = r.Failure != nil; found {
+					t.Logf("%s: seed %d: %.200s", bug, seed, r.Failure)
+				}
+			}
+			r := Play(seed, Held(), Options{Bug: bug})
+			if r.Failure != nil {
+				t.Errorf("%s: seed %d: %v, though its checksum shows it", bug, seed, r.Failure)
+			}
+			if differed += r.Deltas["differed"]; found && differed > 0 && seed >= 2 {
+				break
+			}
+		}
+		if t.Logf("%s: %d were not taken", bug, differed); !found || differed == 0 {
+			t.Errorf("%s: found %v, met %d times", bug, found, differed)
+		}
+	}
+}
+
 func TestPlantedBugs(t *testing.T) {
 	for i, c := range planted {
 		if *oneBug >= 0 {
--- a/internal/sim/crewsim/process.go
+++ b/internal/sim/crewsim/process.go
@@ -11,6 +11,7 @@
 
 	"heathgap/internal/crew"
 	"heathgap/internal/crew/keeper"
+	"heathgap/internal/holdings"
 )
 
 // Figures of the network between processes.
@@ -40,8 +41,14 @@
 
 	holder  *crew.Holder
 	seeker  *crew.Seeker
-	leaving bool   // it has said so
-	why     string // it holds no lease
+	store   *holdings.Store // nil where nothing is held
+	me      holdings.Who
+	learnt  holdings.View   // by the store, last
+	viewed  holdings.View   // as it was last looked at
+	before  *holdings.Delta // the one before, for a planted bug
+	noted   [2]uint64       // of a keeper's ledger: epoch and number that were last noted as agreed on
+	leaving bool            // it has said so
+	why     string          // it holds no lease
 
 	core   *keeper.Core // nil where this one is no keeper, or its keeper has ended
 	failed error        // why
@@ -271,6 +278,9 @@
 }
 
 func (p *process) ask() {
+	if p.store != nil {
+		p.holder.Filled = p.store.Filled()
+	}
 	to, r := p.seeker.Question(p.Boot())
 	asked := p.r.w.now
 	p.r.said[saying{r.Token, r.Prepared, r.Epoch}] = true
@@ -285,11 +295,17 @@
 		if p.r.bug == CountsFromAnswer {
 			p.seeker.Question(p.Boot())
 		}
+		p.r.tamper(p, a.Grant)
+		differed := p.holder.Differed()
 		next := p.seeker.Answer(p.Boot(), a.Grant, a.Leader)
+		if p.holder.Differed() != differed {
+			p.r.result.Deltas["differed"]++
+		}
 		if p.why = "no answer"; a.Grant != nil {
 			p.why = a.Grant.Why
 			p.r.heard(p, asked, a.Grant, next.Err)
 		}
+		p.learn()
 		p.r.judge(p)
 		if next.Ask {
 			p.ask()
@@ -302,7 +318,13 @@
 			if l, _ := c.Ledger(); q.r.bug == AnyEpoch {
 				r.Epoch = l.Epoch
 			}
+			if l, _ := c.Ledger(); q.r.bug == WrongBase && l.Epoch > 0 && r.HasMembership > 0 {
+				r.HasMembership = max(r.HasMembership, l.Epoch-1)
+			}
 			c.Renew(r, func(a keeper.Renewed) {
+				if l, _ := c.Ledger(); a.Grant != nil {
+					q.r.agreeOn(q, l)
+				}
 				reply(a)
 				if a.Grant != nil && a.Grant.Granted {
 					q.r.w.after(0, "told", q.id, func() { q.do(func() { q.keep(func(c *keeper.Core) { c.Told(&r) }) }) })
@@ -317,6 +339,17 @@
 	})
 }
 
+// learn has the store take what is new of members and placement. Nothing is ever held in it: a replica lacks nothing at once.
+func (p *process) learn() {
+	if p.store == nil {
+		return
+	}
+	if me, view := p.holder.Me(), p.holder.View(); view.Placement != nil && me.Name != "" && (me != p.me || !view.Is(&p.learnt)) {
+		p.me, p.learnt = me, view
+		p.store.Learn(p.Boot(), me, view.Placement, view.Members)
+	}
+}
+
 // call is one exchange: what is said is coded and decoded as on the wire. done is called once, in time.
 func call[Q, A any](from *process, to, kind string, q Q, within time.Duration, handle func(q *process, body Q, reply func(A)),
 	done func(answer A, ok bool)) {
--- a/internal/sim/crewsim/run.go
+++ b/internal/sim/crewsim/run.go
@@ -12,7 +12,9 @@
 	"heathgap/decide"
 	"heathgap/internal/crew"
 	"heathgap/internal/crew/keeper"
+	"heathgap/internal/holdings"
 	"heathgap/internal/sim"
+	"heathgap/internal/terms"
 	"heathgap/internal/versions"
 )
 
@@ -36,6 +38,13 @@
 		Duration: 20 * time.Second, FaultEvery: 700 * time.Millisecond, ProposeEvery: time.Second}
 }
 
+// Held is that crew with copied holdings, whose members are told of each other and of the placement.
+func Held() Conf {
+	c := Usual()
+	c.Terms.Holdings = terms.Holdings{Copies: 2, Keep: time.Minute, LostAfter: 3 * time.Second}
+	return c
+}
+
 // Options are those of a run that do not change what it does, but for a planted bug.
 type Options struct {
 	Trace, Log io.Writer // nil for none
@@ -43,6 +52,8 @@
 	// Only is the one rule that counts, "" for all: whether a bug is found by what it does, not by the program's own guard
 	// that meets it before.
 	Only string
+	// Forged has the checksums of faulty deltas made right, so that what a member knows shows the fault.
+	Forged bool
 }
 
 // Bug is planted into what is round the cores.
@@ -63,6 +74,10 @@
 	KeepsOldID       Bug = "an empty folder comes back under the id of the lost one"
 	TakesOldWord     Bug = "a folder takes word that was for the one before it"
 	FallsSilent      Bug = "a keeper says nothing more to one that it could not reach once"
+	LeavesOut        Bug = "a delta lacks a change"
+	AppliesAgain     Bug = "a delta is applied again after a later one"
+	WrongBase        Bug = "a delta starts from a later state than it says"
+	ShortHistory     Bug = "a history was cut, and changes are told from before that"
 )
 
 // The rules that a run checks.
@@ -75,6 +90,7 @@
 	Differ      = "differ"       // two keepers hold different ledgers after the same entry
 	Lost        = "lost"         // a version that was told is not there
 	NotInOrder  = "not_in_order" // what was told fits no order of events
+	Views       = "views"        // a member knows other members or another placement than the ledger had
 	Stops       = "stops"        // a keeper ends for no reason that was played
 	Stuck       = "stuck"        // the crew is not well long after all was mended
 	mostSettle  = 20 * time.Second
@@ -96,6 +112,7 @@
 	Cautious float64         // share of the members' time
 	Unknown  int             // proposals that nobody learnt the fate of
 	Settled  time.Duration   // from when all was mended until the crew was well
+	Deltas   map[string]int  // taken by members: whole, changes, and differing ones that were not taken
 	Troubled bool            // Conf.TroubleAt has come
 }
 
@@ -123,6 +140,8 @@
 	fault             *Failure
 	leaders           map[uint64]string
 	agreed            map[uint64]string // what a ledger says after so many entries
+	membership        map[uint64]string // that a ledger has in an epoch
+	placement         map[uint64]string // and by its number
 	highest           uint64            // entries that any keeper has applied
 	banned            map[uint64][]string
 	acting            map[uint64]time.Duration // when a version was first active
@@ -153,7 +172,8 @@
 	r := &run{w: w, conf: conf, opts: opts, bug: opts.Bug, keepers: map[string]string{}, procs: map[string]*process{}, starts: map[string]int{},
 		disks: map[string]*disk{}, ids: map[string]uint64{}, doubt: map[string]uint64{}, setBack: map[string]bool{},
 		troubled: map[string]bool{}, cut: map[way]bool{}, leaders: map[uint64]string{}, agreed: map[uint64]string{}, banned: map[uint64][]string{},
-		acting: map[uint64]time.Duration{}, said: map[saying]bool{}, result: Result{Faults: map[string]int{}}}
+		acting: map[uint64]time.Duration{}, said: map[saying]bool{}, membership: map[uint64]string{}, placement: map[uint64]string{},
+		result: Result{Faults: map[string]int{}, Deltas: map[string]int{}}}
 	r.usual = []time.Duration{time.Millisecond, 5 * time.Millisecond, 30 * time.Millisecond}[w.dice.IntN(3)]
 	r.slow = []time.Duration{r.usual, 100 * time.Millisecond, 400 * time.Millisecond}[w.dice.IntN(3)]
 	r.conf.FaultEvery = conf.FaultEvery * time.Duration([]int{2, 4, 12}[w.dice.IntN(3)]) / 4
@@ -241,7 +261,12 @@
 		p.rate = 0.6
 	}
 	own := versions.Own(&decide.Settings{Limits: decide.Limits{MaxAttempts: versions.MostAttempts}, Classes: []decide.Class{{Name: "pay", Effect: decide.Safe}}})
-	p.holder = crew.NewHolder(crew.Member{Name: name, Token: keeper.Draw(), Address: name + ":1"}, r.conf.Terms, own, 0)
+	self := crew.Member{Name: name, Token: keeper.Draw(), Address: name + ":1"}
+	if r.conf.Terms.Holdings.Copies > 0 {
+		self.Zone = fmt.Sprint(slices.Index(r.names, name) % 3)
+		p.store = holdings.NewStore(r.conf.Terms.Holdings, 1<<10)
+	}
+	p.holder = crew.NewHolder(self, r.conf.Terms, own, 0)
 	p.seeker = crew.NewSeeker(p.holder, slices.Sorted(maps.Keys(r.keepers)))
 	return p
 }
@@ -304,6 +329,7 @@
 	if p.dead || p.paused {
 		return
 	}
+	r.judgeView(p)
 	x := p.holder.Acting(p.Boot())
 	if r.bug == DropsBans && x.Cautious {
 		x.Rules.Banned = nil
@@ -469,6 +495,9 @@
 		if s.Cautious || s.Active < version || s.Next != 0 {
 			return false
 		}
+		if p.store != nil && !r.current(p) {
+			return false
+		}
 		if r.keepers[p.name] == "" {
 			continue
 		}
--- a/internal/sim/crewsim/sim_test.go
+++ b/internal/sim/crewsim/sim_test.go
@@ -13,6 +13,7 @@
 
 var (
 	seeds     = flag.Int("crewsim.seeds", 40, "so many seeds are played")
+	heldSeeds = flag.Int("crewsim.held", 16, "so many seeds are played with copied holdings")
 	from      = flag.Int("crewsim.from", 0, "from this one on")
 	oneSeed   = flag.Int64("crewsim.seed", -1, "only this one")
 	keepers   = flag.Int("crewsim.keepers", 5, "of the members")
@@ -27,39 +28,59 @@
 	return c
 }
 
-func TestSeeds(t *testing.T) {
+func TestSeeds(t *testing.T) { playSeeds(t, usual(), *seeds) }
+
+// holding is the crew that holds.
+func holding() Conf {
+	c := Held()
+	c.Keepers, c.Members = *keepers, *members
+	return c
+}
+
+// The same with copied holdings: members are told of each other and of the placement as changes, and after each answer have what the
+// ledger had.
+func TestSeedsHeld(t *testing.T) { playSeeds(t, holding(), *heldSeeds) }
+
+func playSeeds(t *testing.T, conf Conf, seeds int) {
 	if *oneSeed >= 0 {
-		playOne(t, uint64(*oneSeed))
+		playOne(t, uint64(*oneSeed), conf)
 		return
 	}
 	began := time.Now()
 	var sum Result
-	sum.Faults = map[string]int{}
+	sum.Faults, sum.Deltas = map[string]int{}, map[string]int{}
 	var active, leaders, settled []time.Duration
-	for seed := *from; seed < *from+*seeds; seed++ {
-		r := Play(uint64(seed), usual(), Options{})
+	for seed := *from; seed < *from+seeds; seed++ {
+		r := Play(uint64(seed), conf, Options{})
 		if r.Failure != nil {
 			t.Errorf("seed %d: %v", seed, r.Failure)
 		}
 		sum.Steps += r.Steps
 		sum.Versions += r.Versions
-		sum.Cautious += r.Cautious / float64(*seeds)
+		sum.Cautious += r.Cautious / float64(seeds)
 		for kind, n := range r.Faults {
 			sum.Faults[kind] += n
 		}
+		for kind, n := range r.Deltas {
+			sum.Deltas[kind] += n
+		}
 		active, leaders, settled = append(active, r.Active...), append(leaders, r.Leaders...), append(settled, r.Settled)
 	}
 	took := time.Since(began)
-	t.Logf("%d seeds, %d steps in %v; %d versions told; cautious %.3f of the members' time; faults %v", *seeds, sum.Steps, took.Round(time.Millisecond),
+	t.Logf("%d seeds, %d steps in %v; %d versions told; cautious %.3f of the members' time; faults %v", seeds, sum.Steps, took.Round(time.Millisecond),
 		sum.Versions, sum.Cautious, sum.Faults)
+	t.Logf("told to members: %v", sum.Deltas)
+	if holds := conf.Terms.Holdings.Copies > 0; holds && (sum.Deltas["changes"] < 10*sum.Deltas["whole"] || sum.Deltas["whole"] == 0 || sum.Deltas["differed"] > 0) {
+		t.Errorf("told to members: %v; wanted: changes, some wholes, and none that differ", sum.Deltas)
+	}
 	t.Logf("until a version is active %s; nobody leads %s; until all is well %s", spread(active), spread(leaders), spread(settled))
 	for _, k := range kinds() { // what the seeds never bring about, they do not test
-		if sum.Faults[k.name] == 0 && *seeds >= 40 {
+		if sum.Faults[k.name] == 0 && seeds >= 40 {
 			t.Errorf("never drawn: %s", k.name)
 		}
 	}
-	if len(active) < *seeds {
-		t.Errorf("%d versions became active in %d seeds", len(active), *seeds)
+	if len(active) < seeds {
+		t.Errorf("%d versions became active in %d seeds", len(active), seeds)
 	}
 }
 
@@ -73,9 +94,9 @@
 		all[len(all)-1].Round(time.Millisecond), len(all))
 }
 
-func playOne(t *testing.T, seed uint64) {
+func playOne(t *testing.T, seed uint64, conf Conf) {
 	opts := Options{Trace: simtest.Create(t, *traceFile), Log: simtest.Create(t, *logFile)}
-	r := Play(seed, usual(), opts)
+	r := Play(seed, conf, opts)
 	t.Logf("%+v", r)
 	if r.Failure != nil {
 		t.Errorf("seed %d: %v", seed, r.Failure)
--- /dev/null
+++ b/internal/sim/crewsim/views.go
@@ -0,0 +1,164 @@
+package crewsim
+
+import (
+	"fmt"
+	"hash/fnv"
+	"slices"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"heathgap/internal/crew"
+	"heathgap/internal/holdings"
+)
+
+// What members know of each other and of the placement, which they are told as changes.
+
+// digestOf writes something out, so that two that are equal write the same.
+func digestOf(what any) string {
+	sum := fnv.New128a()
+	fmt.Fprintf(sum, "%+v", what)
+	return fmt.Sprintf("%x", sum.Sum(nil))
+}
+
+// agreeOn notes the members and the placement of a ledger by which a member is answered.
+func (r *run) agreeOn(p *process, l *crew.Ledger) {
+	if l.Placement == nil || p.noted == [2]uint64{l.Epoch, l.Placement.Number} {
+		return
+	}
+	p.noted = [2]uint64{l.Epoch, l.Placement.Number}
+	for _, part := range []struct {
+		known  map[uint64]string
+		number uint64
+		says   string
+	}{{r.membership, l.Epoch, digestOf(l.Membership())}, {r.placement, l.Placement.Number, digestOf(l.Placement.Shards)}} {
+		if other, known := part.known[part.number]; known && other != part.says {
+			r.broken(Differ, "%s has other members or another placement under number %d than another leader had", p.id, part.number)
+		}
+		part.known[part.number] = part.says
+	}
+}
+
+// judgeView looks whether what a member knows is what the ledger had.
+func (r *run) judgeView(p *process) {
+	v := p.holder.View()
+	if v.Placement == nil || v.Is(&p.viewed) {
+		return
+	}
+	p.viewed = v
+	if r.membership[v.Epoch] != digestOf(v.Members) {
+		r.broken(Views, "%s knows other members of epoch %d than the ledger had: %+v", p.id, v.Epoch, v.Members)
+	}
+	if r.placement[v.Placement.Number] != digestOf(v.Placement.Shards) {
+		r.broken(Views, "%s knows another placement of number %d than the ledger had", p.id, v.Placement.Number)
+	}
+}
+
+// current tells whether a member knows what the leader's ledger says now.
+func (r *run) current(p *process) bool {
+	leader := r.leads()
+	if leader == nil {
+		return false
+	}
+	l, _ := leader.core.Ledger()
+	v := p.holder.View()
+	return l.Placement != nil && v.Placement != nil && v.Epoch == l.Epoch && v.Placement.Number == l.Placement.Number
+}
+
+// tamperShare of deltas a planted bug befalls.
+const tamperShare = 0.2
+
+// tamper counts what a member is told, and has a planted bug befall it.
+func (r *run) tamper(p *process, g *crew.Grant) {
+	if g == nil || len(g.Delta) == 0 {
+		return
+	}
+	d := decoded[holdings.Delta](g.Delta)
+	kind := "changes"
+	if d.SinceEpoch == 0 {
+		kind = "whole"
+	}
+	r.result.Deltas[kind]++
+	before := p.before
+	p.before = &d
+	if r.bug != WrongBase && (!slices.Contains([]Bug{LeavesOut, AppliesAgain, ShortHistory}, r.bug) || !r.w.chance(tamperShare)) {
+		return
+	}
+	faulty := d
+	faulty.In, faulty.Gone, faulty.Shards = slices.Clone(d.In), slices.Clone(d.Gone), slices.Clone(d.Shards)
+	switch r.bug {
+	case LeavesOut:
+		switch {
+		case len(d.Gone) > 0:
+			faulty.Gone = faulty.Gone[1:]
+		case len(d.In) > 0:
+			faulty.In = faulty.In[1:]
+		case len(d.Shards) > 0:
+			faulty.Shards = faulty.Shards[1:]
+		}
+	case AppliesAgain:
+		if before == nil || before.SinceEpoch == 0 || d.SinceEpoch == 0 {
+			return
+		}
+		for _, m := range before.In {
+			if d.SinceEpoch == d.Epoch {
+				break // it changes no members
+			}
+			same := func(name string) bool { return name == m.Name }
+			faulty.Gone = slices.DeleteFunc(faulty.Gone, same)
+			faulty.In = append(slices.DeleteFunc(faulty.In, func(other holdings.Member) bool { return same(other.Name) }), m)
+		}
+		for _, s := range before.Shards {
+			if d.SinceNumber == d.Number {
+				break
+			}
+			faulty.Shards = append(slices.DeleteFunc(faulty.Shards, func(other holdings.ChangedShard) bool { return other.Shard == s.Shard }), s)
+		}
+	case WrongBase:
+		if d.SinceEpoch == 0 || d.SinceEpoch == p.holder.View().Epoch {
+			return
+		}
+		faulty.SinceEpoch = p.holder.View().Epoch
+	case ShortHistory: // of what was to be told only the newest is left
+		if d.SinceEpoch == 0 {
+			return
+		}
+		faulty.Gone = nil
+		faulty.In = slices.DeleteFunc(faulty.In, func(m holdings.Member) bool { return m.In < d.Epoch })
+		faulty.Shards = faulty.Shards[len(faulty.Shards)/2:]
+	}
+	if r.opts.Forged {
+		faulty.Sum = leadsTo(p.holder.View(), &faulty).Sum()
+	}
+	g.Delta = must(cbor.Marshal(faulty))
+	r.result.Deltas["tampered"]++
+}
+
+// leadsTo is what a delta leads to, by the model's own way.
+func leadsTo(v holdings.View, d *holdings.Delta) *holdings.View {
+	next := holdings.View{Epoch: d.Epoch, Placement: &holdings.Placement{}}
+	in := map[string]holdings.Member{}
+	if d.SinceEpoch != 0 {
+		for _, m := range v.Members {
+			in[m.Name] = m
+		}
+	}
+	for _, name := range d.Gone {
+		delete(in, name)
+	}
+	for _, m := range d.In {
+		in[m.Name] = m
+	}
+	for _, m := range in { // in any order: sorted below
+		next.Members = append(next.Members, m)
+	}
+	slices.SortFunc(next.Members, func(a, b holdings.Member) int { return strings.Compare(a.Name, b.Name) })
+	if d.SinceNumber != 0 && v.Placement != nil {
+		*next.Placement = *v.Placement
+	}
+	next.Placement.Number = d.Number
+	for _, s := range d.Shards {
+		next.Placement.Shards[s.Shard] = s.Of
+	}
+	return &next
+}
