--- a/internal/crew/delta_test.go
+++ b/internal/crew/delta_test.go
@@ -122,7 +122,8 @@
 				t.Fatal("it was told no delta in 10 s")
 			}
 		}
-		if after := one.holder.View(); after.Epoch != before.Epoch || after.Placement != before.Placement || !errors.Is(one.holder.Differed(), holdings.ErrSum) {
+		after := one.holder.View()
+		if after.Epoch != before.Epoch || after.Placement != before.Placement || !errors.Is(one.holder.Differed(), holdings.ErrSum) {
 			t.Errorf("what it knows is of epoch %d after %d, because of %v", after.Epoch, before.Epoch, one.holder.Differed())
 		}
 		f.run(2 * time.Second)
--- a/internal/crew/fleet_test.go
+++ b/internal/crew/fleet_test.go
@@ -308,7 +308,8 @@
 		say := func(what string, seconds float64, rest func() string) {
 			_, median, most := f.spreadOf()
 			t.Logf("%d members, %s: to a member %.1f KB median, %.1f KB most; a second %.2f and %.2f KB; leader %.1f KB out, %.1f KB/s; "+
-				"processor a second: answers %.2f ms, due %.2f ms, a member %.3f ms%s", members, what, kb(median), kb(most), kb(median)/seconds, kb(most)/seconds, kb(f.told),
+				"processor a second: answers %.2f ms, due %.2f ms, a member %.3f ms%s", members, what, kb(median), kb(most),
+				kb(median)/seconds, kb(most)/seconds, kb(f.told),
 				kb(f.told)/seconds, ms(f.leader)/seconds, ms(f.planning)/seconds, ms(f.member)/seconds/float64(members), rest())
 		}
 		f.clear()
--- a/internal/holdings/delta_test.go
+++ b/internal/holdings/delta_test.go
@@ -65,7 +65,8 @@
 			gone = append(gone, name)
 			continue
 		}
-		in = append(in, Member{Who: Who{name, a.view.Epoch + 1}, Token: rapid.Uint64().Draw(t, "token"), Zone: fmt.Sprint(i % 3), Address: fmt.Sprint("10.0.0.", i)})
+		in = append(in, Member{Who: Who{name, a.view.Epoch + 1}, Token: rapid.Uint64().Draw(t, "token"), Zone: fmt.Sprint(i % 3),
+			Address: fmt.Sprint("10.0.0.", i)})
 	}
 	a.members(gone, in)
 }
--- a/internal/sim/crewsim/sim_test.go
+++ b/internal/sim/crewsim/sim_test.go
@@ -70,7 +70,8 @@
 	t.Logf("%d seeds, %d steps in %v; %d versions told; cautious %.3f of the members' time; faults %v", seeds, sum.Steps, took.Round(time.Millisecond),
 		sum.Versions, sum.Cautious, sum.Faults)
 	t.Logf("told to members: %v", sum.Deltas)
-	if holds := conf.Terms.Holdings.Copies > 0; holds && (sum.Deltas["changes"] < 10*sum.Deltas["whole"] || sum.Deltas["whole"] == 0 || sum.Deltas["differed"] > 0) {
+	holds := conf.Terms.Holdings.Copies > 0
+	if holds && (sum.Deltas["changes"] < 10*sum.Deltas["whole"] || sum.Deltas["whole"] == 0 || sum.Deltas["differed"] > 0) {
 		t.Errorf("told to members: %v; wanted: changes, some wholes, and none that differ", sum.Deltas)
 	}
 	t.Logf("until a version is active %s; nobody leads %s; until all is well %s", spread(active), spread(leaders), spread(settled))
