--- a/internal/crew/granter.go
+++ b/internal/crew/granter.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"heathgap/internal/holdings"
 	"heathgap/internal/terms"
 )
@@ -24,16 +26,22 @@
 	HasNext   uint64 `cbor:"16,keyasint,omitempty"`
 	Leaving   bool   `cbor:"17,keyasint,omitempty"` // the process ends: its name is free
 	Heard     Word   `cbor:"18,keyasint"`           // of the newest answer that came
-	// HasTable is the number of the table of seats that it has, and HasRoster the epoch of the members that it knows. Filled are
-	// its words on seats that lack nothing any more.
-	HasTable  uint64            `cbor:"19,keyasint,omitempty"`
-	HasRoster uint64            `cbor:"20,keyasint,omitempty"`
-	Filled    []holdings.Filled `cbor:"21,keyasint,omitempty"`
-	// Moving says that it will leave when its seats have been given to others, and Unheard are those that it does not reach.
+	// HasPlacement is the number of the placement that it has, and HasMembership the epoch of the members that it knows. Filled
+	// are its words on replicas that lack nothing any more.
+	HasPlacement  uint64            `cbor:"19,keyasint,omitempty"`
+	HasMembership uint64            `cbor:"20,keyasint,omitempty"`
+	Filled        []holdings.Filled `cbor:"21,keyasint,omitempty"`
+	// Moving says that it will leave when its replicas have been given to others, and Unheard are those that it does not reach.
 	Moving  bool           `cbor:"22,keyasint,omitempty"`
 	Unheard []holdings.Who `cbor:"23,keyasint,omitempty"`
+	// Takes is the form in which it takes changes, formDelta; 0 for none, as a build says that is older than they are.
+	Takes uint64 `cbor:"24,keyasint,omitempty"`
 }
 
+// formDelta is the form of changes that this build says and takes: what is in a Delta, and what its checksum goes over. Another
+// number is another form, and who takes that is told the whole.
+const formDelta = 1
+
 // Word is what a member says back so that the leader knows that it hears: which leader answered, and when by its clock.
 type Word struct {
 	Term uint64 `cbor:"1,keyasint,omitempty"`
@@ -52,9 +60,11 @@
 	Active Round  `cbor:"5,keyasint"`
 	Next   *Round `cbor:"6,keyasint,omitempty"`
 	Word   Word   `cbor:"7,keyasint"` // to be said back
-	// Table and Roster are told where the member has others.
-	Table  *holdings.Table   `cbor:"8,keyasint,omitempty"`
-	Roster []holdings.Member `cbor:"9,keyasint,omitempty"`
+	// Placement (holdings.Placement) and Membership (a list of holdings.Member) are told whole, where the member has others and
+	// takes no changes; Delta (holdings.Delta) where it does. They stand here as encoded: many are told the same.
+	Placement  cbor.RawMessage `cbor:"8,keyasint,omitempty"`
+	Membership cbor.RawMessage `cbor:"9,keyasint,omitempty"`
+	Delta      cbor.RawMessage `cbor:"10,keyasint,omitempty"`
 }
 
 // said is what a granter knows of a member, in memory alone.
@@ -87,13 +97,14 @@
 	filled  map[string][]holdings.Filled // as each member said last
 	unheard map[string][]holdings.Who    // likewise
 	moving  map[string]bool              // likewise
-	seats   seating                      // for which seats were planned last
-	dead    map[int]Boot                 // since when no ready seat of a shard is in the crew
+	planned basis                        // for which replicas were planned last
+	dead    map[int]Boot                 // since when no ready replica of a shard is in the crew
+	texts   texts                        // what members are told of the ledger's present state
 	lacks   string                       // a member whose word the round under way waited for then
 }
 
-// seating is what seats follow from.
-type seating struct{ epoch, table uint64 }
+// basis is what replicas follow from.
+type basis struct{ epoch, placement uint64 }
 
 // stage is how far a ledger is, of what makes entries due.
 type stage struct {
@@ -194,14 +205,14 @@
 	}
 	s.until = max(s.until, now+g.conf.Wait())
 	grant.Granted = true
-	if l.Table != nil && (r.HasTable != l.Table.Number || r.HasRoster != l.Epoch) {
-		grant.Table, grant.Roster = l.Table.Clone(), l.Roster()
+	if l.Placement != nil && (r.HasPlacement != l.Placement.Number || r.HasMembership != l.Epoch) {
+		g.tell(&grant, l, r)
 	}
 	if len(r.Filled) > 0 && len(r.Filled) <= holdings.Shards*terms.MostCopies && !slices.Equal(g.filled[r.Name], r.Filled) {
-		g.filled[r.Name], g.news, g.seats = r.Filled, true, seating{}
+		g.filled[r.Name], g.news, g.planned = r.Filled, true, basis{}
 	}
 	if r.Moving != g.moving[r.Name] || len(r.Unheard) <= terms.MostMembers && !slices.Equal(g.unheard[r.Name], r.Unheard) {
-		g.moving[r.Name], g.unheard[r.Name], g.news, g.seats = r.Moving, r.Unheard, true, seating{}
+		g.moving[r.Name], g.unheard[r.Name], g.news, g.planned = r.Moving, r.Unheard, true, basis{}
 	}
 	if grant.Active.Number == r.HasActive {
 		grant.Active.Doc.Classes, grant.Active.Doc.Banned = nil, nil
@@ -217,6 +228,53 @@
 	return r.Heard.Term == g.term && now-r.Heard.At <= g.conf.Lease
 }
 
+// mostBases bounds the states that changes are kept for: members lag by one or two of them, and after a cut by some more. What
+// is not kept is encoded for each.
+const mostBases = 16
+
+// texts are what members are told of one state of a ledger, encoded once for all of them.
+type texts struct {
+	at                    basis
+	view                  holdings.View
+	sum                   uint64                    // of it
+	membership, placement cbor.RawMessage           // whole, for those that take no changes; nil until one asks
+	deltas                map[basis]cbor.RawMessage // by what they start from
+}
+
+// tell tells a member what it lacks of members and placement.
+func (g *Granter) tell(grant *Grant, l *Ledger, r *Renewal) {
+	if at := (basis{l.Epoch, l.Placement.Number}); g.texts.at != at {
+		g.texts = texts{at: at, view: l.View(), deltas: map[basis]cbor.RawMessage{}}
+		g.texts.sum = g.texts.view.Sum()
+	}
+	t := &g.texts
+	if r.Takes != formDelta {
+		if t.membership == nil {
+			t.membership, t.placement = encoded(t.view.Members), encoded(t.view.Placement)
+		}
+		grant.Membership, grant.Placement = t.membership, t.placement
+		return
+	}
+	from := basis{r.HasMembership, r.HasPlacement}
+	text, kept := t.deltas[from]
+	if !kept {
+		text = encoded(l.history.Delta(from.epoch, from.placement, &t.view, t.sum))
+		if len(t.deltas) < mostBases {
+			t.deltas[from] = text
+		}
+	}
+	grant.Delta = text
+}
+
+// encoded encodes a value of the program's own types.
+func encoded(value any) cbor.RawMessage {
+	text, err := cbor.Marshal(value)
+	if err != nil {
+		panic(err) // it has nothing that can't be encoded
+	}
+	return text
+}
+
 // Told counts a lease from the moment after its answer went: now is read then. (The holder counts from before it
 // asked, so that counting from Renew on would do; an answer's time on its way is a margin more.)
 func (g *Granter) Told(now Boot, r *Renewal) {
@@ -267,24 +325,24 @@
 	if e, ok := g.round(now, l); ok {
 		due = append(due, e)
 	}
-	if e, ok := g.seat(now, l); ok {
+	if e, ok := g.place(now, l); ok {
 		due = append(due, e)
 	}
 	return due
 }
 
-// seat tells which seats follow from who is in the crew, and from what primaries have said.
-func (g *Granter) seat(now Boot, l *Ledger) (Entry, bool) {
+// place tells which replicas follow from who is in the crew, and from what primaries have said.
+func (g *Granter) place(now Boot, l *Ledger) (Entry, bool) {
 	if g.conf.Holdings.Copies == 0 {
 		return Entry{}, false
 	}
-	table := l.Table
-	if table == nil {
-		table = &holdings.Table{}
+	placement := l.Placement
+	if placement == nil {
+		placement = &holdings.Placement{}
 	}
 	late := false // a shard has waited for long enough
-	for i := range table.Shards {
-		if !table.Shards[i].Dead(func(w holdings.Who, token uint64) bool { return l.Members[w.Name].Token == token }) {
+	for i := range placement.Shards {
+		if !placement.Shards[i].Dead(func(w holdings.Who, token uint64) bool { return l.Members[w.Name].Token == token }) {
 			delete(g.dead, i)
 			continue
 		}
@@ -296,25 +354,25 @@
 			g.soonest = min(g.soonest, end)
 		}
 	}
-	if at := (seating{l.Epoch, table.Number}); at == g.seats && !late {
+	if at := (basis{l.Epoch, placement.Number}); at == g.planned && !late {
 		return Entry{}, false
 	}
 	var filled []holdings.Filled
 	for _, name := range slices.Sorted(maps.Keys(g.filled)) {
 		filled = append(filled, g.filled[name]...)
 	}
-	changes := table.Plan(&holdings.Crew{
-		Members: l.Roster(), Copies: g.conf.Holdings.Copies, Filled: filled, Leaving: g.leavers(l), Unheard: g.silent(l),
+	changes := placement.Plan(&holdings.Crew{
+		Members: l.Membership(), Copies: g.conf.Holdings.Copies, Filled: filled, Leaving: g.leavers(l), Unheard: g.silent(l),
 		Lost: func(shard int) bool {
 			since, dead := g.dead[shard]
 			return dead && now >= since+g.conf.Holdings.LostAfter
 		},
 	})
 	if len(changes) == 0 {
-		g.seats = seating{l.Epoch, table.Number}
+		g.planned = basis{l.Epoch, placement.Number}
 		return Entry{}, false
 	}
-	return Entry{Seats: changes, Epoch: l.Epoch}, true
+	return Entry{Replicas: changes, Epoch: l.Epoch}, true
 }
 
 // round tells whether the proposal under way may go on: when each member has said so, in
@@ -348,7 +406,7 @@
 	return Entry{Activate: number, Epoch: l.Epoch}, true
 }
 
-// leavers are the members that will go when their seats have been given to others.
+// leavers are the members that will go when their replicas have been given to others.
 func (g *Granter) leavers(l *Ledger) map[holdings.Who]bool {
 	out := map[holdings.Who]bool{}
 	for name, moving := range g.moving {
--- a/internal/crew/member/member.go
+++ b/internal/crew/member/member.go
@@ -47,6 +47,7 @@
 	seeker     *crew.Seeker
 	generation uint64
 	warned     string // the last reason that was logged; guarded by mu
+	differed   bool   // it was logged that changes of members and placement could not be taken; guarded by mu
 	acting     atomic.Pointer[acted]
 	heard      chan struct{} // closed by the first word of a leader
 	halt       chan struct{}
@@ -165,7 +166,7 @@
 // run keeps the lease until Stop.
 func (m *Member) run() {
 	defer close(m.ended)
-	beat := m.conf.Terms.Lease / crew.Beats
+	heartbeat := m.conf.Terms.Lease / crew.Heartbeats
 	timer := m.world.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -175,12 +176,12 @@
 		case <-timer.C():
 		}
 		m.mu.Lock()
-		m.seeker.Beat()
+		m.seeker.Heartbeat()
 		m.mu.Unlock()
 		for m.ask() {
 		}
 		m.Acting() // an end of the lease is told when it comes, not with the next request
-		timer.Reset(beat)
+		timer.Reset(heartbeat)
 	}
 }
 
@@ -216,6 +217,10 @@
 	if m.copies != nil {
 		m.copies.learn(m.holder)
 	}
+	if err := m.holder.Differed(); err != nil && !m.differed {
+		m.differed = true // once for a process: what can't be taken is asked for whole
+		m.log.Warn().Err(err).Msg("changes of the crew can't be taken; asking for the whole")
+	}
 	select {
 	case <-m.heard:
 	default:
@@ -233,7 +238,7 @@
 	return next.Ask
 }
 
-// warn writes a line, but not the same one with each beat.
+// warn writes a line, but not the same one with each heartbeat.
 func (m *Member) warn(what, why string) {
 	if key, _, _ := strings.Cut(why, "whose lease"); key != m.warned {
 		m.warned = key
@@ -325,21 +330,21 @@
 	m.holder.Moving = m.copies != nil
 }
 
-// leaveSeats waits, not for long, until others have what this sidecar holds for them.
-func (m *Member) leaveSeats() {
+// leaveReplicas waits, not for long, until others have what this sidecar holds for them.
+func (m *Member) leaveReplicas() {
 	m.Leaving()
 	for limit := m.world.Now().Add(moveTime); m.world.Now().Before(limit); m.world.Sleep(tickHoldings) {
-		if m.copies.seats() == 0 || m.Acting().Cautious {
+		if m.copies.replicas() == 0 || m.Acting().Cautious {
 			return
 		}
 	}
-	m.log.Warn().Int("shards", m.copies.seats()).Dur("after", moveTime).Msg("leaves with seats that nobody else has taken yet")
+	m.log.Warn().Int("shards", m.copies.replicas()).Dur("after", moveTime).Msg("leaves with seats that nobody else has taken yet")
 }
 
 // Stop says that this process ends, so that its name is free and nobody waits for its lease, and ends the keeper.
 func (m *Member) Stop() {
 	if m.copies != nil {
-		m.leaveSeats()
+		m.leaveReplicas()
 	}
 	close(m.halt)
 	<-m.ended
