--- a/internal/lab/hollow/hollow_test.go
+++ b/internal/lab/hollow/hollow_test.go
@@ -272,15 +272,15 @@
 	c.t.Helper()
 	since, epoch, table := time.Now(), uint64(0), uint64(0)
 	return c.awaitLedger("all shards are whole", func(l *crew.Ledger) bool {
-		if l.Table == nil {
+		if l.Placement == nil {
 			return false
 		}
-		if l.Epoch != epoch || l.Table.Number != table {
-			since, epoch, table = time.Now(), l.Epoch, l.Table.Number
+		if l.Epoch != epoch || l.Placement.Number != table {
+			since, epoch, table = time.Now(), l.Epoch, l.Placement.Number
 		}
-		for i := range l.Table.Shards {
+		for i := range l.Placement.Shards {
 			ready := 0
-			for _, seat := range l.Table.Shards[i].Seats {
+			for _, seat := range l.Placement.Shards[i].Replicas {
 				if seat.Ready {
 					ready++
 				}
@@ -506,8 +506,8 @@
 
 // seatsOf is in how many shards a member has one.
 func seatsOf(l *crew.Ledger, name string) (n int) {
-	for _, shard := range l.Table.Shards {
-		for _, seat := range shard.Seats {
+	for _, shard := range l.Placement.Shards {
+		for _, seat := range shard.Replicas {
 			if seat.Who.Name == name {
 				n++
 			}
@@ -548,7 +548,7 @@
 	p.good(Command{Do: Order, Orders: 0})
 	p.good(Command{Do: Leave, Members: []string{"m1"}})
 	l := c.awaitLedger("it has left", func(l *crew.Ledger) bool { return l.Members["m1"].Token == 0 && seatsOf(l, "m1") == 0 })
-	for i, shard := range l.Table.Shards {
+	for i, shard := range l.Placement.Shards {
 		if shard.Lost > 0 {
 			t.Errorf("shard %d was lost", i)
 		}
--- a/internal/lab/hollow/member.go
+++ b/internal/lab/hollow/member.go
@@ -76,7 +76,7 @@
 	}
 	h.starts++
 	l := &life{
-		world:   newWorld(h.process.ways, s.region(h.place), h.process.keepers, &h.spent, h.fault, s.Lease/crew.Beats),
+		world:   newWorld(h.process.ways, s.region(h.place), h.process.keepers, &h.spent, h.fault, s.Lease/crew.Heartbeats),
 		started: make(chan struct{}), halt: make(chan struct{}), number: h.starts,
 	}
 	h.life, h.heed = l, heed{}
--- a/internal/lab/hollow/true_test.go
+++ b/internal/lab/hollow/true_test.go
@@ -167,7 +167,7 @@
 	for i, s := range sides {
 		first[i] = s.cost(was[i])
 	}
-	time.Sleep(max(trueLeast, trueBeats*lease/crew.Beats)) // measured for so long
+	time.Sleep(max(trueLeast, trueBeats*lease/crew.Heartbeats)) // measured for so long
 	took := time.Since(began)
 	for i, s := range sides {
 		costs[i] = s.cost(was[i]).since(first[i], took)
@@ -344,19 +344,19 @@
 			continue
 		}
 		l := st.Ledger
-		now = state{leader: name, epoch: l.Epoch, whole: len(l.Members) == trueKeepers+*trueMembers && (s.start.Copies == 0) == (l.Table == nil)}
-		if l.Table == nil {
+		now = state{leader: name, epoch: l.Epoch, whole: len(l.Members) == trueKeepers+*trueMembers && (s.start.Copies == 0) == (l.Placement == nil)}
+		if l.Placement == nil {
 			return now
 		}
-		now.table, now.seats = l.Table.Number, seatsOf(l, name)
-		for _, shard := range l.Table.Shards {
+		now.table, now.seats = l.Placement.Number, seatsOf(l, name)
+		for _, shard := range l.Placement.Shards {
 			ready := 0
-			for _, seat := range shard.Seats {
+			for _, seat := range shard.Replicas {
 				if seat.Ready {
 					ready++
 				}
 			}
-			now.whole = now.whole && ready == s.start.Copies && len(shard.Seats) == ready
+			now.whole = now.whole && ready == s.start.Copies && len(shard.Replicas) == ready
 		}
 		return now
 	}
@@ -373,7 +373,7 @@
 		if now != last || !now.whole {
 			last, since = now, time.Now()
 		}
-		if time.Since(since) > max(3*time.Second, 4*s.start.Lease/crew.Beats) {
+		if time.Since(since) > max(3*time.Second, 4*s.start.Lease/crew.Heartbeats) {
 			return now
 		}
 	}
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -346,8 +346,8 @@
 		}
 		looked = time.Now()
 		now := state{epoch: s.Ledger.Epoch}
-		if s.Ledger.Table != nil {
-			now.table = s.Ledger.Table.Number
+		if s.Ledger.Placement != nil {
+			now.table = s.Ledger.Placement.Number
 		}
 		if now != before {
 			before, since = now, time.Now()
