No attempt begins for a caller that has gone: looked at where the first byte leaves

Cause: word that a caller has gone came to attempts in one way alone: the watch of its connection reads the end, posts it, and the owner bars what has not been written. An attempt that came to its first byte ahead of that was written, however long ago its caller had gone: while the watch had not run (a request and its end that were read in one go: owner and exchange run before the watch does), while its word stood in the owner's queue behind the decision (a timer that is due goes first), and for long bodies always, since nobody watched until their last byte was read: a dial of up to 1.5 s, or a place in a queue up to the deadline, late.

Change: beside the look at the drain an attempt asks the kernel once (poll, POLLRDHUP, no wait) whether its caller has hung up; bytes that nobody has read don't hide an end from that. If so the attempt is not sent, has never run, and the owner hears of the caller ahead of the outcome. A long body gets a second look in front of its last byte, with which an endpoint begins: an end behind more than buffers take comes with that. A caller that half-closes counts as gone, as before.

--- a/internal/httpwire/caller.go
+++ b/internal/httpwire/caller.go
@@ -263,6 +263,9 @@
 	ended     bool          // its caller has ended it, or it has broken: no more comes
 	watching  chan struct{} // closed when the watch has ended; nil while there is none
 	closed    bool
+
+	descriptor   syscall.RawConn // set when it first holds a request; nil where the connection has no descriptor
+	disconnected atomic.Bool     // its caller was seen to be gone
 }
 
 // aPast is a deadline that has passed: it ends a pending read at once.
@@ -370,6 +373,9 @@
 		c.held, c.proven = true, true
 		c.owner.held.Add(1)
 	}
+	if conn, ok := c.Conn.(syscall.Conn); ok && c.descriptor == nil {
+		c.descriptor, _ = conn.SyscallConn() // nil if it is closed here
+	}
 }
 
 // begin marks that a request has begun to come; c.mu is held.
@@ -572,6 +578,7 @@
 	c.owner.world.Go("watch", func() {
 		defer close(done)
 		if c.look() {
+			c.disconnected.Store(true)
 			c.Note(ReasonCallerLeft)
 			left()
 		}
@@ -624,6 +631,41 @@
 	return c.behind > mostBehind
 }
 
+// Disconnected tells whether its caller has ended the connection, one way or both, or broken it. It asks the kernel, once:
+// the watch may not have run yet, nobody watches while a body still comes, and an end stands behind all that was not read.
+// Any goroutine may ask while a request is held.
+func (c *CallerConn) Disconnected() bool {
+	if c.disconnected.Load() {
+		return true
+	}
+	if !c.hungUp() {
+		return false
+	}
+	c.disconnected.Store(true)
+	c.Note(ReasonCallerLeft)
+	return true
+}
+
+// hungUp is the kernel's word for that. Bytes that were not read don't hide an end from POLLRDHUP, as they do from a read.
+func (c *CallerConn) hungUp() bool {
+	if told, ok := c.Conn.(interface{ HungUp() bool }); ok { // it knows by itself
+		return told.HungUp()
+	}
+	if c.descriptor == nil {
+		return false
+	}
+	hungUp := false
+	err := c.descriptor.Control(func(fd uintptr) {
+		fds := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(fds[:], 0)
+		for err == unix.EINTR {
+			n, err = unix.Poll(fds[:], 0)
+		}
+		hungUp = n > 0 && err == nil
+	})
+	return hungUp || err != nil // an error: it is closed on this side
+}
+
 // Unwatch ends the watch; the server may read again.
 func (c *CallerConn) Unwatch() {
 	c.Conn.SetReadDeadline(aPast)
--- a/internal/httpwire/crossing_test.go
+++ b/internal/httpwire/crossing_test.go
@@ -236,3 +236,75 @@
 		t.Error("it still listens")
 	}
 }
+
+// Guards against a caller that has gone and is not seen because nobody has read its connection: no watch has run, or a body
+// stands unread in front of its end. One that stays is never taken for gone, whatever it writes ahead.
+func TestDisconnectedIsSeenUnread(t *testing.T) {
+	ends := map[string]func(*scripted.Peer){
+		"ended":      func(p *scripted.Peer) { p.Close() },
+		"half-ended": func(p *scripted.Peer) { p.CloseWrite() }, //nolint:errcheck // the test sees it
+		"reset":      func(p *scripted.Peer) { p.Reset() },
+		"stays":      nil,
+	}
+	for name, end := range ends {
+		for _, ahead := range []int{0, 1, 300, mostReadAhead + 1, 40 << 10} {
+			c, peer := accepted(t)
+			c.Hold()
+			peer.Say(strings.Repeat("x", ahead))
+			if end != nil {
+				end(peer)
+			}
+			if got := c.Disconnected(); got != (end != nil) {
+				t.Errorf("%s behind %d: disconnected %v", name, ahead, got)
+			}
+			if end != nil {
+				continue
+			}
+			c.Watch(func() { t.Error("its watch takes it for gone") })
+			c.Unwatch()
+			if c.Disconnected() {
+				t.Errorf("behind %d: gone after a watch", ahead)
+			}
+			c.Close()
+			if !c.Disconnected() {
+				t.Error("closed on this side, and somebody waits there")
+			}
+		}
+	}
+}
+
+// A flood is taken for gone, though its connection stands.
+func TestFloodIsDisconnected(t *testing.T) {
+	c, peer := accepted(t)
+	left := make(chan struct{})
+	c.Watch(func() { close(left) })
+	peer.Say(strings.Repeat("x", mostBehind+1))
+	<-left
+	if !c.Disconnected() {
+		t.Error("it counts as there")
+	}
+	c.Unwatch()
+}
+
+// BenchmarkDisconnected is what the look costs an attempt whose caller is there.
+func BenchmarkDisconnected(b *testing.B) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	callers := NewCallers(listener, env.Real{}, 10, func(*CallerConn, Reason) {})
+	defer callers.CloseNow() //nolint:errcheck // it listens no more
+	scripted.Connect(b, listener.Addr().String())
+	conn, err := callers.Accept()
+	if err != nil {
+		b.Fatal(err)
+	}
+	c := conn.(*CallerConn)
+	c.Hold()
+	b.ReportAllocs()
+	for b.Loop() {
+		if c.Disconnected() {
+			b.Fatal("gone")
+		}
+	}
+}
--- a/internal/httpwire/stream.go
+++ b/internal/httpwire/stream.go
@@ -57,6 +57,9 @@
 // ErrBody is the fault of a body that is too long, too slow or broken off.
 var ErrBody = errors.New("body")
 
+// ErrDisconnected is the fault of a body whose caller has gone when its last bytes are about to be written.
+var ErrDisconnected = fmt.Errorf("%w: its caller has gone", ErrBody)
+
 // errStopped is what a read of a body ends with that nobody wants any more.
 var errStopped = errors.New("no more of the body is wanted")
 
@@ -175,6 +178,9 @@
 			return false, fmt.Errorf("%w: %w", ErrBody, err)
 		}
 		last := err == io.EOF
+		if last && u.conn.Disconnected() {
+			return false, ErrDisconnected // an endpoint begins with the last byte
+		}
 		if err := l.writePiece(buf[:n], u.Length < 0, last, world); err != nil {
 			return false, err
 		}
--- a/internal/pipeline/admit.go
+++ b/internal/pipeline/admit.go
@@ -14,6 +14,7 @@
 type arrival struct {
 	message  *httpwire.Request
 	deadline decide.Time
+	caller   *httpwire.CallerConn
 	gone     bool // its caller has gone already
 	crowded  bool // its connection is one more than there is room for
 	answer   chan httpwire.Answer
@@ -39,6 +40,7 @@
 	}
 	e.counters.Taken++
 	a.request = e.requests.Take(a.message, a.deadline, a.answer)
+	a.request.Caller = a.caller
 	if a.hold != nil {
 		a.request.MayWrite = a.hold.MayWrite
 	}
--- a/internal/pipeline/crossing_test.go
+++ b/internal/pipeline/crossing_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"strconv"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -10,6 +14,7 @@
 
 	"heathgap/decide"
 	"heathgap/internal/env"
+	"heathgap/internal/figures"
 	"heathgap/internal/httpwire"
 	"heathgap/internal/lab/scripted"
 )
@@ -222,3 +227,413 @@
 		<-e.stopped
 	}
 }
+
+// planned decides what a test says, in place of the module.
+type planned func(ev *decide.Event) []decide.Action
+
+// Handle is Decider's.
+func (p planned) Handle(_ decide.Time, ev *decide.Event, actions []decide.Action) []decide.Action {
+	return append(actions, p(ev)...)
+}
+
+// step is a barrier: who comes to it tells so and stands until the test lets it go on.
+type step struct {
+	reached chan struct{}
+	goOn    chan struct{}
+}
+
+func newStep() *step { return &step{reached: make(chan struct{}, 1), goOn: make(chan struct{})} }
+
+func (s *step) stand() {
+	s.reached <- struct{}{}
+	<-s.goOn
+}
+
+// stage is a world whose dials to one address, or second writes to it, stand at a step, whose watches of callers may be
+// kept from running, and which counts what came up.
+type stage struct {
+	env.Real
+	late     string // dials to it stand
+	slow     string // the second write to it stands
+	at       *step
+	watch    chan struct{} // closed: watches run
+	watched  chan struct{} // one has ended
+	exchange sync.WaitGroup
+	mu       sync.Mutex
+	up       map[string]int // connections by address
+	wrote    map[string]int // writes by address
+}
+
+// Dial is env.Env's.
+func (s *stage) Dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+	if address == s.late {
+		s.at.stand()
+	}
+	conn, err := s.Real.Dial(ctx, address, timeout)
+	if err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.up[address]++
+	return &stagedConn{TCPConn: conn.(*net.TCPConn), stage: s, address: address}, nil
+}
+
+// Go is env.Env's.
+func (s *stage) Go(name string, f func()) {
+	switch name {
+	case "watch":
+		s.Real.Go(name, func() {
+			<-s.watch
+			f()
+			s.watched <- struct{}{}
+		})
+	case "exchange":
+		s.exchange.Go(f)
+	default:
+		s.Real.Go(name, f)
+	}
+}
+
+// writes is how many writes there have been to an address.
+func (s *stage) writes(address string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.wrote[address]
+}
+
+// stagedConn is a connection to an endpoint.
+type stagedConn struct {
+	*net.TCPConn
+	stage   *stage
+	address string
+}
+
+// Write is net.Conn's.
+func (c *stagedConn) Write(b []byte) (int, error) {
+	c.stage.mu.Lock()
+	c.stage.wrote[c.address]++
+	stands := c.address == c.stage.slow && c.stage.wrote[c.address] == 2
+	c.stage.mu.Unlock()
+	if stands {
+		c.stage.at.stand()
+	}
+	return c.TCPConn.Write(b)
+}
+
+// staged is an engine that does what a test says, two endpoints, and a server before it.
+type staged struct {
+	*Engine
+	world     *stage
+	doors     [2]*scripted.Door
+	endpoints [2]decide.EndpointID
+	address   string
+	stop      context.CancelFunc
+}
+
+// startStaged starts one; set is called before the engine runs.
+func startStaged(t *testing.T, set func(s *staged)) *staged {
+	t.Helper()
+	s := &staged{Engine: testEngine(t), doors: [2]*scripted.Door{scripted.OpenDoor(t), scripted.OpenDoor(t)}}
+	s.world = &stage{at: newStep(), watch: make(chan struct{}), watched: make(chan struct{}, 1), up: map[string]int{}, wrote: map[string]int{}}
+	s.Engine.world, s.room = s.world, httpwire.NewRoom(1<<20)
+	s.conf.Classes = map[string]decide.Class{
+		"look": s.conf.Settings.Classes[0], "burn": {Name: "burn", Effect: decide.Unsafe},
+	}
+	s.board = figures.New([]string{"look", "burn"})
+	s.conf.Settings.MustAsk = true // nothing is asked here
+	known := listOf("s0", s.doors[0].Address, decide.Active)
+	known.Endpoints = append(known.Endpoints, listOf("s1", s.doors[1].Address, decide.Active).Endpoints...)
+	s.conf.Known = known
+	for i, change := range s.update(known) {
+		s.endpoints[i] = change.ID
+	}
+	set(s)
+	var ctx context.Context
+	ctx, s.stop = context.WithCancel(t.Context())
+	go s.Run(ctx)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.address = listener.Addr().String()
+	callers := httpwire.NewCallers(listener, s.world, 10, func(*httpwire.CallerConn, httpwire.Reason) {})
+	t.Cleanup(func() { callers.CloseNow() }) //nolint:errcheck // it listens no more
+	server := &fasthttp.Server{Handler: s.Handle, StreamRequestBody: true}
+	go server.Serve(callers) //nolint:errcheck // it ends with the listener
+	return s
+}
+
+// end stops it when its exchanges have ended.
+func (s *staged) end() {
+	s.stop()
+	<-s.stopped
+	s.world.exchange.Wait()
+}
+
+// written is what came to an endpoint, none of whose connections has been taken.
+func (s *staged) written(i int) string {
+	var all strings.Builder
+	s.world.mu.Lock()
+	up := s.world.up[s.doors[i].Address]
+	s.world.mu.Unlock()
+	for range up {
+		peer := s.doors[i].Next()
+		const short = 20 * time.Millisecond         // what was written has come: on loopback a write brings it
+		peer.SetReadDeadline(time.Now().Add(short)) //nolint:errcheck // the read that meets it fails
+		b := make([]byte, 64)
+		n, _ := peer.Read(b)
+		all.Write(b[:n])
+	}
+	return all.String()
+}
+
+func send(s *staged, request decide.RequestID, endpoint int) decide.Action {
+	return decide.Action{Kind: decide.Send, Request: request, Endpoint: s.endpoints[endpoint]}
+}
+
+// heldBack decides to send a request to the second endpoint when a timer is due that stands at the step; begin is the
+// event behind which that timer is set.
+func heldBack(s *staged, begin decide.EventKind, before func(ev *decide.Event) []decide.Action) planned {
+	var held decide.RequestID
+	return func(ev *decide.Event) []decide.Action {
+		switch {
+		case ev.Kind == begin && held == 0:
+			held = ev.Request
+			return []decide.Action{{Kind: decide.SetTimer, After: 1}}
+		case ev.Kind == decide.TimerDue:
+			s.world.at.stand()
+			return []decide.Action{send(s, held, 1)}
+		}
+		return before(ev)
+	}
+}
+
+// ask is a request as a caller writes it; with a body, its head and as much of the body as has the sidecar pass it on.
+func ask(body int) string {
+	if body == 0 {
+		return "GET /look HTTP/1.1\r\nHost: x\r\nX-Txn: 1\r\nX-Remaining: 9\r\n\r\n"
+	}
+	return "POST /burn HTTP/1.1\r\nHost: x\r\nX-Txn: 1\r\nX-Remaining: 9\r\nContent-Length: " + strconv.Itoa(body) + "\r\n\r\n" +
+		strings.Repeat("x", httpwire.MaxWhole+1)
+}
+
+// Guards against an attempt, first or further, that begins though its caller has gone, wherever it stands then and
+// however its caller goes. With its watch kept from running, nobody but the look at the first byte can see it; with the
+// watch, word of it comes to the owner behind what is decided. One whose caller stays is written.
+func TestCallerThatLeavesBeforeAnAttemptBegins(t *testing.T) {
+	const long = 200 << 10
+	none := func(*decide.Event) []decide.Action { return nil }
+	steps := map[string]struct {
+		body  int
+		first bool // an attempt is out at the first endpoint
+		set   func(s *staged)
+	}{
+		"a dial is out": {set: func(s *staged) {
+			s.world.late = s.doors[1].Address
+			s.balancer = planned(func(ev *decide.Event) []decide.Action {
+				if ev.Kind == decide.Arrived {
+					return []decide.Action{send(s, ev.Request, 1)}
+				}
+				return nil
+			})
+		}},
+		"a second copy's dial is out": {first: true, set: func(s *staged) {
+			s.world.late = s.doors[1].Address
+			s.balancer = planned(func(ev *decide.Event) []decide.Action {
+				if ev.Kind == decide.Arrived {
+					return []decide.Action{send(s, ev.Request, 0), send(s, ev.Request, 1)}
+				}
+				return nil
+			})
+		}},
+		"held for an endpoint": {set: func(s *staged) { s.balancer = heldBack(s, decide.Arrived, none) }},
+		"a retry waits for the bucket": {first: true, set: func(s *staged) {
+			s.balancer = heldBack(s, decide.Finished, func(ev *decide.Event) []decide.Action {
+				if ev.Kind == decide.Arrived {
+					return []decide.Action{send(s, ev.Request, 0)}
+				}
+				return nil
+			})
+		}},
+		"its key is claimed": {set: func(s *staged) {
+			s.Keep(&slowClaims{asked: s.world.at.reached, goOn: s.world.at.goOn, ended: make(chan httpwire.Answer, 1)})
+			s.balancer = planned(func(ev *decide.Event) []decide.Action {
+				if ev.Kind == decide.Arrived {
+					return []decide.Action{send(s, ev.Request, 1)}
+				}
+				return nil
+			})
+		}},
+		"its body still comes, a dial is out": {body: long, set: func(s *staged) {
+			s.world.late = s.doors[1].Address
+			s.balancer = planned(func(ev *decide.Event) []decide.Action {
+				if ev.Kind == decide.Arrived {
+					return []decide.Action{send(s, ev.Request, 1)}
+				}
+				return nil
+			})
+		}},
+		"its body still comes, held": {body: long, set: func(s *staged) { s.balancer = heldBack(s, decide.Arrived, none) }},
+	}
+	ways := map[string]func(p *scripted.Peer, ahead string){
+		"ends":              func(p *scripted.Peer, _ string) { p.Close() },
+		"half-ends":         func(p *scripted.Peer, _ string) { p.CloseWrite() }, //nolint:errcheck // the test sees it
+		"resets":            func(p *scripted.Peer, _ string) { p.Reset() },
+		"ends behind bytes": func(p *scripted.Peer, ahead string) { p.Say(ahead); p.Close() },
+		"ends behind many":  func(p *scripted.Peer, ahead string) { p.Say(strings.Repeat(ahead, 400)); p.Close() },
+		"stays":             nil,
+		"stays with bytes":  func(p *scripted.Peer, ahead string) { p.Say(ahead[:2]) },
+	}
+	for at, c := range steps {
+		for way, leave := range ways {
+			for _, watched := range []bool{false, true} {
+				if watched && c.body > 0 {
+					continue // nobody watches while the body comes
+				}
+				t.Run(fmt.Sprintf("%s/%s/watched %v", at, way, watched), func(t *testing.T) {
+					s := startStaged(t, c.set)
+					if watched {
+						close(s.world.watch)
+					}
+					peer := scripted.Connect(t, s.address)
+					peer.Say(ask(c.body))
+					var first *scripted.Peer
+					if c.first {
+						first = s.doors[0].Next()
+						first.Request()
+						if strings.HasPrefix(at, "a retry") {
+							first.Say("HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n")
+						}
+					}
+					<-s.world.at.reached
+					stays := strings.HasPrefix(way, "stays")
+					ahead := ask(0)
+					if c.body > 0 {
+						ahead = "xxxx"
+					}
+					if leave != nil {
+						leave(peer, ahead)
+					}
+					if watched && !stays {
+						<-s.world.watched // it is seen, and the owner may have heard of it
+					}
+					close(s.world.at.goOn)
+					if stays {
+						if c.body > 0 {
+							rest := strings.Repeat("x", c.body-httpwire.MaxWhole-1)
+							if leave != nil { // two bytes of it came ahead
+								rest = rest[2:]
+							}
+							peer.Say(rest)
+						}
+						to := s.doors[1].Next()
+						to.Request()
+						to.Say(scripted.OK("x"))
+						if !watched {
+							close(s.world.watch)
+						}
+						if status, _ := peer.Answer(); status != 200 {
+							t.Errorf("answered %d", status)
+						}
+						if first != nil {
+							first.Close()
+						}
+						s.end()
+						return
+					}
+					for s.Snapshot().Left != 1 {
+						if s.world.writes(s.doors[1].Address) > 0 {
+							t.Fatal("an attempt has begun for nobody")
+						}
+						time.Sleep(time.Millisecond)
+					}
+					if first != nil {
+						first.Close()
+					}
+					s.end()
+					if !watched {
+						close(s.world.watch)
+					}
+					if text := s.written(1); text != "" {
+						t.Errorf("written for nobody: %q", text)
+					}
+				})
+			}
+		}
+	}
+}
+
+// Guards against an effect for nobody: a long body comes whole, and its caller goes before the last byte is passed on. An
+// endpoint begins with that byte.
+func TestCallerThatLeavesBeforeTheLastByteOfABody(t *testing.T) {
+	const long = 200 << 10
+	for name, leave := range map[string]func(*scripted.Peer){
+		"half-ends": func(p *scripted.Peer) { p.CloseWrite() }, //nolint:errcheck // the test sees it
+		"stays":     func(*scripted.Peer) {},
+	} {
+		leaves := name != "stays"
+		s := startStaged(t, func(s *staged) {
+			s.world.slow = s.doors[0].Address
+			close(s.world.watch)
+			s.balancer = planned(func(ev *decide.Event) []decide.Action {
+				if ev.Kind == decide.Arrived {
+					return []decide.Action{send(s, ev.Request, 0)}
+				}
+				return nil
+			})
+		})
+		peer := scripted.Connect(t, s.address)
+		peer.Say(ask(long) + strings.Repeat("x", 100))
+		<-s.world.at.reached // some of it is on its way
+		peer.Say(strings.Repeat("x", long-httpwire.MaxWhole-1-100))
+		leave(peer)
+		close(s.world.at.goOn)
+		to := s.doors[0].Next()
+		if !leaves {
+			to.Request()
+			to.Say(scripted.OK("x"))
+			if status, _ := peer.Answer(); status != 200 {
+				t.Errorf("answered %d", status)
+			}
+			s.end()
+			continue
+		}
+		if text, _ := to.End(); !strings.HasPrefix(text, "POST") || len(text) >= long {
+			t.Errorf("%d bytes came to the endpoint, want a part of the body", len(text))
+		}
+		if status, _ := peer.Answer(); status == 200 {
+			t.Errorf("answered %d", status)
+		}
+		if c := s.Snapshot(); c.Left != 1 || c.Outcomes[decide.ConnectFailed] != 1 {
+			t.Errorf("%+v", c)
+		}
+		s.end()
+	}
+}
+
+// Guards against an effect for nobody where the end of a caller can't be seen at the first byte: more of its body than
+// the kernel takes stands before it, and nobody has read that. The end comes with the last byte.
+func TestCallerThatLeavesBehindMoreThanBuffersTake(t *testing.T) {
+	const long = 700 << 10 // on loopback a sender's buffer takes over 1 MiB, a receiver's a tenth of that
+	s := startStaged(t, func(s *staged) {
+		close(s.world.watch)
+		s.balancer = heldBack(s, decide.Arrived, func(*decide.Event) []decide.Action { return nil })
+	})
+	peer := scripted.Connect(t, s.address)
+	peer.Say(ask(long))
+	<-s.world.at.reached
+	peer.Say(strings.Repeat("x", long-httpwire.MaxWhole-1))
+	peer.Close()
+	close(s.world.at.goOn)
+	for s.Snapshot().Left != 1 {
+		time.Sleep(time.Millisecond)
+	}
+	s.end()
+	if s.world.writes(s.doors[1].Address) == 0 {
+		return // its end was seen before the first byte
+	}
+	if text, _ := s.doors[1].Next().End(); len(text) >= long {
+		t.Errorf("%d bytes came to the endpoint: its whole request", len(text))
+	}
+}
--- a/internal/pipeline/relay.go
+++ b/internal/pipeline/relay.go
@@ -36,8 +36,19 @@
 type callerLeft struct{ in *arrival }
 
 func (c callerLeft) handle(e *Engine) {
-	r := c.in.request
-	if r == nil || r.Over {
+	if c.in.request != nil {
+		e.abandon(c.in.request)
+	}
+}
+
+// sentForNobody is a request whose caller was found to be gone where an attempt was about to be written.
+type sentForNobody struct{ request *state.Request }
+
+func (s sentForNobody) handle(e *Engine) { e.abandon(s.request) }
+
+// abandon ends a request whose caller has gone.
+func (e *Engine) abandon(r *state.Request) {
+	if r.Over {
 		return
 	}
 	e.relay(r, httpwire.Answer{Verdict: httpwire.Abandoned, Last: true})
--- a/internal/pipeline/send.go
+++ b/internal/pipeline/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"heathgap/decide"
@@ -149,9 +150,23 @@
 	if a.NotAfter > 0 && now >= a.NotAfter {
 		return decide.ConnectFailed, false
 	}
+	// Guards against an attempt for a caller that has gone, however late its connection came up and however long word of
+	// that takes to the owner: it hears of it ahead of the attempt's outcome.
+	if !e.awaited(a) {
+		return decide.NotSent, false
+	}
 	return 0, true
 }
 
+// awaited tells whether an attempt's caller is still there. If not, the owner is told.
+func (e *Engine) awaited(a *state.Attempt) bool {
+	if a.Request.Caller == nil || !a.Request.Caller.Disconnected() {
+		return true
+	}
+	e.post(sentForNobody{a.Request})
+	return false
+}
+
 // write writes an attempt. On an error its last byte is not written: it has never run.
 func (e *Engine) write(a *state.Attempt, link *httpwire.Link, upload *httpwire.Upload) error {
 	wait := a.Until - e.clock.Now()
@@ -165,6 +180,9 @@
 	}
 	e.post(uploading{a})
 	if _, err := link.WriteUpload(upload, e.world); err != nil {
+		if errors.Is(err, httpwire.ErrDisconnected) {
+			e.post(sentForNobody{a.Request})
+		}
 		return err
 	}
 	e.post(uploaded{a})
--- a/internal/pipeline/takein.go
+++ b/internal/pipeline/takein.go
@@ -85,21 +85,21 @@
 		w := &waiting{}
 		conn.Watch(func() { w.leave(e) })
 		defer conn.Unwatch()
-		return e.awaitWhole(&message, crowded, w)
+		return e.awaitWhole(&message, conn, crowded, w)
 	}
 	if e.holdings != nil && e.holdings.Holds(message.Class) {
 		_, known := e.open(&message)
 		return *known, false
 	}
 	in := &arrival{
-		message: &message, deadline: e.clock.Now() + message.Remaining, crowded: crowded,
+		message: &message, deadline: e.clock.Now() + message.Remaining, caller: conn, crowded: crowded,
 		answer: make(chan httpwire.Answer, 1),
 	}
 	return e.awaitUpload(in, conn)
 }
 
 // awaitWhole claims a request that has come whole, if its class is held, hands it over and waits for its answer.
-func (e *Engine) awaitWhole(message *httpwire.Request, crowded bool, w *waiting) (answer httpwire.Answer, counted bool) {
+func (e *Engine) awaitWhole(message *httpwire.Request, conn *httpwire.CallerConn, crowded bool, w *waiting) (answer httpwire.Answer, counted bool) {
 	var hold Hold
 	if e.holdings != nil && e.holdings.Holds(message.Class) {
 		var known *httpwire.Answer
@@ -108,7 +108,7 @@
 		}
 	}
 	in := &arrival{
-		message: message, deadline: e.clock.Now() + message.Remaining, crowded: crowded,
+		message: message, deadline: e.clock.Now() + message.Remaining, caller: conn, crowded: crowded,
 		answer: make(chan httpwire.Answer, 1), hold: hold,
 	}
 	e.board.Active.Add(1)
--- a/internal/sim/net.go
+++ b/internal/sim/net.go
@@ -279,6 +279,13 @@
 	return !c.closed && !c.reset && !c.eof && len(c.in) == 0
 }
 
+// HungUp tells whether the other side has ended it, or broken it.
+func (c *conn) HungUp() bool {
+	c.w.mu.Lock()
+	defer c.w.mu.Unlock()
+	return c.closed || c.reset || c.eof
+}
+
 type addr string
 
 // Network is net.Addr's.
--- a/internal/state/request.go
+++ b/internal/state/request.go
@@ -22,6 +22,8 @@
 	Answer   chan httpwire.Answer
 	Over     bool // the final answer is given, or nobody waits for one
 	Attempts []*Attempt
+	// Caller is the connection on which it came; nil where there is none to look at. Goroutines of attempts ask it.
+	Caller *httpwire.CallerConn
 	// MayWrite tells whether its key's claim still stands; nil where it has none. Any goroutine may ask.
 	MayWrite func() bool
 	out      int // attempts without an outcome
