Every request that is answered 400 is the last on its connection

Cause: only what could be read in two ways, and a faulty body, ended its connection; behind any other 400 (no id, unknown class, wrong method, a GET with a body) the next bytes were read as a request and sent on, though they may be a part of what was no request (internal/pipeline/takein.go).

Change: a 400 of the sidecar ends its connection, one way first; what still comes is read and dropped, for 5 s behind a body that was never read.

Measured: TestMalformedRequestsReachNoEndpoint asks for an end in order behind each 400, and for nothing sent on of what was written behind it; eight more inputs.

--- a/internal/httpwire/caller.go
+++ b/internal/httpwire/caller.go
@@ -338,6 +338,13 @@
 	c.body, c.unread = &bodyPace{}, true
 }
 
+// BodyUnread marks that a body comes that nobody will read.
+func (c *CallerConn) BodyUnread() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unread = true
+}
+
 // bodyEnded marks that no body is read any more, and whether nothing more of it comes.
 func (c *CallerConn) bodyEnded(all bool) {
 	c.mu.Lock()
--- a/internal/lifecycle/sidecar_test.go
+++ b/internal/lifecycle/sidecar_test.go
@@ -61,7 +61,8 @@
 	}
 }
 
-// Guards against bad input that reaches an endpoint or ends the process.
+// Guards against bad input that reaches an endpoint or ends the process. It is answered 400, then its connection ends in
+// order, and what was written behind it is not sent on: it may be a part of it.
 func TestMalformedRequestsReachNoEndpoint(t *testing.T) {
 	e := scripted.StartEndpoint(t, "e1", nil)
 	s := start(t, testConfig(scripted.StartDiscovery(t), e.Line()))
@@ -85,18 +86,31 @@
 		"bad length":        "POST /pay HTTP/1.1\r\n" + head + "Content-Length: -4\r\n\r\n",
 		"two lengths": "POST /pay HTTP/1.1\r\n" + head + "Idempotency-Key: k\r\nContent-Length: 70\r\n" +
 			"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /look/hidden HTTP/1.1\r\n" + head + "\r\n",
-		"head too long": "GET /look HTTP/1.1\r\n" + head + "X-Long: " + strings.Repeat("a", 20000) + "\r\n\r\n",
+		"two ids":          "GET /look HTTP/1.1\r\nX-Txn: 2\r\n" + head + "\r\n",
+		"folded":           "GET /look HTTP/1.1\r\n" + head + "X-Pad: a\r\n b\r\n\r\n",
+		"bare line feed":   "GET /look HTTP/1.1\r\n" + head + "X-Pad: a\n\r\n",
+		"unknown coding":   "POST /burn HTTP/1.1\r\n" + head + "Transfer-Encoding: gzip\r\n\r\n",
+		"GET with chunks":  "GET /look HTTP/1.1\r\n" + head + "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+		"junk for a chunk": "POST /burn HTTP/1.1\r\n" + head + "Transfer-Encoding: chunked\r\n\r\nzz\r\nhi\r\n0\r\n\r\n",
+		"unwanted body":    "POST /nothing HTTP/1.1\r\n" + head + "Content-Length: 30000\r\n\r\n" + strings.Repeat("x", 30000),
+		"junk":             "\x00\x01\x02\r\n\r\n",
+		"head too long":    "GET /look HTTP/1.1\r\n" + head + "X-Long: " + strings.Repeat("a", 20000) + "\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			conn := dial(t, s.Address())
-			io.WriteString(conn, text)
-			answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			io.WriteString(conn, text+"GET /look/behind HTTP/1.1\r\nHost: x\r\nX-Txn: "+newID()+"\r\nX-Remaining: 1\r\n\r\n")
+			in := bufio.NewReader(conn)
+			answer, err := http.ReadResponse(in, nil)
 			if err != nil {
 				t.Fatal(err)
 			}
 			if answer.StatusCode != 400 {
 				t.Errorf("status %d, want 400", answer.StatusCode)
 			}
+			io.Copy(io.Discard, answer.Body)
+			if more, err := io.ReadAll(in); len(more) > 0 || err != nil {
+				t.Errorf("behind it: %q, %v; want an end", more, err)
+			}
 		})
 	}
 	if status, _ := get(t, s.Address(), "/look"); status != 200 {
--- a/internal/pipeline/takein.go
+++ b/internal/pipeline/takein.go
@@ -38,7 +38,8 @@
 			rest.To(conn)
 		}
 		httpwire.EncodeAnswer(&answer, &ctx.Response)
-		if answer.Last {
+		// What follows what is malformed may be a part of it.
+		if answer.Last || answer.Verdict == httpwire.Malformed {
 			ctx.SetConnectionClose()
 		}
 	}
@@ -70,9 +71,10 @@
 	}
 	if err != nil {
 		e.malformed.Add(1)
-		// What follows may be a part of it.
-		last := errors.Is(err, httpwire.ErrFraming) || errors.Is(err, httpwire.ErrBody)
-		return httpwire.Answer{Verdict: httpwire.Malformed, Reason: err.Error(), Last: last}, false
+		if ctx.RequestBodyStream() != nil && !errors.Is(err, httpwire.ErrBody) {
+			conn.BodyUnread()
+		}
+		return httpwire.Answer{Verdict: httpwire.Malformed, Reason: err.Error()}, false
 	}
 	if most := e.conf.Classes[message.Class].Deadline; most > 0 {
 		// Guards against times that no client of the class has: what is kept for a
