Pipelined requests and disconnected callers are named so

Names alone; behaviour unchanged. What a caller writes ahead of an answer is pipelined (readAhead, mostReadAhead, mostBehind); a caller that has gone is disconnected (callerLeft, sentForNobody). Log lines and counters keep their words.

--- a/internal/httpwire/caller.go
+++ b/internal/httpwire/caller.go
@@ -258,7 +258,7 @@
 	given     bool          // that process has the connection
 	unsent    []byte        // of it, what was not written here: a piece at most
 	unread    bool          // a body has not come to its end: what still comes must be read before a close
-	readAhead []byte        // what came while Watch looked; the next Reads return it
+	pipelined []byte        // what came while Watch looked; the next Reads return it
 	behind    int           // how much that was in all, behind the request at hand
 	ended     bool          // its caller has ended it, or it has broken: no more comes
 	watching  chan struct{} // closed when the watch has ended; nil while there is none
@@ -280,9 +280,9 @@
 func (c *CallerConn) Read(b []byte) (int, error) {
 	c.mu.Lock()
 	c.settle()
-	if len(c.readAhead) > 0 {
-		n := copy(b, c.readAhead)
-		c.readAhead = c.readAhead[n:]
+	if len(c.pipelined) > 0 {
+		n := copy(b, c.pipelined)
+		c.pipelined = c.pipelined[n:]
 		c.begin()
 		c.mu.Unlock()
 		return n, nil
@@ -579,7 +579,7 @@
 	c.watching = done
 	c.mu.Lock()
 	c.hold()
-	c.behind = len(c.readAhead)
+	c.behind = len(c.pipelined)
 	c.Conn.SetReadDeadline(time.Time{})
 	c.mu.Unlock()
 	c.owner.world.Go("watch", func() {
@@ -621,21 +621,21 @@
 // What may come behind a request before it is answered, in bytes. Callers ask one thing at a time; those that write the
 // next ahead are served as long as it is kept. Who pours on and on waits for no answer.
 const (
-	mostReadAhead = MaxHead
-	mostBehind    = 1 << 20
+	maxPipelinedKept = MaxHead
+	maxPipelined     = 1 << 20
 )
 
 // keep keeps what came behind a request, and tells whether it was more than anybody waits behind; c.mu is held. Beyond
-// mostReadAhead nothing is kept: the connection ends with the request at hand, since what follows can't be read any more.
+// maxPipelinedKept nothing is kept: the connection ends with the request at hand, since what follows can't be read any more.
 func (c *CallerConn) keep(b []byte) (flooded bool) {
 	c.behind += len(b)
-	if c.behind > mostReadAhead {
-		c.readAhead, c.closing = nil, true
+	if c.behind > maxPipelinedKept {
+		c.pipelined, c.closing = nil, true
 	} else {
-		c.readAhead = append(c.readAhead, b...)
+		c.pipelined = append(c.pipelined, b...)
 	}
-	c.ended = c.ended || c.behind > mostBehind // it gets no answer that a close could destroy
-	return c.behind > mostBehind
+	c.ended = c.ended || c.behind > maxPipelined // it gets no answer that a close could destroy
+	return c.behind > maxPipelined
 }
 
 // Disconnected tells whether its caller has ended the connection, one way or both, or broken it. It asks the kernel, once:
--- a/internal/httpwire/crossing_test.go
+++ b/internal/httpwire/crossing_test.go
@@ -35,7 +35,7 @@
 		"reset":      func(p *scripted.Peer) { p.Reset() },
 	}
 	for name, end := range ends {
-		for _, ahead := range []int{0, 1, 300, mostReadAhead, mostReadAhead + 1, 100 << 10} {
+		for _, ahead := range []int{0, 1, 300, maxPipelinedKept, maxPipelinedKept + 1, 100 << 10} {
 			t.Run(fmt.Sprintf("%s behind %d", name, ahead), func(t *testing.T) {
 				c, peer := accepted(t)
 				left := make(chan struct{})
@@ -58,11 +58,11 @@
 	c, peer := accepted(t)
 	left := make(chan struct{})
 	c.Watch(func() { close(left) })
-	peer.Say(strings.Repeat("x", mostBehind+1))
+	peer.Say(strings.Repeat("x", maxPipelined+1))
 	<-left
 	c.Unwatch()
-	if len(c.readAhead) > mostReadAhead || !c.Closing() {
-		t.Errorf("%d bytes kept, closing %v", len(c.readAhead), c.Closing())
+	if len(c.pipelined) > maxPipelinedKept || !c.Closing() {
+		t.Errorf("%d bytes kept, closing %v", len(c.pipelined), c.Closing())
 	}
 }
 
@@ -77,7 +77,7 @@
 	peer.Say(want.String())
 	for kept := 0; kept < want.Len(); time.Sleep(time.Millisecond) {
 		c.mu.Lock()
-		kept = len(c.readAhead)
+		kept = len(c.pipelined)
 		c.mu.Unlock()
 	}
 	c.Unwatch()
@@ -247,7 +247,7 @@
 		"stays":      nil,
 	}
 	for name, end := range ends {
-		for _, ahead := range []int{0, 1, 300, mostReadAhead + 1, 40 << 10} {
+		for _, ahead := range []int{0, 1, 300, maxPipelinedKept + 1, 40 << 10} {
 			c, peer := accepted(t)
 			c.Hold()
 			peer.Say(strings.Repeat("x", ahead))
@@ -278,7 +278,7 @@
 	c, peer := accepted(t)
 	left := make(chan struct{})
 	c.Watch(func() { close(left) })
-	peer.Say(strings.Repeat("x", mostBehind+1))
+	peer.Say(strings.Repeat("x", maxPipelined+1))
 	<-left
 	if !c.Disconnected() {
 		t.Error("it counts as there")
--- a/internal/pipeline/relay.go
+++ b/internal/pipeline/relay.go
@@ -32,19 +32,19 @@
 	e.requests.Release(r)
 }
 
-// callerLeft tells that the caller of a request has gone.
-type callerLeft struct{ in *arrival }
+// callerDisconnected tells that the caller of a request has gone.
+type callerDisconnected struct{ in *arrival }
 
-func (c callerLeft) handle(e *Engine) {
+func (c callerDisconnected) handle(e *Engine) {
 	if c.in.request != nil {
 		e.abandon(c.in.request)
 	}
 }
 
-// sentForNobody is a request whose caller was found to be gone where an attempt was about to be written.
-type sentForNobody struct{ request *state.Request }
+// foundDisconnected is a request whose caller was found to be gone where an attempt was about to be written.
+type foundDisconnected struct{ request *state.Request }
 
-func (s sentForNobody) handle(e *Engine) { e.abandon(s.request) }
+func (s foundDisconnected) handle(e *Engine) { e.abandon(s.request) }
 
 // abandon ends a request whose caller has gone.
 func (e *Engine) abandon(r *state.Request) {
--- a/internal/pipeline/send.go
+++ b/internal/pipeline/send.go
@@ -163,7 +163,7 @@
 	if a.Request.Caller == nil || !a.Request.Caller.Disconnected() {
 		return true
 	}
-	e.post(sentForNobody{a.Request})
+	e.post(foundDisconnected{a.Request})
 	return false
 }
 
@@ -181,7 +181,7 @@
 	e.post(uploading{a})
 	if _, err := link.WriteUpload(upload, e.world); err != nil {
 		if errors.Is(err, httpwire.ErrDisconnected) {
-			e.post(sentForNobody{a.Request})
+			e.post(foundDisconnected{a.Request})
 		}
 		return err
 	}
--- a/internal/pipeline/takein.go
+++ b/internal/pipeline/takein.go
@@ -135,7 +135,7 @@
 	defer w.mu.Unlock()
 	w.gone = true
 	if w.in != nil {
-		e.post(callerLeft{w.in})
+		e.post(callerDisconnected{w.in})
 	}
 }
 
@@ -173,13 +173,13 @@
 	case <-upload.Done():
 	}
 	if upload.Err() != nil {
-		e.post(callerLeft{in})
+		e.post(callerDisconnected{in})
 		answer = e.await(in)
 		answer.Last = true
 		return answer, false
 	}
 	e.board.Active.Add(1)
-	conn.Watch(func() { e.post(callerLeft{in}) })
+	conn.Watch(func() { e.post(callerDisconnected{in}) })
 	defer conn.Unwatch()
 	return e.await(in), true
 }
