--- a/internal/httpwire/caller.go
+++ b/internal/httpwire/caller.go
@@ -665,7 +665,7 @@
 	err := c.descriptor.Control(func(fd uintptr) {
 		fds := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
 		n, err := unix.Poll(fds[:], 0)
-		for err == unix.EINTR {
+		if err == unix.EINTR { // once more: a signal's handler has run in between
 			n, err = unix.Poll(fds[:], 0)
 		}
 		hungUp = n > 0 && err == nil
