--- a/internal/httpwire/caller.go
+++ b/internal/httpwire/caller.go
@@ -341,13 +341,16 @@
 	given     bool          // that process has the connection
 	unsent    []byte        // of it, what was not written here: a piece at most
 	unread    bool          // a body has not come to its end: what still comes must be read before a close
-	readAhead []byte        // what came while Watch looked; the next Reads return it
+	pipelined []byte        // what came while Watch looked; the next Reads return it
 	behind    int           // how much that was in all, behind the request at hand
 	ended     bool          // its caller has ended it, or it has broken: no more comes
 	watching  chan struct{} // closed when the watch has ended; nil while there is none
 	closed    bool
 	closedAt  time.Time
 	cutOff    bool // it is read out no further
+
+	descriptor   syscall.RawConn // set when it first holds a request; nil where the connection has no descriptor
+	disconnected atomic.Bool     // its caller was seen to be gone
 }
 
 // aPast is a deadline that has passed: it ends a pending read at once.
@@ -362,9 +365,9 @@
 func (c *CallerConn) Read(b []byte) (int, error) {
 	c.mu.Lock()
 	c.settle()
-	if len(c.readAhead) > 0 {
-		n := copy(b, c.readAhead)
-		c.readAhead = c.readAhead[n:]
+	if len(c.pipelined) > 0 {
+		n := copy(b, c.pipelined)
+		c.pipelined = c.pipelined[n:]
 		c.begin()
 		c.mu.Unlock()
 		return n, nil
@@ -447,6 +450,13 @@
 	c.body, c.unread = &bodyPace{}, true
 }
 
+// BodyUnread marks that a body comes that nobody will read.
+func (c *CallerConn) BodyUnread() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unread = true
+}
+
 // bodyEnded marks that no body is read any more, and whether nothing more of it comes.
 func (c *CallerConn) bodyEnded(all bool) {
 	c.mu.Lock()
@@ -482,6 +492,9 @@
 		c.held, c.proven = true, true
 		c.owner.held.Add(1)
 	}
+	if conn, ok := c.Conn.(syscall.Conn); ok && c.descriptor == nil {
+		c.descriptor, _ = conn.SyscallConn() // nil if it is closed here
+	}
 }
 
 // begin marks that a request has begun to come; c.mu is held.
@@ -705,12 +718,13 @@
 	c.watching = done
 	c.mu.Lock()
 	c.hold()
-	c.behind = len(c.readAhead)
+	c.behind = len(c.pipelined)
 	c.Conn.SetReadDeadline(time.Time{})
 	c.mu.Unlock()
 	c.owner.world.Go("watch", func() {
 		defer close(done)
 		if c.look() {
+			c.disconnected.Store(true)
 			c.Note(ReasonCallerLeft)
 			left()
 		}
@@ -746,21 +760,56 @@
 // What may come behind a request before it is answered, in bytes. Callers ask one thing at a time; those that write the
 // next ahead are served as long as it is kept. Who pours on and on waits for no answer.
 const (
-	mostReadAhead = MaxHead
-	mostBehind    = 1 << 20
+	maxPipelinedKept = MaxHead
+	maxPipelined     = 1 << 20
 )
 
 // keep keeps what came behind a request, and tells whether it was more than anybody waits behind; c.mu is held. Beyond
-// mostReadAhead nothing is kept: the connection ends with the request at hand, since what follows can't be read any more.
+// maxPipelinedKept nothing is kept: the connection ends with the request at hand, since what follows can't be read any more.
 func (c *CallerConn) keep(b []byte) (flooded bool) {
 	c.behind += len(b)
-	if c.behind > mostReadAhead {
-		c.readAhead, c.closing = nil, true
+	if c.behind > maxPipelinedKept {
+		c.pipelined, c.closing = nil, true
 	} else {
-		c.readAhead = append(c.readAhead, b...)
+		c.pipelined = append(c.pipelined, b...)
 	}
-	c.ended = c.ended || c.behind > mostBehind // it gets no answer that a close could destroy
-	return c.behind > mostBehind
+	c.ended = c.ended || c.behind > maxPipelined // it gets no answer that a close could destroy
+	return c.behind > maxPipelined
+}
+
+// Disconnected tells whether its caller has ended the connection, one way or both, or broken it. It asks the kernel, once:
+// the watch may not have run yet, nobody watches while a body still comes, and an end stands behind all that was not read.
+// Any goroutine may ask while a request is held.
+func (c *CallerConn) Disconnected() bool {
+	if c.disconnected.Load() {
+		return true
+	}
+	if !c.hungUp() {
+		return false
+	}
+	c.disconnected.Store(true)
+	c.Note(ReasonCallerLeft)
+	return true
+}
+
+// hungUp is the kernel's word for that. Bytes that were not read don't hide an end from POLLRDHUP, as they do from a read.
+func (c *CallerConn) hungUp() bool {
+	if told, ok := c.Conn.(interface{ HungUp() bool }); ok { // it knows by itself
+		return told.HungUp()
+	}
+	if c.descriptor == nil {
+		return false
+	}
+	hungUp := false
+	err := c.descriptor.Control(func(fd uintptr) {
+		fds := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(fds[:], 0)
+		if err == unix.EINTR { // once more: a signal's handler has run in between
+			n, err = unix.Poll(fds[:], 0)
+		}
+		hungUp = n > 0 && err == nil
+	})
+	return hungUp || err != nil // an error: it is closed on this side
 }
 
 // Unwatch ends the watch; the server may read again.
--- a/internal/httpwire/crossing_test.go
+++ b/internal/httpwire/crossing_test.go
@@ -35,7 +35,7 @@
 		"reset":      func(p *scripted.Peer) { p.Reset() },
 	}
 	for name, end := range ends {
-		for _, ahead := range []int{0, 1, 300, mostReadAhead, mostReadAhead + 1, 100 << 10} {
+		for _, ahead := range []int{0, 1, 300, maxPipelinedKept, maxPipelinedKept + 1, 100 << 10} {
 			t.Run(fmt.Sprintf("%s behind %d", name, ahead), func(t *testing.T) {
 				c, peer := accepted(t)
 				left := make(chan struct{})
@@ -58,11 +58,11 @@
 	c, peer := accepted(t)
 	left := make(chan struct{})
 	c.Watch(func() { close(left) })
-	peer.Say(strings.Repeat("x", mostBehind+1))
+	peer.Say(strings.Repeat("x", maxPipelined+1))
 	<-left
 	c.Unwatch()
-	if len(c.readAhead) > mostReadAhead || !c.Closing() {
-		t.Errorf("%d bytes kept, closing %v", len(c.readAhead), c.Closing())
+	if len(c.pipelined) > maxPipelinedKept || !c.Closing() {
+		t.Errorf("%d bytes kept, closing %v", len(c.pipelined), c.Closing())
 	}
 }
 
@@ -77,7 +77,7 @@
 	peer.Say(want.String())
 	for kept := 0; kept < want.Len(); time.Sleep(time.Millisecond) {
 		c.mu.Lock()
-		kept = len(c.readAhead)
+		kept = len(c.pipelined)
 		c.mu.Unlock()
 	}
 	c.Unwatch()
@@ -263,3 +263,75 @@
 		t.Errorf("making room took %v", took)
 	}
 }
+
+// Guards against a caller that has gone and is not seen because nobody has read its connection: no watch has run, or a body
+// stands unread in front of its end. One that stays is never taken for gone, whatever it writes ahead.
+func TestDisconnectedIsSeenUnread(t *testing.T) {
+	ends := map[string]func(*scripted.Peer){
+		"ended":      func(p *scripted.Peer) { p.Close() },
+		"half-ended": func(p *scripted.Peer) { p.CloseWrite() }, //nolint:errcheck // the test sees it
+		"reset":      func(p *scripted.Peer) { p.Reset() },
+		"stays":      nil,
+	}
+	for name, end := range ends {
+		for _, ahead := range []int{0, 1, 300, maxPipelinedKept + 1, 40 << 10} {
+			c, peer := accepted(t)
+			c.Hold()
+			peer.Say(strings.Repeat("x", ahead))
+			if end != nil {
+				end(peer)
+			}
+			if got := c.Disconnected(); got != (end != nil) {
+				t.Errorf("%s behind %d: disconnected %v", name, ahead, got)
+			}
+			if end != nil {
+				continue
+			}
+			c.Watch(func() { t.Error("its watch takes it for gone") })
+			c.Unwatch()
+			if c.Disconnected() {
+				t.Errorf("behind %d: gone after a watch", ahead)
+			}
+			c.Close()
+			if !c.Disconnected() {
+				t.Error("closed on this side, and somebody waits there")
+			}
+		}
+	}
+}
+
+// A flood is taken for gone, though its connection stands.
+func TestFloodIsDisconnected(t *testing.T) {
+	c, peer := accepted(t)
+	left := make(chan struct{})
+	c.Watch(func() { close(left) })
+	peer.Say(strings.Repeat("x", maxPipelined+1))
+	<-left
+	if !c.Disconnected() {
+		t.Error("it counts as there")
+	}
+	c.Unwatch()
+}
+
+// BenchmarkDisconnected is what the look costs an attempt whose caller is there.
+func BenchmarkDisconnected(b *testing.B) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	callers := NewCallers(listener, env.Real{}, 10, func(*CallerConn, Reason) {})
+	defer callers.CloseNow() //nolint:errcheck // it listens no more
+	scripted.Connect(b, listener.Addr().String())
+	conn, err := callers.Accept()
+	if err != nil {
+		b.Fatal(err)
+	}
+	c := conn.(*CallerConn)
+	c.Hold()
+	b.ReportAllocs()
+	for b.Loop() {
+		if c.Disconnected() {
+			b.Fatal("gone")
+		}
+	}
+}
--- a/internal/pipeline/takein.go
+++ b/internal/pipeline/takein.go
@@ -38,7 +38,8 @@
 			rest.To(conn)
 		}
 		httpwire.EncodeAnswer(&answer, &ctx.Response)
-		if answer.Last {
+		// What follows what is malformed may be a part of it.
+		if answer.Last || answer.Verdict == httpwire.Malformed {
 			ctx.SetConnectionClose()
 		}
 	}
@@ -70,9 +71,10 @@
 	}
 	if err != nil {
 		e.malformed.Add(1)
-		// What follows may be a part of it.
-		last := errors.Is(err, httpwire.ErrFraming) || errors.Is(err, httpwire.ErrBody)
-		return httpwire.Answer{Verdict: httpwire.Malformed, Reason: err.Error(), Last: last}, false
+		if ctx.RequestBodyStream() != nil && !errors.Is(err, httpwire.ErrBody) {
+			conn.BodyUnread()
+		}
+		return httpwire.Answer{Verdict: httpwire.Malformed, Reason: err.Error()}, false
 	}
 	if most := e.conf.Classes[message.Class].Deadline; most > 0 {
 		// Guards against times that no client of the class has: what is kept for a
@@ -85,21 +87,21 @@
 		w := &waiting{}
 		conn.Watch(func() { w.leave(e) })
 		defer conn.Unwatch()
-		return e.awaitWhole(&message, crowded, w)
+		return e.awaitWhole(&message, conn, crowded, w)
 	}
 	if e.holdings != nil && e.holdings.Holds(message.Class) {
 		_, known := e.open(&message)
 		return *known, false
 	}
 	in := &arrival{
-		message: &message, deadline: e.clock.Now() + message.Remaining, crowded: crowded,
+		message: &message, deadline: e.clock.Now() + message.Remaining, caller: conn, crowded: crowded,
 		answer: make(chan httpwire.Answer, 1),
 	}
 	return e.awaitUpload(in, conn)
 }
 
 // awaitWhole claims a request that has come whole, if its class is held, hands it over and waits for its answer.
-func (e *Engine) awaitWhole(message *httpwire.Request, crowded bool, w *waiting) (answer httpwire.Answer, counted bool) {
+func (e *Engine) awaitWhole(message *httpwire.Request, conn *httpwire.CallerConn, crowded bool, w *waiting) (answer httpwire.Answer, counted bool) {
 	var hold Hold
 	if e.holdings != nil && e.holdings.Holds(message.Class) {
 		var known *httpwire.Answer
@@ -108,7 +110,7 @@
 		}
 	}
 	in := &arrival{
-		message: message, deadline: e.clock.Now() + message.Remaining, crowded: crowded,
+		message: message, deadline: e.clock.Now() + message.Remaining, caller: conn, crowded: crowded,
 		answer: make(chan httpwire.Answer, 1), hold: hold,
 	}
 	e.board.Active.Add(1)
@@ -133,7 +135,7 @@
 	defer w.mu.Unlock()
 	w.gone = true
 	if w.in != nil {
-		e.post(callerLeft{w.in})
+		e.post(callerDisconnected{w.in})
 	}
 }
 
@@ -171,13 +173,13 @@
 	case <-upload.Done():
 	}
 	if upload.Err() != nil {
-		e.post(callerLeft{in})
+		e.post(callerDisconnected{in})
 		answer = e.await(in)
 		answer.Last = true
 		return answer, false
 	}
 	e.board.Active.Add(1)
-	conn.Watch(func() { e.post(callerLeft{in}) })
+	conn.Watch(func() { e.post(callerDisconnected{in}) })
 	defer conn.Unwatch()
 	return e.await(in), true
 }
