The scale lab fits by internal/lab/fit, as the other slopes do

Two fits by least squares stood beside each other, written apart. The one of internal/lab/fit stays: it tells standard errors, and its tests are worked out by hand. TestFit of the scale lab plays the same points through it; the residual is now by degrees of freedom. go test ./internal/lab/fit ./internal/lab/scale -run 'TestFit|TestGrow|TestJudge|TestPlan|TestScenario' passes.

--- a/internal/lab/fit/fit.go
+++ b/internal/lab/fit/fit.go
@@ -18,13 +18,13 @@
 
 // Curve is a polynomial drawn through points.
 type Curve struct {
-	Coefficients []float64 // of x⁰, x¹, ...
+	Coefficients []float64 `json:"coefficients"` // of x⁰, x¹, ...
 	// Errors are the standard errors of the coefficients, one each. With as many points as coefficients nothing is
 	// left to tell an error by, and these and Residual are 0: see Freedom.
-	Errors   []float64
-	Residual float64 // residual standard error, in y's unit
-	R2       float64 // the part of y's variance that the curve explains; 1 where y does not vary
-	Points   int
+	Errors   []float64 `json:"errors"`
+	Residual float64   `json:"residual"` // residual standard error, in y's unit
+	R2       float64   `json:"r2"`       // the part of y's variance that the curve explains; 1 where y does not vary
+	Points   int       `json:"points"`
 }
 
 // Linear fits y = a + b x. It needs two different x.
--- a/internal/lab/scale/fit_test.go
+++ b/internal/lab/scale/growth_test.go
@@ -4,8 +4,11 @@
 	"math"
 	"strings"
 	"testing"
+
+	"heathgap/internal/lab/fit"
 )
 
+// A curve says how far off it is, and is refused where there are too few sizes.
 func TestFit(t *testing.T) {
 	n := []float64{60, 120, 240, 360}
 	of := func(f func(x float64) float64) (out []float64) {
@@ -16,30 +19,31 @@
 	}
 	near := func(a, b float64) bool { return math.Abs(a-b) <= 1e-6*max(1, math.Abs(b)) }
 	line := of(func(x float64) float64 { return 3 + 0.25*x })
-	c, err := Fit(n, line, 1)
-	if err != nil || !near(c.A, 3) || !near(c.B, 0.25) || c.C != 0 || !near(c.Error, 0) {
+	c, err := fit.Linear(n, line)
+	if err != nil || !near(c.Coefficients[0], 3) || !near(c.Coefficients[1], 0.25) || !near(c.Residual, 0) {
 		t.Errorf("a line: %+v %v", c, err)
 	}
 	square := of(func(x float64) float64 { return 2 + 0.1*x + 0.003*x*x })
-	if c, err = Fit(n, square, 2); err != nil || !near(c.A, 2) || !near(c.B, 0.1) || !near(c.C, 0.003) || !near(c.At(580), 2+58+0.003*580*580) {
+	if c, err = fit.Quadratic(n, square); err != nil || !near(c.Coefficients[0], 2) || !near(c.Coefficients[1], 0.1) || !near(c.Coefficients[2], 0.003) ||
+		!near(c.Predict(580), 2+58+0.003*580*580) {
 		t.Errorf("a square: %+v %v", c, err)
 	}
-	if c.Exact {
+	if c.Freedom() != 1 {
 		t.Error("four points, and three parts: that is no curve through all of any points")
 	}
-	if c, err = Fit(n[:3], square[:3], 2); err != nil || !c.Exact {
+	if c, err = fit.Quadratic(n[:3], square[:3]); err != nil || c.Freedom() != 0 {
 		t.Errorf("three points and three parts: %+v %v", c, err)
 	}
 	// A line through a square is off, and says so.
-	if c, err = Fit(n, square, 1); err != nil || c.Error < 5 || c.At(580) > 0.8*(2+58+0.003*580*580) {
-		t.Errorf("a line through a square: %+v, at 580 %v %v", c, c.At(580), err)
+	if c, err = fit.Linear(n, square); err != nil || c.Residual < 5 || c.Predict(580) > 0.8*(2+58+0.003*580*580) {
+		t.Errorf("a line through a square: %+v, at 580 %v %v", c, c.Predict(580), err)
 	}
-	// Points that lie off by 1, up and down in turn.
+	// Points that lie off by 1, up and down in turn: 1 at most in the mean of squares, with two degrees of freedom.
 	off := []float64{line[0] + 1, line[1] - 1, line[2] - 1, line[3] + 1}
-	if c, err = Fit(n, off, 1); err != nil || c.Error < 0.5 || c.Error > 1 {
+	if c, err = fit.Linear(n, off); err != nil || c.Residual < 0.5*math.Sqrt2 || c.Residual > math.Sqrt2 {
 		t.Errorf("points off the line: %+v %v", c, err)
 	}
-	if _, err = Fit([]float64{60, 60, 120}, []float64{1, 2, 3}, 2); err == nil {
+	if _, err = fit.Quadratic([]float64{60, 60, 120}, []float64{1, 2, 3}); err == nil {
 		t.Error("a square through two sizes")
 	}
 }
@@ -58,7 +62,7 @@
 	}
 	var text strings.Builder
 	if TextOf(&text, grown); !strings.Contains(text.String(), "predicted at 580: 59") || !strings.Contains(text.String(), "(-50.0 %)") ||
-		!strings.Contains(text.String(), "measured 118") || !strings.Contains(text.String(), "through all points") {
+		!strings.Contains(text.String(), "measured 118") || !strings.Contains(text.String(), "through all of 3 points") {
 		t.Error(text.String())
 	}
 	if _, err := Grow([]*Record{at(60, 7), at(120, 13)}, nil); err == nil {
--- a/internal/lab/scale/report.go
+++ b/internal/lab/scale/report.go
@@ -191,14 +191,6 @@
 	}
 }
 
-// off says how far the points lie off it.
-func (c *Curve) off() string {
-	if c.Exact {
-		return "through all points"
-	}
-	return fmt.Sprintf("off by %s (root mean square)", number(c.Error))
-}
-
 // TextOf writes how figures grow.
 func TextOf(o io.Writer, grown []Growth) {
 	for _, g := range grown {
@@ -206,8 +198,7 @@
 		for i, n := range g.Sizes {
 			fmt.Fprintf(o, "  at %4.0f sidecars %12s\n", n, number(g.Values[i]))
 		}
-		fmt.Fprintf(o, "  %.4g + %.4g n, %s; %.4g + %.4g n + %.4g n^2, %s\n",
-			g.Line.A, g.Line.B, g.Line.off(), g.Square.A, g.Square.B, g.Square.C, g.Square.off())
+		fmt.Fprintf(o, "  %v; %v\n", g.Line, g.Square)
 		if g.At > 0 {
 			fmt.Fprintf(o, "  predicted at %.0f: %s by the line (%+.1f %%), %s by the square (%+.1f %%); measured %s\n",
 				g.At, number(g.ByLine), g.OffLine, number(g.BySquare), g.OffSquare, number(g.Measured))
