--- a/internal/holdings/delta_test.go
+++ b/internal/holdings/delta_test.go
@@ -236,8 +236,10 @@
 			d.Gone = d.Gone[1:]
 		case len(d.In) > 0:
 			d.In = d.In[1:]
-		default:
+		case len(d.Shards) > 0:
 			d.Shards = d.Shards[1:]
+		default:
+			return nil, false // all members are gone, which is told whole: nothing stands there that could be left out
 		}
 		return &d, true
 	},
