--- a/internal/lab/hollow/true_test.go
+++ b/internal/lab/hollow/true_test.go
@@ -214,7 +214,7 @@
 	dice := rand.New(rand.NewPCG(s.start.Seed, 0))
 	due := time.Now()
 	for i, m := range s.start.Members {
-		due = due.Add(time.Duration(dice.Int64N(4*int64(lease)/crew.Beats) / int64(*trueMembers))) // half of that is the mean
+		due = due.Add(time.Duration(dice.Int64N(4*int64(lease)/crew.Heartbeats) / int64(*trueMembers))) // half of that is the mean
 		time.Sleep(time.Until(due))
 		if real {
 			s.startReal(m)
