Log lines of a stop's steps, and what each caller's connection was doing at its end

Lines now carry state, last request and bytes dropped behind the close; each step of a stop has its line; connections that the end of the process cuts off have one each; the wait of a signal to stop is told.

--- a/internal/httpwire/caller.go
+++ b/internal/httpwire/caller.go
@@ -354,6 +354,9 @@
 	closed         bool          // Close was called; the connection may still linger
 	closedAt       time.Time     // when Close was called first
 	lingerStopped  bool          // lingering was ended early
+	endState       ConnState     // what it was doing when it was closed; valid once it is closed
+	dropped        int           // bytes that were read and dropped after it was closed for writing
+	requestID      string        // the caller's id of the request that it brought last
 
 	descriptor   syscall.RawConn // set with its first pending request; nil if the connection has no descriptor
 	disconnected atomic.Bool     // its caller was seen to have disconnected
@@ -836,6 +839,7 @@
 	c.mu.Lock()
 	first := !c.closed
 	if first {
+		c.endState = c.state()
 		c.closed, c.closedAt = true, c.owner.env.Now()
 	}
 	c.clearPending()
@@ -905,9 +909,17 @@
 	}
 	for left := MaxBody; left > 0; {
 		n, err := c.Conn.Read(buf)
+		c.countDropped(n)
 		if err != nil {
 			return
 		}
 		left -= n
 	}
 }
+
+// countDropped records that bytes were read and dropped after the connection was closed for writing.
+func (c *CallerConn) countDropped(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dropped += n
+}
--- /dev/null
+++ b/internal/httpwire/connstate.go
@@ -0,0 +1,73 @@
+package httpwire
+
+// ConnState says what a caller's connection is doing. It is written in log lines; docs/oncall.md explains each state.
+type ConnState string
+
+// The states of a caller's connection.
+const (
+	StateIdle     ConnState = "idle"     // no request has begun to come
+	StateReading  ConnState = "reading"  // a request has begun to come, but has not come completely
+	StatePending  ConnState = "pending"  // a request waits for its answer
+	StateAnswered ConnState = "answered" // the server has the answer to a request; it may not be written yet
+	StateClosed   ConnState = "closed"   // this side has closed it, and reads what still comes
+)
+
+// State returns what the connection is doing.
+func (c *CallerConn) State() ConnState {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state()
+}
+
+// state implements State; c.mu is held.
+func (c *CallerConn) state() ConnState {
+	switch {
+	case c.closed:
+		return StateClosed
+	case c.answered:
+		return StateAnswered
+	case c.pending:
+		return StatePending
+	case c.busy:
+		return StateReading
+	}
+	return StateIdle
+}
+
+// EndState returns what the connection was doing when this side closed it, and how many bytes were read and dropped
+// after that. It is valid once the connection has ended.
+func (c *CallerConn) EndState() (state ConnState, dropped int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.endState, c.dropped
+}
+
+// SetRequestID records the caller's id of the request that the connection brought last.
+func (c *CallerConn) SetRequestID(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requestID = id
+}
+
+// RequestID returns the id that SetRequestID recorded last; "" without one.
+func (c *CallerConn) RequestID() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.requestID
+}
+
+// States counts the connections by what they are doing.
+func (l *Callers) States() map[ConnState]int {
+	states := map[ConnState]int{}
+	for _, c := range l.all() {
+		states[c.State()]++
+	}
+	return states
+}
+
+// EachOpen calls a function for each open connection.
+func (l *Callers) EachOpen(visit func(*CallerConn)) {
+	for _, c := range l.all() {
+		visit(c)
+	}
+}
--- a/internal/lifecycle/process.go
+++ b/internal/lifecycle/process.go
@@ -84,12 +84,20 @@
 
 // signals are the channels of the signals that a sidecar handles. Each kind has its own: a repeated signal must not
 // displace one of another kind.
-type signals struct{ stop, reload, report chan os.Signal }
+type signals struct {
+	stop           chan time.Time // when the first signal to stop came
+	reload, report chan os.Signal
+}
 
 // notifySignals is called before anything else: a signal that comes early must wait, not end the process.
 func notifySignals() signals {
-	s := signals{make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan os.Signal, 1)}
-	signal.Notify(s.stop, syscall.SIGTERM, syscall.SIGINT)
+	s := signals{make(chan time.Time, 1), make(chan os.Signal, 1), make(chan os.Signal, 1)}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stop // later ones have no effect
+		s.stop <- time.Now()
+	}()
 	signal.Notify(s.reload, syscall.SIGHUP)
 	signal.Notify(s.report, syscall.SIGUSR1)
 	return s
@@ -100,7 +108,8 @@
 func (s *Sidecar) handleSignals(sig signals, env func(string) string) int {
 	for {
 		select {
-		case <-sig.stop:
+		case came := <-sig.stop:
+			s.log.Info().Int64("waited_ms", time.Since(came).Milliseconds()).Msg("signal to stop")
 			s.Stop()
 			return 0
 		case <-sig.reload:
--- a/internal/lifecycle/sidecar.go
+++ b/internal/lifecycle/sidecar.go
@@ -192,8 +192,13 @@
 
 // callerEnded writes the log line of a caller's connection that has ended.
 func (s *Sidecar) callerEnded(c *httpwire.CallerConn, reason httpwire.Reason) {
-	s.connEndLog.Info().Str("side", "caller").Str("peer", c.RemoteAddr().String()).
-		Str("reason", string(reason)).Int("requests", c.Requests()).Msg("connection ended")
+	state, dropped := c.EndState()
+	line := s.connEndLog.Info().Str("side", "caller").Str("peer", c.RemoteAddr().String()).
+		Str("reason", string(reason)).Int("requests", c.Requests()).Str("state", string(state))
+	if dropped > 0 {
+		line = line.Int("dropped", dropped)
+	}
+	line.Str("last", c.RequestID()).Msg("connection ended")
 }
 
 // Address returns the address at which callers connect.
@@ -208,7 +213,7 @@
 func (s *Sidecar) Stop() {
 	begin := s.env.Now()
 	s.engine.MarkUnready()
-	s.log.Info().Bool("succeeded", s.upgrade.replaced.Load()).Msg("stopping")
+	s.logStopStep("stopping", begin)
 	s.upgrade.stopping.Store(true)
 	if s.cluster != nil {
 		s.cluster.Decommission() // its replicas move to other members while the callers get their answers
@@ -217,10 +222,15 @@
 		s.env.Sleep(s.stayTime)
 	}
 	s.engine.Drain(true)
+	s.logStopStep("each answer is the last on its connection", begin)
 	s.callers.Close()
+	s.logStopStep("no longer accepting connections", begin)
 	s.awaitDrained(begin.Add(s.finishTime() - handOverLead))
 	s.handOverAnswers()
 	s.awaitDrained(begin.Add(s.finishTime()))
+	if s.callers.Open() > 0 {
+		s.logStopStep("what is pending fails", begin)
+	}
 	if s.engine.FailPending(); s.engine.Streaming() {
 		s.awaitDrained(begin.Add(maxStreamTime))
 	}
@@ -234,7 +244,9 @@
 	if s.cluster != nil {
 		s.cluster.Stop() // only now: until here the sidecar acts on the rules of the cluster
 	}
-	s.log.Info().Object("counters", s.engine.Snapshot()).Int("callers", s.callers.Open()).Msg("stopped")
+	s.logCutOff()
+	s.log.Info().Object("counters", s.engine.Snapshot()).Int("callers", s.callers.Open()).
+		Int64("since_ms", s.env.Now().Sub(begin).Milliseconds()).Msg("stopped")
 }
 
 // Abandon ends everything at once, as a crash of the process does: nothing is answered. The simulator calls it after it
--- a/internal/pipeline/takein.go
+++ b/internal/pipeline/takein.go
@@ -64,6 +64,7 @@
 	if err == nil {
 		err = e.validate(&message)
 	}
+	conn.SetRequestID(message.ID)
 	if err == nil {
 		message.Body, message.Upload, err = httpwire.ReadBody(ctx, conn)
 	}
