--- /dev/null
+++ b/internal/lifecycle/soakclient_test.go
@@ -0,0 +1,226 @@
+package lifecycle
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// soakRequest is what became of one request of a soak.
+type soakRequest struct {
+	id       string
+	class    string
+	local    string    // the client's address
+	sent     time.Time // when its last byte was written; zero if it never was
+	deadline time.Duration
+	left     time.Time // when the client left; zero if it did not
+	ended    time.Time // when the answer was complete, or its connection ended
+	status   int       // 0 without a complete answer
+	begun    bool      // the head of an answer came
+	wrong    string    // a 200 with this body, which is not the request's
+	err      error     // why there is no answer
+	rested   bool      // it was sent on a connection that had rested
+}
+
+// soakRecord collects what clients and endpoints of a run have seen.
+type soakRecord struct {
+	mu       sync.Mutex
+	requests []*soakRequest
+	arrivals map[string][]time.Time // when endpoints received the last byte, by id
+}
+
+// arrived records that an endpoint has received a request.
+func (r *soakRecord) arrived(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.arrivals[id] = append(r.arrivals[id], time.Now())
+}
+
+// add records a request that has ended.
+func (r *soakRecord) add(request *soakRequest) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.requests = append(r.requests, request)
+}
+
+// clientHabit is how a client of a soak behaves.
+type clientHabit int
+
+const (
+	habitUsual     clientHabit = iota
+	habitSlow                  // it writes its requests in pieces
+	habitLeaves                // it leaves some of its requests early
+	habitRests                 // its connections rest before they are used again
+	habitStopsHalf             // it stops in the middle of a request and stays
+)
+
+// soakClient sends one request after the other until its sidecar has ended.
+type soakClient struct {
+	address string
+	habit   clientHabit
+	random  *rand.Rand
+	record  *soakRecord
+	plan    *soakPlan
+	opening *atomic.Bool // new connections are still dealt out to the sidecar
+	done    <-chan struct{}
+
+	conn   *net.TCPConn
+	reader *bufio.Reader
+	uses   int
+}
+
+// answerPatience is how long a client waits behind its deadline: an answer that comes up to half a second late is no
+// loss, and the machine may be slow.
+const answerPatience = 700 * time.Millisecond
+
+// run sends requests until no connection can be had.
+func (c *soakClient) run() {
+	defer c.close()
+	for c.connected() {
+		select {
+		case <-c.done:
+			return
+		default:
+		}
+		c.rest()
+		if c.habit == habitStopsHalf {
+			c.stopHalf()
+			return
+		}
+		if !c.exchange() {
+			c.close()
+		}
+	}
+}
+
+// connected connects if there is no connection, as long as the sidecar is dealt new ones.
+func (c *soakClient) connected() bool {
+	if c.conn != nil {
+		return true
+	}
+	for c.opening.Load() {
+		conn, err := net.DialTimeout("tcp", c.address, time.Second)
+		if err == nil {
+			c.conn, c.reader, c.uses = conn.(*net.TCPConn), bufio.NewReader(conn), 0
+			return true
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return false
+}
+
+// close ends the connection.
+func (c *soakClient) close() {
+	if c.conn != nil {
+		c.conn.Close()
+		c.conn = nil
+	}
+}
+
+// rest pauses between two requests.
+func (c *soakClient) rest() {
+	longest := 15 * time.Millisecond
+	if c.habit == habitRests {
+		longest = 600 * time.Millisecond
+	}
+	time.Sleep(time.Duration(c.random.Int64N(int64(longest))))
+}
+
+// text returns a new request and how a client writes it.
+func (c *soakClient) text() (*soakRequest, string) {
+	class := c.plan.classes[c.random.IntN(len(c.plan.classes))]
+	part := 0.4 + 0.6*c.random.Float64()
+	request := &soakRequest{
+		id: newID(), class: class.name, deadline: time.Duration(part * float64(class.deadline)), local: c.conn.LocalAddr().String(),
+		rested: c.habit == habitRests && c.uses > 0,
+	}
+	head := fmt.Sprintf("Host: x\r\nX-Txn: %s\r\nX-Org: acme\r\nX-Remaining: %.3f\r\n", request.id, request.deadline.Seconds())
+	if class.effect == "repeatable" {
+		return request, "GET /" + class.name + " HTTP/1.1\r\n" + head + "\r\n"
+	}
+	if class.effect == "by_key" {
+		head += "Idempotency-Key: " + request.id + "\r\n"
+	}
+	body := strings.Repeat("b", c.random.IntN(300))
+	return request, fmt.Sprintf("POST /%s HTTP/1.1\r\n%sContent-Length: %d\r\n\r\n%s", class.name, head, len(body), body)
+}
+
+// write writes a text, in pieces if that is the client's habit.
+func (c *soakClient) write(text string) error {
+	if c.habit != habitSlow {
+		_, err := io.WriteString(c.conn, text)
+		return err
+	}
+	const pieces = 4
+	for begin := 0; begin < len(text); {
+		end := min(len(text), begin+1+c.random.IntN(2*len(text)/pieces))
+		if _, err := io.WriteString(c.conn, text[begin:end]); err != nil {
+			return err
+		}
+		if begin = end; begin < len(text) {
+			time.Sleep(time.Duration(c.random.Int64N(int64(300 * time.Millisecond))))
+		}
+	}
+	return nil
+}
+
+// stopHalf writes half of a request and waits for the end of the connection.
+func (c *soakClient) stopHalf() {
+	_, text := c.text()
+	if _, err := io.WriteString(c.conn, text[:len(text)/2]); err != nil {
+		return
+	}
+	c.conn.SetReadDeadline(time.Now().Add(patience)) //nolint:errcheck // if it has ended, the read shows it
+	io.Copy(io.Discard, c.reader)                    //nolint:errcheck // only its end counts
+}
+
+// exchange sends one request, records what becomes of it and reports whether the connection goes on.
+func (c *soakClient) exchange() (goesOn bool) {
+	request, text := c.text()
+	c.uses++
+	if err := c.write(text); err != nil {
+		return false // not sent whole
+	}
+	request.sent = time.Now()
+	leaves := c.habit == habitLeaves && c.random.IntN(3) == 0
+	wait := request.deadline + answerPatience
+	if leaves {
+		wait = time.Duration(c.random.Int64N(int64(150 * time.Millisecond)))
+	}
+	c.conn.SetReadDeadline(request.sent.Add(wait)) //nolint:errcheck // if it has ended, the read shows it
+	goesOn = c.readAnswer(request)
+	if leaves && request.status == 0 {
+		if c.random.IntN(2) == 0 {
+			c.conn.SetLinger(0) //nolint:errcheck // as above
+		}
+		c.close()
+		request.left = time.Now()
+	}
+	c.record.add(request)
+	return goesOn && request.left.IsZero()
+}
+
+// readAnswer reads the answer to a request and reports whether the connection goes on.
+func (c *soakClient) readAnswer(request *soakRequest) (goesOn bool) {
+	answer, err := http.ReadResponse(c.reader, nil)
+	if err == nil {
+		request.begun = true
+		var body []byte
+		if body, err = io.ReadAll(answer.Body); err == nil {
+			request.status = answer.StatusCode
+			if answer.StatusCode == http.StatusOK && string(body) != request.id {
+				request.wrong = string(body)
+			}
+			goesOn = !answer.Close
+		}
+	}
+	request.ended, request.err = time.Now(), err
+	return goesOn
+}
--- /dev/null
+++ b/internal/lifecycle/soakendpoint_test.go
@@ -0,0 +1,152 @@
+package lifecycle
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"heathgap/internal/lab/scripted"
+)
+
+// endpointFault is what an endpoint of a soak does with a request instead of serving it.
+type endpointFault int
+
+const (
+	faultNone       endpointFault = iota
+	faultHang                     // no answer, and the connection stays open
+	faultReset                    // the connection is reset once the request has come
+	faultHalf                     // the beginning of an answer with a length, then a reset
+	faultNoEnd                    // an answer whose end only the connection's end could tell, then a reset
+	faultError                    // status 500
+	faultTurnedAway               // turned away unseen
+	faultSecond                   // a second answer, of no request, some milliseconds later
+	faultClose                    // served, and the connection is closed though the answer does not say so
+	numEndpointFaults
+)
+
+// soakEndpoint is an endpoint that serves each request with its id, or fails as its fault says.
+type soakEndpoint struct {
+	name     string
+	listener net.Listener
+	record   *soakRecord
+
+	mu        sync.Mutex
+	random    *rand.Rand
+	faulty    float64 // share of requests with a random fault
+	hanging   bool    // each request meets faultHang
+	slowUntil time.Duration
+}
+
+// startSoakEndpoint starts an endpoint that ends with the test.
+func startSoakEndpoint(t *testing.T, name string, record *soakRecord, seed uint64, faulty float64) *soakEndpoint {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &soakEndpoint{
+		name: name, listener: listener, record: record, random: rand.New(rand.NewPCG(seed, 1)), faulty: faulty,
+		slowUntil: 60 * time.Millisecond,
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go e.serve(conn)
+		}
+	}()
+	return e
+}
+
+// line returns the endpoint's line in a list of discovery.
+func (e *soakEndpoint) line() map[string]any {
+	return scripted.Line(e.name, e.listener.Addr().String())
+}
+
+// hang makes the endpoint answer nothing from now on.
+func (e *soakEndpoint) hang() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.hanging = true
+}
+
+// draw decides what happens to a request, and how long it takes.
+func (e *soakEndpoint) draw() (endpointFault, time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	work := time.Duration(e.random.Int64N(int64(e.slowUntil)))
+	if e.hanging {
+		return faultHang, 0
+	}
+	if e.random.Float64() < e.faulty {
+		return endpointFault(1 + e.random.IntN(int(numEndpointFaults)-1)), work
+	}
+	return faultNone, work
+}
+
+// serve serves the requests of a connection.
+func (e *soakEndpoint) serve(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+		id := request.Header.Get("X-Txn")
+		e.record.arrived(id)
+		if !e.answer(conn, reader, id) {
+			return
+		}
+	}
+}
+
+// answer answers one request and reports whether the connection goes on.
+func (e *soakEndpoint) answer(conn net.Conn, reader io.Reader, id string) bool {
+	fault, work := e.draw()
+	time.Sleep(work)
+	reset := func() { conn.(*net.TCPConn).SetLinger(0) } //nolint:errcheck // the connection may have ended
+	switch fault {
+	case faultHang:
+		io.Copy(io.Discard, reader) //nolint:errcheck // it ends with the connection
+		return false
+	case faultReset:
+		reset()
+		return false
+	case faultHalf:
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: 4000\r\n\r\n%s", id)
+		reset()
+		return false
+	case faultNoEnd:
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n%s", id[:len(id)/2])
+		time.Sleep(work)
+		reset()
+		return false
+	case faultError:
+		io.WriteString(conn, "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n") //nolint:errcheck // the next read shows it
+		return true
+	case faultTurnedAway:
+		io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n") //nolint:errcheck // as above
+		return true
+	}
+	if _, err := io.WriteString(conn, scripted.OK(id)); err != nil {
+		return false
+	}
+	if fault == faultSecond {
+		time.Sleep(2 * time.Millisecond)
+		io.WriteString(conn, scripted.OK("of no request")) //nolint:errcheck // the connection is expected to end
+	}
+	return fault != faultClose
+}
