A stop that is paused answers what it has taken before it ends

Cause: each step of a stop ended at a time on the clock. What was pending failed 0.55 s after the longest deadline and the process ended at 0.65 s, whether or not an answer had been written; the kill may come at 0.70 s. A process paused for 0.15 s across these moments, or told of the signal late, went from the one step to the next with no turn for the goroutines that answer. Now what is pending fails at 0.3 s, which leaves room for two pauses and 0.1 s to write; the last wait counts polls, each of which is a turn for the others; times count from the signal's arrival.

--- a/internal/httpwire/connstate.go
+++ b/internal/httpwire/connstate.go
@@ -71,3 +71,9 @@
 		visit(c)
 	}
 }
+
+// Unanswered returns the number of connections with a request that has come and whose answer is not written yet.
+func (l *Callers) Unanswered() int {
+	states := l.States()
+	return states[StatePending] + states[StateAnswered]
+}
--- a/internal/lifecycle/process.go
+++ b/internal/lifecycle/process.go
@@ -110,7 +110,7 @@
 		select {
 		case came := <-sig.stop:
 			s.log.Info().Int64("waited_ms", time.Since(came).Milliseconds()).Msg("signal to stop")
-			s.Stop()
+			s.stopSince(came)
 			return 0
 		case <-sig.reload:
 			s.reload(env)
--- a/internal/lifecycle/races_test.go
+++ b/internal/lifecycle/races_test.go
@@ -1,6 +1,7 @@
 package lifecycle
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -425,3 +426,52 @@
 		})
 	}
 }
+
+// Guards against a stop that leaves a request unanswered (report 86c0f4): the process is held up while the signal comes,
+// or at some moment before the kill, which comes as early as the protocol allows.
+func TestStopThatIsHeldUpAnswersBeforeTheKill(t *testing.T) {
+	const deadline = 300 * time.Millisecond
+	for _, at := range []time.Duration{0, 350, 450, 500, 550, 600, 650, 700, 750, 800, 850} {
+		at *= time.Millisecond
+		t.Run(fmt.Sprint(at), func(t *testing.T) {
+			t.Parallel()
+			e := scripted.StartEndpoint(t, "e1", scripted.NeverAnswer(nil))
+			conf := testConfig(scripted.StartDiscovery(t), e.Line())
+			address := scripted.FreeAddress(t)
+			conf["listen"] = address
+			setDeadlines(conf, deadline.Seconds()*1000)
+			conf["settings"].(map[string]any)["profiles"].([]any)[0].(map[string]any)["aim"] = 50.0
+			p := launch(t, conf)
+			eventually(t, "ready", isReady(t, address))
+			caller := dial(t, address)
+			if at == 0 {
+				p.Process.Signal(syscall.SIGSTOP) //nolint:errcheck // it lives
+			}
+			begin := time.Now()
+			p.Process.Signal(syscall.SIGTERM) //nolint:errcheck // it lives
+			kill := time.AfterFunc(deadline+killDelay, func() { p.Process.Kill() })
+			defer kill.Stop()
+			time.AfterFunc(at, func() {
+				p.Process.Signal(syscall.SIGSTOP) //nolint:errcheck // it may have ended
+				time.Sleep(maxHoldUp)
+				p.Process.Signal(syscall.SIGCONT) //nolint:errcheck // as above
+			})
+			// The caller uses its open connection until it is told that it ends, as late as that goes.
+			reader := bufio.NewReader(caller)
+			for {
+				sent := time.Now()
+				if _, err := io.WriteString(caller, requestText("/look", "")); err != nil {
+					return
+				}
+				answer, err := http.ReadResponse(reader, nil)
+				if err != nil && time.Since(sent) > maxHoldUp+machineSlack {
+					t.Fatalf("sent %v after the signal, no answer after %v: %v\n%s", sent.Sub(begin), time.Since(begin), err, p.log)
+				}
+				if err != nil || answer.Close {
+					return
+				}
+				io.Copy(io.Discard, answer.Body) //nolint:errcheck // the next read shows it
+			}
+		})
+	}
+}
--- a/internal/lifecycle/sidecar.go
+++ b/internal/lifecycle/sidecar.go
@@ -24,14 +24,19 @@
 	minStayTime = 600 * time.Millisecond // after the signal to stop, the front still assigns new connections to this sidecar for a while
 	drainPoll   = 5 * time.Millisecond   // how often a stopping sidecar checks whether all requests are answered
 
-	// The platform kills a process that has not ended that long after the signal to stop, or sooner if all deadlines are
-	// shorter than maxDeadlineWait.
-	killAfter       = maxDeadlineWait + 700*time.Millisecond
+	// The platform kills a process that has not ended by killGrace after the longest deadline, or after maxDeadlineWait if
+	// that is shorter, counted from the signal to stop.
+	killAfter       = maxDeadlineWait + killGrace
+	killGrace       = 700 * time.Millisecond
 	maxDeadlineWait = 3 * time.Second
-	finishGrace     = 550 * time.Millisecond // requests still pending that long after the longest deadline (maxDeadlineWait at most) fail
-	writeGrace      = 100 * time.Millisecond // the process ends that long after they have failed, whatever has not been written; later if it streams long answers
+	// The process may be paused for that long at any moment: when the signal comes, and again when requests fail.
+	maxPause   = 150 * time.Millisecond
+	writeGrace = 100 * time.Millisecond // the answers to requests that have failed are written within it
+	// Requests still pending that long after the longest deadline (maxDeadlineWait at most) fail.
+	finishGrace = killGrace - 2*maxPause - writeGrace
+	exitGrace   = killGrace - 50*time.Millisecond // callers have until then to close their connections
 	// That long before pending requests fail, long answers are handed over to a successor.
-	handOverLead = 550 * time.Millisecond
+	handOverLead = 300 * time.Millisecond
 
 	maxStreamTime = time.Minute // limit for long answers that endpoints are still sending, if the platform does not kill the process before
 
@@ -210,8 +215,10 @@
 // Stop stops the sidecar gracefully. At first it serves as before and only GET /up reports that it is not ready: callers
 // with open connections might find no other sidecar for their requests. From the time on at which a new request might no
 // longer be answered before the platform kills the process, each answer closes its connection.
-func (s *Sidecar) Stop() {
-	begin := s.env.Now()
+func (s *Sidecar) Stop() { s.stopSince(s.env.Now()) }
+
+// stopSince stops the sidecar as Stop does; begin is when the signal to stop came.
+func (s *Sidecar) stopSince(begin time.Time) {
 	s.engine.MarkUnready()
 	s.logStopStep("stopping", begin)
 	s.upgrade.stopping.Store(true)
@@ -219,7 +226,7 @@
 		s.cluster.Decommission() // its replicas move to other members while the callers get their answers
 	}
 	if !s.upgrade.replaced.Load() { // otherwise new callers reach the other process already
-		s.env.Sleep(s.stayTime)
+		s.env.Sleep(begin.Add(s.stayTime).Sub(s.env.Now()))
 	}
 	s.engine.Drain(true)
 	s.logStopStep("each answer is the last on its connection", begin)
@@ -234,7 +241,8 @@
 	if s.engine.FailPending(); s.engine.Streaming() {
 		s.awaitDrained(begin.Add(maxStreamTime))
 	}
-	s.awaitDrained(begin.Add(s.finishTime() + writeGrace))
+	s.awaitDrained(begin.Add(s.longestDeadline() + exitGrace))
+	s.awaitAnswered()
 	s.cancel()
 	<-s.engineDone
 	if s.console != nil {
@@ -271,13 +279,27 @@
 	}
 }
 
+// awaitAnswered waits until each request that was taken has its answer. It gives up after a number of polls and not at a
+// time: if the process was held up, its other goroutines could not write a single answer before that time.
+func (s *Sidecar) awaitAnswered() {
+	for range writeGrace / drainPoll {
+		if s.callers.Unanswered() == 0 {
+			return
+		}
+		s.env.Sleep(drainPoll)
+	}
+}
+
 // finishTime returns the time from the stop signal until requests that are still pending fail.
-func (s *Sidecar) finishTime() time.Duration {
+func (s *Sidecar) finishTime() time.Duration { return s.longestDeadline() + finishGrace }
+
+// longestDeadline returns the longest deadline of all classes, maxDeadlineWait at most.
+func (s *Sidecar) longestDeadline() time.Duration {
 	longest := time.Duration(0)
 	for _, class := range s.conf.Settings.Classes {
 		longest = max(longest, class.Deadline)
 	}
-	return min(longest, maxDeadlineWait) + finishGrace
+	return min(longest, maxDeadlineWait)
 }
 
 // shortestAim returns the shortest target latency of all classes: most answers come within it while all is well.
--- a/internal/lifecycle/soak_test.go
+++ b/internal/lifecycle/soak_test.go
@@ -129,7 +129,7 @@
 // soakOnce plays a plan and checks what came of it.
 func soakOnce(t *testing.T, plan *soakPlan) {
 	r := &soakRun{
-		plan: plan, record: &soakRecord{arrivals: map[string][]time.Time{}}, random: rand.New(rand.NewPCG(plan.seed, 2)), stopped: make(chan struct{}),
+		plan: plan, record: newSoakRecord(), random: rand.New(rand.NewPCG(plan.seed, 2)), stopped: make(chan struct{}),
 	}
 	var lines []map[string]any
 	for i := range soakEndpoints {
@@ -289,6 +289,8 @@
 			}
 		}
 		return ""
+	case request.begun && r.record.brokenOff[request.id]:
+		return "" // its endpoint broke off an answer that had begun to pass on, and the client can tell
 	case errors.Is(request.err, os.ErrDeadlineExceeded):
 		return "no answer in time"
 	case len(arrivals) > 0:
--- a/internal/lifecycle/soakclient_test.go
+++ b/internal/lifecycle/soakclient_test.go
@@ -31,9 +31,22 @@
 
 // soakRecord collects what clients and endpoints of a run have seen.
 type soakRecord struct {
-	mu       sync.Mutex
-	requests []*soakRequest
-	arrivals map[string][]time.Time // when endpoints received the last byte, by id
+	mu        sync.Mutex
+	requests  []*soakRequest
+	arrivals  map[string][]time.Time // when endpoints received the last byte, by id
+	brokenOff map[string]bool        // ids whose answer an endpoint began and broke off
+}
+
+// newSoakRecord returns an empty record.
+func newSoakRecord() *soakRecord {
+	return &soakRecord{arrivals: map[string][]time.Time{}, brokenOff: map[string]bool{}}
+}
+
+// breaksOff records that an endpoint breaks off its answer to a request.
+func (r *soakRecord) breaksOff(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.brokenOff[id] = true
 }
 
 // arrived records that an endpoint has received a request.
--- a/internal/lifecycle/soakendpoint_test.go
+++ b/internal/lifecycle/soakendpoint_test.go
@@ -116,6 +116,9 @@
 // answer answers one request and reports whether the connection goes on.
 func (e *soakEndpoint) answer(conn net.Conn, reader io.Reader, id string) bool {
 	fault, work := e.draw()
+	if fault == faultHalf || fault == faultNoEnd {
+		e.record.breaksOff(id)
+	}
 	time.Sleep(work)
 	reset := func() { conn.(*net.TCPConn).SetLinger(0) } //nolint:errcheck // the connection may have ended
 	switch fault {
