A stop answers requests that are half read before the process ends

A caller whose last byte came in the moment in which the process ended got no answer: the stop waited for what was pending and not for what was being read. Callers that write slowly or stop in the middle cause it. Half requests are now cut short, with 400 and a close, once what is pending has failed, and the end waits for their answers too.

--- a/internal/httpwire/caller.go
+++ b/internal/httpwire/caller.go
@@ -255,6 +255,14 @@
 	}
 }
 
+// AbortIncomplete ends the reading of all requests that began to come at least age ago and are not complete. Each gets an
+// answer that closes its connection.
+func (l *Callers) AbortIncomplete(reason Reason, age time.Duration) {
+	for _, c := range l.all() {
+		c.abortIncomplete(reason, age)
+	}
+}
+
 // closeOldest closes n connections: first idle ones, then lingering ones, then those with an incomplete request; among
 // these, connections that never brought a valid request go first, then the oldest. Guards against floods of silent
 // callers that displace usual ones: a connection that has brought a valid request stays as long as enough others will
@@ -266,7 +274,8 @@
 			n--
 		}
 	}
-	for _, closeConn := range []func(*CallerConn) bool{(*CallerConn).stopLinger, (*CallerConn).abortIncomplete} {
+	abortOld := func(c *CallerConn) bool { return c.abortIncomplete(ReasonConnLimit, incompleteTime) }
+	for _, closeConn := range []func(*CallerConn) bool{(*CallerConn).stopLinger, abortOld} {
 		for _, c := range all {
 			if n > 0 && closeConn(c) {
 				n--
@@ -279,7 +288,7 @@
 func (l *Callers) closeSilent(n int) {
 	all, order := l.byCloseOrder()
 	for _, c := range all {
-		if n > 0 && !order[c].proven && (c.closeIdle(ReasonConnLimit) || c.stopLinger() || c.abortIncomplete()) {
+		if n > 0 && !order[c].proven && (c.closeIdle(ReasonConnLimit) || c.stopLinger() || c.abortIncomplete(ReasonConnLimit, incompleteTime)) {
 			n--
 		}
 	}
@@ -682,17 +691,17 @@
 	return true
 }
 
-// abortIncomplete ends the reading of an incomplete request and reports whether it did. Guards against callers that
-// occupy all connections with the beginnings of requests. The server still answers them, in case one has come completely
-// meanwhile.
-func (c *CallerConn) abortIncomplete() bool {
+// abortIncomplete ends the reading of an incomplete request that began to come at least age ago, and reports whether it
+// did. Guards against callers that occupy all connections with the beginnings of requests. The server still answers them,
+// in case one has come completely meanwhile.
+func (c *CallerConn) abortIncomplete(reason Reason, age time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.busy || c.pending || c.closing || c.owner.env.Now().Sub(c.changedAt) < incompleteTime {
+	if !c.busy || c.pending || c.answered || c.closing || c.owner.env.Now().Sub(c.changedAt) < age {
 		return false
 	}
 	c.closing = true
-	c.noteReason(ReasonConnLimit)
+	c.noteReason(reason)
 	c.Conn.SetReadDeadline(pastDeadline)
 	return true
 }
--- a/internal/httpwire/caller_test.go
+++ b/internal/httpwire/caller_test.go
@@ -144,7 +144,7 @@
 		t.Error("closed while a request was coming")
 	}
 	c.Watch(func() {})
-	if c.abortIncomplete() {
+	if c.abortIncomplete(ReasonConnLimit, incompleteTime) {
 		t.Error("aborted as incomplete while a complete request was pending")
 	}
 	c.Unwatch()
--- a/internal/httpwire/connstate.go
+++ b/internal/httpwire/connstate.go
@@ -72,8 +72,9 @@
 	}
 }
 
-// Unanswered returns the number of connections with a request that has come and whose answer is not written yet.
+// Unanswered returns the number of connections with a request that has come, completely or in part, and whose answer is
+// not written yet.
 func (l *Callers) Unanswered() int {
 	states := l.States()
-	return states[StatePending] + states[StateAnswered]
+	return states[StateReading] + states[StatePending] + states[StateAnswered]
 }
--- a/internal/lifecycle/races_test.go
+++ b/internal/lifecycle/races_test.go
@@ -18,6 +18,7 @@
 
 	"heathgap/decide"
 	"heathgap/internal/env"
+	"heathgap/internal/httpwire"
 	"heathgap/internal/lab/scripted"
 	"heathgap/internal/operator"
 )
@@ -475,3 +476,23 @@
 		})
 	}
 }
+
+// Guards against a process that ends in the middle of a request: its last byte may come in that moment, and it would get
+// no answer.
+func TestStopEndsHalfRequests(t *testing.T) {
+	conf := testConfig(scripted.StartDiscovery(t), scripted.Line("e1", scripted.FreeAddress(t)))
+	setDeadlines(conf, 300)
+	s := start(t, conf)
+	half := scripted.Connect(t, s.Address())
+	half.Send("GET /look HTTP/1.1\r\nHost")
+	eventually(t, "it has begun to come", func() bool { return s.callers.States()[httpwire.StateReading] == 1 })
+	s.stopped = true
+	s.Stop()
+	if states := s.callers.States(); states[httpwire.StateReading] > 0 {
+		t.Errorf("connections at the end: %v, want none that is reading", states)
+	}
+	half.SetReadDeadline(time.Now().Add(machineSlack)) //nolint:errcheck // if it has ended, the read shows it
+	if status, _ := half.ReadAnswer(); status != http.StatusBadRequest {
+		t.Errorf("status %d, want 400 before the process ends", status)
+	}
+}
--- a/internal/lifecycle/sidecar.go
+++ b/internal/lifecycle/sidecar.go
@@ -35,6 +35,8 @@
 	// Requests still pending that long after the longest deadline (maxDeadlineWait at most) fail.
 	finishGrace = killGrace - 2*maxPause - writeGrace
 	exitGrace   = killGrace - 50*time.Millisecond // callers have until then to close their connections
+	// A request that began to come that long before is cut short when those that are pending have failed.
+	incompleteGrace = 50 * time.Millisecond
 	// That long before pending requests fail, long answers are handed over to a successor.
 	handOverLead = 300 * time.Millisecond
 
@@ -241,8 +243,7 @@
 	if s.engine.FailPending(); s.engine.Streaming() {
 		s.awaitDrained(begin.Add(maxStreamTime))
 	}
-	s.awaitDrained(begin.Add(s.longestDeadline() + exitGrace))
-	s.awaitAnswered()
+	s.awaitAnswered(begin.Add(s.longestDeadline() + exitGrace))
 	s.cancel()
 	<-s.engineDone
 	if s.console != nil {
@@ -279,13 +280,21 @@
 	}
 }
 
-// awaitAnswered waits until each request that was taken has its answer. It gives up after a number of polls and not at a
-// time: if the process was held up, its other goroutines could not write a single answer before that time.
-func (s *Sidecar) awaitAnswered() {
-	for range writeGrace / drainPoll {
-		if s.callers.Unanswered() == 0 {
+// awaitAnswered waits until no caller's connection is open, at the latest until the given time, and in any case until each
+// request that has come, completely or in part, has its answer. It gives up on the answers after a number of polls and not
+// at a time: if the process was paused, its other goroutines could not write a single answer before that time.
+func (s *Sidecar) awaitAnswered(until time.Time) {
+	polls := writeGrace / drainPoll
+	for s.callers.Open() > 0 {
+		inTime := s.env.Now().Before(until)
+		if !inTime && (polls == 0 || s.callers.Unanswered() == 0) {
 			return
 		}
+		if !inTime {
+			polls--
+		}
+		s.callers.CloseIdle(httpwire.ReasonShutdown)
+		s.callers.AbortIncomplete(httpwire.ReasonShutdown, incompleteGrace)
 		s.env.Sleep(drainPoll)
 	}
 }
