A connection rests 10 ms behind an answer, also where it is the only one

Callers got another request's answer: an endpoint that writes a second answer some milliseconds behind the first has it taken for the next request's, and each further one on that connection is one behind. Connections rested 5 ms only while another stood idle; the only one was used at once. TestPoolDialsWhileTheOnlyConnectionMayBringASecondAnswer failed before. Another connection is dialed while none has rested; at the limit of connections the recent one is used as before.

--- a/internal/state/pool.go
+++ b/internal/state/pool.go
@@ -15,11 +15,9 @@
 	since decide.Time
 }
 
-// reuseDelay is how long a connection should be idle after an answer before it carries another request. By then extra bytes
-// behind the answer have arrived and are noticed; otherwise they would be taken for the answer to the next request. If no
-// connection of the endpoint has been idle for that long, a more recent one is used all the same: a new connection instead
-// would cost a handshake too often under normal load.
-const reuseDelay = 5 * time.Millisecond
+// reuseDelay is how long a connection must be idle after an answer before it carries another request. By then extra bytes
+// behind the answer have arrived and are noticed; otherwise they would be taken for the answer to the next request.
+const reuseDelay = 10 * time.Millisecond
 
 // Pool limits the connections to all endpoints and keeps the idle ones. A connection counts from before it is dialed until it
 // has ended.
@@ -45,15 +43,16 @@
 // Open returns how many connections there are, including those being dialed.
 func (p *Pool) Open() int { return p.open }
 
-// Take returns an idle connection to the endpoint: the most recently used of those that have been idle for reuseDelay, else
-// the most recently used. It returns nil if the caller is to dial a new one; that one counts as open from now on. ok is false
-// if the limit is reached and no idle connection can be closed.
+// Take returns an idle connection to the endpoint: the most recently used of those that have been idle for reuseDelay. It
+// returns nil if the caller is to dial a new one; that one counts as open from now on. At the limit of connections the most
+// recently used one is returned even if it has not been idle for that long. ok is false if the limit is reached and no idle
+// connection can be closed.
 func (p *Pool) Take(e *Endpoint, now decide.Time) (l *httpwire.Link, ok bool) {
 	p.dropIdle(e, now)
 	for len(e.idle) > 0 {
-		at := len(e.idle) - 1
-		for at >= 0 && now-e.idle[at].since < reuseDelay {
-			at--
+		at := e.lastReusable(now)
+		if at < 0 && p.open < p.limit {
+			break
 		}
 		if at < 0 {
 			at = len(e.idle) - 1
@@ -73,6 +72,16 @@
 	return nil, true
 }
 
+// lastReusable returns the index of the idle connection that was used last among those that have been idle for reuseDelay,
+// or -1 if there is none.
+func (e *Endpoint) lastReusable(now decide.Time) int {
+	at := len(e.idle) - 1
+	for at >= 0 && now-e.idle[at].since < reuseDelay {
+		at--
+	}
+	return at
+}
+
 // Put puts a connection back that may carry another exchange. It is closed if its endpoint has left the registry.
 func (p *Pool) Put(e *Endpoint, l *httpwire.Link, now decide.Time) {
 	if !e.Listed {
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -143,6 +143,25 @@
 	}
 }
 
+// Guards against a second answer of an endpoint that is taken for the answer to the next request (report 86c0f4): right
+// behind an answer, a connection carries no other request as long as a new one may be dialed.
+func TestPoolDialsWhileTheOnlyConnectionMayBringASecondAnswer(t *testing.T) {
+	pool, reasons := newTestPool(2)
+	e := &Endpoint{Listed: true}
+	pool.Take(e, 1)
+	answered, _ := connectedPair(t)
+	pool.Put(e, answered, 1)
+	if l, ok := pool.Take(e, reuseDelay); l != nil || !ok {
+		t.Errorf("right behind an answer: got %v, %v, want a new connection", l, ok)
+	}
+	if pool.Open() != 2 || len(reasons) > 0 {
+		t.Errorf("%d open, ended %v, want both kept", pool.Open(), reasons)
+	}
+	if l, ok := pool.Take(e, 1+reuseDelay); l != answered || !ok {
+		t.Errorf("past the delay: got %v, %v, want the idle connection", l, ok)
+	}
+}
+
 // Guards against a request that is written to a connection which its endpoint has closed or is about to close: it would count as one
 // that may have run.
 func TestPoolSkipsEndedConnections(t *testing.T) {
