A begun answer that stalls is broken off at its request's deadline

Callers got neither the end of an answer nor the end of their connection in their time: an endpoint that stalls within an answer without a length, or within a chunk, was waited for for 10 s once the beginning had been passed on, whatever time the request had. An answer that the sidecar cannot finish has failed and is not lost only as long as the caller can tell. Up to 64 KiB the read of the next piece ends at the deadline; longer answers and classes of streams go on as before, for 10 s without a byte. The soak's endpoints also serve long answers in pieces now.

--- a/internal/httpwire/stream.go
+++ b/internal/httpwire/stream.go
@@ -245,6 +245,7 @@
 	env          env.Env
 	onEnd        func(AnswerEnd) // set by OnEnd; nil before, and after the end
 	handOverFunc atomic.Pointer[HandOverFunc]
+	deadline     time.Time // until then an answer of at most MaxBuffered bytes must have ended; zero for no such bound
 }
 
 // HandOverFunc hands a long answer over to another process: the state from which that continues, as JSON, and the
@@ -263,6 +264,20 @@
 	}
 }
 
+// SetDeadline sets when the caller stops waiting for an answer of at most MaxBuffered bytes. A longer one may go on.
+func (a *AnswerStream) SetDeadline(deadline time.Time) { a.deadline = deadline }
+
+// readDeadline returns until when the next piece must come, after total bytes of the body. Guards against an endpoint that
+// stalls within an answer of usual length: its caller would learn only after pieceStall that the answer will not end.
+func (a *AnswerStream) readDeadline(total int64) time.Time {
+	stall := a.env.Now().Add(pieceStall)
+	usualLength := a.Length <= MaxBuffered && total <= MaxBuffered
+	if usualLength && !a.deadline.IsZero() && a.deadline.Before(stall) {
+		return a.deadline
+	}
+	return stall
+}
+
 // SetConn sets the caller's connection, to which the answer is written.
 func (a *AnswerStream) SetConn(conn *CallerConn) { a.caller.Store(conn) }
 
@@ -357,7 +372,7 @@
 	buf := pieceBuffers.Get().(*[pieceSize]byte)
 	defer pieceBuffers.Put(buf)
 	for {
-		a.link.conn.SetReadDeadline(a.env.Now().Add(pieceStall))
+		a.link.conn.SetReadDeadline(a.readDeadline(total))
 		handOver, n, err := a.handOverFunc.Load(), 0, error(os.ErrDeadlineExceeded)
 		if handOver == nil {
 			n, err = a.body.Read(buf[:])
--- a/internal/lifecycle/soak_test.go
+++ b/internal/lifecycle/soak_test.go
@@ -289,10 +289,10 @@
 			}
 		}
 		return ""
-	case request.begun && r.record.brokenOff[request.id]:
-		return "" // its endpoint broke off an answer that had begun to pass on, and the client can tell
 	case errors.Is(request.err, os.ErrDeadlineExceeded):
 		return "no answer in time"
+	case request.begun && r.record.brokenOff[request.id]:
+		return "" // its endpoint broke off an answer that had begun to pass on, and the client can tell
 	case len(arrivals) > 0:
 		return "forwarded, and no answer"
 	case request.ended.Sub(request.sent) > crossing:
--- a/internal/lifecycle/soakclient_test.go
+++ b/internal/lifecycle/soakclient_test.go
@@ -228,8 +228,8 @@
 		var body []byte
 		if body, err = io.ReadAll(answer.Body); err == nil {
 			request.status = answer.StatusCode
-			if answer.StatusCode == http.StatusOK && string(body) != request.id {
-				request.wrong = string(body)
+			if answer.StatusCode == http.StatusOK && string(body) != request.id && string(body) != strings.Repeat(longPiece(request.id), longPieces) {
+				request.wrong = string(body[:min(len(body), 60)])
 			}
 			goesOn = !answer.Close
 		}
--- a/internal/lifecycle/soakendpoint_test.go
+++ b/internal/lifecycle/soakendpoint_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -23,6 +24,8 @@
 	faultReset                    // the connection is reset once the request has come
 	faultHalf                     // the beginning of an answer with a length, then a reset
 	faultNoEnd                    // an answer whose end only the connection's end could tell, then a reset
+	faultStall                    // the beginning of an answer without a length, and then nothing more
+	faultLong                     // served with a long body, in pieces
 	faultError                    // status 500
 	faultTurnedAway               // turned away unseen
 	faultSecond                   // a second answer, of no request, some milliseconds later
@@ -116,7 +119,7 @@
 // answer answers one request and reports whether the connection goes on.
 func (e *soakEndpoint) answer(conn net.Conn, reader io.Reader, id string) bool {
 	fault, work := e.draw()
-	if fault == faultHalf || fault == faultNoEnd {
+	if fault == faultHalf || fault == faultNoEnd || fault == faultStall {
 		e.record.breaksOff(id)
 	}
 	time.Sleep(work)
@@ -137,6 +140,12 @@
 		time.Sleep(work)
 		reset()
 		return false
+	case faultStall:
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n%s", id[:len(id)/2])
+		io.Copy(io.Discard, reader) //nolint:errcheck // it ends with the connection
+		return false
+	case faultLong:
+		return writeLong(conn, id, work)
 	case faultError:
 		io.WriteString(conn, "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n") //nolint:errcheck // the next read shows it
 		return true
@@ -153,3 +162,24 @@
 	}
 	return fault != faultClose
 }
+
+// longPieces is how many pieces a long body of a soak has.
+const longPieces = 40
+
+// longPiece returns a piece of the body of a long answer to a request: 4 KiB that are filled with its id.
+func longPiece(id string) string { return strings.Repeat(id+" ", 4<<10/(len(id)+1)) }
+
+// writeLong writes a long answer in pieces, over the given time and more, and reports whether the connection goes on.
+func writeLong(conn net.Conn, id string, over time.Duration) bool {
+	piece := longPiece(id)
+	if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", longPieces*len(piece)); err != nil {
+		return false
+	}
+	for range longPieces {
+		if _, err := io.WriteString(conn, piece); err != nil {
+			return false
+		}
+		time.Sleep(over / longPieces)
+	}
+	return true
+}
--- a/internal/lifecycle/stream_test.go
+++ b/internal/lifecycle/stream_test.go
@@ -301,3 +301,30 @@
 		}
 	}
 }
+
+// Guards against a request that gets no final answer in its time: its endpoint stalls within an answer that has begun to
+// pass on. Its caller must see by the deadline, and half a second more at most, that the answer is not whole.
+func TestBegunAnswerThatStallsEndsInTime(t *testing.T) {
+	const deadline, mostLate = 600 * time.Millisecond, 500 * time.Millisecond
+	for name, beginning := range map[string]string{
+		"no length": "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf",
+		"chunks":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhalf",
+	} {
+		t.Run(name, func(t *testing.T) {
+			endpoint := scripted.Listen(t)
+			conf := testConfig(scripted.StartDiscovery(t), scripted.Line("e1", endpoint.Address))
+			setDeadlines(conf, deadline.Seconds()*1000)
+			s := start(t, conf)
+			caller := scripted.Connect(t, s.Address())
+			begin := time.Now()
+			caller.Send(requestText("/look", ""))
+			attempt := endpoint.Accept()
+			attempt.ReadRequest()
+			attempt.Send(beginning)
+			status, body := caller.ReadAnswer()
+			if took := time.Since(begin); status != 0 || body != "half" || took > deadline+mostLate {
+				t.Errorf("status %d, %q after %v; want the beginning, broken off within %v", status, body, took, deadline+mostLate)
+			}
+		})
+	}
+}
