A stop beside answers that go on ends half requests and stalled answers in time

Callers with half a request, and callers of a begun answer whose endpoint stalls, were left open until the kill while any long answer was in progress: the stop then waited up to a minute for all connections alike. The stop now waits for streams alone, ends half requests meanwhile, and breaks off begun answers of up to 64 KiB 0.1 s after what is pending has failed.

--- a/internal/httpwire/stream.go
+++ b/internal/httpwire/stream.go
@@ -245,7 +245,8 @@
 	env          env.Env
 	onEnd        func(AnswerEnd) // set by OnEnd; nil before, and after the end
 	handOverFunc atomic.Pointer[HandOverFunc]
-	deadline     time.Time // until then an answer of at most MaxBuffered bytes must have ended; zero for no such bound
+	total        atomic.Int64              // bytes of the body that have come
+	deadline     atomic.Pointer[time.Time] // until then an answer of at most MaxBuffered bytes must have ended; nil for no such bound
 }
 
 // HandOverFunc hands a long answer over to another process: the state from which that continues, as JSON, and the
@@ -264,18 +265,34 @@
 	}
 }
 
-// SetDeadline sets when the caller stops waiting for an answer of at most MaxBuffered bytes. A longer one may go on.
-func (a *AnswerStream) SetDeadline(deadline time.Time) { a.deadline = deadline }
+// SetDeadline sets when an answer of at most MaxBuffered bytes is broken off, unless it has ended by then; an earlier
+// deadline stays. A longer answer goes on, and so does one that is being handed over. The owner calls it.
+func (a *AnswerStream) SetDeadline(deadline time.Time) {
+	if earlier := a.deadline.Load(); earlier != nil && earlier.Before(deadline) {
+		return
+	}
+	a.deadline.Store(&deadline)
+	if a.usualLength() && a.handOverFunc.Load() == nil {
+		a.link.conn.SetReadDeadline(deadline) // for the read in progress
+	}
+}
 
-// readDeadline returns until when the next piece must come, after total bytes of the body. Guards against an endpoint that
-// stalls within an answer of usual length: its caller would learn only after pieceStall that the answer will not end.
-func (a *AnswerStream) readDeadline(total int64) time.Time {
+// setReadDeadline sets until when the next piece must come. Guards against an endpoint that stalls within an answer of usual
+// length: its caller would learn only after pieceStall that the answer will not end.
+func (a *AnswerStream) setReadDeadline() {
 	stall := a.env.Now().Add(pieceStall)
-	usualLength := a.Length <= MaxBuffered && total <= MaxBuffered
-	if usualLength && !a.deadline.IsZero() && a.deadline.Before(stall) {
-		return a.deadline
+	a.link.conn.SetReadDeadline(stall)
+	for deadline, set := a.deadline.Load(), (*time.Time)(nil); deadline != set; deadline = a.deadline.Load() {
+		if a.usualLength() && deadline.Before(stall) {
+			a.link.conn.SetReadDeadline(*deadline)
+		}
+		set = deadline // SetDeadline may have set another one meanwhile
 	}
-	return stall
+}
+
+// usualLength reports whether the answer may still have no more than MaxBuffered bytes.
+func (a *AnswerStream) usualLength() bool {
+	return a.Length <= MaxBuffered && a.total.Load() <= MaxBuffered
 }
 
 // SetConn sets the caller's connection, to which the answer is written.
@@ -372,7 +389,8 @@
 	buf := pieceBuffers.Get().(*[pieceSize]byte)
 	defer pieceBuffers.Put(buf)
 	for {
-		a.link.conn.SetReadDeadline(a.readDeadline(total))
+		a.total.Store(total)
+		a.setReadDeadline()
 		handOver, n, err := a.handOverFunc.Load(), 0, error(os.ErrDeadlineExceeded)
 		if handOver == nil {
 			n, err = a.body.Read(buf[:])
--- a/internal/lifecycle/sidecar.go
+++ b/internal/lifecycle/sidecar.go
@@ -38,7 +38,7 @@
 	// A request that began to come that long before is cut short when those that are pending have failed.
 	incompleteGrace = 50 * time.Millisecond
 	// That long before pending requests fail, long answers are handed over to a successor.
-	handOverLead = 300 * time.Millisecond
+	handOverLead = 550 * time.Millisecond
 
 	maxStreamTime = time.Minute // limit for long answers that endpoints are still sending, if the platform does not kill the process before
 
@@ -240,9 +240,8 @@
 	if s.callers.Open() > 0 {
 		s.logStopStep("what is pending fails", begin)
 	}
-	if s.engine.FailPending(); s.engine.Streaming() {
-		s.awaitDrained(begin.Add(maxStreamTime))
-	}
+	s.engine.FailPending(writeGrace)
+	s.awaitStreams(begin.Add(maxStreamTime))
 	s.awaitAnswered(begin.Add(s.longestDeadline() + exitGrace))
 	s.cancel()
 	<-s.engineDone
@@ -293,12 +292,24 @@
 		if !inTime {
 			polls--
 		}
-		s.callers.CloseIdle(httpwire.ReasonShutdown)
-		s.callers.AbortIncomplete(httpwire.ReasonShutdown, incompleteGrace)
-		s.env.Sleep(drainPoll)
+		s.endCallers()
+	}
+}
+
+// awaitStreams waits until no long answer is in progress, at the latest until the given time.
+func (s *Sidecar) awaitStreams(until time.Time) {
+	for s.engine.Streaming() && s.env.Now().Before(until) {
+		s.endCallers()
 	}
 }
 
+// endCallers closes the connections of callers that are idle or bring only a part of a request, and lets some time pass.
+func (s *Sidecar) endCallers() {
+	s.callers.CloseIdle(httpwire.ReasonShutdown)
+	s.callers.AbortIncomplete(httpwire.ReasonShutdown, incompleteGrace)
+	s.env.Sleep(drainPoll)
+}
+
 // finishTime returns the time from the stop signal until requests that are still pending fail.
 func (s *Sidecar) finishTime() time.Duration { return s.longestDeadline() + finishGrace }
 
--- a/internal/lifecycle/soakendpoint_test.go
+++ b/internal/lifecycle/soakendpoint_test.go
@@ -119,6 +119,9 @@
 // answer answers one request and reports whether the connection goes on.
 func (e *soakEndpoint) answer(conn net.Conn, reader io.Reader, id string) bool {
 	fault, work := e.draw()
+	if fault != faultTurnedAway {
+		e.record.ran(id)
+	}
 	if fault == faultHalf || fault == faultNoEnd || fault == faultStall {
 		e.record.breaksOff(id)
 	}
--- a/internal/lifecycle/stream_test.go
+++ b/internal/lifecycle/stream_test.go
@@ -328,3 +328,29 @@
 		})
 	}
 }
+
+// Guards against a stop that is killed while a begun answer of usual length stalls: its caller must be told before, with room
+// for a pause.
+func TestStopBreaksOffBegunAnswersThatStall(t *testing.T) {
+	const deadline, sentAfter = time.Second, 900 * time.Millisecond
+	endpoint := scripted.Listen(t)
+	conf := testConfig(scripted.StartDiscovery(t), scripted.Line("e1", endpoint.Address))
+	setDeadlines(conf, deadline.Seconds()*1000)
+	s := start(t, conf)
+	s.stopped, s.stayTime = true, sentAfter+50*time.Millisecond
+	caller := scripted.Connect(t, s.Address())
+	stopped := make(chan struct{})
+	begin := time.Now()
+	go func() { s.Stop(); close(stopped) }()
+	time.Sleep(sentAfter)
+	caller.Send(requestText("/look", ""))
+	attempt := endpoint.Accept()
+	attempt.ReadRequest()
+	attempt.Send("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf")
+	status, body := caller.ReadAnswer()
+	if took := time.Since(begin); status != 0 || body != "half" || took > deadline+killDelay-maxHoldUp {
+		t.Errorf("status %d, %q after %v; want the beginning, broken off before the kill and a pause", status, body, took)
+	}
+	caller.Close()
+	<-stopped
+}
--- a/internal/pipeline/engine.go
+++ b/internal/pipeline/engine.go
@@ -200,14 +200,19 @@
 func (e *Engine) Drain(on bool) { e.draining.Store(on) }
 
 // FailPending fails all requests that are pending, because the process is about to end and would leave them unanswered. A
-// failure does not tell the caller whether the request ran, so it is true in either case.
-func (e *Engine) FailPending() { e.post(failPending{}) }
+// failure does not tell the caller whether the request ran, so it is true in either case. Answers of usual length that have
+// begun to pass on are broken off after the given time.
+func (e *Engine) FailPending(streamGrace time.Duration) { e.post(failPending{streamGrace}) }
 
 // failPending is the event that fails all pending requests.
-type failPending struct{}
+type failPending struct{ streamGrace time.Duration }
 
-func (failPending) handle(e *Engine) {
+func (f failPending) handle(e *Engine) {
 	e.stopping = true
+	streamsUntil := e.env.Now().Add(f.streamGrace)
+	for stream := range e.streams {
+		stream.SetDeadline(streamsUntil)
+	}
 	for _, r := range e.requests.All() {
 		if r.Done {
 			continue
