--- /dev/null
+++ b/internal/httpwire/disconnect.go
@@ -0,0 +1,122 @@
+package httpwire
+
+import (
+	"errors"
+	"os"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Watch calls onLeave once if the caller disconnects before Unwatch is called. It is called when a request has come
+// completely.
+func (c *CallerConn) Watch(onLeave func()) {
+	done := make(chan struct{})
+	c.watchDone = done
+	c.mu.Lock()
+	c.setPending()
+	c.pipelinedBytes = len(c.pipelined)
+	c.Conn.SetReadDeadline(time.Time{})
+	c.mu.Unlock()
+	c.owner.env.Go("watch", func() {
+		defer close(done)
+		if c.readUntilGone() {
+			c.disconnected.Store(true)
+			c.SetReason(ReasonCallerLeft)
+			onLeave()
+		}
+	})
+}
+
+// readUntilGone reads until Unwatch or until the caller disconnects, and reports whether it has disconnected. It does
+// not stop at bytes that come after the request: guards against callers that send much and then disconnect, whose
+// disconnect can only be read after all those bytes.
+func (c *CallerConn) readUntilGone() (gone bool) {
+	var first [1]byte
+	buf := first[:]
+	for {
+		n, err := c.Conn.Read(buf)
+		c.mu.Lock()
+		flooded := c.keepPipelined(buf[:n])
+		c.mu.Unlock()
+		switch {
+		case flooded:
+			return true
+		case err == nil && len(buf) == len(first):
+			buf = make([]byte, initialBodySize) // only for callers that pipeline: a flood of connections must take little memory
+		case err != nil && errors.Is(err, os.ErrDeadlineExceeded):
+			return false
+		case err != nil:
+			c.mu.Lock()
+			c.peerEnded = true
+			c.mu.Unlock()
+			return true
+		}
+	}
+}
+
+// Limits for bytes that come after a request before it is answered. Usual callers send one request at a time; pipelined
+// ones are served as long as their bytes fit into maxPipelinedKept. A caller that sends more than maxPipelined is not
+// waiting for an answer.
+const (
+	maxPipelinedKept = MaxHead
+	maxPipelined     = 1 << 20
+)
+
+// keepPipelined keeps bytes that came after a request and reports whether they exceed maxPipelined; c.mu is held. Beyond
+// maxPipelinedKept nothing is kept: the connection is closed after the current request, since what follows can't be read
+// any more.
+func (c *CallerConn) keepPipelined(b []byte) (flooded bool) {
+	c.pipelinedBytes += len(b)
+	if c.pipelinedBytes > maxPipelinedKept {
+		c.pipelined, c.closing = nil, true
+	} else {
+		c.pipelined = append(c.pipelined, b...)
+	}
+	c.peerEnded = c.peerEnded || c.pipelinedBytes > maxPipelined // it gets no answer that a close could destroy
+	return c.pipelinedBytes > maxPipelined
+}
+
+// Disconnected reports whether the caller has closed the connection, in one direction or both, or reset it. It checks
+// with the kernel: the watch may not have run yet, there is no watch while a body is still coming, and a disconnect can
+// only be read after all unread bytes. Any goroutine may call it while a request is pending.
+func (c *CallerConn) Disconnected() bool {
+	if c.disconnected.Load() {
+		return true
+	}
+	if !c.hungUp() {
+		return false
+	}
+	c.disconnected.Store(true)
+	c.SetReason(ReasonCallerLeft)
+	return true
+}
+
+// hungUp asks the kernel whether the caller has closed or reset the connection. Unread bytes don't hide that from
+// POLLRDHUP, as they do from a read.
+func (c *CallerConn) hungUp() bool {
+	if reporter, ok := c.Conn.(interface{ HungUp() bool }); ok { // simulated connections know it themselves
+		return reporter.HungUp()
+	}
+	if c.descriptor == nil {
+		return false
+	}
+	hungUp := false
+	err := c.descriptor.Control(func(fd uintptr) {
+		fds := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(fds[:], 0)
+		if err == unix.EINTR { // retry once: a signal handler ran in between
+			n, err = unix.Poll(fds[:], 0)
+		}
+		hungUp = n > 0 && err == nil
+	})
+	return hungUp || err != nil // an error means that it is closed on this side
+}
+
+// Unwatch ends the watch; after it, the server may read again.
+func (c *CallerConn) Unwatch() {
+	c.Conn.SetReadDeadline(pastDeadline)
+	<-c.watchDone
+	c.watchDone = nil
+	c.Conn.SetReadDeadline(time.Time{})
+}
