--- a/internal/lab/scripted/peer.go
+++ b/internal/lab/scripted/peer.go
@@ -27,13 +27,21 @@
 
 // Listen opens a Listener on loopback. It is closed at the end of the test.
 func Listen(t testing.TB) *Listener {
+	t.Helper()
+	const maxPending = 64 // connections that the test has not accepted yet
+	l := &Listener{t: t, conns: make(chan *net.TCPConn, maxPending)}
+	l.Address = ServeConns(t, func(conn *net.TCPConn) { l.conns <- conn })
+	return l
+}
+
+// ServeConns listens on loopback until the end of the test and returns the address. It calls serve for each connection, one
+// after the other.
+func ServeConns(t testing.TB, serve func(*net.TCPConn)) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	const maxPending = 64 // connections that the test has not accepted yet
-	l := &Listener{Address: listener.Addr().String(), t: t, conns: make(chan *net.TCPConn, maxPending)}
 	t.Cleanup(func() { listener.Close() })
 	go func() {
 		for {
@@ -41,10 +49,10 @@
 			if err != nil {
 				return
 			}
-			l.conns <- conn.(*net.TCPConn)
+			serve(conn.(*net.TCPConn))
 		}
 	}()
-	return l
+	return listener.Addr().String()
 }
 
 // Accept returns the next connection, and fails the test if none comes within stepTimeout.
--- a/internal/lifecycle/soakendpoint_test.go
+++ b/internal/lifecycle/soakendpoint_test.go
@@ -35,9 +35,9 @@
 
 // soakEndpoint is an endpoint that serves each request with its id, or fails as its fault says.
 type soakEndpoint struct {
-	name     string
-	listener net.Listener
-	record   *soakRecord
+	name    string
+	address string
+	record  *soakRecord
 
 	mu        sync.Mutex
 	random    *rand.Rand
@@ -49,30 +49,16 @@
 // startSoakEndpoint starts an endpoint that ends with the test.
 func startSoakEndpoint(t *testing.T, name string, record *soakRecord, seed uint64, faulty float64) *soakEndpoint {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	e := &soakEndpoint{
-		name: name, listener: listener, record: record, random: rand.New(rand.NewPCG(seed, 1)), faulty: faulty,
-		slowUntil: 60 * time.Millisecond,
+		name: name, record: record, random: rand.New(rand.NewPCG(seed, 1)), faulty: faulty, slowUntil: 60 * time.Millisecond,
 	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go e.serve(conn)
-		}
-	}()
+	e.address = scripted.ServeConns(t, func(conn *net.TCPConn) { go e.serve(conn) })
 	return e
 }
 
 // line returns the endpoint's line in a list of discovery.
 func (e *soakEndpoint) line() map[string]any {
-	return scripted.Line(e.name, e.listener.Addr().String())
+	return scripted.Line(e.name, e.address)
 }
 
 // hang makes the endpoint answer nothing from now on.
