review/3: a stop does not answer orders whose key is still being claimed

Tried: eight sidecars with holdings, a planned stop of one, and a kill of another 1.9 s later; four orders of the killed one's part are written to the stopped one 2.2 s after SIGTERM on connections that it has (review/3/run.sh). Seen: no order was answered in any of five runs with the kill, and the process ended by itself at 3.75 s; all were served in both runs without it. Requests that wait for their claim are not failed by the stop.

--- a/review/lib.sh
+++ b/review/lib.sh
@@ -34,14 +34,13 @@
 
 [ -x "$STANDIN" ] && [ -x "$ROOT/bin/heathgap" ] && [ -x "$ROOT/bin/heathgap-crew" ] || { echo "run the build of deploy/balancer.toml and review/build.sh first" >&2; exit 2; }
 : >"$RECORD"
-mapfile -t PORTS < <("$STANDIN" ports 24)
-[ "${#PORTS[@]}" = 24 ] || cannot "no free ports"
+mapfile -t PORTS < <("$STANDIN" ports 40)
+[ "${#PORTS[@]}" = 40 ] || cannot "no free ports"
 at() { echo "127.0.0.1:${PORTS[$1]}"; }
 
-# The crew of a case: three sidecars a1, b1 and c1 in three zones, all keepers, at ports 0 to 2; their crew addresses at ports 3 to 5,
-# their consoles at ports 6 to 8. Discovery is at port 9, endpoints are at ports 10 and 11.
-NAMES=(a1 b1 c1)
-ZONES=(a b c)
+# The crew of a case: sidecars in three zones, of which the first three are keepers. The N-th listens at port N, its crew address is port
+# 10+N, its console port 20+N. Discovery is at port 30, endpoints are at ports 31 and on.
+NAMES=(${CREW:-a1 b1 c1})
 SIDECAR=()
 
 # write_list INDEX STATUS... writes discovery's list: endpoint e-N has the N-th status; "-" leaves it out.
@@ -53,7 +52,7 @@
 		for status in "$@"; do
 			n=$((n + 1))
 			[ "$status" = - ] && continue
-			printf '%s{"name":"e-%d","address":"%s","zone":"a","type":"m1","group":%d,"status":"%s","weight":1.0,"since_ms":0}' "$sep" $n "$(at $((9 + n)))" $n "$status"
+			printf '%s{"name":"e-%d","address":"%s","zone":"a","type":"m1","group":%d,"status":"%s","weight":1.0,"since_ms":0}' "$sep" $n "$(at $((30 + n)))" $n "$status"
 			sep=,
 		done
 		printf ']}\n'
@@ -67,10 +66,10 @@
 	local n=$1 name=${NAMES[$1]} i
 	mkdir -p "$DIR/$name/data" "$DIR/$name/tmp"
 	cat >"$DIR/$name/sidecar.json" <<-END
-		{"name":"$name","listen":"$(at "$n")","discovery":"$(at 9)","console":"$(at $((6 + n)))","seed":"$((n + 1))",
+		{"name":"$name","listen":"$(at "$n")","discovery":"$(at 30)","console":"$(at $((20 + n)))","seed":"$((n + 1))",
 		 "limits":{"cores":1.0,"memory_mb":${MEMORY:-192},"sockets":1024},
 		 "known":$(cat "$DIR/list.json"),
-		 "settings":{"me":$n,"replicas_of_me":3,"az":"${ZONES[$n]}","tier":0,"stages":["one"],"tick":2.0,"membership_mode":"subscribe","over_share_worth":0.1,
+		 "settings":{"me":$n,"replicas_of_me":${#NAMES[@]},"az":"${name:0:1}","tier":0,"stages":["one"],"tick":2.0,"membership_mode":"subscribe","over_share_worth":0.1,
 		  "bounds":{"cancel":true,"retry_after":true,"max_retry_after":1000.0,"max_attempts":5,"connect_timeout":${CONNECT:-75}.0,"conn_idle":10000.0,"most_held":500},
 		  "rules":{"answer_slack":50.0,"ask_every":5000.0,"cold":8900.0,"cold_from":0.3,"drain_grace":1000.0,"fall_multiple":3.0,"overload_for":3000.0},
 		  "profiles":[
@@ -78,8 +77,8 @@
 		   {"name":"order","effect":"by_key","group":"all","window":${WINDOW:-5000}.0,"aim":${AIM:-800}.0,"deadline":${DEADLINE:-2000}.0,"worth":3.0}]}}
 	END
 	{
-		printf '[crew]\nname = "small"\naddress = "%s"\ndata = "%s"\n' "$(at $((3 + n)))" "$DIR/$name/data"
-		for i in 0 1 2; do printf '[[crew.keeper]]\nname = "%s"\naddress = "%s"\n' "${NAMES[$i]}" "$(at $((3 + i)))"; done
+		printf '[crew]\nname = "small"\naddress = "%s"\ndata = "%s"\n' "$(at $((10 + n)))" "$DIR/$name/data"
+		for i in 0 1 2; do printf '[[crew.keeper]]\nname = "%s"\naddress = "%s"\n' "${NAMES[$i]}" "$(at $((10 + i)))"; done
 		if [ "${COPIES:-2}" -gt 0 ]; then
 			printf '[holdings]\ncopies = %d\n[[holdings.class]]\nname = "order"\n' "${COPIES:-2}"
 		fi
@@ -94,16 +93,16 @@
 	SIDECAR[$1]=$LAST
 }
 
-# whole FILE reports whether a status says that all shards have all their copies, and that all three sidecars are in.
-whole() { grep -q '"whole": 64' "$1" && grep -q '"filling": 0' "$1" && [ "$(grep -cE '"(a1|b1|c1)": [1-9]' "$1")" = 3 ]; }
+# whole FILE reports whether a status says that all shards have all their copies, and that all sidecars are in.
+whole() { grep -q '"whole": 64' "$1" && grep -q '"filling": 0' "$1" && [ "$(grep -cE '"[abc][0-9]": [1-9]' "$1")" = ${#NAMES[@]} ]; }
 
-# start_crew starts all three, and waits until they serve and all shards have all their copies.
+# start_crew starts all of them, and waits until they serve and all shards have all their copies.
 start_crew() {
 	local n
-	background discovery "$STANDIN" discovery --listen "$(at 9)" --list "$DIR/list.json"
-	for n in 0 1 2; do write_sidecar "$n"; done
-	for n in 0 1 2; do start_sidecar "$n"; done
-	"$STANDIN" wait "$(at 0)" "$(at 1)" "$(at 2)" || cannot "the sidecars do not get ready"
+	background discovery "$STANDIN" discovery --listen "$(at 30)" --list "$DIR/list.json"
+	for n in "${!NAMES[@]}"; do write_sidecar "$n"; done
+	for n in "${!NAMES[@]}"; do start_sidecar "$n"; done
+	"$STANDIN" wait $(for n in "${!NAMES[@]}"; do at "$n"; done) || cannot "the sidecars do not get ready"
 	[ "${COPIES:-2}" -gt 0 ] || return 0
 	for n in $(seq 100); do
 		"$ROOT/bin/heathgap" holdings status --operator "$DIR/a1/operator.toml" --json >"$DIR/status" 2>&1 && whole "$DIR/status" && return 0
@@ -116,7 +115,7 @@
 gather() {
 	{
 		echo "--- sent, answered and run"
-		cat "$DIR"/{orders,send,endpoints}.out 2>/dev/null | sort
+		cat "$DIR"/{orders,send,late,endpoints}.out 2>/dev/null | sort
 		echo "--- warnings of the sidecars"
 		local name
 		for name in "${NAMES[@]}"; do
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -11,10 +11,10 @@
 
 func main() {
 	commands := map[string]func([]string) error{
-		"ports": ports, "endpoints": endpoints, "discovery": discovery, "wait": wait, "send": send, "orders": orders, "call": call,
+		"ports": ports, "endpoints": endpoints, "discovery": discovery, "wait": wait, "send": send, "orders": orders, "late": late, "call": call,
 	}
 	if len(os.Args) < 2 || commands[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "standin: ports, endpoints, discovery, wait, send, orders, call")
+		fmt.Fprintln(os.Stderr, "standin: ports, endpoints, discovery, wait, send, orders, late, call")
 		os.Exit(2)
 	}
 	if err := commands[os.Args[1]](os.Args[2:]); err != nil {
