--- a/review/lib.sh
+++ b/review/lib.sh
@@ -115,7 +115,7 @@
 gather() {
 	{
 		echo "--- sent, answered and run"
-		cat "$DIR"/{orders,send,late,endpoints}.out 2>/dev/null | sort
+		cat "$DIR"/{orders,send,late,again,endpoints}.out 2>/dev/null | sort
 		echo "--- warnings of the sidecars"
 		local name
 		for name in "${NAMES[@]}"; do
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -3,7 +3,9 @@
 package main
 
 import (
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"strconv"
@@ -23,19 +25,25 @@
 	}
 }
 
-// ports prints free ports of the loopback address, one a line.
+// ports prints free ports of the loopback address, one a line. They lie below the range from which systems give ports to connections by
+// default, so that no connection takes one before a process of the case listens there.
 func ports(args []string) error {
 	n, err := strconv.Atoi(args[0])
 	if err != nil {
 		return err
 	}
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for tries := 0; n > 0; tries++ {
+		if tries > 10000 {
+			return errors.New("too few free ports")
+		}
+		port := 12000 + rand.IntN(20000)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
-			return err
+			continue
 		}
 		defer l.Close() // all stay taken until each has been printed
-		fmt.Println(l.Addr().(*net.TCPAddr).Port)
+		fmt.Println(port)
+		n--
 	}
 	return nil
 }
