--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,7 +1,10 @@
 #!/usr/bin/env bash
 # One sidecar is stopped as planned, and another one is killed meanwhile. See claim.txt.
 CREW="a1 b1 c1 a2 b2 c2 a3 b3"
-source "$(dirname "$0")/../lib.sh"
+CASE=$(cd "$(dirname "$0")" && pwd)
+RECORD=$CASE/record.txt # what was sent, answered and run, and the verdict
+echo "case 3, TROUBLE=${TROUBLE:-1}, $(date -u +%FT%TZ)" >"$CASE/record.txt"
+source "$CASE/../lib.sh"
 WINDOW=5000 DEADLINE=3000 AIM=800
 write_list 1 SERVING SERVING
 background endpoints "$STANDIN" endpoints --listen "e-1=$(at 31),e-2=$(at 32)" --window 5s --work 100ms --room 8
@@ -26,11 +29,11 @@
 kill -TERM "${SIDECAR[$STOPPED]}"
 sleep 1.9
 if [ "$TROUBLE" != 0 ]; then
-	note "${NAMES[$KILLED]} is killed outright"
+	note "${NAMES[$KILLED]} is killed outright: two of ${#NAMES[@]} restarted (the pages: up to 25% at a time)"
 	kill -KILL "${SIDECAR[$KILLED]}"
 fi
 sleep 2.1
-note "SIGKILL to ${NAMES[$STOPPED]}, 4.0 s after SIGTERM, if it is still there"
+note "SIGKILL to ${NAMES[$STOPPED]}, 4.0 s after SIGTERM, if it is still there (the pages: 3.7 s at the soonest)"
 kill -KILL "${SIDECAR[$STOPPED]}" 2>/dev/null
 wait "$CLIENTS" || cannot "the clients could not place their first orders"
 gather
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -1,10 +1,9 @@
-# Shared by the cases: starts sidecars and stand-ins, and ends each of them by its id. To be sourced from a case's run.sh.
+# Shared by the cases: starts sidecars and stand-ins, and ends each of them by its id. To be sourced from a case's run.sh, which has set
+# CASE to its folder and RECORD to its record.txt.
 set -uo pipefail
-CASE=$(cd "$(dirname "${BASH_SOURCE[1]}")" && pwd)
 ROOT=$(cd "$CASE/../.." && pwd)
 STANDIN=$ROOT/review/bin/standin
 TROUBLE=${TROUBLE:-1}
-RECORD=$CASE/record.txt
 DIR=$(mktemp -d)
 PIDS=()
 
@@ -33,7 +32,6 @@
 }
 
 [ -x "$STANDIN" ] && [ -x "$ROOT/bin/heathgap" ] && [ -x "$ROOT/bin/heathgap-crew" ] || { echo "run the build of deploy/balancer.toml and review/build.sh first" >&2; exit 2; }
-: >"$RECORD"
 mapfile -t PORTS < <("$STANDIN" ports 40)
 [ "${#PORTS[@]}" = 40 ] || cannot "no free ports"
 at() { echo "127.0.0.1:${PORTS[$1]}"; }
--- a/review/standin/clients.go
+++ b/review/standin/clients.go
@@ -46,6 +46,7 @@
 	if err != nil {
 		return 0, err.Error()
 	}
+	q.GetBody = nil // nothing is sent again by itself
 	txn := fmt.Sprintf("t%d.%d", os.Getpid(), lastTxn.Add(1))
 	q.Header.Set("X-Txn", txn)
 	q.Header.Set("X-Remaining", fmt.Sprintf("%.3f", patience.Seconds()))
