Log lines of a stop tell what requests wait for: their claim, an answer, its recording

Candidates: the claim of the key still waits; the request is with the owner, which does not fail it; the outcome is still being recorded; the answer is there and not written. The log calls all but the last one pending. Change: two more states of a caller's connection, claiming and recording, in the lines of a stop, in 'connection cut off' and in 'connection ended'. Behaviour is the same.

--- a/internal/httpwire/caller.go
+++ b/internal/httpwire/caller.go
@@ -23,6 +23,7 @@
 	reason         Reason    // the first that was found; empty until then
 	busy           bool      // a request is being read, pending or being answered
 	pending        bool      // it counts in Callers.pending: a request has come completely, or its body is still coming
+	pendingState   ConnState // what the pending request waits for; empty for StatePending
 	proven         bool      // it has brought a valid request
 	answered       bool      // the handler has returned an answer; the server's next read is for another request
 	onWritten      func()    // called when that answer is written, or will never be; nil otherwise
@@ -214,7 +215,7 @@
 // clearPending marks that there is no pending request any more; c.mu is held.
 func (c *CallerConn) clearPending() {
 	if c.pending {
-		c.pending = false
+		c.pending, c.pendingState = false, ""
 		c.owner.pending.Add(-1)
 	}
 }
--- a/internal/httpwire/connstate.go
+++ b/internal/httpwire/connstate.go
@@ -1,15 +1,19 @@
 package httpwire
 
+import "cmp"
+
 // ConnState says what a caller's connection is doing. It is written in log lines; docs/oncall.md explains each state.
 type ConnState string
 
 // The states of a caller's connection.
 const (
-	StateIdle     ConnState = "idle"     // no request has begun to come
-	StateReading  ConnState = "reading"  // a request has begun to come, but has not come completely
-	StatePending  ConnState = "pending"  // a request waits for its answer
-	StateAnswered ConnState = "answered" // the server has the answer to a request; it may not be written yet
-	StateClosed   ConnState = "closed"   // this side has closed it, and reads what still comes
+	StateIdle      ConnState = "idle"      // no request has begun to come
+	StateReading   ConnState = "reading"   // a request has begun to come, but has not come completely
+	StateClaiming  ConnState = "claiming"  // the key of a request is being claimed; no attempt has been sent
+	StatePending   ConnState = "pending"   // a request waits for its answer
+	StateRecording ConnState = "recording" // the outcome of a request is being recorded before its answer is given
+	StateAnswered  ConnState = "answered"  // the server has the answer to a request; it may not be written yet
+	StateClosed    ConnState = "closed"    // this side has closed it, and reads what still comes
 )
 
 // State returns what the connection is doing.
@@ -27,13 +31,21 @@
 	case c.answered:
 		return StateAnswered
 	case c.pending:
-		return StatePending
+		return cmp.Or(c.pendingState, StatePending)
 	case c.busy:
 		return StateReading
 	}
 	return StateIdle
 }
 
+// SetPendingState records what the pending request waits for: StateClaiming, StatePending or StateRecording. It is StatePending until the
+// first call, and again with the next request.
+func (c *CallerConn) SetPendingState(state ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pendingState = state
+}
+
 // EndState returns what the connection was doing when this side closed it, and how many bytes were read and dropped
 // after that. It is valid once the connection has ended.
 func (c *CallerConn) EndState() (state ConnState, dropped int) {
@@ -76,5 +88,5 @@
 // not written yet.
 func (l *Callers) Unanswered() int {
 	states := l.States()
-	return states[StateReading] + states[StatePending] + states[StateAnswered]
+	return states[StateReading] + states[StateClaiming] + states[StatePending] + states[StateRecording] + states[StateAnswered]
 }
--- a/internal/lifecycle/stoplog.go
+++ b/internal/lifecycle/stoplog.go
@@ -17,7 +17,8 @@
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
 func (states connStates) MarshalZerologObject(ev *zerolog.Event) {
 	for _, state := range []httpwire.ConnState{
-		httpwire.StateIdle, httpwire.StateReading, httpwire.StatePending, httpwire.StateAnswered, httpwire.StateClosed,
+		httpwire.StateIdle, httpwire.StateReading, httpwire.StateClaiming, httpwire.StatePending, httpwire.StateRecording,
+		httpwire.StateAnswered, httpwire.StateClosed,
 	} {
 		if n := states[state]; n > 0 {
 			ev.Int(string(state), n)
--- a/internal/pipeline/takein.go
+++ b/internal/pipeline/takein.go
@@ -105,9 +105,11 @@
 	var claim Claim
 	if e.holdings != nil && e.holdings.Holds(message.Class) {
 		var knownAnswer *httpwire.Answer
+		conn.SetPendingState(httpwire.StateClaiming)
 		if claim, knownAnswer = e.claimKey(message); knownAnswer != nil {
 			return *knownAnswer, false
 		}
+		conn.SetPendingState(httpwire.StatePending)
 	}
 	in := &arrival{
 		message: message, deadline: e.clock.Now() + message.Remaining, caller: conn, crowded: crowded,
@@ -117,6 +119,7 @@
 	caller.admit(e, in)
 	answer = e.await(in)
 	if claim != nil {
+		conn.SetPendingState(httpwire.StateRecording)
 		answer = claim.Finish(answer, answer.MayHaveRun, max(outcomeReserve, in.deadline-e.clock.Now()+outcomeReserve))
 	}
 	return answer, true
