A stop answers requests whose keys are still being claimed

Cause: a held request waits for the claim of its key in the goroutine of its caller's connection, before the owner has it. FailPending fails what is in the owner's table alone, so nothing ended that wait but three quarters of the request's own time; Sidecar.awaitAnswered then gave up, and the process ended.

Evidence: with the states of in the log, all four connections are 'claiming' at each step of the stop and where they are cut off, none is pending with the owner, recording or answered. The other candidates would have shown those.

Fix: claims run under a context of the engine, which ends 50 ms after pending requests have failed: what has a primary that answers still gets its claim, all else is refused with a time to return, and nothing of it has been sent. Each place in which a claim waits hears of it: the call to the primary, the queue for a connection to it, the pause between two tries, and the wait for a backup where this sidecar is the primary itself. When the engine has stopped the context has ended too.

--- a/internal/cluster/member/holdings.go
+++ b/internal/cluster/member/holdings.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"crypto/rand"
 	"encoding/binary"
 	"errors"
@@ -210,7 +211,7 @@
 	for batch != nil {
 		var reply *holdings.BatchReply
 		received := holdings.BatchReply{}
-		err := hs.call(address, "hold-store", batch, &received, storeTimeout)
+		err := hs.call(context.Background(), address, "hold-store", batch, &received, storeTimeout)
 		if err == nil {
 			reply = &received
 		} else {
@@ -227,8 +228,8 @@
 	}
 }
 
-// call makes a call on a connection that no other call uses meanwhile.
-func (hs *holdingsService) call(address, kind string, body, reply any, timeout time.Duration) error {
+// call makes a call on a connection that no other call uses meanwhile. It fails when the context ends.
+func (hs *holdingsService) call(ctx context.Context, address, kind string, body, reply any, timeout time.Duration) error {
 	hs.mu.Lock()
 	pool := hs.pools[address]
 	if pool == nil {
@@ -236,11 +237,11 @@
 		hs.pools[address] = pool
 	}
 	hs.mu.Unlock()
-	client, err := pool.get(hs, address, timeout)
+	client, err := pool.get(ctx, hs, address, timeout)
 	if err != nil {
 		return err
 	}
-	err = client.Call(kind, body, reply, timeout)
+	err = client.CallContext(ctx, kind, body, reply, timeout)
 	pool.free <- client // does not block: the channel has a slot for each connection
 	if pool.closed.Load() {
 		pool.close()
@@ -251,8 +252,9 @@
 // errBusy means that no connection of a pool became free in time.
 var errBusy = errors.New("all connections to it are busy")
 
-// get returns a free connection, or makes one if there are fewer than maxClientsPerPeer. Otherwise it waits for one to become free.
-func (p *clientPool) get(hs *holdingsService, address string, timeout time.Duration) (*peerrpc.Client, error) {
+// get returns a free connection, or makes one if there are fewer than maxClientsPerPeer. Otherwise it waits for one to become free, until
+// the timeout has passed or the context ends.
+func (p *clientPool) get(ctx context.Context, hs *holdingsService, address string, timeout time.Duration) (*peerrpc.Client, error) {
 	select {
 	case client := <-p.free:
 		return client, nil
@@ -269,6 +271,8 @@
 		return client, nil
 	case <-timer.C():
 		return nil, errBusy
+	case <-ctx.Done():
+		return nil, ctx.Err()
 	}
 }
 
@@ -296,7 +300,7 @@
 			if err := command.Check(); err != nil {
 				return nil, fmt.Errorf("hold-ask: %w", err)
 			}
-			return hs.handleCommand(&command), nil
+			return hs.handleCommand(context.Background(), &command), nil
 		},
 		"hold-show": func(_ string, body []byte) (any, error) {
 			var key holdings.Key
@@ -331,8 +335,9 @@
 	Entry holdings.Entry `cbor:"2,keyasint"`
 }
 
-// handleCommand processes an owner's command as the primary.
-func (hs *holdingsService) handleCommand(command *holdings.Command) holdings.Answer {
+// handleCommand processes an owner's command as the primary. It returns AnswerNone if there is no answer within commandTimeout, or before
+// the context ends.
+func (hs *holdingsService) handleCommand(ctx context.Context, command *holdings.Command) holdings.Answer {
 	answers := make(chan holdings.Answer, 1)
 	hs.mu.Lock()
 	hs.store.Handle(hs.now(), command, func(answer holdings.Answer) { answers <- answer })
@@ -344,16 +349,23 @@
 	case answer := <-answers:
 		return answer
 	case <-timer.C():
+	case <-ctx.Done():
+	}
+	select {
+	case answer := <-answers: // it came at the same time
+		return answer
+	default:
 		return holdings.Answer{Kind: holdings.AnswerNone}
 	}
 }
 
-// execute sends an owner's command to the primary of its key, and retries until there is an answer that retries would not change,
-// or until the deadline: then it returns the last answer. While the request is running elsewhere, it retries until that ends.
-func (hs *holdingsService) execute(command *holdings.Command, deadline time.Time) holdings.Answer {
-	delay := minRetryDelay
-	for {
-		answer := hs.executeOnce(command, deadline)
+// execute sends an owner's command to the primary of its key, and retries until there is an answer that retries would not change, or
+// until the deadline or the end of the context: then it returns the last answer. While the request is running elsewhere, it retries
+// until that ends.
+func (hs *holdingsService) execute(ctx context.Context, command *holdings.Command, deadline time.Time) holdings.Answer {
+	answer, delay := holdings.Answer{Kind: holdings.AnswerNone}, minRetryDelay
+	for ctx.Err() == nil {
+		answer = hs.executeOnce(ctx, command, deadline)
 		switch answer.Kind {
 		case holdings.AnswerNotPrimary, holdings.AnswerTooFewReplicas, holdings.AnswerRunning, holdings.AnswerNone:
 		default:
@@ -362,12 +374,23 @@
 		if left := deadline.Sub(hs.member.env.Now()); left <= delay || hs.isStopped() {
 			return answer
 		}
-		hs.member.env.Sleep(delay)
+		hs.sleep(ctx, delay)
 		delay = min(2*delay, maxRetryDelay)
 	}
+	return answer
+}
+
+// sleep pauses the calling goroutine for a duration, or until the context ends.
+func (hs *holdingsService) sleep(ctx context.Context, d time.Duration) {
+	timer := hs.member.env.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C():
+	case <-ctx.Done():
+	}
 }
 
-func (hs *holdingsService) executeOnce(command *holdings.Command, deadline time.Time) holdings.Answer {
+func (hs *holdingsService) executeOnce(ctx context.Context, command *holdings.Command, deadline time.Time) holdings.Answer {
 	hs.mu.Lock()
 	primary, address, me := holdings.Incarnation{}, "", hs.me
 	if hs.view.Placement != nil {
@@ -384,10 +407,10 @@
 	case address == "" || command.Owner == (holdings.Incarnation{}):
 		return holdings.Answer{Kind: holdings.AnswerNotPrimary}
 	case primary == me:
-		return hs.handleCommand(command)
+		return hs.handleCommand(ctx, command)
 	}
 	var answer holdings.Answer
-	if err := hs.call(address, "hold-ask", command, &answer, min(commandTimeout, deadline.Sub(hs.member.env.Now()))); err != nil {
+	if err := hs.call(ctx, address, "hold-ask", command, &answer, min(commandTimeout, deadline.Sub(hs.member.env.Now()))); err != nil {
 		return holdings.Answer{Kind: holdings.AnswerNone}
 	}
 	return answer
@@ -407,7 +430,7 @@
 }
 
 // Claim implements pipeline.Holdings.
-func (hs *holdingsService) Claim(request *httpwire.Request, fingerprint [16]byte, within time.Duration) pipeline.ClaimResult {
+func (hs *holdingsService) Claim(ctx context.Context, request *httpwire.Request, fingerprint [16]byte, within time.Duration) pipeline.ClaimResult {
 	class := hs.classes[request.Class]
 	deadline := hs.member.env.Now().Add(within)
 	command := holdings.Command{
@@ -415,7 +438,7 @@
 		Claim: hs.lastClaim.Add(1), Fingerprint: fingerprint, Lifetime: within,
 	}
 	// The time left must be enough to send the request and to store its outcome.
-	answer := hs.execute(&command, deadline.Add(-within/4))
+	answer := hs.execute(ctx, &command, deadline.Add(-within/4))
 	var attemptsWithin time.Duration
 	if answer.Kind == holdings.AnswerUnknown {
 		left := deadline.Sub(hs.member.env.Now())
@@ -424,7 +447,7 @@
 		}
 		attemptsWithin = left
 		command.Op, command.Rev, command.Lifetime = holdings.OpReclaim, answer.Rev, left
-		answer = hs.execute(&command, deadline.Add(-left/4))
+		answer = hs.execute(ctx, &command, deadline.Add(-left/4))
 	}
 	switch answer.Kind {
 	case holdings.AnswerOK:
@@ -458,7 +481,7 @@
 	}
 	hs.member.env.Go("later", func() {
 		defer hs.background.Add(-1)
-		hs.execute(&command, hs.member.env.Now().Add(backgroundTimeout))
+		hs.execute(context.Background(), &command, hs.member.env.Now().Add(backgroundTimeout))
 	})
 }
 
@@ -511,7 +534,7 @@
 	default:
 		command.Op = holdings.OpDrop
 	}
-	result := cl.service.execute(&command, cl.service.member.env.Now().Add(within))
+	result := cl.service.execute(context.Background(), &command, cl.service.member.env.Now().Add(within))
 	if result.Kind != holdings.AnswerOK && result.Kind != holdings.AnswerFenced {
 		cl.service.executeInBackground(command)
 	}
--- a/internal/lab/emulated/member.go
+++ b/internal/lab/emulated/member.go
@@ -1,6 +1,7 @@
 package emulated
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"hash/fnv"
@@ -359,7 +360,7 @@
 	request := &httpwire.Request{Class: OrderClass, Key: key, Remaining: classDeadline, Method: "POST", URI: "/" + OrderClass + "/x", Body: []byte(key)}
 	var fingerprint [16]byte
 	copy(fingerprint[:], key[max(0, len(key)-len(fingerprint)):]) // random, as the hash of a request would be
-	claimed := m.Holdings().Claim(request, fingerprint, request.Remaining)
+	claimed := m.Holdings().Claim(context.Background(), request, fingerprint, request.Remaining)
 	if claimed.Claim == nil || claimed.Answer != nil {
 		return false
 	}
--- a/internal/lab/harness/cluster_test.go
+++ b/internal/lab/harness/cluster_test.go
@@ -122,11 +122,11 @@
 const fatalFinish = 20
 
 // Claim implements pipeline.Holdings.
-func (b *faultyHoldings) Claim(m *httpwire.Request, fingerprint [16]byte, within time.Duration) pipeline.ClaimResult {
+func (b *faultyHoldings) Claim(ctx context.Context, m *httpwire.Request, fingerprint [16]byte, within time.Duration) pipeline.ClaimResult {
 	if b.bug == bugNoClaim {
 		return pipeline.ClaimResult{}
 	}
-	result := b.Holdings.Claim(m, fingerprint, within)
+	result := b.Holdings.Claim(ctx, m, fingerprint, within)
 	if result.Claim != nil {
 		result.Claim = &faultyClaim{result.Claim, b}
 	}
--- a/internal/peerrpc/peerrpc.go
+++ b/internal/peerrpc/peerrpc.go
@@ -195,17 +195,22 @@
 // wraps ErrRefused came from the peer. After any other error the peer may have received the message or not. The timeout includes opening a
 // connection, but not the wait for other calls of this client.
 func (c *Client) Call(kind string, body, answer any, timeout time.Duration) error {
+	return c.CallContext(context.Background(), kind, body, answer, timeout)
+}
+
+// CallContext is Call, but also fails when the context ends.
+func (c *Client) CallContext(ctx context.Context, kind string, body, answer any, timeout time.Duration) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	err := c.call(kind, body, answer, timeout)
+	err := c.call(ctx, kind, body, answer, timeout)
 	if err != nil && !errors.Is(err, ErrRefused) {
 		c.closeLink()
 	}
 	return err
 }
 
-// call is Call without the lock. It leaves it to Call to close a broken connection.
-func (c *Client) call(kind string, body, answer any, timeout time.Duration) error {
+// call is CallContext without the lock. It leaves it to CallContext to close a broken connection.
+func (c *Client) call(ctx context.Context, kind string, body, answer any, timeout time.Duration) error {
 	raw, err := cbor.Marshal(body)
 	if err != nil {
 		return err
@@ -219,10 +224,12 @@
 		c.closeLink()
 	}
 	if c.link == nil {
-		if c.link, err = httpwire.Dial(context.Background(), c.env, c.address, min(dialTime, timeout)); err != nil {
+		if c.link, err = httpwire.Dial(ctx, c.env, c.address, min(dialTime, timeout)); err != nil {
 			return err
 		}
 	}
+	stopWatching := context.AfterFunc(ctx, c.link.Close)
+	defer stopWatching()
 	var head bytes.Buffer
 	fmt.Fprintf(&head, "POST %s%s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n\r\n", pathPrefix, kind, c.address, len(encoded))
 	head.Write(encoded)
--- a/internal/pipeline/beforewrite_test.go
+++ b/internal/pipeline/beforewrite_test.go
@@ -211,7 +211,7 @@
 
 func (*slowClaims) Holds(string) bool { return true }
 
-func (h *slowClaims) Claim(*httpwire.Request, [16]byte, time.Duration) ClaimResult {
+func (h *slowClaims) Claim(context.Context, *httpwire.Request, [16]byte, time.Duration) ClaimResult {
 	h.requested <- struct{}{}
 	<-h.proceed
 	return ClaimResult{Claim: h}
--- a/internal/pipeline/claim.go
+++ b/internal/pipeline/claim.go
@@ -1,6 +1,7 @@
 package pipeline
 
 import (
+	"context"
 	"crypto/sha256"
 	"errors"
 	"time"
@@ -18,8 +19,8 @@
 	// Holds reports whether requests of a class are recorded.
 	Holds(class string) bool
 	// Claim claims the key of a request within a time limit, or returns the answer that is known for it. print is the
-	// fingerprint of the request.
-	Claim(message *httpwire.Request, print [16]byte, within time.Duration) ClaimResult
+	// fingerprint of the request. Once the context has ended, it returns at once, with a refusal if nothing else is known.
+	Claim(ctx context.Context, message *httpwire.Request, print [16]byte, within time.Duration) ClaimResult
 }
 
 // ClaimResult is the result of a claim. Answer is the answer to the request if no attempt may be sent.
@@ -45,6 +46,18 @@
 // outcomeReserve is the part of a claimed request's time that is kept for recording its outcome: a tenth, but at most this.
 const outcomeReserve = 50 * time.Millisecond
 
+// exchangeGrace is how long claims may go on once pending requests have failed: long enough for an exchange with a sidecar that
+// answers, and short enough to write the answer before the process ends.
+const exchangeGrace = 50 * time.Millisecond
+
+// endExchangesAfter ends the exchanges of claims with other sidecars after a time. Guards against requests that the end of the
+// process leaves without an answer: while their keys are claimed, the owner does not have them and can't fail them.
+func (e *Engine) endExchangesAfter(d time.Duration) {
+	if e.holdings != nil {
+		e.env.AfterFunc(d, e.endExchanges)
+	}
+}
+
 var errBodyTooLong = errors.New("body: over 64 KiB, in a class whose requests are held")
 
 // claimKey claims the key of a request and subtracts the time that this took from the request's remaining time. If it returns
@@ -54,7 +67,7 @@
 		return nil, &httpwire.Answer{Verdict: httpwire.Malformed, Reason: errBodyTooLong.Error(), CloseAfter: true}
 	}
 	began := e.clock.Now()
-	result := e.holdings.Claim(message, fingerprintOf(message), message.Remaining)
+	result := e.holdings.Claim(e.exchanges, message, fingerprintOf(message), message.Remaining)
 	if result.Answer != nil {
 		return nil, result.Answer
 	}
--- a/internal/pipeline/engine.go
+++ b/internal/pipeline/engine.go
@@ -85,11 +85,13 @@
 	stopping        bool                                // no request is accepted any more
 	actions         []decide.Action
 
-	holdings    Holdings    // nil if no keys are claimed
-	rules       RulesSource // nil if the sidecar is in no cluster
-	effective   *EffectiveRules
-	clusterBans map[string]bool                    // endpoints that the cluster's version bans; the value is true if the endpoint is banned by hand too
-	withheld    map[string]httpwire.ListedEndpoint // entries of the list that are not applied yet, by name
+	holdings     Holdings           // nil if no keys are claimed
+	exchanges    context.Context    // of claims with other sidecars; ends soon after pending requests have failed
+	endExchanges context.CancelFunc // ends exchanges
+	rules        RulesSource        // nil if the sidecar is in no cluster
+	effective    *EffectiveRules
+	clusterBans  map[string]bool                    // endpoints that the cluster's version bans; the value is true if the endpoint is banned by hand too
+	withheld     map[string]httpwire.ListedEndpoint // entries of the list that are not applied yet, by name
 }
 
 // SetRules makes the engine apply the rules that the cluster agrees on. It is called before Run.
@@ -105,6 +107,7 @@
 		events: make(chan event, eventQueueSize), urgent: make(chan event, urgentQueueSize), stopped: make(chan struct{}),
 		requests: state.NewRequests(), endpoints: state.NewEndpoints(), streams: map[*httpwire.AnswerStream]struct{}{},
 	}
+	e.exchanges, e.endExchanges = context.WithCancel(context.Background())
 	names := make([]string, 0, len(conf.Classes))
 	for name := range conf.Classes {
 		names = append(names, name)
@@ -123,6 +126,7 @@
 // Run is the owner: it handles events, timeouts and the module's timer until the context ends.
 func (e *Engine) Run(ctx context.Context) {
 	defer close(e.stopped)
+	defer e.endExchanges()
 	e.sweepAt = e.clock.Now() + sweepInterval
 	e.notifyModule(decide.Event{Kind: decide.Start})
 	e.startList()
@@ -200,8 +204,9 @@
 func (e *Engine) Drain(on bool) { e.draining.Store(on) }
 
 // FailPending fails all requests that are pending, because the process is about to end and would leave them unanswered. A
-// failure does not tell the caller whether the request ran, so it is true in either case. Answers of usual length that have
-// begun to pass on are broken off after the given time.
+// failure does not tell the caller whether the request ran, so it is true in either case. Requests whose key is still being
+// claimed are refused after exchangeGrace. Answers of usual length that have begun to pass on are broken off after the given
+// time.
 func (e *Engine) FailPending(streamGrace time.Duration) { e.post(failPending{streamGrace}) }
 
 // failPending is the event that fails all pending requests.
@@ -209,6 +214,7 @@
 
 func (f failPending) handle(e *Engine) {
 	e.stopping = true
+	e.endExchangesAfter(exchangeGrace)
 	streamsUntil := e.env.Now().Add(f.streamGrace)
 	for stream := range e.streams {
 		stream.SetDeadline(streamsUntil)
