A stop answers requests whose outcome is still being recorded

A held request that is served, or fails as the sidecar stops, gets no answer when its outcome can't be recorded because the primary of its key is lost: the process ends first.

Claim.Finish waits for the primary in the goroutine of the caller's connection, behind the owner's answer, for as long as the request's time; FailPending has nothing left to fail.

Evidence: TestStopAnswersRequestsWhoseOutcomeIsBeingRecorded, whose peer takes each claim and answers no outcome, on real sockets: 4 of 4 clients read no answer up to 3.7 s after the stop began, in each of three cases.

Fix: Finish runs under the context that ends 50 ms after pending requests have failed. What is not recorded by then is answered as where copies can't be had in time (502, or under go_on the answer), and the recording goes on in the background while the process lasts. Where it doesn't reach the primary any more, the owner has left and the outcome counts as unknown, which refuses repeats or sends them within the window, as after a crash.

Result: the test fails in all three cases before and passes, also with -race; tests of pipeline and lab/emulated pass.

--- a/internal/cluster/member/holdings.go
+++ b/internal/cluster/member/holdings.go
@@ -521,7 +521,7 @@
 }
 
 // Finish implements pipeline.Claim.
-func (cl *claim) Finish(answer httpwire.Answer, ran bool, within time.Duration) httpwire.Answer {
+func (cl *claim) Finish(ctx context.Context, answer httpwire.Answer, ran bool, within time.Duration) httpwire.Answer {
 	command := cl.command
 	switch {
 	case answer.Verdict == httpwire.Served:
@@ -534,7 +534,7 @@
 	default:
 		command.Op = holdings.OpDrop
 	}
-	result := cl.service.execute(context.Background(), &command, cl.service.member.env.Now().Add(within))
+	result := cl.service.execute(ctx, &command, cl.service.member.env.Now().Add(within))
 	if result.Kind != holdings.AnswerOK && result.Kind != holdings.AnswerFenced {
 		cl.service.executeInBackground(command)
 	}
--- a/internal/cluster/member/stop_test.go
+++ b/internal/cluster/member/stop_test.go
@@ -237,3 +237,60 @@
 		})
 	}
 }
+
+// Guards against requests that a stop leaves unanswered although they have an answer, because their outcome is still being recorded, as when
+// their primary was lost (the same cause as review/3).
+func TestStopAnswersRequestsWhoseOutcomeIsBeingRecorded(t *testing.T) {
+	const requests = 4
+	for name, c := range map[string]struct {
+		handler http.HandlerFunc // of the endpoint
+		alone   operator.WhenAlone
+		status  int
+	}{
+		"an answer":                          {status: http.StatusBadGateway},
+		"an answer, the class goes on alone": {alone: operator.ProceedAlone, status: http.StatusOK},
+		"a failure":                          {handler: scripted.NeverAnswer(nil), status: http.StatusBadGateway},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			reached, released := make(chan struct{}, requests), make(chan struct{})
+			handle := func(_ string, body []byte) (any, error) {
+				var command holdings.Command
+				if err := peerrpc.Decode(body, &command); err != nil || command.Op == holdings.OpClaim {
+					return holdings.Answer{Kind: holdings.AnswerOK}, err
+				}
+				signalOnce(reached)
+				<-released
+				return nil, errBusy
+			}
+			endpoint := scripted.StartEndpoint(t, "e1", c.handler)
+			sidecar := startSidecarWithPeer(t, endpoint, c.alone, peerHandlers{"hold-ask": handle}, peerIncarnation)
+			t.Cleanup(func() { close(released) })
+			var clients []*scripted.Peer
+			for i := range requests {
+				client := scripted.Connect(t, sidecar.Address())
+				client.Send(orderText(i))
+				clients = append(clients, client)
+			}
+			if c.handler == nil {
+				awaitSignals(t, "all outcomes are being recorded", reached, requests)
+			} else {
+				awaitRequests(t, endpoint, requests)
+			}
+			expectAnswersOfStop(t, sidecar, clients, c.status)
+			if n := endpoint.Count(); n != requests {
+				t.Errorf("the endpoint got %d requests, want %d", n, requests)
+			}
+		})
+	}
+}
+
+// awaitRequests waits until an endpoint has got n requests.
+func awaitRequests(t *testing.T, endpoint *scripted.Endpoint, n int) {
+	t.Helper()
+	for end := time.Now().Add(testPatience); endpoint.Count() < n; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("the endpoint got %d requests, want %d", endpoint.Count(), n)
+		}
+	}
+}
--- a/internal/lab/emulated/member.go
+++ b/internal/lab/emulated/member.go
@@ -366,9 +366,9 @@
 	}
 	remaining := func() time.Duration { return max(outcomeSlack, classDeadline-time.Since(began)+outcomeSlack) }
 	if !claimed.Claim.MayWrite() {
-		claimed.Claim.Finish(httpwire.Answer{Verdict: httpwire.Refused}, false, remaining())
+		claimed.Claim.Finish(context.Background(), httpwire.Answer{Verdict: httpwire.Refused}, false, remaining())
 		return false
 	}
 	time.Sleep(p.start.KeyedDuration)
-	return claimed.Claim.Finish(httpwire.Answer{Verdict: httpwire.Served, Body: []byte("done")}, true, remaining()).Verdict == httpwire.Served
+	return claimed.Claim.Finish(context.Background(), httpwire.Answer{Verdict: httpwire.Served, Body: []byte("done")}, true, remaining()).Verdict == httpwire.Served
 }
--- a/internal/lab/harness/cluster_test.go
+++ b/internal/lab/harness/cluster_test.go
@@ -140,16 +140,16 @@
 }
 
 // Finish implements pipeline.Claim.
-func (h *faultyClaim) Finish(answer httpwire.Answer, ran bool, within time.Duration) httpwire.Answer {
+func (h *faultyClaim) Finish(ctx context.Context, answer httpwire.Answer, ran bool, within time.Duration) httpwire.Answer {
 	n := h.holdings.finished.Add(1)
 	if h.holdings.bug == bugAnswersEarly {
-		time.AfterFunc(keyWindow+time.Second, func() { h.Claim.Finish(answer, ran, within) })
+		time.AfterFunc(keyWindow+time.Second, func() { h.Claim.Finish(ctx, answer, ran, within) })
 		if n == 2*fatalFinish {
 			syscall.Kill(os.Getpid(), syscall.SIGKILL) //nolint:errcheck // this ends the process
 		}
 		return answer
 	}
-	answer = h.Claim.Finish(answer, ran, within)
+	answer = h.Claim.Finish(ctx, answer, ran, within)
 	if n == fatalFinish && h.holdings.bug == diesAfterCopy {
 		syscall.Kill(os.Getpid(), syscall.SIGKILL) //nolint:errcheck // this ends the process
 	}
--- a/internal/pipeline/beforewrite_test.go
+++ b/internal/pipeline/beforewrite_test.go
@@ -219,7 +219,7 @@
 
 func (*slowClaims) MayWrite() bool { return true }
 
-func (h *slowClaims) Finish(answer httpwire.Answer, ran bool, _ time.Duration) httpwire.Answer {
+func (h *slowClaims) Finish(_ context.Context, answer httpwire.Answer, ran bool, _ time.Duration) httpwire.Answer {
 	answer.MayHaveRun = ran
 	h.finished <- answer
 	return answer
--- a/internal/pipeline/claim.go
+++ b/internal/pipeline/claim.go
@@ -36,8 +36,8 @@
 	// Any goroutine may call it.
 	MayWrite() bool
 	// Finish records within a time limit how the request ended, and returns the answer for its caller. ran reports whether an
-	// attempt may have run.
-	Finish(answer httpwire.Answer, ran bool, within time.Duration) httpwire.Answer
+	// attempt may have run. Once the context has ended, it returns at once, and the recording goes on in the background.
+	Finish(ctx context.Context, answer httpwire.Answer, ran bool, within time.Duration) httpwire.Answer
 }
 
 // SetHoldings makes the engine claim the keys of requests. It is called before Run.
@@ -46,12 +46,13 @@
 // outcomeReserve is the part of a claimed request's time that is kept for recording its outcome: a tenth, but at most this.
 const outcomeReserve = 50 * time.Millisecond
 
-// exchangeGrace is how long claims may go on once pending requests have failed: long enough for an exchange with a sidecar that
+// exchangeGrace is how long claims and recordings may go on once pending requests have failed: long enough for an exchange with a sidecar that
 // answers, and short enough to write the answer before the process ends.
 const exchangeGrace = 50 * time.Millisecond
 
 // endExchangesAfter ends the exchanges of claims with other sidecars after a time. Guards against requests that the end of the
-// process leaves without an answer: while their keys are claimed, the owner does not have them and can't fail them.
+// process leaves without an answer: while their keys are claimed or their outcomes recorded, the owner does not have them and
+// can't fail them.
 func (e *Engine) endExchangesAfter(d time.Duration) {
 	if e.holdings != nil {
 		e.env.AfterFunc(d, e.endExchanges)
--- a/internal/pipeline/engine.go
+++ b/internal/pipeline/engine.go
@@ -205,8 +205,8 @@
 
 // FailPending fails all requests that are pending, because the process is about to end and would leave them unanswered. A
 // failure does not tell the caller whether the request ran, so it is true in either case. Requests whose key is still being
-// claimed are refused after exchangeGrace. Answers of usual length that have begun to pass on are broken off after the given
-// time.
+// claimed are refused after exchangeGrace, and those whose outcome is still being recorded are answered. Answers of usual length
+// that have begun to pass on are broken off after the given time.
 func (e *Engine) FailPending(streamGrace time.Duration) { e.post(failPending{streamGrace}) }
 
 // failPending is the event that fails all pending requests.
--- a/internal/pipeline/takein.go
+++ b/internal/pipeline/takein.go
@@ -120,7 +120,7 @@
 	answer = e.await(in)
 	if claim != nil {
 		conn.SetPendingState(httpwire.StateRecording)
-		answer = claim.Finish(answer, answer.MayHaveRun, max(outcomeReserve, in.deadline-e.clock.Now()+outcomeReserve))
+		answer = claim.Finish(e.exchanges, answer, answer.MayHaveRun, max(outcomeReserve, in.deadline-e.clock.Now()+outcomeReserve))
 	}
 	return answer, true
 }
