A claim never waits for copies longer than its request's time

What callers saw: the answer to a held request comes up to 0.3 s after its time where copies hang.

Cause: the waits of a claim were not bounded by what bounds the request. Where this sidecar is the primary itself, each try waits 300 ms for the backups, however little time is left. Where all 16 connections to the primary are busy, the wait for one and the call on it have the whole timeout each.

Evidence: TestClaimEndsWithinTheTimeOfItsRequest, on a clock that the test moves: a claim within 40 ms ends after 300 ms, one within 350 ms after 525 ms, a recording within 1 s after 1.27 s.

Fix: a try at this sidecar's own shard has the time that is left, 300 ms at most, and a call's timeout includes the wait for its connection. The store gets a copy of the command: it may still execute it when the claim has ended and its owner makes a drop of the same one, so far of the very value that stands in the store's queue.

Result: the test fails in 9 of 16 checks before and passes; tests of the package pass, also with -race.

--- a/internal/cluster/member/holdings.go
+++ b/internal/cluster/member/holdings.go
@@ -228,8 +228,10 @@
 	}
 }
 
-// call makes a call on a connection that no other call uses meanwhile. It fails when the context ends.
+// call makes a call on a connection that no other call uses meanwhile. The timeout includes the wait for that connection. It fails when the
+// context ends.
 func (hs *holdingsService) call(ctx context.Context, address, kind string, body, reply any, timeout time.Duration) error {
+	deadline := hs.member.env.Now().Add(timeout)
 	hs.mu.Lock()
 	pool := hs.pools[address]
 	if pool == nil {
@@ -241,7 +243,10 @@
 	if err != nil {
 		return err
 	}
-	err = client.CallContext(ctx, kind, body, reply, timeout)
+	err = errBusy
+	if left := deadline.Sub(hs.member.env.Now()); left > 0 {
+		err = client.CallContext(ctx, kind, body, reply, left)
+	}
 	pool.free <- client // does not block: the channel has a slot for each connection
 	if pool.closed.Load() {
 		pool.close()
@@ -300,7 +305,7 @@
 			if err := command.Check(); err != nil {
 				return nil, fmt.Errorf("hold-ask: %w", err)
 			}
-			return hs.handleCommand(context.Background(), &command), nil
+			return hs.handleCommand(context.Background(), &command, commandTimeout), nil
 		},
 		"hold-show": func(_ string, body []byte) (any, error) {
 			var key holdings.Key
@@ -335,15 +340,15 @@
 	Entry holdings.Entry `cbor:"2,keyasint"`
 }
 
-// handleCommand processes an owner's command as the primary. It returns AnswerNone if there is no answer within commandTimeout, or before
-// the context ends.
-func (hs *holdingsService) handleCommand(ctx context.Context, command *holdings.Command) holdings.Answer {
+// handleCommand processes an owner's command as the primary. It returns AnswerNone if there is no answer within the timeout, or before the
+// context ends. The store may still execute the command after that, so the caller must not change it any more.
+func (hs *holdingsService) handleCommand(ctx context.Context, command *holdings.Command, timeout time.Duration) holdings.Answer {
 	answers := make(chan holdings.Answer, 1)
 	hs.mu.Lock()
 	hs.store.Handle(hs.now(), command, func(answer holdings.Answer) { answers <- answer })
 	hs.sendPending()
 	hs.mu.Unlock()
-	timer := hs.member.env.NewTimer(commandTimeout)
+	timer := hs.member.env.NewTimer(timeout)
 	defer timer.Stop()
 	select {
 	case answer := <-answers:
@@ -403,14 +408,16 @@
 	if command.Op == holdings.OpClaim && command.Owner != me { // this sidecar has joined anew: claim under its present incarnation
 		command.Owner = me
 	}
+	timeout := min(commandTimeout, deadline.Sub(hs.member.env.Now()))
 	switch {
 	case address == "" || command.Owner == (holdings.Incarnation{}):
 		return holdings.Answer{Kind: holdings.AnswerNotPrimary}
 	case primary == me:
-		return hs.handleCommand(ctx, command)
+		queued := *command
+		return hs.handleCommand(ctx, &queued, timeout)
 	}
 	var answer holdings.Answer
-	if err := hs.call(ctx, address, "hold-ask", command, &answer, min(commandTimeout, deadline.Sub(hs.member.env.Now()))); err != nil {
+	if err := hs.call(ctx, address, "hold-ask", command, &answer, timeout); err != nil {
 		return holdings.Answer{Kind: holdings.AnswerNone}
 	}
 	return answer
--- a/internal/cluster/member/stop_test.go
+++ b/internal/cluster/member/stop_test.go
@@ -88,6 +88,12 @@
 	if m.holdings, err = newHoldingsService(m, conf); err != nil {
 		return nil, err
 	}
+	m.holdings.applyFixedView(peerAddress, replicas, leaseEnd)
+	return fixedCluster{m}, nil
+}
+
+// applyFixedView makes a sidecar's holdings know that each shard has the given replicas, the primary first.
+func (hs *holdingsService) applyFixedView(peerAddress string, replicas []holdings.Incarnation, leaseEnd cluster.BootTime) {
 	placement := &holdings.Placement{Number: 1}
 	shard := holdings.Shard{Config: 1}
 	for i, incarnation := range replicas {
@@ -96,22 +102,24 @@
 	for i := range placement.Shards {
 		placement.Shards[i] = shard
 	}
-	hs := m.holdings
 	members := []holdings.Member{{Incarnation: ownIncarnation, Zone: "a"}, {Incarnation: peerIncarnation, Zone: "b", Address: peerAddress}}
 	hs.me, hs.view = ownIncarnation, holdings.View{Placement: placement, Members: members}
-	hs.addresses = map[holdings.Incarnation]string{ownIncarnation: "127.0.0.1:1", peerIncarnation: peerAddress}
+	hs.addresses = map[holdings.Incarnation]string{ownIncarnation: "127.0.0.1:2", peerIncarnation: peerAddress}
 	hs.store.SetLease(leaseEnd)
 	hs.store.ApplyView(hs.now(), ownIncarnation, placement, members)
-	return fixedCluster{m}, nil
 }
 
-// loadConfig returns the configuration of a sidecar with the keyed class "order" and one endpoint.
+// loadConfig returns the configuration of a sidecar with the keyed class "order" and one endpoint, or none if that is nil.
 func loadConfig(t *testing.T, endpoint *scripted.Endpoint) *config.Config {
 	t.Helper()
+	known := scripted.FullList(1)
+	if endpoint != nil {
+		known = scripted.FullList(1, endpoint.Line())
+	}
 	millis := orderDeadline.Seconds() * 1000
 	text, err := json.Marshal(map[string]any{
 		"name": ownIncarnation.Name, "listen": "127.0.0.1:0", "discovery": scripted.StartDiscovery(t).Address, "seed": "1",
-		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": scripted.FullList(1, endpoint.Line()),
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": known,
 		"settings": map[string]any{
 			"me": 0, "replicas_of_me": 2, "az": "a", "tier": 0, "stages": []string{"one"}, "tick": 2.0, "membership_mode": "subscribe", "over_share_worth": 0.1,
 			"bounds": map[string]any{
