The recording of an outcome ends within its request's time

What callers saw: a held request of under 0.5 s whose outcome can't be recorded is answered up to 0.05 s after its time.

Cause: a tenth of the request's time is kept for the recording, 50 ms at most, but the recording was always given 50 ms, counted from the end of the attempts; nothing was left for writing the answer.

Evidence: TestRecordingEndsWithinTheTimeOfItsRequest with the former bound in recordingTime fails in 6 of 10 checks: 50 ms where 2, 10 or 20 ms are left.

Fix: the recording has what is left of the request's time, less a fifth of what is kept, for writing the answer.

Result: the test passes; tests of the package that touch claims pass, also with -race.

--- a/internal/pipeline/claim.go
+++ b/internal/pipeline/claim.go
@@ -6,6 +6,7 @@
 	"errors"
 	"time"
 
+	"heathgap/decide"
 	"heathgap/internal/httpwire"
 	"heathgap/internal/state"
 )
@@ -43,8 +44,19 @@
 // SetHoldings makes the engine claim the keys of requests. It is called before Run.
 func (e *Engine) SetHoldings(h Holdings) { e.holdings = h }
 
-// outcomeReserve is the part of a claimed request's time that is kept for recording its outcome: a tenth, but at most this.
-const outcomeReserve = 50 * time.Millisecond
+// The last part of a claimed request's time is kept for recording its outcome and writing its answer.
+const (
+	outcomeReserve    = 50 * time.Millisecond // it is a tenth of the time, but at most this
+	answerReservePart = 5                     // one part in so many of it is for writing the answer
+)
+
+// recordingTime returns the time limit for recording the outcome of a request that has its answer now. deadline is the end of its
+// attempts, and answerBy is when its caller must have the answer. If the answer came late, as after a pause of the process, the limit is
+// what a request that ends at its deadline has.
+func recordingTime(now, deadline, answerBy decide.Time) time.Duration {
+	reserve := answerBy - deadline
+	return max(reserve, answerBy-now) - reserve/answerReservePart
+}
 
 // exchangeGrace is how long claims and recordings may go on once pending requests have failed: long enough for an exchange with a sidecar that
 // answers, and short enough to write the answer before the process ends.
--- a/internal/pipeline/takein.go
+++ b/internal/pipeline/takein.go
@@ -103,6 +103,7 @@
 // the owner and waits for its answer.
 func (e *Engine) awaitBuffered(message *httpwire.Request, conn *httpwire.CallerConn, crowded bool, caller *waitingCaller) (answer httpwire.Answer, counted bool) {
 	var claim Claim
+	answerBy := e.clock.Now() + message.Remaining
 	if e.holdings != nil && e.holdings.Holds(message.Class) {
 		var knownAnswer *httpwire.Answer
 		conn.SetPendingState(httpwire.StateClaiming)
@@ -120,7 +121,7 @@
 	answer = e.await(in)
 	if claim != nil {
 		conn.SetPendingState(httpwire.StateRecording)
-		answer = claim.Finish(e.exchanges, answer, answer.MayHaveRun, max(outcomeReserve, in.deadline-e.clock.Now()+outcomeReserve))
+		answer = claim.Finish(e.exchanges, answer, answer.MayHaveRun, recordingTime(e.clock.Now(), in.deadline, answerBy))
 	}
 	return answer, true
 }
