--- a/internal/cluster/member/stop_test.go
+++ b/internal/cluster/member/stop_test.go
@@ -112,25 +112,44 @@
 // loadConfig returns the configuration of a sidecar with the keyed class "order" and one endpoint, or none if that is nil.
 func loadConfig(t *testing.T, endpoint *scripted.Endpoint) *config.Config {
 	t.Helper()
-	known := scripted.FullList(1)
+	var lines []map[string]any
 	if endpoint != nil {
-		known = scripted.FullList(1, endpoint.Line())
+		lines = append(lines, endpoint.Line())
 	}
-	millis := orderDeadline.Seconds() * 1000
-	text, err := json.Marshal(map[string]any{
-		"name": ownIncarnation.Name, "listen": "127.0.0.1:0", "discovery": scripted.StartDiscovery(t).Address, "seed": "1",
-		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": known,
+	path := writeConfig(t, sidecarConfig(ownIncarnation.Name, "127.0.0.1:0", scripted.StartDiscovery(t), orderDeadline, lines...))
+	conf, err := config.Load(func(key string) string { return map[string]string{config.EnvFile: path}[key] })
+	if err != nil {
+		t.Fatal(err)
+	}
+	return conf
+}
+
+// sidecarConfig returns the configuration of a sidecar whose one class, "order", is keyed and has the given deadline.
+func sidecarConfig(name, listen string, discovery *scripted.Discovery, deadline time.Duration, lines ...map[string]any) map[string]any {
+	millis := deadline.Seconds() * 1000
+	class := map[string]any{
+		"name": "order", "effect": "by_key", "group": "all", "window": 2 * millis, "aim": millis / 2, "deadline": millis, "worth": 1.0,
+	}
+	bounds := map[string]any{
+		"cancel": true, "retry_after": true, "max_retry_after": 1000.0, "max_attempts": 3, "connect_timeout": 500.0, "conn_idle": 10000.0, "most_held": 500,
+	}
+	rules := map[string]any{
+		"answer_slack": 50.0, "ask_every": 5000.0, "cold": 8900.0, "cold_from": 0.3, "drain_grace": 1000.0, "fall_multiple": 3.0, "overload_for": 3000.0,
+	}
+	return map[string]any{
+		"name": name, "listen": listen, "discovery": discovery.Address, "seed": "1", "known": scripted.FullList(1, lines...),
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
 		"settings": map[string]any{
 			"me": 0, "replicas_of_me": 2, "az": "a", "tier": 0, "stages": []string{"one"}, "tick": 2.0, "membership_mode": "subscribe", "over_share_worth": 0.1,
-			"bounds": map[string]any{
-				"cancel": true, "retry_after": true, "max_retry_after": 1000.0, "max_attempts": 3, "connect_timeout": 500.0, "conn_idle": 10000.0, "most_held": 500,
-			},
-			"rules": map[string]any{
-				"answer_slack": 50.0, "ask_every": 5000.0, "cold": 8900.0, "cold_from": 0.3, "drain_grace": 1000.0, "fall_multiple": 3.0, "overload_for": 3000.0,
-			},
-			"profiles": []any{map[string]any{"name": "order", "effect": "by_key", "group": "all", "window": 2 * millis, "aim": millis / 2, "deadline": millis, "worth": 1.0}},
+			"bounds": bounds, "rules": rules, "profiles": []any{class},
 		},
-	})
+	}
+}
+
+// writeConfig writes a configuration to a file and returns its path.
+func writeConfig(t *testing.T, conf map[string]any) string {
+	t.Helper()
+	text, err := json.Marshal(conf)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -138,11 +157,7 @@
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	conf, err := config.Load(func(key string) string { return map[string]string{config.EnvFile: path}[key] })
-	if err != nil {
-		t.Fatal(err)
-	}
-	return conf
+	return path
 }
 
 // orderText returns a request of the class "order" with a key of its own.
