Each wait of a claim has a test that only the end of its context can end

Cause: with the fix of one wait taken out by hand, the tests of a stop still passed, for the call to the primary, the queue for a connection and the wait for a backup: one try takes 0.3 s at most, and the answer came at 3.65 s, within the 3.7 s that the test asks. The pause of 0.15 s that a process may meet was not in that. Change: TestEachWaitOfAClaimEndsWithItsContext, in an environment whose timers and deadlines never come, with a barrier where the claim waits: for a connection to come up, for the primary's answer, for a connection that is free, for the next try, for the backup of an own shard. TestClaimEndsWithinTheTimeOfItsRequest also has connections that become free after half of the time. Result: on a scratch copy, taking out each of the five waits' ends, the end of the retries, the bound of a try at the own shard and the rest of the timeout behind the queue, one at a time, fails one of the two tests. Both pass on the code as it is, in 0.2 s.

--- a/internal/cluster/member/intime_test.go
+++ b/internal/cluster/member/intime_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"heathgap/decide"
 	"heathgap/internal/cluster"
 	"heathgap/internal/clusterparams"
@@ -15,6 +17,7 @@
 	"heathgap/internal/httpwire"
 	"heathgap/internal/operator"
 	"heathgap/internal/peerrpc"
+	"heathgap/internal/pipeline"
 	"heathgap/internal/versions"
 )
 
@@ -22,8 +25,10 @@
 // once. Goroutines do not run, so that no backup is ever reached.
 type manualEnv struct {
 	env.Real
-	now       time.Time
-	beginWait func(d time.Duration) (fires bool) // called with each wait for a timer, after it; nil for timers that all fire
+	now time.Time
+	// beginWait is called with each wait for a timer. It returns how long the wait lasts, and whether the timer has fired then. nil stands for
+	// timers that all fire.
+	beginWait func(d time.Duration) (lasts time.Duration, fires bool)
 }
 
 // Now implements env.Env.
@@ -52,9 +57,13 @@
 
 // C implements env.Timer: the caller waits for it from now on.
 func (t *manualTimer) C() <-chan time.Time {
-	t.env.now = t.env.now.Add(max(0, t.d))
+	lasts, fires := max(0, t.d), true
+	if t.env.beginWait != nil {
+		lasts, fires = t.env.beginWait(lasts)
+	}
+	t.env.now = t.env.now.Add(lasts)
 	c := make(chan time.Time, 1)
-	if t.env.beginWait == nil || t.env.beginWait(t.d) {
+	if fires {
 		c <- t.env.now
 	}
 	return c
@@ -66,43 +75,52 @@
 // Stop implements env.Timer.
 func (*manualTimer) Stop() {}
 
-// newManualService returns the holdings of a sidecar whose shards all have the given replicas, the primary first.
+// manualPeerAddress is the address of the other sidecar in tests that never reach it.
+const manualPeerAddress = "127.0.0.1:1"
+
+// newManualService returns the holdings of a sidecar whose shards all have the given replicas, the primary first, and that never reaches the
+// other one.
 func newManualService(t *testing.T, environment *manualEnv, replicas ...holdings.Incarnation) *holdingsService {
 	t.Helper()
-	conf := loadConfig(t, nil)
+	return newService(t, environment, manualPeerAddress, replicas...)
+}
+
+// newService returns the holdings of a sidecar whose shards all have the given replicas, the primary first.
+func newService(t *testing.T, environment env.Env, peerAddress string, replicas ...holdings.Incarnation) *holdingsService {
+	t.Helper()
 	table := operator.Cluster{
 		Name: "test", Params: clusterparams.Params{Lease: time.Hour, Holdings: clusterparams.Holdings{Copies: len(replicas), Keep: time.Hour, LostAfter: time.Hour}},
 		Holdings: operator.Holdings{Classes: map[string]operator.WhenAlone{"order": operator.RefuseAlone}, MaxEntries: 1000, MaxBody: 1000},
 	}
-	m := &Member{conf: table, env: environment, holder: cluster.NewLeaseHolder(cluster.Member{Name: ownIncarnation.Name}, table.Params, versions.FromSettings(&decide.Settings{}), 0)}
-	hs, err := newHoldingsService(m, conf)
+	m := &Member{
+		conf: table, env: environment, log: zerolog.Nop(),
+		holder: cluster.NewLeaseHolder(cluster.Member{Name: ownIncarnation.Name}, table.Params, versions.FromSettings(&decide.Settings{}), 0),
+	}
+	hs, err := newHoldingsService(m, loadConfig(t, nil))
 	if err != nil {
 		t.Fatal(err)
 	}
-	hs.applyFixedView("127.0.0.1:1", replicas, environment.BootTime()+table.Params.Lease)
+	hs.applyFixedView(peerAddress, replicas, environment.BootTime()+table.Params.Lease)
 	return hs
 }
 
 // Guards against answers that come later than their request's time because a claim waits for copies longer than that: where this sidecar is
 // the primary itself, and where a connection to the primary becomes free late.
 func TestClaimEndsWithinTheTimeOfItsRequest(t *testing.T) {
-	for _, within := range []time.Duration{40 * time.Millisecond, 200 * time.Millisecond, 350 * time.Millisecond, time.Second} {
-		for name, replicas := range map[string][]holdings.Incarnation{
-			"own shard, the backup hangs": {ownIncarnation, peerIncarnation}, "all connections to the primary are busy": {peerIncarnation},
-		} {
+	for name, c := range map[string]struct {
+		replicas []holdings.Incarnation
+		freeAt   float64 // the part of the timeout after which a connection to the primary becomes free
+	}{
+		"own shard, the backup hangs":               {replicas: []holdings.Incarnation{ownIncarnation, peerIncarnation}},
+		"connections are busy for half of the time": {replicas: []holdings.Incarnation{peerIncarnation}, freeAt: 0.5},
+		"connections are busy for all of the time":  {replicas: []holdings.Incarnation{peerIncarnation}, freeAt: 1},
+		"a connection is free, the primary is away": {replicas: []holdings.Incarnation{peerIncarnation}},
+	} {
+		for _, within := range []time.Duration{40 * time.Millisecond, 200 * time.Millisecond, 350 * time.Millisecond, time.Second} {
 			environment := &manualEnv{now: time.Unix(1e6, 0)}
-			hs := newManualService(t, environment, replicas...)
-			pool := &clientPool{free: make(chan *peerrpc.Client, maxClientsPerPeer)}
-			pool.made.Store(maxClientsPerPeer)
-			hs.pools["127.0.0.1:1"] = pool
-			if len(replicas) == 1 {
-				environment.beginWait = func(d time.Duration) bool {
-					if len(pool.free) > 0 {
-						return true
-					}
-					pool.free <- peerrpc.NewClient(environment, "test", "m1", "127.0.0.1:1")
-					return false
-				}
+			hs := newManualService(t, environment, c.replicas...)
+			if c.freeAt > 0 {
+				environment.beginWait = occupyConnections(hs, environment, c.freeAt)
 			}
 			request := &httpwire.Request{Class: "order", Key: "k", Remaining: within}
 			began := environment.now
@@ -119,3 +137,119 @@
 		}
 	}
 }
+
+// occupyConnections makes all connections to the primary busy. Who waits for one gets it after a part of the time that it would wait.
+func occupyConnections(hs *holdingsService, environment *manualEnv, freeAt float64) func(time.Duration) (time.Duration, bool) {
+	pool := &clientPool{free: make(chan *peerrpc.Client, maxClientsPerPeer)}
+	pool.made.Store(maxClientsPerPeer)
+	hs.pools[manualPeerAddress] = pool
+	return func(d time.Duration) (lasts time.Duration, fires bool) {
+		if len(pool.free) > 0 { // not a wait for a connection
+			return d, true
+		}
+		pool.free <- peerrpc.NewClient(environment, "test", ownIncarnation.Name, manualPeerAddress)
+		return time.Duration(float64(d) * freeAt), false
+	}
+}
+
+// endlessEnv is an environment in which no time passes: no timer fires and no deadline comes. It signals each wait for a timer and each dial,
+// and may let dials wait for the end of their context.
+type endlessEnv struct {
+	env.Real
+	start     time.Time // far ahead of the kernel's clock, so that deadlines of connections do not come either
+	waits     chan struct{}
+	hangsDial bool
+}
+
+func newEndlessEnv() *endlessEnv {
+	return &endlessEnv{start: time.Now().Add(time.Hour), waits: make(chan struct{}, 1)}
+}
+
+// Now implements env.Env.
+func (e *endlessEnv) Now() time.Time { return e.start }
+
+// NewTimer implements env.Env.
+func (e *endlessEnv) NewTimer(time.Duration) env.Timer { return endlessTimer{e} }
+
+// Dial implements env.Env.
+func (e *endlessEnv) Dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+	if e.hangsDial {
+		signalOnce(e.waits)
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return e.Real.Dial(ctx, address, timeout)
+}
+
+// endlessTimer is a timer of an endlessEnv.
+type endlessTimer struct{ env *endlessEnv }
+
+// C implements env.Timer.
+func (t endlessTimer) C() <-chan time.Time {
+	signalOnce(t.env.waits)
+	return nil
+}
+
+// Reset implements env.Timer.
+func (endlessTimer) Reset(time.Duration) {}
+
+// Stop implements env.Timer.
+func (endlessTimer) Stop() {}
+
+// Guards against a wait of a claim that does not hear that the process is about to end. Nothing else ends these waits here.
+func TestEachWaitOfAClaimEndsWithItsContext(t *testing.T) {
+	remote, own := []holdings.Incarnation{peerIncarnation}, []holdings.Incarnation{ownIncarnation, peerIncarnation}
+	for name, c := range map[string]struct {
+		replicas   []holdings.Incarnation
+		hangsDial  bool
+		busy       bool // all connections to the primary
+		notPrimary bool // so says the other sidecar; otherwise it never answers
+	}{
+		"for a connection to come up":    {replicas: remote, hangsDial: true},
+		"for the primary's answer":       {replicas: remote},
+		"for a connection that is free":  {replicas: remote, busy: true},
+		"for the next try":               {replicas: remote, notPrimary: true},
+		"for the backup of an own shard": {replicas: own},
+	} {
+		t.Run(name, func(t *testing.T) {
+			environment, released := newEndlessEnv(), make(chan struct{})
+			environment.hangsDial = c.hangsDial
+			peer, err := peerrpc.Listen(env.Real{}, "127.0.0.1:0", "test")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer peer.Close()
+			defer close(released)
+			peer.Serve(env.Real{}, peerHandlers{"hold-ask": func(string, []byte) (any, error) {
+				if c.notPrimary {
+					return holdings.Answer{Kind: holdings.AnswerNotPrimary}, nil
+				}
+				signalOnce(environment.waits)
+				<-released
+				return nil, errBusy
+			}})
+			hs := newService(t, environment, peer.Address(), c.replicas...)
+			if c.busy {
+				pool := &clientPool{free: make(chan *peerrpc.Client, maxClientsPerPeer)}
+				pool.made.Store(maxClientsPerPeer)
+				hs.pools[peer.Address()] = pool
+			}
+			ctx, end := context.WithCancel(t.Context())
+			defer end()
+			results := make(chan pipeline.ClaimResult, 1)
+			go func() {
+				results <- hs.Claim(ctx, &httpwire.Request{Class: "order", Key: "k", Remaining: time.Minute}, [16]byte{}, time.Minute)
+			}()
+			awaitSignals(t, "the claim waits", environment.waits, 1)
+			end()
+			select {
+			case result := <-results:
+				if result.Answer == nil || result.Answer.Verdict != httpwire.Refused {
+					t.Errorf("%+v, want a refusal", result.Answer)
+				}
+			case <-time.After(testPatience):
+				t.Error("the claim still waits")
+			}
+		})
+	}
+}
