A stop's grace for claims is a part of its time for the last answers; no clock read for others

The 50 ms that claims have once pending requests have failed had to be well under the 100 ms in which the stop writes the last answers, but the two stood in two packages and nothing tied them. Every buffered request read the clock once more for the time by which a claimed one must be answered. Change: claims and recordings have half of the grace that FailPending is given (50 ms, as before); the time is taken for held requests alone. Result: tests of claims, stops and waits pass in pipeline and member.

--- a/internal/pipeline/claim.go
+++ b/internal/pipeline/claim.go
@@ -58,9 +58,9 @@
 	return max(reserve, answerBy-now) - reserve/answerReservePart
 }
 
-// exchangeGrace is how long claims and recordings may go on once pending requests have failed: long enough for an exchange with a sidecar that
-// answers, and short enough to write the answer before the process ends.
-const exchangeGrace = 50 * time.Millisecond
+// exchangeGraceDivisor sets the part (1/2) of the time in which a stop writes the last answers that claims and recordings may still take:
+// long enough for an exchange with a sidecar that answers. The rest is for writing the answers that follow from them.
+const exchangeGraceDivisor = 2
 
 // endExchangesAfter ends the exchanges of claims with other sidecars after a time. Guards against requests that the end of the
 // process leaves without an answer: while their keys are claimed or their outcomes recorded, the owner does not have them and
--- a/internal/pipeline/engine.go
+++ b/internal/pipeline/engine.go
@@ -204,18 +204,18 @@
 func (e *Engine) Drain(on bool) { e.draining.Store(on) }
 
 // FailPending fails all requests that are pending, because the process is about to end and would leave them unanswered. A
-// failure does not tell the caller whether the request ran, so it is true in either case. Requests whose key is still being
-// claimed are refused after exchangeGrace, and those whose outcome is still being recorded are answered. Answers of usual length
-// that have begun to pass on are broken off after the given time.
-func (e *Engine) FailPending(streamGrace time.Duration) { e.post(failPending{streamGrace}) }
+// failure does not tell the caller whether the request ran, so it is true in either case. Answers of usual length that have
+// begun to pass on are broken off after the grace period. After a part of it (exchangeGraceDivisor), requests whose key is still
+// being claimed are refused, and those whose outcome is still being recorded are answered.
+func (e *Engine) FailPending(grace time.Duration) { e.post(failPending{grace}) }
 
 // failPending is the event that fails all pending requests.
-type failPending struct{ streamGrace time.Duration }
+type failPending struct{ grace time.Duration }
 
 func (f failPending) handle(e *Engine) {
 	e.stopping = true
-	e.endExchangesAfter(exchangeGrace)
-	streamsUntil := e.env.Now().Add(f.streamGrace)
+	e.endExchangesAfter(f.grace / exchangeGraceDivisor)
+	streamsUntil := e.env.Now().Add(f.grace)
 	for stream := range e.streams {
 		stream.SetDeadline(streamsUntil)
 	}
--- a/internal/pipeline/takein.go
+++ b/internal/pipeline/takein.go
@@ -103,9 +103,10 @@
 // the owner and waits for its answer.
 func (e *Engine) awaitBuffered(message *httpwire.Request, conn *httpwire.CallerConn, crowded bool, caller *waitingCaller) (answer httpwire.Answer, counted bool) {
 	var claim Claim
-	answerBy := e.clock.Now() + message.Remaining
+	var answerBy decide.Time // when the caller of a claimed request must have its answer
 	if e.holdings != nil && e.holdings.Holds(message.Class) {
 		var knownAnswer *httpwire.Answer
+		answerBy = e.clock.Now() + message.Remaining
 		conn.SetPendingState(httpwire.StateClaiming)
 		if claim, knownAnswer = e.claimKey(message); knownAnswer != nil {
 			return *knownAnswer, false
