Tests of a stop share their configuration, soak and membership

Cause: the new tests wrote again what lifecycle's had: the settings of a small deployment, writing them to a file, the flags and the loop over seeds of a soak, saving a log; and among themselves a member with a fixed view, a peer's server, the text of an order. No check, bound or seed changes.

--- a/internal/cluster/member/intime_test.go
+++ b/internal/cluster/member/intime_test.go
@@ -7,18 +7,11 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
-
-	"heathgap/decide"
-	"heathgap/internal/cluster"
-	"heathgap/internal/clusterparams"
 	"heathgap/internal/env"
 	"heathgap/internal/holdings"
 	"heathgap/internal/httpwire"
-	"heathgap/internal/operator"
 	"heathgap/internal/peerrpc"
 	"heathgap/internal/pipeline"
-	"heathgap/internal/versions"
 )
 
 // manualEnv is an environment in which time passes only while somebody waits: a wait for a timer or for a dial takes its whole duration at
@@ -78,32 +71,6 @@
 // manualPeerAddress is the address of the other sidecar in tests that never reach it.
 const manualPeerAddress = "127.0.0.1:1"
 
-// newManualService returns the holdings of a sidecar whose shards all have the given replicas, the primary first, and that never reaches the
-// other one.
-func newManualService(t *testing.T, environment *manualEnv, replicas ...holdings.Incarnation) *holdingsService {
-	t.Helper()
-	return newService(t, environment, manualPeerAddress, replicas...)
-}
-
-// newService returns the holdings of a sidecar whose shards all have the given replicas, the primary first.
-func newService(t *testing.T, environment env.Env, peerAddress string, replicas ...holdings.Incarnation) *holdingsService {
-	t.Helper()
-	table := operator.Cluster{
-		Name: "test", Params: clusterparams.Params{Lease: time.Hour, Holdings: clusterparams.Holdings{Copies: len(replicas), Keep: time.Hour, LostAfter: time.Hour}},
-		Holdings: operator.Holdings{Classes: map[string]operator.WhenAlone{"order": operator.RefuseAlone}, MaxEntries: 1000, MaxBody: 1000},
-	}
-	m := &Member{
-		conf: table, env: environment, log: zerolog.Nop(),
-		holder: cluster.NewLeaseHolder(cluster.Member{Name: ownIncarnation.Name}, table.Params, versions.FromSettings(&decide.Settings{}), 0),
-	}
-	hs, err := newHoldingsService(m, loadConfig(t, nil))
-	if err != nil {
-		t.Fatal(err)
-	}
-	hs.applyFixedView(peerAddress, replicas, environment.BootTime()+table.Params.Lease)
-	return hs
-}
-
 // Guards against answers that come later than their request's time because a claim waits for copies longer than that: where this sidecar is
 // the primary itself, and where a connection to the primary becomes free late.
 func TestClaimEndsWithinTheTimeOfItsRequest(t *testing.T) {
@@ -118,7 +85,7 @@
 	} {
 		for _, within := range []time.Duration{40 * time.Millisecond, 200 * time.Millisecond, 350 * time.Millisecond, time.Second} {
 			environment := &manualEnv{now: time.Unix(1e6, 0)}
-			hs := newManualService(t, environment, c.replicas...)
+			hs := fixedMember{peerAddress: manualPeerAddress, replicas: c.replicas}.service(t, environment)
 			if c.freeAt > 0 {
 				environment.beginWait = occupyConnections(hs, environment, c.freeAt)
 			}
@@ -138,11 +105,17 @@
 	}
 }
 
-// occupyConnections makes all connections to the primary busy. Who waits for one gets it after a part of the time that it would wait.
-func occupyConnections(hs *holdingsService, environment *manualEnv, freeAt float64) func(time.Duration) (time.Duration, bool) {
+// busyPool makes all connections to an address busy, and returns their pool.
+func busyPool(hs *holdingsService, address string) *clientPool {
 	pool := &clientPool{free: make(chan *peerrpc.Client, maxClientsPerPeer)}
 	pool.made.Store(maxClientsPerPeer)
-	hs.pools[manualPeerAddress] = pool
+	hs.pools[address] = pool
+	return pool
+}
+
+// occupyConnections makes all connections to the primary busy. Who waits for one gets it after a part of the time that it would wait.
+func occupyConnections(hs *holdingsService, environment *manualEnv, freeAt float64) func(time.Duration) (time.Duration, bool) {
+	pool := busyPool(hs, manualPeerAddress)
 	return func(d time.Duration) (lasts time.Duration, fires bool) {
 		if len(pool.free) > 0 { // not a wait for a connection
 			return d, true
@@ -214,13 +187,7 @@
 		t.Run(name, func(t *testing.T) {
 			environment, released := newEndlessEnv(), make(chan struct{})
 			environment.hangsDial = c.hangsDial
-			peer, err := peerrpc.Listen(env.Real{}, "127.0.0.1:0", "test")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer peer.Close()
-			defer close(released)
-			peer.Serve(env.Real{}, peerHandlers{"hold-ask": func(string, []byte) (any, error) {
+			address := startPeer(t, map[string]peerrpc.Handler{"hold-ask": func(string, []byte) (any, error) {
 				if c.notPrimary {
 					return holdings.Answer{Kind: holdings.AnswerNotPrimary}, nil
 				}
@@ -228,11 +195,10 @@
 				<-released
 				return nil, errBusy
 			}})
-			hs := newService(t, environment, peer.Address(), c.replicas...)
+			t.Cleanup(func() { close(released) })
+			hs := fixedMember{peerAddress: address, replicas: c.replicas}.service(t, environment)
 			if c.busy {
-				pool := &clientPool{free: make(chan *peerrpc.Client, maxClientsPerPeer)}
-				pool.made.Store(maxClientsPerPeer)
-				hs.pools[peer.Address()] = pool
+				busyPool(hs, address)
 			}
 			ctx, end := context.WithCancel(t.Context())
 			defer end()
--- a/internal/cluster/member/soak_test.go
+++ b/internal/cluster/member/soak_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"errors"
-	"flag"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -27,12 +26,7 @@
 	"heathgap/internal/peerrpc"
 )
 
-var (
-	soakSeeds    = flag.Int("soak.seeds", 8, "number of seeds of the soak of stops in a cluster")
-	soakFirst    = flag.Uint64("soak.first", 1, "first seed of that soak")
-	soakParallel = flag.Int("soak.parallel", 2, "number of its seeds that run at a time")
-	soakLogs     = flag.String("soak.logs", "", "folder for the logs of the stopped sidecars of failed seeds")
-)
+var clusterStopSoak = scripted.NewSoak(8, 2)
 
 // Parameters of a soak. The limits are those of the published protocol.
 const (
@@ -114,16 +108,7 @@
 // Guards against requests that a planned stop leaves unanswered while another sidecar of the cluster is killed or hangs
 // (review/3).
 func TestStopsInAClusterLoseNoRequest(t *testing.T) {
-	slots := make(chan struct{}, *soakParallel)
-	for i := range *soakSeeds {
-		seed := *soakFirst + uint64(i)
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			slots <- struct{}{}
-			defer func() { <-slots }()
-			soakOnce(t, newSoakPlan(seed))
-		})
-	}
+	clusterStopSoak.Run(t, func(t *testing.T, seed uint64) { soakOnce(t, newSoakPlan(seed)) })
 }
 
 // soakProcess is one sidecar of a soak.
@@ -170,7 +155,7 @@
 	for i, p := range r.processes {
 		conf := sidecarConfig(p.name, p.listen, discovery, plan.deadline, lines...)
 		conf["settings"].(map[string]any)["az"] = zoneOf(i)
-		r.launch(t, p, writeConfig(t, conf))
+		r.launch(t, p, scripted.WriteConfig(t, conf))
 	}
 	r.awaitReplicas(t)
 	var clients sync.WaitGroup
@@ -300,8 +285,7 @@
 	close(r.ended)
 }
 
-// sendOrders is a client: it sends orders on one connection after another until the stopped sidecar has ended. It opens no new connection
-// once the sidecar is told to stop, as a front does.
+// sendOrders is a client: it sends orders on one connection after another, until the stopped sidecar accepts no more or has ended.
 func (r *soakRun) sendOrders(name string, random *rand.Rand) {
 	for n := 0; ; n++ {
 		conn, err := net.Dial("tcp", r.processes[r.plan.stopped].listen)
@@ -334,8 +318,7 @@
 	request = soakRequest{id: id, local: conn.LocalAddr().String(), remaining: remaining, sent: time.Now()}
 	defer func() { request.ended = time.Now() }()
 	conn.SetDeadline(request.sent.Add(testPatience)) //nolint:errcheck // the write fails then
-	_, request.err = fmt.Fprintf(conn, "POST /order/x HTTP/1.1\r\nHost: x\r\nX-Txn: %s\r\nX-Remaining: %.3f\r\nIdempotency-Key: %s\r\nContent-Length: 3\r\n\r\none",
-		id, remaining.Seconds(), id)
+	_, request.err = io.WriteString(conn, orderText(id, remaining))
 	if request.err != nil {
 		return request
 	}
@@ -379,18 +362,7 @@
 		t.Error("no request was served, or none came in the stop: the run shows nothing")
 	}
 	if t.Failed() {
-		t.Logf("again: go test ./internal/cluster/member -run TestStopsInAClusterLoseNoRequest -soak.first %d -soak.seeds 1 -soak.logs DIR", r.plan.seed)
-		saveSoakLog(t, r.plan.seed, text)
-	}
-}
-
-// saveSoakLog writes the stopped sidecar's log to the folder for logs, if there is one.
-func saveSoakLog(t *testing.T, seed uint64, text []byte) {
-	if *soakLogs == "" {
-		return
-	}
-	if err := errors.Join(os.MkdirAll(*soakLogs, 0o700), os.WriteFile(filepath.Join(*soakLogs, fmt.Sprintf("seed-%d.log", seed)), text, 0o600)); err != nil {
-		t.Log(err)
+		clusterStopSoak.SaveLog(t, "./internal/cluster/member", "TestStopsInAClusterLoseNoRequest", r.plan.seed, string(text))
 	}
 }
 
--- a/internal/lifecycle/console_test.go
+++ b/internal/lifecycle/console_test.go
@@ -66,7 +66,7 @@
 			w.WriteHeader(500)
 		}
 	})
-	conf := testConfig(scripted.StartDiscovery(t), e.Line())
+	conf := scripted.SidecarConfig(scripted.StartDiscovery(t), e.Line())
 	conf["console"] = "127.0.0.1:0"
 	s := start(t, conf)
 	console := s.console.Address()
@@ -101,7 +101,7 @@
 func TestBanThroughTheConsole(t *testing.T) {
 	e1, e2 := scripted.StartEndpoint(t, "e1", nil), scripted.StartEndpoint(t, "e2", nil)
 	d := scripted.StartDiscovery(t)
-	conf := testConfig(d, e1.Line(), e2.Line())
+	conf := scripted.SidecarConfig(d, e1.Line(), e2.Line())
 	conf["console"] = "127.0.0.1:0"
 	s := start(t, conf)
 	console := s.console.Address()
@@ -138,7 +138,7 @@
 
 // There is no console unless one is configured, and an invalid address is an error that names the setting.
 func TestConsoleIsOffByDefault(t *testing.T) {
-	conf := testConfig(scripted.StartDiscovery(t))
+	conf := scripted.SidecarConfig(scripted.StartDiscovery(t))
 	if s := start(t, conf); s.console != nil {
 		t.Error("there is a console though none is configured")
 	}
--- a/internal/lifecycle/descriptors_test.go
+++ b/internal/lifecycle/descriptors_test.go
@@ -74,7 +74,7 @@
 			older, newer := scripted.StartEndpoint(t, "older", nil), scripted.StartEndpoint(t, "newer", nil)
 			address, console := scripted.FreeAddress(t), scripted.FreeAddress(t)
 			d := &scripted.Discovery{Address: scripted.FreeAddress(t)} // nothing listens there yet
-			conf := testConfig(d, older.Line())
+			conf := scripted.SidecarConfig(d, older.Line())
 			conf["listen"], conf["console"] = address, console
 			conf["limits"].(map[string]any)["sockets"] = sockets
 			conf["settings"].(map[string]any)["membership_mode"] = "automatic"
@@ -146,7 +146,7 @@
 // connections: each gets 400 and a close, or only a close.
 func TestBadInputInACrowd(t *testing.T) {
 	e := scripted.StartEndpoint(t, "e1", nil)
-	conf := testConfig(scripted.StartDiscovery(t), e.Line())
+	conf := scripted.SidecarConfig(scripted.StartDiscovery(t), e.Line())
 	conf["limits"].(map[string]any)["sockets"] = 64
 	s := start(t, conf)
 	startCrowd(t, s.Address(), 100)
--- a/internal/lifecycle/helpers_test.go
+++ b/internal/lifecycle/helpers_test.go
@@ -1,12 +1,9 @@
 package lifecycle
 
 import (
-	"encoding/json"
 	"io"
 	"net"
 	"net/http"
-	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -34,38 +31,6 @@
 	}
 }
 
-// testSettings returns the settings of a small deployment.
-func testSettings() map[string]any {
-	class := func(name, effect string, worth float64) map[string]any {
-		return map[string]any{
-			"name": name, "effect": effect, "group": "all", "aim": 500.0, "deadline": 2000.0,
-			"window": 2000.0, "worth": worth, "late_share": 0.5, "stream": false,
-		}
-	}
-	return map[string]any{
-		"me": 0, "replicas_of_me": 1, "az": "z", "tier": 0, "stages": []string{"one", "two"}, "tick": 2.0,
-		"membership_mode": "subscribe", "weights": "silent", "worth_by": "request", "over_share_worth": 0.1,
-		"bounds": map[string]any{
-			"cancel": true, "second_copies": true, "retry_after": true, "probing": false, "max_attempts": 4,
-			"max_retry_after": 2000.0, "connect_timeout": 500.0, "conn_idle": 10000.0, "most_held": 1000,
-		},
-		"rules": map[string]any{
-			"answer_slack": 20.0, "ask_every": 10000.0, "cold": 8000.0, "cold_from": 0.3,
-			"drain_grace": 1000.0, "fall_multiple": 3.0, "overload_for": 3000.0,
-		},
-		"profiles": []any{class("look", "repeatable", 1), class("pay", "by_key", 3), class("burn", "once", 3)},
-	}
-}
-
-// testConfig returns the configuration file as an object, for changes.
-func testConfig(d *scripted.Discovery, known ...map[string]any) map[string]any {
-	return map[string]any{
-		"name": "t0", "listen": "127.0.0.1:0", "discovery": d.Address, "seed": "8c1f30d27a5be964",
-		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-		"known":  scripted.FullList(1, known...), "settings": testSettings(),
-	}
-}
-
 // setDeadlines sets the deadline of all classes, in milliseconds.
 func setDeadlines(conf map[string]any, ms float64) {
 	for _, class := range conf["settings"].(map[string]any)["profiles"].([]any) {
@@ -73,19 +38,6 @@
 	}
 }
 
-func writeConfig(t *testing.T, conf map[string]any) string {
-	t.Helper()
-	text, err := json.Marshal(conf)
-	if err != nil {
-		t.Fatal(err)
-	}
-	path := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(path, text, 0o600); err != nil {
-		t.Fatal(err)
-	}
-	return path
-}
-
 // logBuffer collects log lines.
 type logBuffer struct {
 	mu   sync.Mutex
@@ -118,7 +70,7 @@
 
 func startWith(t *testing.T, conf map[string]any, opts Options) *testSidecar {
 	t.Helper()
-	path := writeConfig(t, conf)
+	path := scripted.WriteConfig(t, conf)
 	c, err := config.Load(func(key string) string {
 		if key == config.EnvFile {
 			return path
--- a/internal/lifecycle/probe_test.go
+++ b/internal/lifecycle/probe_test.go
@@ -37,7 +37,7 @@
 // With probing, a sidecar probes endpoints before it sends a request, and chooses by the load that they report.
 func TestProbesDecideWhereARequestGoes(t *testing.T) {
 	busy, idle := loadedEndpoint(t, "busy", "outstanding=5,utilization=1.0"), loadedEndpoint(t, "idle", "outstanding=0,utilization=0.1")
-	conf := testConfig(scripted.StartDiscovery(t), busy, idle)
+	conf := scripted.SidecarConfig(scripted.StartDiscovery(t), busy, idle)
 	useProbing(conf["settings"].(map[string]any))
 	s := start(t, conf)
 	for range 20 {
@@ -56,7 +56,7 @@
 	dead := loadedEndpoint(t, "dead", "")
 	dead["address"] = strings.TrimPrefix(gone.URL, "http://")
 	gone.Close()
-	conf := testConfig(scripted.StartDiscovery(t), dead, loadedEndpoint(t, "alive", "outstanding=0, utilization=0.1\n"))
+	conf := scripted.SidecarConfig(scripted.StartDiscovery(t), dead, loadedEndpoint(t, "alive", "outstanding=0, utilization=0.1\n"))
 	useProbing(conf["settings"].(map[string]any))
 	s := start(t, conf)
 	for range 5 {
@@ -70,8 +70,8 @@
 func TestShadowMode(t *testing.T) {
 	e := scripted.StartEndpoint(t, "e1", nil)
 	other := scripted.StartEndpoint(t, "e2", nil)
-	conf := testConfig(scripted.StartDiscovery(t), e.Line(), other.Line())
-	text, err := json.Marshal(useProbing(testSettings()))
+	conf := scripted.SidecarConfig(scripted.StartDiscovery(t), e.Line(), other.Line())
+	text, err := json.Marshal(useProbing(scripted.SidecarSettings()))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lifecycle/process_test.go
+++ b/internal/lifecycle/process_test.go
@@ -58,13 +58,13 @@
 
 func launch(t *testing.T, conf map[string]any) *process {
 	t.Helper()
-	return launchAt(t, conf, writeConfig(t, conf))
+	return launchAt(t, conf, scripted.WriteConfig(t, conf))
 }
 
 // launchLimited launches a process that may hold the given number of descriptors.
 func launchLimited(t *testing.T, conf map[string]any, descriptors int) *process {
 	t.Helper()
-	return launchAt(t, conf, writeConfig(t, conf), descriptorLimitEnv+"="+strconv.Itoa(descriptors))
+	return launchAt(t, conf, scripted.WriteConfig(t, conf), descriptorLimitEnv+"="+strconv.Itoa(descriptors))
 }
 
 // launchAt launches a process with an existing configuration file and more environment variables.
@@ -92,7 +92,7 @@
 // 0 and its counters in the log.
 func TestRestarts(t *testing.T) {
 	e := scripted.StartEndpoint(t, "e1", nil)
-	conf := testConfig(scripted.StartDiscovery(t), e.Line())
+	conf := scripted.SidecarConfig(scripted.StartDiscovery(t), e.Line())
 	address := scripted.FreeAddress(t)
 	conf["listen"] = address
 	first := launch(t, conf)
@@ -131,7 +131,7 @@
 	first, second := scripted.StartDiscovery(t), scripted.StartDiscovery(t)
 	first.Publish(t, 900, e1.Line())
 	second.Publish(t, 3, e2.Line())
-	conf := testConfig(first, e1.Line())
+	conf := scripted.SidecarConfig(first, e1.Line())
 	address := scripted.FreeAddress(t)
 	conf["listen"] = address
 	p := launch(t, conf)
@@ -162,7 +162,7 @@
 	}
 	reload([]byte(`{"name":"t0","listen":7}`))
 	eventually(t, "the invalid key is logged", logged("listen: want a string"))
-	another := testConfig(second, e2.Line())
+	another := scripted.SidecarConfig(second, e2.Line())
 	for _, class := range another["settings"].(map[string]any)["profiles"].([]any) {
 		class.(map[string]any)["name"] = "their-" + class.(map[string]any)["name"].(string)
 	}
@@ -208,7 +208,7 @@
 
 // An invalid configuration ends the start with one log line that names the key.
 func TestBadConfigurationEndsTheStart(t *testing.T) {
-	conf := testConfig(scripted.StartDiscovery(t))
+	conf := scripted.SidecarConfig(scripted.StartDiscovery(t))
 	conf["seed"] = "xyz"
 	p := launch(t, conf)
 	if err := p.Wait(); p.ProcessState.ExitCode() != 1 {
@@ -222,8 +222,8 @@
 
 // Guards against a panic that ends a process without a trace in its output.
 func TestPanicIsWritten(t *testing.T) {
-	conf := testConfig(scripted.StartDiscovery(t))
-	p := launchAt(t, conf, writeConfig(t, conf), runAsSidecar+"="+runAndPanic)
+	conf := scripted.SidecarConfig(scripted.StartDiscovery(t))
+	p := launchAt(t, conf, scripted.WriteConfig(t, conf), runAsSidecar+"="+runAndPanic)
 	if err := p.Wait(); err == nil || !strings.Contains(p.log.String(), "panic: the decider") {
 		t.Errorf("ended with %v and %q", err, p.log)
 	}
@@ -236,7 +236,7 @@
 		t.Fatal(err)
 	}
 	defer taken.Close()
-	conf := testConfig(scripted.StartDiscovery(t))
+	conf := scripted.SidecarConfig(scripted.StartDiscovery(t))
 	conf["listen"] = taken.Addr().String()
 	p := launch(t, conf)
 	if err := p.Wait(); p.ProcessState.ExitCode() != 1 || !strings.Contains(p.log.String(), "listen") {
@@ -252,7 +252,7 @@
 		time.Sleep(20 * time.Millisecond)
 		w.Write(bytes.Repeat([]byte("x"), 60<<10))
 	})
-	conf := testConfig(scripted.StartDiscovery(t), e.Line())
+	conf := scripted.SidecarConfig(scripted.StartDiscovery(t), e.Line())
 	address := scripted.FreeAddress(t)
 	conf["listen"] = address
 	conf["limits"] = map[string]any{"memory_mb": memoryMB, "sockets": sockets}
--- a/internal/lifecycle/races_test.go
+++ b/internal/lifecycle/races_test.go
@@ -52,7 +52,7 @@
 	}
 	e := scripted.StartEndpoint(t, "e1", nil)
 	d := scripted.StartDiscovery(t)
-	s := start(t, testConfig(d))
+	s := start(t, scripted.SidecarConfig(d))
 	const burst = 120
 	var peers []*scripted.Peer
 	for range burst {
@@ -78,7 +78,7 @@
 // can't get the answer, and against a reset instead: the caller reads EOF and can retry elsewhere.
 func TestRequestOnAClosingConnection(t *testing.T) {
 	e := scripted.StartEndpoint(t, "e1", nil)
-	s := start(t, testConfig(scripted.StartDiscovery(t), e.Line()))
+	s := start(t, scripted.SidecarConfig(scripted.StartDiscovery(t), e.Line()))
 	p := scripted.Connect(t, s.Address())
 	p.Send(requestText("/look", ""))
 	if status, _ := p.ReadAnswer(); status != 200 {
@@ -107,7 +107,7 @@
 func TestRequestsDuringAStop(t *testing.T) {
 	endpoint := scripted.Listen(t)
 	d := scripted.StartDiscovery(t)
-	s := start(t, testConfig(d, scripted.Line("e1", endpoint.Address)))
+	s := start(t, scripted.SidecarConfig(d, scripted.Line("e1", endpoint.Address)))
 	first := scripted.Connect(t, s.Address())
 	first.Send(requestText("/look", ""))
 	attempt := endpoint.Accept()
@@ -198,7 +198,7 @@
 			environment := &blockingEnv{blocked: make(chan string, 1), release: make(chan struct{}), skipped: 1}
 			environment.blockedAddresses.Store(endpoint.Address, true)
 			d := scripted.StartDiscovery(t)
-			s := startWith(t, testConfig(d, scripted.Line("e1", endpoint.Address)), Options{Operator: operator.Default(), Env: environment})
+			s := startWith(t, scripted.SidecarConfig(d, scripted.Line("e1", endpoint.Address)), Options{Operator: operator.Default(), Env: environment})
 			p := scripted.Connect(t, s.Address())
 			p.Send(requestText("/look", ""))
 			e := endpoint.Accept()
@@ -236,7 +236,7 @@
 		"half a line": "HTTP/1.", "a second answer": scripted.OK("another's"), "100": "HTTP/1.1 100 Continue\r\n\r\n",
 	} {
 		endpoint := scripted.Listen(t)
-		s := start(t, testConfig(scripted.StartDiscovery(t), scripted.Line("e1", endpoint.Address)))
+		s := start(t, scripted.SidecarConfig(scripted.StartDiscovery(t), scripted.Line("e1", endpoint.Address)))
 		p := scripted.Connect(t, s.Address())
 		p.Send(requestText("/look", ""))
 		e := endpoint.Accept()
@@ -260,9 +260,9 @@
 // Guards against a SIGTERM that comes while a process starts and is lost, or kills it. The configuration is a named
 // pipe: when it can be opened for writing, the process is reading it and has set up its signals before.
 func TestSIGTERMWhileItStarts(t *testing.T) {
-	conf := testConfig(&scripted.Discovery{Address: scripted.FreeAddress(t)}, scripted.Line("e1", scripted.FreeAddress(t)))
+	conf := scripted.SidecarConfig(&scripted.Discovery{Address: scripted.FreeAddress(t)}, scripted.Line("e1", scripted.FreeAddress(t)))
 	setDeadlines(conf, 300)
-	text, err := os.ReadFile(writeConfig(t, conf))
+	text, err := os.ReadFile(scripted.WriteConfig(t, conf))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -303,7 +303,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			conf := testConfig(&scripted.Discovery{Address: silent.Address}, scripted.Line("e1", scripted.FreeAddress(t)))
+			conf := scripted.SidecarConfig(&scripted.Discovery{Address: silent.Address}, scripted.Line("e1", scripted.FreeAddress(t)))
 			address := scripted.FreeAddress(t)
 			conf["listen"] = address
 			setDeadlines(conf, 300)
@@ -324,7 +324,7 @@
 		"silent": scripted.Listen(t).Address, "away": scripted.FreeAddress(t), "cut off": scripted.UnreachableAddress(t),
 	} {
 		begin := time.Now()
-		s := start(t, testConfig(&scripted.Discovery{Address: address}, e.Line()))
+		s := start(t, scripted.SidecarConfig(&scripted.Discovery{Address: address}, e.Line()))
 		if status, _ := get(t, s.Address(), "/up"); status != 200 {
 			t.Errorf("%s: /up answers %d", name, status)
 		}
@@ -341,7 +341,7 @@
 // and the limit of connections holds.
 func TestUsualCallersUnderAFlood(t *testing.T) {
 	e := scripted.StartEndpoint(t, "e1", nil)
-	conf := testConfig(scripted.StartDiscovery(t), e.Line())
+	conf := scripted.SidecarConfig(scripted.StartDiscovery(t), e.Line())
 	conf["limits"].(map[string]any)["sockets"] = 200
 	s := start(t, conf)
 	texts := []string{
@@ -401,7 +401,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			endpoint := scripted.Listen(t)
-			s := start(t, testConfig(scripted.StartDiscovery(t), scripted.Line("e1", endpoint.Address)))
+			s := start(t, scripted.SidecarConfig(scripted.StartDiscovery(t), scripted.Line("e1", endpoint.Address)))
 			p := scripted.Connect(t, s.Address())
 			p.Send(requestText("/look", ""))
 			e := endpoint.Accept()
@@ -442,7 +442,7 @@
 		t.Run(fmt.Sprint(at), func(t *testing.T) {
 			t.Parallel()
 			e := scripted.StartEndpoint(t, "e1", scripted.NeverAnswer(nil))
-			conf := testConfig(scripted.StartDiscovery(t), e.Line())
+			conf := scripted.SidecarConfig(scripted.StartDiscovery(t), e.Line())
 			address := scripted.FreeAddress(t)
 			conf["listen"] = address
 			setDeadlines(conf, deadline.Seconds()*1000)
@@ -489,7 +489,7 @@
 	for _, streaming := range []bool{false, true} {
 		t.Run(fmt.Sprintf("streaming %v", streaming), func(t *testing.T) {
 			endpoint := scripted.Listen(t)
-			conf := testConfig(scripted.StartDiscovery(t), scripted.Line("e1", endpoint.Address))
+			conf := scripted.SidecarConfig(scripted.StartDiscovery(t), scripted.Line("e1", endpoint.Address))
 			setDeadlines(conf, deadline.Seconds()*1000)
 			s := start(t, conf)
 			var attempt *scripted.Peer
--- a/internal/lifecycle/ready_test.go
+++ b/internal/lifecycle/ready_test.go
@@ -83,7 +83,7 @@
 	var all []*restarted
 	for name, address := range uselessDiscoveries(t) {
 		for range each {
-			conf := testConfig(&scripted.Discovery{Address: address}, e.Line())
+			conf := scripted.SidecarConfig(&scripted.Discovery{Address: address}, e.Line())
 			// Addresses from which nothing is dialed: on others, an ephemeral port may take a free address at any
 			// moment.
 			host := fmt.Sprintf("127.0.2.%d", len(all)+1)
@@ -127,7 +127,7 @@
 	var which []string
 	for name, address := range uselessDiscoveries(t) {
 		for range each {
-			all = append(all, start(t, testConfig(&scripted.Discovery{Address: address}, e.Line())))
+			all = append(all, start(t, scripted.SidecarConfig(&scripted.Discovery{Address: address}, e.Line())))
 			which = append(which, name)
 		}
 	}
@@ -152,7 +152,7 @@
 	for step, name := range []string{"before it accepts", "before it sends the listener", "before it sends its state", "asked to stop accepting"} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			conf := testConfig(d, e.Line())
+			conf := scripted.SidecarConfig(d, e.Line())
 			address := scripted.FreeAddress(t)
 			conf["listen"], conf["console"] = address, scripted.FreeAddress(t)
 			temp, err := os.MkdirTemp("", "") // the path of a Unix socket has to be short
@@ -186,7 +186,7 @@
 			})
 			defer func() { close(hanging); wait.Wait(); served.Close() }()
 			begin := time.Now()
-			p := launchAt(t, conf, writeConfig(t, conf), "TMPDIR="+temp)
+			p := launchAt(t, conf, scripted.WriteConfig(t, conf), "TMPDIR="+temp)
 			p.awaitReady(t, conf)
 			if took := time.Since(begin); took > readyTime {
 				t.Errorf("ready after %v", took)
--- a/internal/lifecycle/sidecar_test.go
+++ b/internal/lifecycle/sidecar_test.go
@@ -23,7 +23,7 @@
 
 func TestPassesRequestsOnUnchanged(t *testing.T) {
 	e := scripted.StartEndpoint(t, "e1", nil)
-	s := start(t, testConfig(scripted.StartDiscovery(t), e.Line()))
+	s := start(t, scripted.SidecarConfig(scripted.StartDiscovery(t), e.Line()))
 	r := request(t, s.Address(), http.MethodPost, "/pay/out?sid=a%2Fb&x=1", "some body")
 	r.Header.Set("Idempotency-Key", "5c0f6e1a")
 	r.Header.Set("X-Txn", "9b1f03aa5c7e2d41")
@@ -50,7 +50,7 @@
 // The same program serves every tier: a sidecar of a lower tier takes the same requests.
 func TestServesALowerTier(t *testing.T) {
 	e := scripted.StartEndpoint(t, "deep", nil)
-	conf := testConfig(scripted.StartDiscovery(t), e.Line())
+	conf := scripted.SidecarConfig(scripted.StartDiscovery(t), e.Line())
 	conf["settings"].(map[string]any)["tier"] = 1
 	s := start(t, conf)
 	if status, _ := get(t, s.Address(), "/up"); status != 200 {
@@ -65,7 +65,7 @@
 // is closed normally. What was pipelined after it is not forwarded: it may be a part of the invalid request.
 func TestMalformedRequestsReachNoEndpoint(t *testing.T) {
 	e := scripted.StartEndpoint(t, "e1", nil)
-	s := start(t, testConfig(scripted.StartDiscovery(t), e.Line()))
+	s := start(t, scripted.SidecarConfig(scripted.StartDiscovery(t), e.Line()))
 	const head = "Host: x\r\nX-Txn: 1\r\nX-Remaining: 1\r\n"
 	for name, text := range map[string]string{
 		"no class":          "GET / HTTP/1.1\r\n" + head + "\r\n",
@@ -129,7 +129,7 @@
 		<-release
 		io.WriteString(w, r.URL.Path)
 	})
-	s := start(t, testConfig(scripted.StartDiscovery(t), e.Line()))
+	s := start(t, scripted.SidecarConfig(scripted.StartDiscovery(t), e.Line()))
 	first := request(t, s.Address(), http.MethodGet, "/look/first", "")
 	got := make(chan string, 1)
 	go func() {
@@ -159,7 +159,7 @@
 		w.Header().Set("Content-Length", strconv.Itoa(long))
 		io.WriteString(w, strings.Repeat("x", long))
 	})
-	conf := testConfig(scripted.StartDiscovery(t), e.Line())
+	conf := scripted.SidecarConfig(scripted.StartDiscovery(t), e.Line())
 	conf["limits"] = map[string]any{"memory_mb": memoryMB, "sockets": 1024}
 	s := start(t, conf)
 	for range 8 * memoryMB << 20 / 6 / long {
@@ -173,7 +173,7 @@
 // pending for as long as the caller likes.
 func TestRemainingTimeAboveTheClassDeadline(t *testing.T) {
 	e := scripted.StartEndpoint(t, "mute", scripted.NeverAnswer(nil))
-	s := start(t, testConfig(scripted.StartDiscovery(t), e.Line()))
+	s := start(t, scripted.SidecarConfig(scripted.StartDiscovery(t), e.Line()))
 	r := request(t, s.Address(), http.MethodGet, "/look", "")
 	r.Header.Set("X-Remaining", "3000")
 	if status, _, err := trySend(r); err != nil || status == 200 {
@@ -200,7 +200,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			bad := scripted.StartEndpoint(t, "bad", c.behave)
-			s := start(t, testConfig(scripted.StartDiscovery(t), bad.Line()))
+			s := start(t, scripted.SidecarConfig(scripted.StartDiscovery(t), bad.Line()))
 			r := request(t, s.Address(), http.MethodPost, "/burn", "x")
 			got, body := send(t, r)
 			// The answer for a request that may have run must not say that a retry is harmless.
@@ -230,7 +230,7 @@
 	for name, address := range map[string]string{"refused": scripted.FreeAddress(t), "out of reach": scripted.UnreachableAddress(t)} {
 		t.Run(name, func(t *testing.T) {
 			e := scripted.StartEndpoint(t, "e1", nil)
-			conf := testConfig(scripted.StartDiscovery(t), scripted.Line("dead", address), e.Line())
+			conf := scripted.SidecarConfig(scripted.StartDiscovery(t), scripted.Line("dead", address), e.Line())
 			conf["settings"].(map[string]any)["bounds"].(map[string]any)["connect_timeout"] = 100.0
 			s := start(t, conf)
 			eventually(t, "an attempt at the dead one", func() bool {
@@ -253,7 +253,7 @@
 func TestSilentEndpointIsGivenUpInTime(t *testing.T) {
 	ended := make(chan struct{}, 8)
 	e := scripted.StartEndpoint(t, "mute", scripted.NeverAnswer(ended))
-	s := start(t, testConfig(scripted.StartDiscovery(t), e.Line()))
+	s := start(t, scripted.SidecarConfig(scripted.StartDiscovery(t), e.Line()))
 	r := request(t, s.Address(), http.MethodPost, "/burn", "x")
 	r.Header.Set("X-Remaining", "0.3")
 	begin := time.Now()
@@ -275,7 +275,7 @@
 // Guards against callers that disconnect unnoticed while their request is pending: fasthttp does not check.
 func TestCallerThatLeavesIsSeen(t *testing.T) {
 	e := scripted.StartEndpoint(t, "mute", scripted.NeverAnswer(nil))
-	s := start(t, testConfig(scripted.StartDiscovery(t), e.Line()))
+	s := start(t, scripted.SidecarConfig(scripted.StartDiscovery(t), e.Line()))
 	conn, err := net.Dial("tcp", s.Address())
 	if err != nil {
 		t.Fatal(err)
@@ -293,7 +293,7 @@
 // A byte of the next request that comes early is not lost to the watch for disconnects, which reads it.
 func TestNextRequestMayComeEarly(t *testing.T) {
 	e := scripted.StartEndpoint(t, "e1", nil)
-	s := start(t, testConfig(scripted.StartDiscovery(t), e.Line()))
+	s := start(t, scripted.SidecarConfig(scripted.StartDiscovery(t), e.Line()))
 	conn := dial(t, s.Address())
 	const one = "GET /look HTTP/1.1\r\nHost: x\r\nX-Txn: 1\r\nX-Remaining: 1.9\r\n\r\n"
 	io.WriteString(conn, one)
@@ -327,7 +327,7 @@
 			older, newer := scripted.StartEndpoint(t, "older", nil), scripted.StartEndpoint(t, "newer", nil)
 			d := scripted.StartDiscovery(t)
 			breakIt(d)
-			s := start(t, testConfig(d, older.Line()))
+			s := start(t, scripted.SidecarConfig(d, older.Line()))
 			if status, body := get(t, s.Address(), "/look"); status != 200 || body != "older" {
 				t.Fatalf("with the configured list: %d %q", status, body)
 			}
@@ -350,7 +350,7 @@
 func TestWatchFollowsChanges(t *testing.T) {
 	a, b := scripted.StartEndpoint(t, "a", nil), scripted.StartEndpoint(t, "b", nil)
 	d := scripted.StartDiscovery(t)
-	s := start(t, testConfig(d, a.Line()))
+	s := start(t, scripted.SidecarConfig(d, a.Line()))
 	eventually(t, "a watch", func() bool { return d.NumCalls() == 1 })
 	first := d.Queries()[0]
 	if !strings.HasPrefix(first, "after=1&wait_ms=") {
@@ -375,7 +375,7 @@
 	a, b := scripted.StartEndpoint(t, "a", nil), scripted.StartEndpoint(t, "b", nil)
 	d := scripted.StartDiscovery(t)
 	d.SetDown(true)
-	conf := testConfig(d, a.Line())
+	conf := scripted.SidecarConfig(d, a.Line())
 	conf["settings"].(map[string]any)["membership_mode"] = "automatic"
 	s := start(t, conf)
 	eventually(t, "a call fails", func() bool { return s.Counters().ListFailures > 0 })
@@ -391,7 +391,7 @@
 // being served.
 func TestManyIdleCallers(t *testing.T) {
 	e := scripted.StartEndpoint(t, "e1", nil)
-	conf := testConfig(scripted.StartDiscovery(t), e.Line())
+	conf := scripted.SidecarConfig(scripted.StartDiscovery(t), e.Line())
 	conf["limits"].(map[string]any)["sockets"] = 64
 	s := start(t, conf)
 	for range 200 {
@@ -413,7 +413,7 @@
 // Guards against callers that occupy all connections with incomplete requests: others must still be served.
 func TestManyHalfRequests(t *testing.T) {
 	e := scripted.StartEndpoint(t, "e1", nil)
-	conf := testConfig(scripted.StartDiscovery(t), e.Line())
+	conf := scripted.SidecarConfig(scripted.StartDiscovery(t), e.Line())
 	conf["limits"].(map[string]any)["sockets"] = 64
 	s := start(t, conf)
 	for range 100 {
@@ -437,7 +437,7 @@
 // that keeps sending byte by byte.
 func TestCallersThatNeverSendARequest(t *testing.T) {
 	const maxWait, slack = 3 * time.Second, time.Second // slack for a busy machine
-	s := start(t, testConfig(scripted.StartDiscovery(t)))
+	s := start(t, scripted.SidecarConfig(scripted.StartDiscovery(t)))
 	var wait sync.WaitGroup
 	for name, c := range map[string]struct{ text, bit string }{
 		"silent":              {"", ""},
@@ -480,7 +480,7 @@
 // A request without any time left is not sent, and its caller gets an answer that says so.
 func TestNoTimeLeft(t *testing.T) {
 	e := scripted.StartEndpoint(t, "e1", nil)
-	s := start(t, testConfig(scripted.StartDiscovery(t), e.Line()))
+	s := start(t, scripted.SidecarConfig(scripted.StartDiscovery(t), e.Line()))
 	r := request(t, s.Address(), http.MethodGet, "/look", "")
 	r.Header.Set("X-Remaining", "0")
 	if status, _ := send(t, r); status == 200 || e.Count() > 0 || s.Counters().Sent > 0 {
@@ -492,7 +492,7 @@
 // refused at once.
 func TestBusyConnectionsStayInBounds(t *testing.T) {
 	e := scripted.StartEndpoint(t, "mute", scripted.NeverAnswer(nil))
-	conf := testConfig(scripted.StartDiscovery(t), e.Line())
+	conf := scripted.SidecarConfig(scripted.StartDiscovery(t), e.Line())
 	conf["limits"].(map[string]any)["sockets"] = 64
 	s := start(t, conf)
 	var wait sync.WaitGroup
@@ -537,7 +537,7 @@
 		}
 		io.WriteString(w, "e1")
 	})
-	conf := testConfig(scripted.StartDiscovery(t), e.Line())
+	conf := scripted.SidecarConfig(scripted.StartDiscovery(t), e.Line())
 	setDeadlines(conf, 60000)
 	s := start(t, conf)
 	var conns [2]net.Conn // one stays idle, the other is used again and again
@@ -605,7 +605,7 @@
 // connection is being closed.
 func TestStopUnderTraffic(t *testing.T) {
 	e := scripted.StartEndpoint(t, "e1", nil)
-	s := start(t, testConfig(scripted.StartDiscovery(t), e.Line()))
+	s := start(t, scripted.SidecarConfig(scripted.StartDiscovery(t), e.Line()))
 	s.stopped = true
 	var wait sync.WaitGroup
 	for range 10 {
@@ -638,7 +638,7 @@
 // would be lost, where a failure is at least an answer.
 func TestStopFailsWhatCannotEnd(t *testing.T) {
 	e := scripted.StartEndpoint(t, "mute", scripted.NeverAnswer(nil))
-	conf := testConfig(scripted.StartDiscovery(t), e.Line())
+	conf := scripted.SidecarConfig(scripted.StartDiscovery(t), e.Line())
 	setDeadlines(conf, 60000)
 	s := start(t, conf)
 	got := make(chan int, 1)
@@ -669,7 +669,7 @@
 // The operator's file sets the log level and samples the lines on ended connections, and only those lines.
 func TestOperatorsLog(t *testing.T) {
 	e := scripted.StartEndpoint(t, "e1", nil)
-	conf := testConfig(scripted.StartDiscovery(t), e.Line())
+	conf := scripted.SidecarConfig(scripted.StartDiscovery(t), e.Line())
 	for name, c := range map[string]struct {
 		log         operator.Log
 		ends, ready int
--- a/internal/lifecycle/soak_test.go
+++ b/internal/lifecycle/soak_test.go
@@ -2,12 +2,10 @@
 
 import (
 	"errors"
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"os"
-	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -18,12 +16,7 @@
 	"heathgap/internal/lab/scripted"
 )
 
-var (
-	soakSeeds    = flag.Int("soak.seeds", 16, "number of seeds of the soak of stops")
-	soakFirst    = flag.Uint64("soak.first", 1, "first seed of the soak of stops")
-	soakParallel = flag.Int("soak.parallel", 4, "number of seeds of the soak that run at a time")
-	soakLogs     = flag.String("soak.logs", "", "folder for the logs of the sidecars of failed seeds")
-)
+var stopSoak = scripted.NewSoak(16, 4)
 
 // Limits of the published protocol, as a soak checks them.
 const (
@@ -91,7 +84,7 @@
 
 // config returns the configuration of the plan's sidecar.
 func (p *soakPlan) config(d *scripted.Discovery, lines ...map[string]any) map[string]any {
-	conf := testConfig(d, lines...)
+	conf := scripted.SidecarConfig(d, lines...)
 	profiles := conf["settings"].(map[string]any)["profiles"].([]any)
 	for i, class := range p.classes {
 		profile := profiles[i].(map[string]any)
@@ -104,16 +97,7 @@
 // Guards against report 86c0f4: a request that gets no answer, another one's, or is forwarded after its end, while its
 // sidecar is told to stop and is killed at the earliest moment.
 func TestStopsLoseNoRequest(t *testing.T) {
-	slots := make(chan struct{}, *soakParallel)
-	for i := range *soakSeeds {
-		seed := *soakFirst + uint64(i)
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			slots <- struct{}{}
-			defer func() { <-slots }()
-			soakOnce(t, newSoakPlan(seed))
-		})
-	}
+	stopSoak.Run(t, func(t *testing.T, seed uint64) { soakOnce(t, newSoakPlan(seed)) })
 }
 
 // soakRun is one run of a soak.
@@ -246,19 +230,7 @@
 		t.Error("no request was answered: the run shows nothing")
 	}
 	if t.Failed() || r.killed {
-		r.saveLog(t)
-		t.Logf("again: go test ./internal/lifecycle -run TestStopsLoseNoRequest -soak.first %d -soak.seeds 1 -soak.logs DIR", r.plan.seed)
-	}
-}
-
-// saveLog writes the sidecar's log to the folder for logs, if there is one.
-func (r *soakRun) saveLog(t *testing.T) {
-	if *soakLogs == "" {
-		return
-	}
-	path := filepath.Join(*soakLogs, fmt.Sprintf("seed-%d.log", r.plan.seed))
-	if err := errors.Join(os.MkdirAll(*soakLogs, 0o700), os.WriteFile(path, []byte(r.process.log.String()), 0o600)); err != nil {
-		t.Log(err)
+		stopSoak.SaveLog(t, "./internal/lifecycle", "TestStopsLoseNoRequest", r.plan.seed, r.process.log.String())
 	}
 }
 
--- a/internal/lifecycle/stream_test.go
+++ b/internal/lifecycle/stream_test.go
@@ -40,7 +40,7 @@
 		}
 		fmt.Fprint(w, len(body))
 	})
-	conf := testConfig(scripted.StartDiscovery(t), scripted.Line("e1", serveHTTP(t, slow)))
+	conf := scripted.SidecarConfig(scripted.StartDiscovery(t), scripted.Line("e1", serveHTTP(t, slow)))
 	listen := scripted.FreeAddress(t)
 	conf["listen"] = listen
 	conf["limits"] = map[string]any{"memory_mb": memoryMB, "sockets": 384}
@@ -107,7 +107,7 @@
 		<-release
 		panic(http.ErrAbortHandler)
 	})
-	conf := testConfig(scripted.StartDiscovery(t), e.Line())
+	conf := scripted.SidecarConfig(scripted.StartDiscovery(t), e.Line())
 	conf["console"] = "127.0.0.1:0"
 	s := start(t, conf)
 	for i, path := range []string{"/look/told", "/look/chunks"} {
@@ -147,7 +147,7 @@
 			fmt.Fprint(w, n)
 		}
 	}))
-	s := start(t, testConfig(scripted.StartDiscovery(t), scripted.Line("e1", address)))
+	s := start(t, scripted.SidecarConfig(scripted.StartDiscovery(t), scripted.Line("e1", address)))
 	const length = 200_000
 	for name, c := range map[string]struct {
 		framing string
@@ -223,7 +223,7 @@
 func TestLongBodyIsSentOnce(t *testing.T) {
 	good := scripted.StartEndpoint(t, "good", func(w http.ResponseWriter, r *http.Request) { io.Copy(io.Discard, r.Body) })
 	gone := scripted.Line("gone", scripted.FreeAddress(t))
-	s := start(t, testConfig(scripted.StartDiscovery(t), gone, good.Line()))
+	s := start(t, scripted.SidecarConfig(scripted.StartDiscovery(t), gone, good.Line()))
 	send := func(address string) int {
 		r := request(t, address, http.MethodPost, "/burn/long", string(patternBody(150_000)))
 		status, _, err := trySend(r)
@@ -241,7 +241,7 @@
 		io.Copy(io.Discard, r.Body)
 		panic(http.ErrAbortHandler)
 	})
-	s = start(t, testConfig(scripted.StartDiscovery(t), bad.Line()))
+	s = start(t, scripted.SidecarConfig(scripted.StartDiscovery(t), bad.Line()))
 	if status := send(s.Address()); status == 200 || status == 503 || bad.Count() != 1 {
 		t.Errorf("after it may have run: %d, sent %d times; want a failure and once", status, bad.Count())
 	}
@@ -253,7 +253,7 @@
 // Pipelined requests are answered in order, and nothing of them is left at the end.
 func TestPipelinedRequestsInOrder(t *testing.T) {
 	e := scripted.StartEndpoint(t, "e1", func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, r.URL.Path) })
-	s := start(t, testConfig(scripted.StartDiscovery(t), e.Line()))
+	s := start(t, scripted.SidecarConfig(scripted.StartDiscovery(t), e.Line()))
 	conn := dial(t, s.Address())
 	var text strings.Builder
 	for i := range 5 {
@@ -288,7 +288,7 @@
 		}
 		w.Write(text)
 	})
-	s := start(t, testConfig(scripted.StartDiscovery(t), e.Line()))
+	s := start(t, scripted.SidecarConfig(scripted.StartDiscovery(t), e.Line()))
 	for path, want := range map[string]int{"/look/told": 200, "/look/chunks": 502} {
 		conn := dial(t, s.Address())
 		fmt.Fprintf(conn, "GET %s HTTP/1.0\r\nHost: x\r\nX-Txn: %s\r\nX-Remaining: 1.5\r\n\r\n", path, newID())
@@ -312,7 +312,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			endpoint := scripted.Listen(t)
-			conf := testConfig(scripted.StartDiscovery(t), scripted.Line("e1", endpoint.Address))
+			conf := scripted.SidecarConfig(scripted.StartDiscovery(t), scripted.Line("e1", endpoint.Address))
 			setDeadlines(conf, deadline.Seconds()*1000)
 			s := start(t, conf)
 			caller := scripted.Connect(t, s.Address())
@@ -334,7 +334,7 @@
 func TestStopBreaksOffBegunAnswersThatStall(t *testing.T) {
 	const deadline, sentAfter = time.Second, 900 * time.Millisecond
 	endpoint := scripted.Listen(t)
-	conf := testConfig(scripted.StartDiscovery(t), scripted.Line("e1", endpoint.Address))
+	conf := scripted.SidecarConfig(scripted.StartDiscovery(t), scripted.Line("e1", endpoint.Address))
 	setDeadlines(conf, deadline.Seconds()*1000)
 	s := start(t, conf)
 	s.stopped, s.stayTime = true, sentAfter+50*time.Millisecond
--- a/internal/lifecycle/upgrade_test.go
+++ b/internal/lifecycle/upgrade_test.go
@@ -36,7 +36,7 @@
 func upgradeConfig(t *testing.T, d *scripted.Discovery, known ...map[string]any) (conf map[string]any, address string) {
 	t.Helper()
 	t.Setenv("TMPDIR", t.TempDir())
-	conf = testConfig(d, known...)
+	conf = scripted.SidecarConfig(d, known...)
 	address = scripted.FreeAddress(t)
 	conf["listen"] = address
 	return conf, address
