Log what a process uses of its memory, why a request is answered 400, how far a body is

CallerConn notes when the caller of a body was last waited for, by one poll ahead of each read of a body. Behaviour is the same. Result: TestLogOfMemoryAndBodies; tests of httpwire, pipeline, state, config and env pass.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -70,6 +70,7 @@
 	Transport settings.Transport
 	Classes   map[string]decide.Class
 
+	MemoryBytes    int64         // limit of the process's memory
 	HeapBytes      int64         // memory limit of the garbage collector
 	AnswerBytes    int64         // the part of it that answer bodies may take together
 	Sockets        int           // file descriptors, as configured
@@ -229,6 +230,7 @@
 	if sockets < minSockets {
 		return fmt.Errorf("limits.sockets: %d is below %d", sockets, minSockets)
 	}
+	c.MemoryBytes = int64(memoryMB * (1 << 20))
 	c.HeapBytes = int64(memoryMB * heapShare * (1 << 20))
 	c.AnswerBytes = int64(float64(c.HeapBytes) * answerShare)
 	c.Sockets = sockets
--- a/internal/httpwire/caller.go
+++ b/internal/httpwire/caller.go
@@ -32,6 +32,7 @@
 	requests       int
 	body           *bodyProgress // while a body is read; nil otherwise
 	bodyStopped    bool          // no more of the body is wanted
+	lastWaited     time.Time     // when the caller of a body was last waited for; all of the body may have come since then
 	detached       bool          // writes are only recorded in unsent: another process is to continue the current answer
 	handedOver     bool          // another process has taken over the connection
 	unsent         []byte        // recorded writes: one piece at most
@@ -46,6 +47,7 @@
 	endState       ConnState     // what it was doing when it was closed; valid once it is closed
 	dropped        int           // bytes that were read and dropped after it was closed for writing
 	requestID      string        // the caller's id of the request that it brought last
+	problem        string        // why its last request was answered 400; empty if it was not
 
 	descriptor   syscall.RawConn // set with its first pending request; nil if the connection has no descriptor
 	disconnected atomic.Bool     // its caller was seen to have disconnected
@@ -70,9 +72,10 @@
 		c.mu.Unlock()
 		return n, nil
 	}
-	idle, began := !c.busy, time.Time{}
+	idle, began, waits := !c.busy, time.Time{}, false
 	if c.body != nil {
 		began = c.owner.env.Now()
+		waits = !c.readable()
 		if c.Conn.SetReadDeadline(began.Add(c.body.timeLeft())); c.bodyStopped {
 			c.Conn.SetReadDeadline(pastDeadline)
 		}
@@ -85,8 +88,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.body != nil && !began.IsZero() {
+		now := c.owner.env.Now()
 		c.body.received += n
-		c.body.waited += c.owner.env.Now().Sub(began)
+		c.body.waited += now.Sub(began)
+		if waits {
+			c.lastWaited = now
+		}
 	}
 	if n > 0 {
 		c.markBusy()
@@ -145,7 +152,16 @@
 func (c *CallerConn) bodyBegins() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.body, c.bodyUnread = &bodyProgress{}, true
+	c.body, c.bodyUnread, c.lastWaited = &bodyProgress{}, true, c.owner.env.Now()
+	c.setDescriptor()
+}
+
+// LastWaited returns when the caller of a body was last waited for: what is known of the moment in which it wrote its last byte is
+// only that this came no earlier.
+func (c *CallerConn) LastWaited() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lastWaited
 }
 
 // MarkBodyUnread marks that a body is coming that nobody will read.
@@ -190,6 +206,11 @@
 		c.pending, c.proven = true, true
 		c.owner.pending.Add(1)
 	}
+	c.setDescriptor()
+}
+
+// setDescriptor makes the connection's descriptor available, if it has one; c.mu is held.
+func (c *CallerConn) setDescriptor() {
 	if conn, ok := c.Conn.(syscall.Conn); ok && c.descriptor == nil {
 		c.descriptor, _ = conn.SyscallConn() // nil if the connection is already closed on this side
 	}
--- a/internal/httpwire/connstate.go
+++ b/internal/httpwire/connstate.go
@@ -1,6 +1,9 @@
 package httpwire
 
-import "cmp"
+import (
+	"cmp"
+	"strings"
+)
 
 // ConnState says what a caller's connection is doing. It is written in log lines; docs/oncall.md explains each state.
 type ConnState string
@@ -68,6 +71,23 @@
 	return c.requestID
 }
 
+// maxProblem is the most that is kept of a problem's text, in bytes.
+const maxProblem = 80
+
+// SetProblem records why a request was answered 400, for the log.
+func (c *CallerConn) SetProblem(problem string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.problem = strings.Clone(problem[:min(len(problem), maxProblem)])
+}
+
+// Problem returns what SetProblem recorded last; "" without one.
+func (c *CallerConn) Problem() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.problem
+}
+
 // States counts the connections by what they are doing.
 func (l *Callers) States() map[ConnState]int {
 	states := map[ConnState]int{}
--- a/internal/httpwire/disconnect.go
+++ b/internal/httpwire/disconnect.go
@@ -101,16 +101,30 @@
 	if c.descriptor == nil {
 		return false
 	}
-	hungUp := false
-	err := c.descriptor.Control(func(fd uintptr) {
-		fds := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	hungUp, err := c.pollNow(unix.POLLRDHUP)
+	return hungUp || err != nil // an error means that it is closed on this side
+}
+
+// readable reports whether a read would return at once. Without a descriptor, as in a simulation, it reports false.
+func (c *CallerConn) readable() bool {
+	if c.descriptor == nil {
+		return false
+	}
+	ready, err := c.pollNow(unix.POLLIN | unix.POLLRDHUP)
+	return ready || err != nil // an error means that it is closed on this side
+}
+
+// pollNow asks the kernel whether any of the events, or an error, has occurred on the connection, without waiting.
+func (c *CallerConn) pollNow(events int16) (occurred bool, err error) {
+	err = c.descriptor.Control(func(fd uintptr) {
+		fds := [1]unix.PollFd{{Fd: int32(fd), Events: events}}
 		n, err := unix.Poll(fds[:], 0)
 		if err == unix.EINTR { // retry once: a signal handler ran in between
 			n, err = unix.Poll(fds[:], 0)
 		}
-		hungUp = n > 0 && err == nil
+		occurred = n > 0 && err == nil
 	})
-	return hungUp || err != nil // an error means that it is closed on this side
+	return occurred, err
 }
 
 // Unwatch ends the watch; after it, the server may read again.
--- a/internal/httpwire/stream.go
+++ b/internal/httpwire/stream.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
 	"heathgap/internal/env"
@@ -98,10 +99,11 @@
 
 // Upload is the part of a long body that its caller has still to send. Only one attempt can get it.
 type Upload struct {
-	Length  int // of the whole body in bytes; below 0 if unknown
-	body    io.Reader
-	conn    *CallerConn
-	claimed atomic.Bool
+	Length   int // of the whole body in bytes; below 0 if unknown
+	body     io.Reader
+	conn     *CallerConn
+	claimed  atomic.Bool
+	progress atomic.Int64 // the value of received, for other goroutines
 
 	mu       sync.Mutex // held during a read
 	received int
@@ -113,6 +115,25 @@
 // Claim assigns the upload to an attempt and reports whether it was free: it can be sent only once.
 func (u *Upload) Claim() bool { return !u.claimed.Swap(true) }
 
+// UploadProgress is how much of a long body has come. It is written to log lines.
+type UploadProgress struct {
+	Length   int           // of the whole body in bytes; below 0 if unknown
+	Received int64         // bytes that have been read from the caller
+	Waited   time.Duration // how long ago the caller was last waited for: from then on all of the body may have come
+}
+
+// MarshalZerologObject implements zerolog.LogObjectMarshaler.
+func (p UploadProgress) MarshalZerologObject(ev *zerolog.Event) {
+	ev.Int("length", p.Length).Int64("received", p.Received).Int64("waited_ms_ago", p.Waited.Milliseconds())
+}
+
+// Progress returns how much of the body has come. Any goroutine may call it.
+func (u *Upload) Progress() UploadProgress {
+	return UploadProgress{
+		Length: u.Length, Received: u.progress.Load(), Waited: u.conn.owner.env.Now().Sub(u.conn.LastWaited()),
+	}
+}
+
 // Done returns a channel that is closed when the body has ended, or will not be read any more.
 func (u *Upload) Done() <-chan struct{} { return u.done }
 
@@ -130,6 +151,7 @@
 		return 0, u.err
 	}
 	n, err := u.body.Read(b)
+	u.progress.Add(int64(n))
 	switch u.received += n; {
 	case u.received > MaxBody:
 		err = fmt.Errorf("%w: %d bytes are allowed", errTooLong, MaxBody)
--- a/internal/lifecycle/process.go
+++ b/internal/lifecycle/process.go
@@ -66,6 +66,7 @@
 		log.Error().Err(err).Msg("cannot start")
 		return 1
 	}
+	go sidecar.watchMemory()
 	code := sidecar.handleSignals(sig, os.Getenv)
 	if n := dropped.Load(); n > 0 {
 		log.Warn().Int64("lines", n).Msg("log lines dropped")
@@ -115,7 +116,7 @@
 		case <-sig.reload:
 			s.reload(env)
 		case <-sig.report:
-			s.log.Info().Object("counters", s.Counters()).Int("callers", s.callers.Open()).Msg("counters")
+			s.log.Info().Object("counters", s.Counters()).Int("callers", s.callers.Open()).Object("memory", readMemoryUsage()).Msg("counters")
 		case err := <-s.serverErr:
 			s.log.Error().Err(err).Msg("cannot accept connections")
 			return 1
--- a/internal/lifecycle/sidecar.go
+++ b/internal/lifecycle/sidecar.go
@@ -205,6 +205,9 @@
 	if dropped > 0 {
 		line = line.Int("dropped", dropped)
 	}
+	if problem := c.Problem(); problem != "" {
+		line = line.Str("problem", problem)
+	}
 	line.Str("last", c.RequestID()).Msg("connection ended")
 }
 
@@ -253,7 +256,7 @@
 		s.cluster.Stop() // only now: until here the sidecar acts on the rules of the cluster
 	}
 	s.logCutOff()
-	s.log.Info().Object("counters", s.engine.Snapshot()).Int("callers", s.callers.Open()).
+	s.log.Info().Object("counters", s.engine.Snapshot()).Int("callers", s.callers.Open()).Object("memory", readMemoryUsage()).
 		Int64("since_ms", s.env.Now().Sub(begin).Milliseconds()).Msg("stopped")
 }
 
--- a/internal/lifecycle/upgrade.go
+++ b/internal/lifecycle/upgrade.go
@@ -12,6 +12,7 @@
 	"syscall"
 
 	"heathgap/internal/httpwire"
+	"heathgap/internal/metrics"
 	"heathgap/internal/takeover"
 )
 
@@ -208,6 +209,9 @@
 // Metrics implements console.Operations.
 func (s *Sidecar) Metrics() []byte {
 	text := s.engine.Metrics()
+	usage := readMemoryUsage()
+	text = metrics.Append(text, "memory_kb", usage.Resident>>10, metrics.Gauge)
+	text = metrics.Append(text, "memory_peak_kb", usage.Peak>>10, metrics.Gauge)
 	if s.cluster != nil {
 		text = s.cluster.Metrics(text)
 	}
--- a/internal/pipeline/record.go
+++ b/internal/pipeline/record.go
@@ -10,6 +10,7 @@
 
 func (ended exchangeEnded) handle(e *Engine) {
 	endpoint := ended.attempt.Endpoint
+	ended.attempt.EndReason = ended.endReason
 	if ended.link != nil && ended.endReason == "" {
 		e.pool.Put(endpoint, ended.link, e.clock.Now())
 	} else {
--- a/internal/pipeline/requestlog.go
+++ b/internal/pipeline/requestlog.go
@@ -89,6 +89,9 @@
 	if suppressed > 0 {
 		line.Int("suppressed", suppressed)
 	}
+	if r.Message.Upload != nil {
+		line.Object("body", r.Message.Upload.Progress())
+	}
 	attempts := zerolog.Arr()
 	for _, a := range r.Attempts {
 		attempts.Object(attemptLine{a})
@@ -109,4 +112,7 @@
 		return
 	}
 	ev.Str("outcome", state.OutcomeName(a.Outcome)).Int64("took_ms", a.Latency.Milliseconds())
+	if a.EndReason != "" {
+		ev.Str("connection", string(a.EndReason))
+	}
 }
--- a/internal/pipeline/takein.go
+++ b/internal/pipeline/takein.go
@@ -73,6 +73,7 @@
 		if ctx.RequestBodyStream() != nil && !errors.Is(err, httpwire.ErrBody) {
 			conn.MarkBodyUnread()
 		}
+		conn.SetProblem(err.Error())
 		return httpwire.Answer{Verdict: httpwire.Malformed, Reason: err.Error()}, false
 	}
 	if maxDeadline := e.conf.Classes[message.Class].Deadline; maxDeadline > 0 {
@@ -210,6 +211,7 @@
 	e.malformed.Add(1)
 	if conn, ok := ctx.Conn().(*httpwire.CallerConn); ok {
 		conn.SetReason(httpwire.ReasonBadRequest)
+		conn.SetProblem(err.Error())
 	}
 	answer := httpwire.Answer{Verdict: httpwire.Malformed, Reason: "malformed request"}
 	httpwire.EncodeAnswer(&answer, &ctx.Response)
--- a/internal/state/request.go
+++ b/internal/state/request.go
@@ -37,10 +37,11 @@
 	TimeoutAt decide.Time // when its outcome becomes TimedOut or ConnectFailed
 	NotAfter  decide.Time // from then on its first byte may not be written; 0 for no such bound
 	GiveUp    context.CancelFunc
-	Settled   bool           // its outcome is known
-	Ran       bool           // it may have run, judging by its outcome
-	Outcome   decide.Outcome // valid once it is settled
-	Latency   decide.Time    // from Sent until it was settled
+	Settled   bool            // its outcome is known
+	Ran       bool            // it may have run, judging by its outcome
+	Outcome   decide.Outcome  // valid once it is settled
+	EndReason httpwire.Reason // why its connection ended, for the log; empty if that goes on
+	Latency   decide.Time     // from Sent until it was settled
 	// Generation identifies the cluster's rules under which it was decided; 0 without a cluster.
 	Generation   uint64
 	writeState   atomic.Int32
