--- a/internal/lifecycle/memory_test.go
+++ b/internal/lifecycle/memory_test.go
@@ -131,11 +131,12 @@
 	return func() { close(ended); wait.Wait() }
 }
 
-// startMemoryEndpoint starts an endpoint that answers paths that end in "long" with 1 MB and those that end in "slow" after a
-// second. Bodies it reads only to 20 kB.
+// startMemoryEndpoint starts an endpoint that answers paths that end in "long" with 8 MB, more than the kernel's buffers
+// take, those that end in "mb" with 1 MB, and those that end in "slow" after a second. Of bodies it reads 70 KiB at most.
 func startMemoryEndpoint(t *testing.T) string {
 	t.Helper()
-	long := patternBody(1 << 20)
+	megabyte := patternBody(1 << 20)
+	long := bytes.Repeat(megabyte, 8)
 	return scripted.ServeConns(t, func(conn *net.TCPConn) {
 		conn.SetReadBuffer(16 << 10) //nolint:errcheck // as above
 		go func() {
@@ -154,6 +155,8 @@
 				switch {
 				case strings.HasSuffix(r.URL.Path, "long"):
 					body = long
+				case strings.HasSuffix(r.URL.Path, "mb"):
+					body = megabyte
 				case strings.HasSuffix(r.URL.Path, "slow"):
 					time.Sleep(time.Second)
 				}
