--- a/internal/pipeline/engine.go
+++ b/internal/pipeline/engine.go
@@ -241,12 +241,13 @@
 // Snapshot is a copy of the engine's counters and gauges.
 type Snapshot struct {
 	state.Counters
-	ListCalls *metrics.ListCalls
-	Shadow    *shadow.Counts // what other settings would have decided; nil without a shadow
-	Pending   int            // requests without a final answer, or with one that is still being streamed
-	Streaming int            // those of Pending whose answer is being streamed
-	Endpoints int            // listed endpoints
-	Links     int            // connections to endpoints
+	ListCalls   *metrics.ListCalls
+	Shadow      *shadow.Counts // what other settings would have decided; nil without a shadow
+	Pending     int            // requests without a final answer, or with one that is still being streamed
+	Streaming   int            // those of Pending whose answer is being streamed
+	Endpoints   int            // listed endpoints
+	ListVersion int64          // version of the list in force
+	Links       int            // connections to endpoints
 }
 
 // MarshalZerologObject writes the snapshot into a log line.
@@ -258,7 +259,7 @@
 	if s.ListCalls != nil {
 		ev.Object("list_calls", s.ListCalls)
 	}
-	ev.Int("held", s.Pending).Int("endpoints", s.Endpoints).Int("links", s.Links)
+	ev.Int("held", s.Pending).Int("endpoints", s.Endpoints).Int64("list", s.ListVersion).Int("links", s.Links)
 }
 
 // snapshotRequest is the event that requests a snapshot from the owner.
@@ -278,7 +279,7 @@
 	}
 	return Snapshot{
 		Counters: counters, ListCalls: &e.metrics.ListCalls, Shadow: shadowCounts, Pending: e.requests.Pending() + len(e.streams),
-		Streaming: len(e.streams), Endpoints: e.endpoints.Len(), Links: e.pool.Open(),
+		Streaming: len(e.streams), Endpoints: e.endpoints.Len(), ListVersion: e.listVersion, Links: e.pool.Open(),
 	}
 }
 
