Bodies, long answers and connections take no more memory than there is

Cause: what a peer can hold was bounded by descriptors, not by bytes. Up to 64 KiB of each request's body were taken as its head announced them, copied once more for each attempt, and counted nowhere; a long answer kept the 64 KiB of its beginning (referenced by its event) beside a piece of 16 KiB until it was read; the number of connections did not go by memory; and used up, the answers' budget failed answers that could be passed on. Change: bodies of requests have a budget beyond their first 4 KiB and take memory as they come. Where it is used up a long body, and a long answer, is passed on with the beginning that there is; a short body that can't be buffered is refused (503, 1 s), and bodies that have been coming for a second are ended (reason memory). Beginnings are freed when they are written, pieces shrink to 4 KiB where more than half of a budget is taken, bodies over 4 KiB are written without a copy. limits.memory_mb bounds connections (22 KiB for a caller's, 16 KiB for an endpoint's). From 88% of the limit on a process keeps to three quarters of its connections and bodies. An upgrade's processes share the budgets too. Why it works: each byte that a peer can make the process keep stands in a budget or in the share of its connection, and the shares sum to nine tenths of the heap. A test changed: 'no room' of TestDecodeReply failed a long answer for want of memory; it is passed on now, so the case has a body of 64 KiB, and two cases were added (no room at all: fails; long, little room: whole).

--- a/internal/cluster/member/claim.go
+++ b/internal/cluster/member/claim.go
@@ -224,5 +224,5 @@
 	if answer.Stream != nil {
 		answer.Stream.Close()
 	}
-	return httpwire.Answer{Verdict: httpwire.Failed, Reserved: answer.Reserved}
+	return httpwire.Answer{Verdict: httpwire.Failed, Memory: answer.Memory}
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -37,11 +37,17 @@
 	defaultSockets  = 1024
 	minSockets      = 16 // fewer leave too little for callers and endpoints
 
-	answerShare      = 0.25 // of the heap, for answer bodies
-	heapShare        = 0.6  // of the memory, for the heap: stacks, buffers and the program need the rest
-	callerShare      = 0.6  // of the sockets, for callers
-	endpointShare    = 0.3  // of the sockets, for endpoints
-	maxReservedShare = 0.5  // of the sockets, the most that may be reserved: callers and endpoints need some as well
+	heapShare         = 0.6 // of the memory, for all that the runtime has: the program needs the rest
+	answerShare       = 0.2 // of the heap, for bodies of answers
+	bodyShare         = 0.1 // of the heap, for bodies of requests
+	callerHeapShare   = 0.4 // of the heap, for callers' connections
+	endpointHeapShare = 0.2 // of the heap, for connections to endpoints
+	callerShare       = 0.6 // of the sockets, for callers
+	endpointShare     = 0.3 // of the sockets, for endpoints
+	maxReservedShare  = 0.5 // of the sockets, the most that may be reserved: callers and endpoints need some as well
+
+	callerConnBytes   = 22 << 10 // that a caller's connection takes with its goroutines, buffers and the beginning of a body
+	endpointConnBytes = 16 << 10 // that a connection to an endpoint takes with its goroutine and its buffer
 
 	// Descriptors reserved for what counts neither as a caller's nor as an endpoint's connection: standard input,
 	// output and error (3), the poller (2), the listener, the connection to discovery and the next one that is opened
@@ -73,6 +79,7 @@
 	MemoryBytes    int64         // limit of the process's memory
 	HeapBytes      int64         // memory limit of the garbage collector
 	AnswerBytes    int64         // the part of it that answer bodies may take together
+	BodyBytes      int64         // the part of it that bodies of requests may take together
 	Sockets        int           // file descriptors, as configured
 	CallerConns    int           // limit for connections of callers, from Sockets or the process's own lower limit
 	EndpointConns  int           // limit for connections to endpoints
@@ -233,13 +240,15 @@
 	c.MemoryBytes = int64(memoryMB * (1 << 20))
 	c.HeapBytes = int64(memoryMB * heapShare * (1 << 20))
 	c.AnswerBytes = int64(float64(c.HeapBytes) * answerShare)
+	c.BodyBytes = int64(float64(c.HeapBytes) * bodyShare)
 	c.Sockets = sockets
 	c.divideSockets(sockets)
 	return nil
 }
 
 // divideSockets divides descriptors among their uses, the reserved ones first. Guards against callers or endpoints that
-// take the last descriptor: without one, the sidecar could neither receive lists from discovery nor serve operators.
+// take the last descriptor: without one, the sidecar could neither receive lists from discovery nor serve operators. There are no
+// more connections than there is memory for.
 func (c *Config) divideSockets(sockets int) {
 	reserved := reservedSockets
 	if c.Console != "" {
@@ -248,6 +257,8 @@
 	reserved = min(reserved, int(float64(sockets)*maxReservedShare))
 	c.EndpointConns = min(int(float64(sockets)*endpointShare), int(float64(sockets-reserved)*endpointShare/(callerShare+endpointShare)))
 	c.CallerConns = min(int(float64(sockets)*callerShare), sockets-reserved-c.EndpointConns)
+	c.EndpointConns = max(1, min(c.EndpointConns, int(float64(c.HeapBytes)*endpointHeapShare/endpointConnBytes)))
+	c.CallerConns = max(1, min(c.CallerConns, int(float64(c.HeapBytes)*callerHeapShare/callerConnBytes)))
 }
 
 // LimitSockets lowers the limits to the descriptors that the process may open, if they are fewer than configured. It
--- a/internal/httpwire/answer.go
+++ b/internal/httpwire/answer.go
@@ -9,7 +9,6 @@
 	"math"
 	"os"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -33,15 +32,15 @@
 // Answer is the final answer to a request.
 type Answer struct {
 	Verdict    Verdict
-	Body       []byte        // of the endpoint's answer, unchanged
+	Body       []byte        // of the endpoint's answer, unchanged; nil for a long one
 	Type       string        // Content-Type of the body
 	Encoding   string        // Content-Encoding of the body
 	RetryAfter time.Duration // how long a refused caller should wait before a retry; 0 for no advice
 	Reason     string        // what is wrong with a malformed request
 	CloseAfter bool          // the caller's connection is closed after it
 	MayHaveRun bool          // the request may have run at an endpoint; meaningful only if it has a claim on its key
-	Reserved   int           // bytes reserved in the memory budget, to be released once the answer is written
-	Stream     *AnswerStream // the rest of a long body, of which Body is the beginning; nil if Body is complete
+	Memory     *Reservation  // of the body, to be released once the answer is written; nil without one
+	Stream     *AnswerStream // a long body; nil if Body is complete
 }
 
 // EncodeAnswer encodes the answer for a caller.
@@ -89,8 +88,8 @@
 	Type     string
 	Encoding string
 	Close    bool          // the endpoint closes the connection
-	Reserved int           // bytes reserved in the memory budget
-	Stream   *AnswerStream // the rest of a long body, of which Body is the beginning; nil if Body is complete
+	Memory   *Reservation  // of the body; nil without one
+	Stream   *AnswerStream // a long body; nil if Body is complete
 }
 
 // DecodeLoad parses a load report: name=value pairs, separated by commas, in one line. Names that the decision module
@@ -118,32 +117,6 @@
 	return []byte("GET " + pathLoad + " HTTP/1.1\r\nHost: " + serviceHost + "\r\n\r\n")
 }
 
-// MemoryBudget limits the memory of all answer bodies together. A body counts from its first byte until it is written to
-// its caller.
-type MemoryBudget struct{ available atomic.Int64 }
-
-// NewMemoryBudget returns a budget of the given number of bytes.
-func NewMemoryBudget(bytes int64) *MemoryBudget {
-	m := &MemoryBudget{}
-	m.available.Store(bytes)
-	return m
-}
-
-// Take reserves bytes and reports whether that many were available.
-func (m *MemoryBudget) Take(bytes int) bool {
-	if m.available.Add(-int64(bytes)) >= 0 {
-		return true
-	}
-	m.Release(bytes)
-	return false
-}
-
-// Available returns the number of unreserved bytes.
-func (m *MemoryBudget) Available() int64 { return m.available.Load() }
-
-// Release returns reserved bytes to the budget.
-func (m *MemoryBudget) Release(bytes int) { m.available.Add(int64(bytes)) }
-
 // Limits for reading an answer.
 const (
 	initialBodySize   = 4 << 10 // size of the first buffer in bytes, reserved before any of the body has come: most bodies are smaller
@@ -228,16 +201,18 @@
 	if body == nil {
 		return reply, nil
 	}
-	beginning, complete, err := readBeginning(body, length, budget, timer)
-	reply.Body, reply.Reserved = beginning, cap(beginning)
+	memory := &Reservation{budget: budget}
+	beginning, complete, err := readBeginning(body, length, memory, timer)
+	reply.Body, reply.Memory = beginning, memory
 	switch {
 	case err != nil:
-		budget.Release(cap(beginning))
+		memory.Release()
 		return Reply{}, err
 	case !complete && reply.Outcome != decide.Served: // the status alone decides; the rest of the body is not needed
 		reply.Close = true
 	case !complete:
-		reply.Stream = &AnswerStream{Length: length, beginning: beginning, body: body}
+		reply.Body = nil
+		reply.Stream = &AnswerStream{Length: length, beginning: beginning, body: body, memory: memory}
 	}
 	return reply, nil
 }
@@ -399,8 +374,9 @@
 
 // readBeginning reads a body of the given length (below 0 if unknown): all of it if it is at most MaxBuffered bytes
 // long, else its beginning. It reserves memory only as bytes come: guards against heads that announce more than ever
-// comes. The reserved amount is the capacity of the returned slice, also with an error.
-func readBeginning(r io.Reader, length int, budget *MemoryBudget, timer *beginningTimer) (body []byte, complete bool, err error) {
+// comes. Where there is no memory for more of a long body, its beginning is what has come. The reserved amount is the capacity of
+// the returned slice, also with an error.
+func readBeginning(r io.Reader, length int, memory *Reservation, timer *beginningTimer) (body []byte, complete bool, err error) {
 	for {
 		if len(body) >= MaxBuffered && length != len(body) {
 			return body, false, nil
@@ -413,7 +389,10 @@
 			if length > 0 {
 				more = min(more, length-len(body))
 			}
-			if !budget.Take(more) {
+			switch short := !memory.Grow(more); {
+			case short && len(body) > 0 && (length < 0 || length > MaxBuffered):
+				return body, false, nil
+			case short:
 				return body, false, errNoMemory
 			}
 			body = append(make([]byte, 0, cap(body)+more), body...)
--- a/internal/httpwire/caller.go
+++ b/internal/httpwire/caller.go
@@ -23,35 +23,36 @@
 	scanner  requestScanner
 	rejected error // why nothing more is read; nil if that is not so
 
-	mu             sync.Mutex
-	reason         Reason    // the first that was found; empty until then
-	busy           bool      // a request is being read, pending or being answered
-	pending        bool      // it counts in Callers.pending: a request has come completely, or its body is still coming
-	pendingState   ConnState // what the pending request waits for; empty for StatePending
-	proven         bool      // it has brought a valid request
-	answered       bool      // the handler has returned an answer; the server's next read is for another request
-	onWritten      func()    // called when that answer is written, or will never be; nil otherwise
-	closing        bool      // no further request is to be read
-	changedAt      time.Time // when it last became idle or busy
-	requests       int
-	body           *bodyProgress // while a body is read; nil otherwise
-	bodyStopped    bool          // no more of the body is wanted
-	lastWaited     time.Time     // when the caller of a body was last waited for; all of the body may have come since then
-	detached       bool          // writes are only recorded in unsent: another process is to continue the current answer
-	handedOver     bool          // another process has taken over the connection
-	unsent         []byte        // recorded writes: one piece at most
-	bodyUnread     bool          // a body has not been read to its end: what still comes must be read before the close
-	pipelined      []byte        // bytes that came during Watch, which the next Reads return
-	pipelinedBytes int           // number of bytes that came after the current request, kept or not
-	peerEnded      bool          // the caller has closed it, it failed, or it floods: no answer can be lost by closing it
-	watchDone      chan struct{} // closed when the watch has ended; nil without a watch
-	closed         bool          // Close was called; the connection may still linger
-	closedAt       time.Time     // when Close was called first
-	lingerStopped  bool          // lingering was ended early
-	endState       ConnState     // what it was doing when it was closed; valid once it is closed
-	dropped        int           // bytes that were read and dropped after it was closed for writing
-	requestID      string        // the caller's id of the request that it brought last
-	problem        string        // why its last request was answered 400; empty if it was not
+	mu              sync.Mutex
+	reason          Reason    // the first that was found; empty until then
+	busy            bool      // a request is being read, pending or being answered
+	pending         bool      // it counts in Callers.pending: a request has come completely, or its body is still coming
+	pendingState    ConnState // what the pending request waits for; empty for StatePending
+	proven          bool      // it has brought a valid request
+	answered        bool      // the handler has returned an answer; the server's next read is for another request
+	onWritten       func()    // called when that answer is written, or will never be; nil otherwise
+	closing         bool      // no further request is to be read
+	changedAt       time.Time // when it last became idle or busy
+	requests        int
+	body            *bodyProgress // while a body is read; nil otherwise
+	bodyStopped     bool          // no more of the body is wanted
+	lastWaited      time.Time     // when the caller of a body was last waited for; all of the body may have come since then
+	detached        bool          // writes are only recorded in unsent: another process is to continue the current answer
+	handedOver      bool          // another process has taken over the connection
+	unsent          []byte        // recorded writes: one piece at most
+	bodyUnread      bool          // a body has not been read to its end: what still comes must be read before the close
+	pipelined       []byte        // bytes that came during Watch, which the next Reads return
+	pipelinedMemory Reservation   // of pipelined
+	pipelinedBytes  int           // number of bytes that came after the current request, kept or not
+	peerEnded       bool          // the caller has closed it, it failed, or it floods: no answer can be lost by closing it
+	watchDone       chan struct{} // closed when the watch has ended; nil without a watch
+	closed          bool          // Close was called; the connection may still linger
+	closedAt        time.Time     // when Close was called first
+	lingerStopped   bool          // lingering was ended early
+	endState        ConnState     // what it was doing when it was closed; valid once it is closed
+	dropped         int           // bytes that were read and dropped after it was closed for writing
+	requestID       string        // the caller's id of the request that it brought last
+	problem         string        // why its last request was answered 400; empty if it was not
 
 	descriptor   syscall.RawConn // set with its first pending request; nil if the connection has no descriptor
 	disconnected atomic.Bool     // its caller was seen to have disconnected
@@ -100,7 +101,10 @@
 	c.finishAnswered()
 	if len(c.pipelined) > 0 {
 		n := copy(b, c.pipelined)
-		c.pipelined = c.pipelined[n:]
+		if c.pipelined = c.pipelined[n:]; len(c.pipelined) == 0 {
+			c.pipelined = nil
+		}
+		c.pipelinedMemory.Shrink(len(c.pipelined))
 		c.markBusy()
 		c.mu.Unlock()
 		return n, nil
@@ -204,6 +208,13 @@
 	c.bodyUnread = true
 }
 
+// readsBody reports whether a body is being read.
+func (c *CallerConn) readsBody() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.body != nil
+}
+
 // bodyEnded marks that no body is being read any more. complete says that no more of the body will come.
 func (c *CallerConn) bodyEnded(complete bool) {
 	c.mu.Lock()
--- a/internal/httpwire/callers.go
+++ b/internal/httpwire/callers.go
@@ -31,6 +31,9 @@
 	backlogEmpty chan struct{} // closed by Accept when the backlog of a closing listener is empty
 	freed        chan struct{} // wakes Accept at the limit; a stale wake-up only makes it check again
 
+	bodyMemory  *MemoryBudget // for bodies of requests; nil for no limit
+	bodiesEnded atomic.Int64  // when abortOldBodies last ran, in milliseconds since the start of the epoch
+
 	pending   atomic.Int64 // connections with a pending request
 	lingering atomic.Int64 // connections that are closed for writing and are read until the caller closes too
 
@@ -51,6 +54,23 @@
 	return c
 }
 
+// SetBodyMemory sets the memory that bodies of requests may take beyond the first bytes of each. It is called before Accept.
+func (l *Callers) SetBodyMemory(budget *MemoryBudget) { l.bodyMemory = budget }
+
+// abortOldBodies ends the reading of bodies that have been coming for incompleteTime, because there is no memory for others. It does
+// so at most once each makeRoomInterval.
+func (l *Callers) abortOldBodies() {
+	now, last := l.env.Now().UnixMilli(), l.bodiesEnded.Load()
+	if now-last < makeRoomInterval.Milliseconds() || !l.bodiesEnded.CompareAndSwap(last, now) {
+		return
+	}
+	for _, c := range l.all() {
+		if c.State() == StateReading && c.readsBody() {
+			c.abortIncomplete(ReasonMemory, incompleteTime)
+		}
+	}
+}
+
 // spareDivisor sets the part of the limit (1/16) that is kept free above the soft limit.
 const spareDivisor = 16
 
@@ -163,6 +183,7 @@
 		conn, err = l.acceptOne()
 	}
 	c := &CallerConn{Conn: conn, owner: l, changedAt: l.env.Now()}
+	c.pipelinedMemory.budget = l.bodyMemory
 	l.mu.Lock()
 	l.conns[c] = struct{}{}
 	start := l.crowded() && !l.makingRoom
--- a/internal/httpwire/disconnect.go
+++ b/internal/httpwire/disconnect.go
@@ -56,7 +56,7 @@
 }
 
 // Limits for bytes that come after a request before it is answered. Usual callers send one request at a time; pipelined
-// ones are served as long as their bytes fit into maxPipelinedKept. A caller that sends more than maxPipelined is not
+// ones are served as long as their bytes fit into maxPipelinedKept and into the memory for bodies. A caller that sends more than maxPipelined is not
 // waiting for an answer.
 const (
 	maxPipelinedKept = MaxHead
@@ -68,8 +68,10 @@
 // any more.
 func (c *CallerConn) keepPipelined(b []byte) (flooded bool) {
 	c.pipelinedBytes += len(b)
-	if c.pipelinedBytes > maxPipelinedKept {
+	if c.pipelinedBytes > maxPipelinedKept || len(b) > 0 && !c.pipelinedMemory.Grow(len(b)) {
 		c.pipelined, c.closing = nil, true
+		c.pipelinedBytes = max(c.pipelinedBytes, maxPipelinedKept+1) // what follows can't be read either
+		c.pipelinedMemory.Release()
 	} else {
 		c.pipelined = append(c.pipelined, b...)
 	}
--- a/internal/httpwire/fuzz_test.go
+++ b/internal/httpwire/fuzz_test.go
@@ -26,7 +26,7 @@
 		if err == nil && len(r.Body) > len(text) {
 			t.Errorf("a body of %d bytes out of %d", len(r.Body), len(text))
 		}
-		if budget.Release(r.Reserved); !budget.Take(budgetBytes) {
+		if r.Memory.Release(); !budget.Take(budgetBytes) {
 			t.Error("not all of the memory budget was released")
 		}
 	})
@@ -55,7 +55,7 @@
 		if r.ID == "" || len(r.ID) > maxName || r.Class == "" || r.Remaining < 0 || r.Remaining > maxRemaining {
 			t.Errorf("accepted: %+v", r)
 		}
-		sent := EncodeAttempt(&r, r.Remaining)
+		sent := bytes.Join(EncodeAttempt(&r, r.Body, r.Remaining), nil)
 		if err := again.Read(bufio.NewReaderSize(bytes.NewReader(sent), 2*MaxHead)); err != nil {
 			t.Fatalf("forwarded as %q: %v", sent, err)
 		}
--- a/internal/httpwire/httpwire_test.go
+++ b/internal/httpwire/httpwire_test.go
@@ -133,7 +133,7 @@
 		ID: "9b", Class: "pay", Tenant: "acme", Key: "5c", Labels: "a=1", Repeat: true, Method: "POST",
 		URI: "/pay/%2F//x?sid=1&sid=2", Type: "multipart/form-data; boundary=b", Body: []byte("\x00raw"),
 	}
-	m, err := http.ReadRequest(bufio.NewReader(strings.NewReader(string(EncodeAttempt(&in, 250*time.Millisecond)))))
+	m, err := http.ReadRequest(bufio.NewReader(strings.NewReader(string(bytes.Join(EncodeAttempt(&in, in.Body, 250*time.Millisecond), nil)))))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -150,7 +150,7 @@
 	if m.Method != "POST" || m.RequestURI != in.URI || string(body[:n]) != "\x00raw" || m.ContentLength != 4 {
 		t.Errorf("%s %s, %d bytes", m.Method, m.RequestURI, m.ContentLength)
 	}
-	get := string(EncodeAttempt(&Request{ID: "1", Method: "GET", URI: "/a"}, 0))
+	get := string(bytes.Join(EncodeAttempt(&Request{ID: "1", Method: "GET", URI: "/a"}, nil, 0), nil))
 	if strings.Contains(get, "Content-") || strings.Contains(get, "Idempotency") {
 		t.Errorf("a GET has headers that it came without:\n%s", get)
 	}
@@ -206,7 +206,9 @@
 		"too long":           {head(MaxAnswer+1) + strings.Repeat("x", MaxAnswer+1), largeBudget, -1},
 		"3 GB":               {head(3<<30) + "x", largeBudget, -1},
 		"chunks too long":    {chunked + chunk(MaxAnswer) + chunk(1) + "0\r\n\r\n", largeBudget, -1},
-		"no room":            {head(long) + strings.Repeat("x", long), MaxBuffered / 2, -1},
+		"no room":            {head(MaxBuffered) + strings.Repeat("x", MaxBuffered), MaxBuffered / 2, -1},
+		"no room at all":     {head(long) + strings.Repeat("x", long), initialBodySize - 1, -1},
+		"long, little room":  {head(long) + strings.Repeat("x", long), MaxBuffered / 2, long},
 		"announced only":     {head(MaxAnswer) + "x", largeBudget, -1},
 		"no last chunk":      {chunked + chunk(long), largeBudget, -1},
 		"no end of trailer":  {chunked + chunk(long) + "0\r\n", largeBudget, -1},
@@ -228,7 +230,7 @@
 		if failed := err != nil; failed != (c.want < 0) || !failed && length != c.want {
 			t.Errorf("%s: %d bytes, %v; want %d", name, length, err, c.want)
 		}
-		if room.Release(r.Reserved); !room.Take(c.room) {
+		if r.Memory.Release(); !room.Take(c.room) {
 			t.Errorf("%s: not all of its memory was released", name)
 		}
 	}
--- a/internal/httpwire/linger.go
+++ b/internal/httpwire/linger.go
@@ -14,6 +14,7 @@
 	}
 	c.clearPending()
 	c.releaseAnswer()
+	c.pipelinedMemory.Release()
 	c.noteReason(ReasonCloseRequested)
 	reason, linger := c.reason, c.lingerTime()
 	c.mu.Unlock()
@@ -72,11 +73,6 @@
 	}
 	c.mu.Unlock()
 	buf := make([]byte, initialBodySize) // mostly little or nothing comes
-	if limit == longLinger {
-		piece := pieceBuffers.Get().(*[pieceSize]byte)
-		defer pieceBuffers.Put(piece)
-		buf = piece[:]
-	}
 	for left := MaxBody; left > 0; {
 		n, err := c.Conn.Read(buf)
 		c.countDropped(n)
--- a/internal/httpwire/link.go
+++ b/internal/httpwire/link.go
@@ -57,16 +57,20 @@
 	return n, err
 }
 
-// Send writes a message, at the latest until the deadline. It reports whether the last byte was written: if not, the
+// Send writes the parts of a message, at the latest until the deadline. It reports whether the last byte was written: if not, the
 // endpoint has never run the request.
-func (l *Link) Send(message []byte, deadline time.Time) (complete bool, err error) {
+func (l *Link) Send(deadline time.Time, parts ...[]byte) (complete bool, err error) {
 	l.Uses++
 	l.deadline = deadline
 	if err := l.conn.SetDeadline(deadline); err != nil {
 		return false, err
 	}
-	n, err := l.conn.Write(message)
-	return n == len(message), err
+	for _, part := range parts {
+		if n, err := l.conn.Write(part); n < len(part) {
+			return false, err
+		}
+	}
+	return true, nil
 }
 
 // SetReadDeadline sets the time until which the answer is awaited.
--- a/internal/httpwire/link_test.go
+++ b/internal/httpwire/link_test.go
@@ -51,7 +51,7 @@
 		"no body yet": open, "half a body": open + "half", "of HTTP/1.0": "HTTP/1.0 200 OK\r\n\r\nhalf",
 	} {
 		link, endpoint := linkPair(t)
-		if _, err := link.Send(EncodeProbe(), time.Now().Add(5*time.Second)); err != nil {
+		if _, err := link.Send(time.Now().Add(5*time.Second), EncodeProbe()); err != nil {
 			t.Fatal(err)
 		}
 		if _, err := bufio.NewReader(endpoint).ReadString('\n'); err != nil {
--- a/internal/httpwire/reason.go
+++ b/internal/httpwire/reason.go
@@ -15,6 +15,7 @@
 
 // Reasons for connections of callers.
 const (
+	ReasonMemory         Reason = "memory"       // its body came slowly while there was no memory for others
 	ReasonCallerLeft     Reason = "caller_left"  // its caller disconnected while its request was pending
 	ReasonBadRequest     Reason = "bad_request"  // what it sent was not a valid request
 	ReasonCloseRequested Reason = "asked_close"  // the caller or the answer said Connection: close
--- a/internal/httpwire/request.go
+++ b/internal/httpwire/request.go
@@ -23,10 +23,11 @@
 	Work      time.Duration // expected work; 0 if unknown
 	Repeat    bool          // the client marked it as a repeat of an earlier request
 	Method    string
-	URI       string // path and query, as they came
-	Type      string // Content-Type of the body
-	Body      []byte
-	Upload    *Upload // the rest of a long body, of which Body is the beginning; nil if Body is complete
+	URI       string       // path and query, as they came
+	Type      string       // Content-Type of the body
+	Body      []byte       // complete; nil for a long body
+	Upload    *Upload      // a long body; nil for others
+	Memory    *Reservation // of Body or Upload, to be released once no attempt needs it any more; nil without one
 }
 
 // Limits of what a caller may send.
@@ -37,6 +38,8 @@
 	// In bytes, of an ID, a tenant's name or a key: these are kept while the request is pending and are forwarded. Most
 	// are a fifth of that.
 	maxName = 256
+	// In bytes, of a body that is written in one piece with its head.
+	maxCopiedBody = 4 << 10
 )
 
 // ErrFraming is the error for a message whose end or ID two parsers could read differently: one of them might find
@@ -182,8 +185,9 @@
 }
 
 // EncodeAttempt encodes the request for an endpoint: method, path, query, body, ID and key as they came, and wait as the
-// time for which the answer is awaited.
-func EncodeAttempt(r *Request, wait time.Duration) []byte {
+// time for which the answer is awaited. body is the request's body, or the beginning of a long one. It returns parts to be written one
+// after the other, so that a body of more than maxCopiedBody bytes need not be copied.
+func EncodeAttempt(r *Request, body []byte, wait time.Duration) (parts [][]byte) {
 	var h fasthttp.RequestHeader
 	h.SetNoDefaultContentType(true)
 	h.SetMethod(r.Method)
@@ -208,12 +212,20 @@
 	case r.Upload != nil:
 		h.SetContentLength(max(lengthChunked, r.Upload.Length))
 	case r.Method != fasthttp.MethodGet:
-		h.SetContentLength(len(r.Body))
+		h.SetContentLength(len(body))
 	}
 	text := h.AppendBytes(nil)
+	chunkEnd := ""
 	if r.Upload != nil && r.Upload.Length < 0 {
-		text = append(strconv.AppendInt(text, int64(len(r.Body)), 16), "\r\n"...)
-		return append(append(text, r.Body...), "\r\n"...)
+		text = append(strconv.AppendInt(text, int64(len(body)), 16), "\r\n"...)
+		chunkEnd = "\r\n"
 	}
-	return append(text, r.Body...)
+	if len(body) <= maxCopiedBody {
+		return [][]byte{append(append(text, body...), chunkEnd...)}
+	}
+	parts = [][]byte{text, body}
+	if chunkEnd != "" {
+		parts = append(parts, []byte(chunkEnd))
+	}
+	return parts
 }
--- a/internal/httpwire/stream.go
+++ b/internal/httpwire/stream.go
@@ -34,6 +34,19 @@
 
 var pieceBuffers = sync.Pool{New: func() any { return new([pieceSize]byte) }}
 
+// pieceBuffer returns the buffer for the pieces of a long body whose beginning has been passed on, and a function that gives the
+// buffer back. It takes the place of the beginning: memory is shrunk to its size. free is how many bytes of it count elsewhere. The
+// buffer is smaller where the beginning was, or where memory is scarce.
+func pieceBuffer(memory *Reservation, free int) (buf []byte, release func()) {
+	if memory.Bytes()+free < pieceSize || memory.scarce() {
+		memory.Shrink(initialBodySize - free)
+		return make([]byte, initialBodySize), func() {}
+	}
+	memory.Shrink(pieceSize - free)
+	pooled := pieceBuffers.Get().(*[pieceSize]byte)
+	return pooled[:], func() { pieceBuffers.Put(pooled) }
+}
+
 // Limits on the time that the sidecar waits for a body of a caller.
 const (
 	// Limit on the wait for the next bytes, and on the total wait beyond the time that minBodyRate allows. A caller that
@@ -57,53 +70,82 @@
 // ErrBody is the error for a body that is too long, too slow or truncated.
 var ErrBody = errors.New("body")
 
+// ErrNoBodyMemory is the error for a body for which there is no memory at present.
+var ErrNoBodyMemory = errors.New("no room left in the memory for bodies of requests")
+
 // ErrDisconnected is the error for a body whose caller has disconnected before its last bytes were forwarded.
 var ErrDisconnected = fmt.Errorf("%w: its caller has gone", ErrBody)
 
 // errStopped is the error of reads after Stop.
 var errStopped = errors.New("no more of the body is wanted")
 
-// ReadBody reads the body of a request whose head has been read: completely, or, if it is long, its first bytes and an
-// Upload for the rest.
-func ReadBody(ctx *fasthttp.RequestCtx, conn *CallerConn) ([]byte, *Upload, error) {
+// ReadBody reads the body of a request whose head has been read: completely, or, if it is long, its beginning. It takes memory only
+// as bytes come, and beyond the first ones from a budget: where that is used up, less of a long body is buffered, and a body that
+// has to be read whole fails with ErrNoBodyMemory.
+func ReadBody(ctx *fasthttp.RequestCtx, conn *CallerConn) (*RequestBody, error) {
 	stream, length := ctx.RequestBodyStream(), ctx.Request.Header.ContentLength()
 	if stream == nil || length == 0 {
-		return nil, nil, nil
+		return &RequestBody{}, nil
 	}
 	if length > MaxBody {
-		return nil, nil, fmt.Errorf("%w: %d bytes, and %d are allowed", ErrBody, length, MaxBody)
+		return nil, fmt.Errorf("%w: %d bytes, and %d are allowed", ErrBody, length, MaxBody)
 	}
 	conn.bodyBegins()
 	u := &Upload{Length: length, body: stream, conn: conn, done: make(chan struct{})}
-	size := initialBodySize
-	if length > 0 {
-		size = min(length, MaxBuffered+1)
-	}
-	first := make([]byte, 0, size)
+	body := &RequestBody{Memory: &Reservation{budget: conn.owner.bodyMemory}}
+	first := make([]byte, 0, initialBodySize)
 	for {
 		if len(first) > MaxBuffered {
-			return first, u, nil
+			return body.begin(first, u), nil
 		}
 		if len(first) == cap(first) {
-			first = append(make([]byte, 0, min(2*cap(first), MaxBuffered+1)), first...)
+			more := min(cap(first), MaxBuffered+1-cap(first))
+			switch short := !body.Memory.Grow(more); {
+			case short && (length < 0 || length > MaxBuffered):
+				return body.begin(first, u), nil
+			case short:
+				u.Stop()
+				body.Memory.Release()
+				conn.owner.abortOldBodies()
+				return nil, ErrNoBodyMemory
+			}
+			first = append(make([]byte, 0, cap(first)+more), first...)
 		}
 		n, err := u.Read(first[len(first):cap(first)])
 		switch first = first[:len(first)+n]; {
 		case err == io.EOF:
-			return first, nil, nil
+			body.Bytes = first
+			return body, nil
 		case err != nil:
-			return nil, nil, fmt.Errorf("%w: %w", ErrBody, err)
+			body.Memory.Release()
+			return nil, fmt.Errorf("%w: %w", ErrBody, err)
 		}
 	}
 }
 
-// Upload is the part of a long body that its caller has still to send. Only one attempt can get it.
+// RequestBody is the body of a request, complete or as far as it is buffered.
+type RequestBody struct {
+	Bytes  []byte       // of a complete body
+	Upload *Upload      // a long body; nil if it is complete
+	Memory *Reservation // of what is buffered, but for initialBodySize bytes, which count for the connection
+}
+
+// begin makes the body a long one, of which the first bytes have come.
+func (b *RequestBody) begin(first []byte, u *Upload) *RequestBody {
+	u.beginning, u.memory = first, b.Memory
+	b.Upload = u
+	return b
+}
+
+// Upload is a long body, which its caller has still to send in part. Only one attempt can get it.
 type Upload struct {
-	Length   int // of the whole body in bytes; below 0 if unknown
-	body     io.Reader
-	conn     *CallerConn
-	claimed  atomic.Bool
-	progress atomic.Int64 // the value of received, for other goroutines
+	Length    int          // of the whole body in bytes; below 0 if unknown
+	beginning []byte       // what has come of it; nil once an attempt has got it
+	memory    *Reservation // of beginning, and then of the pieces
+	body      io.Reader
+	conn      *CallerConn
+	claimed   atomic.Bool
+	progress  atomic.Int64 // the value of received, for other goroutines
 
 	mu       sync.Mutex // held during a read
 	received int
@@ -115,6 +157,14 @@
 // Claim assigns the upload to an attempt and reports whether it was free: it can be sent only once.
 func (u *Upload) Claim() bool { return !u.claimed.Swap(true) }
 
+// TakeBeginning returns what had come of the body when its request was admitted, once. The attempt that has claimed the upload
+// calls it.
+func (u *Upload) TakeBeginning() []byte {
+	beginning := u.beginning
+	u.beginning = nil
+	return beginning
+}
+
 // UploadProgress is how much of a long body has come. It is written to log lines.
 type UploadProgress struct {
 	Length   int           // of the whole body in bytes; below 0 if unknown
@@ -191,10 +241,10 @@
 // WriteUpload writes the rest of a body after what Send has written, as it comes. It reports whether the last byte was
 // written. An error that wraps ErrBody is the caller's fault.
 func (l *Link) WriteUpload(u *Upload, environment env.Env) (complete bool, err error) {
-	buf := pieceBuffers.Get().(*[pieceSize]byte)
-	defer pieceBuffers.Put(buf)
+	buf, release := pieceBuffer(u.memory, initialBodySize)
+	defer release()
 	for {
-		n, err := u.Read(buf[:])
+		n, err := u.Read(buf)
 		if err != nil && err != io.EOF {
 			return false, fmt.Errorf("%w: %w", ErrBody, err)
 		}
@@ -261,6 +311,7 @@
 	Class        string
 	WithLength   bool // write it with its length, not in chunks: for callers that speak HTTP/1.0
 	beginning    []byte
+	memory       *Reservation // of beginning, and then of the pieces
 	body         io.Reader
 	link         *Link
 	caller       atomic.Pointer[CallerConn]
@@ -408,14 +459,14 @@
 		a.finish(AnswerCallerGone)
 		return total, err
 	}
-	buf := pieceBuffers.Get().(*[pieceSize]byte)
-	defer pieceBuffers.Put(buf)
+	buf, release := pieceBuffer(a.memory, 0)
+	defer release()
 	for {
 		a.total.Store(total)
 		a.setReadDeadline()
 		handOver, n, err := a.handOverFunc.Load(), 0, error(os.ErrDeadlineExceeded)
 		if handOver == nil {
-			n, err = a.body.Read(buf[:])
+			n, err = a.body.Read(buf)
 			handOver = a.handOverFunc.Load()
 		}
 		if handOver != nil && errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/lifecycle/memory.go
+++ b/internal/lifecycle/memory.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"os"
+	"runtime/debug"
 	"runtime/metrics"
 	"strconv"
 	"time"
@@ -63,31 +64,70 @@
 		Int64("stacks_kb", u.Stacks>>10).Int64("runtime_kb", u.Runtime>>10)
 }
 
-// Parameters of the memory watch.
+// Parameters of the memory watch. Shares are of the memory limit.
 const (
-	memoryCheckInterval = 250 * time.Millisecond
-	memoryWarnShare     = 0.75        // of the memory limit: from there on the usage is logged
+	memoryCheckInterval = 100 * time.Millisecond
+	memoryWarnShare     = 0.75        // from there on the usage is logged
 	memoryWarnInterval  = time.Second // between two such lines at least
+	memoryHighShare     = 0.88        // from there on limits are lowered
+	memoryLowShare      = 0.8         // below it they are the usual ones again
+	freeMemoryInterval  = time.Second // between two collections for the system at least: each takes milliseconds
 )
 
-// watchMemory logs what the process uses, and what its connections are doing, while that is near the limit. It returns when the
+// memoryWatch compares what the process uses with its limit.
+type memoryWatch struct {
+	limit     int64 // bytes; 0 for none
+	high      bool  // limits are lowered
+	lastLine  time.Time
+	lastFreed time.Time
+}
+
+// memoryActions says what has to be done about the present usage.
+type memoryActions struct {
+	log    bool // write a line
+	change bool // the limits are to be changed
+	free   bool // return free memory to the system
+}
+
+// check returns what has to be done about a usage.
+func (w *memoryWatch) check(now time.Time, usage memoryUsage) (do memoryActions) {
+	share := float64(usage.Resident) / float64(w.limit)
+	if share >= memoryWarnShare && now.Sub(w.lastLine) >= memoryWarnInterval {
+		w.lastLine, do.log = now, true
+	}
+	if !w.high && share >= memoryHighShare || w.high && share < memoryLowShare {
+		w.high, do.change = !w.high, true
+	}
+	if w.high && now.Sub(w.lastFreed) >= freeMemoryInterval {
+		w.lastFreed, do.free = now, true
+	}
+	return do
+}
+
+// watchMemory logs what the process uses, and what its connections are doing, while that is near the limit, and lowers the limits of
+// connections and of memory for bodies while it is very near. Guards against what those limits don't count. It returns when the
 // engine has stopped.
 func (s *Sidecar) watchMemory() {
+	watch := memoryWatch{limit: s.conf.MemoryBytes}
 	ticker := time.NewTicker(memoryCheckInterval)
 	defer ticker.Stop()
-	var lastLine time.Time
 	for {
 		select {
 		case <-s.engineDone:
 			return
 		case now := <-ticker.C:
 			usage := readMemoryUsage()
-			near := float64(usage.Resident) > memoryWarnShare*float64(s.conf.MemoryBytes)
-			if near && now.Sub(lastLine) >= memoryWarnInterval {
-				lastLine = now
-				s.log.Warn().Int64("limit_kb", s.conf.MemoryBytes>>10).Object("memory", usage).
+			do := watch.check(now, usage)
+			if do.log || do.change {
+				s.log.Warn().Int64("limit_kb", watch.limit>>10).Bool("limits_lowered", watch.high).Object("memory", usage).
 					Object("connections", connStates(s.callers.States())).Msg("memory is near its limit")
 			}
+			if do.change {
+				s.limits.setMemoryHigh(s, watch.high)
+			}
+			if do.free {
+				debug.FreeOSMemory()
+			}
 		}
 	}
 }
--- a/internal/lifecycle/sidecar.go
+++ b/internal/lifecycle/sidecar.go
@@ -58,9 +58,11 @@
 	env        env.Env
 	engine     *pipeline.Engine
 	callers    *httpwire.Callers
+	bodyMemory *httpwire.MemoryBudget // for bodies of requests
 	server     *fasthttp.Server
 	console    *console.Console // nil if none is configured
 	cluster    Cluster          // nil outside a cluster
+	limits     limits
 	upgrade    upgrade
 	cancel     context.CancelFunc
 	engineDone chan struct{} // closed when the engine has stopped
@@ -149,6 +151,8 @@
 	}
 	s.stayTime = max(minStayTime, s.finishTime()-s.shortestAim())
 	s.callers = httpwire.NewCallers(listener, environment, conf.CallerConns, s.callerEnded)
+	s.bodyMemory = httpwire.NewMemoryBudget(conf.BodyBytes)
+	s.callers.SetBodyMemory(s.bodyMemory)
 	s.server = newServer(engine, conf)
 	if conf.Console != "" {
 		if s.console, err = console.Open(conf.Console, environment, s, log); err != nil {
--- a/internal/lifecycle/upgrade.go
+++ b/internal/lifecycle/upgrade.go
@@ -74,17 +74,10 @@
 	defer u.mu.Unlock()
 	u.peers = slices.DeleteFunc(u.peers, func(p *takeover.Peer) bool { return p == peer })
 	if len(u.peers) == 0 {
-		s.divideLimits(1)
+		s.limits.divide(s, 1)
 	}
 }
 
-// divideLimits sets the limits of this process to the configured ones divided by shares.
-func (s *Sidecar) divideLimits(shares int) {
-	s.callers.SetLimit(s.conf.CallerConns / shares)
-	s.engine.SetConnShare(shares)
-	debug.SetMemoryLimit(s.conf.HeapBytes / int64(shares))
-}
-
 // replacePredecessor takes over from the predecessor, if there is one. When it returns, the predecessor has stopped
 // accepting or does not answer. Guards against a predecessor that hangs, which would leave nobody to serve: if it
 // recovers, it stops accepting, and until then both accept.
@@ -93,7 +86,7 @@
 	if peer == nil {
 		return
 	}
-	s.divideLimits(upgradeProcesses)
+	s.limits.divide(s, upgradeProcesses)
 	go peer.Run(predecessorHandler{s, peer})
 	if err := peer.StopAccepting(); err != nil {
 		s.log.Warn().Err(err).Msg("the predecessor does not confirm that it stops accepting; both processes accept connections")
@@ -154,7 +147,7 @@
 	s.upgrade.replaced.Store(true)
 	s.callers.Pause()
 	s.engine.Drain(true)
-	s.divideLimits(upgradeProcesses)
+	s.limits.divide(s.Sidecar, upgradeProcesses)
 	s.log.Info().Msg("a successor serves")
 	go debug.FreeOSMemory() // in a goroutine, because it runs a whole garbage collection
 }
--- a/internal/peerrpc/peerrpc.go
+++ b/internal/peerrpc/peerrpc.go
@@ -233,7 +233,7 @@
 	var head bytes.Buffer
 	fmt.Fprintf(&head, "POST %s%s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n\r\n", pathPrefix, kind, c.address, len(encoded))
 	head.Write(encoded)
-	if complete, err := c.link.Send(head.Bytes(), deadline); !complete {
+	if complete, err := c.link.Send(deadline, head.Bytes()); !complete {
 		return fmt.Errorf("%s: writing: %w", c.address, err)
 	}
 	var r fasthttp.Response
--- a/internal/pipeline/engine.go
+++ b/internal/pipeline/engine.go
@@ -61,6 +61,7 @@
 	stopped         chan struct{} // closed when Run has returned
 	unready         atomic.Bool   // the process is stopping: callers should use another sidecar
 	draining        atomic.Bool   // each answer is the last on its connection
+	outOfMemory     atomic.Int64  // requests refused for want of memory for their bodies; counted as malformed ones are
 	malformed       atomic.Int64  // requests answered 400; counted here and not by the owner, so that a flood of them does not fill its queue
 	balancer        Decider
 	requests        *state.Requests
@@ -269,9 +270,9 @@
 
 func (e *Engine) snapshot() Snapshot {
 	counters := e.counters
-	counters.Malformed, counters.HandedOver = int(e.malformed.Load()), int(e.resumed.Load())
+	counters.Malformed, counters.HandedOver, counters.OutOfMemory = int(e.malformed.Load()), int(e.resumed.Load()), int(e.outOfMemory.Load())
 	counters.Served, counters.Failed = e.metrics.Total(metrics.Served), e.metrics.Total(metrics.Failed)
-	counters.Refused, counters.Left = e.metrics.Total(metrics.Refused)-counters.OverLimit, e.metrics.Total(metrics.CallerLeft)
+	counters.Refused, counters.Left = e.metrics.Total(metrics.Refused)-counters.OverLimit-counters.OutOfMemory, e.metrics.Total(metrics.CallerLeft)
 	var shadowCounts *shadow.Counts
 	if comparison, ok := e.balancer.(*shadow.Comparison); ok {
 		counts := comparison.Counts()
--- a/internal/pipeline/operate.go
+++ b/internal/pipeline/operate.go
@@ -167,9 +167,12 @@
 	}
 }
 
-// SetConnShare limits the connections to endpoints to the usual limit divided by parts, while the processes of an upgrade share
-// that limit.
-func (e *Engine) SetConnShare(parts int) { e.post(connShare{parts}) }
+// SetShare limits the connections to endpoints and the memory of answers to the usual limits divided by parts, while the processes of
+// an upgrade share them.
+func (e *Engine) SetShare(parts int) {
+	e.answerMemory.Resize(e.conf.AnswerBytes / int64(parts))
+	e.post(connShare{parts})
+}
 
 // connShare is the event that divides the usual limit on connections to endpoints by parts.
 type connShare struct{ parts int }
--- a/internal/pipeline/probe.go
+++ b/internal/pipeline/probe.go
@@ -53,7 +53,7 @@
 		p.outcome = decide.ConnectFailed
 		return
 	}
-	if written, _ := p.link.Send(httpwire.EncodeProbe(), e.env.Now().Add(probeTimeout)); !written {
+	if written, _ := p.link.Send(e.env.Now().Add(probeTimeout), httpwire.EncodeProbe()); !written {
 		p.outcome, p.endReason = decide.ConnectFailed, httpwire.ReasonNotWritten
 		return
 	}
@@ -80,7 +80,7 @@
 	}
 	if p.reply != nil {
 		ev.Load = httpwire.DecodeLoad(p.reply.Body)
-		e.answerMemory.Release(p.reply.Reserved)
+		p.reply.Memory.Release()
 	}
 	e.notifyModule(ev)
 }
--- a/internal/pipeline/record.go
+++ b/internal/pipeline/record.go
@@ -18,7 +18,7 @@
 	}
 	ended.attempt.GiveUp() // releases the resources of its context
 	if r := ended.attempt.Request; ended.reply != nil && (r.Done || ended.attempt.Settled || ended.outcome != decide.Served) {
-		e.answerMemory.Release(ended.reply.Reserved) // its body is not passed to a caller
+		ended.reply.Memory.Release() // its body is not passed to a caller
 	}
 	e.settle(ended.attempt, ended.outcome, ended.reply)
 }
@@ -36,7 +36,7 @@
 	if outcome == decide.Served {
 		e.relay(r, httpwire.Answer{
 			Verdict: httpwire.Served, Body: reply.Body, Type: reply.Type, Encoding: reply.Encoding,
-			Reserved: reply.Reserved, Stream: reply.Stream,
+			Memory: reply.Memory, Stream: reply.Stream,
 		})
 	}
 	ev := decide.Event{
--- a/internal/pipeline/send.go
+++ b/internal/pipeline/send.go
@@ -178,8 +178,12 @@
 // write writes an attempt. If it returns an error, the last byte has not been written, so the attempt has not run.
 func (e *Engine) write(a *state.Attempt, link *httpwire.Link, upload *httpwire.Upload) error {
 	wait := a.TimeoutAt - e.clock.Now()
-	message := httpwire.EncodeAttempt(a.Request.Message, wait)
-	written, err := link.Send(message, e.clock.Wall(a.TimeoutAt).Add(readSlack))
+	body := a.Request.Message.Body
+	if upload != nil {
+		body = upload.TakeBeginning()
+	}
+	parts := httpwire.EncodeAttempt(a.Request.Message, body, wait)
+	written, err := link.Send(e.clock.Wall(a.TimeoutAt).Add(readSlack), parts...)
 	if written {
 		err = nil // an error after the last byte shows when the answer is read
 	}
--- a/internal/pipeline/takein.go
+++ b/internal/pipeline/takein.go
@@ -4,11 +4,13 @@
 	"errors"
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"heathgap/decide"
 	"heathgap/internal/httpwire"
+	"heathgap/internal/metrics"
 )
 
 // Take in: a request of a caller is read, checked and passed to the owner, and its answer is written when the owner has one.
@@ -19,12 +21,13 @@
 	if conn == nil {
 		panic("pipeline: a connection that Callers did not accept")
 	}
-	reserved, active := 0, int64(0)
+	var memory *httpwire.Reservation // of the answer
+	active := int64(0)
 	if string(ctx.Path()) == httpwire.ReadyPath && ctx.IsGet() {
 		e.answerReady(ctx)
 	} else {
 		answer, counted := e.takeIn(ctx, conn)
-		reserved = answer.Reserved
+		memory = answer.Memory
 		if counted {
 			active = 1
 		}
@@ -45,7 +48,7 @@
 		ctx.SetConnectionClose()
 	}
 	conn.MarkAnswered(func() {
-		e.answerMemory.Release(reserved)
+		memory.Release()
 		e.metrics.Active.Add(-active)
 	})
 }
@@ -57,6 +60,10 @@
 	}
 }
 
+// bodyMemoryRetryAfter is after which time a request may come again that was refused for want of memory for its body: bodies that
+// come slowly are ended within a second then.
+const bodyMemoryRetryAfter = time.Second
+
 // takeIn passes a request to the owner and waits for its answer. counted reports whether the request counts as active until the
 // answer is written.
 func (e *Engine) takeIn(ctx *fasthttp.RequestCtx, conn *httpwire.CallerConn) (answer httpwire.Answer, counted bool) {
@@ -66,7 +73,16 @@
 	}
 	conn.SetRequestID(message.ID)
 	if err == nil {
-		message.Body, message.Upload, err = httpwire.ReadBody(ctx, conn)
+		var body *httpwire.RequestBody
+		if body, err = httpwire.ReadBody(ctx, conn); err == nil {
+			message.Body, message.Upload, message.Memory = body.Bytes, body.Upload, body.Memory
+		}
+	}
+	if errors.Is(err, httpwire.ErrNoBodyMemory) {
+		e.outOfMemory.Add(1)
+		e.metrics.Count(message.Class, metrics.Refused)
+		conn.SetProblem(err.Error())
+		return httpwire.Answer{Verdict: httpwire.Refused, RetryAfter: bodyMemoryRetryAfter, CloseAfter: true}, false
 	}
 	if err != nil {
 		e.malformed.Add(1)
--- a/internal/pipeline/watchcall.go
+++ b/internal/pipeline/watchcall.go
@@ -66,7 +66,7 @@
 	if w.hasList && !check {
 		deadline = environment.Now().Add(limit) // discovery counts its wait from when it has the call
 	}
-	if _, err := w.link.Send(message, deadline); err != nil {
+	if _, err := w.link.Send(deadline, message); err != nil {
 		return nil, false, fmt.Errorf("writing: %w", markTimeout(err))
 	}
 	// Guards against a silent connection that is taken for a wait: the answer must begin soon after the wait is over, well before
--- a/internal/state/request.go
+++ b/internal/state/request.go
@@ -158,6 +158,7 @@
 // Release removes a request that is done and has no attempt in flight.
 func (t *Requests) Release(r *Request) {
 	if r.Done && r.inFlight == 0 {
+		r.Message.Memory.Release()
 		delete(t.byID, r.ID)
 	}
 }
