The time of a large request counts from when its caller was last waited for

Cause: from the first piece on, the time of such a request was 20 minutes, and began when the last byte had been passed on; each piece had 10 s. But the caller may have written that byte long before: it stands unread in the kernel's buffers. Change: while bytes of the caller stand unread, pieces must be written within the request's time, counted from when its caller was last waited for; so does the time of the answer. A body with a length of which over 8 MiB can't have been written yet goes on. Such an attempt has not run, and ends its connection as body_late. Why it works: a caller's last byte can't have been written before a read that had to wait; no other moment is known to this side. A caller that writes slowly is waited for, so its time does not run.

--- a/internal/httpwire/disconnect.go
+++ b/internal/httpwire/disconnect.go
@@ -116,6 +116,17 @@
 	return ready || err != nil // an error means that it is closed on this side
 }
 
+// unreadBytes returns how many bytes of the caller the kernel has that were not read yet; 0 without a descriptor.
+func (c *CallerConn) unreadBytes() (unread int) {
+	if c.descriptor == nil {
+		return 0
+	}
+	c.descriptor.Control(func(fd uintptr) { //nolint:errcheck // a closed connection has none
+		unread, _ = unix.IoctlGetInt(int(fd), unix.SIOCINQ)
+	})
+	return unread
+}
+
 // pollNow asks the kernel whether any of the events, or an error, has occurred on the connection, without waiting.
 func (c *CallerConn) pollNow(events int16) (occurred bool, err error) {
 	err = c.descriptor.Control(func(fd uintptr) {
--- a/internal/httpwire/reason.go
+++ b/internal/httpwire/reason.go
@@ -26,6 +26,7 @@
 const (
 	ReasonDialFailed    Reason = "dial_failed" // it was never established
 	ReasonNotWritten    Reason = "not_written" // it broke before the last byte of a request was written
+	ReasonBodyLate      Reason = "body_late"   // it had not taken a request's long body within the request's time
 	ReasonBroken        Reason = "broken"      // it broke, or what came was not a valid answer
 	ReasonGivenUp       Reason = "given_up"    // its attempt was given up before its answer was complete
 	ReasonCloseInAnswer Reason = "peer_close"  // the answer said Connection: close
--- a/internal/httpwire/stream.go
+++ b/internal/httpwire/stream.go
@@ -238,9 +238,40 @@
 	u.finish(errStopped)
 }
 
-// WriteUpload writes the rest of a body after what Send has written, as it comes. It reports whether the last byte was
-// written. An error that wraps ErrBody is the caller's fault.
-func (l *Link) WriteUpload(u *Upload, environment env.Env) (complete bool, err error) {
+// maxSendBuffer is more than the kernel takes of what a caller writes before the caller's machine has sent it (tcp_wmem), in bytes.
+const maxSendBuffer = 8 << 20
+
+// mayBeWritten reports whether the caller may have written all of the body already, as far as this side can tell.
+func (u *Upload) mayBeWritten() bool {
+	return u.Length < 0 || int64(u.Length)-u.progress.Load() <= int64(u.conn.unreadBytes()+maxSendBuffer)
+}
+
+// writeDeadline returns until when a piece of the body must be written, if its request waits for the given time from its last byte
+// on. Guards against an endpoint that reads slowly or not at all: while bytes of the caller stand unread its last byte may be among
+// them, and its time counts from when they came at the earliest.
+func (u *Upload) writeDeadline(wait time.Duration, now time.Time) (deadline time.Time, late bool) {
+	stall, due := now.Add(pieceStall), u.Due(wait)
+	if due.Before(stall) && u.mayBeWritten() {
+		return due, true
+	}
+	return stall, false
+}
+
+// Due returns when the answer to the request must be on its way at the earliest, if the request waits for the given time from its
+// last byte on.
+func (u *Upload) Due(wait time.Duration) time.Time {
+	return u.conn.LastWaited().Add(max(0, wait-answerMargin))
+}
+
+// answerMargin is the part of a request's time that is kept for writing an answer to it.
+const answerMargin = 20 * time.Millisecond
+
+// ErrBodyLate is the error for a body that its endpoint has not read within the request's time.
+var ErrBodyLate = errors.New("its endpoint has not read the body in time")
+
+// WriteUpload writes the rest of a body after what Send has written, as it comes. wait is how long the request waits for its answer,
+// from its last byte on. It reports whether the last byte was written. An error that wraps ErrBody is the caller's fault.
+func (l *Link) WriteUpload(u *Upload, wait time.Duration, environment env.Env) (complete bool, err error) {
 	buf, release := pieceBuffer(u.memory, initialBodySize)
 	defer release()
 	for {
@@ -252,7 +283,11 @@
 		if last && u.conn.Disconnected() {
 			return false, ErrDisconnected // an endpoint starts to run a request with its last byte
 		}
-		if err := l.writePiece(buf[:n], u.Length < 0, last, environment); err != nil {
+		deadline, late := u.writeDeadline(wait, environment.Now())
+		if err := l.writePiece(buf[:n], u.Length < 0, last, deadline); err != nil {
+			if late && errors.Is(err, os.ErrDeadlineExceeded) {
+				err = ErrBodyLate
+			}
 			return false, err
 		}
 		if last {
@@ -261,8 +296,8 @@
 	}
 }
 
-// writePiece writes a piece, framed as a chunk if the length of the body is unknown.
-func (l *Link) writePiece(b []byte, chunked, last bool, environment env.Env) error {
+// writePiece writes a piece until a deadline, framed as a chunk if the length of the body is unknown.
+func (l *Link) writePiece(b []byte, chunked, last bool, deadline time.Time) error {
 	if chunked {
 		framed := make([]byte, 0, len(b)+len("\r\n")+chunkFrame)
 		if len(b) > 0 {
@@ -277,7 +312,7 @@
 	if len(b) == 0 {
 		return nil
 	}
-	if err := l.conn.SetWriteDeadline(environment.Now().Add(pieceStall)); err != nil {
+	if err := l.conn.SetWriteDeadline(deadline); err != nil {
 		return err
 	}
 	_, err := l.conn.Write(b)
@@ -421,7 +456,7 @@
 		body = &fixedLengthBody{r: in, remaining: handover.Left}
 	}
 	out := &Link{conn: caller}
-	if out.writePiece(handover.Unsent, false, false, environment) != nil {
+	if out.writePiece(handover.Unsent, false, false, environment.Now().Add(pieceStall)) != nil {
 		return AnswerCallerGone
 	}
 	buf := pieceBuffers.Get().(*[pieceSize]byte)
@@ -432,7 +467,7 @@
 		if total += int64(n); total > MaxAnswer || err != nil && err != io.EOF {
 			return AnswerBrokenOff
 		}
-		if out.writePiece(buf[:n], true, err == io.EOF, environment) != nil {
+		if out.writePiece(buf[:n], true, err == io.EOF, environment.Now().Add(pieceStall)) != nil {
 			return AnswerCallerGone
 		}
 		if err == io.EOF {
--- a/internal/pipeline/send.go
+++ b/internal/pipeline/send.go
@@ -121,6 +121,9 @@
 	defer stop()
 	if err := e.write(a, link, upload); err != nil {
 		end.outcome, end.endReason = decide.ConnectFailed, httpwire.ReasonNotWritten
+		if errors.Is(err, httpwire.ErrBodyLate) {
+			end.endReason = httpwire.ReasonBodyLate
+		}
 		return
 	}
 	e.metrics.Attempts.Add(1)
@@ -191,14 +194,15 @@
 		return err
 	}
 	e.post(uploadBegan{a})
-	if _, err := link.WriteUpload(upload, e.env); err != nil {
+	if _, err := link.WriteUpload(upload, a.Request.Message.Remaining, e.env); err != nil {
 		if errors.Is(err, httpwire.ErrDisconnected) {
 			e.post(foundDisconnected{a.Request})
 		}
 		return err
 	}
-	e.post(uploadEnded{a})
-	return link.SetReadDeadline(e.env.Now().Add(a.Request.Message.Remaining + readSlack))
+	due := upload.Due(a.Request.Message.Remaining)
+	e.post(uploadEnded{a, e.clock.FromWall(due)})
+	return link.SetReadDeadline(due.Add(readSlack))
 }
 
 // uploadBegan is the event that an attempt has begun to stream the rest of a long body. It can't be sent again from then on, and
@@ -217,13 +221,17 @@
 // maxUploadTime is more than the longest body takes at the minimum rate.
 const maxUploadTime = 20 * time.Minute
 
-// uploadEnded is the event that the last byte of an attempt's body is written. Its time counts from then on.
-type uploadEnded struct{ attempt *state.Attempt }
+// uploadEnded is the event that the last byte of an attempt's body is written. Its request's time counts from when its caller was last
+// waited for: the caller may have written that byte long before it was passed on.
+type uploadEnded struct {
+	attempt *state.Attempt
+	due     decide.Time
+}
 
 func (u uploadEnded) handle(e *Engine) {
 	if a := u.attempt; !a.Settled {
 		a.Sent = e.clock.Now()
-		e.restartTimeout(a, a.Request.Message.Remaining)
+		e.restartTimeout(a, max(0, u.due-a.Sent))
 		e.notifyModule(decide.Event{Kind: decide.BodyReceived, Request: a.Request.ID, Attempt: a.Number})
 	}
 }
