An answer without a length goes on past its deadline while its endpoint writes it

An answer without a length counted as one of usual length as long as 64 KiB of it had not come, and was broken off at its request's deadline. And the 150 ms for which the beginning of an answer is collected did not end between chunks: with the line end of a chunk buffered, the read waited for the next chunk's size without that limit, so an answer in chunks began to pass on only at 64 KiB, and timed out before. Evidence: 96 KiB over 2.4 s for a request of 1 s: 40 KiB, then the end; in chunks 503 at 1 s. Change: such an answer goes on while its endpoint writes: at most 0.4 s between two pieces, and 4 KiB a second. One that stalls is broken off at its deadline, or 0.4 s after its last byte, so within the half second in which an answer is no loss. At a stop the bound is as before. The beginning is read under a read deadline.

--- a/internal/httpwire/answer.go
+++ b/internal/httpwire/answer.go
@@ -159,22 +159,22 @@
 type beginningTimer struct {
 	link     *Link
 	env      env.Env
-	deadline time.Time // zero until the head has come
+	deadline time.Time // zero until the first bytes have come
 }
 
-// waitMore waits for the next bytes and reports whether they came in time.
-func (p *beginningTimer) waitMore() bool {
-	now := p.env.Now()
+// read reads the next bytes of a body and reports whether they came in time.
+func (p *beginningTimer) read(body io.Reader, b []byte) (n int, inTime bool, err error) {
 	if p.deadline.IsZero() {
-		p.deadline = now.Add(beginningTime)
+		p.deadline = p.env.Now().Add(beginningTime)
 	}
-	if p.link.in.Buffered() > 0 {
-		return true
+	if !p.deadline.Before(p.link.deadline) {
+		n, err = body.Read(b)
+		return n, true, err
 	}
 	p.link.conn.SetReadDeadline(p.deadline)
-	_, err := p.link.in.Peek(1)
+	n, err = body.Read(b)
 	p.link.conn.SetReadDeadline(p.link.deadline)
-	return !errors.Is(err, os.ErrDeadlineExceeded) // the next read returns any other error
+	return n, !errors.Is(err, os.ErrDeadlineExceeded), err
 }
 
 // decodeReply reads an answer. It reserves the memory of the body in the budget.
@@ -377,31 +377,36 @@
 // comes. Where there is no memory for more of a long body, its beginning is what has come. The reserved amount is the capacity of
 // the returned slice, also with an error.
 func readBeginning(r io.Reader, length int, memory *Reservation, timer *beginningTimer) (body []byte, complete bool, err error) {
+	mayBeLong := length < 0 || length > MaxBuffered
 	for {
 		if len(body) >= MaxBuffered && length != len(body) {
 			return body, false, nil
 		}
-		if len(body) > 0 && (length < 0 || length > MaxBuffered) && timer != nil && !timer.waitMore() {
-			return body, false, nil
-		}
 		if len(body) == cap(body) {
 			more := min(max(initialBodySize, cap(body)), MaxBuffered-cap(body))
 			if length > 0 {
 				more = min(more, length-len(body))
 			}
 			switch short := !memory.Grow(more); {
-			case short && len(body) > 0 && (length < 0 || length > MaxBuffered):
+			case short && len(body) > 0 && mayBeLong:
 				return body, false, nil
 			case short:
 				return body, false, errNoMemory
 			}
 			body = append(make([]byte, 0, cap(body)+more), body...)
 		}
-		n, err := r.Read(body[len(body):cap(body)])
+		n, inTime, err := 0, true, error(nil)
+		if len(body) > 0 && mayBeLong && timer != nil {
+			n, inTime, err = timer.read(r, body[len(body):cap(body)])
+		} else {
+			n, err = r.Read(body[len(body):cap(body)])
+		}
 		body = body[:len(body)+n]
 		switch {
 		case err == io.EOF:
 			return body, true, nil
+		case !inTime:
+			return body, false, nil
 		case err != nil:
 			return body, false, err
 		}
--- a/internal/httpwire/stream.go
+++ b/internal/httpwire/stream.go
@@ -353,8 +353,8 @@
 	env          env.Env
 	onEnd        func(AnswerEnd) // set by OnEnd; nil before, and after the end
 	handOverFunc atomic.Pointer[HandOverFunc]
-	total        atomic.Int64              // bytes of the body that have come
-	deadline     atomic.Pointer[time.Time] // until then an answer of at most MaxBuffered bytes must have ended; nil for no such bound
+	total        atomic.Int64                   // bytes of the body that have come
+	deadline     atomic.Pointer[streamDeadline] // nil for no such bound
 }
 
 // HandOverFunc hands a long answer over to another process: the state from which that continues, as JSON, and the
@@ -373,31 +373,62 @@
 	}
 }
 
-// SetDeadline sets when an answer of at most MaxBuffered bytes is broken off, unless it has ended by then; an earlier
-// deadline stays. A longer answer goes on, and so does one that is being handed over. The owner calls it.
-func (a *AnswerStream) SetDeadline(deadline time.Time) {
-	if earlier := a.deadline.Load(); earlier != nil && earlier.Before(deadline) {
+// streamDeadline is when an answer of at most MaxBuffered bytes is broken off.
+type streamDeadline struct {
+	at    time.Time
+	final bool // also if its endpoint keeps writing
+}
+
+// SetDeadline sets when an answer of at most MaxBuffered bytes is broken off, unless it has ended by then. One without a length goes on
+// while its endpoint keeps writing, unless the deadline is final. A final deadline, and an earlier one, stays. A longer answer goes
+// on, and so does one that is being handed over. The owner calls it.
+func (a *AnswerStream) SetDeadline(at time.Time, final bool) {
+	if earlier := a.deadline.Load(); earlier != nil && (earlier.final || !final) && earlier.at.Before(at) {
 		return
 	}
-	a.deadline.Store(&deadline)
+	deadline := &streamDeadline{at, final}
+	a.deadline.Store(deadline)
 	if a.usualLength() && a.handOverFunc.Load() == nil {
-		a.link.conn.SetReadDeadline(deadline) // for the read in progress
+		a.link.conn.SetReadDeadline(a.pieceDeadline(deadline, a.env.Now())) // for the read in progress
 	}
 }
 
 // setReadDeadline sets until when the next piece must come. Guards against an endpoint that stalls within an answer of usual
 // length: its caller would learn only after pieceStall that the answer will not end.
 func (a *AnswerStream) setReadDeadline() {
-	stall := a.env.Now().Add(pieceStall)
+	now := a.env.Now()
+	stall := now.Add(pieceStall)
 	a.link.conn.SetReadDeadline(stall)
-	for deadline, set := a.deadline.Load(), (*time.Time)(nil); deadline != set; deadline = a.deadline.Load() {
-		if a.usualLength() && deadline.Before(stall) {
-			a.link.conn.SetReadDeadline(*deadline)
+	for deadline, set := a.deadline.Load(), (*streamDeadline)(nil); deadline != set; deadline = a.deadline.Load() {
+		if until := a.pieceDeadline(deadline, now); a.usualLength() && until.Before(stall) {
+			a.link.conn.SetReadDeadline(until)
 		}
 		set = deadline // SetDeadline may have set another one meanwhile
 	}
 }
 
+// Limits on an answer without a length that goes on past its deadline: nobody knows whether it will be a long one.
+const (
+	answerGap     = 400 * time.Millisecond // an answer may come half a second late, so one that has stalled is broken off before that
+	minAnswerRate = 4 << 10                // bytes a second
+)
+
+// pieceDeadline returns until when the next piece must come because of a deadline of the answer. An answer without a length may go on
+// past it while its endpoint keeps writing.
+func (a *AnswerStream) pieceDeadline(deadline *streamDeadline, now time.Time) time.Time {
+	if deadline.final || a.Length >= 0 {
+		return deadline.at
+	}
+	until := now.Add(answerGap)
+	if latest := deadline.at.Add(time.Duration(a.total.Load()) * time.Second / minAnswerRate); until.After(latest) {
+		until = latest
+	}
+	if until.Before(deadline.at) {
+		return deadline.at
+	}
+	return until
+}
+
 // usualLength reports whether the answer may still have no more than MaxBuffered bytes.
 func (a *AnswerStream) usualLength() bool {
 	return a.Length <= MaxBuffered && a.total.Load() <= MaxBuffered
--- a/internal/pipeline/engine.go
+++ b/internal/pipeline/engine.go
@@ -218,7 +218,7 @@
 	e.endExchangesAfter(f.grace / exchangeGraceDivisor)
 	streamsUntil := e.env.Now().Add(f.grace)
 	for stream := range e.streams {
-		stream.SetDeadline(streamsUntil)
+		stream.SetDeadline(streamsUntil, true)
 	}
 	for _, r := range e.requests.All() {
 		if r.Done {
--- a/internal/pipeline/relay.go
+++ b/internal/pipeline/relay.go
@@ -74,7 +74,7 @@
 	e.streams[b.reply.Stream] = struct{}{}
 	b.reply.Stream.Class = a.Request.Message.Class
 	if !e.conf.Classes[a.Request.Message.Class].Stream {
-		b.reply.Stream.SetDeadline(e.clock.Wall(a.Request.Deadline))
+		b.reply.Stream.SetDeadline(e.clock.Wall(a.Request.Deadline), false)
 	}
 	b.reply.Stream.OnEnd(func(end httpwire.AnswerEnd) { e.post(streamEnded{b, end}) })
 	e.notifyModule(decide.Event{Kind: decide.StreamBegan, Request: a.Request.ID, Attempt: a.Number})
