An id that may have run is not taken again, in either process of an upgrade

Cause: an id was known as long as its request had no final answer. A client that leaves ends its request at once, while its attempt is out or has run; and nothing of ids went from one process of an upgrade to the other. The processes of an upgrade tell each other of ids before anything is sent: the old one sends those that it knows before it stops accepting, then each asks the other (0.2 s at most; one that is silent is not waited for again until it answers). Why it works: the memory is filled before a request is handed to the owner, under one lock with the setting of the other process, so none falls between. What an id says is kept by who took it first; of two at once neither is sent twice. The failing test's processes had no takeover socket in their first form: their folder's name was too long for one. With short names it fails on the program before in each of its four cases. A request whose id never ran may come again, as before.

--- a/internal/lifecycle/departed_test.go
+++ b/internal/lifecycle/departed_test.go
@@ -124,9 +124,9 @@
 
 // Guards against report 4bbe03: an id that was sent by one process of an upgrade runs again through the other one.
 func TestIDRunsOnceInBothProcesses(t *testing.T) {
-	for _, newFirst := range []bool{false, true} {
-		for _, answered := range []bool{false, true} {
-			t.Run(fmt.Sprintf("the new process is first %v, answered %v", newFirst, answered), func(t *testing.T) {
+	for first, newFirst := range map[string]bool{"old": false, "new": true} { // short names: they stand in the path of a Unix socket
+		for end, answered := range map[string]bool{"left": false, "had": true} {
+			t.Run(first+" "+end, func(t *testing.T) {
 				release := make(chan struct{})
 				e := scripted.StartEndpoint(t, "e1", func(w http.ResponseWriter, r *http.Request) {
 					if r.URL.Path == "/burn" {
@@ -134,7 +134,7 @@
 					}
 				})
 				conf, address := upgradeConfig(t, scripted.StartDiscovery(t), e.Line())
-				_, _ = launchReady(t, conf)
+				old, _ := launchReady(t, conf)
 				onOld := scripted.Connect(t, address)
 				onOld.Send(requestText("/look", ""))
 				onOld.ReadAnswer()
@@ -148,9 +148,12 @@
 				if !newFirst {
 					send()
 				}
-				idle := scripted.Connect(t, address) // stays with the old process: it has not asked for anything yet
-				idle.Send("GET /up HTTP/1.1\r\n")
+				text := burnText(id, "Content-Length: 0")
+				const begun = 10 // bytes of it that the old process has before the upgrade: each later answer ends its connection
+				idle := scripted.Connect(t, address)
+				idle.Send(text[:begun])
 				launchReady(t, conf)
+				eventually(t, "the old process knows of the new one", func() bool { return strings.Contains(old.log.String(), `"a successor serves"`) })
 				second = scripted.Connect(t, address)
 				if newFirst {
 					first, second = second, idle
@@ -167,17 +170,13 @@
 					time.Sleep(leftSlackWait) // the close is seen: nothing outside tells when
 				}
 				before := e.Count()
-				text := burnText(id, "Content-Length: 0")
-				if newFirst { // the request line stands there already
-					text = "Host: x\r\n\r\n" + text
-				}
-				second.Send(text)
 				if newFirst {
-					second.ReadAnswer()
+					text = text[begun:]
 				}
+				second.Send(text)
 				status, _ := second.ReadAnswer()
-				if e.Count() != before {
-					t.Errorf("the second: %d; the id came to the endpoint again", status)
+				if status != 400 || e.Count() != before {
+					t.Errorf("the second: %d, want 400; %d requests came to the endpoint again", status, e.Count()-before)
 				}
 			})
 		}
--- a/internal/lifecycle/upgrade.go
+++ b/internal/lifecycle/upgrade.go
@@ -74,6 +74,7 @@
 	defer u.mu.Unlock()
 	u.peers = slices.DeleteFunc(u.peers, func(p *takeover.Peer) bool { return p == peer })
 	if len(u.peers) == 0 {
+		s.engine.SetIDPeer(nil)
 		s.limits.divide(s, 1)
 	}
 }
@@ -87,6 +88,7 @@
 		return
 	}
 	s.limits.divide(s, upgradeProcesses)
+	s.engine.SetIDPeer(peer)
 	go peer.Run(predecessorHandler{s, peer})
 	if err := peer.StopAccepting(); err != nil {
 		s.log.Warn().Err(err).Msg("the predecessor does not confirm that it stops accepting; both processes accept connections")
@@ -141,9 +143,16 @@
 	listener net.Listener
 }
 
+// RememberID implements takeover.Handler.
+func (s *Sidecar) RememberID(id uint64) (known bool) { return s.engine.RememberID(id) }
+
 // StopAccepting stops accepting. Requests on open connections are served, each answer closes its connection, and this
 // process keeps to its part of the limits from now on. It also returns free memory to the system.
 func (s successorHandler) StopAccepting() {
+	// The successor takes requests in once this returns: it has to know the ids of those that came before.
+	if err := s.peer.SendIDs(s.engine.SetIDPeer(s.peer)); err != nil {
+		s.log.Warn().Err(err).Msg("can't tell the successor which requests came before")
+	}
 	s.upgrade.replaced.Store(true)
 	s.callers.Pause()
 	s.engine.Drain(true)
--- a/internal/pipeline/engine.go
+++ b/internal/pipeline/engine.go
@@ -65,6 +65,7 @@
 	malformed       atomic.Int64  // requests answered 400; counted here and not by the owner, so that a flood of them does not fill its queue
 	balancer        Decider
 	requests        *state.Requests
+	ids             *requestIDs
 	endpoints       *state.Endpoints
 	pool            *state.Pool
 	answerMemory    *httpwire.MemoryBudget // memory budget for bodies of answers
@@ -108,6 +109,7 @@
 		events: make(chan event, eventQueueSize), urgent: make(chan event, urgentQueueSize), stopped: make(chan struct{}),
 		requests: state.NewRequests(), endpoints: state.NewEndpoints(), streams: map[*httpwire.AnswerStream]struct{}{},
 	}
+	e.ids = newRequestIDs(e.clock)
 	e.exchanges, e.endExchanges = context.WithCancel(context.Background())
 	names := make([]string, 0, len(conf.Classes))
 	for name := range conf.Classes {
--- a/internal/pipeline/record.go
+++ b/internal/pipeline/record.go
@@ -47,5 +47,5 @@
 		ev.Endpoint = a.Endpoint.ID
 	}
 	e.notifyModule(ev)
-	e.requests.Release(r)
+	e.release(r)
 }
--- a/internal/pipeline/relay.go
+++ b/internal/pipeline/relay.go
@@ -29,7 +29,14 @@
 		answer.MayHaveRun = answer.Verdict == httpwire.Served || mayHaveRun(r)
 	}
 	r.Answer <- answer
-	e.requests.Release(r)
+	e.release(r)
+}
+
+// release removes a request that is done and has no attempt in flight. Its id is free again if it can't have run.
+func (e *Engine) release(r *state.Request) {
+	if e.requests.Release(r) && !mayHaveRun(r) {
+		e.ids.forget(r.Message.ID)
+	}
 }
 
 // callerDisconnected is the event that the caller of a request has disconnected.
--- a/internal/pipeline/takein.go
+++ b/internal/pipeline/takein.go
@@ -97,49 +97,72 @@
 		// timers, is kept that long.
 		message.Remaining = min(message.Remaining, maxDeadline)
 	}
-	crowded := conn.OverSoftLimit()
+	if !e.claimID(&message) {
+		e.malformed.Add(1)
+		conn.SetProblem(errKnownID)
+		message.Memory.Release()
+		return httpwire.Answer{Verdict: httpwire.Malformed, Reason: errKnownID}, false
+	}
+	in := &arrival{message: &message, caller: conn, crowded: conn.OverSoftLimit(), answer: make(chan httpwire.Answer, 1)}
+	answer, counted = e.takeInNew(in)
+	if in.request == nil { // the owner has not admitted it, so nothing of it was sent
+		e.ids.forget(message.ID)
+		message.Memory.Release()
+	}
+	return answer, counted
+}
+
+// errKnownID is the problem of a request whose id is that of another one.
+const errKnownID = "id: that of an open request, or of one that may have run"
+
+// claimID claims the id of a request, and reports whether it is new. The time that this takes, while another process has to be asked, is
+// a part of the request's.
+func (e *Engine) claimID(message *httpwire.Request) bool {
+	began := e.clock.Now()
+	isNew := e.ids.claim(message.ID)
+	message.Remaining = max(0, message.Remaining-(e.clock.Now()-began))
+	return isNew
+}
+
+// takeInNew passes a request to the owner and waits for its answer.
+func (e *Engine) takeInNew(in *arrival) (answer httpwire.Answer, counted bool) {
+	message, conn := in.message, in.caller
 	if message.Upload == nil {
 		// From here on the caller's connection is watched, because a claim may take time too.
 		caller := &waitingCaller{}
 		conn.Watch(func() { caller.disconnect(e) })
 		defer conn.Unwatch()
-		return e.awaitBuffered(&message, conn, crowded, caller)
+		return e.awaitBuffered(in, caller)
 	}
 	if e.holdings != nil && e.holdings.Holds(message.Class) {
-		_, answer := e.claimKey(&message)
+		_, answer := e.claimKey(message)
 		return *answer, false
 	}
-	in := &arrival{
-		message: &message, deadline: e.clock.Now() + message.Remaining, caller: conn, crowded: crowded,
-		answer: make(chan httpwire.Answer, 1),
-	}
+	in.deadline = e.clock.Now() + message.Remaining
 	return e.awaitUpload(in, conn)
 }
 
 // awaitBuffered handles a request whose body is complete: it claims the key where the class requires it, passes the request to
 // the owner and waits for its answer.
-func (e *Engine) awaitBuffered(message *httpwire.Request, conn *httpwire.CallerConn, crowded bool, caller *waitingCaller) (answer httpwire.Answer, counted bool) {
-	var claim Claim
+func (e *Engine) awaitBuffered(in *arrival, caller *waitingCaller) (answer httpwire.Answer, counted bool) {
+	message, conn := in.message, in.caller
 	var answerBy decide.Time // when the caller of a claimed request must have its answer
 	if e.holdings != nil && e.holdings.Holds(message.Class) {
 		var knownAnswer *httpwire.Answer
 		answerBy = e.clock.Now() + message.Remaining
 		conn.SetPendingState(httpwire.StateClaiming)
-		if claim, knownAnswer = e.claimKey(message); knownAnswer != nil {
+		if in.claim, knownAnswer = e.claimKey(message); knownAnswer != nil {
 			return *knownAnswer, false
 		}
 		conn.SetPendingState(httpwire.StatePending)
 	}
-	in := &arrival{
-		message: message, deadline: e.clock.Now() + message.Remaining, caller: conn, crowded: crowded,
-		answer: make(chan httpwire.Answer, 1), claim: claim,
-	}
+	in.deadline = e.clock.Now() + message.Remaining
 	e.metrics.Active.Add(1)
 	caller.admit(e, in)
 	answer = e.await(in)
-	if claim != nil {
+	if in.claim != nil {
 		conn.SetPendingState(httpwire.StateRecording)
-		answer = claim.Finish(e.exchanges, answer, answer.MayHaveRun, recordingTime(e.clock.Now(), in.deadline, answerBy))
+		answer = in.claim.Finish(e.exchanges, answer, answer.MayHaveRun, recordingTime(e.clock.Now(), in.deadline, answerBy))
 	}
 	return answer, true
 }
--- a/internal/state/request.go
+++ b/internal/state/request.go
@@ -155,12 +155,14 @@
 	return true
 }
 
-// Release removes a request that is done and has no attempt in flight.
-func (t *Requests) Release(r *Request) {
-	if r.Done && r.inFlight == 0 {
-		r.Message.Memory.Release()
-		delete(t.byID, r.ID)
+// Release removes a request that is done and has no attempt in flight, and reports whether this call has removed it.
+func (t *Requests) Release(r *Request) bool {
+	if !r.Done || r.inFlight > 0 || t.byID[r.ID] != r {
+		return false
 	}
+	r.Message.Memory.Release()
+	delete(t.byID, r.ID)
+	return true
 }
 
 // Audit checks that the table is consistent.
--- a/internal/takeover/takeover.go
+++ b/internal/takeover/takeover.go
@@ -19,6 +19,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -34,6 +35,7 @@
 const (
 	findTimeout  = 2 * time.Second        // for the descriptor and the state
 	stopTimeout  = time.Second            // for the predecessor's message that it has stopped accepting
+	claimTimeout = 200 * time.Millisecond // for the other process's reply to the id of a request: a process may be paused for 150 ms
 	replyTimeout = 400 * time.Millisecond // for the other process's reply to a ban: the operator waits 1 s at most
 )
 
@@ -47,8 +49,11 @@
 	Ban           string          `json:"ban,omitempty"`     // name of an endpoint to ban (On) or to unban, with Seq
 	On            bool            `json:"on,omitempty"`
 	Seq           int             `json:"seq,omitempty"`
-	Applied       int             `json:"done,omitempty"` // the Seq of a Ban that is now in effect
-	Answer        json.RawMessage `json:"over,omitempty"` // state of a long answer that is handed over; two descriptors come with it
+	Applied       int             `json:"done,omitempty"`  // the Seq of a Ban that is now in effect, or of an ID that is remembered
+	ID            uint64          `json:"id,omitempty"`    // hash of the id of a request that the sender has taken in, with Seq
+	Known         bool            `json:"known,omitempty"` // with Applied: the ID was known already
+	IDs           []uint64        `json:"ids,omitempty"`   // hashes of ids that the sender has taken in before
+	Answer        json.RawMessage `json:"over,omitempty"`  // state of a long answer that is handed over; two descriptors come with it
 }
 
 // descriptorReader reads from a connection and collects the descriptors that come with its bytes.
@@ -135,16 +140,17 @@
 	mu      sync.Mutex
 	out     *json.Encoder
 	seq     int
-	waiting map[int]chan struct{} // by the Seq of a Ban: closed when its Applied message comes
-	stopped chan struct{}         // closed when the predecessor has stopped accepting
-	ended   chan struct{}         // closed when the other process has ended
+	waiting map[int]chan bool // by the Seq of a Ban or an ID: receives whether it was known when its Applied message comes
+	silent  atomic.Bool       // it has not answered the last claim of an ID in time
+	stopped chan struct{}     // closed when the predecessor has stopped accepting
+	ended   chan struct{}     // closed when the other process has ended
 }
 
 func newPeer(conn *net.UnixConn) *Peer {
 	fds := &descriptorReader{conn: conn}
 	return &Peer{
 		conn: conn, reader: fds, in: json.NewDecoder(fds), out: json.NewEncoder(conn),
-		waiting: map[int]chan struct{}{}, stopped: make(chan struct{}), ended: make(chan struct{}),
+		waiting: map[int]chan bool{}, stopped: make(chan struct{}), ended: make(chan struct{}),
 	}
 }
 
@@ -241,6 +247,8 @@
 type Handler interface {
 	// ApplyBanChange bans an endpoint (on) or ends its ban. It returns when that is in effect.
 	ApplyBanChange(name string, on bool)
+	// RememberID remembers the id of a request that the other process has taken in, by its hash, and reports whether it was known.
+	RememberID(id uint64) (known bool)
 	// ResumeAnswer continues a long answer that the other process has begun to stream.
 	ResumeAnswer(state []byte, caller, endpoint net.Conn)
 	// StopAccepting stops accepting: the other process is about to accept.
@@ -265,6 +273,12 @@
 		case m.Ban != "":
 			h.ApplyBanChange(m.Ban, m.On)
 			p.send(message{Applied: m.Seq})
+		case m.ID != 0:
+			p.send(message{Applied: m.Seq, Known: h.RememberID(m.ID)}) //nolint:errcheck // the next read shows it
+		case m.IDs != nil:
+			for _, id := range m.IDs {
+				h.RememberID(id)
+			}
 		case m.Answer != nil:
 			if caller, endpoint, err := p.reader.takeConns(); err == nil {
 				h.ResumeAnswer(m.Answer, caller, endpoint)
@@ -282,10 +296,11 @@
 		case m.Applied > 0:
 			p.mu.Lock()
 			if done := p.waiting[m.Applied]; done != nil {
-				close(done)
+				done <- m.Known
 				delete(p.waiting, m.Applied)
 			}
 			p.mu.Unlock()
+			p.silent.Store(false)
 		}
 	}
 }
@@ -318,29 +333,56 @@
 // SendBan sends a ban by an operator, or its end, to the other process and waits until it is in effect there or the
 // other process has ended. It returns an error if there is no reply in time.
 func (p *Peer) SendBan(name string, on bool) error {
-	done := make(chan struct{})
+	_, answered := p.ask(message{Ban: name, On: on}, replyTimeout)
+	if !answered {
+		return errors.New("the other process of the upgrade does not answer; try again")
+	}
+	return nil
+}
+
+// ClaimID tells the other process of the id of a request, by its hash, and returns whether that knew it. If there is no reply in time it
+// returns false, and so do further calls at once until a reply comes: a process that hangs takes no requests in, and asks before it
+// does so again.
+func (p *Peer) ClaimID(id uint64) (known bool) {
+	if p.silent.Load() {
+		p.send(message{IDs: []uint64{id}}) //nolint:errcheck // as it goes on, it reads what was sent
+		return false
+	}
+	known, answered := p.ask(message{ID: id}, claimTimeout)
+	if !answered {
+		p.silent.Store(true)
+	}
+	return known
+}
+
+// SendIDs tells the other process of ids that were taken in before, by their hashes.
+func (p *Peer) SendIDs(ids []uint64) error { return p.send(message{IDs: ids}) }
+
+// ask sends a message and waits for the reply to it. It counts as answered if the other process has ended.
+func (p *Peer) ask(m message, timeout time.Duration) (known, answered bool) {
+	reply := make(chan bool, 1)
 	p.mu.Lock()
 	p.seq++
-	seq := p.seq
-	p.waiting[seq] = done
+	m.Seq = p.seq
+	p.waiting[m.Seq] = reply
 	p.mu.Unlock()
 	defer func() {
 		p.mu.Lock()
-		delete(p.waiting, seq)
+		delete(p.waiting, m.Seq)
 		p.mu.Unlock()
 	}()
-	if err := p.send(message{Ban: name, On: on, Seq: seq}); err != nil {
-		return nil // the other process has ended
+	if err := p.send(m); err != nil {
+		return false, true // the other process has ended
 	}
-	timer := time.NewTimer(replyTimeout)
+	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
-	case <-done:
+	case known = <-reply:
 	case <-p.ended:
 	case <-timer.C:
-		return errors.New("the other process of the upgrade does not answer; try again")
+		return false, false
 	}
-	return nil
+	return known, true
 }
 
 // HandOver hands a long answer over to the other process, with the connections of its caller and its endpoint.
--- a/internal/takeover/takeover_test.go
+++ b/internal/takeover/takeover_test.go
@@ -12,6 +12,7 @@
 type silentHandler struct{ ended chan bool }
 
 func (silentHandler) ApplyBanChange(string, bool)             {}
+func (silentHandler) RememberID(uint64) bool                  { return false }
 func (silentHandler) ResumeAnswer([]byte, net.Conn, net.Conn) {}
 func (silentHandler) StopAccepting()                          {}
 func (q silentHandler) PeerEnded(yielded bool)                { q.ended <- yielded }
@@ -115,3 +116,65 @@
 	}
 	conn.Close()
 }
+
+// idHandler remembers the ids that it is told.
+type idHandler struct {
+	silentHandler
+	known chan uint64
+}
+
+func (h idHandler) RememberID(id uint64) bool {
+	h.known <- id
+	return id == 7
+}
+
+// Guards against a claim of an id that waits for a process which hangs: it waits once, and then not until that process answers.
+func TestClaimOfAnIDAtASilentProcess(t *testing.T) {
+	ours, theirs := unixPair(t)
+	p, other := newPeer(ours), newPeer(theirs)
+	go p.Run(silentHandler{make(chan bool, 1)})
+	begin := time.Now()
+	if p.ClaimID(7) || time.Since(begin) < claimTimeout {
+		t.Errorf("known after %v, without an answer", time.Since(begin))
+	}
+	begin = time.Now()
+	if p.ClaimID(8) || time.Since(begin) >= claimTimeout {
+		t.Errorf("the second claim took %v", time.Since(begin))
+	}
+	h := idHandler{silentHandler{make(chan bool, 1)}, make(chan uint64, 10)}
+	go other.Run(h) // it goes on
+	for _, want := range []uint64{7, 8} {
+		if got := <-h.known; got != want {
+			t.Errorf("told of %d, want %d", got, want)
+		}
+	}
+	for p.silent.Load() { // its late answer comes
+		time.Sleep(time.Millisecond)
+	}
+	if !p.ClaimID(7) || p.ClaimID(9) {
+		t.Error("an id that is known there is new, or the other way round")
+	}
+	p.Close()
+	if p.ClaimID(10) {
+		t.Error("a process that has ended knows an id")
+	}
+}
+
+// unixPair returns both ends of a connection over a Unix socket.
+func unixPair(t *testing.T) (ours, theirs *net.UnixConn) {
+	t.Helper()
+	address := &net.UnixAddr{Name: filepath.Join(t.TempDir(), "pair"), Net: "unix"}
+	listener, err := net.ListenUnix("unix", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	if ours, err = net.DialUnix("unix", nil, address); err != nil {
+		t.Fatal(err)
+	}
+	if theirs, err = listener.AcceptUnix(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ours.Close(); theirs.Close() })
+	return ours, theirs
+}
