A connection and an attempt belong to one incarnation of an endpoint

Cause: an entry of the list was an identity by its name. A connection made before its endpoint started again or moved was kept for the new entry; a dial that came up after the change was written to, until half of a drain's grace had passed; and an entry stayed in use after another endpoint, started later, was listed at its address. Change: an entry has an incarnation that changes with its start, its address and its leaving. Connections go back to the pool, and first bytes leave, only under the incarnation for which they were made. Of two entries with one address the one that started later has it; the other counts as gone, also where only draining binds. Why it works: the check stands where the first byte leaves, after the connection is up, and reads one atomic number that the list's owner changes before anything else uses the new entry. A fixture changed: the endpoints of state's tests all had one address, which no list has; each has its own now. Not told by any list, and so not mended: a process that comes up at the address of one that is gone before discovery says so.

--- a/internal/pipeline/probe.go
+++ b/internal/pipeline/probe.go
@@ -33,17 +33,20 @@
 		e.counters.Dialed++
 	}
 	address := endpoint.Address
-	e.env.Go("probe", func() { e.sendProbe(&probeEnded{endpoint: endpoint, link: link, sent: now}, address) })
+	e.env.Go("probe", func() {
+		e.sendProbe(&probeEnded{endpoint: endpoint, incarnation: endpoint.Incarnation(), link: link, sent: now}, address)
+	})
 }
 
 // probeEnded is the event of a probe that has ended.
 type probeEnded struct {
-	endpoint  *state.Endpoint
-	link      *httpwire.Link // nil if the dial failed
-	endReason httpwire.Reason
-	outcome   decide.Outcome
-	reply     *httpwire.Reply // nil without an answer
-	sent      decide.Time
+	endpoint    *state.Endpoint
+	incarnation uint64         // of endpoint when the probe was sent
+	link        *httpwire.Link // nil if the dial failed
+	endReason   httpwire.Reason
+	outcome     decide.Outcome
+	reply       *httpwire.Reply // nil without an answer
+	sent        decide.Time
 }
 
 // sendProbe makes one probe, in a goroutine of its own. It takes the connect timeout and probeTimeout at most.
@@ -71,7 +74,7 @@
 func (p *probeEnded) handle(e *Engine) {
 	now := e.clock.Now()
 	if p.endReason == "" {
-		e.pool.Put(p.endpoint, p.link, now)
+		e.putBack(p.endpoint, p.incarnation, p.link)
 	} else {
 		e.pool.Drop(p.endpoint, p.link, p.endReason)
 	}
--- a/internal/pipeline/record.go
+++ b/internal/pipeline/record.go
@@ -12,7 +12,7 @@
 	endpoint := ended.attempt.Endpoint
 	ended.attempt.EndReason = ended.endReason
 	if ended.link != nil && ended.endReason == "" {
-		e.pool.Put(endpoint, ended.link, e.clock.Now())
+		e.putBack(endpoint, ended.attempt.Incarnation, ended.link)
 	} else {
 		e.pool.Drop(endpoint, ended.link, ended.endReason)
 	}
@@ -23,6 +23,16 @@
 	e.settle(ended.attempt, ended.outcome, ended.reply)
 }
 
+// putBack puts a connection back that may carry another exchange. One that was made for an earlier incarnation of its endpoint is
+// closed.
+func (e *Engine) putBack(endpoint *state.Endpoint, incarnation uint64, link *httpwire.Link) {
+	if endpoint.Incarnation() != incarnation {
+		e.pool.Drop(endpoint, link, httpwire.ReasonUnlisted)
+		return
+	}
+	e.pool.Put(endpoint, link, e.clock.Now())
+}
+
 // settle records the outcome of an attempt, unless it has one already, and notifies the module. The first attempt that is
 // served answers its request.
 func (e *Engine) settle(a *state.Attempt, outcome decide.Outcome, reply *httpwire.Reply) {
--- a/internal/pipeline/relay.go
+++ b/internal/pipeline/relay.go
@@ -111,7 +111,7 @@
 		endReason = httpwire.ReasonCloseInAnswer
 	}
 	if endReason == "" {
-		e.pool.Put(endpoint, s.link, e.clock.Now())
+		e.putBack(endpoint, s.attempt.Incarnation, s.link)
 	} else {
 		e.pool.Drop(endpoint, s.link, endReason)
 	}
--- a/internal/pipeline/send.go
+++ b/internal/pipeline/send.go
@@ -155,6 +155,11 @@
 	if a.Endpoint.ClosedForWrites(now) {
 		return decide.ConnectFailed, false
 	}
+	// Guards against a connection that comes up to a process which is not the listed one: the endpoint may have started again, moved
+	// or left the list since it was chosen, and another process may have its address.
+	if a.Endpoint.Incarnation() != a.Incarnation {
+		return decide.ConnectFailed, false
+	}
 	// Guards against an effect that happens twice: this attempt was allowed while the window of its key was open, but the
 	// endpoints may have forgotten the key when the connection is up. Also guards against an endpoint that counts as gone by
 	// then although no list has said so.
--- a/internal/state/endpoint.go
+++ b/internal/state/endpoint.go
@@ -20,8 +20,14 @@
 	idle   []idleLink // ordered by when they became idle; the most recent is last
 
 	closedFrom atomic.Int64 // module time from which no new request may be written to it; 0 for no such time
+
+	incarnation atomic.Uint64
 }
 
+// Incarnation changes whenever another process may be behind the entry: when the endpoint has started again, has another address, or
+// has left the list. A connection, and an attempt, belongs to the incarnation for which it was made. Any goroutine may call it.
+func (e *Endpoint) Incarnation() uint64 { return e.incarnation.Load() }
+
 // ClosedForWrites reports whether no new request may be written to the endpoint, because it has been draining or gone for
 // longer than the grace. Any goroutine may call it.
 func (e *Endpoint) ClosedForWrites(now decide.Time) bool {
@@ -115,6 +121,7 @@
 // to be closed: those that were removed, have restarted or have a new address.
 func (t *Endpoints) Update(list *httpwire.List, now decide.Time) (changes []decide.Endpoint, stale []*Endpoint) {
 	inList := make(map[string]bool, len(list.Endpoints))
+	moved := false // an entry may have got another one's address
 	for _, entry := range list.Endpoints {
 		inList[entry.Name] = true
 		e := t.byName[entry.Name]
@@ -123,8 +130,11 @@
 		}
 		if e == nil {
 			e = t.add(entry.Name)
+			moved = true
 		} else if entry.State != decide.Gone && (e.Since != entry.Since || e.Address != entry.Address) {
 			stale = append(stale, e)
+			e.incarnation.Add(1)
+			moved = true
 		}
 		changes = append(changes, toModule(e.ID, &entry))
 		if entry.State != decide.Gone {
@@ -146,6 +156,15 @@
 			}
 		}
 	}
+	if moved {
+		for _, e := range t.removeReplaced(now) {
+			stale = append(stale, e)
+			if t.goneSince != nil { // only draining binds
+				changes = append(changes, decide.Endpoint{ID: e.ID, Zone: e.Zone, Cell: e.Cell, State: decide.Draining, Weight: e.Weight, Started: e.Since})
+			}
+			changes = append(changes, decide.Endpoint{ID: e.ID, State: decide.Gone})
+		}
+	}
 	for name, at := range t.goneSince {
 		if e := t.byName[name]; now-at >= goneRetention && t.markGone(e, now) {
 			stale = append(stale, e)
@@ -154,6 +173,28 @@
 	return changes, stale
 }
 
+// removeReplaced removes the endpoints whose address belongs to another one that has started later, and returns them. Guards against
+// requests that reach the process of that other one: a list may name a new process before it says that the old one is gone.
+func (t *Endpoints) removeReplaced(now decide.Time) (removed []*Endpoint) {
+	latest := make(map[string]*Endpoint, len(t.byName))
+	for _, e := range t.byName {
+		if other := latest[e.Address]; other == nil || e.Since > other.Since {
+			latest[e.Address] = e
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(t.byName)) {
+		e := t.byName[name]
+		if latest[e.Address].Since <= e.Since {
+			continue
+		}
+		delete(t.goneSince, name)
+		t.closeAfterGrace(e, now)
+		t.remove(e)
+		removed = append(removed, e)
+	}
+	return removed
+}
+
 // toModule returns an entry of the list in the form that the decision module takes.
 func toModule(id decide.EndpointID, entry *httpwire.ListedEndpoint) decide.Endpoint {
 	return decide.Endpoint{
@@ -258,6 +299,7 @@
 // remove removes an endpoint from the registry; its ban, if any, stays.
 func (t *Endpoints) remove(e *Endpoint) {
 	e.Listed = false
+	e.incarnation.Add(1)
 	delete(t.byName, e.Name)
 	delete(t.byID, e.ID)
 }
--- a/internal/state/request.go
+++ b/internal/state/request.go
@@ -30,18 +30,19 @@
 
 // Attempt is one sending of a request to an endpoint.
 type Attempt struct {
-	Request   *Request
-	Number    int
-	Endpoint  *Endpoint
-	Sent      decide.Time
-	TimeoutAt decide.Time // when its outcome becomes TimedOut or ConnectFailed
-	NotAfter  decide.Time // from then on its first byte may not be written; 0 for no such bound
-	GiveUp    context.CancelFunc
-	Settled   bool            // its outcome is known
-	Ran       bool            // it may have run, judging by its outcome
-	Outcome   decide.Outcome  // valid once it is settled
-	EndReason httpwire.Reason // why its connection ended, for the log; empty if that goes on
-	Latency   decide.Time     // from Sent until it was settled
+	Request     *Request
+	Number      int
+	Endpoint    *Endpoint
+	Incarnation uint64 // of Endpoint when the attempt was decided on
+	Sent        decide.Time
+	TimeoutAt   decide.Time // when its outcome becomes TimedOut or ConnectFailed
+	NotAfter    decide.Time // from then on its first byte may not be written; 0 for no such bound
+	GiveUp      context.CancelFunc
+	Settled     bool            // its outcome is known
+	Ran         bool            // it may have run, judging by its outcome
+	Outcome     decide.Outcome  // valid once it is settled
+	EndReason   httpwire.Reason // why its connection ended, for the log; empty if that goes on
+	Latency     decide.Time     // from Sent until it was settled
 	// Generation identifies the cluster's rules under which it was decided; 0 without a cluster.
 	Generation   uint64
 	writeState   atomic.Int32
@@ -126,6 +127,9 @@
 // Begin adds a new attempt to a request.
 func (t *Requests) Begin(r *Request, endpoint *Endpoint, sent, timeoutAt decide.Time) *Attempt {
 	a := &Attempt{Request: r, Number: len(r.Attempts), Endpoint: endpoint, Sent: sent, TimeoutAt: timeoutAt}
+	if endpoint != nil {
+		a.Incarnation = endpoint.Incarnation()
+	}
 	r.Attempts = append(r.Attempts, a)
 	r.inFlight++
 	return a
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,7 +12,7 @@
 )
 
 func listed(name string) httpwire.ListedEndpoint {
-	return httpwire.ListedEndpoint{Name: name, Address: "127.0.0.1:1", Weight: 1}
+	return httpwire.ListedEndpoint{Name: name, Address: name + ":1", Weight: 1}
 }
 
 func fullList(names ...string) *httpwire.List {
@@ -272,3 +273,58 @@
 		t.Errorf("the clock went back: %v", at)
 	}
 }
+
+// Of two entries with one address the one that started later has it, in whatever order and in whatever kind of list they come. Where
+// neither started later, or only one is at that address now, both stay.
+func TestLaterEntryHasTheAddress(t *testing.T) {
+	entry := func(name, address string, since decide.Time) httpwire.ListedEndpoint {
+		e := listed(name)
+		e.Address, e.Since = address, since
+		return e
+	}
+	list := func(full bool, entries ...httpwire.ListedEndpoint) *httpwire.List {
+		return &httpwire.List{Full: full, Endpoints: entries}
+	}
+	for name, c := range map[string]struct {
+		lists []*httpwire.List
+		want  []string
+	}{
+		"a newcomer":         {[]*httpwire.List{list(true, entry("a", "x", 0), entry("b", "y", 0)), list(false, entry("c", "x", 9))}, []string{"b", "c"}},
+		"in one list":        {[]*httpwire.List{list(true, entry("a", "x", 3), entry("c", "x", 2))}, []string{"a"}},
+		"the old one again":  {[]*httpwire.List{list(true, entry("c", "x", 9)), list(false, entry("a", "x", 0))}, []string{"c"}},
+		"one that moves":     {[]*httpwire.List{list(true, entry("a", "x", 5), entry("b", "y", 6)), list(false, entry("b", "x", 6))}, []string{"b"}},
+		"one that moves off": {[]*httpwire.List{list(true, entry("a", "x", 5)), list(false, entry("a", "y", 5), entry("b", "x", 6))}, []string{"a", "b"}},
+		"at the same time":   {[]*httpwire.List{list(true, entry("a", "x", 5), entry("b", "x", 5))}, []string{"a", "b"}},
+	} {
+		for _, onlyDraining := range []bool{false, true} {
+			table := NewEndpoints()
+			if onlyDraining {
+				table.KeepGone()
+			}
+			known := map[decide.EndpointID]bool{} // as the module has them
+			names := map[decide.EndpointID]string{}
+			for _, l := range c.lists {
+				changes, _ := table.Update(l, 1)
+				if l.Full {
+					clear(known)
+				}
+				for _, change := range changes {
+					known[change.ID] = change.State != decide.Gone
+				}
+				for _, e := range table.byName {
+					names[e.ID] = e.Name
+				}
+			}
+			var got []string
+			for id, is := range known {
+				if is {
+					got = append(got, names[id])
+				}
+			}
+			slices.Sort(got)
+			if !slices.Equal(got, c.want) || table.Len() != len(c.want) {
+				t.Errorf("%s, only draining binds %v: the module has %v of %d, want %v", name, onlyDraining, got, table.Len(), c.want)
+			}
+		}
+	}
+}
