One connection's requests, chunks and noise leave the processor to others

Cause: a sidecar has one processor, and nothing bounded what one connection takes of it: requests in series, chunks of one byte (each written to the endpoint by a system call of its own), and what is dropped behind an unsound request. Requests with no time left went to the module, which takes what most requests of a class have left for the usual time, and then refused others. Answers later than 0.4 s, and memory that grows, were not seen. Change: a connection brings 100 requests at once and 500 a second; what is dropped pauses 0.5 ms each 64 KiB; a body's pieces are gathered until the caller would be waited for; a request with no more time than the module's tick is refused without it (reason no_time).

--- a/internal/httpwire/caller.go
+++ b/internal/httpwire/caller.go
@@ -21,7 +21,9 @@
 
 	// Used by the goroutine that reads, one at a time.
 	scanner  requestScanner
-	rejected error // why nothing more is read; nil if that is not so
+	pace     requestPace
+	onWait   func() // called before a read of a body that has to wait; nil for nothing
+	rejected error  // why nothing more is read; nil if that is not so
 
 	mu              sync.Mutex
 	reason          Reason    // the first that was found; empty until then
@@ -70,6 +72,9 @@
 	if c.rejected != nil {
 		return 0, c.rejected
 	}
+	if c.scanner.state == scanBetween {
+		c.owner.env.Sleep(c.pace.wait(c.owner.env.Now(), c.scanner.requests))
+	}
 	n, err := c.readUnchecked(b)
 	accepted, failure := c.scanner.scan(b[:n])
 	switch {
@@ -118,6 +123,9 @@
 		}
 	}
 	c.mu.Unlock()
+	if waits && c.onWait != nil {
+		c.onWait()
+	}
 	n, err := c.Conn.Read(b)
 	if n == 0 && idle && errors.Is(err, os.ErrDeadlineExceeded) {
 		n, err = c.readOnceMore(b)
--- a/internal/httpwire/linger.go
+++ b/internal/httpwire/linger.go
@@ -43,6 +43,12 @@
 	minLingering  = 16                     // but always that many
 )
 
+// What comes without pause on a connection that is read out takes this much of the processor's time and no more: others wait for it.
+const (
+	dropPerTurn = 64 << 10             // bytes that are dropped before a pause
+	dropPause   = time.Millisecond / 2 // at 128 MB a second, the longest body takes a quarter of a second
+)
+
 // lingerTime returns how long to read before the connection is closed; c.mu is held.
 func (c *CallerConn) lingerTime() time.Duration {
 	switch {
@@ -73,13 +79,17 @@
 	}
 	c.mu.Unlock()
 	buf := make([]byte, initialBodySize) // mostly little or nothing comes
-	for left := MaxBody; left > 0; {
+	for left, turn := MaxBody, 0; left > 0; {
 		n, err := c.Conn.Read(buf)
 		c.countDropped(n)
 		if err != nil {
 			return
 		}
 		left -= n
+		if turn += n; turn >= dropPerTurn {
+			turn = 0
+			c.owner.env.Sleep(dropPause)
+		}
 	}
 }
 
--- a/internal/httpwire/stream.go
+++ b/internal/httpwire/stream.go
@@ -274,28 +274,70 @@
 func (l *Link) WriteUpload(u *Upload, wait time.Duration, environment env.Env) (complete bool, err error) {
 	buf, release := pieceBuffer(u.memory, initialBodySize)
 	defer release()
+	w := &uploadWriter{link: l, upload: u, wait: wait, env: environment, buf: buf}
+	// What has come is written before the caller is waited for. Guards against a write for each byte, where a caller sends chunks of
+	// one.
+	u.conn.onWait = func() { w.flush(false) }
+	defer func() { u.conn.onWait = nil }()
 	for {
-		n, err := u.Read(buf)
-		if err != nil && err != io.EOF {
-			return false, fmt.Errorf("%w: %w", ErrBody, err)
-		}
-		last := err == io.EOF
-		if last && u.conn.DisconnectedBehindUnread() {
-			return false, ErrDisconnected // an endpoint starts to run a request with its last byte
-		}
-		deadline, late := u.writeDeadline(wait, environment.Now())
-		if err := l.writePiece(buf[:n], u.Length < 0, last, deadline); err != nil {
-			if late && errors.Is(err, os.ErrDeadlineExceeded) {
-				err = ErrBodyLate
-			}
-			return false, err
-		}
-		if last {
-			return true, nil
+		done, err := w.next()
+		if done || err != nil {
+			return done, err
 		}
 	}
 }
 
+// uploadWriter writes a body, in pieces of up to the size of its buffer.
+type uploadWriter struct {
+	link    *Link
+	upload  *Upload
+	wait    time.Duration
+	env     env.Env
+	buf     []byte
+	pending int   // bytes of buf that are to be written
+	flushed bool  // flush was called
+	err     error // of a write
+}
+
+// next reads the next bytes of the body, and writes them where the buffer is half full or the body ends. It reports whether the last
+// byte was written.
+func (w *uploadWriter) next() (done bool, err error) {
+	begin := w.pending
+	w.flushed = false
+	n, err := w.upload.Read(w.buf[begin:])
+	if w.flushed { // during the read: what was ahead of these bytes is written
+		copy(w.buf, w.buf[begin:begin+n])
+	}
+	w.pending += n
+	if w.err != nil {
+		return false, w.err
+	}
+	if err != nil && err != io.EOF {
+		return false, fmt.Errorf("%w: %w", ErrBody, err)
+	}
+	last := err == io.EOF
+	if last && w.upload.conn.DisconnectedBehindUnread() {
+		return false, ErrDisconnected // an endpoint starts to run a request with its last byte
+	}
+	if last || w.pending >= len(w.buf)/2 {
+		w.flush(last)
+	}
+	return last && w.err == nil, w.err
+}
+
+// flush writes what is pending, unless a write has failed.
+func (w *uploadWriter) flush(last bool) {
+	if w.err != nil || w.pending == 0 && !last {
+		return
+	}
+	deadline, late := w.upload.writeDeadline(w.wait, w.env.Now())
+	w.err = w.link.writePiece(w.buf[:w.pending], w.upload.Length < 0, last, deadline)
+	if late && errors.Is(w.err, os.ErrDeadlineExceeded) {
+		w.err = ErrBodyLate
+	}
+	w.pending, w.flushed = 0, true
+}
+
 // writePiece writes a piece until a deadline, framed as a chunk if the length of the body is unknown.
 func (l *Link) writePiece(b []byte, chunked, last bool, deadline time.Time) error {
 	if chunked {
--- a/internal/lifecycle/flood_test.go
+++ b/internal/lifecycle/flood_test.go
@@ -149,64 +149,72 @@
 // Guards against other clients that get their answers late or never, and against memory that grows without end, while one client
 // writes requests on one connection without pause (report 4bbe03). It connects again as soon as it is disconnected.
 func TestFloodOnOneConnection(t *testing.T) {
-	const during, clients, wait = 2 * time.Second, 8, 400 * time.Millisecond // as short as requests of the report
 	for name, text := range floodTexts {
-		for _, inTurn := range []bool{false, true} {
-			if inTurn && !strings.HasPrefix(name, "small") && name != "no time" && name != "readiness" {
-				continue // it has no answers, or a connection ends with the first
+		t.Run(name, func(t *testing.T) { playFlood(t, name, text, false) })
+	}
+	for _, name := range []string{"small keyed requests", "no time", "readiness"} {
+		t.Run(name+", in turn", func(t *testing.T) { playFlood(t, name, floodTexts[name], true) })
+	}
+}
+
+// Guards against other clients that are refused beside one that sends valid requests in turn as fast as it gets answers.
+func TestFloodOfValidRequestsInTurn(t *testing.T) {
+	for _, name := range []string{"small requests", "small requests under ever new names"} {
+		t.Run(name, func(t *testing.T) { playFlood(t, name, floodTexts[name], true) })
+	}
+}
+
+// playFlood plays a flood, in turn or without pause, beside usual clients, which all must be served in time.
+func playFlood(t *testing.T, name string, text func(i int) string, inTurn bool) {
+	const during, clients, wait = 2 * time.Second, 8, 400 * time.Millisecond // as short as requests of the report
+	e := scripted.StartEndpoint(t, "e1", nil)
+	p, address := launchSmall(t, e.Line())
+	limitProcessor(t, p.Process.Pid)
+	until := time.Now().Add(during)
+	var running sync.WaitGroup
+	var mu sync.Mutex
+	var slowest time.Duration
+	bad, served := map[string]int{}, 0
+	running.Go(func() {
+		for next := 0; time.Now().Before(until); {
+			if next = floodOnce(address, text, next, until, inTurn); strings.HasPrefix(name, "tiny") {
+				next = 0 // each connection begins with a head
 			}
-			t.Run(fmt.Sprintf("%s, in turn %v", name, inTurn), func(t *testing.T) {
-				e := scripted.StartEndpoint(t, "e1", nil)
-				p, address := launchSmall(t, e.Line())
-				limitProcessor(t, p.Process.Pid)
-				until := time.Now().Add(during)
-				var running sync.WaitGroup
-				var mu sync.Mutex
-				var slowest time.Duration
-				bad, served := map[string]int{}, 0
-				running.Go(func() {
-					for next := 0; time.Now().Before(until); {
-						if next = floodOnce(address, text, next, until, inTurn); strings.HasPrefix(name, "tiny") {
-							next = 0 // each connection begins with a head
-						}
-					}
-				})
-				for i := range clients {
-					client := &http.Client{Transport: &http.Transport{DisableKeepAlives: i%2 == 0}, Timeout: patience}
-					running.Go(func() {
-						for time.Now().Before(until) {
-							r := request(t, address, http.MethodGet, "/look", "")
-							r.Header.Set("X-Remaining", fmt.Sprint(wait.Seconds()))
-							begin := time.Now()
-							answer, err := client.Do(r)
-							what := fmt.Sprint(err)
-							if err == nil {
-								_, err := io.Copy(io.Discard, answer.Body)
-								answer.Body.Close()
-								what = fmt.Sprint(answer.StatusCode, err)
-							}
-							took := time.Since(begin)
-							mu.Lock()
-							if slowest = max(slowest, took); what != "200 <nil>" {
-								bad[what]++
-							} else {
-								served++
-							}
-							mu.Unlock()
-							time.Sleep(20 * time.Millisecond)
-						}
-					})
-				}
-				running.Wait()
-				kb := peakMemory(t, p.Process.Pid)
-				t.Logf("%d served, the slowest after %v, others %v, peak memory %d kB", served, slowest, bad, kb)
-				if slowest > wait || len(bad) > 0 {
-					t.Errorf("the slowest answer after %v, its request waits %v; not served: %v", slowest, wait, bad)
+		}
+	})
+	for i := range clients {
+		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: i%2 == 0}, Timeout: patience}
+		running.Go(func() {
+			for time.Now().Before(until) {
+				r := request(t, address, http.MethodGet, "/look", "")
+				r.Header.Set("X-Remaining", fmt.Sprint(wait.Seconds()))
+				begin := time.Now()
+				answer, err := client.Do(r)
+				what := fmt.Sprint(err)
+				if err == nil {
+					_, err := io.Copy(io.Discard, answer.Body)
+					answer.Body.Close()
+					what = fmt.Sprint(answer.StatusCode, err)
 				}
-				if kb > leastMemoryMB<<10 {
-					t.Errorf("peak memory %d kB, the limit is %d kB", kb, leastMemoryMB<<10)
+				took := time.Since(begin)
+				mu.Lock()
+				if slowest = max(slowest, took); what != "200 <nil>" {
+					bad[what]++
+				} else {
+					served++
 				}
-			})
-		}
+				mu.Unlock()
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+	running.Wait()
+	kb := peakMemory(t, p.Process.Pid)
+	t.Logf("%d served, the slowest after %v, others %v, peak memory %d kB", served, slowest, bad, kb)
+	if slowest > wait || len(bad) > 0 {
+		t.Errorf("the slowest answer after %v, its request waits %v; not served: %v", slowest, wait, bad)
+	}
+	if kb > leastMemoryMB<<10 {
+		t.Errorf("peak memory %d kB, the limit is %d kB", kb, leastMemoryMB<<10)
 	}
 }
--- a/internal/pipeline/admit.go
+++ b/internal/pipeline/admit.go
@@ -29,9 +29,9 @@
 		a.answer <- httpwire.Answer{Verdict: httpwire.Malformed, Reason: "id: that of an open request"}
 		return
 	}
-	if a.crowded || e.stopping || e.full() {
-		// A request beyond the limits, or while the process is stopping, is rejected without asking the module, as in the
-		// simulator.
+	if a.crowded || e.stopping || e.full() || e.hasNoTime(a) {
+		// A request beyond the limits, without any time, or while the process is stopping, is rejected without asking the module, as in
+		// the simulator.
 		e.counters.OverLimit++
 		e.logRejected(a)
 		e.metrics.Count(a.message.Class, metrics.Refused)
@@ -54,6 +54,10 @@
 	})
 }
 
+// hasNoTime reports whether a request has so little time left that the module would refuse it at once. Guards against callers that send
+// many of them: the module takes the time that most requests of a class have left for the usual one.
+func (e *Engine) hasNoTime(a *arrival) bool { return a.deadline-e.clock.Now() <= e.conf.Settings.Tick }
+
 // full reports whether the settings allow no further pending request.
 func (e *Engine) full() bool {
 	limit := e.conf.Transport.MaxPending
--- a/internal/pipeline/requestlog.go
+++ b/internal/pipeline/requestlog.go
@@ -16,6 +16,7 @@
 const (
 	reasonProcessEnds    = "process_ends"     // the process is stopping
 	reasonTooManyOpen    = "too_many_open"    // more pending requests than the settings allow
+	reasonNoTime         = "no_time"          // its time is over as it comes
 	reasonTooManyCallers = "too_many_callers" // more connections of callers in use than are allowed
 )
 
@@ -72,6 +73,8 @@
 		reason = reasonProcessEnds
 	case a.crowded:
 		reason = reasonTooManyCallers
+	case !e.full():
+		reason = reasonNoTime
 	}
 	if suppressed, ok := e.requestLogLimit.allow(e.clock.Now()); ok {
 		e.log.Info().Str("request", a.message.ID).Str("class", a.message.Class).Int("suppressed", suppressed).
