--- a/internal/httpwire/pace.go
+++ b/internal/httpwire/pace.go
@@ -5,7 +5,7 @@
 // Limits on the requests that one connection may bring. Usual callers send the next one when they have an answer.
 const (
 	maxRequestRate  = 500 // a second
-	maxRequestBurst = 100  // that may come at once
+	maxRequestBurst = 100 // that may come at once
 )
 
 // requestPace limits the rate of the requests on a connection. Guards against a caller that keeps the sidecar's one processor busy:
