--- a/internal/httpwire/caller.go
+++ b/internal/httpwire/caller.go
@@ -72,8 +72,8 @@
 	if c.rejected != nil {
 		return 0, c.rejected
 	}
-	if c.scanner.state == scanBetween {
-		c.owner.env.Sleep(c.pace.wait(c.owner.env.Now(), c.scanner.requests))
+	if wait := c.pace.wait(c.owner.env.Now(), c.scanner.requests); wait > 0 {
+		c.owner.env.Sleep(wait)
 	}
 	n, err := c.readUnchecked(b)
 	accepted, failure := c.scanner.scan(b[:n])
--- a/internal/lifecycle/flood_test.go
+++ b/internal/lifecycle/flood_test.go
@@ -218,3 +218,20 @@
 		t.Errorf("peak memory %d kB, the limit is %d kB", kb, leastMemoryMB<<10)
 	}
 }
+
+// Guards against a connection that takes all of the processor: beyond a burst its requests are read at a bounded rate.
+func TestRequestsOfAConnectionArePaced(t *testing.T) {
+	const requests, atLeast = 600, time.Second // 100 at once, 500 a second
+	s := start(t, scripted.SidecarConfig(scripted.StartDiscovery(t)))
+	caller := scripted.Connect(t, s.Address())
+	begin := time.Now()
+	go caller.Send(strings.Repeat("GET /up HTTP/1.1\r\nHost: x\r\n\r\n", requests))
+	for i := range requests {
+		if status, _ := caller.ReadAnswer(); status != 200 {
+			t.Fatalf("answer %d: %d", i, status)
+		}
+	}
+	if took := time.Since(begin); took < atLeast/2 { // the last ones come in one piece, which is not waited for
+		t.Errorf("%d requests took %v", requests, took)
+	}
+}
--- a/internal/lifecycle/largebody_test.go
+++ b/internal/lifecycle/largebody_test.go
@@ -90,6 +90,7 @@
 		"read slowly, 4 MB in chunks":     {func(conn net.Conn) { readAt(conn, 800_000) }, 4 << 20, true, 0},
 		"read slowly, 4 MB with a length": {func(conn net.Conn) { readAt(conn, 800_000) }, 4 << 20, false, 0},
 		"read slowly, written in pieces":  {func(conn net.Conn) { readAt(conn, 100_000) }, 737_552, true, 16 << 10},
+		"passed on late, never answered":  {func(conn net.Conn) { readAt(conn, 2_000_000) }, 4 << 20, true, 0},
 		"read whole, but never answered":  {func(conn net.Conn) { io.Copy(io.Discard, conn) }, 737_552, true, 0}, //nolint:errcheck // as above
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -227,3 +228,61 @@
 		t.Errorf("peak memory %d kB, the limit is %d kB", kb, leastMemoryMB<<10)
 	}
 }
+
+// Guards against an answer without a length that never ends: past its request's time it goes on only while its endpoint keeps writing,
+// and not with a few bytes now and then.
+func TestAnswerWithoutALengthEndsWhenItsEndpointStalls(t *testing.T) {
+	const deadline = 600 * time.Millisecond
+	for name, c := range map[string]struct {
+		first int // bytes that come at once
+		drips bool
+	}{"much, then nothing": {40 << 10, false}, "some bytes now and then": {100, true}} {
+		t.Run(name, func(t *testing.T) {
+			endpoint := scripted.Listen(t)
+			conf := scripted.SidecarConfig(scripted.StartDiscovery(t), scripted.Line("e1", endpoint.Address))
+			setDeadlines(conf, scripted.Millis(deadline))
+			s := start(t, conf)
+			caller := scripted.Connect(t, s.Address())
+			begin := time.Now()
+			caller.Send(requestText("/look", ""))
+			attempt := endpoint.Accept()
+			attempt.ReadRequest()
+			attempt.Send("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + strings.Repeat("x", c.first))
+			for ended := false; c.drips && !ended; time.Sleep(50 * time.Millisecond) {
+				_, err := io.WriteString(attempt, "xx")
+				ended = err != nil || time.Since(begin) > patience/2
+			}
+			status, body := caller.ReadAnswer()
+			if took := time.Since(begin); status != 0 || len(body) < c.first || took > deadline+mostLate {
+				t.Errorf("status %d, %d bytes after %v; want the beginning, broken off within %v", status, len(body), took, deadline+mostLate)
+			}
+		})
+	}
+}
+
+// Guards against a request that its endpoint gets long after its caller has the answer: what the kernel has not sent yet of an attempt
+// that is given up must not be sent.
+func TestAttemptThatIsGivenUpIsNotSentOn(t *testing.T) {
+	const size = 1 << 20 // more than the endpoint's buffer takes, less than the sidecar's
+	proceed, whole := make(chan struct{}), make(chan bool, 1)
+	address := serveSmallBuffers(t, func(conn net.Conn) {
+		<-proceed
+		r, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			whole <- false
+			return
+		}
+		n, err := io.Copy(io.Discard, r.Body)
+		whole <- err == nil && n == size
+	})
+	_, listen := launchSmall(t, scripted.Line("e1", address))
+	caller := scripted.Connect(t, listen)
+	writeBody(caller, size, false, 0)
+	if status, _ := caller.ReadAnswer(); status == 0 || status == 200 {
+		t.Errorf("status %d, want a refusal or failure", status)
+	}
+	close(proceed)
+	if <-whole {
+		t.Error("the whole request came to the endpoint after its caller had the answer")
+	}
+}
