Callers that come again at once when they are turned away leave the processor to others

Cause: the process was at 100% of its core (30 ticks in each 0.3 s) with 108 clients whose half bodies were refused at once for want of memory (4,200 in 3 s), or with 105 whose heads were rejected; and at 32 MB the collector ran all the time, since its limit (19.2 MB) was below what the parts of memory add up to. Its own log stops for up to a second. Change: for want of memory the reading of a body pauses for up to 0.25 s before its request is refused; over 100 malformed requests a second the answers to further ones pause 0.3 s (3 s are allowed); the collector's limit is 0.7 of the memory, and the parts stay shares of 0.6. Why it works: who waits in a pause takes no processor time, and comes again only when it is over. Usual bodies stay within the 4 KiB that need no budget.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -37,6 +37,7 @@
 	defaultSockets  = 1024
 	minSockets      = 16 // fewer leave too little for callers and endpoints
 
+	collectorShare    = 0.7 // of the memory, up to which the collector lets garbage stand
 	heapShare         = 0.6 // of the memory, for all that the runtime has: the program needs the rest
 	answerShare       = 0.2 // of the heap, for bodies of answers
 	bodyShare         = 0.1 // of the heap, for bodies of requests
@@ -77,7 +78,8 @@
 	Classes   map[string]decide.Class
 
 	MemoryBytes    int64         // limit of the process's memory
-	HeapBytes      int64         // memory limit of the garbage collector
+	CollectorBytes int64         // memory limit of the garbage collector
+	HeapBytes      int64         // the part of it that is divided among connections and bodies
 	AnswerBytes    int64         // the part of it that answer bodies may take together
 	BodyBytes      int64         // the part of it that bodies of requests may take together
 	Sockets        int           // file descriptors, as configured
@@ -239,6 +241,7 @@
 	}
 	c.MemoryBytes = int64(memoryMB * (1 << 20))
 	c.HeapBytes = int64(memoryMB * heapShare * (1 << 20))
+	c.CollectorBytes = int64(memoryMB * collectorShare * (1 << 20))
 	c.AnswerBytes = int64(float64(c.HeapBytes) * answerShare)
 	c.BodyBytes = int64(float64(c.HeapBytes) * bodyShare)
 	c.Sockets = sockets
--- a/internal/httpwire/callers.go
+++ b/internal/httpwire/callers.go
@@ -57,6 +57,25 @@
 // SetBodyMemory sets the memory that bodies of requests may take beyond the first bytes of each. It is called before Accept.
 func (l *Callers) SetBodyMemory(budget *MemoryBudget) { l.bodyMemory = budget }
 
+// How long the reading of a body pauses for want of memory before its request is refused. Bodies that are no longer needed are over
+// within that time, and callers that come again at once when they are refused have their pause too.
+const (
+	bodyMemoryWait = 250 * time.Millisecond
+	bodyMemoryPoll = 25 * time.Millisecond
+)
+
+// awaitBodyMemory waits until more memory is reserved for a body, and reports whether it is.
+func (c *CallerConn) awaitBodyMemory(memory *Reservation, more int) bool {
+	for range bodyMemoryWait / bodyMemoryPoll {
+		c.owner.abortOldBodies()
+		c.owner.env.Sleep(bodyMemoryPoll)
+		if memory.Grow(more) {
+			return true
+		}
+	}
+	return false
+}
+
 // abortOldBodies ends the reading of bodies that have been coming for incompleteTime, because there is no memory for others. It does
 // so at most once each makeRoomInterval.
 func (l *Callers) abortOldBodies() {
--- a/internal/httpwire/stream.go
+++ b/internal/httpwire/stream.go
@@ -100,13 +100,13 @@
 		}
 		if len(first) == cap(first) {
 			more := min(cap(first), MaxBuffered+1-cap(first))
+			mayBeLong := length < 0 || length > MaxBuffered
 			switch short := !body.Memory.Grow(more); {
-			case short && (length < 0 || length > MaxBuffered):
+			case short && mayBeLong:
 				return body.begin(first, u), nil
-			case short:
+			case short && !conn.awaitBodyMemory(body.Memory, more):
 				u.Stop()
 				body.Memory.Release()
-				conn.owner.abortOldBodies()
 				return nil, ErrNoBodyMemory
 			}
 			first = append(make([]byte, 0, cap(first)+more), first...)
--- a/internal/lifecycle/limits.go
+++ b/internal/lifecycle/limits.go
@@ -22,7 +22,7 @@
 	defer l.mu.Unlock()
 	l.shares = shares
 	s.engine.SetShare(shares)
-	debug.SetMemoryLimit(s.conf.HeapBytes / int64(shares))
+	debug.SetMemoryLimit(s.conf.CollectorBytes / int64(shares))
 	l.apply(s)
 }
 
--- a/internal/lifecycle/process.go
+++ b/internal/lifecycle/process.go
@@ -57,7 +57,7 @@
 	if limit := descriptorLimit(); conf.LimitSockets(limit) {
 		log.Warn().Int("sockets", conf.Sockets).Uint64("descriptors", limit).Msg("the process may hold fewer descriptors than limits.sockets")
 	}
-	debug.SetMemoryLimit(conf.HeapBytes)
+	debug.SetMemoryLimit(conf.CollectorBytes)
 	if conf.Console != "" { // without the console's READY the platform could not learn that a successor is ready
 		opts.TakeoverSocket = takeover.SocketPath(os.TempDir(), conf.Name, conf.Listen)
 	}
--- a/internal/pipeline/engine.go
+++ b/internal/pipeline/engine.go
@@ -61,6 +61,7 @@
 	stopped         chan struct{} // closed when Run has returned
 	unready         atomic.Bool   // the process is stopping: callers should use another sidecar
 	draining        atomic.Bool   // each answer is the last on its connection
+	malformedDue    atomic.Int64  // module time up to which malformed requests have used up their rate
 	outOfMemory     atomic.Int64  // requests refused for want of memory for their bodies; counted as malformed ones are
 	malformed       atomic.Int64  // requests answered 400; counted here and not by the owner, so that a flood of them does not fill its queue
 	balancer        Decider
--- a/internal/pipeline/takein.go
+++ b/internal/pipeline/takein.go
@@ -85,7 +85,7 @@
 		return httpwire.Answer{Verdict: httpwire.Refused, RetryAfter: bodyMemoryRetryAfter, CloseAfter: true}, false
 	}
 	if err != nil {
-		e.malformed.Add(1)
+		e.countMalformed()
 		if ctx.RequestBodyStream() != nil && !errors.Is(err, httpwire.ErrBody) {
 			conn.MarkBodyUnread()
 		}
@@ -98,7 +98,7 @@
 		message.Remaining = min(message.Remaining, maxDeadline)
 	}
 	if !e.claimID(&message) {
-		e.malformed.Add(1)
+		e.countMalformed()
 		conn.SetProblem(errKnownID)
 		message.Memory.Release()
 		return httpwire.Answer{Verdict: httpwire.Malformed, Reason: errKnownID}, false
@@ -250,7 +250,7 @@
 
 // Unreadable answers what fasthttp could not parse as a request.
 func (e *Engine) Unreadable(ctx *fasthttp.RequestCtx, err error) {
-	e.malformed.Add(1)
+	e.countMalformed()
 	if conn, ok := ctx.Conn().(*httpwire.CallerConn); ok {
 		conn.SetReason(httpwire.ReasonBadRequest)
 		conn.SetProblem(err.Error())
@@ -259,3 +259,24 @@
 	httpwire.EncodeAnswer(&answer, &ctx.Response)
 	ctx.SetConnectionClose()
 }
+
+// Limits on answers to malformed requests. Callers that send the same again as soon as it is turned away would keep the processor busy;
+// their connections hold none of it while they wait.
+const (
+	malformedRate  = 100                    // a second that are answered at once, on all connections together
+	malformedPause = 300 * time.Millisecond // before the answer to others; 3 s is what such a caller may have to wait
+)
+
+// countMalformed counts a malformed request, and pauses before its answer where there are many of them.
+func (e *Engine) countMalformed() {
+	e.malformed.Add(1)
+	const each = int64(time.Second / malformedRate)
+	now := int64(e.clock.Now())
+	due := e.malformedDue.Load()
+	next := max(due, now-int64(time.Second)) + each // a second's worth may come at once
+	if next > now {
+		e.env.Sleep(malformedPause)
+		return
+	}
+	e.malformedDue.CompareAndSwap(due, next)
+}
