The id of a request that ran is not forgotten by one of another class

Cause: ids are claimed only where repeats are not safe, but were forgotten for any class. A request of a safe class, refused unsent under the id of one that had run, made that id new again. Change: an id is forgotten only by a request that has claimed it.

--- a/internal/lifecycle/departed_test.go
+++ b/internal/lifecycle/departed_test.go
@@ -204,3 +204,26 @@
 		t.Errorf("the second: %d; the endpoint got %d requests, want 400 and 1", status, e.Count())
 	}
 }
+
+// Guards against an id that is forgotten because it came with another class: a request of a class that is safe to repeat, refused
+// before anything of it was sent, must not make the id of one that has run new again.
+func TestIDIsNotForgottenByAnotherClass(t *testing.T) {
+	e := scripted.StartEndpoint(t, "e1", nil)
+	s := start(t, scripted.SidecarConfig(scripted.StartDiscovery(t), e.Line()))
+	id := newID()
+	send := func(text string) (status int) {
+		caller := scripted.Connect(t, s.Address())
+		caller.Send(text)
+		status, _ = caller.ReadAnswer()
+		return status
+	}
+	if status := send(burnText(id, "Content-Length: 0")); status != 200 {
+		t.Fatalf("the first: %d", status)
+	}
+	if status := send("GET /look HTTP/1.1\r\nHost: x\r\nX-Txn: " + id + "\r\nX-Remaining: 0\r\n\r\n"); status != 503 {
+		t.Fatalf("the one of the other class: %d, want a refusal", status)
+	}
+	if status := send(burnText(id, "Content-Length: 0")); status != 400 || e.Count() != 1 {
+		t.Errorf("the id again: %d; the endpoint got %d requests, want 400 and 1", status, e.Count())
+	}
+}
--- a/internal/pipeline/relay.go
+++ b/internal/pipeline/relay.go
@@ -35,7 +35,7 @@
 // release removes a request that is done and has no attempt in flight. Its id is free again if it can't have run.
 func (e *Engine) release(r *state.Request) {
 	if e.requests.Release(r) && !mayHaveRun(r) {
-		e.ids.forget(r.Message.ID)
+		e.forgetID(r.Message)
 	}
 }
 
--- a/internal/pipeline/takein.go
+++ b/internal/pipeline/takein.go
@@ -106,7 +106,7 @@
 	in := &arrival{message: &message, caller: conn, crowded: conn.OverSoftLimit(), answer: make(chan httpwire.Answer, 1)}
 	answer, counted = e.takeInNew(in)
 	if in.request == nil { // the owner has not admitted it, so nothing of it was sent
-		e.ids.forget(message.ID)
+		e.forgetID(&message)
 		message.Memory.Release()
 	}
 	return answer, counted
@@ -118,7 +118,7 @@
 // claimID claims the id of a request, and reports whether it is new. Where repeats are safe any id is. The time that this takes, while
 // another process has to be asked, is a part of the request's.
 func (e *Engine) claimID(message *httpwire.Request) bool {
-	if e.conf.Classes[message.Class].Effect == decide.Safe {
+	if !e.remembersID(message) {
 		return true
 	}
 	began := e.clock.Now()
@@ -127,6 +127,18 @@
 	return isNew
 }
 
+// remembersID reports whether the id of a request is remembered.
+func (e *Engine) remembersID(message *httpwire.Request) bool {
+	return e.conf.Classes[message.Class].Effect != decide.Safe
+}
+
+// forgetID makes the id of a request that can't have run new again, if the request has claimed it.
+func (e *Engine) forgetID(message *httpwire.Request) {
+	if e.remembersID(message) {
+		e.ids.forget(message.ID)
+	}
+}
+
 // takeInNew passes a request to the owner and waits for its answer.
 func (e *Engine) takeInNew(in *arrival) (answer httpwire.Answer, counted bool) {
 	message, conn := in.message, in.caller
