review: case 6, callers get the answers of others at the limit of connections

A second copy 3 ms behind an answer is taken for the next request's answer where connections are used again without their rest.

--- a/review/standin-2/held.go
+++ b/review/standin-2/held.go
@@ -32,7 +32,7 @@
 	return procs
 }
 
-func init() { cases["6"] = droppedAfterReclaim }
+func init() { cases["7"] = droppedAfterReclaim }
 
 // droppedAfterReclaim: the answer to an order is lost, its first repeat is turned away by all endpoints, and the second repeat comes when
 // endpoints have forgotten the key.
--- a/review/standin-2/kit.go
+++ b/review/standin-2/kit.go
@@ -22,6 +22,7 @@
 type run struct {
 	trouble bool   // false: the same without the disruption
 	dir     string // temporary folder
+	sockets int    // a sidecar's limit of descriptors
 	bin     string // folder of the project's programs
 	began   time.Time
 
@@ -107,17 +108,11 @@
 	window       int // ms
 }
 
-// sidecar starts a sidecar without a crew.
-func (r *run) sidecar(name string, settings map[string]any, discovery string, known []listed) *process {
-	p := r.start(name, []string{"BALANCER_CONFIG=" + r.configure(name, r.freeAddress(), settings, discovery, known)})
-	return p
-}
-
 // configure writes a sidecar's configuration and returns its path.
 func (r *run) configure(name, listen string, settings map[string]any, discovery string, known []listed) string {
 	conf := map[string]any{
 		"name": name, "listen": listen, "discovery": discovery, "seed": "1ef0",
-		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": r.sockets},
 		"known":    map[string]any{"index": 1, "snapshot": true, "endpoints": known},
 		"settings": settings,
 	}
--- a/review/standin-2/version.go
+++ b/review/standin-2/version.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-func init() { cases["7"] = windowOfTheVersion }
+func init() { cases["9"] = windowOfTheVersion }
 
 // windowOfTheVersion: the crew's version has shortened the window, and the answer to an order is lost.
 func windowOfTheVersion(r *run) bool {
--- a/review/standin-2/withheld.go
+++ b/review/standin-2/withheld.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-func init() { cases["9"] = withheldDrain }
+func init() { cases["10"] = withheldDrain }
 
 // withheldDrain: while a majority of the keepers is away, a new endpoint comes and begins to drain. Then the keepers are back.
 func withheldDrain(r *run) bool {
