--- a/review/standin-2/kit.go
+++ b/review/standin-2/kit.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -111,7 +112,7 @@
 // configure writes a sidecar's configuration and returns its path.
 func (r *run) configure(name, listen string, settings map[string]any, discovery string, known []listed) string {
 	conf := map[string]any{
-		"name": name, "listen": listen, "discovery": discovery, "seed": "1ef0",
+		"name": name, "listen": listen, "discovery": discovery, "seed": fmt.Sprintf("%x", rand.Uint64()),
 		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": r.sockets},
 		"known":    map[string]any{"index": 1, "snapshot": true, "endpoints": known},
 		"settings": settings,
--- a/review/standin-2/stricter.go
+++ b/review/standin-2/stricter.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-func init() { cases["8"] = stricterFile }
+func init() { cases["7"] = stricterFile }
 
 // stricterFile: a sidecar starts again with a file that says that payments may not be repeated, while the crew's version, which is older,
 // lets them be repeated by key. An answer is lost.
@@ -55,3 +55,14 @@
 	}
 	return moreThanOnce(r, s, payments, key)
 }
+
+// moreThanOnce reports whether any of the keys had more than one effect.
+func moreThanOnce(r *run, s *service, n int, key func(int) string) (broken bool) {
+	for i := range n {
+		if effects := s.effectsOf(key(i)); effects > 1 {
+			r.note("key %s: %d effects", key(i), effects)
+			broken = true
+		}
+	}
+	return broken
+}
