--- a/review/standin-2/stricter.go
+++ b/review/standin-2/stricter.go
@@ -47,11 +47,12 @@
 	r.note("crew members:\n%s", members)
 	if r.trouble {
 		s.set(func(string, request) int { return runReset })
+		r.note("answers get lost from now on: connections are reset under requests that have run")
 	}
 	const payments = 6
 	key := func(i int) string { return fmt.Sprintf("payment-%d", i) }
 	for i := range payments {
-		r.order(again, "pay", key(i), time.Second)
+		r.payOnce(again, "pay", key(i), time.Second)
 	}
 	return moreThanOnce(r, s, payments, key)
 }
