review: case 10, a crowd of idle clients keeps the requests of others unread

Tried: 1,500 clients that connect within one second, once each, half of them with half a head, beside 24 usual clients whose requests come on new connections; 256 descriptors. It judges what the clients see alone: no answer and no end of the connection 0.5 s behind the request's time. A connection that is shut unread counts for nothing.

At fault: Callers.acceptOne stops accepting at its limit, and makeRoom frees half of the places for each 0.2 s or 1 s, so that usual callers wait behind the crowd in the kernel's queue, and nothing bounds that wait by a request's time.

What its stand-in alone used is removed.

--- a/review/standin-2/kit.go
+++ b/review/standin-2/kit.go
@@ -274,12 +274,6 @@
 	return a
 }
 
-// look sends a request that is safe to repeat.
-func (r *run) look(p *process, class string, within time.Duration) answer {
-	return r.ask(p.listen, fmt.Sprintf("GET /%s/x HTTP/1.1\r\nHost: s\r\nX-Txn: %s\r\nX-Remaining: %.3f\r\nConnection: close\r\n\r\n",
-		class, r.id(), within.Seconds()), within+time.Second)
-}
-
 // command runs a command of the project and returns what it printed.
 func (r *run) command(within time.Duration, args ...string) (string, error) {
 	cmd := exec.Command(filepath.Join(r.bin, "heathgap"), args...)
@@ -331,7 +325,6 @@
 	behave   func(endpoint string, q request) int
 	known    map[string]effect // by key
 	effects  map[string]int    // how often each key had an effect
-	started  map[string][]time.Time
 	lastWork int
 }
 
@@ -342,7 +335,7 @@
 }
 
 func newService(r *run, memory time.Duration) *service {
-	return &service{r: r, memory: memory, known: map[string]effect{}, effects: map[string]int{}, started: map[string][]time.Time{}}
+	return &service{r: r, memory: memory, known: map[string]effect{}, effects: map[string]int{}}
 }
 
 // set changes how the endpoints behave; nil: they serve.
@@ -359,13 +352,6 @@
 	return s.effects[key]
 }
 
-// requestsAt returns when requests came whole at an endpoint.
-func (s *service) requestsAt(name string) []time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return append([]time.Time(nil), s.started[name]...)
-}
-
 // endpoint starts an endpoint and returns its entry in the list.
 func (s *service) endpoint(name, zone string, group int) listed {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -427,7 +413,6 @@
 func (s *service) handle(name string, q request) (text string, what int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.started[name] = append(s.started[name], q.at)
 	if s.behave != nil {
 		what = s.behave(name, q)
 	}
