--- a/review/standin-2/kit.go
+++ b/review/standin-2/kit.go
@@ -52,14 +52,18 @@
 	os.Stdout.WriteString(line)
 }
 
-// freeAddress returns a loopback address that is free now.
+// freeAddress returns a loopback address that is free now. Its port is below those that the system gives to connections by default, since
+// one of these might take it before it is listened on.
 func (r *run) freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		r.fail("no free port: %v", err)
+	for range 100 {
+		address := fmt.Sprintf("127.0.0.1:%d", 12000+rand.IntN(20000))
+		if l, err := net.Listen("tcp", address); err == nil {
+			l.Close()
+			return address
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	r.fail("no free port")
+	return ""
 }
 
 // process is a process of the project that the case has started.
