Free addresses of tests stay free while other tests start processes

Cause: FreeAddress listened on a port and closed the listener; a child between fork and exec still had a copy of it, and the port stayed in use. Change: the port is found with a socket that is bound with SO_REUSEADDR and never listens: the kernel lets a listener have the port beside a copy of it. The tests of emulated members use this too, in place of a copy of their own.

--- a/internal/lab/emulated/cost_test.go
+++ b/internal/lab/emulated/cost_test.go
@@ -25,6 +25,7 @@
 	"heathgap/internal/cluster/member"
 	"heathgap/internal/cluster/voter"
 	"heathgap/internal/env"
+	"heathgap/internal/lab/scripted"
 	"heathgap/internal/peerrpc"
 )
 
@@ -193,10 +194,10 @@
 		FixedClasses: []string{LookClass}, Copies: copies, Keep: 2 * time.Minute, LostAfter: 10 * time.Second, KeyedDuration: costKeyedDuration, Seed: 1,
 	}
 	for i := range costVoters {
-		s.start.Voters = append(s.start.Voters, Peer{Name: fmt.Sprintf("k%d", i+1), Zone: zone(i), Address: freeAddress(t)})
+		s.start.Voters = append(s.start.Voters, Peer{Name: fmt.Sprintf("k%d", i+1), Zone: zone(i), Address: scripted.FreeAddress(t)})
 	}
 	for i := range *costMembers {
-		s.start.Members = append(s.start.Members, Peer{Name: fmt.Sprintf("m%d", i+1), Zone: zone(i), Address: freeAddress(t)})
+		s.start.Members = append(s.start.Members, Peer{Name: fmt.Sprintf("m%d", i+1), Zone: zone(i), Address: scripted.FreeAddress(t)})
 	}
 	s.endpoint = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		time.Sleep(costKeyedDuration)
--- a/internal/lab/emulated/emulated_test.go
+++ b/internal/lab/emulated/emulated_test.go
@@ -20,6 +20,7 @@
 	"heathgap/internal/cluster/member"
 	"heathgap/internal/cluster/voter"
 	"heathgap/internal/env"
+	"heathgap/internal/lab/scripted"
 	"heathgap/internal/peerrpc"
 	"heathgap/internal/versions"
 )
@@ -31,28 +32,6 @@
 	testPause = 5 * time.Millisecond
 )
 
-var testNet = struct {
-	sync.Mutex
-	next int
-}{}
-
-// freeAddress returns an address that nobody listens at. Its host is not 127.0.0.1, from which the kernel opens connections, so none of
-// these takes the port before the test listens there.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	testNet.Lock()
-	defer testNet.Unlock()
-	testNet.next++
-	pid := os.Getpid()
-	host := fmt.Sprintf("127.%d.%d.%d", 100+pid%100, pid/100%250, 1+testNet.next%250)
-	l, err := net.Listen("tcp", host+":0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // testProcess runs a process of emulated members inside the test process, and holds its output.
 type testProcess struct {
 	t     *testing.T
@@ -205,10 +184,10 @@
 		FixedClasses: []string{LookClass}, Copies: copies, Keep: time.Minute, LostAfter: 5 * time.Second, Seed: 1,
 	}}
 	for i := range voters {
-		c.start.Voters = append(c.start.Voters, Peer{Name: fmt.Sprintf("k%d", i+1), Zone: zone(i), Address: freeAddress(t)})
+		c.start.Voters = append(c.start.Voters, Peer{Name: fmt.Sprintf("k%d", i+1), Zone: zone(i), Address: scripted.FreeAddress(t)})
 	}
 	for i := range members {
-		c.start.Members = append(c.start.Members, Peer{Name: fmt.Sprintf("m%d", i+1), Zone: zone(i), Address: freeAddress(t)})
+		c.start.Members = append(c.start.Members, Peer{Name: fmt.Sprintf("m%d", i+1), Zone: zone(i), Address: scripted.FreeAddress(t)})
 	}
 	var starting sync.WaitGroup
 	for _, k := range c.start.Voters {
@@ -450,7 +429,7 @@
 // The bytes that a member's sockets count are those of its messages as the server counts them, plus the HTTP heads. A member that leaves
 // announces it in a last renewal, and one that is killed does not.
 func TestTrafficAndLeaveMessage(t *testing.T) {
-	s, err := peerrpc.Listen(env.Real{}, freeAddress(t), "hollow")
+	s, err := peerrpc.Listen(env.Real{}, scripted.FreeAddress(t), "hollow")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -471,7 +450,7 @@
 		Voters: []Peer{{Name: "k1", Address: s.Address()}}}
 	const members = 5
 	for i := range members {
-		start.Members = append(start.Members, Peer{Name: fmt.Sprintf("m%d", i), Zone: zone(i), Address: freeAddress(t)})
+		start.Members = append(start.Members, Peer{Name: fmt.Sprintf("m%d", i), Zone: zone(i), Address: scripted.FreeAddress(t)})
 	}
 	p := startProcess(t, start)
 	p.await("ready", func() bool { return p.ready })
@@ -648,7 +627,7 @@
 	good := func() Start {
 		return Start{
 			Cluster: "hollow", Lease: time.Second, ContradictAtMost: 2 * time.Second, Voters: []Peer{{Name: "k1", Address: "127.0.0.1:9"}},
-			Members: []Peer{{Name: "m1", Zone: "a", Address: freeAddress(t)}, {Name: "m2", Zone: "b", Address: freeAddress(t)}},
+			Members: []Peer{{Name: "m1", Zone: "a", Address: scripted.FreeAddress(t)}, {Name: "m2", Zone: "b", Address: scripted.FreeAddress(t)}},
 		}
 	}
 	for want, change := range map[string]func(*Start){
@@ -719,7 +698,7 @@
 		"command: json: unknown field":            map[string]any{"id": 1, "do": "kill", "who": "m1"},
 	} {
 		s := Start{Cluster: "hollow", Lease: 200 * time.Millisecond, ContradictAtMost: time.Second, Voters: []Peer{{Name: "k1", Address: "127.0.0.1:9"}},
-			Members: []Peer{{Name: "m1", Address: freeAddress(t)}}}
+			Members: []Peer{{Name: "m1", Address: scripted.FreeAddress(t)}}}
 		p := startProcess(t, s)
 		p.await("ready", func() bool { return p.ready })
 		if err := p.in.Encode(command); err != nil {
@@ -738,7 +717,7 @@
 // The end of standard input ends the process and its members without an error.
 func TestEndOfInput(t *testing.T) {
 	s := Start{Cluster: "hollow", Lease: 200 * time.Millisecond, ContradictAtMost: time.Second, Voters: []Peer{{Name: "k1", Address: "127.0.0.1:9"}},
-		Members: []Peer{{Name: "m1", Address: freeAddress(t)}}}
+		Members: []Peer{{Name: "m1", Address: scripted.FreeAddress(t)}}}
 	p := startProcess(t, s)
 	p.await("ready", func() bool { return p.ready })
 	p.close()
--- a/internal/lab/emulated/env_test.go
+++ b/internal/lab/emulated/env_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"heathgap/internal/env"
+	"heathgap/internal/lab/scripted"
 	"heathgap/internal/httpwire"
 )
 
@@ -22,7 +23,7 @@
 // connections, and the path between the regions.
 func newTwoRegions(t *testing.T, delay time.Duration) (e *memberEnv, address string, accepted chan net.Conn, path *regionPath) {
 	t.Helper()
-	l, err := net.Listen("tcp", freeAddress(t))
+	l, err := net.Listen("tcp", scripted.FreeAddress(t))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -242,7 +243,7 @@
 func TestMemberEnvTerminate(t *testing.T) {
 	e, address, accepted, _ := newTwoRegions(t, 0)
 	near := newMemberEnv(e.paths, "south", nil, &trafficCounters{}, "", 0)
-	l, err := near.Listen(freeAddress(t))
+	l, err := near.Listen(scripted.FreeAddress(t))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -278,7 +279,7 @@
 	if _, err := near.Dial(context.Background(), address, testWait); !errors.Is(err, errKilled) {
 		t.Error(err)
 	}
-	if _, err := near.Listen(freeAddress(t)); !errors.Is(err, errKilled) {
+	if _, err := near.Listen(scripted.FreeAddress(t)); !errors.Is(err, errKilled) {
 		t.Error(err)
 	}
 	if near.BootTime() < (env.Real{}).BootTime()+clockJump/2 {
@@ -301,7 +302,7 @@
 	before := threads()
 	s := Start{Cluster: "hollow", Lease: time.Second, ContradictAtMost: 2 * time.Second, Voters: []Peer{{Name: "k1", Address: "127.0.0.1:9"}}}
 	for i := range members {
-		s.Members = append(s.Members, Peer{Name: fmt.Sprintf("m%d", i), Address: freeAddress(t)})
+		s.Members = append(s.Members, Peer{Name: fmt.Sprintf("m%d", i), Address: scripted.FreeAddress(t)})
 	}
 	p := startProcess(t, s)
 	p.await("ready", func() bool { return p.ready })
--- a/internal/lab/scripted/scripted.go
+++ b/internal/lab/scripted/scripted.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"strconv"
 	"sync"
@@ -234,14 +235,38 @@
 
 // FreeAddressAt returns a free address on a host of loopback. Unless the host is 127.0.0.1, no outgoing connection
 // takes the port as its local port before the test listens there.
+//
+// The socket that finds the port allows its reuse and never listens: between fork and exec a child of another test has a
+// copy of each descriptor, and a copy of a listener would keep the port in use.
 func FreeAddressAt(t testing.TB, host string) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", host+":0")
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	defer unix.Close(fd)
+	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err != nil {
+		t.Fatal(err)
+	}
+	ip, err := netip.ParseAddr(host)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := unix.Bind(fd, &unix.SockaddrInet4{Addr: ip.As4()}); err != nil {
+		t.Fatal(err)
+	}
+	return boundAddress(t, fd)
+}
+
+// boundAddress returns the address that a socket is bound to.
+func boundAddress(t testing.TB, fd int) string {
+	t.Helper()
+	name, err := unix.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	bound := name.(*unix.SockaddrInet4)
+	return netip.AddrPortFrom(netip.AddrFrom4(bound.Addr), uint16(bound.Port)).String()
 }
 
 // UnreachableAddress returns an address of loopback at which connections are never established: its accept queue holds
@@ -259,11 +284,7 @@
 	if err := unix.Listen(fd, 0); err != nil {
 		t.Fatal(err)
 	}
-	name, err := unix.Getsockname(fd)
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := fmt.Sprintf("127.0.0.1:%d", name.(*unix.SockaddrInet4).Port)
+	address := boundAddress(t, fd)
 	const maxConns = 10 // more than any queue of that size holds
 	for range maxConns {
 		conn, err := net.DialTimeout("tcp", address, 200*time.Millisecond)
