--- a/internal/lab/emulated/cost_test.go
+++ b/internal/lab/emulated/cost_test.go
@@ -265,7 +265,7 @@
 	if err := os.MkdirAll(filepath.Join(dir, "data"), 0o700); err != nil {
 		s.t.Fatal(err)
 	}
-	s.callerAddresses[p.Name] = freeAddress(s.t)
+	s.callerAddresses[p.Name] = scripted.FreeAddress(s.t)
 	conf, err := json.Marshal(map[string]any{
 		"name": p.Name, "listen": s.callerAddresses[p.Name], "discovery": "127.0.0.1:9", "seed": "1", "settings": Settings(p.Zone),
 		"known": map[string]any{"index": 1, "snapshot": true, "endpoints": []any{
--- a/internal/lab/emulated/env_test.go
+++ b/internal/lab/emulated/env_test.go
@@ -13,8 +13,8 @@
 	"time"
 
 	"heathgap/internal/env"
-	"heathgap/internal/lab/scripted"
 	"heathgap/internal/httpwire"
+	"heathgap/internal/lab/scripted"
 )
 
 const testDelay = 30 * time.Millisecond
