--- a/internal/lab/emulated/emulated_test.go
+++ b/internal/lab/emulated/emulated_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net"
-	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
