--- a/internal/httpwire/answer.go
+++ b/internal/httpwire/answer.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"cmp"
 	"errors"
 	"io"
 	"math"
@@ -293,12 +292,25 @@
 	return n, err
 }
 
-// chunkedBody is a body in chunks, with the trailer, which is skipped. Until the last chunk, remaining and
-// lineEndPending say where the next read continues, in this process or another one, also after a read that failed.
+// chunkPosition says what the next byte of a body in chunks belongs to.
+type chunkPosition uint8
+
+// The positions.
+const (
+	atChunkSize chunkPosition = iota // the line that begins a chunk
+	inChunk
+	atChunkEnd // the line end behind a chunk
+	inTrailer  // a line of the trailer, or the empty line that ends the body
+	atBodyEnd
+)
+
+// chunkedBody is a body in chunks, with the trailer, which is skipped. A read that fails consumes nothing that the position
+// does not account for: the next one, in this process or another one, goes on where it stopped. The zero value, with a
+// reader, is at the beginning of a body.
 type chunkedBody struct {
-	r              *bufio.Reader
-	remaining      int  // bytes of the current chunk that have not come
-	lineEndPending bool // all bytes of a chunk have come, but not yet its line end
+	r         *bufio.Reader
+	position  chunkPosition
+	remaining int // bytes that have not come of the current chunk; in the trailer, bytes that it may still have
 }
 
 // errMalformedChunk is the error for a chunk that cannot be parsed.
@@ -306,53 +318,79 @@
 
 // Read implements io.Reader.
 func (b *chunkedBody) Read(p []byte) (int, error) {
-	for b.remaining == 0 {
-		line, err := peekLine(b.r)
-		if err != nil {
-			return 0, err
+	for b.position != inChunk {
+		if b.position == atBodyEnd {
+			return 0, io.EOF
 		}
-		if b.lineEndPending {
-			if len(bytes.TrimRight(line, "\r\n")) > 0 {
-				return 0, errMalformedChunk
-			}
-			b.lineEndPending = false
-			b.r.Discard(len(line))
-			continue
-		}
-		size, _, _ := bytes.Cut(line, []byte(";"))
-		n, err := strconv.ParseUint(string(bytes.TrimSpace(size)), 16, 31)
-		if err != nil {
-			return 0, errMalformedChunk
-		}
-		b.r.Discard(len(line))
-		if n == 0 {
-			return 0, cmp.Or(skipTrailer(b.r), io.EOF)
+		if err := b.readLine(); err != nil {
+			return 0, err
 		}
-		b.remaining = int(n)
 	}
 	n, err := b.r.Read(p[:min(len(p), b.remaining)])
-	b.remaining -= n
-	b.lineEndPending = b.remaining == 0
+	if b.remaining -= n; b.remaining == 0 {
+		b.position = atChunkEnd
+	}
 	if err == io.EOF {
 		err = io.ErrUnexpectedEOF
 	}
 	return n, err
 }
 
-// skipTrailer reads up to and including the empty line that ends a chunked body.
-func skipTrailer(r *bufio.Reader) error {
-	for left := MaxHead; left > 0; {
-		line, err := peekLine(r)
-		if err != nil {
-			return err
-		}
-		r.Discard(len(line))
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return nil
-		}
-		left -= len(line)
+// readLine reads a line outside chunks, if all of it has come.
+func (b *chunkedBody) readLine() error {
+	line, err := peekLine(b.r)
+	if err != nil {
+		return err
+	}
+	content := bytes.TrimRight(line, "\r\n")
+	switch b.position {
+	case atChunkSize:
+		err = b.beginChunk(content)
+	case atChunkEnd:
+		err = b.endChunk(content)
+	case inTrailer:
+		err = b.skipField(content, len(line))
+	}
+	if err != nil {
+		return err
+	}
+	_, err = b.r.Discard(len(line))
+	return err
+}
+
+// beginChunk parses the line that begins a chunk; the last chunk is empty.
+func (b *chunkedBody) beginChunk(line []byte) error {
+	size, _, _ := bytes.Cut(line, []byte(";"))
+	n, err := strconv.ParseUint(string(bytes.TrimSpace(size)), 16, 31)
+	switch {
+	case err != nil:
+		return errMalformedChunk
+	case n == 0:
+		b.position, b.remaining = inTrailer, MaxHead
+	default:
+		b.position, b.remaining = inChunk, int(n)
+	}
+	return nil
+}
+
+// endChunk checks the line end behind a chunk.
+func (b *chunkedBody) endChunk(line []byte) error {
+	if len(line) > 0 {
+		return errMalformedChunk
+	}
+	b.position = atChunkSize
+	return nil
+}
+
+// skipField skips a line of the trailer, or the empty line behind it. length is that of the line with its line end.
+func (b *chunkedBody) skipField(line []byte, length int) error {
+	switch b.remaining -= length; {
+	case len(line) == 0:
+		b.position = atBodyEnd
+	case b.remaining <= 0:
+		return errTooLong
 	}
-	return errTooLong
+	return nil
 }
 
 // peekLine returns the next line with its line end, without consuming it.
--- a/internal/httpwire/stream.go
+++ b/internal/httpwire/stream.go
@@ -363,13 +363,17 @@
 
 // Framing of chunks.
 const (
-	chunkFrame = 24 // bytes that the framing of a piece takes at most
-	lastChunk  = "0\r\n\r\n"
+	chunkFrame    = 24 // bytes that the framing of a piece takes at most
+	lastChunkLine = "0\r\n"
+	lastChunk     = lastChunkLine + "\r\n"
 )
 
 // errHandedOver ends the writing of a response that another process continues.
 var errHandedOver = errors.New("another process goes on with the answer")
 
+// errNotHandedOver is the error for an answer that no other process could go on with.
+var errNotHandedOver = errors.New("it could not be handed over")
+
 // How the streaming of a long answer ended.
 const (
 	AnswerComplete   AnswerEnd = iota // all of it is written
@@ -394,6 +398,7 @@
 	caller       atomic.Pointer[CallerConn]
 	env          env.Env
 	onEnd        func(AnswerEnd) // set by OnEnd; nil before, and after the end
+	broken       error           // why it was broken off; nil if it was not
 	handOverFunc atomic.Pointer[HandOverFunc]
 	total        atomic.Int64                   // bytes of the body that have come
 	deadline     atomic.Pointer[streamDeadline] // nil for no such bound
@@ -406,6 +411,9 @@
 // OnEnd sets the function that is called once, when the stream ends.
 func (a *AnswerStream) OnEnd(onEnd func(AnswerEnd)) { a.onEnd = onEnd }
 
+// Err returns why the answer was broken off, once its end was reported; nil if it was not.
+func (a *AnswerStream) Err() error { return a.broken }
+
 // HandOver requests that the answer be handed over to another process at the next piece. It may be called at any time.
 func (a *AnswerStream) HandOver(handOver HandOverFunc) {
 	a.handOverFunc.Store(&handOver)
@@ -491,6 +499,31 @@
 	Total    int64 // bytes of the body so far
 }
 
+// setChunked records the position in a body in chunks. The other process may be of a version that has no position within the
+// trailer: it gets the line of the last chunk once more, and so begins at the trailer's present line.
+func (h *AnswerHandover) setChunked(b *chunkedBody) {
+	h.Chunked, h.Left = true, 0
+	switch b.position {
+	case inChunk:
+		h.Left = b.remaining
+	case atChunkEnd:
+		h.Behind = true
+	case inTrailer:
+		h.Buffered = append([]byte(lastChunkLine), h.Buffered...)
+	}
+}
+
+// chunked returns the body in chunks that another process has begun to read.
+func (h *AnswerHandover) chunked(in *bufio.Reader) *chunkedBody {
+	switch {
+	case h.Left > 0:
+		return &chunkedBody{r: in, position: inChunk, remaining: h.Left}
+	case h.Behind:
+		return &chunkedBody{r: in, position: atChunkEnd}
+	}
+	return &chunkedBody{r: in}
+}
+
 // tryHandOver hands the answer over and reports whether it did.
 func (a *AnswerStream) tryHandOver(handOver HandOverFunc, total int64) bool {
 	conn := a.caller.Load()
@@ -498,13 +531,13 @@
 		return false
 	}
 	handover := AnswerHandover{Class: a.Class, Unsent: conn.unsentBytes(), Left: -1, Total: total}
+	handover.Buffered, _ = a.link.in.Peek(a.link.in.Buffered())
 	switch b := a.body.(type) {
 	case *fixedLengthBody:
 		handover.Left = b.remaining
 	case *chunkedBody:
-		handover.Left, handover.Chunked, handover.Behind = b.remaining, true, b.lineEndPending
+		handover.setChunked(b)
 	}
-	handover.Buffered, _ = a.link.in.Peek(a.link.in.Buffered())
 	state, err := json.Marshal(handover)
 	caller, ok := conn.Conn.(syscall.Conn)
 	endpoint, ok2 := a.link.conn.(syscall.Conn)
@@ -524,7 +557,7 @@
 	var body io.Reader = in
 	switch {
 	case handover.Chunked:
-		body = &chunkedBody{r: in, remaining: handover.Left, lineEndPending: handover.Behind}
+		body = handover.chunked(in)
 	case handover.Left >= 0:
 		body = &fixedLengthBody{r: in, remaining: handover.Left}
 	}
@@ -564,7 +597,7 @@
 	total := int64(n)
 	a.beginning = nil
 	if err != nil {
-		a.finish(AnswerCallerGone)
+		a.finish(AnswerCallerGone, nil)
 		return total, err
 	}
 	buf, release := pieceBuffer(a.memory, 0)
@@ -578,29 +611,29 @@
 			handOver = a.handOverFunc.Load()
 		}
 		if handOver != nil && errors.Is(err, os.ErrDeadlineExceeded) {
-			how := AnswerBrokenOff
-			if a.tryHandOver(*handOver, total) {
-				how = AnswerHandedOver
+			how, why := AnswerHandedOver, error(nil)
+			if !a.tryHandOver(*handOver, total) {
+				how, why = AnswerBrokenOff, errNotHandedOver
 			}
-			a.finish(how)
+			a.finish(how, why)
 			return total, errHandedOver
 		}
 		if total += int64(n); total > MaxAnswer {
-			a.finish(AnswerBrokenOff)
+			a.finish(AnswerBrokenOff, errTooLong)
 			return total, errTooLong
 		}
 		if n > 0 {
 			if _, err := w.Write(buf[:n]); err != nil {
-				a.finish(AnswerCallerGone)
+				a.finish(AnswerCallerGone, nil)
 				return total, err
 			}
 		}
 		switch {
 		case err == io.EOF:
-			a.finish(AnswerComplete)
+			a.finish(AnswerComplete, nil)
 			return total, nil
 		case err != nil:
-			a.finish(AnswerBrokenOff)
+			a.finish(AnswerBrokenOff, err)
 			return total, err
 		}
 	}
@@ -609,13 +642,14 @@
 // Close is called when the answer is written, or will never be. If WriteTo has not reported how the answer ended, its
 // caller has gone.
 func (a *AnswerStream) Close() error {
-	a.finish(AnswerCallerGone)
+	a.finish(AnswerCallerGone, nil)
 	return nil
 }
 
-func (a *AnswerStream) finish(result AnswerEnd) {
+// finish reports how the answer ended, and why it was broken off.
+func (a *AnswerStream) finish(result AnswerEnd, why error) {
 	if onEnd := a.onEnd; onEnd != nil {
-		a.onEnd = nil
+		a.onEnd, a.broken = nil, why
 		onEnd(result)
 	}
 }
--- a/internal/lifecycle/stream_test.go
+++ b/internal/lifecycle/stream_test.go
@@ -131,6 +131,9 @@
 			return f["errors.look"] == i+1 && f["active"] == 0
 		})
 	}
+	if n := strings.Count(s.log.String(), `"why":"unexpected EOF","message":"answer broken off"`); n != 2 {
+		t.Errorf("%d log lines say why an answer was broken off, want 2\n%s", n, s.log)
+	}
 	if n := e.Count(); n != 2 {
 		t.Errorf("%d attempts, want 2: a streamed answer can't be retried", n)
 	}
--- a/internal/pipeline/relay.go
+++ b/internal/pipeline/relay.go
@@ -118,6 +118,7 @@
 	s.attempt.GiveUp() // releases the resources of its context
 	e.metrics.Count(s.attempt.Request.Message.Class, counted)
 	if s.end == httpwire.AnswerBrokenOff {
+		e.logBrokenOff(s.attempt.Request, s.reply.Stream.Err())
 		e.notifyModule(decide.Event{Kind: decide.StreamBroke, Endpoint: endpoint.ID})
 	}
 }
--- a/internal/pipeline/requestlog.go
+++ b/internal/pipeline/requestlog.go
@@ -20,6 +20,9 @@
 	reasonTooManyCallers = "too_many_callers" // more connections of callers in use than are allowed
 )
 
+// endBrokenOff is how a request ended whose answer its caller could not get whole.
+const endBrokenOff = "broken_off"
+
 // maxRequestLinesPerSecond bounds the log lines on requests: logging a flood of refusals must not cost as much as serving.
 const maxRequestLinesPerSecond = 20
 
@@ -51,6 +54,13 @@
 	}
 }
 
+// logBrokenOff writes the line of a request whose answer was broken off on its way.
+func (e *Engine) logBrokenOff(r *state.Request, why error) {
+	if suppressed, ok := e.requestLogLimit.allow(e.clock.Now()); ok {
+		e.requestLine(r, suppressed).Str("end", endBrokenOff).AnErr("why", why).Msg("answer broken off")
+	}
+}
+
 // logRetry writes the line of a request that is about to be sent again.
 func (e *Engine) logRetry(r *state.Request, a decide.Action) {
 	if a.Reason == decide.NoReason {
