--- a/internal/cluster/leaseholder.go
+++ b/internal/cluster/leaseholder.go
@@ -24,6 +24,9 @@
 	Active   uint64 // the active version
 	Next     uint64 // the prepared version applied together with Active; 0 if there is none
 	Epoch    uint64
+	// LooserKey is the first key found in which the active version is looser than the sidecar's own settings, which then bind; empty if
+	// there is none.
+	LooserKey string
 }
 
 // LeaseHolder is a member's side of its lease. The member applies what the leader granted until the lease ends. The lease is
@@ -32,7 +35,7 @@
 	Self     Member
 	params   Params
 	ownRules versions.Rules
-	// connectTimeout is how long connecting to an endpoint may take: versions.Rules.With shortens windows by it,
+	// connectTimeout is how long connecting to an endpoint may take: versions.Rules.Effective shortens windows by it,
 	// because a repeat is judged that much earlier than its last byte arrives at the endpoint.
 	connectTimeout decide.Time
 
@@ -46,6 +49,7 @@
 	refusal       string
 	prepared      uint64
 	rules         versions.Rules // that apply while the lease lasts
+	looserKey     string         // as in EffectiveRules
 	cautiousRules versions.Rules
 	view          holdings.View
 	deltaFailures int   // consecutive deltas of this leader that could not be applied; after 1 the full view is requested
@@ -144,8 +148,9 @@
 
 // updateRules derives the rules from the active and the next version, and what to report about the proposal in progress.
 func (h *LeaseHolder) updateRules() {
-	activeRules := h.ownRules.With(&h.active.Doc, h.connectTimeout)
+	activeRules := h.ownRules.Effective(&h.active.Doc, h.connectTimeout)
 	h.rules = activeRules
+	h.looserKey = h.ownRules.LooserKey(&h.active.Doc, h.connectTimeout)
 	if h.next == nil {
 		return
 	}
@@ -155,7 +160,7 @@
 			h.refusal = err.Error()
 		}
 	}
-	both, err := activeRules.Intersect(h.ownRules.With(&h.next.Doc, h.connectTimeout))
+	both, err := activeRules.Intersect(h.ownRules.Effective(&h.next.Doc, h.connectTimeout))
 	if h.next.State == Prepared && err == nil {
 		h.rules, h.prepared = both, h.next.Number
 		return
@@ -169,7 +174,7 @@
 // Effective returns what the member applies at the given time. Without a valid lease these are the cautious rules, with the bans and
 // MaxAttempts last known.
 func (h *LeaseHolder) Effective(now BootTime) EffectiveRules {
-	s := EffectiveRules{Rules: h.rules, Active: h.active.Number, Epoch: h.epoch}
+	s := EffectiveRules{Rules: h.rules, Active: h.active.Number, Epoch: h.epoch, LooserKey: h.looserKey}
 	if h.next != nil && h.next.State == Prepared && h.prepared == h.next.Number {
 		s.Next = h.next.Number
 	}
--- a/internal/cluster/member/member.go
+++ b/internal/cluster/member/member.go
@@ -159,6 +159,9 @@
 	if rules.Cautious {
 		event = m.log.Warn()
 	}
+	if rules.LooserKey != "" {
+		event = event.Str("file_stricter", rules.LooserKey)
+	}
 	event.Bool("cautious", rules.Cautious).Uint64("version", rules.Active).Uint64("next", rules.Next).Uint64("epoch", rules.Epoch).
 		Int("banned", len(rules.Rules.Banned)).Msg("rules in force")
 	return next
--- a/internal/versions/versions.go
+++ b/internal/versions/versions.go
@@ -131,7 +131,7 @@
 	return nil
 }
 
-// Rules are rules for one sidecar, for all that versions may change: those of its own settings, and what With, Intersect and Cautious
+// Rules are rules for one sidecar, for all that versions may change: those of its own settings, and what Effective, Intersect and Cautious
 // derive from them. Its methods return new Rules and do not change the receiver.
 type Rules struct {
 	Classes     map[string]Class // every class of the sidecar's settings
@@ -153,10 +153,39 @@
 	return r
 }
 
-// With returns the rules with a document applied. Classes that this sidecar does not know are left out. connect is the time that opening a
-// connection may take; the document's windows are shortened by it, because a sidecar decides about a repeat up to that time before the
-// repeat's last byte arrives.
-func (r Rules) With(d *Document, connect time.Duration) Rules {
+// Effective returns the rules in effect on a sidecar with these own rules while a document is active: they allow only what both allow. A
+// document that was agreed on earlier may be looser than what the sidecar's settings say now. connect is the time that opening a connection
+// may take; the document's windows are shortened by it, because a sidecar decides about a repeat up to that time before the repeat's last
+// byte arrives.
+func (r Rules) Effective(d *Document, connect time.Duration) Rules {
+	out := r.withDocument(d, connect)
+	for name, own := range r.Classes {
+		out.Classes[name] = effectiveClass(own, out.Classes[name])
+	}
+	out.MaxAttempts = min(r.MaxAttempts, out.MaxAttempts)
+	return out
+}
+
+// effectiveClass returns the class that allows only what a sidecar's own class and that of a document allow. Where neither is the stricter
+// one, no repeat is safe under both; nor is it by a key that the sidecar's callers do not send.
+func effectiveClass(own, stated Class) Class {
+	class, err := intersectClass(own, stated)
+	if err != nil || own.Effect == decide.Safe && stated.Effect == decide.Keyed {
+		return Class{Effect: decide.Unsafe}
+	}
+	return class
+}
+
+// LooserKey returns the first key found in which a document allows something that these own rules forbid; empty if there is none. connect is
+// that of Effective.
+func (r Rules) LooserKey(d *Document, connect time.Duration) string {
+	key, _ := r.Allows(r.withDocument(d, connect))
+	return key
+}
+
+// withDocument returns what a document states for this sidecar: where it says nothing, the sidecar's own rules. It may be looser than those.
+// Classes that this sidecar does not know are left out. connect is that of Effective.
+func (r Rules) withDocument(d *Document, connect time.Duration) Rules {
 	out := r.clone()
 	for name, c := range d.Classes {
 		if _, known := out.Classes[name]; known {
@@ -280,10 +309,10 @@
 			return fmt.Errorf("class.%s.effect: callers send this class without keys; allowed: repeatable, once", name)
 		}
 	}
-	if key, ok := r.Allows(r.With(to, 0)); !ok {
+	if key := r.LooserKey(to, 0); key != "" {
 		return fmt.Errorf("%s: looser than this sidecar's own file; change that first", key)
 	}
-	_, err := r.With(from, 0).Intersect(r.With(to, 0))
+	_, err := r.withDocument(from, 0).Intersect(r.withDocument(to, 0))
 	return err
 }
 
--- a/internal/versions/versions_test.go
+++ b/internal/versions/versions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"testing"
@@ -60,6 +61,43 @@
 	})
 }
 
+// generateDocument picks a document of some of these classes at random.
+func generateDocument(rt *rapid.T, label string) Document {
+	stated := generateRules(rt, label)
+	d := Document{Classes: map[string]Class{}, MaxAttempts: rapid.IntRange(0, 3).Draw(rt, label), NoHedging: !stated.Hedging}
+	for _, name := range slices.Sorted(maps.Keys(stated.Classes)) {
+		if rapid.Bool().Draw(rt, label) {
+			d.Classes[name] = stated.Classes[name]
+		}
+	}
+	d.Banned = slices.Sorted(maps.Keys(stated.Banned))
+	return d
+}
+
+// Guards against a second attempt that a sidecar's own file forbids: a document that was agreed on before the file became stricter is
+// looser than it, in whatever key. What is in effect must be allowed by both, and never lets a repeat by a key that callers do not send.
+func TestEffectiveIsAllowedByFileAndDocument(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		own, d := generateRules(rt, "own"), generateDocument(rt, "document")
+		connect := time.Duration(rapid.IntRange(0, 1).Draw(rt, "connect"))
+		stated, effective := own.withDocument(&d, connect), own.Effective(&d, connect)
+		for _, other := range []Rules{own, stated} {
+			if key, ok := other.Allows(effective); !ok {
+				rt.Fatalf("%s: %+v does not allow %+v", key, other, effective)
+			}
+		}
+		for name, c := range effective.Classes {
+			if own.Classes[name].Effect == decide.Safe && c.Effect == decide.Keyed {
+				rt.Fatalf("class %s is repeated by keys that its callers do not send", name)
+			}
+		}
+		key, ok := own.Allows(stated)
+		if got := own.LooserKey(&d, connect); got != key || ok != (got == "") {
+			rt.Fatalf("looser key %q, want %q", got, key)
+		}
+	})
+}
+
 // Guards against an Allows that overlooks a key, as the other tests rely on it: for each key, it must reject looser rules and name the key.
 func TestAllowsRejectsLooserRules(t *testing.T) {
 	strict := Rules{Classes: map[string]Class{"a": {Effect: decide.Unsafe}, "b": {decide.Keyed, decide.GroupZone, 1}}, MaxAttempts: 1,
