--- a/internal/cluster/member/claim.go
+++ b/internal/cluster/member/claim.go
@@ -118,7 +118,8 @@
 	var attemptsWithin time.Duration
 	if answer.Kind == holdings.AnswerUnknown {
 		left := deadline.Sub(hs.member.env.Now())
-		if !holdings.MayRepeat(&class.Class, answer.Age, left, hs.member.conf.Params.Drift) {
+		rule := hs.member.Effective().ClassOf(class.Class)
+		if !holdings.MayRepeat(&rule, answer.Age, left, hs.member.conf.Params.Drift) {
 			return hs.refuse(&command, answer)
 		}
 		attemptsWithin = left
--- a/internal/pipeline/rules.go
+++ b/internal/pipeline/rules.go
@@ -22,6 +22,26 @@
 	Cautious   bool            // there is no lease: only what every possible version allows may be done
 }
 
+// ClassOf returns a class of the sidecar's own settings with the rules in effect for it.
+func (r *EffectiveRules) ClassOf(own decide.Class) decide.Class {
+	if r == nil || r.Dynamic == nil {
+		return own
+	}
+	if rule, ok := r.Dynamic.Classes[own.Name]; ok && rule.Effect != decide.EffectUnset {
+		own.Effect, own.Group, own.Window = rule.Effect, rule.Group, rule.Window
+	}
+	return own
+}
+
+// classInEffect returns a class with the rules in effect now. Any goroutine may call it.
+func (e *Engine) classInEffect(name string) decide.Class {
+	own := e.conf.Classes[name]
+	if e.rules == nil {
+		return own
+	}
+	return e.rules.Effective().ClassOf(own)
+}
+
 // RulesSource returns the rules in effect. It does no I/O, and any goroutine may call it.
 type RulesSource interface{ Effective() *EffectiveRules }
 
--- a/internal/pipeline/rules_test.go
+++ b/internal/pipeline/rules_test.go
@@ -61,6 +61,28 @@
 	}
 }
 
+// Guards against an effect that happens twice because an id comes again: a version may say of a class, repeatable by the sidecar's own
+// file, that its requests run once. A request forgets only an id that it has claimed, whatever the rules are by then.
+func TestIDsAreClaimedByTheRulesInEffect(t *testing.T) {
+	e, rules, _ := newClusterEngine(t)
+	e.conf.Classes = map[string]decide.Class{"look": {Name: "look", Effect: decide.Safe}}
+	under := func(effect decide.Effect) {
+		rules.effective = &EffectiveRules{Generation: 2, Dynamic: &decide.DynamicSettings{Classes: map[string]decide.DynamicClass{"look": {Effect: effect}}}}
+	}
+	arrive := func() *httpwire.Request { return &httpwire.Request{ID: "1", Class: "look"} }
+	early := arrive()
+	if !e.claimID(early) || !e.claimID(arrive()) {
+		t.Error("an id of a repeatable class is new once")
+	}
+	under(decide.Unsafe)
+	if !e.claimID(arrive()) || e.claimID(arrive()) {
+		t.Error("an id is not new exactly once, though the version says that its request may run once")
+	}
+	if e.forgetID(early); e.claimID(arrive()) {
+		t.Error("a request has made an id new that it has not claimed")
+	}
+}
+
 // The module gets changed rules before any other event. Bans of the cluster and bans by hand are independent of each other.
 func TestRuleChangesReachTheModuleFirst(t *testing.T) {
 	e, rules, events := newClusterEngine(t)
--- a/internal/pipeline/send.go
+++ b/internal/pipeline/send.go
@@ -68,17 +68,11 @@
 	if len(r.Attempts) == 0 {
 		return 0
 	}
-	class := e.conf.Classes[r.Message.Class]
-	rule := decide.DynamicClass{Effect: class.Effect, Window: class.Window}
-	if e.effective != nil && e.effective.Dynamic != nil {
-		if dynamic, ok := e.effective.Dynamic.Classes[r.Message.Class]; ok && dynamic.Effect != decide.EffectUnset {
-			rule = dynamic
-		}
-	}
-	if rule.Effect != decide.Keyed {
+	class := e.effective.ClassOf(e.conf.Classes[r.Message.Class])
+	if class.Effect != decide.Keyed {
 		return 0
 	}
-	return r.WindowEnd(rule.Window)
+	return r.WindowEnd(class.Window)
 }
 
 // exchangeEnded is the event of an exchange that has ended.
--- a/internal/pipeline/takein.go
+++ b/internal/pipeline/takein.go
@@ -118,23 +118,18 @@
 // claimID claims the id of a request, and reports whether it is new. Where repeats are safe any id is. The time that this takes, while
 // another process has to be asked, is a part of the request's.
 func (e *Engine) claimID(message *httpwire.Request) bool {
-	if !e.remembersID(message) {
+	if e.classInEffect(message.Class).Effect == decide.Safe {
 		return true
 	}
 	began := e.clock.Now()
-	isNew := e.ids.claim(message.ID)
+	message.IDClaimed = e.ids.claim(message.ID)
 	message.Remaining = max(0, message.Remaining-(e.clock.Now()-began))
-	return isNew
-}
-
-// remembersID reports whether the id of a request is remembered.
-func (e *Engine) remembersID(message *httpwire.Request) bool {
-	return e.conf.Classes[message.Class].Effect != decide.Safe
+	return message.IDClaimed
 }
 
 // forgetID makes the id of a request that can't have run new again, if the request has claimed it.
 func (e *Engine) forgetID(message *httpwire.Request) {
-	if e.remembersID(message) {
+	if message.IDClaimed {
 		e.ids.forget(message.ID)
 	}
 }
