--- a/internal/cluster/fleet_test.go
+++ b/internal/cluster/fleet_test.go
@@ -124,7 +124,7 @@
 		Address: fmt.Sprintf("10.%d.%d.%d:7411", 16+zone, m.i/250, m.i%250)}
 	m.holder = cluster.NewLeaseHolder(m.self, f.params, versions.FromSettings(&decide.Settings{}), 0)
 	m.renewer = cluster.NewLeaseRenewer(m.holder, []string{"k1"})
-	m.store = holdings.NewStore(f.params.Holdings, 1<<16)
+	m.store = holdings.NewStore(f.params.Holdings, holdings.Limits{MaxEntries: 1 << 16})
 	m.view, m.me, m.leaveBy, m.down = holdings.View{}, holdings.Incarnation{}, 0, false
 }
 
--- a/internal/cluster/member/claim.go
+++ b/internal/cluster/member/claim.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"bytes"
 	"context"
 	"time"
 
@@ -179,6 +180,14 @@
 	return pipeline.ClaimResult{Answer: &httpwire.Answer{Verdict: httpwire.Refused, RetryAfter: refusedRetryAfter}}
 }
 
+// ownBody returns a body that may be held: one whose buffer is not much longer than it.
+func ownBody(body []byte) []byte {
+	if cap(body)-len(body) <= len(body)/8 {
+		return body
+	}
+	return bytes.Clone(body)
+}
+
 // keptAnswer returns the answer to a request that finished earlier, from its stored outcome.
 func keptAnswer(outcome *holdings.Outcome) *httpwire.Answer {
 	if outcome == nil || outcome.TooLong {
@@ -202,7 +211,7 @@
 	command := cl.command
 	switch {
 	case answer.Verdict == httpwire.Served:
-		command.Op, command.Outcome = holdings.OpFinish, &holdings.Outcome{Type: answer.Type, Encoding: answer.Encoding, Body: answer.Body}
+		command.Op, command.Outcome = holdings.OpFinish, &holdings.Outcome{Type: answer.Type, Encoding: answer.Encoding, Body: ownBody(answer.Body)}
 		if answer.Stream != nil || len(answer.Body) > cl.service.maxBody {
 			command.Outcome = &holdings.Outcome{TooLong: true}
 		}
--- a/internal/cluster/member/helpers_test.go
+++ b/internal/cluster/member/helpers_test.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -127,7 +128,7 @@
 	t.Helper()
 	path := scripted.WriteConfig(t, sidecarConfig(ownIncarnation.Name, "127.0.0.1:0", scripted.StartDiscovery(t), orderDeadline, lines...))
 	conf, err := config.Load(func(key string) string { return map[string]string{config.EnvFile: path}[key] })
-	if err != nil {
+	if err := errors.Join(err, conf.ReserveHeld(0)); err != nil {
 		t.Fatal(err)
 	}
 	return conf
--- a/internal/cluster/member/holdings.go
+++ b/internal/cluster/member/holdings.go
@@ -32,6 +32,7 @@
 	member    *Member
 	classes   map[string]heldClass
 	maxBody   int
+	maxMemory int64 // as in holdings.Limits
 	lastClaim atomic.Uint64
 
 	mu        sync.Mutex
@@ -69,7 +70,15 @@
 	var b [8]byte
 	rand.Read(b[:]) //nolint:errcheck // rand.Read never fails
 	hs.lastClaim.Store(binary.BigEndian.Uint64(b[:]))
-	hs.store = holdings.NewStore(m.conf.Params.Holdings, m.conf.Holdings.MaxEntries)
+	if conf.HeldBytes == 0 {
+		return nil, errors.New("holdings: no memory is reserved for them")
+	}
+	limits := holdings.Limits{MaxEntries: m.conf.Holdings.MaxEntries, MaxMemory: conf.HeldBytes, MaxBody: hs.maxBody}
+	if err := limits.Check(); err != nil {
+		return nil, fmt.Errorf("holdings.most_memory: %w", err)
+	}
+	hs.maxMemory = limits.MaxMemory
+	hs.store = holdings.NewStore(m.conf.Params.Holdings, limits)
 	return hs, nil
 }
 
@@ -260,7 +269,7 @@
 // appendMetrics appends the metrics of the holdings.
 func (hs *holdingsService) appendMetrics(text []byte) []byte {
 	hs.mu.Lock()
-	entries, bytes := hs.store.Entries, hs.store.Bytes
+	entries, bytes, memory := hs.store.Entries, hs.store.Bytes, hs.store.Memory
 	hs.mu.Unlock()
 	for _, f := range []struct {
 		name  string
@@ -268,6 +277,7 @@
 		kind  byte
 	}{
 		{"held_entries", int64(entries), metrics.Gauge}, {"held_bytes", int64(bytes), metrics.Gauge},
+		{"held_memory", memory, metrics.Gauge}, {"held_memory_most", hs.maxMemory, metrics.Gauge},
 		{"held_claims", hs.claimed.Load(), metrics.Counter}, {"held_known", hs.known.Load(), metrics.Counter},
 		{"held_refused", hs.refused.Load(), metrics.Counter}, {"held_alone", hs.alone.Load(), metrics.Counter},
 	} {
--- a/internal/cluster/member/holdings_test.go
+++ b/internal/cluster/member/holdings_test.go
@@ -24,6 +24,7 @@
 		conf := &config.Config{Settings: decide.Settings{Zone: "a", Classes: []decide.Class{
 			{Name: "pay", Effect: decide.Keyed, Window: time.Second}, {Name: "look", Effect: decide.Safe},
 		}}}
+		conf.HeldBytes = holdings.MinMemory(0)
 		return table, conf
 	}
 	for want, change := range map[string]func(*operator.Cluster, *config.Config){
@@ -34,6 +35,7 @@
 		`holdings.class: "sell"; allowed`: func(c *operator.Cluster, _ *config.Config) {
 			c.Holdings.Classes = map[string]operator.WhenAlone{"sell": operator.ProceedAlone}
 		},
+		"holdings.most_memory: ":                                func(c *operator.Cluster, _ *config.Config) { c.Holdings.MaxBody = 1 },
 		"holdings.keep: 1m0s, under the 1h0m0s":                 func(_ *operator.Cluster, conf *config.Config) { conf.Settings.Classes[0].Window = time.Hour },
 		"holdings.copies: this sidecar's settings name no zone": func(_ *operator.Cluster, conf *config.Config) { conf.Settings.Zone = "" },
 	} {
@@ -68,7 +70,7 @@
 		t.Fatal(err)
 	}
 	h := cluster.NewLeaseHolder(memberNo(1), conf, versions.FromSettings(&decide.Settings{}), 0)
-	hs := &holdingsService{member: &Member{env: env.Real{}, holder: h}, store: holdings.NewStore(conf.Holdings, 1000), pools: map[string]*clientPool{}}
+	hs := &holdingsService{member: &Member{env: env.Real{}, holder: h}, store: holdings.NewStore(conf.Holdings, holdings.Limits{MaxEntries: 1000}), pools: map[string]*clientPool{}}
 	at := time.Second
 	renew := func() {
 		at += time.Millisecond
--- a/internal/cluster/member/member.go
+++ b/internal/cluster/member/member.go
@@ -78,6 +78,12 @@
 	m.publish(environment.BootTime())
 	var err error
 	if table.Params.Holdings.Copies > 0 {
+		if conf.HeldBytes == 0 { // no sidecar that shares the memory has reserved it
+			err = conf.ReserveHeld(table.Holdings.MaxMemory)
+		}
+		if err != nil {
+			return nil, err
+		}
 		if m.holdings, err = newHoldingsService(m, conf); err != nil {
 			return nil, err
 		}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -37,15 +37,17 @@
 	defaultSockets  = 1024
 	minSockets      = 16 // fewer leave too little for callers and endpoints
 
-	collectorShare    = 0.7 // of the memory, up to which the collector lets garbage stand
-	heapShare         = 0.6 // of the memory, for all that the runtime has: the program needs the rest
-	answerShare       = 0.2 // of the heap, for bodies of answers
-	bodyShare         = 0.1 // of the heap, for bodies of requests
-	callerHeapShare   = 0.4 // of the heap, for callers' connections
-	endpointHeapShare = 0.2 // of the heap, for connections to endpoints
-	callerShare       = 0.6 // of the sockets, for callers
-	endpointShare     = 0.3 // of the sockets, for endpoints
-	maxReservedShare  = 0.5 // of the sockets, the most that may be reserved: callers and endpoints need some as well
+	collectorShare    = 0.7  // of the memory, up to which the collector lets garbage stand
+	heapShare         = 0.6  // of the memory, for all that the runtime has: the program needs the rest
+	heldShare         = 0.5  // of the heap, for what a sidecar holds for others, where the operator's file does not say how much
+	maxHeldShare      = 0.75 // of the heap, the most that may be said there: the parts below are shares of the rest
+	answerShare       = 0.2  // of the heap, for bodies of answers
+	bodyShare         = 0.1  // of the heap, for bodies of requests
+	callerHeapShare   = 0.4  // of the heap, for callers' connections
+	endpointHeapShare = 0.2  // of the heap, for connections to endpoints
+	callerShare       = 0.6  // of the sockets, for callers
+	endpointShare     = 0.3  // of the sockets, for endpoints
+	maxReservedShare  = 0.5  // of the sockets, the most that may be reserved: callers and endpoints need some as well
 
 	callerConnBytes   = 22 << 10 // that a caller's connection takes with its goroutines, buffers and the beginning of a body
 	endpointConnBytes = 16 << 10 // that a connection to an endpoint takes with its goroutine and its buffer
@@ -79,10 +81,12 @@
 
 	MemoryBytes    int64         // limit of the process's memory
 	CollectorBytes int64         // memory limit of the garbage collector
+	HeldBytes      int64         // the part of it that held requests and their outcomes may take; 0 without holdings
 	HeapBytes      int64         // the part of it that is divided among connections and bodies
 	AnswerBytes    int64         // the part of it that answer bodies may take together
 	BodyBytes      int64         // the part of it that bodies of requests may take together
 	Sockets        int           // file descriptors, as configured
+	usableSockets  int           // the same, or the process's own lower limit
 	CallerConns    int           // limit for connections of callers, from Sockets or the process's own lower limit
 	EndpointConns  int           // limit for connections to endpoints
 	ConnectTimeout time.Duration // for opening a connection to an endpoint
@@ -182,7 +186,7 @@
 		{"name", c.Name == next.Name},
 		{"listen", c.Listen == next.Listen},
 		{"console", c.Console == next.Console},
-		{"limits", c.HeapBytes == next.HeapBytes && c.Sockets == next.Sockets},
+		{"limits", c.MemoryBytes == next.MemoryBytes && c.Sockets == next.Sockets},
 		{"settings", c.Transport == next.Transport && reflect.DeepEqual(c.Settings, next.Settings)},
 	} {
 		if !k.same {
@@ -240,12 +244,32 @@
 		return fmt.Errorf("limits.sockets: %d is below %d", sockets, minSockets)
 	}
 	c.MemoryBytes = int64(memoryMB * (1 << 20))
-	c.HeapBytes = int64(memoryMB * heapShare * (1 << 20))
 	c.CollectorBytes = int64(memoryMB * collectorShare * (1 << 20))
+	c.Sockets, c.usableSockets = sockets, sockets
+	c.divideMemory()
+	return nil
+}
+
+// divideMemory divides the heap among its uses, what is held first.
+func (c *Config) divideMemory() {
+	c.HeapBytes = int64(float64(c.MemoryBytes)*heapShare) - c.HeldBytes
 	c.AnswerBytes = int64(float64(c.HeapBytes) * answerShare)
 	c.BodyBytes = int64(float64(c.HeapBytes) * bodyShare)
-	c.Sockets = sockets
-	c.divideSockets(sockets)
+	c.divideSockets(c.usableSockets)
+}
+
+// ReserveHeld takes memory for what the sidecar holds for the others of its cluster from the other uses of the heap; 0 bytes stand for the
+// default share. The error begins with the key of the operator's file.
+func (c *Config) ReserveHeld(bytes int64) error {
+	heap := float64(c.MemoryBytes) * heapShare
+	if bytes == 0 {
+		bytes = int64(heap * heldShare)
+	}
+	if most := int64(heap * maxHeldShare); bytes > most {
+		return fmt.Errorf("holdings.most_memory: %d bytes; allowed: up to %d, with limits.memory_mb as it is", bytes, most)
+	}
+	c.HeldBytes = bytes
+	c.divideMemory()
 	return nil
 }
 
@@ -270,7 +294,8 @@
 	if descriptors >= uint64(c.Sockets) {
 		return false
 	}
-	c.divideSockets(max(int(descriptors), minSockets))
+	c.usableSockets = max(int(descriptors), minSockets)
+	c.divideSockets(c.usableSockets)
 	return true
 }
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -193,3 +194,43 @@
 		t.Errorf("limited to 64 descriptors: %+v", few)
 	}
 }
+
+// What a sidecar holds for the others of its cluster is a part of the division of its memory: all other parts shrink with it, and a reload
+// with the same limits changes nothing.
+func TestHeldMemoryIsAPartOfTheDivision(t *testing.T) {
+	limited := func() *Config {
+		c := &Config{}
+		if err := c.setLimits(96, 1024); err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	without, byDefault, least := limited(), limited(), limited()
+	if err := byDefault.ReserveHeld(0); err != nil {
+		t.Fatal(err)
+	}
+	if err := least.ReserveHeld(1 << 20); err != nil || least.HeldBytes != 1<<20 {
+		t.Errorf("%d bytes, %v", least.HeldBytes, err)
+	}
+	for _, c := range []*Config{byDefault, least} {
+		if sum := c.HeldBytes + c.HeapBytes; sum != without.HeapBytes || c.AnswerBytes >= without.AnswerBytes || c.BodyBytes >= without.BodyBytes {
+			t.Errorf("%d of %d bytes are divided: %+v", sum, without.HeapBytes, c)
+		}
+	}
+	if byDefault.CallerConns >= without.CallerConns || byDefault.HeldBytes < without.HeapBytes/3 {
+		t.Errorf("callers have %d connections of %d, and %d bytes are for what is held", byDefault.CallerConns, without.CallerConns, byDefault.HeldBytes)
+	}
+	t.Logf("%d callers' connections, %d without", byDefault.CallerConns, without.CallerConns)
+	if byDefault.LimitSockets(64); byDefault.CallerConns >= 64 {
+		t.Errorf("%d connections with 64 descriptors", byDefault.CallerConns)
+	}
+	if err := byDefault.ReserveHeld(0); err != nil || byDefault.CallerConns >= 64 {
+		t.Errorf("%d connections with 64 descriptors, once the memory is divided anew: %v", byDefault.CallerConns, err)
+	}
+	if keys := limited().NeedRestart(limited()); len(keys) > 0 || slices.Contains(byDefault.NeedRestart(limited()), "limits") {
+		t.Errorf("a reload of the same limits needs a restart: %v", keys)
+	}
+	if err := limited().ReserveHeld(90 << 20); err == nil || !strings.Contains(err.Error(), "holdings.most_memory") {
+		t.Errorf("more than there is: %v", err)
+	}
+}
--- a/internal/holdings/model_test.go
+++ b/internal/holdings/model_test.go
@@ -140,7 +140,7 @@
 	m.lastID++
 	s.token, s.dead, s.paused, s.me, s.leaseEnd, s.inbox = m.lastID, false, false, Incarnation{}, 0, nil
 	s.decommissioning, s.view, s.needsFullView = false, View{}, false
-	s.store = NewStore(m.params, 1<<16)
+	s.store = NewStore(m.params, Limits{MaxEntries: 1 << 16})
 	m.heartbeat(s, s.token)
 	m.tick(s, s.token)
 }
--- a/internal/holdings/store.go
+++ b/internal/holdings/store.go
@@ -34,20 +34,22 @@
 // Invariants: a primary answers from an entry only after each replica of the shard's present configuration has acknowledged that entry.
 // A replica never acknowledges an update of an older configuration than the latest one that it knows.
 type Store struct {
-	me          Incarnation
-	params      Params
-	maxPerShard int // bound on the entries of a shard, for claims
-	placement   *Placement
-	members     map[Incarnation]Member
-	leaseEnd    BootTime // until then this sidecar may act as a primary
-	shards      [NumShards]*shard
-	outboxes    map[Incarnation]*outbox
-	nextSweep   BootTime
-	sweepShard  int          // the shard that the next sweep takes
-	singleCopy  []outboxItem // changed entries of shards whose only replica is this one: they wait for no acknowledgement
-
-	// Entries is the number of entries in all shards, and Bytes their approximate size.
+	me         Incarnation
+	params     Params
+	limits     Limits
+	placement  *Placement
+	members    map[Incarnation]Member
+	leaseEnd   BootTime // until then this sidecar may act as a primary
+	shards     [NumShards]*shard
+	outboxes   map[Incarnation]*outbox
+	nextSweep  BootTime
+	sweepShard int          // the shard that the next sweep takes
+	singleCopy []outboxItem // changed entries of shards whose only replica is this one: they wait for no acknowledgement
+
+	// Entries is the number of entries in all shards, Bytes their approximate size in messages, and Memory what they may take of the
+	// process's memory at most, in bytes.
 	Entries, Bytes int
+	Memory         int64
 }
 
 // shard is a sidecar's state of one shard.
@@ -70,6 +72,7 @@
 	unacked              map[Incarnation]bool // replicas that have not acknowledged it; nil when no replication is under way
 	onReplicated         []func()             // called when all replicas have acknowledged it
 	queue                []pendingCommand     // commands for this key that wait until then
+	reserved             bool                 // room is kept for the outcome of its claim
 }
 
 // pendingCommand is a command with the function that takes its answer.
@@ -86,6 +89,11 @@
 	// failingSince is when the first batch of the present series of failures failed, 0 if the last batch was answered. lastFailure
 	// is when a batch failed last.
 	failingSince, lastFailure BootTime
+	// room is as in the sidecar's last BatchReply, less what the changes since then take; without bounded it has told none.
+	room    int64
+	bounded bool
+	toldAt  BootTime
+	askRoom bool // the next batch is sent even if it is empty
 }
 
 // outboxItem names an entry that is to be sent to a replica.
@@ -115,12 +123,15 @@
 // their updates were not taken. It acknowledges all other updates.
 type BatchReply struct {
 	Later map[int]Shard `cbor:"1,keyasint,omitempty"`
+	// Room is how many bytes more the entries of the receiver may take. Without Bounded, as from older builds, it has no meaning.
+	Room    int64 `cbor:"2,keyasint,omitempty"`
+	Bounded bool  `cbor:"3,keyasint,omitempty"`
 }
 
-// NewStore returns an empty store. A claim creates no entry in a shard that has maxEntries/NumShards (at least one); entries that a primary
-// sends are stored regardless of that.
-func NewStore(params Params, maxEntries int) *Store {
-	st := &Store{params: params, maxPerShard: max(1, maxEntries/NumShards), members: map[Incarnation]Member{}, outboxes: map[Incarnation]*outbox{}}
+// NewStore returns an empty store. Claims keep to its limits, and reserve what their outcome may take; a shard has
+// its part of MaxEntries (at least one). Entries that a primary sends are stored regardless of the limits.
+func NewStore(params Params, limits Limits) *Store {
+	st := &Store{params: params, limits: limits, members: map[Incarnation]Member{}, outboxes: map[Incarnation]*outbox{}}
 	for i := range st.shards {
 		st.shards[i] = &shard{number: i, entries: map[Key]*trackedEntry{}}
 	}
@@ -219,9 +230,9 @@
 func (st *Store) dropEntries(s *shard) {
 	for _, t := range s.entries {
 		st.Entries--
-		st.Bytes -= t.size()
+		st.account(t, -1)
 	}
-	clear(s.entries)
+	s.entries = map[Key]*trackedEntry{} // a cleared map keeps its memory
 }
 
 // isPrimary reports whether this incarnation of the sidecar is the shard's primary.
@@ -250,6 +261,9 @@
 	defer st.completeSingleCopy(now)
 	t := s.entries[c.Key]
 	if t != nil && t.unacked != nil {
+		if t.replaceQueued(c, reply) {
+			return
+		}
 		if len(t.queue) >= maxQueued {
 			reply(Answer{Kind: AnswerFull})
 			return
@@ -260,6 +274,18 @@
 	st.execute(now, s, t, pendingCommand{c, reply})
 }
 
+// replaceQueued replaces a command that waits for the key by the same one, if its owner has sent it again, and reports whether it did. The
+// owner no longer waits for the answer to the first. Guards against outcomes that are kept once for each time that they were sent.
+func (t *trackedEntry) replaceQueued(c *Command, reply func(Answer)) bool {
+	for i := range t.queue {
+		if q := t.queue[i].command; q.Op == c.Op && q.Owner == c.Owner && q.Claim == c.Claim && q.Rev == c.Rev && q.Fingerprint == c.Fingerprint {
+			t.queue[i] = pendingCommand{c, reply}
+			return true
+		}
+	}
+	return false
+}
+
 // execute executes a command according to the entry of its key; t is nil if there is none. If the entry has not been acknowledged by all
 // replicas of the present configuration, execute replicates it first and queues the command.
 func (st *Store) execute(now BootTime, s *shard, t *trackedEntry, p pendingCommand) {
@@ -299,12 +325,12 @@
 			p.reply(Answer{Kind: AnswerRunning})
 			return
 		}
-		st.changeEntry(now, s, t, p, func(e *Entry) { e.State, e.Owner, e.Claim, e.Lifetime = Claimed, c.Owner, c.Claim, c.Lifetime })
+		st.changeIfRoom(now, s, t, p, func(e *Entry) { e.State, e.Owner, e.Claim, e.Lifetime = Claimed, c.Owner, c.Claim, c.Lifetime })
 	case !ownClaim || t.State != Claimed:
 		// This guards against an owner that was paused and meanwhile removed from the cluster: another owner may have the key now.
 		p.reply(Answer{Kind: AnswerFenced})
 	case c.Op == OpFinish:
-		st.changeEntry(now, s, t, p, func(e *Entry) { e.State, e.Outcome = Done, c.Outcome })
+		st.changeIfRoom(now, s, t, p, func(e *Entry) { e.State, e.Outcome = Done, c.Outcome })
 	case c.Op == OpGiveUp:
 		st.changeEntry(now, s, t, p, func(e *Entry) { e.State = Unknown })
 	case c.Op == OpDrop:
@@ -336,27 +362,48 @@
 		p.reply(Answer{Kind: AnswerLost})
 		return
 	}
+	claimed := Entry{Key: c.Key, State: Claimed, Owner: c.Owner, Claim: c.Claim, Lifetime: c.Lifetime, Fingerprint: c.Fingerprint}
+	more := claimed.memory(true, st.limits.MaxBody)
+	if t != nil {
+		more -= t.memory(t.reserved, st.limits.MaxBody)
+	}
+	if t == nil && len(s.entries) >= max(1, st.limits.MaxEntries/NumShards) || !st.hasRoom(now, s, more) {
+		p.reply(Answer{Kind: AnswerFull})
+		return
+	}
 	if t == nil {
-		if len(s.entries) >= st.maxPerShard {
-			p.reply(Answer{Kind: AnswerFull})
-			return
-		}
 		t = &trackedEntry{Entry: Entry{Key: c.Key}}
 		s.entries[c.Key] = t
 		st.Entries++
-		st.Bytes += t.size()
+		st.account(t, 1)
+		st.useRoom(s, t.memory(t.reserved, st.limits.MaxBody))
 	}
 	t.claimedAt = now
 	st.changeEntry(now, s, t, p, func(e *Entry) {
-		e.State, e.Owner, e.Claim, e.Lifetime, e.Fingerprint, e.Outcome = Claimed, c.Owner, c.Claim, c.Lifetime, c.Fingerprint, nil
+		claimed.Key, claimed.Rev = e.Key, e.Rev
+		*e = claimed
 	})
 }
 
+// changeIfRoom is changeEntry, unless the shard has no room for the changed entry: then the answer is AnswerFull.
+func (st *Store) changeIfRoom(now BootTime, s *shard, t *trackedEntry, p pendingCommand, edit func(e *Entry)) {
+	changed := t.Entry
+	edit(&changed)
+	if !st.hasRoom(now, s, changed.memory(changed.State == Claimed, st.limits.MaxBody)-t.memory(t.reserved, st.limits.MaxBody)) {
+		p.reply(Answer{Kind: AnswerFull})
+		return
+	}
+	st.changeEntry(now, s, t, p, edit)
+}
+
 // changeEntry changes an entry and replicates it. The command is answered with AnswerOK when all replicas have acknowledged the change.
 func (st *Store) changeEntry(now BootTime, s *shard, t *trackedEntry, p pendingCommand, edit func(e *Entry)) {
-	st.Bytes -= t.size()
+	before := st.Memory
+	st.account(t, -1)
 	edit(&t.Entry)
-	st.Bytes += t.size()
+	t.reserved = t.State == Claimed
+	st.account(t, 1)
+	st.useRoom(s, st.Memory-before)
 	s.revCount++
 	t.Rev, t.changedAt, t.replicatedConfig = Rev{s.Config, s.revCount}, now, 0
 	rev := t.Rev
@@ -400,7 +447,7 @@
 func (st *Store) PendingPeers() []Member {
 	var out []Member
 	for peer, box := range st.outboxes {
-		if !box.busy && len(box.items)+len(box.catchUp) > 0 {
+		if !box.busy && (len(box.items)+len(box.catchUp) > 0 || box.askRoom) {
 			out = append(out, st.members[peer])
 		}
 	}
@@ -446,9 +493,10 @@
 	}
 	box.items = take(box.items, len(box.items))
 	box.catchUp = take(box.catchUp, catchUpEntries)
-	if len(order) == 0 {
+	if len(order) == 0 && !box.askRoom {
 		return nil
 	}
+	box.askRoom = false
 	b := &Batch{To: to}
 	for _, i := range order {
 		b.Updates = append(b.Updates, *updates[i])
@@ -467,6 +515,7 @@
 	box.busy = false
 	if answer != nil {
 		box.failingSince = 0
+		box.noteRoom(now, answer)
 	} else if box.lastFailure = now; box.failingSince == 0 {
 		box.failingSince = max(1, now)
 	}
@@ -520,6 +569,7 @@
 		return nil
 	}
 	reply := &BatchReply{}
+	defer func() { reply.Room, reply.Bounded = st.room() }()
 	for i := range b.Updates {
 		u := &b.Updates[i]
 		if u.Shard < 0 || u.Shard >= NumShards {
@@ -553,15 +603,16 @@
 	case s.Config == t.lastConfig && e.Rev.before(t.Rev):
 		return // stale message
 	default:
-		st.Bytes -= t.size()
+		st.account(t, -1)
+		e.Key = t.Key // the texts are the same; those of the message need not be kept
 	}
 	claimedAt := now - e.Age
 	if t.Rev == e.Rev {
 		claimedAt = min(claimedAt, t.claimedAt) // of two ages, the greater one: the message took time on its way
 	}
-	t.Entry, t.lastConfig, t.replicatedConfig = *e, s.Config, 0
+	t.Entry, t.lastConfig, t.replicatedConfig, t.reserved = *e, s.Config, 0, e.State == Claimed
 	t.claimedAt, t.changedAt = claimedAt, now-e.SinceChange
-	st.Bytes += t.size()
+	st.account(t, 1)
 }
 
 // CaughtUp returns, for the shards of which this sidecar is the primary, the replicas that have caught up: they have acknowledged
@@ -616,6 +667,7 @@
 	s := st.shards[st.sweepShard]
 	st.sweepShard = (st.sweepShard + 1) % NumShards
 	for k, t := range s.entries { // in any order: entries expire independently of one another
+		st.endReservation(now, t)
 		end := t.changedAt + st.params.Keep
 		if !st.isPrimary(s) {
 			end += backupGrace
@@ -625,7 +677,7 @@
 		if now >= end {
 			delete(s.entries, k)
 			st.Entries--
-			st.Bytes -= t.size()
+			st.account(t, -1)
 		}
 	}
 }
--- a/internal/lifecycle/sidecar.go
+++ b/internal/lifecycle/sidecar.go
@@ -115,6 +115,11 @@
 		opts.Env = env.Real{}
 	}
 	environment := opts.Env
+	if table := opts.Operator.Cluster; table != nil && table.Params.Holdings.Copies > 0 {
+		if err := conf.ReserveHeld(table.Holdings.MaxMemory); err != nil {
+			return nil, err
+		}
+	}
 	balancer, err := opts.Decider(conf)
 	if err != nil {
 		return nil, err
--- a/internal/operator/cluster.go
+++ b/internal/operator/cluster.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"heathgap/internal/clusterparams"
+	"heathgap/internal/holdings"
 	"heathgap/internal/tomlread"
 )
 
@@ -37,7 +38,8 @@
 type Holdings struct {
 	Classes    map[string]WhenAlone // the classes whose requests are stored
 	MaxEntries int
-	MaxBody    int // bytes of an answer that is stored
+	MaxMemory  int64 // bytes of the process's memory that entries may take; 0 for the default share of its limit
+	MaxBody    int   // bytes of an answer that is stored
 }
 
 // Defaults and limits of holdings.
@@ -48,6 +50,7 @@
 	defaultEntries   = 200_000          // about 60 MB with short answers
 	minEntries       = 1000
 	maxEntries       = 5_000_000
+	maxMemory        = 1 << 40
 	defaultBody      = 16 << 10
 	maxBody          = 64 << 10
 	maxClasses       = 64
@@ -64,6 +67,9 @@
 		Classes: map[string]WhenAlone{}, MaxEntries: t.Int("most_entries", defaultEntries, minEntries, maxEntries),
 		MaxBody: t.Int("most_body", defaultBody, 0, maxBody),
 	}
+	if least := holdings.MinMemory(c.Holdings.MaxBody); t.Has("most_memory") {
+		c.Holdings.MaxMemory = int64(t.Int("most_memory", 0, int(least), maxMemory))
+	}
 	for _, class := range t.Tables("class", maxClasses) {
 		class.Require("name", "the name of a keyed class")
 		name := class.Text("name", "")
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -89,6 +89,7 @@
 		"":                                                         "crew.keeper: missing",
 		voterTable + voterTable:                                    "a second time",
 		voterTable + "[holdings]\n":                                "holdings.class: missing",
+		voterTable + "[holdings]\nmost_memory = 1000000\n[[holdings.class]]\nname = \"p\"\n":            ":9: holdings.most_memory: 1000000; allowed",
 		voterTable + "[holdings]\ncopies = 9\n[[holdings.class]]\nname = \"p\"\n":                       ":9: holdings.copies: 9; allowed",
 		voterTable + "[holdings]\n[[holdings.class]]\nname = \"p\"\nwhen_alone = \"wait\"\n":            ":11: holdings.class[0].when_alone",
 		voterTable + "[holdings]\n[[holdings.class]]\nname = \"p\"\n[[holdings.class]]\nname = \"p\"\n": "\"p\", a second time",
--- a/internal/sim/clustersim/run.go
+++ b/internal/sim/clustersim/run.go
@@ -266,7 +266,7 @@
 	self := cluster.Member{Name: name, Token: voter.NewID(), Address: name + ":1"}
 	if r.conf.Params.Holdings.Copies > 0 {
 		self.Zone = fmt.Sprint(slices.Index(r.names, name) % 3)
-		p.store = holdings.NewStore(r.conf.Params.Holdings, 1<<10)
+		p.store = holdings.NewStore(r.conf.Params.Holdings, holdings.Limits{MaxEntries: 1 << 10})
 	}
 	p.holder = cluster.NewLeaseHolder(self, r.conf.Params, own, 0)
 	p.renewer = cluster.NewLeaseRenewer(p.holder, slices.Sorted(maps.Keys(r.voters)))
