Outcomes that are recorded in the background keep to a part of the memory

While a primary is away, up to 1,024 outcomes of up to 64 KiB wait for up to 15 s, in no bound of bytes. Cause: the bound counted commands. Change: their outcomes keep to a sixteenth of most_memory; beyond it only the fact that there is an outcome is recorded, as of one that is too long. Result: TestOutcomesInTheBackgroundKeepToTheirMemory fails without it (16.8 MB, 3.8 MB are allowed) and passes.

--- a/internal/cluster/member/claim.go
+++ b/internal/cluster/member/claim.go
@@ -26,6 +26,7 @@
 	// primary. maxBackground bounds the number of such commands at a time.
 	backgroundTimeout = 15 * time.Second
 	maxBackground     = 1024
+	backgroundShare   = 16 // one part in so many of the memory for entries is for the outcomes of such commands
 )
 
 // heldClass is a class whose requests are recorded in the holdings, and what to do with them when no primary answers.
@@ -157,12 +158,29 @@
 		hs.background.Add(-1)
 		return
 	}
+	reserved := hs.reserveBackground(&command)
 	hs.member.env.Go("later", func() {
 		defer hs.background.Add(-1)
+		defer hs.backgroundBytes.Add(-reserved)
 		hs.execute(context.Background(), &command, hs.member.env.Now().Add(backgroundTimeout))
 	})
 }
 
+// reserveBackground reserves memory for the outcome of a command that is retried in the background, and returns how much. Without room, of
+// the outcome only the fact is kept that there is one, as of one that is too long.
+func (hs *holdingsService) reserveBackground(command *holdings.Command) (reserved int64) {
+	if command.Outcome == nil {
+		return 0
+	}
+	reserved = int64(cap(command.Outcome.Body))
+	if hs.backgroundBytes.Add(reserved) <= hs.maxMemory/backgroundShare {
+		return reserved
+	}
+	hs.backgroundBytes.Add(-reserved)
+	command.Outcome = &holdings.Outcome{TooLong: true}
+	return 0
+}
+
 // refuse refuses a request. Each kind of refusal is logged at most once per refusalLogEvery.
 func (hs *holdingsService) refuse(command *holdings.Command, answer holdings.Answer) pipeline.ClaimResult {
 	hs.refused.Add(1)
--- a/internal/cluster/member/holdings.go
+++ b/internal/cluster/member/holdings.go
@@ -49,6 +49,7 @@
 	// requests whose claim got no decision or that were served without their outcome being recorded. background is the number of
 	// commands being retried in the background.
 	claimed, known, refused, alone, background atomic.Int64
+	backgroundBytes                            atomic.Int64 // what the outcomes of these commands take
 }
 
 func newHoldingsService(m *Member, conf *config.Config) (*holdingsService, error) {
--- a/internal/cluster/member/holdings_test.go
+++ b/internal/cluster/member/holdings_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"heathgap/internal/env"
 	"heathgap/internal/holdings"
 	"heathgap/internal/operator"
+	"heathgap/internal/peerrpc"
 	"heathgap/internal/versions"
 )
 
@@ -48,6 +50,41 @@
 	}
 }
 
+// Guards against outcomes that pile up while the primary of their keys is away: those that are recorded in the background keep to a part of
+// the memory, and beyond it only the fact that there is an outcome is recorded.
+func TestOutcomesInTheBackgroundKeepToTheirMemory(t *testing.T) {
+	const commands, body = maxBackground, 16 << 10
+	released := make(chan struct{})
+	var whole, tooLong atomic.Int64
+	address := startPeer(t, map[string]peerrpc.Handler{"hold-ask": func(_ string, text []byte) (any, error) {
+		var command holdings.Command
+		if err := peerrpc.Decode(text, &command); err != nil {
+			return nil, err
+		}
+		<-released
+		if command.Outcome.TooLong {
+			tooLong.Add(1)
+		} else {
+			whole.Add(1)
+		}
+		return holdings.Answer{Kind: holdings.AnswerOK}, nil
+	}})
+	hs := fixedMember{address, operator.RefuseAlone, []holdings.Incarnation{peerIncarnation}}.service(t, env.Real{})
+	for i := range uint64(commands) {
+		hs.executeInBackground(holdings.Command{Op: holdings.OpFinish, Key: holdings.Key{Class: "order", Text: fmt.Sprint(i)}, Owner: ownIncarnation, Claim: i,
+			Outcome: &holdings.Outcome{Body: make([]byte, body)}})
+	}
+	if got, most := hs.backgroundBytes.Load(), hs.maxMemory/backgroundShare; got > most || got < most/2 {
+		t.Errorf("%d bytes are kept for them, at most %d are allowed", got, most)
+	}
+	close(released)
+	for end := time.Now().Add(testPatience); hs.background.Load() > 0 && time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+	}
+	if left := hs.backgroundBytes.Load(); left != 0 || whole.Load() == 0 || tooLong.Load() == 0 {
+		t.Errorf("%d bytes are kept once all have ended; %d were recorded whole, of %d the fact", left, whole.Load(), tooLong.Load())
+	}
+}
+
 // Guards against a sidecar that keeps using old addresses when a member joins or leaves while the placement stays the same: members and
 // placement change independently of each other.
 func TestMembersChangeWhileThePlacementStays(t *testing.T) {
