Log lines for ids that are used again and for callers that leave

Ids of requests that are safe to repeat are remembered apart, for the line alone: nothing else changes. Tests for each line.

--- a/internal/httpwire/disconnect.go
+++ b/internal/httpwire/disconnect.go
@@ -148,8 +148,9 @@
 	return ready || err != nil // an error means that it is closed on this side
 }
 
-// unreadBytes returns how many bytes of the caller the kernel has that were not read yet; 0 without a descriptor.
-func (c *CallerConn) unreadBytes() (unread int) {
+// UnreadBytes returns how many bytes of the caller the kernel has that were not read yet; 0 without a descriptor. Any goroutine may call
+// it while a request is pending.
+func (c *CallerConn) UnreadBytes() (unread int) {
 	if c.descriptor == nil {
 		return 0
 	}
--- a/internal/httpwire/upload.go
+++ b/internal/httpwire/upload.go
@@ -211,7 +211,7 @@
 
 // mayBeWritten reports whether the caller may have written all of the body already, as far as this side can tell.
 func (u *Upload) mayBeWritten() bool {
-	return u.Length < 0 || int64(u.Length)-u.progress.Load() <= int64(u.conn.unreadBytes()+maxSendBuffer)
+	return u.Length < 0 || int64(u.Length)-u.progress.Load() <= int64(u.conn.UnreadBytes()+maxSendBuffer)
 }
 
 // writeDeadline returns until when a piece of the body must be written, if its request waits for the given time from its last byte
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -33,6 +33,7 @@
 
 	Attempts atomic.Int64 // attempts written completely to endpoints
 	Active   atomic.Int64 // requests accepted whose answer is not written completely
+	UsedIDs  atomic.Int64 // requests that came with an id that was used before
 	Pool     atomic.Int64 // endpoints in the list
 	Ejected  atomic.Int64 // endpoints in the list that are avoided at present
 
@@ -74,6 +75,7 @@
 		}
 	}
 	text = Append(text, "tries", s.Attempts.Load(), Counter)
+	text = Append(text, "used_ids", s.UsedIDs.Load(), Counter)
 	text = Append(text, "active", s.Active.Load(), Gauge)
 	text = Append(text, "pool_size", s.Pool.Load(), Gauge)
 	text = Append(text, "pool_ejected", s.Ejected.Load(), Gauge)
--- a/internal/pipeline/admit.go
+++ b/internal/pipeline/admit.go
@@ -26,7 +26,8 @@
 		// Guards against callers that use the id of another caller's request: an endpoint would take one request for a
 		// repeat of the other.
 		e.malformed.Add(1)
-		a.answer <- httpwire.Answer{Verdict: httpwire.Malformed, Reason: "id: that of an open request"}
+		a.caller.SetProblem(errKnownID)
+		a.answer <- httpwire.Answer{Verdict: httpwire.Malformed, Reason: errKnownID}
 		return
 	}
 	if a.crowded || e.stopping || e.full() || e.hasNoTime(a) {
@@ -45,6 +46,7 @@
 		a.request.MayWrite = a.claim.MayWrite
 	}
 	if a.callerGone { // nobody waits for an answer, so nothing is sent
+		e.logAbandoned(a.request, reasonLeftBefore)
 		e.relay(a.request, httpwire.Answer{Verdict: httpwire.Abandoned, CloseAfter: true})
 		return
 	}
--- a/internal/pipeline/engine.go
+++ b/internal/pipeline/engine.go
@@ -274,6 +274,7 @@
 func (e *Engine) snapshot() Snapshot {
 	counters := e.counters
 	counters.Malformed, counters.HandedOver, counters.OutOfMemory = int(e.malformed.Load()), int(e.resumed.Load()), int(e.outOfMemory.Load())
+	counters.UsedIDs = int(e.metrics.UsedIDs.Load())
 	counters.Served, counters.Failed = e.metrics.Total(metrics.Served), e.metrics.Total(metrics.Failed)
 	counters.Refused, counters.Left = e.metrics.Total(metrics.Refused)-counters.OverLimit-counters.OutOfMemory, e.metrics.Total(metrics.CallerLeft)
 	var shadowCounts *shadow.Counts
--- a/internal/pipeline/relay.go
+++ b/internal/pipeline/relay.go
@@ -28,6 +28,7 @@
 	if r.MayWrite != nil { // it has a claim on its key, and Claim.Finish needs to know whether it may have run
 		answer.MayHaveRun = answer.Verdict == httpwire.Served || mayHaveRun(r)
 	}
+	e.noteEnd(r.Message, answer.Verdict)
 	r.Answer <- answer
 	e.release(r)
 }
@@ -44,20 +45,21 @@
 
 func (c callerDisconnected) handle(e *Engine) {
 	if c.arrival.request != nil {
-		e.abandon(c.arrival.request)
+		e.abandon(c.arrival.request, reasonSeenByWatch)
 	}
 }
 
 // foundDisconnected is the event that a request's caller was found to have disconnected when an attempt was about to be written.
 type foundDisconnected struct{ request *state.Request }
 
-func (f foundDisconnected) handle(e *Engine) { e.abandon(f.request) }
+func (f foundDisconnected) handle(e *Engine) { e.abandon(f.request, reasonSeenBeforeWrite) }
 
-// abandon ends a request whose caller has disconnected.
-func (e *Engine) abandon(r *state.Request) {
+// abandon ends a request whose caller has disconnected. reason says how that was found.
+func (e *Engine) abandon(r *state.Request, reason string) {
 	if r.Done {
 		return
 	}
+	e.logAbandoned(r, reason)
 	e.relay(r, httpwire.Answer{Verdict: httpwire.Abandoned, CloseAfter: true})
 	e.notifyModule(decide.Event{Kind: decide.ClientLeft, Request: r.ID})
 }
--- a/internal/pipeline/requestids.go
+++ b/internal/pipeline/requestids.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"heathgap/decide"
+	"heathgap/internal/httpwire"
 	"heathgap/internal/state"
 )
 
@@ -28,20 +29,85 @@
 	ClaimID(id uint64) (known bool)
 }
 
+// idState says what became of the request that came with an id. It is written to log lines.
+type idState string
+
+// The states of a request that an id was used for.
+const (
+	idOpen      idState = "open"          // it has no final answer yet
+	idAnswered  idState = "answered"      // its caller was given the final answer
+	idLeft      idState = "caller_left"   // its caller disconnected before its answer
+	idElsewhere idState = "other_process" // it came to the other process of an upgrade
+)
+
+// usedID is what is remembered of the request that came with an id.
+type usedID struct {
+	came  decide.Time
+	state idState
+}
+
+// idMemory remembers what ids were used for, by their hashes. It is not safe for concurrent use.
+type idMemory struct {
+	current  map[uint64]usedID
+	previous map[uint64]usedID
+	began    decide.Time // of the current generation
+}
+
+// newIDMemory returns an empty memory.
+func newIDMemory(now decide.Time) idMemory { return idMemory{current: map[uint64]usedID{}, began: now} }
+
+// lookUp returns what is remembered of a hash.
+func (m *idMemory) lookUp(hash uint64) (used usedID, known bool) {
+	if used, known = m.current[hash]; !known {
+		used, known = m.previous[hash]
+	}
+	return used, known
+}
+
+// put remembers a hash, among the newest ones.
+func (m *idMemory) put(hash uint64, used usedID, now decide.Time) {
+	if now-m.began >= idGenerationTime || len(m.current) >= idGenerationSize {
+		m.previous, m.current, m.began = m.current, map[uint64]usedID{}, now
+	}
+	m.current[hash] = used
+}
+
+// setState records what has become of the request with a hash, if that is remembered.
+func (m *idMemory) setState(hash uint64, now idState) {
+	for _, generation := range []map[uint64]usedID{m.current, m.previous} {
+		if used, known := generation[hash]; known {
+			used.state = now
+			generation[hash] = used
+		}
+	}
+}
+
+// forget makes a hash new again.
+func (m *idMemory) forget(hash uint64) {
+	delete(m.current, hash)
+	delete(m.previous, hash)
+}
+
+// hashes returns what is remembered.
+func (m *idMemory) hashes() []uint64 {
+	return slices.AppendSeq(slices.Collect(maps.Keys(m.previous)), maps.Keys(m.current))
+}
+
 // requestIDs remembers the ids of requests, by their hashes. It is safe for concurrent use.
 type requestIDs struct {
 	clock state.Clock
 
 	mu       sync.Mutex
-	current  map[uint64]struct{}
-	previous map[uint64]struct{}
-	began    decide.Time // of the current generation
-	peer     IDClaimer   // nil without another process
+	once     idMemory   // of requests that may not run twice
+	safe     idMemory   // of requests that are safe to repeat: there may be many, and they must not push out the others
+	peer     IDClaimer  // nil without another process
+	logLimit logLimiter // of lines on ids that are used again
 }
 
 // newRequestIDs returns an empty memory.
 func newRequestIDs(clock state.Clock) *requestIDs {
-	return &requestIDs{clock: clock, current: map[uint64]struct{}{}, began: clock.Now()}
+	now := clock.Now()
+	return &requestIDs{clock: clock, once: newIDMemory(now), safe: newIDMemory(now)}
 }
 
 // hashOfID returns the hash of an id; both processes of an upgrade use the same.
@@ -51,24 +117,42 @@
 	return h.Sum64()
 }
 
-// claim remembers an id, here and in the other process of an upgrade, and reports whether it is new to both.
-func (r *requestIDs) claim(id string) bool {
+// claim remembers the id of a request that may not run twice, here and in the other process of an upgrade. It reports whether the id
+// was known to one of them and, if so, what became of the request that it was used for.
+func (r *requestIDs) claim(id string) (former usedID, known bool) {
 	hash := hashOfID(id)
-	peer, added := r.add(hash)
-	return added && (peer == nil || !peer.ClaimID(hash))
+	peer, former, known := r.add(&r.once, hash, idOpen)
+	if known || peer == nil || !peer.ClaimID(hash) {
+		return former, known
+	}
+	return usedID{came: r.clock.Now(), state: idElsewhere}, true
 }
 
-// add remembers a hash, and reports whether it is new here.
-func (r *requestIDs) add(hash uint64) (peer IDClaimer, added bool) {
+// noteSafe remembers the id of a request that is safe to repeat, and returns the same as claim for this process alone.
+func (r *requestIDs) noteSafe(id string) (former usedID, known bool) {
+	_, former, known = r.add(&r.safe, hashOfID(id), idOpen)
+	return former, known
+}
+
+// add remembers the hash of a request that is in a state, and reports whether it was known to that memory.
+func (r *requestIDs) add(memory *idMemory, hash uint64, begins idState) (peer IDClaimer, former usedID, known bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if now := r.clock.Now(); now-r.began >= idGenerationTime || len(r.current) >= idGenerationSize {
-		r.previous, r.current, r.began = r.current, map[uint64]struct{}{}, now
+	now := r.clock.Now()
+	if former, known = memory.lookUp(hash); !known {
+		former = usedID{came: now, state: begins}
 	}
-	_, inCurrent := r.current[hash]
-	_, inPrevious := r.previous[hash]
-	r.current[hash] = struct{}{}
-	return r.peer, !inCurrent && !inPrevious
+	memory.put(hash, former, now)
+	return r.peer, former, known
+}
+
+// setState records what has become of the request with an id, if that is remembered.
+func (r *requestIDs) setState(id string, now idState) {
+	hash := hashOfID(id)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.once.setState(hash, now)
+	r.safe.setState(hash, now)
 }
 
 // forget makes an id new again: its request can't have run.
@@ -76,8 +160,14 @@
 	hash := hashOfID(id)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.current, hash)
-	delete(r.previous, hash)
+	r.once.forget(hash)
+}
+
+// allowLine reports whether a log line on an id that is used again may be written and, if so, how many were not since the last one.
+func (r *requestIDs) allowLine() (suppressed int, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.logLimit.allow(r.clock.Now())
 }
 
 // setPeer sets the other process of an upgrade, nil for none, and returns what is remembered here: from then on each new id is claimed
@@ -86,7 +176,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.peer = peer
-	return slices.AppendSeq(slices.Collect(maps.Keys(r.previous)), maps.Keys(r.current))
+	return r.once.hashes()
 }
 
 // SetIDPeer makes ids be claimed in the other process of an upgrade too, or with nil in none, and returns the hashes of those that are
@@ -95,6 +185,53 @@
 
 // RememberID remembers an id that the other process of an upgrade has taken in, by its hash, and reports whether it was known here.
 func (e *Engine) RememberID(hash uint64) (known bool) {
-	_, added := e.ids.add(hash)
-	return !added
+	_, _, known = e.ids.add(&e.ids.once, hash, idElsewhere)
+	return known
+}
+
+// errKnownID is the problem of a request whose id is that of another one.
+const errKnownID = "id: that of an open request, or of one that may have run"
+
+// claimID claims the id of a request, and reports whether it is new. Where repeats are safe any id is. The time that this takes, while
+// another process has to be asked, is a part of the request's.
+func (e *Engine) claimID(message *httpwire.Request) bool {
+	if e.classInEffect(message.Class).Effect == decide.Safe {
+		if former, known := e.ids.noteSafe(message.ID); known {
+			e.noteUsedID(message, former, false)
+		}
+		return true
+	}
+	began := e.clock.Now()
+	former, known := e.ids.claim(message.ID)
+	message.Remaining = max(0, message.Remaining-(e.clock.Now()-began))
+	if message.IDClaimed = !known; known {
+		e.noteUsedID(message, former, true)
+	}
+	return message.IDClaimed
+}
+
+// noteUsedID counts a request whose id was used before, and writes its line.
+func (e *Engine) noteUsedID(message *httpwire.Request, former usedID, rejected bool) {
+	e.metrics.UsedIDs.Add(1)
+	if suppressed, ok := e.ids.allowLine(); ok {
+		e.log.Info().Str("request", message.ID).Str("class", message.Class).Bool("rejected", rejected).
+			Str("former", string(former.state)).Int64("former_came_ms_ago", (e.clock.Now()-former.came).Milliseconds()).
+			Int("suppressed", suppressed).Msg("id used again")
+	}
+}
+
+// forgetID makes the id of a request that can't have run new again, if the request has claimed it.
+func (e *Engine) forgetID(message *httpwire.Request) {
+	if message.IDClaimed {
+		e.ids.forget(message.ID)
+	}
+}
+
+// noteEnd records for the id of a request how that has ended.
+func (e *Engine) noteEnd(message *httpwire.Request, verdict httpwire.Verdict) {
+	if verdict == httpwire.Abandoned {
+		e.ids.setState(message.ID, idLeft)
+		return
+	}
+	e.ids.setState(message.ID, idAnswered)
 }
--- a/internal/pipeline/requestids_test.go
+++ b/internal/pipeline/requestids_test.go
@@ -1,10 +1,16 @@
 package pipeline
 
 import (
+	"bytes"
+	"encoding/json"
 	"strconv"
 	"testing"
 
+	"github.com/rs/zerolog"
+
+	"heathgap/decide"
 	"heathgap/internal/env"
+	"heathgap/internal/httpwire"
 	"heathgap/internal/state"
 )
 
@@ -18,21 +24,27 @@
 	return known
 }
 
+// isKnown claims an id and reports whether it was known.
+func isKnown(ids *requestIDs, id string) bool {
+	_, known := ids.claim(id)
+	return known
+}
+
 // An id is new once, in both processes of an upgrade, until it is forgotten.
 func TestRequestIDs(t *testing.T) {
 	ids := newRequestIDs(state.NewClock(env.Real{}))
-	if !ids.claim("a") || ids.claim("a") {
+	if isKnown(ids, "a") || !isKnown(ids, "a") {
 		t.Error("an id is not new exactly once")
 	}
 	ids.forget("a")
-	if !ids.claim("a") {
+	if isKnown(ids, "a") {
 		t.Error("a forgotten id is not new")
 	}
 	peer := peerIDs{hashOfID("theirs"): true}
 	if known := ids.setPeer(peer); len(known) != 1 || known[0] != hashOfID("a") {
 		t.Errorf("ids for the other process: %v", known)
 	}
-	if ids.claim("theirs") || !ids.claim("b") || !peer[hashOfID("b")] {
+	if !isKnown(ids, "theirs") || isKnown(ids, "b") || !peer[hashOfID("b")] {
 		t.Error("an id of the other process is new here, or it is not told of one")
 	}
 }
@@ -42,16 +54,58 @@
 	ids := newRequestIDs(state.NewClock(env.Real{}))
 	const many = 10 * idGenerationSize
 	for i := range many {
-		if !ids.claim(strconv.Itoa(i)) {
+		if isKnown(ids, strconv.Itoa(i)) {
 			t.Fatalf("%d is not new", i)
 		}
 	}
-	if n := len(ids.current) + len(ids.previous); n > 2*idGenerationSize {
+	if n := len(ids.once.hashes()); n > 2*idGenerationSize {
 		t.Errorf("%d ids are remembered", n)
 	}
 	for i := many - idGenerationSize; i < many; i++ {
-		if ids.claim(strconv.Itoa(i)) {
+		if !isKnown(ids, strconv.Itoa(i)) {
 			t.Fatalf("%d, one of the newest, is forgotten", i)
 		}
 	}
 }
+
+// Guards against an id that is used again and nobody can tell why its request was rejected, or that it was not: there is a line that
+// tells what became of the request before.
+func TestUsedIDsAreLogged(t *testing.T) {
+	var log bytes.Buffer
+	e := newTestEngine(t)
+	e.log = zerolog.New(&log)
+	e.conf.Classes = map[string]decide.Class{"burn": {Name: "burn", Effect: decide.Unsafe}}
+	until := e.clock.Now() + decideSecond
+	for _, end := range []struct {
+		verdict httpwire.Verdict
+		former  string
+	}{{httpwire.Served, "answered"}, {httpwire.Abandoned, "caller_left"}, {0, "open"}} {
+		message := &httpwire.Request{ID: end.former, Class: "burn"}
+		if !e.claimID(message) {
+			t.Fatalf("%s: the id is not new", end.former)
+		}
+		if end.former != "open" {
+			r := e.requests.Add(message, until, make(chan httpwire.Answer, 1))
+			attempt := e.requests.Begin(r, nil, e.clock.Now(), until) // it is out
+			attempt.StartWrite()
+			e.relay(r, httpwire.Answer{Verdict: end.verdict})
+		}
+		log.Reset()
+		if e.claimID(&httpwire.Request{ID: end.former, Class: "burn"}) {
+			t.Errorf("%s: the id is new again", end.former)
+		}
+		var line struct {
+			Message, Request, Class, Former string
+			Rejected                        bool
+		}
+		if err := json.Unmarshal(log.Bytes(), &line); err != nil {
+			t.Fatalf("%s: %q, %v", end.former, log.String(), err)
+		}
+		if line.Message != "id used again" || line.Request != end.former || line.Class != "burn" || line.Former != end.former || !line.Rejected {
+			t.Errorf("%s: %+v", end.former, line)
+		}
+	}
+	if n := e.snapshot().UsedIDs; n != 3 {
+		t.Errorf("%d used ids are counted, want 3", n)
+	}
+}
--- a/internal/pipeline/requestlog.go
+++ b/internal/pipeline/requestlog.go
@@ -9,7 +9,7 @@
 	"heathgap/internal/state"
 )
 
-// A request that is not served, or is sent again, gets a log line with its caller's id, the reason and the outcomes of its
+// A request that is not served, whose caller leaves, or that is sent again, gets a log line with its caller's id, the reason and the outcomes of its
 // attempts. A request that is served at the first attempt gets none.
 
 // Reasons of requests that end without a decision of the module. They are written to the log.
@@ -20,6 +20,16 @@
 	reasonTooManyCallers = "too_many_callers" // more connections of callers in use than are allowed
 )
 
+// How a caller was found to have left. They are written to the log.
+const (
+	reasonLeftBefore      = "left_before"       // before its request was admitted
+	reasonSeenByWatch     = "seen_by_watch"     // while its request was pending
+	reasonSeenBeforeWrite = "seen_before_write" // as an attempt was about to be written
+)
+
+// endCallerLeft is how a request ended whose caller has disconnected.
+const endCallerLeft = "caller_left"
+
 // endBrokenOff is how a request ended whose answer its caller could not get whole.
 const endBrokenOff = "broken_off"
 
@@ -54,6 +64,17 @@
 	}
 }
 
+// logAbandoned writes the line of a request whose caller has disconnected, with how many bytes of it nobody has read.
+func (e *Engine) logAbandoned(r *state.Request, reason string) {
+	if suppressed, ok := e.requestLogLimit.allow(e.clock.Now()); ok {
+		line := e.requestLine(r, suppressed).Str("end", endCallerLeft).Str("reason", reason)
+		if r.Caller != nil {
+			line.Int("unread", r.Caller.UnreadBytes())
+		}
+		line.Msg("request not served")
+	}
+}
+
 // logBrokenOff writes the line of a request whose answer was broken off on its way.
 func (e *Engine) logBrokenOff(r *state.Request, why error) {
 	if suppressed, ok := e.requestLogLimit.allow(e.clock.Now()); ok {
--- a/internal/pipeline/requestlog_test.go
+++ b/internal/pipeline/requestlog_test.go
@@ -58,6 +58,24 @@
 	}
 }
 
+// Guards against a request whose caller leaves without a trace: its line tells how that was found.
+func TestRequestsWhoseCallersLeaveAreLogged(t *testing.T) {
+	var log bytes.Buffer
+	e := newTestEngine(t)
+	e.log = zerolog.New(&log)
+	r := e.requests.Add(&httpwire.Request{ID: "txn-1", Class: "look"}, e.clock.Now()+time.Minute, make(chan httpwire.Answer, 1))
+	callerDisconnected{&arrival{request: r}}.handle(e)
+	foundDisconnected{r}.handle(e) // it has ended
+	var got loggedRequest
+	if err := json.Unmarshal(log.Bytes(), &got); err != nil {
+		t.Fatalf("%q: %v", log.String(), err)
+	}
+	want := loggedRequest{Message: "request not served", Request: "txn-1", End: "caller_left", Reason: "seen_by_watch", Attempts: []struct{ To, Outcome string }{}}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("%+v, want %+v", got, want)
+	}
+}
+
 func TestRequestLinesAreLimited(t *testing.T) {
 	var budget logLimiter
 	written, suppressed := 0, 0
--- a/internal/pipeline/takein.go
+++ b/internal/pipeline/takein.go
@@ -112,28 +112,6 @@
 	return answer, counted
 }
 
-// errKnownID is the problem of a request whose id is that of another one.
-const errKnownID = "id: that of an open request, or of one that may have run"
-
-// claimID claims the id of a request, and reports whether it is new. Where repeats are safe any id is. The time that this takes, while
-// another process has to be asked, is a part of the request's.
-func (e *Engine) claimID(message *httpwire.Request) bool {
-	if e.classInEffect(message.Class).Effect == decide.Safe {
-		return true
-	}
-	began := e.clock.Now()
-	message.IDClaimed = e.ids.claim(message.ID)
-	message.Remaining = max(0, message.Remaining-(e.clock.Now()-began))
-	return message.IDClaimed
-}
-
-// forgetID makes the id of a request that can't have run new again, if the request has claimed it.
-func (e *Engine) forgetID(message *httpwire.Request) {
-	if message.IDClaimed {
-		e.ids.forget(message.ID)
-	}
-}
-
 // takeInNew passes a request to the owner and waits for its answer.
 func (e *Engine) takeInNew(in *arrival) (answer httpwire.Answer, counted bool) {
 	message, conn := in.message, in.caller
--- a/internal/state/counters.go
+++ b/internal/state/counters.go
@@ -9,6 +9,7 @@
 // Counters counts what the sidecar accepts, sends and answers.
 type Counters struct {
 	Malformed    int // requests answered 400; not counted in Accepted
+	UsedIDs      int // requests that came with an id that was used before
 	Accepted     int // requests accepted
 	OverLimit    int // requests rejected without asking the module, because too many were pending
 	OutOfMemory  int // requests refused for want of memory for their bodies; not counted in Accepted
@@ -43,7 +44,7 @@
 
 // MarshalZerologObject writes the counters into a log line.
 func (c *Counters) MarshalZerologObject(e *zerolog.Event) {
-	e.Int("taken", c.Accepted).Int("malformed", c.Malformed).Int("turned_away", c.OverLimit).Int("no_memory", c.OutOfMemory).
+	e.Int("taken", c.Accepted).Int("malformed", c.Malformed).Int("turned_away", c.OverLimit).Int("no_memory", c.OutOfMemory).Int("used_ids", c.UsedIDs).
 		Int("served", c.Served).Int("refused", c.Refused).Int("failed", c.Failed).Int("left", c.Left).Int("gone_on", c.HandedOver).
 		Int("sent", c.Sent).Int("probed", c.Probed).Int("dialed", c.Dialed).
 		Int("lists", c.Lists).Int("list_failures", c.ListFailures)
