--- a/internal/lifecycle/soak_test.go
+++ b/internal/lifecycle/soak_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"os"
 	"strings"
 	"sync"
@@ -41,13 +42,14 @@
 	seed    uint64
 	classes []soakClass
 	clients int
-	crowd   int      // idle connections beside the clients'
-	holdUps bool     // the sidecar is held up now and then, once shortly before the kill
-	series  bool     // further signals come before and after the one to stop
-	faulty  float64  // share of requests that meet a fault of their endpoint
-	hanging int      // endpoints that hang through the stop
-	bad     *badPlan // nil without bad peers
-	test    string   // that plays it
+	crowd   int          // idle connections beside the clients'
+	holdUps bool         // the sidecar is held up now and then, once shortly before the kill
+	series  bool         // further signals come before and after the one to stop
+	faulty  float64      // share of requests that meet a fault of their endpoint
+	hanging int          // endpoints that hang through the stop
+	bad     *badPlan     // nil without bad peers
+	unsound *unsoundPlan // nil without unsound clients
+	test    string       // that plays it
 }
 
 const (
@@ -135,7 +137,7 @@
 	conf := plan.config(d, lines...)
 	address := scripted.FreeAddress(t)
 	conf["listen"] = address
-	r.process = launch(t, conf)
+	r.process = launchAt(t, conf, scripted.WriteConfig(t, conf), plan.unsound.environment(t)...)
 	eventually(t, "ready", isReady(t, address))
 	r.opening.Store(true)
 	clients := r.startClients(address)
@@ -151,10 +153,11 @@
 	}
 	lag := startLagMeter()
 	time.Sleep(warmUp)
+	plan.unsound.replace(t, r.process, conf)
 	peak := peakMemory(t, r.process.Process.Pid)
 	r.stop()
 	clients.Wait()
-	if r.lag = lag.stop(); plan.bad == nil {
+	if r.lag = lag.stop(); plan.bad == nil && plan.unsound == nil {
 		r.lag = 0 // its clients are few
 	}
 	r.check(t)
@@ -174,6 +177,9 @@
 	if r.plan.bad != nil {
 		habits = append(habits, habitLarge, habitLarge, habitRepeats, habitRepeats)
 	}
+	if r.plan.unsound != nil {
+		habits = unsoundHabits
+	}
 	wait := &sync.WaitGroup{}
 	for i := range r.plan.clients {
 		c := &soakClient{
@@ -249,7 +255,7 @@
 		if request.status != 0 {
 			answered++
 		}
-		if what := r.lost(request); what != "" && (!void || what == ranTwice) {
+		if what := r.lost(request); what != "" && (!void || r.countsWhenVoid(what)) {
 			t.Errorf("lost: %s: %s of class %s from %s, sent %+.3f s, ended %+.3f s from the signal, waits %.3f s, status %d, %v, rested %v, arrivals %v",
 				what, request.id, request.class, request.local, request.sent.Sub(r.signaled).Seconds(), request.ended.Sub(r.signaled).Seconds(),
 				request.deadline.Seconds(), request.status, request.err, request.rested, r.fromSignal(r.record.arrivals[request.id]))
@@ -274,7 +280,25 @@
 }
 
 // What a request loses however late the test itself is.
-const ranTwice = "run more than once"
+const (
+	ranTwice      = "run more than once"
+	unsoundServed = "not sound, and answered as served"
+	usedIDServed  = "under the id of another one, and answered as served"
+)
+
+// countsWhenVoid reports whether a loss counts however late the test itself is. The processes of an upgrade wait a limited time for each
+// other's word on an id.
+func (r *soakRun) countsWhenVoid(what string) bool {
+	upgrades := r.plan.unsound != nil && r.plan.unsound.upgrade
+	return what == ranTwice || what == unsoundServed || what == usedIDServed && !upgrades
+}
+
+// usedBeforeRepeat reports whether a request had come to an endpoint before its repeat was sent, so that its id was used. r.record.mu is
+// held.
+func (r *soakRun) usedBeforeRepeat(request *soakRequest) bool {
+	arrivals := r.record.arrivals[request.id]
+	return len(arrivals) > 0 && arrivals[0].Before(request.repeatSent)
+}
 
 // lost says how a request broke the rule; "" if it did not. r.record.mu is held.
 func (r *soakRun) lost(request *soakRequest) string {
@@ -289,6 +313,13 @@
 		crossing += maxHoldUp
 	}
 	switch {
+	case request.unsound:
+		if request.status == http.StatusOK || len(arrivals) > 0 {
+			return unsoundServed
+		}
+		return ""
+	case request.repeatStatus == http.StatusOK && r.usedBeforeRepeat(request):
+		return usedIDServed
 	case request.class == classOnce && r.record.runs[request.id] > 1:
 		return ranTwice
 	case request.wrong != "":
--- a/internal/lifecycle/soakclient_test.go
+++ b/internal/lifecycle/soakclient_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -28,6 +30,10 @@
 	err      error     // why there is no answer
 	rested   bool      // it was sent on a connection that had rested
 	repeated bool      // it came once more under its id, on another connection
+	unsound  bool      // it is not sound
+
+	repeatSent   time.Time // when the repeat began to be sent; zero without one
+	repeatStatus int       // of the answer to the repeat; 0 without a complete one
 }
 
 // soakRecord collects what clients and endpoints of a run have seen.
@@ -106,6 +112,8 @@
 	habitStopsHalf             // it stops in the middle of a request and stays
 	habitLarge                 // its bodies are large, with a length or in chunks
 	habitRepeats               // it sends some ids once more, on another connection, when it has left or has its answer
+	habitFarAhead              // it writes far ahead of the answers, more than the kernel's buffers hold, and closes
+	habitUnsound               // its requests are not sound
 )
 
 // soakClient sends one request after the other until its sidecar has ended.
@@ -147,7 +155,12 @@
 			c.stopHalf()
 			return
 		}
-		if !c.exchange() {
+		switch {
+		case c.habit == habitFarAhead && c.random.IntN(2) == 0:
+			c.leaveFarAhead()
+		case c.habit == habitUnsound && c.random.IntN(2) == 0:
+			c.sendUnsound()
+		case !c.exchange():
 			c.close()
 		}
 	}
@@ -266,16 +279,16 @@
 		c.close()
 		request.left = time.Now()
 	}
-	request.repeated = c.habit == habitRepeats && c.random.IntN(2) == 0
-	c.record.add(request)
-	if request.repeated {
-		c.repeat(text)
+	if request.repeated = c.habit == habitRepeats && c.random.IntN(2) == 0; request.repeated {
+		c.repeat(request, text)
 	}
+	c.record.add(request)
 	return goesOn && request.left.IsZero()
 }
 
 // repeat sends a request once more, under its id, on another connection.
-func (c *soakClient) repeat(text string) {
+func (c *soakClient) repeat(request *soakRequest, text string) {
+	request.repeatSent = time.Now()
 	conn, err := net.DialTimeout("tcp", c.address, time.Second)
 	if err != nil {
 		return
@@ -284,8 +297,55 @@
 	conn.SetDeadline(time.Now().Add(answerPatience)) //nolint:errcheck // the write shows it
 	io.WriteString(conn, text)                       //nolint:errcheck // the endpoints count what comes of it
 	if answer, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
-		io.Copy(io.Discard, answer.Body) //nolint:errcheck // as above
+		if _, err := io.Copy(io.Discard, answer.Body); err == nil {
+			request.repeatStatus = answer.StatusCode
+		}
+	}
+}
+
+// What a client writes far ahead: requests of that size each, together more than the kernel of the sidecar's machine takes.
+const (
+	aheadRequests = 100
+	aheadSize     = 7 << 10
+)
+
+// leaveFarAhead writes a request with many others behind it and closes the connection.
+func (c *soakClient) leaveFarAhead() {
+	first, text := c.text()
+	written := []*soakRequest{first}
+	for range aheadRequests {
+		request, more := c.text()
+		head, body, _ := strings.Cut(more, "\r\n\r\n")
+		text += head + "\r\nX-Pad: " + strings.Repeat("p", aheadSize) + "\r\n\r\n" + body
+		written = append(written, request)
 	}
+	c.conn.SetWriteDeadline(time.Now().Add(patience)) //nolint:errcheck // if it has ended, the write shows it
+	io.WriteString(c.conn, text)                      //nolint:errcheck // what was not taken was not sent
+	if c.random.IntN(2) == 0 {
+		time.Sleep(time.Duration(c.random.Int64N(int64(50 * time.Millisecond))))
+	}
+	c.close()
+	for _, request := range written {
+		request.left = time.Now()
+		request.sent, request.ended = request.left, request.left
+		c.record.add(request)
+	}
+}
+
+// sendUnsound sends a request that is not sound, on a connection of its own, and reads what comes.
+func (c *soakClient) sendUnsound() {
+	c.close()
+	if !c.connected() {
+		return
+	}
+	names := slices.Sorted(maps.Keys(unsoundHeads))
+	request := &soakRequest{id: newID(), class: names[c.random.IntN(len(names))], unsound: true, local: c.conn.LocalAddr().String()}
+	c.conn.SetDeadline(time.Now().Add(patience))                    //nolint:errcheck // if it has ended, the write shows it
+	io.WriteString(c.conn, unsoundHeads[request.class](request.id)) //nolint:errcheck // the read shows it
+	request.sent = time.Now()
+	c.readAnswer(request)
+	c.record.add(request)
+	c.close()
 }
 
 // readAnswer reads the answer to a request and reports whether the connection goes on.
--- a/internal/pipeline/beforewrite_test.go
+++ b/internal/pipeline/beforewrite_test.go
@@ -464,18 +464,18 @@
 		strings.Repeat("x", httpwire.MaxBuffered+1)
 }
 
-// Guards against an attempt that is written although its caller has disconnected, whatever the request is waiting for and however
-// the caller disconnects. If the watch of the caller's connection is kept from running, only the check before the first byte can
-// notice it. If the watch runs, the owner learns of the disconnection after the decision. If the caller stays, the attempt is
-// written.
-func TestCallerDisconnectsBeforeAttemptIsWritten(t *testing.T) {
+// waitingSituation is what a request waits for before an attempt of it is written to the second endpoint.
+type waitingSituation struct {
+	body  int
+	first bool // another attempt is in flight at the first endpoint
+	set   func(s *stagedSidecar)
+}
+
+// waitingSituations returns all situations, by name.
+func waitingSituations() map[string]waitingSituation {
 	const long = 200 << 10
 	none := func(*decide.Event) []decide.Action { return nil }
-	situations := map[string]struct {
-		body  int
-		first bool // another attempt is in flight at the first endpoint
-		set   func(s *stagedSidecar)
-	}{
+	return map[string]waitingSituation{
 		"a dial is out": {set: func(s *stagedSidecar) {
 			s.env.pausedDial = s.listeners[1].Address
 			s.balancer = decisionFunc(func(ev *decide.Event) []decide.Action {
@@ -523,7 +523,17 @@
 		}},
 		"its body still comes, held": {body: long, set: func(s *stagedSidecar) { s.balancer = delayedSend(s, decide.Arrived, none) }},
 	}
-	departures := map[string]func(p *scripted.Peer, ahead string){
+}
+
+// departure is what a caller does while its request waits. ahead is text that it may write behind its request.
+type departure func(p *scripted.Peer, ahead string)
+
+// Guards against an attempt that is written although its caller has disconnected, whatever the request is waiting for and however
+// the caller disconnects. If the watch of the caller's connection is kept from running, only the check before the first byte can
+// notice it. If the watch runs, the owner learns of the disconnection after the decision. If the caller stays, the attempt is
+// written.
+func TestCallerDisconnectsBeforeAttemptIsWritten(t *testing.T) {
+	departures := map[string]departure{
 		"ends":              func(p *scripted.Peer, _ string) { p.Close() },
 		"half-ends":         func(p *scripted.Peer, _ string) { p.CloseWrite() }, //nolint:errcheck // the test sees it
 		"resets":            func(p *scripted.Peer, _ string) { p.Reset() },
@@ -532,82 +542,109 @@
 		"stays":             nil,
 		"stays with bytes":  func(p *scripted.Peer, ahead string) { p.Send(ahead[:2]) },
 	}
-	for situation, c := range situations {
-		for departure, leave := range departures {
-			for _, watched := range []bool{false, true} {
-				if watched && c.body > 0 {
-					continue // the connection is not watched while the body is received
-				}
-				t.Run(fmt.Sprintf("%s/%s/watched %v", situation, departure, watched), func(t *testing.T) {
-					s := startStagedSidecar(t, c.set)
-					if watched {
-						close(s.env.allowWatch)
-					}
-					peer := scripted.Connect(t, s.address)
-					peer.Send(callerRequest(c.body))
-					var first *scripted.Peer
-					if c.first {
-						first = s.listeners[0].Accept()
-						first.ReadRequest()
-						if strings.HasPrefix(situation, "a retry") {
-							first.Send("HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n")
-						}
-					}
-					<-s.env.pause.reached
-					stays := strings.HasPrefix(departure, "stays")
-					extra := callerRequest(0)
-					if c.body > 0 {
-						extra = "xxxx"
-					}
-					if leave != nil {
-						leave(peer, extra)
-					}
-					if watched && !stays {
-						<-s.env.watchEnded // the disconnection has been noticed, and the owner may have been notified
-					}
-					close(s.env.pause.proceed)
-					if stays {
-						if c.body > 0 {
-							rest := strings.Repeat("x", c.body-httpwire.MaxBuffered-1)
-							if leave != nil { // two bytes of it have been sent already
-								rest = rest[2:]
-							}
-							peer.Send(rest)
-						}
-						to := s.listeners[1].Accept()
-						to.ReadRequest()
-						to.Send(scripted.OK("x"))
-						if !watched {
-							close(s.env.allowWatch)
-						}
-						if status, _ := peer.ReadAnswer(); status != 200 {
-							t.Errorf("answered %d", status)
-						}
-						if first != nil {
-							first.Close()
-						}
-						s.end()
-						return
-					}
-					for s.Snapshot().Left != 1 {
-						if s.env.writes(s.listeners[1].Address) > 0 {
-							t.Fatal("an attempt was written after its caller disconnected")
-						}
-						time.Sleep(time.Millisecond)
-					}
-					if first != nil {
-						first.Close()
-					}
-					s.end()
-					if !watched {
-						close(s.env.allowWatch)
-					}
-					if text := s.receivedBy(1); text != "" {
-						t.Errorf("written after its caller disconnected: %q", text)
-					}
-				})
+	for situation, c := range waitingSituations() {
+		for how, leave := range departures {
+			disconnectBeforeWrite(t, situation, c, how, leave)
+		}
+	}
+}
+
+// Guards against report 620a8b: a caller writes more behind its request than the kernel's buffers hold and closes, and an attempt is
+// written afterwards, since the close stands behind bytes that nobody has read. One that stays is served.
+func TestCallerDisconnectsBehindUnreadBytes(t *testing.T) {
+	const many = 700 << 10 // on loopback the buffer of a sender holds over 1 MiB, that of a receiver a tenth of that
+	for situation, c := range waitingSituations() {
+		if c.body > 0 {
+			continue // what stands unread is its body: TestCallerDisconnectsBehindMoreThanKernelBuffers
+		}
+		disconnectBeforeWrite(t, situation, c, "ends", func(p *scripted.Peer, ahead string) {
+			p.Send(strings.Repeat(ahead, many/len(ahead)))
+			p.Close()
+		})
+		disconnectBeforeWrite(t, situation, c, "stays", func(p *scripted.Peer, ahead string) { p.Send(strings.Repeat(ahead, many/len(ahead))) })
+	}
+}
+
+// disconnectBeforeWrite plays a situation with a departure, with the caller's connection watched and not. A caller stays if how begins with
+// that word.
+func disconnectBeforeWrite(t *testing.T, situation string, c waitingSituation, how string, leave departure) {
+	for _, watched := range []bool{false, true} {
+		if watched && c.body > 0 {
+			continue // the connection is not watched while the body is received
+		}
+		t.Run(fmt.Sprintf("%s/%s/watched %v", situation, how, watched), func(t *testing.T) {
+			playDisconnect(t, situation, c, how, leave, watched)
+		})
+	}
+}
+
+// playDisconnect implements disconnectBeforeWrite.
+func playDisconnect(t *testing.T, situation string, c waitingSituation, how string, leave departure, watched bool) {
+	s := startStagedSidecar(t, c.set)
+	if watched {
+		close(s.env.allowWatch)
+	}
+	peer := scripted.Connect(t, s.address)
+	peer.Send(callerRequest(c.body))
+	var first *scripted.Peer
+	if c.first {
+		first = s.listeners[0].Accept()
+		first.ReadRequest()
+		if strings.HasPrefix(situation, "a retry") {
+			first.Send("HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n")
+		}
+	}
+	<-s.env.pause.reached
+	stays := strings.HasPrefix(how, "stays")
+	extra := callerRequest(0)
+	if c.body > 0 {
+		extra = "xxxx"
+	}
+	if leave != nil {
+		leave(peer, extra)
+	}
+	if watched && !stays {
+		<-s.env.watchEnded // the disconnection has been noticed, and the owner may have been notified
+	}
+	close(s.env.pause.proceed)
+	if stays {
+		if c.body > 0 {
+			rest := strings.Repeat("x", c.body-httpwire.MaxBuffered-1)
+			if leave != nil { // two bytes of it have been sent already
+				rest = rest[2:]
 			}
+			peer.Send(rest)
+		}
+		to := s.listeners[1].Accept()
+		to.ReadRequest()
+		to.Send(scripted.OK("x"))
+		if !watched {
+			close(s.env.allowWatch)
+		}
+		if status, _ := peer.ReadAnswer(); status != 200 {
+			t.Errorf("answered %d", status)
+		}
+		if first != nil {
+			first.Close()
+		}
+		s.end()
+		return
+	}
+	for s.Snapshot().Left != 1 {
+		if s.env.writes(s.listeners[1].Address) > 0 {
+			t.Fatal("an attempt was written after its caller disconnected")
 		}
+		time.Sleep(time.Millisecond)
+	}
+	if first != nil {
+		first.Close()
+	}
+	s.end()
+	if !watched {
+		close(s.env.allowWatch)
+	}
+	if text := s.receivedBy(1); text != "" {
+		t.Errorf("written after its caller disconnected: %q", text)
 	}
 }
 
