An id that was used is not served again where repeats are safe

Cause: ids were remembered only of classes whose requests may not run twice. In a class that is safe to repeat an id was new again with its request's end: its client left after 0.4 s while its endpoint answered nothing, the id came again, was sent to another endpoint and served. The same in another class, and at the other process of an upgrade. Evidence: TestUsedIDIsNotServed: 200 in the class look where the first client has left or has its answer, 400 where it is open, 400 for the other classes; the log names the id, 'former caller_left'. Change: each id is claimed, also at the other process of an upgrade. Those of safe requests are kept apart: there may be many, and they must not push out the others. Why it works: the claim stands before the owner has the request and is given back only by a request that can't have run, whatever its class. Tests changed: TestIDsAreClaimedByTheRulesInEffect asked that a safe id be new each time, TestIDIsNotForgottenByAnotherClass that a copy under a used id be refused (503): the protocol says new with every request. The line's 'rejected' is gone, since all are.

--- a/internal/lifecycle/departed_test.go
+++ b/internal/lifecycle/departed_test.go
@@ -205,7 +205,7 @@
 	}
 }
 
-// Guards against an id that is forgotten because it came with another class: a request of a class that is safe to repeat, refused
+// Guards against an id that is forgotten because it came with another class: a request of a class that is safe to repeat, rejected
 // before anything of it was sent, must not make the id of one that has run new again.
 func TestIDIsNotForgottenByAnotherClass(t *testing.T) {
 	e := scripted.StartEndpoint(t, "e1", nil)
@@ -220,8 +220,8 @@
 	if status := send(burnText(id, "Content-Length: 0")); status != 200 {
 		t.Fatalf("the first: %d", status)
 	}
-	if status := send("GET /look HTTP/1.1\r\nHost: x\r\nX-Txn: " + id + "\r\nX-Remaining: 0\r\n\r\n"); status != 503 {
-		t.Fatalf("the one of the other class: %d, want a refusal", status)
+	if status := send("GET /look HTTP/1.1\r\nHost: x\r\nX-Txn: " + id + "\r\nX-Remaining: 0\r\n\r\n"); status != 400 {
+		t.Fatalf("the one of the other class: %d, want 400", status)
 	}
 	if status := send(burnText(id, "Content-Length: 0")); status != 400 || e.Count() != 1 {
 		t.Errorf("the id again: %d; the endpoint got %d requests, want 400 and 1", status, e.Count())
--- a/internal/lifecycle/upgrade.go
+++ b/internal/lifecycle/upgrade.go
@@ -144,13 +144,14 @@
 }
 
 // RememberID implements takeover.Handler.
-func (s *Sidecar) RememberID(id uint64) (known bool) { return s.engine.RememberID(id) }
+func (s *Sidecar) RememberID(id uint64, safe bool) (known bool) { return s.engine.RememberID(id, safe) }
 
 // StopAccepting stops accepting. Requests on open connections are served, each answer closes its connection, and this
 // process keeps to its part of the limits from now on. It also returns free memory to the system.
 func (s successorHandler) StopAccepting() {
 	// The successor takes requests in once this returns: it has to know the ids of those that came before.
-	if err := s.peer.SendIDs(s.engine.SetIDPeer(s.peer)); err != nil {
+	ids := s.engine.SetIDPeer(s.peer)
+	if err := errors.Join(s.peer.SendIDs(ids.Once, false), s.peer.SendIDs(ids.Safe, true)); err != nil {
 		s.log.Warn().Err(err).Msg("can't tell the successor which requests came before")
 	}
 	s.upgrade.replaced.Store(true)
--- a/internal/lifecycle/usedid_test.go
+++ b/internal/lifecycle/usedid_test.go
@@ -173,7 +173,7 @@
 			first.Close()
 			eventually(t, "the close is seen", func() bool { return s.Counters().Left == 1 })
 			for hash := range uint64(many) {
-				s.engine.RememberID(hash + 1)
+				s.engine.RememberID(hash+1, class == "look")
 			}
 			if status := sendOnNew(t, s.Address(), textUnder(class, id)); status != 400 || e.Count() != 1 {
 				t.Errorf("the second: %d; the endpoint got %d requests, want 400 and 1", status, e.Count())
--- a/internal/pipeline/requestids.go
+++ b/internal/pipeline/requestids.go
@@ -11,8 +11,8 @@
 	"heathgap/internal/state"
 )
 
-// An id names one request: callers give each a new one. An id that comes again while its request is open, or after its request may
-// have run, is rejected, since its effect could happen twice.
+// An id names one request: callers give each a new one, of whatever class it is. An id that comes again while its request is open, or
+// after its request may have run, is rejected: its effect could happen twice, and an answer to it could be that of the other request.
 
 // Bounds on the ids that are remembered.
 const (
@@ -25,8 +25,9 @@
 
 // IDClaimer is the other process of an upgrade, which remembers ids too.
 type IDClaimer interface {
-	// ClaimID tells the other process of an id, and returns whether that knew it. Without an answer in time it returns false.
-	ClaimID(id uint64) (known bool)
+	// ClaimID tells the other process of the id of a request, which may be safe to repeat, and returns whether that knew it. Without an
+	// answer in time it returns false.
+	ClaimID(id uint64, safe bool) (known bool)
 }
 
 // idState says what became of the request that came with an id. It is written to log lines.
@@ -42,7 +43,7 @@
 
 // usedID is what is remembered of the request that came with an id.
 type usedID struct {
-	came  decide.Time
+	came  decide.Time // 0 if that is not known
 	state idState
 }
 
@@ -117,33 +118,38 @@
 	return h.Sum64()
 }
 
-// claim remembers the id of a request that may not run twice, here and in the other process of an upgrade. It reports whether the id
-// was known to one of them and, if so, what became of the request that it was used for.
-func (r *requestIDs) claim(id string) (former usedID, known bool) {
-	hash := hashOfID(id)
-	peer, former, known := r.add(&r.once, hash, idOpen)
-	if known || peer == nil || !peer.ClaimID(hash) {
-		return former, known
+// memoryOf returns the memory for ids of requests that are safe to repeat, or of others.
+func (r *requestIDs) memoryOf(safe bool) *idMemory {
+	if safe {
+		return &r.safe
 	}
-	return usedID{came: r.clock.Now(), state: idElsewhere}, true
+	return &r.once
 }
 
-// noteSafe remembers the id of a request that is safe to repeat, and returns the same as claim for this process alone.
-func (r *requestIDs) noteSafe(id string) (former usedID, known bool) {
-	_, former, known = r.add(&r.safe, hashOfID(id), idOpen)
-	return former, known
+// claim remembers the id of a request, which may be safe to repeat, here and in the other process of an upgrade. It reports whether the
+// id was known to one of them and, if so, what became of the request that it was used for.
+func (r *requestIDs) claim(id string, safe bool) (former usedID, known bool) {
+	hash := hashOfID(id)
+	peer, former, known := r.add(hash, safe, idOpen)
+	if known || peer == nil || !peer.ClaimID(hash, safe) {
+		return former, known
+	}
+	return usedID{state: idElsewhere}, true
 }
 
-// add remembers the hash of a request that is in a state, and reports whether it was known to that memory.
-func (r *requestIDs) add(memory *idMemory, hash uint64, begins idState) (peer IDClaimer, former usedID, known bool) {
+// add remembers the hash of a request that is in a state, and reports whether it was known here, as that of a request of any class.
+func (r *requestIDs) add(hash uint64, safe bool, begins idState) (peer IDClaimer, former usedID, known bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Now()
-	if former, known = memory.lookUp(hash); !known {
-		former = usedID{came: now, state: begins}
+	for _, memory := range []*idMemory{&r.once, &r.safe} {
+		if former, known = memory.lookUp(hash); known {
+			memory.put(hash, former, now)
+			return r.peer, former, true
+		}
 	}
-	memory.put(hash, former, now)
-	return r.peer, former, known
+	r.memoryOf(safe).put(hash, usedID{came: now, state: begins}, now)
+	return r.peer, usedID{}, false
 }
 
 // setState records what has become of the request with an id, if that is remembered.
@@ -161,6 +167,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.once.forget(hash)
+	r.safe.forget(hash)
 }
 
 // allowLine reports whether a log line on an id that is used again may be written and, if so, how many were not since the last one.
@@ -170,53 +177,56 @@
 	return r.logLimit.allow(r.clock.Now())
 }
 
+// RememberedIDs are the hashes of the ids that a process remembers.
+type RememberedIDs struct {
+	Once []uint64 // of requests that may not run twice
+	Safe []uint64 // of requests that are safe to repeat
+}
+
 // setPeer sets the other process of an upgrade, nil for none, and returns what is remembered here: from then on each new id is claimed
 // there too.
-func (r *requestIDs) setPeer(peer IDClaimer) []uint64 {
+func (r *requestIDs) setPeer(peer IDClaimer) RememberedIDs {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.peer = peer
-	return r.once.hashes()
+	return RememberedIDs{Once: r.once.hashes(), Safe: r.safe.hashes()}
 }
 
-// SetIDPeer makes ids be claimed in the other process of an upgrade too, or with nil in none, and returns the hashes of those that are
-// remembered here.
-func (e *Engine) SetIDPeer(peer IDClaimer) []uint64 { return e.ids.setPeer(peer) }
+// SetIDPeer makes ids be claimed in the other process of an upgrade too, or with nil in none, and returns those that are remembered here.
+func (e *Engine) SetIDPeer(peer IDClaimer) RememberedIDs { return e.ids.setPeer(peer) }
 
-// RememberID remembers an id that the other process of an upgrade has taken in, by its hash, and reports whether it was known here.
-func (e *Engine) RememberID(hash uint64) (known bool) {
-	_, _, known = e.ids.add(&e.ids.once, hash, idElsewhere)
+// RememberID remembers an id that the other process of an upgrade has taken in, by its hash, and reports whether it was known here. safe
+// says that its request is safe to repeat.
+func (e *Engine) RememberID(hash uint64, safe bool) (known bool) {
+	_, _, known = e.ids.add(hash, safe, idElsewhere)
 	return known
 }
 
 // errKnownID is the problem of a request whose id is that of another one.
 const errKnownID = "id: that of an open request, or of one that may have run"
 
-// claimID claims the id of a request, and reports whether it is new. Where repeats are safe any id is. The time that this takes, while
-// another process has to be asked, is a part of the request's.
+// claimID claims the id of a request, and reports whether it is new. The time that this takes, while another process has to be asked, is a
+// part of the request's.
 func (e *Engine) claimID(message *httpwire.Request) bool {
-	if e.classInEffect(message.Class).Effect == decide.Safe {
-		if former, known := e.ids.noteSafe(message.ID); known {
-			e.noteUsedID(message, former, false)
-		}
-		return true
-	}
+	safe := e.classInEffect(message.Class).Effect == decide.Safe
 	began := e.clock.Now()
-	former, known := e.ids.claim(message.ID)
+	former, known := e.ids.claim(message.ID, safe)
 	message.Remaining = max(0, message.Remaining-(e.clock.Now()-began))
 	if message.IDClaimed = !known; known {
-		e.noteUsedID(message, former, true)
+		e.noteUsedID(message, former)
 	}
 	return message.IDClaimed
 }
 
-// noteUsedID counts a request whose id was used before, and writes its line.
-func (e *Engine) noteUsedID(message *httpwire.Request, former usedID, rejected bool) {
+// noteUsedID counts a request that is rejected since its id was used before, and writes its line.
+func (e *Engine) noteUsedID(message *httpwire.Request, former usedID) {
 	e.metrics.UsedIDs.Add(1)
 	if suppressed, ok := e.ids.allowLine(); ok {
-		e.log.Info().Str("request", message.ID).Str("class", message.Class).Bool("rejected", rejected).
-			Str("former", string(former.state)).Int64("former_came_ms_ago", (e.clock.Now()-former.came).Milliseconds()).
-			Int("suppressed", suppressed).Msg("id used again")
+		line := e.log.Info().Str("request", message.ID).Str("class", message.Class).Str("former", string(former.state))
+		if former.came > 0 {
+			line.Int64("former_came_ms_ago", (e.clock.Now() - former.came).Milliseconds())
+		}
+		line.Int("suppressed", suppressed).Msg("id used again")
 	}
 }
 
--- a/internal/pipeline/requestids_test.go
+++ b/internal/pipeline/requestids_test.go
@@ -18,7 +18,7 @@
 type peerIDs map[uint64]bool
 
 // ClaimID implements IDClaimer.
-func (p peerIDs) ClaimID(id uint64) (known bool) {
+func (p peerIDs) ClaimID(id uint64, _ bool) (known bool) {
 	known = p[id]
 	p[id] = true
 	return known
@@ -26,7 +26,7 @@
 
 // isKnown claims an id and reports whether it was known.
 func isKnown(ids *requestIDs, id string) bool {
-	_, known := ids.claim(id)
+	_, known := ids.claim(id, false)
 	return known
 }
 
@@ -41,7 +41,7 @@
 		t.Error("a forgotten id is not new")
 	}
 	peer := peerIDs{hashOfID("theirs"): true}
-	if known := ids.setPeer(peer); len(known) != 1 || known[0] != hashOfID("a") {
+	if known := ids.setPeer(peer).Once; len(known) != 1 || known[0] != hashOfID("a") {
 		t.Errorf("ids for the other process: %v", known)
 	}
 	if !isKnown(ids, "theirs") || isKnown(ids, "b") || !peer[hashOfID("b")] {
@@ -96,12 +96,11 @@
 		}
 		var line struct {
 			Message, Request, Class, Former string
-			Rejected                        bool
 		}
 		if err := json.Unmarshal(log.Bytes(), &line); err != nil {
 			t.Fatalf("%s: %q, %v", end.former, log.String(), err)
 		}
-		if line.Message != "id used again" || line.Request != end.former || line.Class != "burn" || line.Former != end.former || !line.Rejected {
+		if line.Message != "id used again" || line.Request != end.former || line.Class != "burn" || line.Former != end.former {
 			t.Errorf("%s: %+v", end.former, line)
 		}
 	}
--- a/internal/takeover/takeover.go
+++ b/internal/takeover/takeover.go
@@ -53,6 +53,7 @@
 	ID            uint64          `json:"id,omitempty"`    // hash of the id of a request that the sender has taken in, with Seq
 	Known         bool            `json:"known,omitempty"` // with Applied: the ID was known already
 	IDs           []uint64        `json:"ids,omitempty"`   // hashes of ids that the sender has taken in before
+	Safe          bool            `json:"safe,omitempty"`  // with ID or IDs: the requests are safe to repeat
 	Answer        json.RawMessage `json:"over,omitempty"`  // state of a long answer that is handed over; two descriptors come with it
 }
 
@@ -247,8 +248,9 @@
 type Handler interface {
 	// ApplyBanChange bans an endpoint (on) or ends its ban. It returns when that is in effect.
 	ApplyBanChange(name string, on bool)
-	// RememberID remembers the id of a request that the other process has taken in, by its hash, and reports whether it was known.
-	RememberID(id uint64) (known bool)
+	// RememberID remembers the id of a request that the other process has taken in, by its hash, and reports whether it was known. safe
+	// says that the request is safe to repeat.
+	RememberID(id uint64, safe bool) (known bool)
 	// ResumeAnswer continues a long answer that the other process has begun to stream.
 	ResumeAnswer(state []byte, caller, endpoint net.Conn)
 	// StopAccepting stops accepting: the other process is about to accept.
@@ -274,10 +276,10 @@
 			h.ApplyBanChange(m.Ban, m.On)
 			p.send(message{Applied: m.Seq})
 		case m.ID != 0:
-			p.send(message{Applied: m.Seq, Known: h.RememberID(m.ID)}) //nolint:errcheck // the next read shows it
+			p.send(message{Applied: m.Seq, Known: h.RememberID(m.ID, m.Safe)}) //nolint:errcheck // the next read shows it
 		case m.IDs != nil:
 			for _, id := range m.IDs {
-				h.RememberID(id)
+				h.RememberID(id, m.Safe)
 			}
 		case m.Answer != nil:
 			if caller, endpoint, err := p.reader.takeConns(); err == nil {
@@ -340,23 +342,24 @@
 	return nil
 }
 
-// ClaimID tells the other process of the id of a request, by its hash, and returns whether that knew it. If there is no reply in time it
+// ClaimID tells the other process of the id of a request, by its hash, and returns whether that knew it. safe says that the request is
+// safe to repeat. If there is no reply in time it
 // returns false, and so do further calls at once until a reply comes: a process that hangs takes no requests in, and asks before it
 // does so again.
-func (p *Peer) ClaimID(id uint64) (known bool) {
+func (p *Peer) ClaimID(id uint64, safe bool) (known bool) {
 	if p.silent.Load() {
-		p.send(message{IDs: []uint64{id}}) //nolint:errcheck // as it goes on, it reads what was sent
+		p.send(message{IDs: []uint64{id}, Safe: safe}) //nolint:errcheck // as it goes on, it reads what was sent
 		return false
 	}
-	known, answered := p.ask(message{ID: id}, claimTimeout)
+	known, answered := p.ask(message{ID: id, Safe: safe}, claimTimeout)
 	if !answered {
 		p.silent.Store(true)
 	}
 	return known
 }
 
-// SendIDs tells the other process of ids that were taken in before, by their hashes.
-func (p *Peer) SendIDs(ids []uint64) error { return p.send(message{IDs: ids}) }
+// SendIDs tells the other process of ids that were taken in before, by their hashes. safe says that their requests are safe to repeat.
+func (p *Peer) SendIDs(ids []uint64, safe bool) error { return p.send(message{IDs: ids, Safe: safe}) }
 
 // ask sends a message and waits for the reply to it. It counts as answered if the other process has ended.
 func (p *Peer) ask(m message, timeout time.Duration) (known, answered bool) {
--- a/internal/takeover/takeover_test.go
+++ b/internal/takeover/takeover_test.go
@@ -12,7 +12,7 @@
 type silentHandler struct{ ended chan bool }
 
 func (silentHandler) ApplyBanChange(string, bool)             {}
-func (silentHandler) RememberID(uint64) bool                  { return false }
+func (silentHandler) RememberID(uint64, bool) bool            { return false }
 func (silentHandler) ResumeAnswer([]byte, net.Conn, net.Conn) {}
 func (silentHandler) StopAccepting()                          {}
 func (q silentHandler) PeerEnded(yielded bool)                { q.ended <- yielded }
@@ -120,11 +120,17 @@
 // idHandler remembers the ids that it is told.
 type idHandler struct {
 	silentHandler
-	known chan uint64
+	known chan knownID
 }
 
-func (h idHandler) RememberID(id uint64) bool {
-	h.known <- id
+// knownID is an id that a process was told of.
+type knownID struct {
+	id   uint64
+	safe bool
+}
+
+func (h idHandler) RememberID(id uint64, safe bool) bool {
+	h.known <- knownID{id, safe}
 	return id == 7
 }
 
@@ -134,28 +140,28 @@
 	p, other := newPeer(ours), newPeer(theirs)
 	go p.Run(silentHandler{make(chan bool, 1)})
 	begin := time.Now()
-	if p.ClaimID(7) || time.Since(begin) < claimTimeout {
+	if p.ClaimID(7, false) || time.Since(begin) < claimTimeout {
 		t.Errorf("known after %v, without an answer", time.Since(begin))
 	}
 	begin = time.Now()
-	if p.ClaimID(8) || time.Since(begin) >= claimTimeout {
+	if p.ClaimID(8, true) || time.Since(begin) >= claimTimeout {
 		t.Errorf("the second claim took %v", time.Since(begin))
 	}
-	h := idHandler{silentHandler{make(chan bool, 1)}, make(chan uint64, 10)}
+	h := idHandler{silentHandler{make(chan bool, 1)}, make(chan knownID, 10)}
 	go other.Run(h) // it goes on
-	for _, want := range []uint64{7, 8} {
+	for _, want := range []knownID{{7, false}, {8, true}} {
 		if got := <-h.known; got != want {
-			t.Errorf("told of %d, want %d", got, want)
+			t.Errorf("told of %+v, want %+v", got, want)
 		}
 	}
 	for p.silent.Load() { // its late answer comes
 		time.Sleep(time.Millisecond)
 	}
-	if !p.ClaimID(7) || p.ClaimID(9) {
+	if !p.ClaimID(7, false) || p.ClaimID(9, false) {
 		t.Error("an id that is known there is new, or the other way round")
 	}
 	p.Close()
-	if p.ClaimID(10) {
+	if p.ClaimID(10, false) {
 		t.Error("a process that has ended knows an id")
 	}
 }
