An id stays known while an attempt of its request is out

What callers saw: not reported; found on the way. An id whose client had left was served again (every class) once 16,384 newer ids had come, while the attempt of its request was still out. Cause: beside the memory of ids, which many others push out, the table of requests was asked; but that knew an id no longer than its request was open, and a client that leaves ends it at once. Change: the table knows an id until its request is released, which is when it has ended and no attempt is out; the log names such a case ('former ended'). Why it works: what is in the table is bounded by the settings and can't be pushed out. An id whose attempt has ended may still be pushed out, as before.

--- a/internal/pipeline/admit.go
+++ b/internal/pipeline/admit.go
@@ -22,10 +22,10 @@
 }
 
 func (a *arrival) handle(e *Engine) {
-	if e.requests.Open(a.message.ID) {
-		// Guards against callers that use the id of another caller's request: an endpoint would take one request for a
-		// repeat of the other.
+	if former := e.requests.ByCallersID(a.message.ID); former != nil {
+		// Guards against ids that many others have pushed out of the memory, while their requests are open or their attempts are out.
 		e.malformed.Add(1)
+		e.noteUsedID(a.message, usedID{state: stateOf(former)})
 		a.caller.SetProblem(errKnownID)
 		a.answer <- httpwire.Answer{Verdict: httpwire.Malformed, Reason: errKnownID}
 		return
--- a/internal/pipeline/requestids.go
+++ b/internal/pipeline/requestids.go
@@ -38,6 +38,7 @@
 	idOpen      idState = "open"          // it has no final answer yet
 	idAnswered  idState = "answered"      // its caller was given the final answer
 	idLeft      idState = "caller_left"   // its caller disconnected before its answer
+	idEnded     idState = "ended"         // one of both, and an attempt of it is out
 	idElsewhere idState = "other_process" // it came to the other process of an upgrade
 )
 
@@ -245,3 +246,11 @@
 	}
 	e.ids.setState(message.ID, idAnswered)
 }
+
+// stateOf returns the state of a request that is still known.
+func stateOf(r *state.Request) idState {
+	if r.Done {
+		return idEnded
+	}
+	return idOpen
+}
--- a/internal/state/request.go
+++ b/internal/state/request.go
@@ -88,28 +88,27 @@
 
 // Requests is the table of requests that are not released yet.
 type Requests struct {
-	byID       map[decide.RequestID]*Request // until Release
-	pendingIDs map[string]struct{}           // the callers' ids of requests without a final answer
-	lastID     decide.RequestID
+	byID        map[decide.RequestID]*Request // until Release
+	byCallersID map[string]*Request           // by their callers' ids, until Release
+	pending     int                           // requests without a final answer
+	lastID      decide.RequestID
 }
 
 // NewRequests returns an empty table.
 func NewRequests() *Requests {
-	return &Requests{byID: map[decide.RequestID]*Request{}, pendingIDs: map[string]struct{}{}}
+	return &Requests{byID: map[decide.RequestID]*Request{}, byCallersID: map[string]*Request{}}
 }
 
-// Open reports whether a request with this caller's id has no final answer yet.
-func (t *Requests) Open(id string) bool {
-	_, open := t.pendingIDs[id]
-	return open
-}
+// ByCallersID returns the request with a caller's id that has no final answer yet, or has an attempt in flight; nil without one.
+func (t *Requests) ByCallersID(id string) *Request { return t.byCallersID[id] }
 
 // Add adds a new request and gives it an id.
 func (t *Requests) Add(message *httpwire.Request, deadline decide.Time, answer chan httpwire.Answer) *Request {
 	t.lastID++
 	r := &Request{ID: t.lastID, Message: message, Deadline: deadline, Answer: answer}
 	t.byID[r.ID] = r
-	t.pendingIDs[message.ID] = struct{}{}
+	t.byCallersID[message.ID] = r
+	t.pending++
 	return r
 }
 
@@ -122,7 +121,7 @@
 }
 
 // Pending returns how many requests have no final answer.
-func (t *Requests) Pending() int { return len(t.pendingIDs) }
+func (t *Requests) Pending() int { return t.pending }
 
 // Begin adds a new attempt to a request.
 func (t *Requests) Begin(r *Request, endpoint *Endpoint, sent, timeoutAt decide.Time) *Attempt {
@@ -152,7 +151,7 @@
 		return false
 	}
 	r.Done = true
-	delete(t.pendingIDs, r.Message.ID)
+	t.pending--
 	for _, a := range r.Attempts {
 		a.PreventWrite()
 	}
@@ -166,12 +165,19 @@
 	}
 	r.Message.Memory.Release()
 	delete(t.byID, r.ID)
+	if t.byCallersID[r.Message.ID] == r {
+		delete(t.byCallersID, r.Message.ID)
+	}
 	return true
 }
 
 // Audit checks that the table is consistent.
 func (t *Requests) Audit() error {
+	pending := 0
 	for id, r := range t.byID {
+		if !r.Done {
+			pending++
+		}
 		inFlight := 0
 		for _, a := range r.Attempts {
 			if !a.Settled {
@@ -184,9 +190,12 @@
 		if r.Done && inFlight == 0 {
 			return fmt.Errorf("request %d: it is done and has no attempt in flight, but was not released", id)
 		}
-		if _, open := t.pendingIDs[r.Message.ID]; !open && !r.Done {
-			return fmt.Errorf("request %d: it is not done, but its caller's id %q is not recorded as pending", id, r.Message.ID)
+		if t.byCallersID[r.Message.ID] != r {
+			return fmt.Errorf("request %d: its caller's id %q is not recorded as its own", id, r.Message.ID)
 		}
 	}
+	if pending != t.pending {
+		return fmt.Errorf("%d requests have no final answer, and %d are counted", pending, t.pending)
+	}
 	return nil
 }
