A close behind unread bytes is seen before an attempt is written

Cause: before an attempt is written the kernel is asked whether the client has closed. Change: before each attempt what stands behind the request is read, by the same bounds as the watch reads it (8 KiB are kept, 1 MiB is a flood), until nothing more comes within 2 ms. The watch and the attempt read under one lock, so each byte keeps its place. A look at a connection with nothing unread is one poll, as before. Why it works: the close is the next to come once all ahead of it is read; the look does not depend on when the watch runs.

--- a/internal/httpwire/caller.go
+++ b/internal/httpwire/caller.go
@@ -229,6 +229,7 @@
 	defer c.mu.Unlock()
 	if c.body != nil {
 		c.body, c.bodyStopped, c.bodyUnread = nil, false, !complete
+		c.pipelinedBytes = len(c.pipelined)
 		c.Conn.SetReadDeadline(time.Time{})
 	}
 }
--- a/internal/httpwire/disconnect.go
+++ b/internal/httpwire/disconnect.go
@@ -1,6 +1,7 @@
 package httpwire
 
 import (
+	"cmp"
 	"errors"
 	"os"
 	"time"
@@ -32,29 +33,67 @@
 // not stop at bytes that come after the request: guards against callers that send much and then disconnect, whose
 // disconnect can only be read after all those bytes.
 func (c *CallerConn) readUntilGone() (gone bool) {
-	var first [1]byte
-	buf := first[:]
+	if c.descriptor == nil {
+		return c.readConnUntilGone()
+	}
+	err := c.descriptor.Read(func(uintptr) bool {
+		gone = c.readAhead()
+		return gone
+	})
+	return gone || err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// readConnUntilGone is readUntilGone for a connection without a descriptor, as in a simulation.
+func (c *CallerConn) readConnUntilGone() (gone bool) {
+	buf := make([]byte, initialBodySize)
 	for {
 		n, err := c.Conn.Read(buf)
 		c.mu.Lock()
 		flooded := c.keepPipelined(buf[:n])
+		gone := flooded || err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+		c.peerEnded = c.peerEnded || gone
 		c.mu.Unlock()
+		if gone || err != nil {
+			return gone
+		}
+	}
+}
+
+// readAhead reads all bytes that have come after the present request, and reports whether the caller has disconnected behind them. The
+// watch and the goroutine of an attempt may both call it: each byte is kept in its place.
+func (c *CallerConn) readAhead() (gone bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var first [1]byte
+	buf := first[:]
+	for {
+		n, err := c.receive(buf)
 		switch {
-		case flooded:
-			return true
-		case err == nil && len(buf) == len(first):
-			buf = make([]byte, initialBodySize) // only for callers that pipeline: a flood of connections must take little memory
-		case err != nil && errors.Is(err, os.ErrDeadlineExceeded):
+		case errors.Is(err, unix.EAGAIN):
 			return false
-		case err != nil:
-			c.mu.Lock()
+		case n == 0 || err != nil:
 			c.peerEnded = true
-			c.mu.Unlock()
 			return true
+		case c.keepPipelined(buf[:n]):
+			return true
+		case len(buf) == len(first):
+			buf = make([]byte, initialBodySize) // only for callers that pipeline: a flood of connections must take little memory
 		}
 	}
 }
 
+// receive reads what the kernel has, without waiting. n is 0 without an error if the caller has closed the connection.
+func (c *CallerConn) receive(b []byte) (n int, err error) {
+	controlErr := c.descriptor.Control(func(fd uintptr) {
+		for {
+			if n, _, err = unix.Recvfrom(int(fd), b, unix.MSG_DONTWAIT); !errors.Is(err, unix.EINTR) {
+				return
+			}
+		}
+	})
+	return max(0, n), cmp.Or(controlErr, err)
+}
+
 // Limits for bytes that come after a request before it is answered. Usual callers send one request at a time; pipelined
 // ones are served as long as their bytes fit into maxPipelinedKept and into the memory for bodies. A caller that sends more than maxPipelined is not
 // waiting for an answer.
@@ -89,41 +128,46 @@
 	if !c.hungUp() {
 		return false
 	}
-	c.disconnected.Store(true)
-	c.SetReason(ReasonCallerLeft)
+	c.markDisconnected()
 	return true
 }
 
-// aheadWait is how long bytes are awaited behind those that were read: the caller's machine sends them once there is room for them.
-const aheadWait = 2 // milliseconds
+// Limits on the look behind the bytes that a caller has written ahead.
+const (
+	aheadWait   = 2   // milliseconds that further bytes are awaited behind those that were read: the caller's machine sends them once there is room
+	aheadRounds = 100 // waits at most: a caller may go on sending
+)
 
-// DisconnectedBehindUnread is Disconnected for a request whose body has been read, where further bytes may stand between it and the
-// caller's close: as long as they fill the kernel's buffers, the close can't come. It reads them. No watch may run.
+// DisconnectedBehindUnread is Disconnected where further bytes may stand between a request that has come completely and its caller's
+// close: as long as they fill the kernel's buffers, the close can't come. It reads them.
 func (c *CallerConn) DisconnectedBehindUnread() bool {
-	if c.descriptor == nil {
+	if c.descriptor == nil || c.disconnected.Load() {
 		return c.Disconnected()
 	}
-	c.mu.Lock()
-	c.pipelinedBytes = len(c.pipelined)
-	c.mu.Unlock()
-	buf := make([]byte, initialBodySize)
-	for wait := 0; !c.Disconnected(); wait = aheadWait {
-		if ready, err := c.poll(unix.POLLIN, wait); !ready || err != nil {
-			return c.Disconnected()
-		}
-		n := c.readAvailable(buf)
-		if n == 0 { // its end, or an error
+	for round, wait := 0, 0; round < aheadRounds; round, wait = round+1, aheadWait {
+		events, err := c.poll(unix.POLLIN|unix.POLLRDHUP, wait)
+		switch {
+		case err != nil || events&^unix.POLLIN != 0 || events != 0 && c.readAhead():
+			c.markDisconnected()
 			return true
-		}
-		c.mu.Lock()
-		flooded := c.keepPipelined(buf[:n])
-		c.mu.Unlock()
-		if flooded {
-			c.disconnected.Store(true)
-			c.SetReason(ReasonCallerLeft)
+		case events == 0 || !c.isFarAhead():
+			return false
 		}
 	}
-	return true
+	return false
+}
+
+// isFarAhead reports whether the caller has written more ahead than is kept, so that a close may stand behind what the kernel takes.
+func (c *CallerConn) isFarAhead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pipelinedBytes > maxPipelinedKept
+}
+
+// markDisconnected records that the caller was seen to have disconnected.
+func (c *CallerConn) markDisconnected() {
+	c.disconnected.Store(true)
+	c.SetReason(ReasonCallerLeft)
 }
 
 // hungUp asks the kernel whether the caller has closed or reset the connection. Unread bytes don't hide that from
@@ -135,8 +179,8 @@
 	if c.descriptor == nil {
 		return false
 	}
-	hungUp, err := c.poll(unix.POLLRDHUP, 0)
-	return hungUp || err != nil // an error means that it is closed on this side
+	events, err := c.poll(unix.POLLRDHUP, 0)
+	return events != 0 || err != nil // an error means that it is closed on this side
 }
 
 // readable reports whether a read would return at once. Without a descriptor, as in a simulation, it reports false.
@@ -144,8 +188,8 @@
 	if c.descriptor == nil {
 		return false
 	}
-	ready, err := c.poll(unix.POLLIN|unix.POLLRDHUP, 0)
-	return ready || err != nil // an error means that it is closed on this side
+	events, err := c.poll(unix.POLLIN|unix.POLLRDHUP, 0)
+	return events != 0 || err != nil // an error means that it is closed on this side
 }
 
 // UnreadBytes returns how many bytes of the caller the kernel has that were not read yet; 0 without a descriptor. Any goroutine may call
@@ -160,16 +204,18 @@
 	return unread
 }
 
-// poll asks the kernel whether any of the events, or an error, has occurred on the connection, and waits for that at most the given
-// number of milliseconds.
-func (c *CallerConn) poll(events int16, wait int) (occurred bool, err error) {
+// poll asks the kernel which of the events, or of errors, have occurred on the connection, and waits for one at most the given number of
+// milliseconds.
+func (c *CallerConn) poll(events int16, wait int) (occurred int16, err error) {
 	err = c.descriptor.Control(func(fd uintptr) {
 		fds := [1]unix.PollFd{{Fd: int32(fd), Events: events}}
 		n, err := unix.Poll(fds[:], wait)
 		if err == unix.EINTR { // retry once: a signal handler ran in between
 			n, err = unix.Poll(fds[:], wait)
 		}
-		occurred = n > 0 && err == nil
+		if n > 0 && err == nil {
+			occurred = fds[0].Revents
+		}
 	})
 	return occurred, err
 }
--- a/internal/httpwire/disconnect_test.go
+++ b/internal/httpwire/disconnect_test.go
@@ -88,6 +88,43 @@
 	}
 }
 
+// Guards against bytes ahead that change places because the watch and an attempt read them at once.
+func TestBytesAheadAreReadInOrderByBoth(t *testing.T) {
+	c, peer := acceptPeer(t)
+	var want strings.Builder
+	for i := range 1500 {
+		fmt.Fprintf(&want, "%d,", i)
+	}
+	c.Watch(func() { t.Error("the watch took the caller for disconnected") })
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		for text := want.String(); text != ""; {
+			n := min(len(text), 1+len(text)%70)
+			peer.Send(text[:n])
+			text = text[n:]
+		}
+	}()
+	for done, kept := false, 0; !done || kept < want.Len(); {
+		if c.DisconnectedBehindUnread() {
+			t.Fatal("an attempt took the caller for disconnected")
+		}
+		select {
+		case <-sent:
+			done = true
+		default:
+		}
+		c.mu.Lock()
+		kept = len(c.pipelined)
+		c.mu.Unlock()
+	}
+	c.Unwatch()
+	got := make([]byte, want.Len())
+	if _, err := io.ReadFull(c, got); err != nil || string(got) != want.String() {
+		t.Errorf("read %q, %v", got, err)
+	}
+}
+
 // Guards against a close that destroys the answer before it: bytes of the caller are unread at the close, and more come
 // during it. The caller must read the answer and then EOF, never a reset, and can still write meanwhile.
 func TestCloseOverUnreadBytes(t *testing.T) {
--- a/internal/pipeline/send.go
+++ b/internal/pipeline/send.go
@@ -171,7 +171,15 @@
 
 // callerConnected reports whether the attempt's caller is still connected. If not, the owner is notified.
 func (e *Engine) callerConnected(a *state.Attempt) bool {
-	if a.Request.Caller == nil || !a.Request.Caller.Disconnected() {
+	caller := a.Request.Caller
+	if caller == nil {
+		return true
+	}
+	disconnected := caller.DisconnectedBehindUnread
+	if a.Request.Message.Upload != nil {
+		disconnected = caller.Disconnected // what stands unread is the body: the close is looked for again before its last byte
+	}
+	if !disconnected() {
 		return true
 	}
 	e.post(foundDisconnected{a.Request})
