Soak of unsound clients: processes find each other, a repeat's arrivals are the repeat's

The runs with an upgrade had none: a process without a console takes no successor in, so each of them failed with 'the successor serves: did not happen in time'. What arrives behind the repeat no longer counts for the first; what arrives ahead of it does, as before.

--- a/internal/lifecycle/soak_test.go
+++ b/internal/lifecycle/soak_test.go
@@ -137,7 +137,8 @@
 	conf := plan.config(d, lines...)
 	address := scripted.FreeAddress(t)
 	conf["listen"] = address
-	r.process = launchAt(t, conf, scripted.WriteConfig(t, conf), plan.unsound.environment(t)...)
+	environment := plan.unsound.prepare(t, conf)
+	r.process = launchAt(t, conf, scripted.WriteConfig(t, conf), environment...)
 	eventually(t, "ready", isReady(t, address))
 	r.opening.Store(true)
 	clients := r.startClients(address)
@@ -293,11 +294,11 @@
 	return what == ranTwice || what == unsoundServed || what == usedIDServed && !upgrades
 }
 
-// usedBeforeRepeat reports whether a request had come to an endpoint before its repeat was sent, so that its id was used. r.record.mu is
-// held.
-func (r *soakRun) usedBeforeRepeat(request *soakRequest) bool {
+// arrivedBeforeRepeat reports whether a request has come to an endpoint, before its repeat was sent if it has one: what comes later may be
+// the repeat. r.record.mu is held.
+func (r *soakRun) arrivedBeforeRepeat(request *soakRequest) bool {
 	arrivals := r.record.arrivals[request.id]
-	return len(arrivals) > 0 && arrivals[0].Before(request.repeatSent)
+	return len(arrivals) > 0 && (request.repeatSent.IsZero() || arrivals[0].Before(request.repeatSent))
 }
 
 // lost says how a request broke the rule; "" if it did not. r.record.mu is held.
@@ -318,7 +319,7 @@
 			return unsoundServed
 		}
 		return ""
-	case request.repeatStatus == http.StatusOK && r.usedBeforeRepeat(request):
+	case request.repeatStatus == http.StatusOK && r.arrivedBeforeRepeat(request):
 		return usedIDServed
 	case request.class == classOnce && r.record.runs[request.id] > 1:
 		return ranTwice
@@ -344,7 +345,7 @@
 		return "" // its endpoint broke off an answer that had begun to pass on, and the client can tell
 	case request.begun && r.record.slow[request.id] && request.ended.After(r.signaled):
 		return "" // an answer that was still being written at a stop
-	case len(r.record.arrivals[request.id]) > 0:
+	case r.arrivedBeforeRepeat(request):
 		return "forwarded, and no answer"
 	case request.ended.Sub(request.sent) > crossing:
 		return "taken, and no answer"
--- a/internal/lifecycle/unsoundsoak_test.go
+++ b/internal/lifecycle/unsoundsoak_test.go
@@ -25,11 +25,13 @@
 	return &unsoundPlan{upgrade: rand.New(rand.NewPCG(seed, 4)).IntN(2) == 0}
 }
 
-// environment returns the environment variables by which the processes of an upgrade find each other.
-func (p *unsoundPlan) environment(t *testing.T) []string {
+// prepare makes a configuration one of a process that can be replaced, if the plan has that, and returns the environment variables by
+// which the processes of an upgrade find each other.
+func (p *unsoundPlan) prepare(t *testing.T, conf map[string]any) (environment []string) {
 	if p == nil || !p.upgrade {
 		return nil
 	}
+	conf["console"] = scripted.FreeAddress(t)
 	dir, err := os.MkdirTemp("", "u") // short: it stands in the path of a Unix socket
 	if err != nil {
 		t.Fatal(err)
@@ -44,6 +46,7 @@
 	if p == nil || !p.upgrade {
 		return
 	}
+	conf["console"] = scripted.FreeAddress(t)
 	launchAt(t, conf, scripted.WriteConfig(t, conf), "TMPDIR="+p.dir)
 	eventually(t, "the successor serves", func() bool { return strings.Contains(old.log.String(), `"a successor serves"`) })
 }
