An id that was read is used, also where its request never ran

What callers saw: a request under the id of another one answered 200, where nothing of that one had run: it was refused unsent, or its endpoint had turned it away before its client left. Cause: an id was made new again when its request could not have run. That a copy is harmless then does not make it sound: the protocol says new with every request, also with a client's retry; only a request that was not read may come once more under its id. Change: nothing forgets an id but time. The bookkeeping of who had claimed one goes. Why it works: what is claimed stays claimed, and a request that was not read is not claimed. Tests changed: TestIDOfARequestThatNeverRanMayComeAgain asked for 200; the new one asks for 400 and that a new id is served. TestIDsAreClaimedByTheRulesInEffect and TestRequestIDs lose what they asked of forgetting.

--- a/internal/httpwire/request.go
+++ b/internal/httpwire/request.go
@@ -27,7 +27,6 @@
 	Type      string       // Content-Type of the body
 	Body      []byte       // complete; nil for a long body
 	Upload    *Upload      // a long body; nil for others
-	IDClaimed bool         // its id is remembered as that of this request
 	Memory    *Reservation // of Body or Upload, to be released once no attempt needs it any more; nil without one
 }
 
--- a/internal/lifecycle/departed_test.go
+++ b/internal/lifecycle/departed_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"heathgap/decide"
 	"heathgap/internal/lab/scripted"
 )
 
@@ -102,23 +103,49 @@
 	}
 }
 
-// An id is free again when it can't have run: its request was refused before anything of it was sent.
-func TestIDOfARequestThatNeverRanMayComeAgain(t *testing.T) {
-	e := scripted.StartEndpoint(t, "e1", nil)
+// Guards against report 620a8b: an id counts as new since nothing of its request was sent. The request was read, so its caller has no reason
+// to send it once more.
+func TestIDOfARequestThatNeverRanIsUsed(t *testing.T) {
+	for _, class := range []string{"look", "burn"} {
+		t.Run(class, func(t *testing.T) {
+			e := scripted.StartEndpoint(t, "e1", nil)
+			d := scripted.StartDiscovery(t)
+			s := start(t, scripted.SidecarConfig(d)) // there is no endpoint yet
+			id := newID()
+			if status := sendOnNew(t, s.Address(), strings.Replace(textUnder(class, id), "1.9", "0.05", 1)); status != 503 {
+				t.Fatalf("the first: %d, want a refusal", status)
+			}
+			d.Publish(t, 2, e.Line())
+			eventually(t, "the endpoint is listed", func() bool { return s.Counters().Endpoints == 1 })
+			if status := sendOnNew(t, s.Address(), textUnder(class, id)); status != 400 || e.Count() != 0 {
+				t.Errorf("the second: %d; the endpoint got %d requests, want 400 and none", status, e.Count())
+			}
+			if status := sendOnNew(t, s.Address(), textUnder(class, newID())); status != 200 {
+				t.Errorf("under a new id: %d", status)
+			}
+		})
+	}
+}
+
+// Guards against an id that counts as new since the endpoint of its request has turned that away unseen before its client left.
+func TestIDOfARequestThatWasTurnedAwayIsUsed(t *testing.T) {
+	away := scripted.StartEndpoint(t, "e1", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Turned-Away", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
 	d := scripted.StartDiscovery(t)
-	s := start(t, scripted.SidecarConfig(d)) // there is no endpoint yet
+	s := start(t, scripted.SidecarConfig(d, away.Line()))
 	id := newID()
 	first := scripted.Connect(t, s.Address())
-	first.Send(strings.Replace(burnText(id, "Content-Length: 0"), "1.9", "0.05", 1))
-	if status, _ := first.ReadAnswer(); status != 503 {
-		t.Fatalf("the first: %d, want a refusal", status)
-	}
+	first.Send(textUnder("burn", id))
+	eventually(t, "it is turned away", func() bool { return s.Counters().Outcomes[decide.Rejected] > 0 })
+	first.Close()
+	eventually(t, "it has ended", func() bool { return s.Counters().Pending == 0 })
+	e := scripted.StartEndpoint(t, "e2", nil)
 	d.Publish(t, 2, e.Line())
-	eventually(t, "the endpoint is listed", func() bool { return s.Counters().Endpoints == 1 })
-	second := scripted.Connect(t, s.Address())
-	second.Send(burnText(id, "Content-Length: 0"))
-	if status, _ := second.ReadAnswer(); status != 200 || e.Count() != 1 {
-		t.Errorf("the second: %d; the endpoint got %d requests, want 200 and 1", status, e.Count())
+	eventually(t, "the other endpoint is listed", func() bool { return s.Counters().ListVersion == 2 })
+	if status := sendOnNew(t, s.Address(), textUnder("burn", id)); status != 400 || e.Count() != 0 {
+		t.Errorf("the second: %d; the endpoint got %d requests, want 400 and none", status, e.Count())
 	}
 }
 
--- a/internal/pipeline/record.go
+++ b/internal/pipeline/record.go
@@ -57,5 +57,5 @@
 		ev.Endpoint = a.Endpoint.ID
 	}
 	e.notifyModule(ev)
-	e.release(r)
+	e.requests.Release(r)
 }
--- a/internal/pipeline/relay.go
+++ b/internal/pipeline/relay.go
@@ -30,14 +30,7 @@
 	}
 	e.noteEnd(r.Message, answer.Verdict)
 	r.Answer <- answer
-	e.release(r)
-}
-
-// release removes a request that is done and has no attempt in flight. Its id is free again if it can't have run.
-func (e *Engine) release(r *state.Request) {
-	if e.requests.Release(r) && !mayHaveRun(r) {
-		e.forgetID(r.Message)
-	}
+	e.requests.Release(r)
 }
 
 // callerDisconnected is the event that the caller of a request has disconnected.
--- a/internal/pipeline/requestids.go
+++ b/internal/pipeline/requestids.go
@@ -11,8 +11,8 @@
 	"heathgap/internal/state"
 )
 
-// An id names one request: callers give each a new one, of whatever class it is. An id that comes again while its request is open, or
-// after its request may have run, is rejected: its effect could happen twice, and an answer to it could be that of the other request.
+// An id names one request: callers give each a new one, of whatever class it is and however the one before has ended. An id that comes
+// again is rejected: its effect could happen twice, and an answer to it could be that of the other request.
 
 // Bounds on the ids that are remembered.
 const (
@@ -84,12 +84,6 @@
 	}
 }
 
-// forget makes a hash new again.
-func (m *idMemory) forget(hash uint64) {
-	delete(m.current, hash)
-	delete(m.previous, hash)
-}
-
 // hashes returns what is remembered.
 func (m *idMemory) hashes() []uint64 {
 	return slices.AppendSeq(slices.Collect(maps.Keys(m.previous)), maps.Keys(m.current))
@@ -162,15 +156,6 @@
 	r.safe.setState(hash, now)
 }
 
-// forget makes an id new again: its request can't have run.
-func (r *requestIDs) forget(id string) {
-	hash := hashOfID(id)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.once.forget(hash)
-	r.safe.forget(hash)
-}
-
 // allowLine reports whether a log line on an id that is used again may be written and, if so, how many were not since the last one.
 func (r *requestIDs) allowLine() (suppressed int, ok bool) {
 	r.mu.Lock()
@@ -204,7 +189,7 @@
 }
 
 // errKnownID is the problem of a request whose id is that of another one.
-const errKnownID = "id: that of an open request, or of one that may have run"
+const errKnownID = "id: that of another request"
 
 // claimID claims the id of a request, and reports whether it is new. The time that this takes, while another process has to be asked, is a
 // part of the request's.
@@ -213,10 +198,10 @@
 	began := e.clock.Now()
 	former, known := e.ids.claim(message.ID, safe)
 	message.Remaining = max(0, message.Remaining-(e.clock.Now()-began))
-	if message.IDClaimed = !known; known {
+	if known {
 		e.noteUsedID(message, former)
 	}
-	return message.IDClaimed
+	return !known
 }
 
 // noteUsedID counts a request that is rejected since its id was used before, and writes its line.
@@ -231,13 +216,6 @@
 	}
 }
 
-// forgetID makes the id of a request that can't have run new again, if the request has claimed it.
-func (e *Engine) forgetID(message *httpwire.Request) {
-	if message.IDClaimed {
-		e.ids.forget(message.ID)
-	}
-}
-
 // noteEnd records for the id of a request how that has ended.
 func (e *Engine) noteEnd(message *httpwire.Request, verdict httpwire.Verdict) {
 	if verdict == httpwire.Abandoned {
--- a/internal/pipeline/requestids_test.go
+++ b/internal/pipeline/requestids_test.go
@@ -30,16 +30,12 @@
 	return known
 }
 
-// An id is new once, in both processes of an upgrade, until it is forgotten.
+// An id is new once, in both processes of an upgrade.
 func TestRequestIDs(t *testing.T) {
 	ids := newRequestIDs(state.NewClock(env.Real{}))
 	if isKnown(ids, "a") || !isKnown(ids, "a") {
 		t.Error("an id is not new exactly once")
 	}
-	ids.forget("a")
-	if isKnown(ids, "a") {
-		t.Error("a forgotten id is not new")
-	}
 	peer := peerIDs{hashOfID("theirs"): true}
 	if known := ids.setPeer(peer).Once; len(known) != 1 || known[0] != hashOfID("a") {
 		t.Errorf("ids for the other process: %v", known)
--- a/internal/pipeline/rules_test.go
+++ b/internal/pipeline/rules_test.go
@@ -62,7 +62,7 @@
 }
 
 // Guards against an id that comes again and is taken for a new one, whatever the rules in effect say of its class: a version may say of a
-// class, repeatable by the sidecar's own file, that its requests run once. A request forgets only an id that it has claimed.
+// class, repeatable by the sidecar's own file, that its requests run once.
 func TestIDsAreClaimedByTheRulesInEffect(t *testing.T) {
 	e, rules, _ := newClusterEngine(t)
 	e.conf.Classes = map[string]decide.Class{"look": {Name: "look", Effect: decide.Safe}}
@@ -70,24 +70,15 @@
 		rules.effective = &EffectiveRules{Generation: 2, Dynamic: &decide.DynamicSettings{Classes: map[string]decide.DynamicClass{"look": {Effect: effect}}}}
 	}
 	arrive := func(id string) *httpwire.Request { return &httpwire.Request{ID: id, Class: "look"} }
-	early, copied := arrive("1"), arrive("1")
-	if !e.claimID(early) || e.claimID(copied) {
+	if !e.claimID(arrive("1")) || e.claimID(arrive("1")) {
 		t.Error("an id of a repeatable class is not new exactly once")
 	}
 	under(decide.Unsafe)
 	if e.claimID(arrive("1")) || !e.claimID(arrive("2")) || e.claimID(arrive("2")) {
 		t.Error("an id is not new exactly once, though the version says that its request may run once")
 	}
-	if e.forgetID(copied); e.claimID(arrive("1")) {
-		t.Error("a request has made an id new that it has not claimed")
-	}
-	if e.forgetID(early); !e.claimID(arrive("1")) {
-		t.Error("a request has not made the id new that it has claimed")
-	}
-	for _, id := range []string{"1", "2"} {
-		if _, known := e.ids.once.lookUp(hashOfID(id)); !known {
-			t.Errorf("id %s is not among those that may not run twice", id)
-		}
+	if _, known := e.ids.once.lookUp(hashOfID("2")); !known {
+		t.Error("its id is not among those that may not run twice")
 	}
 }
 
--- a/internal/pipeline/takein.go
+++ b/internal/pipeline/takein.go
@@ -106,7 +106,6 @@
 	in := &arrival{message: &message, caller: conn, crowded: conn.OverSoftLimit(), answer: make(chan httpwire.Answer, 1)}
 	answer, counted = e.takeInNew(in)
 	if in.request == nil { // the owner has not admitted it, so nothing of it was sent
-		e.forgetID(&message)
 		message.Memory.Release()
 	}
 	return answer, counted
--- a/internal/state/request.go
+++ b/internal/state/request.go
@@ -158,17 +158,16 @@
 	return true
 }
 
-// Release removes a request that is done and has no attempt in flight, and reports whether this call has removed it.
-func (t *Requests) Release(r *Request) bool {
+// Release removes a request that is done and has no attempt in flight; others stay.
+func (t *Requests) Release(r *Request) {
 	if !r.Done || r.inFlight > 0 || t.byID[r.ID] != r {
-		return false
+		return
 	}
 	r.Message.Memory.Release()
 	delete(t.byID, r.ID)
 	if t.byCallersID[r.Message.ID] == r {
 		delete(t.byCallersID, r.Message.ID)
 	}
-	return true
 }
 
 // Audit checks that the table is consistent.
