An answer that another process goes on with keeps its request's deadline

Cause: an answer that has begun to pass on is broken off at its request's deadline, unless it is longer than 64 KiB; the state that is handed over had no deadline, so the other process waited 10 s for the next piece. Evidence: each request so lost was out as the successor came; TestAnswerThatStallsBehindAnUpgradeEndsInTime: no end 0.5 s after its time, in chunks and without a length. Change: what is left of the deadline goes with the answer, as a span, since the other process reads its own clock. The rule for the next piece is in one place for both. A build without this hands over none, and passes over one that it gets. Result: the test failed before and passes.

--- a/internal/httpwire/handover.go
+++ b/internal/httpwire/handover.go
@@ -39,8 +39,9 @@
 	Buffered []byte // read from the endpoint's connection, but not yet parsed as chunks
 	Left     int    // missing bytes of the body, or of the current chunk; below 0 if the body lasts to the connection's end
 	Chunked  bool
-	Behind   bool  // all bytes of a chunk have come, but not yet its line end
-	Total    int64 // bytes of the body so far
+	Behind   bool              // all bytes of a chunk have come, but not yet its line end
+	Total    int64             // bytes of the body so far
+	Deadline *HandoverDeadline `json:",omitempty"` // nil for none, or from a version without it
 }
 
 // setChunked records the position in a body in chunks. The other process may be of a version that has no position within the
@@ -74,7 +75,7 @@
 	if a.WithLength {
 		return false
 	}
-	handover := AnswerHandover{Class: a.Class, Unsent: conn.unsentBytes(), Left: -1, Total: total}
+	handover := AnswerHandover{Class: a.Class, Unsent: conn.unsentBytes(), Left: -1, Total: total, Deadline: a.deadline.Load().forHandover(a.env.Now())}
 	handover.Buffered, _ = a.link.in.Peek(a.link.in.Buffered())
 	switch b := a.body.(type) {
 	case *fixedLengthBody:
@@ -99,12 +100,15 @@
 	defer endpoint.Close()
 	in := bufio.NewReaderSize(io.MultiReader(bytes.NewReader(handover.Buffered), endpoint), MaxHead)
 	var body io.Reader = in
+	length := -1
 	switch {
 	case handover.Chunked:
 		body = handover.chunked(in)
 	case handover.Left >= 0:
 		body = &fixedLengthBody{r: in, remaining: handover.Left}
+		length = int(handover.Total) + handover.Left
 	}
+	deadline := handover.Deadline.from(environment.Now())
 	out := &Link{conn: caller}
 	if out.writePiece(handover.Unsent, false, false, environment.Now().Add(pieceStall)) != nil {
 		return AnswerCallerGone
@@ -112,7 +116,11 @@
 	buf := pieceBuffers.Get().(*[pieceSize]byte)
 	defer pieceBuffers.Put(buf)
 	for total := handover.Total; ; {
-		endpoint.SetReadDeadline(environment.Now().Add(pieceStall))
+		now := environment.Now()
+		endpoint.SetReadDeadline(now.Add(pieceStall))
+		if until, bound := deadline.forPiece(length, total, now); bound && until.Before(now.Add(pieceStall)) {
+			endpoint.SetReadDeadline(until)
+		}
 		n, err := body.Read(buf[:])
 		if total += int64(n); total > MaxAnswer || err != nil && err != io.EOF {
 			return AnswerBrokenOff
--- a/internal/httpwire/stream.go
+++ b/internal/httpwire/stream.go
@@ -104,12 +104,6 @@
 // Err returns why the answer was broken off, once its end was reported; nil if it was not.
 func (a *AnswerStream) Err() error { return a.broken }
 
-// streamDeadline is when an answer of at most MaxBuffered bytes is broken off.
-type streamDeadline struct {
-	at    time.Time
-	final bool // also if its endpoint keeps writing
-}
-
 // SetDeadline sets when an answer of at most MaxBuffered bytes is broken off, unless it has ended by then. One without a length goes on
 // while its endpoint keeps writing, unless the deadline is final. A final deadline, and an earlier one, stays. A longer answer goes
 // on, and so does one that is being handed over. The owner calls it.
@@ -119,8 +113,10 @@
 	}
 	deadline := &streamDeadline{at, final}
 	a.deadline.Store(deadline)
-	if a.usualLength() && a.handOverFunc.Load() == nil {
-		a.link.conn.SetReadDeadline(a.pieceDeadline(deadline, a.env.Now())) // for the read in progress
+	if now := a.env.Now(); a.handOverFunc.Load() == nil {
+		if until, bound := deadline.forPiece(a.Length, a.total.Load(), now); bound {
+			a.link.conn.SetReadDeadline(until) // for the read in progress
+		}
 	}
 }
 
@@ -131,40 +127,13 @@
 	stall := now.Add(pieceStall)
 	a.link.conn.SetReadDeadline(stall)
 	for deadline, set := a.deadline.Load(), (*streamDeadline)(nil); deadline != set; deadline = a.deadline.Load() {
-		if until := a.pieceDeadline(deadline, now); a.usualLength() && until.Before(stall) {
+		if until, bound := deadline.forPiece(a.Length, a.total.Load(), now); bound && until.Before(stall) {
 			a.link.conn.SetReadDeadline(until)
 		}
 		set = deadline // SetDeadline may have set another one meanwhile
 	}
 }
 
-// Limits on an answer without a length that goes on past its deadline: nobody knows whether it will be a long one.
-const (
-	answerGap     = 400 * time.Millisecond // an answer may come half a second late, so one that has stalled is broken off before that
-	minAnswerRate = 4 << 10                // bytes a second
-)
-
-// pieceDeadline returns until when the next piece must come because of a deadline of the answer. An answer without a length may go on
-// past it while its endpoint keeps writing.
-func (a *AnswerStream) pieceDeadline(deadline *streamDeadline, now time.Time) time.Time {
-	if deadline.final || a.Length >= 0 {
-		return deadline.at
-	}
-	until := now.Add(answerGap)
-	if latest := deadline.at.Add(time.Duration(a.total.Load()) * time.Second / minAnswerRate); until.After(latest) {
-		until = latest
-	}
-	if until.Before(deadline.at) {
-		return deadline.at
-	}
-	return until
-}
-
-// usualLength reports whether the answer may still have no more than MaxBuffered bytes.
-func (a *AnswerStream) usualLength() bool {
-	return a.Length <= MaxBuffered && a.total.Load() <= MaxBuffered
-}
-
 // SetConn sets the caller's connection, to which the answer is written.
 func (a *AnswerStream) SetConn(conn *CallerConn) { a.caller.Store(conn) }
 
