The look behind unread bytes waits without holding the processor

Cause: it waited up to 2 ms in a system call; with one processor the runtime may not take that back for as long, so callers that write far ahead could hold up all others. Change: it sleeps in steps of 0.5 ms and asks the kernel without waiting. The time is a field of the listener, so that a test can make it long. Tests that no mutation passed before: TestCloseBehindBytesThatComeAsTheyAreRead (the waits and their number), TestSafeIDsDoNotPushOutOthers, TestIDIsKnownBehindAnUpgrade in a safe class, two ids with a comma.

--- a/internal/httpwire/callers.go
+++ b/internal/httpwire/callers.go
@@ -31,6 +31,8 @@
 	backlogEmpty chan struct{} // closed by Accept when the backlog of a closing listener is empty
 	freed        chan struct{} // wakes Accept at the limit; a stale wake-up only makes it check again
 
+	aheadWait time.Duration // see DisconnectedBehindUnread
+
 	bodyMemory  *MemoryBudget // for bodies of requests; nil for no limit
 	bodiesEnded atomic.Int64  // when abortOldBodies last ran, in milliseconds since the start of the epoch
 
@@ -48,7 +50,7 @@
 func NewCallers(l net.Listener, environment env.Env, limit int, onEnd func(c *CallerConn, why Reason)) *Callers {
 	c := &Callers{
 		Listener: l, env: environment, onEnd: onEnd, conns: map[*CallerConn]struct{}{},
-		resume: make(chan struct{}, 1), backlogEmpty: make(chan struct{}), freed: make(chan struct{}, 1),
+		aheadWait: aheadWait, resume: make(chan struct{}, 1), backlogEmpty: make(chan struct{}), freed: make(chan struct{}, 1),
 	}
 	c.SetLimit(limit)
 	return c
--- a/internal/httpwire/disconnect.go
+++ b/internal/httpwire/disconnect.go
@@ -134,7 +134,8 @@
 
 // Limits on the look behind the bytes that a caller has written ahead.
 const (
-	aheadWait   = 2   // milliseconds that further bytes are awaited behind those that were read: the caller's machine sends them once there is room
+	aheadWait   = 2 * time.Millisecond // that further bytes are awaited behind those that were read: the caller's machine sends them once there is room
+	aheadStep   = 500 * time.Microsecond
 	aheadRounds = 100 // waits at most: a caller may go on sending
 )
 
@@ -144,8 +145,8 @@
 	if c.descriptor == nil || c.disconnected.Load() {
 		return c.Disconnected()
 	}
-	for round, wait := 0, 0; round < aheadRounds; round, wait = round+1, aheadWait {
-		events, err := c.poll(unix.POLLIN|unix.POLLRDHUP, wait)
+	events, err := c.poll(unix.POLLIN | unix.POLLRDHUP)
+	for range aheadRounds {
 		switch {
 		case err != nil || events&^unix.POLLIN != 0 || events != 0 && c.readAhead():
 			c.markDisconnected()
@@ -153,10 +154,21 @@
 		case events == 0 || !c.isFarAhead():
 			return false
 		}
+		events, err = c.awaitMore()
 	}
 	return false
 }
 
+// awaitMore waits until more has come from the caller, for Callers.aheadWait at most, and returns the same as poll.
+func (c *CallerConn) awaitMore() (events int16, err error) {
+	events, err = c.poll(unix.POLLIN | unix.POLLRDHUP)
+	for waited := time.Duration(0); events == 0 && err == nil && waited < c.owner.aheadWait; waited += aheadStep {
+		c.owner.env.Sleep(aheadStep)
+		events, err = c.poll(unix.POLLIN | unix.POLLRDHUP)
+	}
+	return events, err
+}
+
 // isFarAhead reports whether the caller has written more ahead than is kept, so that a close may stand behind what the kernel takes.
 func (c *CallerConn) isFarAhead() bool {
 	c.mu.Lock()
@@ -179,7 +191,7 @@
 	if c.descriptor == nil {
 		return false
 	}
-	events, err := c.poll(unix.POLLRDHUP, 0)
+	events, err := c.poll(unix.POLLRDHUP)
 	return events != 0 || err != nil // an error means that it is closed on this side
 }
 
@@ -188,7 +200,7 @@
 	if c.descriptor == nil {
 		return false
 	}
-	events, err := c.poll(unix.POLLIN|unix.POLLRDHUP, 0)
+	events, err := c.poll(unix.POLLIN | unix.POLLRDHUP)
 	return events != 0 || err != nil // an error means that it is closed on this side
 }
 
@@ -204,14 +216,13 @@
 	return unread
 }
 
-// poll asks the kernel which of the events, or of errors, have occurred on the connection, and waits for one at most the given number of
-// milliseconds.
-func (c *CallerConn) poll(events int16, wait int) (occurred int16, err error) {
+// poll asks the kernel which of the events, or of errors, have occurred on the connection. It does not wait.
+func (c *CallerConn) poll(events int16) (occurred int16, err error) {
 	err = c.descriptor.Control(func(fd uintptr) {
 		fds := [1]unix.PollFd{{Fd: int32(fd), Events: events}}
-		n, err := unix.Poll(fds[:], wait)
+		n, err := unix.Poll(fds[:], 0)
 		if err == unix.EINTR { // retry once: a signal handler ran in between
-			n, err = unix.Poll(fds[:], wait)
+			n, err = unix.Poll(fds[:], 0)
 		}
 		if n > 0 && err == nil {
 			occurred = fds[0].Revents
--- a/internal/httpwire/disconnect_test.go
+++ b/internal/httpwire/disconnect_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -125,6 +126,30 @@
 	}
 }
 
+// Guards against a close that is not seen since the bytes ahead of it come only as those before them are read.
+func TestCloseBehindBytesThatComeAsTheyAreRead(t *testing.T) {
+	c, peer := acceptPeer(t)
+	c.owner.aheadWait = time.Minute // each piece comes in time, however busy the machine is
+	c.MarkPending()
+	piece := strings.Repeat("x", maxPipelinedKept+1)
+	peer.Send(piece)
+	go func() {
+		for range 20 {
+			for c.UnreadBytes() > 0 {
+				runtime.Gosched()
+			}
+			peer.Send(piece)
+		}
+		for c.UnreadBytes() > 0 {
+			runtime.Gosched()
+		}
+		peer.Close()
+	}()
+	if !c.DisconnectedBehindUnread() {
+		t.Error("the caller counts as connected")
+	}
+}
+
 // Guards against a close that destroys the answer before it: bytes of the caller are unread at the close, and more come
 // during it. The caller must read the answer and then EOF, never a reset, and can still write meanwhile.
 func TestCloseOverUnreadBytes(t *testing.T) {
--- a/internal/lifecycle/departed_test.go
+++ b/internal/lifecycle/departed_test.go
@@ -212,23 +212,23 @@
 
 // Guards against an id that is forgotten with the process that took it: its successor must know it when that has ended.
 func TestIDIsKnownBehindAnUpgrade(t *testing.T) {
-	e := scripted.StartEndpoint(t, "e1", nil)
-	conf, address := upgradeConfig(t, scripted.StartDiscovery(t), e.Line())
-	old, _ := launchReady(t, conf)
-	id := newID()
-	first := scripted.Connect(t, address)
-	first.Send(burnText(id, "Content-Length: 0"))
-	if status, _ := first.ReadAnswer(); status != 200 {
-		t.Fatalf("the first: %d", status)
-	}
-	next, _ := launchReady(t, conf)
-	old.Process.Kill() //nolint:errcheck // it lives
-	old.Wait()         //nolint:errcheck // it was killed
-	eventually(t, "the successor knows that it has ended", func() bool { return strings.Contains(next.log.String(), "the predecessor has ended") })
-	second := scripted.Connect(t, address)
-	second.Send(burnText(id, "Content-Length: 0"))
-	if status, _ := second.ReadAnswer(); status != 400 || e.Count() != 1 {
-		t.Errorf("the second: %d; the endpoint got %d requests, want 400 and 1", status, e.Count())
+	for _, class := range []string{"burn", "look"} {
+		t.Run(class, func(t *testing.T) {
+			e := scripted.StartEndpoint(t, "e1", nil)
+			conf, address := upgradeConfig(t, scripted.StartDiscovery(t), e.Line())
+			old, _ := launchReady(t, conf)
+			id := newID()
+			if status := sendOnNew(t, address, textUnder(class, id)); status != 200 {
+				t.Fatalf("the first: %d", status)
+			}
+			next, _ := launchReady(t, conf)
+			old.Process.Kill() //nolint:errcheck // it lives
+			old.Wait()         //nolint:errcheck // it was killed
+			eventually(t, "the successor knows that it has ended", func() bool { return strings.Contains(next.log.String(), "the predecessor has ended") })
+			if status := sendOnNew(t, address, textUnder(class, id)); status != 400 || e.Count() != 1 {
+				t.Errorf("the second: %d; the endpoint got %d requests, want 400 and 1", status, e.Count())
+			}
+		})
 	}
 }
 
--- a/internal/lifecycle/unsound_test.go
+++ b/internal/lifecycle/unsound_test.go
@@ -17,6 +17,7 @@
 	"a fragment behind the path":  func(id string) string { return unsoundHead("GET /look/x?y=1#z HTTP/1.1\r\n", id, "") },
 	"a path that leads elsewhere": func(id string) string { return unsoundHead("GET /look/../pay HTTP/1.1\r\n", id, "") },
 	"the same with escapes":       func(id string) string { return unsoundHead("GET /look/%2E%2e/pay HTTP/1.1\r\n", id, "") },
+	"two ids with a comma":        func(id string) string { return unsoundHead("GET /look HTTP/1.1\r\n", id+","+id+"b", "") },
 	"two ids in one line":         func(id string) string { return unsoundHead("GET /look HTTP/1.1\r\n", id+", "+id+"b", "") },
 	"an id with a space":          func(id string) string { return unsoundHead("GET /look HTTP/1.1\r\n", id+" "+id, "") },
 	"an id that is not ASCII":     func(id string) string { return unsoundHead("GET /look HTTP/1.1\r\n", id+"\xe9", "") },
--- a/internal/pipeline/requestids_test.go
+++ b/internal/pipeline/requestids_test.go
@@ -64,6 +64,21 @@
 	}
 }
 
+// Guards against ids of requests that may not run twice and that many safe ones push out.
+func TestSafeIDsDoNotPushOutOthers(t *testing.T) {
+	ids := newRequestIDs(state.NewClock(env.Real{}))
+	ids.claim("once", false)
+	for i := range 10 * idGenerationSize {
+		ids.claim(strconv.Itoa(i), true)
+	}
+	if !isKnown(ids, "once") {
+		t.Error("its id is new again")
+	}
+	if n := len(ids.safe.hashes()); n > 2*idGenerationSize {
+		t.Errorf("%d safe ids are remembered", n)
+	}
+}
+
 // Guards against an id that is used again and nobody can tell why its request was rejected, or that it was not: there is a line that
 // tells what became of the request before.
 func TestUsedIDsAreLogged(t *testing.T) {
