--- a/internal/httpwire/caller.go
+++ b/internal/httpwire/caller.go
@@ -9,8 +9,6 @@
 	"sync/atomic"
 	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 // CallerConn is a connection of a caller. fasthttp's server reads and writes it, but does not notice that a caller
@@ -174,19 +172,13 @@
 
 // readAvailable reads the received bytes, whatever the deadline, and returns their number.
 func (c *CallerConn) readAvailable(b []byte) (n int) {
-	raw, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return 0
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
+	c.mu.Lock()
+	c.setDescriptor()
+	c.mu.Unlock()
+	if c.descriptor == nil {
 		return 0
 	}
-	err = control.Control(func(fd uintptr) {
-		if got, _, err := unix.Recvfrom(int(fd), b, unix.MSG_DONTWAIT); err == nil {
-			n = got
-		}
-	})
+	n, err := c.receive(b)
 	if err != nil {
 		return 0
 	}
