--- a/internal/lifecycle/sidecar_test.go
+++ b/internal/lifecycle/sidecar_test.go
@@ -573,7 +573,7 @@
 	}
 	in, served := bufio.NewReader(conns[1]), 0
 	for last := false; !last; served++ {
-		io.WriteString(conns[1], "GET /look HTTP/1.1\r\nHost: x\r\nX-Txn: 1\r\nX-Remaining: 1.5\r\n\r\n")
+		io.WriteString(conns[1], requestText("/look", ""))
 		answer, err := http.ReadResponse(in, nil)
 		if err != nil || answer.StatusCode != 200 {
 			t.Fatalf("request %d on an open connection: %+v, %v", served, answer, err)
