--- a/internal/lifecycle/memory_test.go
+++ b/internal/lifecycle/memory_test.go
@@ -94,6 +94,9 @@
 	})},
 	"heads that do not end": {writesThenWaits(func() string { return strings.TrimSuffix(manyFields("/look"), "\r\n") })},
 	"long answers":          {readsSlowly},
+	"long answers, read at once": {writesThenWaits(func() string {
+		return strings.Replace(requestText("/look/mb", ""), "X-Remaining", "Connection: close\r\nX-Org: acme\r\nX-Remaining", 1)
+	})},
 	"all of them": {
 		waitForEnd, readsSlowly,
 		writesThenWaits(func() string { return postHead("Content-Length: 65000") + strings.Repeat("b", 60_000) }),
