--- a/internal/lifecycle/memory_test.go
+++ b/internal/lifecycle/memory_test.go
@@ -69,6 +69,24 @@
 	}
 }
 
+// asksInTurn is a client that sends small requests of every class one after the other, as fast as they are answered, each with an id of its
+// own.
+func asksInTurn(conn *net.TCPConn) {
+	answers := bufio.NewReader(conn)
+	for i := 0; ; i++ {
+		text := strings.Replace(requestText("/look", ""), "X-Remaining", "X-Org: acme\r\nX-Remaining", 1)
+		if i%2 == 1 {
+			text = postHead("Content-Length: 0")
+		}
+		io.WriteString(conn, text) //nolint:errcheck // its answer shows it
+		answer, err := http.ReadResponse(answers, nil)
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, answer.Body) //nolint:errcheck // as above
+	}
+}
+
 // crowds are the clients that hold memory, by what they do.
 var crowds = map[string][]badClient{
 	"idle": {waitForEnd},
@@ -97,6 +115,7 @@
 	"long answers, read at once": {writesThenWaits(func() string {
 		return strings.Replace(requestText("/look/mb", ""), "X-Remaining", "Connection: close\r\nX-Org: acme\r\nX-Remaining", 1)
 	})},
+	"small requests in turn": {asksInTurn},
 	"all of them": {
 		waitForEnd, readsSlowly,
 		writesThenWaits(func() string { return postHead("Content-Length: 65000") + strings.Repeat("b", 60_000) }),
