--- a/internal/pipeline/requestids.go
+++ b/internal/pipeline/requestids.go
@@ -30,18 +30,26 @@
 	ClaimID(id uint64, safe bool) (known bool)
 }
 
-// idState says what became of the request that came with an id. It is written to log lines.
-type idState string
+// idState says what became of the request that came with an id.
+type idState uint8
 
 // The states of a request that an id was used for.
 const (
-	idOpen      idState = "open"          // it has no final answer yet
-	idAnswered  idState = "answered"      // its caller was given the final answer
-	idLeft      idState = "caller_left"   // its caller disconnected before its answer
-	idEnded     idState = "ended"         // one of both, and an attempt of it is out
-	idElsewhere idState = "other_process" // it came to the other process of an upgrade
+	idOpen      idState = iota // it has no final answer yet
+	idAnswered                 // its caller was given the final answer
+	idLeft                     // its caller disconnected before its answer
+	idEnded                    // one of both, and an attempt of it is out
+	idElsewhere                // it came to the other process of an upgrade
 )
 
+// idStateNames are the names of the states in log lines.
+var idStateNames = [...]string{
+	idOpen: "open", idAnswered: "answered", idLeft: "caller_left", idEnded: "ended", idElsewhere: "other_process",
+}
+
+// String implements fmt.Stringer.
+func (s idState) String() string { return idStateNames[s] }
+
 // usedID is what is remembered of the request that came with an id.
 type usedID struct {
 	came  decide.Time // 0 if that is not known
@@ -208,7 +216,7 @@
 func (e *Engine) noteUsedID(message *httpwire.Request, former usedID) {
 	e.metrics.UsedIDs.Add(1)
 	if suppressed, ok := e.ids.allowLine(); ok {
-		line := e.log.Info().Str("request", message.ID).Str("class", message.Class).Str("former", string(former.state))
+		line := e.log.Info().Str("request", message.ID).Str("class", message.Class).Stringer("former", former.state)
 		if former.came > 0 {
 			line.Int64("former_came_ms_ago", (e.clock.Now() - former.came).Milliseconds())
 		}
