--- a/internal/lifecycle/memory_test.go
+++ b/internal/lifecycle/memory_test.go
@@ -207,11 +207,8 @@
 	for name, clients := range crowds {
 		t.Run(name, func(t *testing.T) {
 			conf := scripted.SidecarConfig(scripted.StartDiscovery(t), scripted.Line("e1", startMemoryEndpoint(t)), scripted.Line("e2", startMemoryEndpoint(t)))
-			address := scripted.FreeAddress(t)
-			conf["listen"] = address
 			conf["limits"] = map[string]any{"cores": 1.0, "memory_mb": leastMemoryMB, "sockets": mostDescriptors}
-			p := launch(t, conf)
-			eventually(t, "ready", isReady(t, address))
+			p, address := launchServing(t, conf)
 			before := peakMemory(t, p.Process.Pid)
 			stop := startBadCrowd(address, clients)
 			time.Sleep(during)
--- a/internal/lifecycle/process_test.go
+++ b/internal/lifecycle/process_test.go
@@ -61,6 +61,16 @@
 	return launchAt(t, conf, scripted.WriteConfig(t, conf))
 }
 
+// launchServing launches a process at an address of its own and waits until it is ready.
+func launchServing(t *testing.T, conf map[string]any) (p *process, address string) {
+	t.Helper()
+	address = scripted.FreeAddress(t)
+	conf["listen"] = address
+	p = launch(t, conf)
+	eventually(t, "ready", isReady(t, address))
+	return p, address
+}
+
 // launchLimited launches a process that may hold the given number of descriptors.
 func launchLimited(t *testing.T, conf map[string]any, descriptors int) *process {
 	t.Helper()
@@ -93,10 +103,7 @@
 func TestRestarts(t *testing.T) {
 	e := scripted.StartEndpoint(t, "e1", nil)
 	conf := scripted.SidecarConfig(scripted.StartDiscovery(t), e.Line())
-	address := scripted.FreeAddress(t)
-	conf["listen"] = address
-	first := launch(t, conf)
-	eventually(t, "the first is ready", isReady(t, address))
+	first, address := launchServing(t, conf)
 	keep, err := net.Dial("tcp", address)
 	if err != nil {
 		t.Fatal(err)
@@ -132,10 +139,7 @@
 	first.Publish(t, 900, e1.Line())
 	second.Publish(t, 3, e2.Line())
 	conf := scripted.SidecarConfig(first, e1.Line())
-	address := scripted.FreeAddress(t)
-	conf["listen"] = address
-	p := launch(t, conf)
-	eventually(t, "ready", isReady(t, address))
+	p, address := launchServing(t, conf)
 	eventually(t, "the first watch waits", func() bool { return first.NumCalls() == 2 })
 	stop := make(chan struct{})
 	var wait sync.WaitGroup
@@ -253,11 +257,8 @@
 		w.Write(bytes.Repeat([]byte("x"), 60<<10))
 	})
 	conf := scripted.SidecarConfig(scripted.StartDiscovery(t), e.Line())
-	address := scripted.FreeAddress(t)
-	conf["listen"] = address
 	conf["limits"] = map[string]any{"memory_mb": memoryMB, "sockets": sockets}
-	p := launch(t, conf)
-	eventually(t, "ready", isReady(t, address))
+	p, address := launchServing(t, conf)
 	setDescriptors(t, p.Process.Pid, sockets)
 	var wait sync.WaitGroup
 	for range callers {
--- a/internal/lifecycle/usedid_test.go
+++ b/internal/lifecycle/usedid_test.go
@@ -71,10 +71,7 @@
 	id, release := newID(), make(chan struct{})
 	e := holdingEndpoint(t, id, release)
 	conf := scripted.SidecarConfig(scripted.StartDiscovery(t), e.Line())
-	address := scripted.FreeAddress(t)
-	conf["listen"] = address
-	p := launch(t, conf)
-	eventually(t, "ready", isReady(t, address))
+	p, address := launchServing(t, conf)
 	first := scripted.Connect(t, address)
 	first.Send(textUnder(class, id))
 	eventually(t, "it is sent", func() bool { return e.Count() == 1 })
@@ -193,10 +190,7 @@
 			t.Run(class+", "+name, func(t *testing.T) {
 				e := scripted.StartEndpoint(t, "e1", nil)
 				conf := scripted.SidecarConfig(scripted.StartDiscovery(t), e.Line())
-				address := scripted.FreeAddress(t)
-				conf["listen"] = address
-				p := launch(t, conf)
-				eventually(t, "ready", isReady(t, address))
+				p, address := launchServing(t, conf)
 				caller := scripted.Connect(t, address)
 				caller.Send(textUnder("look", newID()))
 				caller.ReadAnswer() // its connection is one that the sidecar reads
